--- /dev/null
+++ b/crates/decide/src/config.rs
@@ -0,0 +1,189 @@
+//! The configuration in force, replayed from the `config` stream.
+//!
+//! A change is accepted if its base version is the record's version at the change's place in the stream.
+//! So of two operators who race from the same version the first in the stream wins and the other is told.
+//! Changes are applied in offset order only, so what is in force never reverts.
+
+use fulmarswitch_records::config::{EndpointConfig, ModelConfig, ServiceConfig, WorkspaceConfig};
+use fulmarswitch_records::record::CarriedConfig;
+use fulmarswitch_records::{
+    ConfigBody, ConfigChange, LogRecord, Offset, RecordBody, RecordPlace, SortedIndex,
+};
+use std::sync::Arc;
+
+/// One configuration record in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigEntry {
+    /// Number of accepted changes so far.
+    pub version: u64,
+    /// The newest accepted change, as published.
+    pub change: ConfigChange,
+    /// The change as this program understands it.
+    pub body: ConfigBody,
+    /// Offset of the change.
+    pub offset: Offset,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigVerdict {
+    /// The change is in force under this version.
+    Accepted {
+        /// Version of the record after the change.
+        version: u64,
+    },
+    /// Another change came first.
+    Lost {
+        /// Version of the record in force.
+        current: u64,
+    },
+}
+
+/// Table of configuration records, replayed from the stream.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigTable {
+    entries: SortedIndex<Arc<str>, ConfigEntry>,
+    applied: Option<Offset>,
+}
+
+impl ConfigTable {
+    /// Creates an empty table.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::config::ConfigTable;
+    /// assert_eq!(ConfigTable::new().version_of("service/x"), 0);
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies one record; returns what became of it if it is a change of configuration.
+    ///
+    /// # Panics
+    /// In debug builds, when records come out of offset order.
+    pub fn apply(&mut self, place: RecordPlace, record: &LogRecord) -> Option<ConfigVerdict> {
+        debug_assert!(
+            self.applied.is_none_or(|applied| applied <= place.offset),
+            "configuration at {place} is applied after {:?}",
+            self.applied
+        );
+        self.applied = Some(place.offset);
+        match &record.body {
+            RecordBody::Config(change) => Some(self.apply_change(place.offset, change)),
+            RecordBody::CarriedConfig(carried) => {
+                self.apply_carried(place.offset, carried);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the version of a record; zero when it was never accepted.
+    #[must_use]
+    pub fn version_of(&self, name: &str) -> u64 {
+        self.entries.get(name).map_or(0, |entry| entry.version)
+    }
+
+    /// Returns the offset up to which changes are applied.
+    #[must_use]
+    pub fn applied(&self) -> Option<Offset> {
+        self.applied
+    }
+
+    /// Returns one record.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&ConfigEntry> {
+        self.entries
+            .get(name)
+            .filter(|entry| !entry.change.deletes())
+    }
+
+    /// Returns all records in force.
+    pub fn all(&self) -> impl Iterator<Item = &ConfigEntry> {
+        self.entries
+            .iter()
+            .map(|(_, entry)| entry)
+            .filter(|entry| !entry.change.deletes())
+    }
+
+    /// Returns the service of this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceConfig> {
+        match &self.get(&format!("service/{name}"))?.body {
+            ConfigBody::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    /// Returns the workspace of this name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&WorkspaceConfig> {
+        match &self.get(&format!("workspace/{name}"))?.body {
+            ConfigBody::Workspace(workspace) => Some(workspace),
+            _ => None,
+        }
+    }
+
+    /// Returns the model of this name.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<&ModelConfig> {
+        match &self.get(&format!("model/{name}"))?.body {
+            ConfigBody::Model(model) => Some(model),
+            _ => None,
+        }
+    }
+
+    /// Returns the endpoint of this name.
+    #[must_use]
+    pub fn endpoint(&self, name: &str) -> Option<&EndpointConfig> {
+        match &self.get(&format!("endpoint/{name}"))?.body {
+            ConfigBody::Endpoint(endpoint) => Some(endpoint),
+            _ => None,
+        }
+    }
+
+    /// Returns all endpoints with their names.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&str, &EndpointConfig)> {
+        self.all().filter_map(|entry| match &entry.body {
+            ConfigBody::Endpoint(endpoint) => {
+                Some((entry.change.name.strip_prefix("endpoint/")?, endpoint))
+            }
+            _ => None,
+        })
+    }
+
+    /// A carried record stands in for changes that have expired; it never replaces a newer version.
+    fn apply_carried(&mut self, offset: Offset, carried: &CarriedConfig) {
+        let current = self.version_of(&carried.change.name);
+        if carried.version < current {
+            return;
+        }
+        let change = carried.change.clone();
+        let body = change.parse_lenient();
+        let entry = ConfigEntry {
+            version: carried.version,
+            change,
+            body,
+            offset,
+        };
+        self.entries.insert(carried.change.name.clone(), entry);
+    }
+
+    fn apply_change(&mut self, offset: Offset, change: &ConfigChange) -> ConfigVerdict {
+        let current = self.version_of(&change.name);
+        if change.base_version != current {
+            return ConfigVerdict::Lost { current };
+        }
+        let version = current + 1;
+        let body = change.parse_lenient();
+        let entry = ConfigEntry {
+            version,
+            change: change.clone(),
+            body,
+            offset,
+        };
+        self.entries.insert(change.name.clone(), entry);
+        ConfigVerdict::Accepted { version }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/handout.rs
@@ -0,0 +1,123 @@
+//! Which items of a job are handed out to gates.
+//!
+//! This is the volatile side of a job: an owner that takes over starts with nothing handed out and offers
+//! every open item again. What the log says of the items stands in [`crate::shard`].
+
+use crate::shard::jobs::{ItemState, JobEntry};
+use fulmarswitch_records::{HostIdentity, SortedIndex};
+use std::time::Duration;
+
+/// An item that a gate holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandedItem {
+    /// The gate's host.
+    pub gate: HostIdentity,
+    /// When the owner stops waiting for it.
+    pub until: Duration,
+}
+
+/// Items of one job that are handed out.
+#[derive(Clone, Debug, Default)]
+pub struct ItemHandout {
+    cursor: u32,
+    returned: Vec<u32>,
+    out: SortedIndex<u32, HandedItem>,
+}
+
+impl ItemHandout {
+    /// Creates the handout of a job of which nothing is handed out.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of items that could be handed out.
+    #[must_use]
+    pub fn waiting(&self, job: &JobEntry) -> u32 {
+        let out = u32::try_from(self.out.len()).unwrap_or(u32::MAX);
+        if job.accepted().is_some() {
+            job.counts().open.saturating_sub(out)
+        } else {
+            0
+        }
+    }
+
+    /// Picks up to `count` open items and notes that `gate` holds them.
+    pub fn take(
+        &mut self,
+        job: &JobEntry,
+        gate: &HostIdentity,
+        until: Duration,
+        count: u32,
+    ) -> Vec<u32> {
+        let mut items = Vec::new();
+        while items.len() < count as usize {
+            let Some(item) = self.next_open(job) else {
+                break;
+            };
+            self.out.insert(
+                item,
+                HandedItem {
+                    gate: gate.clone(),
+                    until,
+                },
+            );
+            items.push(item);
+        }
+        items
+    }
+
+    /// Notes that an item has come back, to be handed out again if it is still open.
+    pub fn give_back(&mut self, item: u32) {
+        if self.out.remove(&item).is_some() {
+            self.returned.push(item);
+        }
+    }
+
+    /// Notes that an item needs no more attention.
+    pub fn settle(&mut self, item: u32) {
+        self.out.remove(&item);
+    }
+
+    /// Takes back the items whose gate is lost or late, and returns them.
+    pub fn take_lost(
+        &mut self,
+        now: Duration,
+        reachable: impl Fn(&HostIdentity) -> bool,
+    ) -> Vec<u32> {
+        let is_lost = |held: &HandedItem| held.until <= now || !reachable(&held.gate);
+        let lost: Vec<u32> = self
+            .out
+            .iter()
+            .filter(|(_, held)| is_lost(held))
+            .map(|(item, _)| *item)
+            .collect();
+        for item in &lost {
+            self.give_back(*item);
+        }
+        lost
+    }
+
+    /// Tells whether the item is handed out.
+    #[must_use]
+    pub fn is_out(&self, item: u32) -> bool {
+        self.out.contains(&item)
+    }
+
+    fn next_open(&mut self, job: &JobEntry) -> Option<u32> {
+        let open = |item: u32| job.states().get(item as usize) == Some(&ItemState::Open);
+        while let Some(item) = self.returned.pop() {
+            if open(item) && !self.out.contains(&item) {
+                return Some(item);
+            }
+        }
+        while (self.cursor as usize) < job.states().len() {
+            let item = self.cursor;
+            self.cursor += 1;
+            if open(item) && !self.out.contains(&item) {
+                return Some(item);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/decide/src/hosts.rs
@@ -0,0 +1,168 @@
+//! The hosts that take part, replayed from the `hosts` stream.
+//!
+//! A host is live from its join until it leaves or two neighbours report it silent; one is enough where
+//! only two hosts are live. A host that was taken to be lost and is not joins again. A join of a higher
+//! incarnation replaces the older run. The order on the stream decides, so all hosts come to the same
+//! list; how far each has read is the only difference.
+
+use fulmarswitch_records::record::{GateClaim, HostJoin, HostSuspicion};
+use fulmarswitch_records::{HostIdentity, LogRecord, Offset, RecordBody, RecordPlace, SortedIndex};
+use std::sync::Arc;
+
+/// Neighbours that must report a host silent before it is taken to be lost.
+const REPORTERS_NEEDED: usize = 2;
+
+/// Where a host stands between joining and being gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostPhase {
+    /// Takes new work.
+    Live,
+    /// Finishes what is in progress and takes no new work.
+    Leaving,
+    /// Taken to be lost.
+    Down,
+}
+
+/// One host as the stream describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostEntry {
+    /// The newest join.
+    pub join: HostJoin,
+    /// Where the host stands.
+    pub phase: HostPhase,
+    /// Neighbours that have reported the host silent since it joined last.
+    pub reporters: Vec<Arc<str>>,
+}
+
+/// Current giver of orders to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderHolder {
+    /// The host that claimed last.
+    pub host: HostIdentity,
+    /// Its fencing number: the offset of the claim.
+    pub fencing: Offset,
+}
+
+/// Table of hosts, replayed from the stream.
+#[derive(Clone, Debug, Default)]
+pub struct HostTable {
+    hosts: SortedIndex<Arc<str>, HostEntry>,
+    orders: SortedIndex<Arc<str>, OrderHolder>,
+    version: u64,
+}
+
+impl HostTable {
+    /// Creates an empty table.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::hosts::HostTable;
+    /// assert_eq!(HostTable::new().live().count(), 0);
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies one record and tells whether it changed the table.
+    pub fn apply(&mut self, place: RecordPlace, record: &LogRecord) -> bool {
+        let changed = match &record.body {
+            RecordBody::HostJoin(join) => self.join(join),
+            RecordBody::HostLeave(host) => self.set_phase(host, HostPhase::Leaving),
+            RecordBody::HostDown(suspicion) => self.suspect(suspicion),
+            RecordBody::GateClaim(claim) => self.claim_gate(place, claim),
+            _ => false,
+        };
+        self.version += u64::from(changed);
+        changed
+    }
+
+    /// Returns a number that grows with every change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the hosts that take new work, in order of their names within each part of the index.
+    pub fn live(&self) -> impl Iterator<Item = &HostEntry> {
+        self.all().filter(|entry| entry.phase == HostPhase::Live)
+    }
+
+    /// Returns every host that has ever joined and not been replaced.
+    pub fn all(&self) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.iter().map(|(_, entry)| entry)
+    }
+
+    /// Returns the newest entry of a host.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&HostEntry> {
+        self.hosts.get(name)
+    }
+
+    /// Returns the current giver of orders to `endpoint`.
+    #[must_use]
+    pub fn order_holder(&self, endpoint: &str) -> Option<&OrderHolder> {
+        self.orders.get(endpoint)
+    }
+
+    /// Tells whether this run of the host may still answer: it is the newest and not lost.
+    #[must_use]
+    pub fn is_reachable(&self, host: &HostIdentity) -> bool {
+        self.get(&host.name).is_some_and(|entry| {
+            entry.join.host.incarnation == host.incarnation && entry.phase != HostPhase::Down
+        })
+    }
+
+    fn join(&mut self, join: &HostJoin) -> bool {
+        if let Some(entry) = self.hosts.get(&join.host.name) {
+            let newer = join.host.incarnation > entry.join.host.incarnation;
+            let again = join.host == entry.join.host && entry.phase == HostPhase::Down;
+            if !newer && !again {
+                return false;
+            }
+        }
+        let entry = HostEntry {
+            join: join.clone(),
+            phase: HostPhase::Live,
+            reporters: Vec::new(),
+        };
+        self.hosts.insert(join.host.name.clone(), entry);
+        true
+    }
+
+    fn suspect(&mut self, suspicion: &HostSuspicion) -> bool {
+        let needed = if self.live().count() <= 2 {
+            1
+        } else {
+            REPORTERS_NEEDED
+        };
+        let Some(entry) = self.hosts.get_mut(&suspicion.host.name) else {
+            return false;
+        };
+        if entry.join.host != suspicion.host || entry.reporters.contains(&suspicion.reporter) {
+            return false;
+        }
+        entry.reporters.push(suspicion.reporter.clone());
+        entry.reporters.len() >= needed && self.set_phase(&suspicion.host, HostPhase::Down)
+    }
+
+    fn set_phase(&mut self, host: &HostIdentity, phase: HostPhase) -> bool {
+        let Some(entry) = self.hosts.get_mut(&host.name) else {
+            return false;
+        };
+        let current = entry.join.host.incarnation == host.incarnation;
+        let later = entry.phase != HostPhase::Down && entry.phase != phase;
+        if current && later {
+            entry.phase = phase;
+        }
+        current && later
+    }
+
+    fn claim_gate(&mut self, place: RecordPlace, claim: &GateClaim) -> bool {
+        let holder = OrderHolder {
+            host: claim.host.clone(),
+            fencing: place.offset,
+        };
+        self.orders.insert(claim.endpoint.clone(), holder);
+        true
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,23 @@
+//! The decisions of the system as pure state machines: events and time in, actions out.
+//!
+//! Nothing here does I/O, reads a clock or spawns a task. The daemon, the randomised runs and the
+//! differential tests run the same code.
+//!
+//! - [`shard`]: replays the records of one shard; says which records are valid, who owns the shard and
+//!   what state each key, job and item is in.
+//! - [`hosts`]: replays joins and leaves; says which hosts are live.
+//! - [`config`]: replays configuration; says which change won and what is in force.
+//! - [`placement`]: rendezvous hashing of shards, groups and endpoints over hosts.
+//! - [`handout`]: which items of a job are handed out to gates.
+//! - [`offers`]: which job a gate pulls from.
+//! - [`gate`]: what one endpoint is given, and when: online before batch.
+//! - [`balance`]: which endpoint a request goes to.
+
+pub mod balance;
+pub mod config;
+pub mod gate;
+pub mod handout;
+pub mod hosts;
+pub mod offers;
+pub mod placement;
+pub mod shard;
--- /dev/null
+++ b/crates/decide/src/offers.rs
@@ -0,0 +1,40 @@
+//! Which job a gate with room pulls from: the nearest due date, then fair by workspace.
+
+use std::sync::Arc;
+
+/// Due dates that fall into one slot count as equal, in milliseconds.
+const DUE_SLOT_MS: u64 = 60_000;
+
+/// One job as a gate sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OfferView {
+    /// Workspace and job.
+    pub job: Arc<str>,
+    /// Workspace.
+    pub workspace: Arc<str>,
+    /// Due time, in milliseconds since the Unix epoch.
+    pub due_ms: u64,
+    /// Items that may be handed out.
+    pub waiting: u32,
+    /// Items of the workspace that this gate holds, divided by the workspace's weight.
+    pub workspace_load: u32,
+}
+
+/// Chooses the job to pull from, or `None` when no job has items.
+///
+/// ```
+/// use fulmarswitch_decide::offers::{OfferView, choose_offer};
+/// let offer = |job: &str, due_ms| OfferView {
+///     job: job.into(), workspace: "w".into(), due_ms, waiting: 1, workspace_load: 0,
+/// };
+/// assert_eq!(choose_offer(&[offer("late", 900_000), offer("soon", 0)]), Some(1));
+/// ```
+#[must_use]
+pub fn choose_offer(offers: &[OfferView]) -> Option<usize> {
+    offers
+        .iter()
+        .enumerate()
+        .filter(|(_, offer)| offer.waiting > 0)
+        .min_by_key(|(_, offer)| (offer.due_ms / DUE_SLOT_MS, offer.workspace_load, &offer.job))
+        .map(|(at, _)| at)
+}
--- /dev/null
+++ b/crates/decide/src/shard/verify.rs
@@ -0,0 +1,138 @@
+//! Walks a shard's state and names every broken invariant with the entity it stands in.
+
+use super::jobs::{ItemState, JobCounts, JobEntry};
+use super::{KeyEntry, ShardState};
+use std::fmt;
+use std::sync::Arc;
+
+/// One broken invariant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenInvariant {
+    /// The key, job or item.
+    pub entity: Arc<str>,
+    /// What does not hold.
+    pub rule: &'static str,
+}
+
+impl fmt::Display for BrokenInvariant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.entity, self.rule)
+    }
+}
+
+/// Checks a whole shard.
+///
+/// ```
+/// use fulmarswitch_decide::shard::{ShardState, verify::verify_shard};
+/// use fulmarswitch_records::ShardIndex;
+/// assert!(verify_shard(&ShardState::new(ShardIndex(0))).is_empty());
+/// ```
+#[must_use]
+pub fn verify_shard(state: &ShardState) -> Vec<BrokenInvariant> {
+    let mut broken = Vec::new();
+    if (state.epoch().0 == 0) != state.owner().is_none() {
+        let entity = format!("shard {}", state.shard()).into();
+        broken.push(BrokenInvariant {
+            entity,
+            rule: "an owner and an epoch come together",
+        });
+    }
+    for (name, entry) in state.keys() {
+        broken.extend(check_key(name, entry));
+        if entry.outcome.is_some() == state.is_open(name) {
+            let rule = "the open keys are those without an outcome";
+            broken.push(BrokenInvariant {
+                entity: name.clone(),
+                rule,
+            });
+        }
+    }
+    for (name, job) in state.jobs() {
+        check_job(name, job, &mut broken);
+    }
+    broken
+}
+
+/// Checks one key.
+#[must_use]
+pub fn check_key(name: &Arc<str>, entry: &KeyEntry) -> Vec<BrokenInvariant> {
+    let mut broken = Vec::new();
+    let mut check = |holds: bool, rule| {
+        if !holds {
+            broken.push(BrokenInvariant {
+                entity: name.clone(),
+                rule,
+            });
+        }
+    };
+    let Some(result) = &entry.outcome else {
+        return broken;
+    };
+    check(
+        result.place >= entry.accepted,
+        "an outcome stands behind the request that it answers",
+    );
+    broken
+}
+
+fn check_job(name: &Arc<str>, job: &JobEntry, broken: &mut Vec<BrokenInvariant>) {
+    let mut check = |holds: bool, entity: Arc<str>, rule| {
+        if !holds {
+            broken.push(BrokenInvariant { entity, rule });
+        }
+    };
+    let ordered = job
+        .chunks()
+        .windows(2)
+        .all(|pair| pair[0].first + pair[0].count <= pair[1].first);
+    check(
+        ordered,
+        name.clone(),
+        "chunks are in order and do not overlap",
+    );
+    check(
+        count(job.states()) == job.counts(),
+        name.clone(),
+        "counts match the items",
+    );
+    check(
+        !job.is_cancelled() || job.is_finished(),
+        name.clone(),
+        "a cancelled job has no open item",
+    );
+    for (item, state) in job.states().iter().enumerate() {
+        let index = u32::try_from(item).unwrap_or(u32::MAX);
+        let answered = matches!(state, ItemState::Done | ItemState::Failed);
+        let has_result = job.result_of(index).is_some();
+        let entity = || format!("{name} item {item}").into();
+        check(
+            !answered || has_result,
+            entity(),
+            "an answered item has a result on the log",
+        );
+        check(
+            state.is_final() || !has_result,
+            entity(),
+            "an open item has no result",
+        );
+        check(
+            state.is_final() || job.chunk_of(index).is_some(),
+            entity(),
+            "an open item has its input on the log",
+        );
+    }
+}
+
+fn count(states: &[ItemState]) -> JobCounts {
+    let mut counts = JobCounts::default();
+    for state in states {
+        match state {
+            ItemState::Open | ItemState::Announced => counts.open += 1,
+            ItemState::Done => counts.done += 1,
+            ItemState::Failed => counts.failed += 1,
+            ItemState::MayHaveRun => counts.may_have_run += 1,
+            ItemState::Cancelled => counts.cancelled += 1,
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/decide/tests/shard.rs
@@ -0,0 +1,81 @@
+//! Records of one shard, replayed.
+
+use fulmarswitch_decide::shard::{RecordVerdict, ShardState, VoidReason, verify::verify_shard};
+use fulmarswitch_records::record::{KeyOutcome, KeyRunning, ShardClaim};
+use fulmarswitch_records::{
+    Epoch, HostIdentity, ItemOutcome, LogRecord, Offset, OnlineRequest, RecordBody, RecordId,
+    RecordPlace, ShardIndex,
+};
+use rstest::rstest;
+
+fn host(name: &str) -> HostIdentity {
+    HostIdentity {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn claim(name: &str) -> RecordBody {
+    RecordBody::Claim(ShardClaim { owner: host(name) })
+}
+
+fn accept(key: &str) -> RecordBody {
+    RecordBody::Accept(OnlineRequest {
+        key: key.into(),
+        workspace: "w".into(),
+        service: "s".into(),
+        input: "i".into(),
+        max_tokens: 1,
+        deadline_ms: 1,
+        idempotent: false,
+    })
+}
+
+fn running(key: &str) -> RecordBody {
+    RecordBody::Running(KeyRunning {
+        key: format!("w/{key}").into(),
+    })
+}
+
+fn outcome(key: &str) -> RecordBody {
+    let outcome = ItemOutcome::Done { text: "t".into() };
+    RecordBody::Outcome(KeyOutcome {
+        key: format!("w/{key}").into(),
+        outcome,
+    })
+}
+
+const VALID: RecordVerdict = RecordVerdict::Valid;
+const REPEAT: RecordVerdict = RecordVerdict::Repeat;
+const STALE: RecordVerdict = RecordVerdict::Void(VoidReason::StaleEpoch);
+const TWICE: RecordVerdict = RecordVerdict::Void(VoidReason::AlreadyRunning);
+const NOT_OPEN: RecordVerdict = RecordVerdict::Void(VoidReason::NotOpen);
+
+#[rstest]
+#[case::first_outcome_stands(&[(1, claim("a"), VALID), (1, accept("k"), VALID), (1, outcome("k"), VALID), (1, outcome("k"), REPEAT)])]
+#[case::older_epoch_is_void(&[(1, claim("a"), VALID), (2, claim("b"), VALID), (1, accept("k"), STALE)])]
+#[case::second_claim_loses(&[(1, claim("a"), VALID), (1, claim("b"), STALE)])]
+#[case::second_announcement_is_void(&[(1, claim("a"), VALID), (1, accept("k"), VALID), (1, running("k"), VALID), (1, running("k"), TWICE)])]
+#[case::outcome_needs_acceptance(&[(1, claim("a"), VALID), (1, outcome("k"), NOT_OPEN)])]
+fn records_are_judged_by_their_place(#[case] records: &[(u64, RecordBody, RecordVerdict)]) {
+    let mut state = ShardState::new(ShardIndex(0));
+    for (at, (epoch, body, expected)) in (0..).zip(records) {
+        let id = RecordId {
+            writer: host("a"),
+            sequence: at,
+        };
+        let record = LogRecord {
+            id,
+            shard: ShardIndex(0),
+            epoch: Epoch(*epoch),
+            stamp: 0,
+            body: body.clone(),
+        };
+        let place = RecordPlace {
+            offset: Offset(at),
+            position: 0,
+        };
+        assert_eq!(state.apply(place, at, &record), *expected, "record {at}");
+    }
+    assert_eq!(verify_shard(&state), vec![]);
+}
--- /dev/null
+++ b/crates/endpoint/src/http.rs
@@ -0,0 +1,293 @@
+//! Endpoints over HTTP: completions with server-sent events, and plain calls.
+
+use crate::{
+    AnswerPart, AnswerStream, EndpointCall, EndpointClient, EndpointError, EndpointOrder,
+    EndpointReport, OrderAction,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarswitch_http::client::{encode_json, read_reply};
+use fulmarswitch_http::lines::read_events;
+use fulmarswitch_http::{HttpClient, HttpError, HttpReply, full_body};
+use fulmarswitch_records::config::EndpointProtocol;
+use futures::StreamExt;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time to come back after a refusal that gives none.
+const DEFAULT_RETRY: Duration = Duration::from_millis(200);
+/// Time allowed for a report or an order.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Data line that ends a stream of events.
+const LAST_EVENT: &str = "[DONE]";
+
+/// Body of a completion.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionCall {
+    /// Identity of the attempt.
+    pub id: Arc<str>,
+    /// Model to use.
+    pub model: Arc<str>,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// Text to continue from.
+    #[serde(default)]
+    pub prior: Arc<str>,
+    /// Tokens in that text.
+    #[serde(default)]
+    pub prior_tokens: u32,
+    /// Most tokens in the whole answer.
+    pub max_tokens: u32,
+    /// Always true: tokens are streamed.
+    pub stream: bool,
+}
+
+/// One event of a completion.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionEvent {
+    /// The token's text.
+    #[serde(default)]
+    pub text: Arc<str>,
+    /// What went wrong; empty for a token.
+    #[serde(default)]
+    pub error: Arc<str>,
+}
+
+/// Body of a call to a plain service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlainCall {
+    /// Identity of the attempt.
+    pub id: Arc<str>,
+    /// Text for the service.
+    pub input: Arc<str>,
+}
+
+/// Answer of a plain service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlainReply {
+    /// The answer.
+    pub text: Arc<str>,
+}
+
+/// Report of an engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireReport {
+    /// Models that are loaded.
+    pub models: Vec<Arc<str>>,
+    /// Requests held.
+    pub held: u32,
+    /// Highest fencing number seen.
+    pub fencing: u64,
+}
+
+/// Order to an engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireOrder {
+    /// Fencing number of the giver.
+    pub fencing: u64,
+    /// Model to load or unload.
+    pub model: Arc<str>,
+    /// True to load, false to unload.
+    pub load: bool,
+}
+
+impl From<WireReport> for EndpointReport {
+    fn from(wire: WireReport) -> Self {
+        Self {
+            models: wire.models,
+            held: wire.held,
+            fencing: wire.fencing,
+        }
+    }
+}
+
+impl From<EndpointOrder> for WireOrder {
+    fn from(order: EndpointOrder) -> Self {
+        let (model, load) = match order.action {
+            OrderAction::Load { model } => (model, true),
+            OrderAction::Unload { model } => (model, false),
+        };
+        Self {
+            fencing: order.fencing,
+            model,
+            load,
+        }
+    }
+}
+
+impl From<EndpointCall> for CompletionCall {
+    fn from(call: EndpointCall) -> Self {
+        Self {
+            id: call.id,
+            model: call.model,
+            prompt: call.input,
+            prior: call.prior,
+            prior_tokens: call.prior_tokens,
+            max_tokens: call.max_tokens,
+            stream: true,
+        }
+    }
+}
+
+impl From<EndpointCall> for PlainCall {
+    fn from(call: EndpointCall) -> Self {
+        Self {
+            id: call.id,
+            input: call.input,
+        }
+    }
+}
+
+impl From<HttpError> for EndpointError {
+    fn from(error: HttpError) -> Self {
+        match error {
+            HttpError::NotSent { cause, .. } => Self::NotSent {
+                cause: cause.into(),
+            },
+            other => Self::Broken {
+                cause: other.to_string().into(),
+            },
+        }
+    }
+}
+
+/// Client of endpoints over HTTP.
+#[derive(Clone, Debug, Default)]
+pub struct HttpEndpoints {
+    http: HttpClient,
+}
+
+impl HttpEndpoints {
+    /// Creates a client.
+    ///
+    /// ```
+    /// let endpoints = fulmarswitch_endpoint::http::HttpEndpoints::new();
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    async fn complete(
+        &self,
+        address: &str,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, EndpointError> {
+        let url = format!("http://{address}/v1/completions");
+        let body = encode_json(&url, &CompletionCall::from(call))?;
+        let response = self.http.open(Method::POST, &url, full_body(body)).await?;
+        if !response.status().is_success() {
+            return Err(refusal(&read_reply(&url, response).await?));
+        }
+        let parts = read_events(response.into_body()).map(|event| match event {
+            Ok(data) => parse_event(&data),
+            Err(error) => Err(EndpointError::Broken {
+                cause: error.to_string().into(),
+            }),
+        });
+        let cut = Err(EndpointError::Broken {
+            cause: "the stream ended early".into(),
+        });
+        let whole = parts.chain(futures::stream::once(std::future::ready(cut)));
+        Ok(until_last(whole).boxed())
+    }
+
+    async fn call_plain(
+        &self,
+        address: &str,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, EndpointError> {
+        let url = format!("http://{address}/call");
+        let reply = self.http.post_json(&url, &PlainCall::from(call)).await?;
+        if !reply.status.is_success() {
+            return Err(refusal(&reply));
+        }
+        let answer: PlainReply = reply.json()?;
+        let parts = [Ok(AnswerPart::Text(answer.text)), Ok(AnswerPart::End)];
+        Ok(futures::stream::iter(parts).boxed())
+    }
+
+    async fn control(
+        exchange: impl Future<Output = Result<HttpReply, HttpError>>,
+    ) -> Result<HttpReply, EndpointError> {
+        match tokio::time::timeout(CONTROL_TIMEOUT, exchange).await {
+            Err(_) => Err(EndpointError::Broken {
+                cause: "timeout".into(),
+            }),
+            Ok(reply) => {
+                let reply = reply?;
+                if reply.status.is_success() {
+                    Ok(reply)
+                } else {
+                    Err(refusal(&reply))
+                }
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl EndpointClient for HttpEndpoints {
+    async fn start(
+        &self,
+        address: &str,
+        protocol: EndpointProtocol,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, EndpointError> {
+        match protocol {
+            EndpointProtocol::Engine => self.complete(address, call).await,
+            EndpointProtocol::Plain => self.call_plain(address, call).await,
+        }
+    }
+
+    async fn report(&self, address: &str) -> Result<EndpointReport, EndpointError> {
+        let url = format!("http://{address}/report");
+        let reply = Self::control(self.http.call(Method::GET, &url, Bytes::new())).await?;
+        Ok(reply.json::<WireReport>()?.into())
+    }
+
+    async fn order(&self, address: &str, order: EndpointOrder) -> Result<(), EndpointError> {
+        let url = format!("http://{address}/orders");
+        Self::control(self.http.post_json(&url, &WireOrder::from(order))).await?;
+        Ok(())
+    }
+}
+
+fn parse_event(data: &str) -> Result<AnswerPart, EndpointError> {
+    if data == LAST_EVENT {
+        return Ok(AnswerPart::End);
+    }
+    match serde_json::from_str::<CompletionEvent>(data) {
+        Ok(event) if event.error.is_empty() => Ok(AnswerPart::Text(event.text)),
+        Ok(event) => Err(EndpointError::Failed { cause: event.error }),
+        Err(error) => Err(EndpointError::Broken {
+            cause: error.to_string().into(),
+        }),
+    }
+}
+
+/// Ends the stream after the last part or the first error.
+fn until_last(
+    parts: impl futures::Stream<Item = Result<AnswerPart, EndpointError>>,
+) -> impl futures::Stream<Item = Result<AnswerPart, EndpointError>> {
+    let mut ended = false;
+    parts.take_while(move |part| {
+        let take = !ended;
+        ended |= !matches!(part, Ok(AnswerPart::Text(_)));
+        std::future::ready(take)
+    })
+}
+
+fn refusal(reply: &HttpReply) -> EndpointError {
+    let cause: Arc<str> = String::from_utf8_lossy(&reply.body).into();
+    match reply.status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT => {
+            let retry_after = reply.retry_after.unwrap_or(DEFAULT_RETRY);
+            EndpointError::Refused { cause, retry_after }
+        }
+        status if status.is_client_error() => EndpointError::Failed { cause },
+        _ => EndpointError::Broken { cause },
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/bin/fulmarswitchd.rs
@@ -0,0 +1,116 @@
+//! The daemon: all roles of one host.
+
+use bpaf::Bpaf;
+use fulmarswitch::events::EventLog;
+use fulmarswitch::host::HostNode;
+use fulmarswitch::metrics::HostMetrics;
+use fulmarswitch::parts::HostParts;
+use fulmarswitch::settings::HostSettings;
+use fulmarswitch::watcher::next_incarnation;
+use fulmarswitch_endpoint::http::HttpEndpoints;
+use fulmarswitch_http::server;
+use fulmarswitch_peer::network::{PeerListener, PeerNetwork};
+use fulmarswitch_platform::http::PlatformClient;
+use fulmarswitch_records::{HostIdentity, LogicalClock};
+use slog::{Drain, Logger, error, o};
+use std::convert::Infallible;
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Serves online and batch inference on one shared fleet
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct DaemonOptions {
+    /// Read the settings from this TOML file
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and exit
+    check_settings: bool,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = daemon_options().run();
+    let settings = match HostSettings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("fulmarswitchd: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if options.check_settings {
+        println!("{}: the settings are valid", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let logger = make_logger(&settings.host);
+    match run(settings, &logger).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(logger, "stopped"; "error" => %error);
+            eprintln!("fulmarswitchd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: HostSettings, logger: &Logger) -> Result<(), Box<dyn Error>> {
+    let platform = Arc::new(PlatformClient::new(
+        &settings.platform.log_address,
+        &settings.platform.list_address,
+        &settings.platform.store_address,
+    ));
+    let callers = TcpListener::bind(&*settings.caller_address).await?;
+    let peers = PeerListener::bind(&settings.message_address, &settings.stream_address).await?;
+    let incarnation = next_incarnation(platform.as_ref(), &settings.host).await;
+    let identity = HostIdentity {
+        name: Arc::clone(&settings.host),
+        incarnation,
+    };
+    let clock = LogicalClock::new();
+    let parts = HostParts {
+        identity: identity.clone(),
+        log: platform.clone(),
+        list: platform,
+        link: Arc::new(PeerNetwork::new(identity.clone(), &clock)),
+        endpoints: Arc::new(HttpEndpoints::new()),
+        events: EventLog::new(Arc::clone(&settings.host), clock.clone(), logger.clone()),
+        metrics: HostMetrics::new(),
+        started: Instant::now(),
+        settings: Arc::new(settings),
+    };
+    let node = HostNode::new(&parts);
+    let (stop, stopped) = watch::channel(false);
+    let serving = tokio::spawn(peers.serve(identity, clock, node.clone(), stopped.clone()));
+    node.join().await?;
+    let entry = Arc::clone(node.entry());
+    let service = tower::service_fn(move |request| {
+        let entry = Arc::clone(&entry);
+        async move { Ok::<_, Infallible>(entry.answer(request).await) }
+    });
+    let answering = tokio::spawn(server::serve(callers, service, stopped));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = node.wait_asked_to_leave() => {}
+    }
+    node.leave().await;
+    stop.send_replace(true);
+    let limit = std::time::Duration::from_secs(5);
+    // Connections that stay open without a request do not hold the process.
+    let _ = tokio::time::timeout(limit, async { tokio::join!(serving, answering) }).await;
+    Ok(())
+}
+
+fn make_logger(host: &str) -> Logger {
+    let json = slog_json::Json::default(std::io::stderr()).fuse();
+    let drain = slog_async::Async::new(json).build().fuse();
+    Logger::root(drain, o!("host" => host.to_owned()))
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/book.rs
@@ -0,0 +1,383 @@
+//! One stream of the log, replayed and written.
+//!
+//! A book tails its stream and feeds every record to its replay, in order. What is written goes out
+//! through the committer and counts only once the tail has read it back: the writer is then told what
+//! became of the record at its place. An append whose fate is unknown is looked for in the tail before it
+//! is sent again; a second copy of a record is a repeat for every replay.
+
+use crate::commit::RecordCommitter;
+use crate::parts::{HostParts, lock};
+use bytes::Bytes;
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_platform::{LogError, LogPage};
+use fulmarswitch_records::{
+    Epoch, LogRecord, Offset, RecordBody, RecordId, RecordPlace, ShardIndex, SortedIndex,
+    decode_frame,
+};
+use snafu::Snafu;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
+
+/// Entries read at once.
+const PAGE_ENTRIES: usize = 256;
+/// Time that a read waits for new entries.
+const TAIL_WAIT: Duration = Duration::from_millis(500);
+/// Pause after a failed read.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+/// Records committed at once.
+const BATCH_RECORDS: usize = 512;
+/// Bytes of records committed at once; one larger record goes alone.
+const BATCH_BYTES: usize = 512 << 10;
+
+/// What a book feeds its records to.
+pub trait StreamReplay: Send + 'static {
+    /// Applies the record at `place`, which stands there since `at_ms` on the log's clock.
+    fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict;
+}
+
+/// Errors of an append.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum BookError {
+    /// Too many records wait for the log; the record was not queued.
+    #[snafu(display("too much waits for the log; try again when it answers"))]
+    Full,
+    /// The book is closing.
+    #[snafu(display("the host is stopping; ask another"))]
+    Closed,
+}
+
+/// A record on the log and what became of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AppendedRecord {
+    /// Where it stands.
+    pub place: RecordPlace,
+    /// What became of it there.
+    pub verdict: RecordVerdict,
+}
+
+/// How far a book has read.
+#[derive(Clone, Debug)]
+pub struct TailStatus {
+    /// Next offset to read.
+    pub next: Offset,
+    /// Whether the book has once read to the head.
+    pub caught_up: bool,
+    /// When the log last answered a read.
+    pub read_at: Instant,
+    /// Reads that the log answered.
+    pub reads: u64,
+    /// Time on the log's clock at the last read, in milliseconds since the Unix epoch.
+    pub log_ms: u64,
+    /// Time for which the log keeps entries.
+    pub retention: Duration,
+    /// Oldest offset that the log keeps.
+    pub oldest: Offset,
+}
+
+struct QueuedRecord {
+    record: LogRecord,
+    bytes: usize,
+}
+
+#[derive(Default)]
+struct BookQueue {
+    records: VecDeque<QueuedRecord>,
+    bytes: usize,
+    waiters: SortedIndex<u64, Option<oneshot::Sender<AppendedRecord>>>,
+}
+
+/// One stream of the log.
+pub struct LogBook<R> {
+    stream: Arc<str>,
+    parts: HostParts,
+    committer: Arc<RecordCommitter>,
+    replay: Mutex<R>,
+    queue: Mutex<BookQueue>,
+    queued: Notify,
+    sequence: AtomicU64,
+    status: watch::Sender<TailStatus>,
+}
+
+impl<R: StreamReplay> LogBook<R> {
+    /// Creates the book of a stream and starts its tasks.
+    pub fn start(
+        stream: &str,
+        parts: &HostParts,
+        committer: &Arc<RecordCommitter>,
+        replay: R,
+    ) -> Arc<Self> {
+        let status = TailStatus {
+            next: Offset(0),
+            caught_up: false,
+            read_at: Instant::now(),
+            reads: 0,
+            log_ms: 0,
+            retention: Duration::ZERO,
+            oldest: Offset(0),
+        };
+        let book = Arc::new(Self {
+            stream: stream.into(),
+            parts: parts.clone(),
+            committer: Arc::clone(committer),
+            replay: Mutex::new(replay),
+            queue: Mutex::default(),
+            queued: Notify::new(),
+            sequence: AtomicU64::new(0),
+            status: watch::Sender::new(status),
+        });
+        tokio::spawn(Arc::clone(&book).run_tail());
+        tokio::spawn(Arc::clone(&book).run_writer());
+        book
+    }
+
+    /// Returns the name of the stream.
+    #[must_use]
+    pub fn stream(&self) -> &Arc<str> {
+        &self.stream
+    }
+
+    /// Locks the replayed state. The lock is never held over an await.
+    pub fn state(&self) -> MutexGuard<'_, R> {
+        lock(&self.replay)
+    }
+
+    /// Returns how far the book has read; changes with every page.
+    #[must_use]
+    pub fn status(&self) -> watch::Receiver<TailStatus> {
+        self.status.subscribe()
+    }
+
+    /// Tells whether the log answered a read within `limit`.
+    #[must_use]
+    pub fn is_fresh(&self, limit: Duration) -> bool {
+        let status = self.status.borrow();
+        status.caught_up && status.read_at.elapsed() <= limit
+    }
+
+    /// Returns the bytes of records that wait for the log.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        lock(&self.queue).bytes
+    }
+
+    /// Queues a record; the receiver tells what became of it once it is read back.
+    ///
+    /// The record is written even if the receiver is dropped.
+    ///
+    /// # Errors
+    /// [`BookError::Full`] when too much waits for the log.
+    pub fn append(
+        &self,
+        shard: ShardIndex,
+        epoch: Epoch,
+        body: RecordBody,
+    ) -> Result<oneshot::Receiver<AppendedRecord>, BookError> {
+        let mut receivers = self.append_all(shard, epoch, vec![body])?;
+        receivers.pop().ok_or(BookError::Closed)
+    }
+
+    /// Queues records that go out in this order, with nothing of this book between them.
+    ///
+    /// # Errors
+    /// [`BookError::Full`] when too much waits for the log; then none is queued.
+    pub fn append_all(
+        &self,
+        shard: ShardIndex,
+        epoch: Epoch,
+        bodies: Vec<RecordBody>,
+    ) -> Result<Vec<oneshot::Receiver<AppendedRecord>>, BookError> {
+        let mut queue = lock(&self.queue);
+        if queue.bytes > self.parts.settings.tuning.pending_bytes {
+            return Err(BookError::Full);
+        }
+        let mut receivers = Vec::with_capacity(bodies.len());
+        for body in bodies {
+            let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+            let id = RecordId {
+                writer: self.parts.identity.clone(),
+                sequence,
+            };
+            let stamp = self.parts.events.clock().tick();
+            let record = LogRecord {
+                id,
+                shard,
+                epoch,
+                stamp,
+                body,
+            };
+            let bytes = record.size_hint();
+            let (sender, receiver) = oneshot::channel();
+            queue.bytes += bytes;
+            queue.waiters.insert(sequence, Some(sender));
+            queue.records.push_back(QueuedRecord { record, bytes });
+            receivers.push(receiver);
+        }
+        drop(queue);
+        self.queued.notify_one();
+        Ok(receivers)
+    }
+
+    /// Reads one record again by its place.
+    ///
+    /// # Errors
+    /// [`LogError`] when the log does not answer or keeps the entry no longer.
+    pub async fn read_record(&self, place: RecordPlace) -> Result<LogRecord, LogError> {
+        let records = self.read_entry(place.offset).await?;
+        let position = place.position as usize;
+        records
+            .into_iter()
+            .nth(position)
+            .ok_or_else(|| gone(&self.stream, place.offset))
+    }
+
+    /// Reads all records of one entry again.
+    ///
+    /// # Errors
+    /// [`LogError`] when the log does not answer or keeps the entry no longer.
+    pub async fn read_entry(&self, offset: Offset) -> Result<Vec<LogRecord>, LogError> {
+        let page = self
+            .parts
+            .log
+            .read(&self.stream, offset, 1, Duration::ZERO)
+            .await?;
+        let entry = page.entries.first().filter(|entry| entry.offset == offset);
+        let entry = entry.ok_or_else(|| gone(&self.stream, offset))?;
+        decode_frame(&entry.data).map_err(|error| LogError::Unknown {
+            cause: error.to_string().into(),
+        })
+    }
+
+    async fn run_tail(self: Arc<Self>) {
+        loop {
+            let from = self.status.borrow().next;
+            match self
+                .parts
+                .log
+                .read(&self.stream, from, PAGE_ENTRIES, TAIL_WAIT)
+                .await
+            {
+                Ok(page) => self.apply_page(&page),
+                Err(_) => tokio::time::sleep(READ_PAUSE).await,
+            }
+        }
+    }
+
+    fn apply_page(&self, page: &LogPage) {
+        let mut next = self.status.borrow().next.max(page.oldest);
+        for entry in &page.entries {
+            next = entry.offset.next();
+            match decode_frame(&entry.data) {
+                Ok(records) => self.apply_entry(entry.offset, entry.at_ms, &records),
+                Err(error) => {
+                    let place = format!("{}:{}", self.stream, entry.offset);
+                    self.parts
+                        .events
+                        .note("foreign-entry", &place, &error.to_string());
+                }
+            }
+        }
+        self.status.send_modify(|status| {
+            status.next = next;
+            status.caught_up |= next >= page.head;
+            status.read_at = Instant::now();
+            status.reads += 1;
+            status.log_ms = page.now_ms;
+            status.retention = page.retention;
+            status.oldest = page.oldest;
+        });
+    }
+
+    fn apply_entry(&self, offset: Offset, at_ms: u64, records: &[LogRecord]) {
+        for (position, record) in (0..).zip(records) {
+            let place = RecordPlace { offset, position };
+            self.parts.events.clock().observe(record.stamp);
+            let verdict = self.state().apply(place, at_ms, record);
+            if record.id.writer == self.parts.identity {
+                self.settle(record.id.sequence, AppendedRecord { place, verdict });
+            }
+        }
+    }
+
+    /// Tells the writer of a record, on its first copy only.
+    fn settle(&self, sequence: u64, appended: AppendedRecord) {
+        let waiter = lock(&self.queue).waiters.remove(&sequence);
+        if let Some(Some(waiter)) = waiter {
+            // The writer may have stopped waiting; the record counts all the same.
+            let _ = waiter.send(appended);
+        }
+    }
+
+    async fn run_writer(self: Arc<Self>) {
+        loop {
+            let batch = self.take_batch();
+            if batch.is_empty() {
+                self.queued.notified().await;
+                continue;
+            }
+            self.commit_batch(batch).await;
+        }
+    }
+
+    fn take_batch(&self) -> Vec<QueuedRecord> {
+        let mut queue = lock(&self.queue);
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        while batch.len() < BATCH_RECORDS {
+            let Some(first) = queue.records.front() else {
+                break;
+            };
+            if !batch.is_empty() && bytes + first.bytes > BATCH_BYTES {
+                break;
+            }
+            bytes += first.bytes;
+            batch.extend(queue.records.pop_front());
+        }
+        batch
+    }
+
+    /// Commits a batch, however often it takes. Later batches wait, so records of one writer that depend
+    /// on each other stand on the log in their order.
+    async fn commit_batch(&self, batch: Vec<QueuedRecord>) {
+        let bytes: usize = batch.iter().map(|queued| queued.bytes).sum();
+        let mut records: Vec<LogRecord> = batch.into_iter().map(|queued| queued.record).collect();
+        while !records.is_empty() {
+            match self.committer.commit(&self.stream, records.clone()).await {
+                Ok(()) => break,
+                Err(LogError::Refused { retry_after }) => tokio::time::sleep(retry_after).await,
+                Err(LogError::Unknown { .. }) => self.wait_for_read().await,
+            }
+            let queue = lock(&self.queue);
+            records.retain(|record| queue.waiters.contains(&record.id.sequence));
+        }
+        lock(&self.queue).bytes -= bytes;
+    }
+
+    /// Waits until the log has answered a read that began after the failed append.
+    async fn wait_for_read(&self) {
+        let mut status = self.status.subscribe();
+        // The read in progress began before the failure, so its answer does not count.
+        let reads = status.borrow().reads + 1;
+        // The sender lives as long as the book, so the wait cannot fail.
+        let _ = status.wait_for(|status| status.reads > reads).await;
+    }
+}
+
+fn gone(stream: &str, offset: Offset) -> LogError {
+    LogError::Unknown {
+        cause: format!("{stream}:{offset} has expired").into(),
+    }
+}
+
+/// Encodes records for an append.
+pub(crate) fn encode_records(records: &[LogRecord]) -> Result<Bytes, LogError> {
+    fulmarswitch_records::encode_frame(records)
+        .map(Bytes::from)
+        .map_err(|error| LogError::Unknown {
+            cause: error.to_string().into(),
+        })
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/commit.rs
@@ -0,0 +1,198 @@
+//! Group commit to the log.
+//!
+//! One host appends for each group: the others send it their records, and it commits what has come within
+//! a linger time together. So appends a second grow with groups, not with hosts or items. If the appender
+//! is not reached, a host appends for itself; the order on the log decides, whoever wrote it there.
+
+use crate::book::encode_records;
+use crate::fleet::FleetView;
+use crate::metrics::HostMetrics;
+use crate::parts::{HostParts, lock};
+use fulmarswitch_peer::message::CommitRequest;
+use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply};
+use fulmarswitch_platform::LogError;
+use fulmarswitch_records::{LogRecord, SortedIndex, decode_frame};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot, watch};
+
+/// Bytes of records appended at once.
+const APPEND_BYTES: usize = 900 << 10;
+/// Time to come back after an appender refused.
+const COMMIT_RETRY: Duration = Duration::from_millis(50);
+
+struct CommitEntry {
+    records: Vec<LogRecord>,
+    done: oneshot::Sender<Result<(), LogError>>,
+}
+
+#[derive(Default)]
+struct StreamQueue {
+    entries: Mutex<Vec<CommitEntry>>,
+    queued: Notify,
+}
+
+/// Commits records, through the appender of their stream or directly.
+pub struct RecordCommitter {
+    parts: HostParts,
+    fleet: watch::Receiver<Arc<FleetView>>,
+    queues: Mutex<SortedIndex<Arc<str>, Arc<StreamQueue>>>,
+}
+
+impl RecordCommitter {
+    /// Creates a committer.
+    #[must_use]
+    pub fn new(parts: &HostParts, fleet: watch::Receiver<Arc<FleetView>>) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet,
+            queues: Mutex::default(),
+        })
+    }
+
+    /// Commits records of one stream, all in one entry.
+    ///
+    /// # Errors
+    /// [`LogError`] says whether the records may stand on the log.
+    pub async fn commit(
+        self: &Arc<Self>,
+        stream: &Arc<str>,
+        records: Vec<LogRecord>,
+    ) -> Result<(), LogError> {
+        let appender = self.fleet.borrow().appender_of(stream);
+        if let Some(target) = appender
+            && target.host != self.parts.identity
+        {
+            let frame = encode_records(&records)?.to_vec();
+            let request = CommitRequest {
+                stream: Arc::clone(stream),
+                frame,
+            };
+            self.parts.metrics.peer_messages.inc();
+            match self
+                .parts
+                .link
+                .call(&target, PeerMessage::Commit(request))
+                .await
+            {
+                Ok(PeerReply::Accepted) => return Ok(()),
+                Ok(PeerReply::Refused { .. }) => {
+                    return Err(LogError::Refused {
+                        retry_after: COMMIT_RETRY,
+                    });
+                }
+                Err(PeerError::NotReached { .. }) => {}
+                Ok(_) | Err(PeerError::NoAnswer { .. }) => {
+                    return Err(LogError::Unknown {
+                        cause: "the appender gave no answer".into(),
+                    });
+                }
+            }
+        }
+        self.commit_here(stream, records).await
+    }
+
+    /// Answers another host that takes this one for the appender of a stream.
+    pub async fn handle(self: &Arc<Self>, request: CommitRequest) -> PeerReply {
+        let Ok(records) = decode_frame(&request.frame) else {
+            return PeerReply::Unsupported;
+        };
+        match self.commit_here(&request.stream, records).await {
+            Ok(()) => PeerReply::Accepted,
+            Err(LogError::Refused { retry_after }) => PeerReply::Refused {
+                reason: "the log refuses appends".into(),
+                retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(0),
+            },
+            Err(LogError::Unknown { .. }) => PeerReply::Unknown,
+        }
+    }
+
+    async fn commit_here(
+        self: &Arc<Self>,
+        stream: &Arc<str>,
+        records: Vec<LogRecord>,
+    ) -> Result<(), LogError> {
+        let (done, outcome) = oneshot::channel();
+        let queue = self.queue(stream);
+        lock(&queue.entries).push(CommitEntry { records, done });
+        queue.queued.notify_one();
+        let lost = || LogError::Unknown {
+            cause: "the appender stopped".into(),
+        };
+        outcome.await.unwrap_or_else(|_| Err(lost()))
+    }
+
+    fn queue(self: &Arc<Self>, stream: &Arc<str>) -> Arc<StreamQueue> {
+        let mut queues = lock(&self.queues);
+        if let Some(queue) = queues.get(&**stream) {
+            return Arc::clone(queue);
+        }
+        let queue = Arc::new(StreamQueue::default());
+        queues.insert(Arc::clone(stream), Arc::clone(&queue));
+        tokio::spawn(Arc::clone(self).run(Arc::clone(stream), Arc::clone(&queue)));
+        queue
+    }
+
+    async fn run(self: Arc<Self>, stream: Arc<str>, queue: Arc<StreamQueue>) {
+        loop {
+            queue.queued.notified().await;
+            tokio::time::sleep(self.parts.settings.tuning.linger()).await;
+            loop {
+                let entries = take_entries(&queue);
+                if entries.is_empty() {
+                    break;
+                }
+                self.append(&stream, entries).await;
+            }
+        }
+    }
+
+    async fn append(&self, stream: &str, entries: Vec<CommitEntry>) {
+        let mut records = Vec::new();
+        let mut waiting = Vec::new();
+        for entry in entries {
+            records.extend(entry.records);
+            waiting.push(entry.done);
+        }
+        let outcome = match encode_records(&records) {
+            Ok(frame) => {
+                self.parts.metrics.append_bytes.inc_by(frame.len() as u64);
+                self.parts
+                    .metrics
+                    .append_records
+                    .inc_by(records.len() as u64);
+                self.parts.log.append(stream, frame).await.map(|_| ())
+            }
+            Err(error) => Err(error),
+        };
+        let end = match &outcome {
+            Ok(()) => "appended",
+            Err(LogError::Refused { .. }) => "refused",
+            Err(LogError::Unknown { .. }) => "unknown",
+        };
+        HostMetrics::count(&self.parts.metrics.appends, end);
+        for done in waiting {
+            // Whoever stopped waiting finds its records in the tail.
+            let _ = done.send(outcome.clone());
+        }
+    }
+}
+
+/// Takes entries up to the size of one append.
+fn take_entries(queue: &StreamQueue) -> Vec<CommitEntry> {
+    let mut entries = lock(&queue.entries);
+    let mut bytes = 0;
+    let mut count = 0;
+    for entry in entries.iter() {
+        bytes += entry
+            .records
+            .iter()
+            .map(LogRecord::size_hint)
+            .sum::<usize>();
+        if count > 0 && bytes > APPEND_BYTES {
+            break;
+        }
+        count += 1;
+    }
+    entries.drain(..count).collect()
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/entry.rs
@@ -0,0 +1,255 @@
+//! Callers' and operators' connections.
+//!
+//! The entry keeps nothing: it finds the owner of a key or job, passes the call on, follows the owner when
+//! the shard moves, and gives the caller the whole answer to its own request.
+
+mod config;
+mod jobs;
+mod online;
+mod reply;
+
+use crate::fleet::FleetBooks;
+use crate::gates::GateRole;
+use crate::jobs::JobOwner;
+use crate::keys::KeyOwner;
+use crate::parts::HostParts;
+use crate::shards::ShardBooks;
+use crate::watcher::HostWatcher;
+use fulmarswitch_caller::wire::AddressReply;
+use fulmarswitch_decide::hosts::HostPhase;
+use fulmarswitch_decide::placement::weight;
+use fulmarswitch_http::{HttpRequest, HttpResponse, full_body, json_response};
+use fulmarswitch_operator::{HostReply, StatusReply};
+use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply};
+use hyper::{Method, Response, StatusCode};
+use reply::{EntryError, error_response};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Addresses that a caller is given.
+const ADDRESS_COUNT: usize = 3;
+/// Time for which a call that does not stream looks for its owner.
+const OWNER_WAIT: Duration = Duration::from_secs(8);
+/// Pause before the owner is looked for again.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
+/// A log that has not answered for this long counts as out of reach.
+const LOG_LIMIT: Duration = Duration::from_secs(1);
+
+/// The entry on one host.
+pub struct EntryRole {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    shards: Arc<ShardBooks>,
+    keys: Arc<KeyOwner>,
+    jobs: Arc<JobOwner>,
+    gates: Arc<GateRole>,
+    watcher: Arc<HostWatcher>,
+    in_progress: AtomicUsize,
+    leaving: watch::Sender<bool>,
+    asked: watch::Sender<bool>,
+}
+
+impl EntryRole {
+    /// Creates the entry.
+    #[must_use]
+    pub fn new(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        shards: &Arc<ShardBooks>,
+        keys: &Arc<KeyOwner>,
+        jobs: &Arc<JobOwner>,
+        gates: &Arc<GateRole>,
+        watcher: &Arc<HostWatcher>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            shards: Arc::clone(shards),
+            keys: Arc::clone(keys),
+            jobs: Arc::clone(jobs),
+            gates: Arc::clone(gates),
+            watcher: Arc::clone(watcher),
+            in_progress: AtomicUsize::new(0),
+            leaving: watch::Sender::new(false),
+            asked: watch::Sender::new(false),
+        })
+    }
+
+    /// Returns the number of calls in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Gives callers other addresses from now on.
+    pub fn set_leaving(&self) {
+        self.leaving.send_replace(true);
+    }
+
+    /// Returns once an operator has asked this host to leave.
+    pub async fn wait_asked_to_leave(&self) {
+        // The sender lives as long as the entry, so the wait cannot fail.
+        let _ = self.asked.subscribe().wait_for(|asked| *asked).await;
+    }
+
+    /// Answers one call.
+    pub async fn answer(self: Arc<Self>, request: HttpRequest) -> HttpResponse {
+        let guard = ProgressGuard::new(&self);
+        let path = request.uri().path().trim_matches('/').to_owned();
+        let segments: Vec<&str> = path.split('/').collect();
+        let answered = match (request.method(), &segments[..]) {
+            (&Method::GET, ["v1", "addresses"]) => Ok(self.addresses()),
+            (&Method::POST, ["v1", "requests"]) => self.submit(request, guard).await,
+            (&Method::GET, ["v1", "requests", workspace, key]) => {
+                self.read_key(workspace, key).await
+            }
+            (&Method::POST, ["v1", "jobs"]) => self.submit_job(request).await,
+            (&Method::GET, ["v1", "jobs", workspace, job]) => self.read_job(workspace, job).await,
+            (&Method::DELETE, ["v1", "jobs", workspace, job]) => {
+                self.cancel_job(workspace, job).await
+            }
+            (&Method::GET, ["v1", "jobs", workspace, job, "results"]) => {
+                self.read_results(workspace, job, &request).await
+            }
+            (&Method::PUT, ["v1", "config", kind, name]) => self.publish(kind, name, request).await,
+            (&Method::GET, ["v1", "config"]) => Ok(self.list_config()),
+            (&Method::GET, ["v1", "config", kind, name]) => self.read_config(kind, name),
+            (&Method::GET, ["v1", "status"]) => Ok(self.status()),
+            (&Method::POST, ["v1", "drain"]) => {
+                self.asked.send_replace(true);
+                Ok(json_response(StatusCode::ACCEPTED, &true))
+            }
+            (&Method::GET, ["v1", "events"]) => {
+                Ok(json_response(StatusCode::OK, &self.parts.events.all()))
+            }
+            (&Method::GET, ["metrics"]) => {
+                Ok(Response::new(full_body(self.parts.metrics.render())))
+            }
+            _ => Err(EntryError::NoSuchCall),
+        };
+        answered.unwrap_or_else(|error| error_response(&error))
+    }
+
+    /// Passes a message to the owner of a key or job, following it when the shard moves.
+    async fn ask_owner(&self, name: &str, message: PeerMessage) -> Result<PeerReply, EntryError> {
+        let deadline = Instant::now() + OWNER_WAIT;
+        let shard = self.fleet.view().shard_of(name);
+        let mut acted = false;
+        while Instant::now() < deadline {
+            if let Some(target) = self.shards.owner_target(shard) {
+                let reply = if target.host == self.parts.identity {
+                    Ok(self.act_here(message.clone()).await)
+                } else {
+                    self.parts.metrics.peer_messages.inc();
+                    self.parts.link.call(&target, message.clone()).await
+                };
+                match reply {
+                    Ok(PeerReply::NotOwner) | Err(PeerError::NotReached { .. }) => {}
+                    // Every message that comes here is idempotent, so it may be sent again.
+                    Ok(PeerReply::Unknown) | Err(PeerError::NoAnswer { .. }) => acted = true,
+                    Ok(reply) => return Ok(reply),
+                }
+            }
+            tokio::time::sleep(OWNER_PAUSE).await;
+        }
+        Err(if acted {
+            EntryError::Unknown
+        } else {
+            EntryError::NoOwner
+        })
+    }
+
+    async fn act_here(&self, message: PeerMessage) -> PeerReply {
+        match message {
+            PeerMessage::ReadKey(name) => self.keys.read_key(&name).await,
+            PeerMessage::BeginJob(header) => self.jobs.begin(header).await,
+            PeerMessage::PutItems(batch) => self.jobs.put(batch).await,
+            PeerMessage::SealJob(seal) => self.jobs.seal(seal).await,
+            PeerMessage::CancelJob(name) => self.jobs.cancel(&name).await,
+            PeerMessage::ReadJob(name) => self.jobs.read_job(&name),
+            PeerMessage::ReadResults(range) => self.jobs.read_results(&range).await,
+            _ => PeerReply::Unsupported,
+        }
+    }
+
+    /// Returns a few addresses: near ones first, and spread over callers by chance.
+    fn addresses(&self) -> HttpResponse {
+        let view = self.fleet.view();
+        let salt = rand::random::<u64>().to_string();
+        let mut hosts: Vec<_> = view.hosts.live().map(|entry| &entry.join).collect();
+        let near = |domain: &str| *domain == *self.parts.settings.failure_domain;
+        hosts.sort_by_key(|join| (!near(&join.failure_domain), weight(&join.host.name, &salt)));
+        // One address of another failure domain stays in the list in case this one is lost.
+        if let Some(far) = hosts.iter().position(|join| !near(&join.failure_domain))
+            && far >= ADDRESS_COUNT
+        {
+            hosts.swap(far, ADDRESS_COUNT - 1);
+        }
+        let addresses = hosts
+            .iter()
+            .take(ADDRESS_COUNT)
+            .map(|join| Arc::clone(&join.caller_address))
+            .collect();
+        let ttl_ms = self.parts.settings.tuning.address_ttl_ms;
+        json_response(StatusCode::OK, &AddressReply { addresses, ttl_ms })
+    }
+
+    fn status(&self) -> HttpResponse {
+        let view = self.fleet.view();
+        let hosts = view.hosts.all().map(|entry| HostReply {
+            name: Arc::clone(&entry.join.host.name),
+            incarnation: entry.join.host.incarnation,
+            failure_domain: Arc::clone(&entry.join.failure_domain),
+            address: Arc::clone(&entry.join.caller_address),
+            phase: phase_name(entry.phase).into(),
+            config_read: self
+                .watcher
+                .config_read(&entry.join.host)
+                .map(|offset| offset.0),
+        });
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let status = StatusReply {
+            host: self.parts.identity.clone(),
+            leaving: *self.leaving.borrow(),
+            config_read: self.fleet.config.status().borrow().next.0,
+            log_reached: self.fleet.config.is_fresh(LOG_LIMIT),
+            owned_shards: count(self.shards.owned().len()),
+            gates: count(self.gates.counts().0),
+            hosts: hosts.collect(),
+        };
+        json_response(StatusCode::OK, &status)
+    }
+}
+
+/// Counts a call in progress until it is dropped.
+struct ProgressGuard {
+    entry: Arc<EntryRole>,
+}
+
+impl ProgressGuard {
+    fn new(entry: &Arc<EntryRole>) -> Self {
+        entry.in_progress.fetch_add(1, Ordering::Relaxed);
+        entry.parts.metrics.online_in_progress.inc();
+        Self {
+            entry: Arc::clone(entry),
+        }
+    }
+}
+
+impl Drop for ProgressGuard {
+    fn drop(&mut self) {
+        self.entry.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.entry.parts.metrics.online_in_progress.dec();
+    }
+}
+
+fn phase_name(phase: HostPhase) -> &'static str {
+    match phase {
+        HostPhase::Live => "live",
+        HostPhase::Leaving => "leaving",
+        HostPhase::Down => "down",
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/entry/jobs.rs
@@ -0,0 +1,272 @@
+//! Batch jobs: a streamed submission, counts, results and cancelling.
+
+use super::EntryRole;
+use super::online::{check_field, parse_body};
+use super::reply::{EntryError, unexpected};
+use fulmarswitch_caller::wire::{
+    ItemLine, JobCall, JobReply, OutcomeReply, ResultLine, ResultPage,
+};
+use fulmarswitch_decide::shard::jobs::{chunk_digest, job_digest};
+use fulmarswitch_http::lines::read_lines;
+use fulmarswitch_http::{HttpRequest, HttpResponse, json_response};
+use fulmarswitch_peer::message::{ItemBatch, JobName, JobReport, ResultRange};
+use fulmarswitch_peer::{PeerMessage, PeerReply};
+use fulmarswitch_records::JobHeader;
+use fulmarswitch_records::record::JobSeal;
+use futures::StreamExt;
+use hyper::StatusCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Items in one batch of a submission.
+const BATCH_ITEMS: usize = 256;
+/// Bytes of inputs in one batch of a submission.
+const BATCH_BYTES: usize = 128 << 10;
+/// Batches of a submission that are on their way at once.
+const DEFAULT_COUNT: u32 = 100;
+/// Time for which a submission goes on trying while the log takes no more.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+/// Times that a batch is sent again while the log takes no more.
+const FULL_TRIES: u32 = 50;
+
+impl EntryRole {
+    pub(super) async fn submit_job(
+        &self,
+        request: HttpRequest,
+    ) -> Result<HttpResponse, EntryError> {
+        let mut lines = read_lines(request.into_body());
+        let first = next_line(&mut lines)
+            .await?
+            .ok_or_else(|| bad("the body is empty"))?;
+        let call: JobCall = parse_body(first.as_bytes())?;
+        for (field, value) in [("job", &call.job), ("workspace", &call.workspace)] {
+            check_field(field, value)?;
+        }
+        self.check_service(&call.service, &call.workspace)?;
+        let header = JobHeader::from(call);
+        let name = header.full_name();
+        let known = match self
+            .ask_owner(&name, PeerMessage::BeginJob(header.clone()))
+            .await?
+        {
+            PeerReply::Job(report) => Some(report),
+            PeerReply::Received { .. } => None,
+            reply => return Err(unexpected(reply, "the job")),
+        };
+        let seal = self.send_items(header, &mut lines, known.is_some()).await?;
+        if let Some(report) = known {
+            return same_job(&seal, &report);
+        }
+        match self.ask_owner(&name, PeerMessage::SealJob(seal)).await? {
+            PeerReply::Job(report) => Ok(json_response(StatusCode::OK, &reply_of(&report))),
+            reply => Err(unexpected(reply, "the job")),
+        }
+    }
+
+    /// Sends the items on, batch by batch, and returns the seal. A job that is known already is only
+    /// counted.
+    async fn send_items(
+        &self,
+        header: JobHeader,
+        lines: &mut (impl futures::Stream<Item = std::io::Result<String>> + Unpin),
+        known: bool,
+    ) -> Result<JobSeal, EntryError> {
+        let job = header.full_name();
+        let mut digests = Vec::new();
+        let mut first = 0;
+        let mut more = true;
+        while more {
+            let mut inputs: Vec<Arc<str>> = Vec::new();
+            let mut bytes = 0;
+            while inputs.len() < BATCH_ITEMS && bytes < BATCH_BYTES {
+                let Some(line) = next_line(lines).await? else {
+                    more = false;
+                    break;
+                };
+                let number = first as usize + inputs.len() + 1;
+                let item: ItemLine = serde_json::from_str(&line)
+                    .map_err(|error| bad(&format!("item {number} cannot be read: {error}")))?;
+                bytes += item.input.len();
+                inputs.push(item.input);
+            }
+            if inputs.is_empty() {
+                break;
+            }
+            digests.push(chunk_digest(&inputs));
+            let count = u32::try_from(inputs.len()).unwrap_or(u32::MAX);
+            if !known {
+                self.send_batch(ItemBatch {
+                    job: Arc::clone(&job),
+                    first,
+                    inputs,
+                })
+                .await?;
+            }
+            first += count;
+        }
+        Ok(JobSeal {
+            header,
+            total: first,
+            digest: job_digest(digests.into_iter()),
+        })
+    }
+
+    async fn send_batch(&self, batch: ItemBatch) -> Result<(), EntryError> {
+        let mut tries = 0;
+        loop {
+            match self
+                .ask_owner(&batch.job, PeerMessage::PutItems(batch.clone()))
+                .await?
+            {
+                PeerReply::Received { .. } => return Ok(()),
+                PeerReply::Refused { retry_after_ms, .. }
+                    if retry_after_ms > 0 && tries < FULL_TRIES =>
+                {
+                    tries += 1;
+                    tokio::time::sleep(FULL_PAUSE).await;
+                }
+                reply => return Err(unexpected(reply, "the job")),
+            }
+        }
+    }
+
+    pub(super) async fn read_job(
+        &self,
+        workspace: &str,
+        job: &str,
+    ) -> Result<HttpResponse, EntryError> {
+        self.job_call(workspace, job, PeerMessage::ReadJob).await
+    }
+
+    pub(super) async fn cancel_job(
+        &self,
+        workspace: &str,
+        job: &str,
+    ) -> Result<HttpResponse, EntryError> {
+        self.job_call(workspace, job, PeerMessage::CancelJob).await
+    }
+
+    async fn job_call(
+        &self,
+        workspace: &str,
+        job: &str,
+        message: impl FnOnce(JobName) -> PeerMessage,
+    ) -> Result<HttpResponse, EntryError> {
+        let job: Arc<str> = format!("{workspace}/{job}").into();
+        match self
+            .ask_owner(
+                &job,
+                message(JobName {
+                    job: Arc::clone(&job),
+                }),
+            )
+            .await?
+        {
+            PeerReply::Job(report) => Ok(json_response(StatusCode::OK, &reply_of(&report))),
+            reply => Err(unexpected(reply, "the job")),
+        }
+    }
+
+    pub(super) async fn read_results(
+        &self,
+        workspace: &str,
+        job: &str,
+        request: &HttpRequest,
+    ) -> Result<HttpResponse, EntryError> {
+        let job: Arc<str> = format!("{workspace}/{job}").into();
+        let first = query_number(request, "first")?.unwrap_or(0);
+        let count = query_number(request, "count")?.unwrap_or(DEFAULT_COUNT);
+        let name = JobName {
+            job: Arc::clone(&job),
+        };
+        let total = match self.ask_owner(&job, PeerMessage::ReadJob(name)).await? {
+            PeerReply::Job(report) => report.total,
+            reply => return Err(unexpected(reply, "the job")),
+        };
+        let range = ResultRange {
+            job: Arc::clone(&job),
+            first,
+            count,
+        };
+        match self
+            .ask_owner(&job, PeerMessage::ReadResults(range))
+            .await?
+        {
+            PeerReply::Results(results) => {
+                let end = first.saturating_add(count).min(total);
+                let last = results.last().map_or(end, |(item, _)| item + 1);
+                let next = if results.is_empty() { end } else { last };
+                let results = results
+                    .into_iter()
+                    .map(|(index, outcome)| ResultLine {
+                        index,
+                        outcome: OutcomeReply::from(outcome),
+                    })
+                    .collect();
+                let page = ResultPage {
+                    results,
+                    next: (next < total).then_some(next),
+                };
+                Ok(json_response(StatusCode::OK, &page))
+            }
+            reply => Err(unexpected(reply, "the job")),
+        }
+    }
+}
+
+async fn next_line(
+    lines: &mut (impl futures::Stream<Item = std::io::Result<String>> + Unpin),
+) -> Result<Option<String>, EntryError> {
+    loop {
+        match lines.next().await {
+            None => return Ok(None),
+            Some(Ok(line)) if line.trim().is_empty() => {}
+            Some(Ok(line)) => return Ok(Some(line)),
+            Some(Err(error)) => return Err(bad(&error.to_string())),
+        }
+    }
+}
+
+fn same_job(seal: &JobSeal, report: &JobReport) -> Result<HttpResponse, EntryError> {
+    if seal.total == report.total {
+        return Ok(json_response(StatusCode::OK, &reply_of(report)));
+    }
+    let reason = "the job id stands for a job with other items; choose a new id";
+    Err(EntryError::Conflict {
+        reason: reason.into(),
+    })
+}
+
+fn reply_of(report: &JobReport) -> JobReply {
+    JobReply {
+        job: Arc::clone(&report.header.job),
+        workspace: Arc::clone(&report.header.workspace),
+        total: report.total,
+        open: report.open,
+        done: report.done,
+        failed: report.failed,
+        may_have_run: report.may_have_run,
+        cancelled: report.cancelled,
+        is_cancelled: report.is_cancelled,
+    }
+}
+
+fn query_number(request: &HttpRequest, name: &str) -> Result<Option<u32>, EntryError> {
+    let query = request.uri().query().unwrap_or("");
+    let mut values = query
+        .split('&')
+        .filter_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let number = value
+        .parse()
+        .map_err(|_| bad(&format!("{name}={value} is not a number")))?;
+    Ok(Some(number))
+}
+
+fn bad(reason: &str) -> EntryError {
+    EntryError::BadInput {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -0,0 +1,263 @@
+//! Online requests: from the caller to the owner of the key, and the answer back.
+
+use super::reply::{EntryError, unexpected};
+use super::{EntryRole, OWNER_PAUSE, ProgressGuard};
+use crate::metrics::HostMetrics;
+use bytes::Bytes;
+use fulmarswitch_caller::wire::{AnswerEvent, OutcomeReply, RequestCall};
+use fulmarswitch_http::lines::write_event;
+use fulmarswitch_http::{HttpRequest, HttpResponse, json_response, stream_body};
+use fulmarswitch_peer::message::{KeyName, RefusalNote, RunState};
+use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
+use fulmarswitch_records::OnlineRequest;
+use futures::StreamExt;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// Longest body of a request, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+/// Longest deadline, in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = 600_000;
+/// Time beyond the deadline for which the entry waits for the owner's last frame.
+const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
+
+impl EntryRole {
+    pub(super) async fn submit(
+        self: &Arc<Self>,
+        request: HttpRequest,
+        guard: ProgressGuard,
+    ) -> Result<HttpResponse, EntryError> {
+        let body = read_limited(request).await?;
+        let call: RequestCall = parse_body(&body)?;
+        self.check_call(&call)?;
+        let (frames, mut stream) = mpsc::unbounded_channel();
+        tokio::spawn(Arc::clone(self).follow(call.into(), frames));
+        let first = loop {
+            match stream.recv().await {
+                Some(StreamFrame::Admitted | StreamFrame::Reset) => {}
+                Some(StreamFrame::Refused(note)) => {
+                    HostMetrics::count(&self.parts.metrics.requests, "refused");
+                    return Err(EntryError::Online { note });
+                }
+                Some(frame) => break frame,
+                None => return Err(EntryError::Unknown),
+            }
+        };
+        let rest = UnboundedReceiverStream::new(stream);
+        let metrics = self.parts.metrics.clone();
+        let events = futures::stream::once(std::future::ready(first))
+            .chain(rest)
+            .filter_map(move |frame| {
+                // The guard lives as long as the stream, so that a planned stop waits for it.
+                let _in_progress = &guard;
+                if let StreamFrame::Done { .. } = &frame {
+                    HostMetrics::count(&metrics.requests, "done");
+                }
+                std::future::ready(event_of(frame))
+            });
+        let chunks = events.map(|event| Ok::<Bytes, io::Error>(write_event(&event)));
+        let mut response = Response::new(stream_body(chunks));
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        Ok(response)
+    }
+
+    pub(super) async fn read_key(
+        &self,
+        workspace: &str,
+        key: &str,
+    ) -> Result<HttpResponse, EntryError> {
+        let key: Arc<str> = format!("{workspace}/{key}").into();
+        match self
+            .ask_owner(
+                &key,
+                PeerMessage::ReadKey(KeyName {
+                    key: Arc::clone(&key),
+                }),
+            )
+            .await?
+        {
+            PeerReply::Outcome(outcome) => {
+                let reply = outcome.map_or(OutcomeReply::Open, OutcomeReply::from);
+                Ok(json_response(StatusCode::OK, &reply))
+            }
+            reply => Err(unexpected(reply, "the request")),
+        }
+    }
+
+    fn check_call(&self, call: &RequestCall) -> Result<(), EntryError> {
+        let bad = |reason: String| {
+            Err(EntryError::BadInput {
+                reason: reason.into(),
+            })
+        };
+        let named = [
+            ("key", &call.key),
+            ("workspace", &call.workspace),
+            ("service", &call.service),
+        ];
+        for (field, value) in named {
+            check_field(field, value)?;
+        }
+        if call.max_tokens == 0 {
+            return bad("max_tokens is 0; ask for at least one token".into());
+        }
+        if call.deadline_ms == 0 || call.deadline_ms > DEADLINE_LIMIT_MS {
+            return bad(format!("deadline_ms must be 1 to {DEADLINE_LIMIT_MS}"));
+        }
+        self.check_service(&call.service, &call.workspace)
+    }
+
+    pub(super) fn check_service(&self, service: &str, workspace: &str) -> Result<(), EntryError> {
+        let view = self.fleet.view();
+        if view.config.service(service).is_none() {
+            let reason = format!("service {service} is not configured; publish service/{service}");
+            return Err(EntryError::BadInput {
+                reason: reason.into(),
+            });
+        }
+        if view.config.workspace(workspace).is_none() {
+            let reason =
+                format!("workspace {workspace} is not configured; publish workspace/{workspace}");
+            return Err(EntryError::BadInput {
+                reason: reason.into(),
+            });
+        }
+        Ok(())
+    }
+
+    /// Passes a request to the owner of its key and its frames to the caller, until the last one.
+    async fn follow(
+        self: Arc<Self>,
+        request: OnlineRequest,
+        caller: mpsc::UnboundedSender<StreamFrame>,
+    ) {
+        let deadline = Instant::now() + Duration::from_millis(request.deadline_ms);
+        let shard = self.fleet.view().shard_of(&request.full_key());
+        let mut sent = false;
+        let mut text_given = false;
+        while Instant::now() < deadline {
+            let Some(mut frames) = self.open_owner(shard, &request, &mut sent).await else {
+                tokio::time::sleep(OWNER_PAUSE).await;
+                continue;
+            };
+            if text_given {
+                // The caller may be gone; the owner goes on all the same.
+                let _ = caller.send(StreamFrame::Reset);
+                text_given = false;
+            }
+            let end = deadline + LAST_FRAME_GRACE;
+            while let Ok(Some(frame)) = tokio::time::timeout_at(end, frames.next()).await {
+                if matches!(frame, StreamFrame::NotOwner) {
+                    break;
+                }
+                text_given |= matches!(frame, StreamFrame::Text(_));
+                let last = frame.is_last();
+                let _ = caller.send(frame);
+                if last {
+                    return;
+                }
+            }
+            tokio::time::sleep(OWNER_PAUSE).await;
+        }
+        let ran = if sent {
+            RunState::MayHaveRun
+        } else {
+            RunState::NotRun
+        };
+        let reason = "the owner of the key was not reached in time; ask for the result by key";
+        let note = RefusalNote {
+            reason: reason.into(),
+            ran,
+            retry_after_ms: 1_000,
+        };
+        let _ = caller.send(StreamFrame::Refused(note));
+    }
+
+    async fn open_owner(
+        &self,
+        shard: fulmarswitch_records::ShardIndex,
+        request: &OnlineRequest,
+        sent: &mut bool,
+    ) -> Option<FrameStream> {
+        let target = self.shards.owner_target(shard)?;
+        if target.host == self.parts.identity {
+            *sent = true;
+            return Some(self.keys.submit(request.clone()).await);
+        }
+        let opening = self
+            .parts
+            .link
+            .open(&target, StreamRequest::Submit(request.clone()));
+        match opening.await {
+            Ok(frames) => {
+                *sent = true;
+                Some(frames)
+            }
+            Err(fulmarswitch_peer::PeerError::NotReached { .. }) => None,
+            Err(fulmarswitch_peer::PeerError::NoAnswer { .. }) => {
+                *sent = true;
+                None
+            }
+        }
+    }
+}
+
+/// Reads a body up to its limit.
+pub(super) async fn read_limited(request: HttpRequest) -> Result<Bytes, EntryError> {
+    match Limited::new(request.into_body(), BODY_LIMIT)
+        .collect()
+        .await
+    {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => {
+            let reason = format!("the body cannot be read ({error}); send at most 1 MiB");
+            Err(EntryError::BadInput {
+                reason: reason.into(),
+            })
+        }
+    }
+}
+
+/// Parses a JSON body.
+pub(super) fn parse_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, EntryError> {
+    serde_json::from_slice(body).map_err(|error| {
+        let reason = format!("the body is not what the call takes ({error}); see docs/API.md");
+        EntryError::BadInput {
+            reason: reason.into(),
+        }
+    })
+}
+
+/// Checks a name given by a caller.
+pub(super) fn check_field(field: &str, value: &str) -> Result<(), EntryError> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    if !value.is_empty() && value.len() <= 200 && value.bytes().all(plain) {
+        return Ok(());
+    }
+    let reason =
+        format!("{field} must be 1 to 200 letters, digits, dots, colons, dashes or underscores");
+    Err(EntryError::BadInput {
+        reason: reason.into(),
+    })
+}
+
+fn event_of(frame: StreamFrame) -> Option<AnswerEvent> {
+    match frame {
+        StreamFrame::Admitted | StreamFrame::NotOwner => None,
+        StreamFrame::Text(text) => Some(AnswerEvent::Text { text }),
+        StreamFrame::Reset => Some(AnswerEvent::Reset),
+        StreamFrame::Done { outcome, recorded } => Some(AnswerEvent::Done {
+            outcome: outcome.into(),
+            recorded,
+        }),
+        StreamFrame::Refused(note) => Some(AnswerEvent::Error(EntryError::Online { note }.reply())),
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/entry/reply.rs
@@ -0,0 +1,152 @@
+//! Errors of calls, and their answers.
+
+use fulmarswitch_caller::wire::{ErrorReply, RanReply};
+use fulmarswitch_http::{HttpResponse, json_response};
+use fulmarswitch_peer::PeerReply;
+use fulmarswitch_peer::message::{RefusalNote, RunState};
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use snafu::Snafu;
+use std::sync::Arc;
+
+/// Time to come back after an error that has no better one, in milliseconds.
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+/// Errors of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub(super) enum EntryError {
+    /// The path is not known.
+    #[snafu(display("there is no such call; see docs/API.md"))]
+    NoSuchCall,
+    /// The body cannot be used.
+    #[snafu(display("{reason}"))]
+    BadInput {
+        /// What to change.
+        reason: Arc<str>,
+    },
+    /// The name is not known.
+    #[snafu(display("{what} is not known here; check the workspace and the name"))]
+    NotFound {
+        /// Kind of the thing.
+        what: &'static str,
+    },
+    /// The name stands for something else.
+    #[snafu(display("{reason}"))]
+    Conflict {
+        /// What to do.
+        reason: Arc<str>,
+    },
+    /// The call was refused and had no effect.
+    #[snafu(display("{reason}"))]
+    Refused {
+        /// What happened.
+        reason: Arc<str>,
+        /// When to try again, in milliseconds; zero for never.
+        retry_after_ms: u64,
+    },
+    /// No host owns the shard at the moment.
+    #[snafu(display("the owner of the key or job was not reached; try again"))]
+    NoOwner,
+    /// Whether the call took effect is not known.
+    #[snafu(display("whether the call took effect is not known; repeat it, which is harmless"))]
+    Unknown,
+    /// The request ended with a refusal of the owner.
+    #[snafu(display("{}", note.reason))]
+    Online {
+        /// The refusal.
+        note: RefusalNote,
+    },
+}
+
+impl EntryError {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::NoSuchCall | Self::NotFound { .. } => StatusCode::NOT_FOUND,
+            Self::BadInput { .. }
+            | Self::Refused {
+                retry_after_ms: 0, ..
+            } => StatusCode::BAD_REQUEST,
+            Self::Conflict { .. } => StatusCode::CONFLICT,
+            Self::Online { note } if note.ran == RunState::MayHaveRun => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
+            Self::Online { note } if note.retry_after_ms == 0 => StatusCode::CONFLICT,
+            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
+            Self::Refused { .. } | Self::NoOwner | Self::Online { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    }
+
+    fn retry_after_ms(&self) -> u64 {
+        match self {
+            Self::Refused { retry_after_ms, .. } => *retry_after_ms,
+            Self::Online { note } => note.retry_after_ms,
+            Self::NoOwner | Self::Unknown => DEFAULT_RETRY_MS,
+            _ => 0,
+        }
+    }
+
+    fn ran(&self) -> RanReply {
+        match self {
+            Self::Online { note } => note.ran.into_reply(),
+            Self::Unknown => RanReply::MayHaveRun,
+            _ => RanReply::NotRun,
+        }
+    }
+
+    pub(super) fn reply(&self) -> ErrorReply {
+        ErrorReply {
+            error: self.to_string().into(),
+            ran: self.ran(),
+            retry_after_ms: self.retry_after_ms(),
+        }
+    }
+}
+
+/// Conversion into the callers' wire type.
+pub(super) trait IntoRanReply {
+    /// Converts the state.
+    fn into_reply(self) -> RanReply;
+}
+
+impl IntoRanReply for RunState {
+    fn into_reply(self) -> RanReply {
+        match self {
+            Self::NotRun => RanReply::NotRun,
+            Self::MayHaveRun => RanReply::MayHaveRun,
+            Self::Done => RanReply::Done,
+        }
+    }
+}
+
+/// Makes an answer of an error.
+pub(super) fn error_response(error: &EntryError) -> HttpResponse {
+    let mut response = json_response(error.status(), &error.reply());
+    let retry_after_ms = error.retry_after_ms();
+    if retry_after_ms > 0 {
+        let seconds = HeaderValue::from(retry_after_ms.div_ceil(1_000));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Makes an error of a reply that is not the one hoped for.
+pub(super) fn unexpected(reply: PeerReply, what: &'static str) -> EntryError {
+    match reply {
+        PeerReply::NotFound => EntryError::NotFound { what },
+        PeerReply::Conflict { reason } => EntryError::Conflict { reason },
+        PeerReply::Refused {
+            reason,
+            retry_after_ms,
+        } => EntryError::Refused {
+            reason,
+            retry_after_ms,
+        },
+        PeerReply::Unsupported => EntryError::Refused {
+            reason: "the owner runs an older version; try again after the upgrade".into(),
+            retry_after_ms: DEFAULT_RETRY_MS,
+        },
+        _ => EntryError::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/events.rs
@@ -0,0 +1,82 @@
+//! The time line of one process: changes of state with their logical time.
+
+use fulmarswitch_operator::EventReply;
+use fulmarswitch_records::LogicalClock;
+use slog::{Logger, info};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Events that a process keeps for the time line.
+const EVENT_LIMIT: usize = 20_000;
+
+/// Records events, writes them to the log and keeps the newest for the time line.
+#[derive(Clone)]
+pub struct EventLog {
+    host: Arc<str>,
+    clock: LogicalClock,
+    logger: Logger,
+    events: Arc<Mutex<VecDeque<EventReply>>>,
+}
+
+impl EventLog {
+    /// Creates the time line of a process.
+    #[must_use]
+    pub fn new(host: Arc<str>, clock: LogicalClock, logger: Logger) -> Self {
+        Self {
+            host,
+            clock,
+            logger,
+            events: Arc::default(),
+        }
+    }
+
+    /// Returns the logical clock of the process.
+    #[must_use]
+    pub fn clock(&self) -> &LogicalClock {
+        &self.clock
+    }
+
+    /// Notes a change of state and writes a log line for it.
+    pub fn note(&self, kind: &str, entity: &str, detail: &str) {
+        info!(self.logger, "{}", kind; "entity" => entity, "detail" => detail);
+        self.trace(kind, entity, detail);
+    }
+
+    /// Notes a step of one request, for the time line only.
+    pub fn trace(&self, kind: &str, entity: &str, detail: &str) {
+        let event = EventReply {
+            stamp: self.clock.tick(),
+            at_ms: wall_ms(),
+            host: Arc::clone(&self.host),
+            kind: kind.into(),
+            entity: entity.into(),
+            detail: detail.into(),
+        };
+        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        if events.len() >= EVENT_LIMIT {
+            events.pop_front();
+        }
+        events.push_back(event);
+    }
+
+    /// Returns the events that are kept.
+    #[must_use]
+    pub fn all(&self) -> Vec<EventReply> {
+        self.events
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .iter()
+            .cloned()
+            .collect()
+    }
+}
+
+/// Returns the host's clock, in milliseconds since the Unix epoch. For display and due dates only.
+#[must_use]
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/gates.rs
@@ -0,0 +1,220 @@
+//! Everything that goes to an endpoint.
+//!
+//! The host that holds an endpoint's gate queues its online requests, pulls batch items into what is spare,
+//! and knows exactly what the endpoint holds. The decisions are in [`fulmarswitch_decide::gate`]; this
+//! module carries them out.
+
+mod batch;
+mod unit;
+
+use crate::fleet::{FleetBooks, FleetView};
+use crate::parts::{HostParts, lock};
+use crate::shards::ShardBooks;
+use fulmarswitch_decide::balance::{EndpointView, choose};
+use fulmarswitch_decide::gate::GateSettings;
+use fulmarswitch_peer::message::{JobName, OfferList, RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::{FrameStream, PeerReply, StreamFrame};
+use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
+use fulmarswitch_records::{HostIdentity, OnlineRequest, SortedIndex};
+use futures::StreamExt;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use unit::GateUnit;
+
+/// Time between looks at the configuration, and between polls of each gate.
+const GATE_PERIOD: Duration = Duration::from_millis(20);
+/// Bytes of an input that are taken for its prefix.
+const PREFIX_BYTES: usize = 64;
+/// Time to come back after a refusal of a gate that has moved.
+const MOVED_RETRY: Duration = Duration::from_millis(200);
+
+/// The gates on one host.
+pub struct GateRole {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    shards: Arc<ShardBooks>,
+    units: Mutex<SortedIndex<Arc<str>, Arc<GateUnit>>>,
+    offers: Mutex<SortedIndex<HostIdentity, OfferList>>,
+    /// Requests that this host has sent to each endpoint and that have not ended.
+    sent: Mutex<SortedIndex<Arc<str>, usize>>,
+    attempts: AtomicU64,
+    leaving: AtomicBool,
+}
+
+impl GateRole {
+    /// Creates the role.
+    #[must_use]
+    pub fn new(parts: &HostParts, fleet: &Arc<FleetBooks>, shards: &Arc<ShardBooks>) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            shards: Arc::clone(shards),
+            units: Mutex::default(),
+            offers: Mutex::default(),
+            sent: Mutex::default(),
+            attempts: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns a number for an attempt, unique within this run.
+    pub fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Takes no more batch items from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the number of gates held, and of requests in them.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let units = lock(&self.units);
+        let held = units.iter().map(|(_, unit)| unit.held()).sum();
+        (units.len(), held)
+    }
+
+    /// Chooses an endpoint for a request.
+    #[must_use]
+    pub fn choose(&self, request: &OnlineRequest, excluded: &[Arc<str>]) -> Option<Arc<str>> {
+        let view = self.fleet.view();
+        let sent = lock(&self.sent);
+        let candidates: Vec<EndpointView<'_>> = view
+            .config
+            .endpoints()
+            .filter(|(_, endpoint)| endpoint.service == request.service && !endpoint.leaving)
+            .filter(|(name, _)| !excluded.iter().any(|excluded| **excluded == **name))
+            .map(|(name, endpoint)| EndpointView {
+                name,
+                held: sent.get(name).copied().unwrap_or(0),
+                near: endpoint.failure_domain == self.parts.settings.failure_domain,
+            })
+            .collect();
+        let at = choose(&candidates, prefix_of(&request.input))?;
+        Some(candidates[at].name.into())
+    }
+
+    /// Runs a request on an endpoint whose gate is here.
+    pub fn run(self: &Arc<Self>, request: RunRequest) -> FrameStream {
+        let view = self.fleet.view();
+        let Some((endpoint, service)) = endpoint_of(&view, &request.endpoint) else {
+            return refuse("the endpoint is not configured");
+        };
+        if endpoint.leaving {
+            return refuse("the endpoint is leaving");
+        }
+        let unit = self.unit(&request.endpoint, endpoint, service);
+        unit.run_online(request)
+    }
+
+    /// Takes an owner's offers, which replace those it sent before.
+    pub fn take_offers(&self, offers: OfferList) -> PeerReply {
+        lock(&self.offers).insert(offers.owner.clone(), offers);
+        PeerReply::Accepted
+    }
+
+    /// Stops the items of a cancelled job.
+    pub fn stop_job(&self, job: &JobName) -> PeerReply {
+        for (_, unit) in lock(&self.units).iter() {
+            unit.stop_job(&job.job);
+        }
+        PeerReply::Accepted
+    }
+
+    /// Keeps a gate for each endpoint that this host holds, for as long as the runtime lives.
+    pub async fn run_gates(self: Arc<Self>) {
+        loop {
+            self.adjust_units();
+            let units: Vec<Arc<GateUnit>> = lock(&self.units)
+                .iter()
+                .map(|(_, unit)| Arc::clone(unit))
+                .collect();
+            for unit in units {
+                unit.poll();
+                self.pull_batch(&unit);
+            }
+            tokio::time::sleep(GATE_PERIOD).await;
+        }
+    }
+
+    /// Opens the gates that belong here and closes idle ones that do not.
+    fn adjust_units(self: &Arc<Self>) {
+        let view = self.fleet.view();
+        for (name, endpoint) in view.config.endpoints() {
+            let Some(service) = view.config.service(&endpoint.service) else {
+                continue;
+            };
+            let here = view
+                .gate_of(name)
+                .is_some_and(|gate| gate.host == self.parts.identity);
+            if here {
+                self.unit(name, endpoint, service);
+            }
+        }
+        lock(&self.units).retain(|name, unit| {
+            let here = view
+                .gate_of(name)
+                .is_some_and(|gate| gate.host == self.parts.identity);
+            let kept = here && view.config.endpoint(name).is_some();
+            unit.set_open(kept && !self.leaving.load(Ordering::Relaxed));
+            kept || unit.held() > 0
+        });
+    }
+
+    fn unit(
+        self: &Arc<Self>,
+        name: &str,
+        endpoint: &EndpointConfig,
+        service: &ServiceConfig,
+    ) -> Arc<GateUnit> {
+        let mut units = lock(&self.units);
+        if let Some(unit) = units.get(name) {
+            unit.configure(endpoint, service);
+            return Arc::clone(unit);
+        }
+        let unit = GateUnit::new(&self.parts, endpoint, service);
+        units.insert(name.into(), Arc::clone(&unit));
+        self.parts
+            .events
+            .note("gate-open", name, "this host holds the gate");
+        unit
+    }
+}
+
+fn endpoint_of<'a>(
+    view: &'a FleetView,
+    name: &str,
+) -> Option<(&'a EndpointConfig, &'a ServiceConfig)> {
+    let endpoint = view.config.endpoint(name)?;
+    Some((endpoint, view.config.service(&endpoint.service)?))
+}
+
+fn settings_of(endpoint: &EndpointConfig, service: &ServiceConfig) -> GateSettings {
+    GateSettings {
+        max_concurrent: endpoint.max_concurrent,
+        first_token: Duration::from_millis(service.first_token_ms),
+        between_tokens: Duration::from_millis(service.between_tokens_ms),
+    }
+}
+
+fn prefix_of(input: &str) -> &str {
+    let end = (0..=PREFIX_BYTES.min(input.len()))
+        .rev()
+        .find(|end| input.is_char_boundary(*end));
+    &input[..end.unwrap_or(0)]
+}
+
+fn refuse(reason: &str) -> FrameStream {
+    let frame = refusal(reason, MOVED_RETRY);
+    futures::stream::once(std::future::ready(frame)).boxed()
+}
+
+fn refusal(reason: &str, retry_after: Duration) -> StreamFrame {
+    StreamFrame::Refused(RefusalNote {
+        reason: reason.into(),
+        ran: RunState::NotRun,
+        retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+    })
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -0,0 +1,334 @@
+//! The gate of one endpoint: carries out what the decisions say.
+
+use super::{refusal, settings_of};
+use crate::parts::{HostParts, lock};
+use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
+use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
+use fulmarswitch_peer::message::{RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::{FrameStream, StreamFrame};
+use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
+use fulmarswitch_records::{ItemOutcome, SortedIndex};
+use futures::StreamExt;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// What the gate tells a request that waits or runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GateOrder {
+    /// Go to the endpoint now.
+    Start,
+    /// Break off and wait again.
+    Cancel,
+    /// Give up.
+    Refuse(Duration),
+}
+
+/// A request's side of the gate.
+pub(super) struct TicketPost {
+    orders: mpsc::UnboundedSender<GateOrder>,
+    job: Option<Arc<str>>,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+/// One ticket as its task holds it; dropping it tells the gate that the request has ended.
+pub(super) struct HeldTicket {
+    pub(super) ticket: TicketIndex,
+    pub(super) orders: mpsc::UnboundedReceiver<GateOrder>,
+    unit: Arc<GateUnit>,
+}
+
+impl Drop for HeldTicket {
+    fn drop(&mut self) {
+        lock(&self.unit.posts).remove(&self.ticket);
+        let now = self.unit.parts.now();
+        let ticket = self.ticket;
+        self.unit
+            .decide(|gate, actions| gate.end(now, ticket, actions));
+    }
+}
+
+/// How one run at the endpoint ended.
+pub(super) enum CallEnd {
+    /// The endpoint answered in full.
+    Done,
+    /// The endpoint reports a failure.
+    Failed(Arc<str>),
+    /// No byte went out, or the endpoint refused without running.
+    NotRun(Arc<str>),
+    /// The call broke off and may have run.
+    Broken(Arc<str>),
+    /// The gate cancelled the run.
+    Cancelled,
+}
+
+/// The gate of one endpoint.
+pub(super) struct GateUnit {
+    pub(super) parts: HostParts,
+    config: Mutex<(EndpointConfig, ServiceConfig)>,
+    gate: Mutex<EndpointGate>,
+    posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
+    tickets: AtomicU64,
+    open: AtomicBool,
+    pub(super) pulling: AtomicBool,
+}
+
+impl GateUnit {
+    pub(super) fn new(
+        parts: &HostParts,
+        endpoint: &EndpointConfig,
+        service: &ServiceConfig,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            config: Mutex::new((endpoint.clone(), service.clone())),
+            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
+            posts: Mutex::default(),
+            tickets: AtomicU64::new(0),
+            open: AtomicBool::new(true),
+            pulling: AtomicBool::new(false),
+        })
+    }
+
+    pub(super) fn configure(&self, endpoint: &EndpointConfig, service: &ServiceConfig) {
+        let mut config = lock(&self.config);
+        if config.0 != *endpoint || config.1 != *service {
+            *config = (endpoint.clone(), service.clone());
+            lock(&self.gate).configure(settings_of(endpoint, service));
+        }
+    }
+
+    /// Says whether the gate may pull batch items.
+    pub(super) fn set_open(&self, open: bool) {
+        self.open.store(open, Ordering::Relaxed);
+    }
+
+    pub(super) fn held(&self) -> usize {
+        lock(&self.posts).len()
+    }
+
+    pub(super) fn config(&self) -> (EndpointConfig, ServiceConfig) {
+        lock(&self.config).clone()
+    }
+
+    /// Returns how many batch items to pull now.
+    pub(super) fn batch_room(&self) -> usize {
+        let leaving = lock(&self.config).0.leaving;
+        if leaving || !self.open.load(Ordering::Relaxed) {
+            return 0;
+        }
+        lock(&self.gate).batch_room()
+    }
+
+    pub(super) fn poll(&self) {
+        let now = self.parts.now();
+        self.decide(|gate, actions| gate.poll(now, actions));
+    }
+
+    /// Runs an online request; the stream carries its frames.
+    pub(super) fn run_online(self: &Arc<Self>, request: RunRequest) -> FrameStream {
+        let (frames, stream) = mpsc::unbounded_channel();
+        tokio::spawn(Arc::clone(self).drive_online(request, frames));
+        UnboundedReceiverStream::new(stream).boxed()
+    }
+
+    /// Stops the items of a job.
+    pub(super) fn stop_job(&self, job: &str) {
+        let mut posts = lock(&self.posts);
+        for post in posts
+            .values_mut()
+            .filter(|post| post.job.as_deref() == Some(job))
+        {
+            if let Some(stop) = post.stop.take() {
+                // The item may have ended just now.
+                let _ = stop.send(());
+            }
+        }
+    }
+
+    /// Queues a request at the gate.
+    pub(super) fn enter(
+        self: &Arc<Self>,
+        class: RequestClass,
+        wait: Duration,
+        job: Option<(Arc<str>, oneshot::Sender<()>)>,
+    ) -> HeldTicket {
+        let ticket = TicketIndex(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let (sender, orders) = mpsc::unbounded_channel();
+        let (job, stop) = job.unzip();
+        lock(&self.posts).insert(
+            ticket,
+            TicketPost {
+                orders: sender,
+                job,
+                stop,
+            },
+        );
+        let held = HeldTicket {
+            ticket,
+            orders,
+            unit: Arc::clone(self),
+        };
+        let now = self.parts.now();
+        self.decide(|gate, actions| gate.arrive(now, ticket, class, now + wait, actions));
+        held
+    }
+
+    /// Lets the gate decide, and passes its actions on to the requests.
+    fn decide(&self, event: impl FnOnce(&mut EndpointGate, &mut Vec<GateAction>)) {
+        let mut actions = Vec::new();
+        event(&mut lock(&self.gate), &mut actions);
+        let posts = lock(&self.posts);
+        for action in actions {
+            let (ticket, order) = match action {
+                GateAction::Start(ticket) => (ticket, GateOrder::Start),
+                GateAction::Cancel(ticket) => (ticket, GateOrder::Cancel),
+                GateAction::Refuse {
+                    ticket,
+                    retry_after,
+                } => (ticket, GateOrder::Refuse(retry_after)),
+            };
+            if let Some(post) = posts.get(&ticket) {
+                // A request that has ended tells the gate when its ticket is dropped.
+                let _ = post.orders.send(order);
+            }
+        }
+    }
+
+    async fn drive_online(
+        self: Arc<Self>,
+        request: RunRequest,
+        frames: mpsc::UnboundedSender<StreamFrame>,
+    ) {
+        let wait = Duration::from_millis(request.left_ms);
+        let mut held = self.enter(RequestClass::Online, wait, None);
+        let mut first = held.orders.try_recv().ok();
+        if !matches!(first, Some(GateOrder::Refuse(_))) {
+            // A stream that is gone shows itself in `closed` below.
+            let _ = frames.send(StreamFrame::Admitted);
+        }
+        if first.is_none() {
+            first = tokio::select! {
+                order = held.orders.recv() => order,
+                () = frames.closed() => None,
+            };
+        }
+        let last = match first {
+            Some(GateOrder::Start) => {
+                let call = self.call_of(&request);
+                let mut text = String::new();
+                let mut show = |part: &Arc<str>| {
+                    text.push_str(part);
+                    frames.send(StreamFrame::Text(Arc::clone(part))).is_ok()
+                };
+                let run = self.call_endpoint(&mut held, call, &mut show);
+                let end = tokio::select! {
+                    end = run => end,
+                    () = frames.closed() => return,
+                };
+                last_frame(end, text)
+            }
+            Some(GateOrder::Refuse(retry_after)) => {
+                refusal("the endpoint has no room", retry_after)
+            }
+            Some(GateOrder::Cancel) | None => return,
+        };
+        // Nobody listens if this fails; the outcome is then found by key.
+        let _ = frames.send(last);
+    }
+
+    fn call_of(&self, request: &RunRequest) -> EndpointCall {
+        EndpointCall {
+            id: Arc::clone(&request.attempt),
+            model: self.model(),
+            input: Arc::clone(&request.request.input),
+            prior: "".into(),
+            prior_tokens: 0,
+            max_tokens: request.request.max_tokens,
+        }
+    }
+
+    /// Returns the model that calls name, with the adapter behind a `+`.
+    pub(super) fn model(&self) -> Arc<str> {
+        let config = lock(&self.config);
+        let service = &config.1;
+        if service.adapter.is_empty() {
+            Arc::clone(&service.model)
+        } else {
+            format!("{}+{}", service.model, service.adapter).into()
+        }
+    }
+
+    /// Makes one call and shows its text part by part, until it ends or the gate cancels it.
+    pub(super) async fn call_endpoint(
+        &self,
+        held: &mut HeldTicket,
+        call: EndpointCall,
+        show: &mut impl FnMut(&Arc<str>) -> bool,
+    ) -> CallEnd {
+        let (endpoint, service) = self.config();
+        let starting = self
+            .parts
+            .endpoints
+            .start(&endpoint.address, service.protocol, call);
+        let mut parts = match starting.await {
+            Ok(parts) => parts,
+            Err(error) => return error_end(error),
+        };
+        loop {
+            let part = tokio::select! {
+                part = parts.next() => part,
+                order = held.orders.recv() => match order {
+                    Some(GateOrder::Cancel) => return CallEnd::Cancelled,
+                    _ => continue,
+                },
+            };
+            match part {
+                Some(Ok(AnswerPart::Text(text))) => {
+                    let now = self.parts.now();
+                    lock(&self.gate).token(now, held.ticket);
+                    if !show(&text) {
+                        return CallEnd::Cancelled;
+                    }
+                }
+                Some(Ok(AnswerPart::End)) => return CallEnd::Done,
+                Some(Err(error)) => return error_end(error),
+                None => return CallEnd::Broken("the answer ended early".into()),
+            }
+        }
+    }
+}
+
+fn error_end(error: EndpointError) -> CallEnd {
+    match error {
+        EndpointError::NotSent { cause } | EndpointError::Refused { cause, .. } => {
+            CallEnd::NotRun(cause)
+        }
+        EndpointError::Broken { cause } => CallEnd::Broken(cause),
+        EndpointError::Failed { cause } => CallEnd::Failed(cause),
+    }
+}
+
+fn last_frame(end: CallEnd, text: String) -> StreamFrame {
+    let done = |outcome| StreamFrame::Done {
+        outcome,
+        recorded: false,
+    };
+    match end {
+        CallEnd::Done => done(ItemOutcome::Done { text: text.into() }),
+        CallEnd::Failed(reason) => done(ItemOutcome::Failed { reason }),
+        CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
+        CallEnd::Broken(cause) => StreamFrame::Refused(RefusalNote {
+            reason: cause,
+            ran: RunState::MayHaveRun,
+            retry_after_ms: 0,
+        }),
+        CallEnd::Cancelled => StreamFrame::Refused(RefusalNote {
+            reason: "the run was cancelled".into(),
+            ran: RunState::MayHaveRun,
+            retry_after_ms: 0,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/host.rs
@@ -0,0 +1,190 @@
+//! One host: all roles together, and the answers to other hosts.
+
+use crate::commit::RecordCommitter;
+use crate::entry::EntryRole;
+use crate::fleet::FleetBooks;
+use crate::gates::GateRole;
+use crate::jobs::JobOwner;
+use crate::keys::KeyOwner;
+use crate::parts::HostParts;
+use crate::shards::ShardBooks;
+use crate::watcher::{HostWatcher, JoinError};
+use async_trait::async_trait;
+use fulmarswitch_peer::{FrameStream, PeerHandler, PeerMessage, PeerReply, StreamRequest};
+use fulmarswitch_records::HostIdentity;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Pause between looks at whether a leaving host is idle.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a leaving host goes on after it is idle, so that callers' kept addresses grow old.
+const DRAIN_REST: Duration = Duration::from_millis(500);
+
+/// One host.
+pub struct HostNode {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    committer: Arc<RecordCommitter>,
+    shards: Arc<ShardBooks>,
+    gates: Arc<GateRole>,
+    keys: Arc<KeyOwner>,
+    jobs: Arc<JobOwner>,
+    watcher: Arc<HostWatcher>,
+    entry: Arc<EntryRole>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+impl HostNode {
+    /// Creates the host's roles; they read the log from now on and take part once [`Self::join`] returns.
+    #[must_use]
+    pub fn new(parts: &HostParts) -> Arc<Self> {
+        let (fleet, committer) = FleetBooks::start(parts);
+        let shards = ShardBooks::start(parts, &fleet, &committer);
+        let gates = GateRole::new(parts, &fleet, &shards);
+        let keys = KeyOwner::new(parts, &fleet, &shards, &gates);
+        let jobs = JobOwner::new(parts, &fleet, &shards);
+        let watcher = HostWatcher::new(parts, &fleet);
+        let entry = EntryRole::new(parts, &fleet, &shards, &keys, &jobs, &gates, &watcher);
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet,
+            committer,
+            shards,
+            gates,
+            keys,
+            jobs,
+            watcher,
+            entry,
+            tasks: Mutex::default(),
+        })
+    }
+
+    /// Returns the entry, which serves callers and operators.
+    #[must_use]
+    pub fn entry(&self) -> &Arc<EntryRole> {
+        &self.entry
+    }
+
+    /// Returns the books of all groups.
+    #[must_use]
+    pub fn shards(&self) -> &Arc<ShardBooks> {
+        &self.shards
+    }
+
+    /// Returns hosts and configuration as seen here.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<FleetBooks> {
+        &self.fleet
+    }
+
+    /// Joins the fleet and starts all roles.
+    ///
+    /// # Errors
+    /// [`JoinError`] names the remedy.
+    pub async fn join(self: &Arc<Self>) -> Result<(), JoinError> {
+        self.wait_caught_up().await;
+        self.watcher.join().await?;
+        self.parts.events.note(
+            "join",
+            &self.parts.identity.to_string(),
+            "the host takes part",
+        );
+        let mut tasks = self.tasks.lock().await;
+        tasks.spawn(Arc::clone(&self.watcher).run_heartbeats());
+        tasks.spawn(Arc::clone(&self.shards).run_claims());
+        tasks.spawn(Arc::clone(&self.gates).run_gates());
+        tasks.spawn(Arc::clone(&self.keys).run_sweeps());
+        tasks.spawn(Arc::clone(&self.jobs).run_offers());
+        Ok(())
+    }
+
+    /// Returns once the host has been asked to leave, by an operator or by the platform's list.
+    pub async fn wait_asked_to_leave(&self) {
+        tokio::select! {
+            () = self.entry.wait_asked_to_leave() => {}
+            () = self.watcher.wait_listed_leaving() => {}
+        }
+    }
+
+    /// Leaves the fleet: hands everything over and returns once nothing is in progress here.
+    pub async fn leave(&self) {
+        let identity = self.parts.identity.to_string();
+        self.parts
+            .events
+            .note("leaving", &identity, "no new work is taken");
+        self.gates.leave();
+        self.entry.set_leaving();
+        let limit = Duration::from_millis(self.parts.settings.tuning.drain_ms);
+        // In an outage of the log the leave record waits; the host then drains without it.
+        let _ = tokio::time::timeout(limit / 4, self.watcher.leave()).await;
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline && !self.is_idle() {
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
+        tokio::time::sleep(DRAIN_REST).await;
+        let end = if self.is_idle() {
+            "nothing was cut"
+        } else {
+            "the time to drain ran out"
+        };
+        self.parts.events.note("left", &identity, end);
+    }
+
+    /// Tells whether nothing is in progress here and nothing is held for others.
+    fn is_idle(&self) -> bool {
+        let alone = self.fleet.view().hosts.live().next().is_none();
+        let (_, held) = self.gates.counts();
+        let handed_over = alone || self.shards.owned().is_empty();
+        handed_over && held == 0 && self.keys.in_progress() == 0 && self.entry.in_progress() == 0
+    }
+
+    async fn wait_caught_up(&self) {
+        for book in self.shards.books() {
+            // The sender lives as long as the book, so the wait cannot fail.
+            let _ = book.status().wait_for(|status| status.caught_up).await;
+        }
+        let _ = self
+            .fleet
+            .config
+            .status()
+            .wait_for(|status| status.caught_up)
+            .await;
+    }
+}
+
+#[async_trait]
+impl PeerHandler for HostNode {
+    async fn handle(&self, from: HostIdentity, message: PeerMessage) -> PeerReply {
+        match message {
+            PeerMessage::Heartbeat(note) => {
+                self.watcher.hear(&from, &note);
+                PeerReply::Accepted
+            }
+            PeerMessage::Offers(offers) => self.gates.take_offers(offers),
+            PeerMessage::Pull(request) => self.jobs.pull(&from, request).await,
+            PeerMessage::Report(report) => self.jobs.report(report).await,
+            PeerMessage::StopJob(job) => self.gates.stop_job(&job),
+            PeerMessage::Commit(request) => self.committer.handle(request).await,
+            PeerMessage::RecordOutcome(note) => self.keys.record_for(note).await,
+            PeerMessage::ReadKey(name) => self.keys.read_key(&name).await,
+            PeerMessage::BeginJob(header) => self.jobs.begin(header).await,
+            PeerMessage::PutItems(batch) => self.jobs.put(batch).await,
+            PeerMessage::SealJob(seal) => self.jobs.seal(seal).await,
+            PeerMessage::CancelJob(name) => self.jobs.cancel(&name).await,
+            PeerMessage::ReadJob(name) => self.jobs.read_job(&name),
+            PeerMessage::ReadResults(range) => self.jobs.read_results(&range).await,
+            PeerMessage::Handover(note) => self.keys.take_handover(&from, note),
+            PeerMessage::Hold(_) => PeerReply::Unsupported,
+        }
+    }
+
+    async fn serve(&self, request: StreamRequest) -> FrameStream {
+        match request {
+            StreamRequest::Submit(request) => self.keys.submit(request).await,
+            StreamRequest::Run(request) => self.gates.run(request),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -0,0 +1,127 @@
+//! The owner of batch jobs: submission, offers to gates, items handed out, outcomes, results.
+
+mod hand;
+mod read;
+mod submit;
+
+use crate::fleet::FleetBooks;
+use crate::parts::{HostParts, lock};
+use crate::shards::ShardBooks;
+use fulmarswitch_decide::handout::ItemHandout;
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_decide::shard::jobs::JobEntry;
+use fulmarswitch_peer::message::{JobName, JobReport};
+use fulmarswitch_peer::{PeerMessage, PeerReply};
+use fulmarswitch_records::record::{JobCancel, JobChunk};
+use fulmarswitch_records::{RecordBody, RecordPlace, ShardIndex, SortedIndex};
+use std::sync::{Arc, Mutex};
+use tokio::time::Instant;
+
+/// Chunks of inputs that are kept in memory.
+const CHUNK_CACHE: usize = 32;
+
+/// A job as this owner runs it.
+pub(crate) struct JobRun {
+    shard: ShardIndex,
+    handout: ItemHandout,
+    since: Instant,
+}
+
+/// The owner of jobs on one host.
+pub struct JobOwner {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    shards: Arc<ShardBooks>,
+    runs: Mutex<SortedIndex<Arc<str>, JobRun>>,
+    sessions: Mutex<SortedIndex<Arc<str>, Instant>>,
+    chunks: Mutex<Vec<(RecordPlace, Arc<JobChunk>)>>,
+}
+
+impl JobOwner {
+    /// Creates the owner.
+    #[must_use]
+    pub fn new(parts: &HostParts, fleet: &Arc<FleetBooks>, shards: &Arc<ShardBooks>) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            shards: Arc::clone(shards),
+            runs: Mutex::default(),
+            sessions: Mutex::default(),
+            chunks: Mutex::default(),
+        })
+    }
+
+    /// Cancels a job and tells the gates.
+    pub async fn cancel(&self, name: &JobName) -> PeerReply {
+        let Some(shard) = self.owned_shard(&name.job) else {
+            return PeerReply::NotOwner;
+        };
+        if self.with_job(shard, &name.job, |_| ()).is_none() {
+            return PeerReply::NotFound;
+        }
+        let body = RecordBody::JobCancel(JobCancel {
+            job: Arc::clone(&name.job),
+        });
+        let Ok(receiver) = self.shards.append(shard, body) else {
+            return PeerReply::NotOwner;
+        };
+        match receiver.await.map(|appended| appended.verdict) {
+            Ok(RecordVerdict::Valid) => {
+                self.parts
+                    .events
+                    .note("job-cancelled", &name.job, "no more items start");
+                lock(&self.runs).remove(&*name.job);
+                self.tell_gates(name).await;
+                self.report_of(shard, &name.job)
+            }
+            // A finished job stays as it is.
+            Ok(_) => self.report_of(shard, &name.job),
+            Err(_) => PeerReply::Unknown,
+        }
+    }
+
+    async fn tell_gates(&self, name: &JobName) {
+        for target in self.fleet.view().live_targets() {
+            let message = PeerMessage::StopJob(name.clone());
+            // A gate that is not reached reports the items in vain.
+            let _ = self.parts.link.call(&target, message).await;
+        }
+    }
+
+    /// Returns the shard of a job if this host owns it.
+    fn owned_shard(&self, job: &str) -> Option<ShardIndex> {
+        let shard = self.fleet.view().shard_of(job);
+        self.shards.owned_epoch(shard).map(|_| shard)
+    }
+
+    fn with_job<T>(
+        &self,
+        shard: ShardIndex,
+        job: &str,
+        read: impl FnOnce(&JobEntry) -> T,
+    ) -> Option<T> {
+        self.shards
+            .with_shard(shard, |state| state.job(job).map(read))
+    }
+
+    fn report_of(&self, shard: ShardIndex, job: &str) -> PeerReply {
+        self.with_job(shard, job, make_report)
+            .flatten()
+            .map_or(PeerReply::NotFound, PeerReply::Job)
+    }
+}
+
+fn make_report(entry: &JobEntry) -> Option<JobReport> {
+    let seal = entry.accepted()?;
+    let counts = entry.counts();
+    Some(JobReport {
+        header: seal.header.clone(),
+        total: seal.total,
+        open: counts.open,
+        done: counts.done,
+        failed: counts.failed,
+        may_have_run: counts.may_have_run,
+        cancelled: counts.cancelled,
+        is_cancelled: entry.is_cancelled(),
+    })
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -0,0 +1,372 @@
+//! Handing items out to gates, and recording what became of them.
+
+use super::{CHUNK_CACHE, JobOwner, JobRun};
+use crate::parts::lock;
+use fulmarswitch_decide::handout::ItemHandout;
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_decide::shard::jobs::ItemState;
+use fulmarswitch_peer::message::{
+    AttemptResult, ItemReport, JobOffer, OfferList, PullRequest, PulledItem, PulledItems,
+};
+use fulmarswitch_peer::{PeerMessage, PeerReply, PeerTarget};
+use fulmarswitch_platform::LogError;
+use fulmarswitch_records::record::{ItemAttempts, ItemOutcomes, ItemsRunning, JobChunk, JobSeal};
+use fulmarswitch_records::{
+    HostIdentity, ItemOutcome, RecordBody, RecordPlace, ShardIndex, SortedIndex,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time between lists of offers.
+const OFFER_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which a new owner waits for the outcome of calls that the old one announced.
+const ANNOUNCED_GRACE: Duration = Duration::from_secs(20);
+/// Most jobs in one list.
+const OFFER_LIMIT: usize = 64;
+/// Most items handed out in one reply.
+const HAND_LIMIT: u32 = 64;
+
+impl JobOwner {
+    /// Offers jobs to gates and takes back lost items, for as long as the runtime lives.
+    pub async fn run_offers(self: Arc<Self>) {
+        let mut offered = false;
+        loop {
+            tokio::time::sleep(OFFER_PERIOD).await;
+            self.adjust_runs();
+            self.take_back_lost().await;
+            let jobs = self.offers();
+            if jobs.is_empty() && !offered {
+                continue;
+            }
+            offered = !jobs.is_empty();
+            let list = OfferList {
+                owner: self.parts.identity.clone(),
+                jobs,
+            };
+            for target in self.gate_hosts(&list) {
+                let (link, list) = (Arc::clone(&self.parts.link), list.clone());
+                self.parts.metrics.peer_messages.inc();
+                // A gate that is not reached hears of the jobs in the next round.
+                tokio::spawn(async move { link.call(&target, PeerMessage::Offers(list)).await });
+            }
+        }
+    }
+
+    /// Hands out items of a job.
+    pub async fn pull(&self, gate: &HostIdentity, request: PullRequest) -> PeerReply {
+        if self.shards.owned_epoch(request.shard).is_none() {
+            return PeerReply::NotOwner;
+        }
+        let count = request.count.min(HAND_LIMIT);
+        let Some((seal, items)) = self.take_items(gate, &request, count) else {
+            return PeerReply::NotFound;
+        };
+        if !seal.header.idempotent && !items.is_empty() {
+            let running = ItemsRunning {
+                job: Arc::clone(&request.job),
+                items: items.clone(),
+            };
+            let body = RecordBody::ItemsRunning(running);
+            if !self.append_valid(request.shard, body).await {
+                self.give_back(&request.job, &items);
+                return PeerReply::NotFound;
+            }
+        }
+        let mut pulled = Vec::with_capacity(items.len());
+        for index in &items {
+            match self.input_of(request.shard, &request.job, *index).await {
+                Some(input) => pulled.push(PulledItem {
+                    index: *index,
+                    input,
+                }),
+                None => self.give_back(&request.job, &[*index]),
+            }
+        }
+        PeerReply::Items(PulledItems {
+            header: seal.header.clone(),
+            items: pulled,
+        })
+    }
+
+    /// Records what became of items.
+    pub async fn report(&self, report: ItemReport) -> PeerReply {
+        let Some(seal) = self.with_job(report.shard, &report.job, |job| job.accepted().cloned())
+        else {
+            return PeerReply::NotFound;
+        };
+        let (Some(seal), Some(_)) = (seal, self.shards.owned_epoch(report.shard)) else {
+            return PeerReply::NotOwner;
+        };
+        let mut outcomes = Vec::new();
+        let mut failed = Vec::new();
+        for (item, result) in report.results {
+            match self.judge(report.shard, &seal, item, result) {
+                Some(outcome) => outcomes.push((item, outcome)),
+                None => failed.push(item),
+            }
+        }
+        let job = Arc::clone(&report.job);
+        let attempts = ItemAttempts {
+            job: Arc::clone(&job),
+            items: failed.clone(),
+        };
+        let counted = failed.is_empty()
+            || self
+                .append_valid(report.shard, RecordBody::ItemAttempts(attempts))
+                .await;
+        let items: Vec<u32> = outcomes.iter().map(|(item, _)| *item).collect();
+        let recorded = outcomes.is_empty()
+            || self
+                .append_valid(
+                    report.shard,
+                    RecordBody::ItemOutcomes(ItemOutcomes {
+                        job: Arc::clone(&job),
+                        outcomes,
+                    }),
+                )
+                .await;
+        if !counted || !recorded {
+            return PeerReply::NotOwner;
+        }
+        self.give_back(&job, &failed);
+        if let Some(run) = lock(&self.runs).get_mut(&*job) {
+            for item in &items {
+                run.handout.settle(*item);
+            }
+        }
+        PeerReply::Accepted
+    }
+
+    /// Returns the outcome that a result means, or `None` when the item is to be tried again.
+    fn judge(
+        &self,
+        shard: ShardIndex,
+        seal: &JobSeal,
+        item: u32,
+        result: AttemptResult,
+    ) -> Option<ItemOutcome> {
+        let name = seal.header.full_name();
+        let tried = self
+            .with_job(shard, &name, |job| job.attempts_of(item))
+            .unwrap_or(0);
+        let service = Arc::clone(&seal.header.service);
+        let limit = self
+            .fleet
+            .view()
+            .config
+            .service(&service)
+            .map_or(1, |s| s.max_attempts);
+        let last = u32::from(tried) + 1 >= limit;
+        match result {
+            AttemptResult::Done { text } => Some(ItemOutcome::Done { text }),
+            AttemptResult::Failed {
+                may_have_run: true, ..
+            }
+            | AttemptResult::Returned { may_have_run: true }
+                if !seal.header.idempotent =>
+            {
+                Some(ItemOutcome::MayHaveRun)
+            }
+            AttemptResult::Failed { cause, .. } if last => {
+                Some(ItemOutcome::Failed { reason: cause })
+            }
+            AttemptResult::Failed { .. } | AttemptResult::Returned { .. }
+                if seal.header.idempotent =>
+            {
+                None
+            }
+            // An announced item that did not go out is not announced a second time.
+            AttemptResult::Failed { .. } | AttemptResult::Returned { .. } => {
+                Some(ItemOutcome::Failed {
+                    reason: "no endpoint took the call; it did not run".into(),
+                })
+            }
+        }
+    }
+
+    fn take_items(
+        &self,
+        gate: &HostIdentity,
+        request: &PullRequest,
+        count: u32,
+    ) -> Option<(Arc<JobSeal>, Vec<u32>)> {
+        let until =
+            self.parts.now() + Duration::from_millis(self.parts.settings.tuning.item_lease_ms);
+        let mut runs = lock(&self.runs);
+        let run = runs.get_mut(&*request.job)?;
+        self.with_job(request.shard, &request.job, |job| {
+            let seal = job.accepted()?.clone();
+            Some((seal, run.handout.take(job, gate, until, count)))
+        })?
+    }
+
+    fn give_back(&self, job: &str, items: &[u32]) {
+        if let Some(run) = lock(&self.runs).get_mut(job) {
+            for item in items {
+                run.handout.give_back(*item);
+            }
+        }
+    }
+
+    /// Follows the shards owned here: begins runs of their unfinished jobs and ends all others.
+    fn adjust_runs(&self) {
+        let owned = self.shards.owned();
+        let mut runs = lock(&self.runs);
+        runs.retain(|name, run| {
+            let unfinished = self.with_job(run.shard, name, |job| !job.is_finished());
+            owned.contains(&run.shard) && unfinished == Some(true)
+        });
+        for shard in owned {
+            self.shards.with_shard(shard, |state| {
+                for (name, job) in state.jobs() {
+                    let unfinished = job.accepted().is_some() && !job.is_finished();
+                    if unfinished && !runs.contains(&**name) {
+                        let (handout, since) = (ItemHandout::new(), Instant::now());
+                        runs.insert(
+                            Arc::clone(name),
+                            JobRun {
+                                shard,
+                                handout,
+                                since,
+                            },
+                        );
+                    }
+                }
+            });
+        }
+    }
+
+    /// Takes back items whose gate is lost, and ends those that may not be repeated.
+    async fn take_back_lost(&self) {
+        let view = self.fleet.view();
+        let now = self.parts.now();
+        let mut ended = Vec::new();
+        for run in lock(&self.runs).values_mut() {
+            run.handout
+                .take_lost(now, |gate| view.hosts.is_reachable(gate));
+        }
+        let runs: Vec<(Arc<str>, ShardIndex)> = lock(&self.runs)
+            .iter()
+            .filter(|(_, run)| run.since.elapsed() > ANNOUNCED_GRACE)
+            .map(|(name, run)| (Arc::clone(name), run.shard))
+            .collect();
+        for (name, shard) in runs {
+            let announced = self
+                .with_job(shard, &name, announced_items)
+                .unwrap_or_default();
+            let out = lock(&self.runs);
+            let Some(run) = out.get(&*name) else { continue };
+            let lost: Vec<u32> = announced
+                .into_iter()
+                .filter(|item| !run.handout.is_out(*item))
+                .collect();
+            if !lost.is_empty() {
+                ended.push((name, shard, lost));
+            }
+        }
+        for (job, shard, items) in ended {
+            let outcomes = items
+                .into_iter()
+                .map(|item| (item, ItemOutcome::MayHaveRun))
+                .collect();
+            let body = RecordBody::ItemOutcomes(ItemOutcomes { job, outcomes });
+            self.append_valid(shard, body).await;
+        }
+    }
+
+    fn offers(&self) -> Vec<JobOffer> {
+        let mut offers = Vec::new();
+        for (name, run) in lock(&self.runs).iter() {
+            let offer = self.with_job(run.shard, name, |job| {
+                let header = &job.accepted()?.header;
+                Some(JobOffer {
+                    job: Arc::clone(name),
+                    shard: run.shard,
+                    workspace: Arc::clone(&header.workspace),
+                    service: Arc::clone(&header.service),
+                    due_ms: header.due_ms,
+                    waiting: run.handout.waiting(job),
+                })
+            });
+            offers.extend(offer.flatten().filter(|offer| offer.waiting > 0));
+        }
+        offers.sort_by_key(|offer| offer.due_ms);
+        offers.truncate(OFFER_LIMIT);
+        offers
+    }
+
+    /// Returns the hosts that hold gates of the services on offer.
+    fn gate_hosts(&self, list: &OfferList) -> Vec<PeerTarget> {
+        let view = self.fleet.view();
+        if list.jobs.is_empty() {
+            return view.live_targets();
+        }
+        let mut targets: SortedIndex<HostIdentity, PeerTarget> = SortedIndex::new();
+        for (name, endpoint) in view.config.endpoints() {
+            let wanted = list.jobs.iter().any(|job| job.service == endpoint.service);
+            if let Some(target) = view.gate_of(name).filter(|_| wanted) {
+                targets.insert(target.host.clone(), target);
+            }
+        }
+        targets.iter().map(|(_, target)| target.clone()).collect()
+    }
+
+    async fn append_valid(&self, shard: ShardIndex, body: RecordBody) -> bool {
+        let Ok(receiver) = self.shards.append(shard, body) else {
+            return false;
+        };
+        matches!(
+            receiver.await.map(|appended| appended.verdict),
+            Ok(RecordVerdict::Valid | RecordVerdict::Repeat)
+        )
+    }
+
+    async fn input_of(&self, shard: ShardIndex, job: &str, item: u32) -> Option<Arc<str>> {
+        let chunk = self.with_job(shard, job, |job| job.chunk_of(item).copied())??;
+        let inputs = self.read_chunk(shard, chunk.place).await.ok()?;
+        inputs.inputs.get((item - inputs.first) as usize).cloned()
+    }
+
+    async fn read_chunk(
+        &self,
+        shard: ShardIndex,
+        place: RecordPlace,
+    ) -> Result<Arc<JobChunk>, LogError> {
+        let cached = lock(&self.chunks)
+            .iter()
+            .find(|entry| entry.0 == place)
+            .map(|e| Arc::clone(&e.1));
+        if let Some(chunk) = cached {
+            return Ok(chunk);
+        }
+        let chunk = match self.shards.book(shard).read_record(place).await?.body {
+            RecordBody::JobChunk(chunk) => chunk,
+            RecordBody::CarriedItems(carried) => JobChunk {
+                job: carried.seal.header.full_name(),
+                first: carried.first,
+                inputs: carried.items.into_iter().map(|item| item.input).collect(),
+            },
+            _ => {
+                return Err(LogError::Unknown {
+                    cause: "the record holds no items".into(),
+                });
+            }
+        };
+        let chunk = Arc::new(chunk);
+        let mut chunks = lock(&self.chunks);
+        if chunks.len() >= CHUNK_CACHE {
+            chunks.remove(0);
+        }
+        chunks.push((place, Arc::clone(&chunk)));
+        Ok(chunk)
+    }
+}
+
+fn announced_items(job: &fulmarswitch_decide::shard::jobs::JobEntry) -> Vec<u32> {
+    let states = (0..).zip(job.states());
+    states
+        .filter(|(_, state)| **state == ItemState::Announced)
+        .map(|(item, _)| item)
+        .collect()
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/jobs/submit.rs
@@ -0,0 +1,146 @@
+//! Submission of a job: a stream of item batches between a beginning and a seal.
+
+use super::JobOwner;
+use crate::book::BookError;
+use crate::parts::lock;
+use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
+use fulmarswitch_peer::PeerReply;
+use fulmarswitch_peer::message::ItemBatch;
+use fulmarswitch_records::record::{ForgetName, JobChunk, JobSeal};
+use fulmarswitch_records::{JobHeader, RecordBody, ShardIndex};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Silence after which a submission counts as broken off.
+const SESSION_LIMIT: Duration = Duration::from_secs(10);
+/// Time to come back while the log takes no more.
+const FULL_RETRY_MS: u64 = 1_000;
+
+impl JobOwner {
+    /// Begins a submission, or says what has become of the job already.
+    pub async fn begin(&self, header: JobHeader) -> PeerReply {
+        let name = header.full_name();
+        let Some(shard) = self.owned_shard(&name) else {
+            return PeerReply::NotOwner;
+        };
+        let known = self.with_job(shard, &name, |job| job.accepted().cloned());
+        match known {
+            Some(Some(seal)) if seal.header == header => return self.report_of(shard, &name),
+            Some(Some(_)) => return conflict(),
+            _ => {}
+        }
+        if !self.open_session(&name) {
+            return PeerReply::Refused {
+                reason: "the job is being submitted by another connection".into(),
+                retry_after_ms: FULL_RETRY_MS,
+            };
+        }
+        if known.is_some() {
+            return self.forget_rest(shard, name).await;
+        }
+        PeerReply::Received { items: 0 }
+    }
+
+    /// Drops what a submission that broke off has left.
+    async fn forget_rest(&self, shard: ShardIndex, name: Arc<str>) -> PeerReply {
+        let body = RecordBody::Forget(ForgetName { name, job: true });
+        match self.append_verdict(shard, body).await {
+            Ok(RecordVerdict::Valid) => PeerReply::Received { items: 0 },
+            Ok(_) => PeerReply::NotOwner,
+            Err(reply) => reply,
+        }
+    }
+
+    /// Takes some items.
+    pub async fn put(&self, batch: ItemBatch) -> PeerReply {
+        let Some(shard) = self.owned_shard(&batch.job) else {
+            return PeerReply::NotOwner;
+        };
+        self.touch_session(&batch.job);
+        let end = batch.first + u32::try_from(batch.inputs.len()).unwrap_or(0);
+        let chunk = JobChunk {
+            job: batch.job,
+            first: batch.first,
+            inputs: batch.inputs,
+        };
+        match self
+            .append_verdict(shard, RecordBody::JobChunk(chunk))
+            .await
+        {
+            Ok(RecordVerdict::Valid | RecordVerdict::Repeat) => PeerReply::Received { items: end },
+            Ok(RecordVerdict::Void(VoidReason::NameTaken)) => conflict(),
+            Ok(RecordVerdict::Void(VoidReason::JobIncomplete)) => PeerReply::Refused {
+                reason: "items before these are missing; submit the job again".into(),
+                retry_after_ms: 0,
+            },
+            Ok(RecordVerdict::Void(_)) => PeerReply::NotOwner,
+            Err(reply) => reply,
+        }
+    }
+
+    /// Ends a submission: the job is accepted once the seal stands on the log.
+    pub async fn seal(&self, seal: JobSeal) -> PeerReply {
+        let name = seal.header.full_name();
+        let Some(shard) = self.owned_shard(&name) else {
+            return PeerReply::NotOwner;
+        };
+        let total = seal.total;
+        match self.append_verdict(shard, RecordBody::JobSeal(seal)).await {
+            Ok(RecordVerdict::Valid | RecordVerdict::Repeat) => {
+                lock(&self.sessions).remove(&*name);
+                self.parts
+                    .events
+                    .note("job-accepted", &name, &format!("{total} items"));
+                self.report_of(shard, &name)
+            }
+            Ok(RecordVerdict::Void(VoidReason::NameTaken)) => conflict(),
+            Ok(RecordVerdict::Void(VoidReason::JobIncomplete)) => PeerReply::Refused {
+                reason: "the items received are not those that were sent; submit the job again"
+                    .into(),
+                retry_after_ms: 0,
+            },
+            Ok(RecordVerdict::Void(_)) => PeerReply::NotOwner,
+            Err(reply) => reply,
+        }
+    }
+
+    async fn append_verdict(
+        &self,
+        shard: ShardIndex,
+        body: RecordBody,
+    ) -> Result<RecordVerdict, PeerReply> {
+        match self.shards.append(shard, body) {
+            Ok(receiver) => receiver
+                .await
+                .map(|appended| appended.verdict)
+                .map_err(|_| PeerReply::Unknown),
+            Err(BookError::Closed) => Err(PeerReply::NotOwner),
+            Err(error @ BookError::Full) => Err(PeerReply::Refused {
+                reason: error.to_string().into(),
+                retry_after_ms: FULL_RETRY_MS,
+            }),
+        }
+    }
+
+    fn open_session(&self, name: &Arc<str>) -> bool {
+        let mut sessions = lock(&self.sessions);
+        let free = sessions
+            .get(&**name)
+            .is_none_or(|seen| seen.elapsed() > SESSION_LIMIT);
+        if free {
+            sessions.insert(Arc::clone(name), Instant::now());
+        }
+        free
+    }
+
+    fn touch_session(&self, name: &Arc<str>) {
+        lock(&self.sessions).insert(Arc::clone(name), Instant::now());
+    }
+}
+
+fn conflict() -> PeerReply {
+    PeerReply::Conflict {
+        reason: "the job id stands for another job; choose a new id".into(),
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/keys.rs
@@ -0,0 +1,405 @@
+//! The owner of idempotency keys: accepts online requests, runs them and records their outcomes.
+//!
+//! Each accepted request has at most one `KeyRun` here, to which any number of streams attach. A run
+//! goes on when its shard moves to another host: its outcome is then recorded by the new owner.
+
+mod attempt;
+mod once;
+mod run;
+
+use crate::fleet::FleetBooks;
+use crate::gates::GateRole;
+use crate::parts::{HostParts, lock};
+use crate::shards::ShardBooks;
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_peer::message::{HandoverNote, KeyName, OutcomeNote, RefusalNote, RunState};
+use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
+use fulmarswitch_platform::LogError;
+use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::{
+    HostIdentity, ItemOutcome, OnlineRequest, RecordBody, RecordPlace, ShardIndex, SortedIndex,
+};
+use futures::StreamExt;
+use run::KeyRun;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Time between looks at keys that nobody runs.
+const SWEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Time that a new owner waits to be told what still runs at the old one.
+const HANDOVER_GRACE: Duration = Duration::from_millis(750);
+/// Time for which the log may be silent before requests are served without waiting for it.
+const LOG_PATIENCE: Duration = Duration::from_millis(400);
+/// Silence after which the log is taken to be out of reach; more than one wait of its readers.
+const LOG_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time to come back after a refusal that has no better one.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The owner of keys on one host.
+pub struct KeyOwner {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    shards: Arc<ShardBooks>,
+    gates: Arc<GateRole>,
+    runs: Mutex<SortedIndex<Arc<str>, Arc<KeyRun>>>,
+    /// Keys that still run at the host that owned their shard before.
+    elsewhere: Mutex<SortedIndex<Arc<str>, HostIdentity>>,
+    in_progress: watch::Sender<usize>,
+}
+
+impl KeyOwner {
+    /// Creates the owner.
+    #[must_use]
+    pub fn new(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        shards: &Arc<ShardBooks>,
+        gates: &Arc<GateRole>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            shards: Arc::clone(shards),
+            gates: Arc::clone(gates),
+            runs: Mutex::default(),
+            elsewhere: Mutex::default(),
+            in_progress: watch::Sender::new(0),
+        })
+    }
+
+    /// Returns the number of requests that run here.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        lock(&self.runs).len()
+    }
+
+    /// Accepts a request, or attaches to it.
+    pub async fn submit(self: &Arc<Self>, request: OnlineRequest) -> FrameStream {
+        let name = request.full_key();
+        if let Some(run) = self.run_of(&name) {
+            return attach_checked(&run, &request);
+        }
+        let shard = self.fleet.view().shard_of(&name);
+        if self.shards.owned_epoch(shard).is_none() {
+            return last_frame(StreamFrame::NotOwner);
+        }
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&name).cloned());
+        if let Some(entry) = &known {
+            if entry.digest != request.digest() {
+                return last_frame(conflict());
+            }
+            if let Some(result) = entry.outcome.filter(|result| !result.not_run) {
+                return last_frame(self.recorded_frame(shard, result.place).await);
+            }
+            if let Some(frames) = self.follow_elsewhere(&name, &request).await {
+                return frames;
+            }
+            if entry.outcome.is_none() && entry.running {
+                return last_frame(self.settle_announced(shard, &name).await);
+            }
+        }
+        let resumed = known.is_some_and(|entry| entry.outcome.is_none());
+        let run = self.start_run(request.clone(), shard, resumed);
+        attach_checked(&run, &request)
+    }
+
+    /// Reads the outcome of a key.
+    pub async fn read_key(&self, name: &KeyName) -> PeerReply {
+        let shard = self.fleet.view().shard_of(&name.key);
+        if self.shards.owned_epoch(shard).is_none() {
+            return PeerReply::NotOwner;
+        }
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&name.key).cloned());
+        let Some(entry) = known else {
+            return PeerReply::NotFound;
+        };
+        let Some(result) = entry.outcome else {
+            return PeerReply::Outcome(None);
+        };
+        match self.read_outcome(shard, result.place).await {
+            Ok(outcome) => PeerReply::Outcome(Some(outcome)),
+            Err(_) => PeerReply::Unknown,
+        }
+    }
+
+    /// Records an outcome that another host's run came to, and returns the one that stands.
+    pub async fn record_for(self: &Arc<Self>, note: OutcomeNote) -> PeerReply {
+        let name = note.request.full_key();
+        let shard = self.fleet.view().shard_of(&name);
+        if self.shards.owned_epoch(shard).is_none() {
+            return PeerReply::NotOwner;
+        }
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&name).is_some());
+        let mut bodies = Vec::new();
+        if !known {
+            bodies.push(RecordBody::Accept(note.request));
+        }
+        bodies.push(RecordBody::Outcome(KeyOutcome {
+            key: Arc::clone(&name),
+            outcome: note.outcome,
+        }));
+        let Ok(mut receivers) = self.shards.append_all(shard, bodies) else {
+            return PeerReply::NotOwner;
+        };
+        let Some(last) = receivers.pop() else {
+            return PeerReply::Unknown;
+        };
+        match last.await.map(|appended| appended.verdict) {
+            Ok(RecordVerdict::Valid | RecordVerdict::Repeat) => {
+                lock(&self.elsewhere).remove(&name);
+                self.read_key(&KeyName { key: name }).await
+            }
+            Ok(RecordVerdict::Void(_)) => PeerReply::NotOwner,
+            Err(_) => PeerReply::Unknown,
+        }
+    }
+
+    /// Notes which requests still run at the host that owned a shard before.
+    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
+        let mut elsewhere = lock(&self.elsewhere);
+        for key in note.running {
+            elsewhere.insert(key, from.clone());
+        }
+        PeerReply::Accepted
+    }
+
+    /// Takes up keys that nobody runs, and hands over those of shards that moved away.
+    pub async fn run_sweeps(self: Arc<Self>) {
+        let mut owned_since = SortedIndex::new();
+        loop {
+            tokio::time::sleep(SWEEP_PERIOD).await;
+            let owned = self.shards.owned();
+            owned_since.retain(|shard, _| owned.contains(shard));
+            for shard in owned {
+                if owned_since.get(&shard).is_none() {
+                    owned_since.insert(shard, self.parts.now());
+                }
+                let since = owned_since.get(&shard).copied().unwrap_or_default();
+                if self.parts.now() >= since + HANDOVER_GRACE {
+                    self.sweep(shard).await;
+                }
+            }
+            self.hand_over().await;
+        }
+    }
+
+    async fn sweep(self: &Arc<Self>, shard: ShardIndex) {
+        let open: Vec<Arc<str>> = self
+            .shards
+            .with_shard(shard, |state| state.open_keys().cloned().collect());
+        for name in open {
+            if self.run_of(&name).is_some() || self.runs_elsewhere(&name).is_some() {
+                continue;
+            }
+            let entry = self
+                .shards
+                .with_shard(shard, |state| state.key(&name).cloned());
+            let Some(entry) = entry.filter(|entry| entry.outcome.is_none()) else {
+                continue;
+            };
+            if entry.running {
+                self.settle_announced(shard, &name).await;
+                continue;
+            }
+            let record = self.shards.book(shard).read_record(entry.accepted).await;
+            let request = match record.map(|record| record.body) {
+                Ok(RecordBody::Accept(request)) => request,
+                Ok(RecordBody::CarriedKey(carried)) => carried.request,
+                _ => continue,
+            };
+            self.parts
+                .events
+                .note("resume", &name, "accepted by an earlier owner");
+            self.start_run(request, shard, true);
+        }
+    }
+
+    /// Tells the new owners of shards that moved away which requests still run here.
+    async fn hand_over(&self) {
+        let runs: Vec<Arc<KeyRun>> = lock(&self.runs)
+            .iter()
+            .map(|(_, run)| Arc::clone(run))
+            .collect();
+        let mut notes: SortedIndex<ShardIndex, Vec<Arc<str>>> = SortedIndex::new();
+        for run in runs {
+            if self.shards.owned_epoch(run.shard).is_some() {
+                continue;
+            }
+            if !notes.contains(&run.shard) {
+                notes.insert(run.shard, Vec::new());
+            }
+            if let Some(keys) = notes.get_mut(&run.shard) {
+                keys.push(Arc::clone(&run.name));
+            }
+        }
+        for (shard, running) in notes.iter() {
+            let Some(target) = self.shards.owner_target(*shard) else {
+                continue;
+            };
+            let note = HandoverNote {
+                shard: *shard,
+                running: running.clone(),
+                handed_out: Vec::new(),
+            };
+            // The note is sent again in the next round for as long as something runs.
+            let _ = self
+                .parts
+                .link
+                .call(&target, PeerMessage::Handover(note))
+                .await;
+        }
+    }
+
+    fn runs_elsewhere(&self, name: &str) -> Option<HostIdentity> {
+        let mut elsewhere = lock(&self.elsewhere);
+        let host = elsewhere.get(name)?.clone();
+        if self.fleet.view().hosts.is_reachable(&host) {
+            return Some(host);
+        }
+        elsewhere.remove(name);
+        None
+    }
+
+    async fn follow_elsewhere(&self, name: &str, request: &OnlineRequest) -> Option<FrameStream> {
+        let host = self.runs_elsewhere(name)?;
+        let target = self.fleet.view().target(&host)?;
+        self.parts
+            .link
+            .open(&target, StreamRequest::Submit(request.clone()))
+            .await
+            .ok()
+    }
+
+    /// Gives a call that was announced by an earlier owner its outcome: nobody will send it again.
+    async fn settle_announced(&self, shard: ShardIndex, name: &Arc<str>) -> StreamFrame {
+        if self.runs_elsewhere(name).is_some() {
+            return unknown_frame("the call still runs; ask for its result by key");
+        }
+        let outcome = ItemOutcome::MayHaveRun;
+        let body = RecordBody::Outcome(KeyOutcome {
+            key: Arc::clone(name),
+            outcome,
+        });
+        let Ok(receiver) = self.shards.append(shard, body) else {
+            return StreamFrame::NotOwner;
+        };
+        match receiver.await.map(|appended| appended.verdict) {
+            Ok(RecordVerdict::Valid) => {
+                self.parts
+                    .events
+                    .note("may-have-run", name, "its owner was lost");
+                StreamFrame::Done {
+                    outcome: ItemOutcome::MayHaveRun,
+                    recorded: true,
+                }
+            }
+            _ => StreamFrame::NotOwner,
+        }
+    }
+
+    fn run_of(&self, name: &str) -> Option<Arc<KeyRun>> {
+        lock(&self.runs).get(name).cloned()
+    }
+
+    fn start_run(
+        self: &Arc<Self>,
+        request: OnlineRequest,
+        shard: ShardIndex,
+        resumed: bool,
+    ) -> Arc<KeyRun> {
+        let run = Arc::new(KeyRun::new(request, shard));
+        {
+            let mut runs = lock(&self.runs);
+            if let Some(other) = runs.get(&*run.name) {
+                return Arc::clone(other);
+            }
+            runs.insert(Arc::clone(&run.name), Arc::clone(&run));
+        }
+        tokio::spawn(Arc::clone(self).drive(Arc::clone(&run), resumed));
+        run
+    }
+
+    fn end_run(&self, run: &KeyRun) {
+        lock(&self.runs).remove(&*run.name);
+        self.in_progress.send_replace(self.in_progress());
+    }
+
+    async fn recorded_frame(&self, shard: ShardIndex, place: RecordPlace) -> StreamFrame {
+        match self.read_outcome(shard, place).await {
+            Ok(outcome) => StreamFrame::Done {
+                outcome,
+                recorded: true,
+            },
+            Err(error) => StreamFrame::Refused(RefusalNote {
+                reason: error.to_string().into(),
+                ran: RunState::Done,
+                retry_after_ms: millis(RETRY_AFTER),
+            }),
+        }
+    }
+
+    async fn read_outcome(
+        &self,
+        shard: ShardIndex,
+        place: RecordPlace,
+    ) -> Result<ItemOutcome, LogError> {
+        match self.shards.book(shard).read_record(place).await?.body {
+            RecordBody::Outcome(outcome) => Ok(outcome.outcome),
+            RecordBody::CarriedKey(carried) => carried.outcome.ok_or_else(no_outcome),
+            _ => Err(no_outcome()),
+        }
+    }
+}
+
+fn attach_checked(run: &Arc<KeyRun>, request: &OnlineRequest) -> FrameStream {
+    if run.request.digest() == request.digest() {
+        run.attach()
+    } else {
+        last_frame(conflict())
+    }
+}
+
+fn no_outcome() -> LogError {
+    LogError::Unknown {
+        cause: "the record holds no outcome".into(),
+    }
+}
+
+fn last_frame(frame: StreamFrame) -> FrameStream {
+    futures::stream::once(std::future::ready(frame)).boxed()
+}
+
+fn conflict() -> StreamFrame {
+    StreamFrame::Refused(RefusalNote {
+        reason: "the key stands for another request; choose a new key".into(),
+        ran: RunState::NotRun,
+        retry_after_ms: 0,
+    })
+}
+
+fn unknown_frame(reason: &str) -> StreamFrame {
+    StreamFrame::Refused(RefusalNote {
+        reason: reason.into(),
+        ran: RunState::MayHaveRun,
+        retry_after_ms: millis(RETRY_AFTER),
+    })
+}
+
+fn not_run_frame(reason: &str, retry_after: Duration) -> StreamFrame {
+    StreamFrame::Refused(RefusalNote {
+        reason: reason.into(),
+        ran: RunState::NotRun,
+        retry_after_ms: millis(retry_after),
+    })
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -0,0 +1,392 @@
+//! Driving one request to its end: attempts at endpoints, acceptance and outcome.
+
+use super::run::KeyRun;
+use super::{
+    KeyOwner, LOG_PATIENCE, LOG_SILENCE, RETRY_AFTER, conflict, millis, not_run_frame,
+    unknown_frame,
+};
+use crate::book::{AppendedRecord, BookError};
+use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
+use fulmarswitch_peer::message::{OutcomeNote, RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
+};
+use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::{ItemOutcome, RecordBody};
+use futures::StreamExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Endpoints that are asked before a request is refused.
+const MAX_REFUSALS: usize = 3;
+/// Attempts that may break off before a request is given up.
+const MAX_LOST: u32 = 3;
+/// Pause before the new owner of a shard is asked again to record an outcome.
+const RECORD_PAUSE: Duration = Duration::from_millis(100);
+
+/// How far the acceptance of a request has come.
+enum Acceptance {
+    /// No record is out.
+    Open,
+    /// The record is out and not read back.
+    Pending(oneshot::Receiver<AppendedRecord>),
+    /// The record stands on the log.
+    Standing,
+    /// The log is silent; the request is served without waiting for it.
+    Unrecorded,
+}
+
+/// Why an attempt ended.
+pub(super) enum AttemptEnd {
+    /// The endpoint answered.
+    Done(ItemOutcome),
+    /// The gate refused; no byte went out.
+    Refused(RefusalNote),
+    /// The attempt broke off; it may have run.
+    Lost,
+    /// The attempt must not go on; the frame says why.
+    Stop(StreamFrame),
+}
+
+impl KeyOwner {
+    /// Drives a request to its end and gives its last frame to all streams.
+    pub(super) async fn drive(self: Arc<Self>, run: Arc<KeyRun>, resumed: bool) {
+        self.parts
+            .events
+            .trace("start", &run.name, "online request");
+        let last = if run.request.idempotent {
+            self.drive_idempotent(&run, resumed).await
+        } else {
+            self.drive_once(&run, resumed).await
+        };
+        let recorded = !matches!(
+            last,
+            StreamFrame::Done {
+                recorded: false,
+                ..
+            }
+        );
+        if let StreamFrame::Done { outcome, .. } = &last
+            && !recorded
+        {
+            tokio::spawn(Arc::clone(&self).record_late(Arc::clone(&run), outcome.clone()));
+        } else {
+            self.end_run(&run);
+        }
+        self.parts.events.trace("end", &run.name, frame_name(&last));
+        run.push(last);
+    }
+
+    async fn drive_idempotent(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
+        let mut acceptance = if resumed {
+            Acceptance::Standing
+        } else {
+            Acceptance::Open
+        };
+        let mut excluded = Vec::new();
+        let mut refusal = None;
+        let mut lost = u32::from(resumed);
+        while !run.left().is_zero() && lost <= MAX_LOST {
+            let Some(endpoint) = self.gates.choose(&run.request, &excluded) else {
+                break;
+            };
+            match self.attempt(run, &endpoint, &mut acceptance).await {
+                AttemptEnd::Done(outcome) => return self.finish(run, acceptance, outcome).await,
+                AttemptEnd::Stop(frame) => return frame,
+                AttemptEnd::Refused(note) => refusal = Some(note),
+                AttemptEnd::Lost => {
+                    lost += 1;
+                    self.parts.metrics.retries.inc();
+                    run.reset();
+                }
+            }
+            excluded.push(endpoint);
+            if excluded.len() >= MAX_REFUSALS && matches!(acceptance, Acceptance::Open) {
+                break;
+            }
+        }
+        let retry_after = refusal.map_or(RETRY_AFTER, |note| {
+            Duration::from_millis(note.retry_after_ms)
+        });
+        if matches!(acceptance, Acceptance::Open) {
+            return not_run_frame("no endpoint of the service has room", retry_after);
+        }
+        let outcome = if lost == 0 {
+            ItemOutcome::NotRun {
+                retry_after_ms: millis(retry_after),
+            }
+        } else {
+            ItemOutcome::Failed {
+                reason: "no endpoint answered in time; try again".into(),
+            }
+        };
+        self.finish(run, acceptance, outcome).await
+    }
+
+    /// Makes one attempt at an endpoint, through its gate.
+    async fn attempt(
+        &self,
+        run: &Arc<KeyRun>,
+        endpoint: &Arc<str>,
+        acceptance: &mut Acceptance,
+    ) -> AttemptEnd {
+        let mut frames = match self.open_attempt(run, endpoint).await {
+            Ok(frames) => frames,
+            Err(end) => return end,
+        };
+        let mut held = Vec::new();
+        let mut patience = Instant::now() + LOG_PATIENCE;
+        loop {
+            tokio::select! {
+                biased;
+                stop = settle(acceptance) => {
+                    if let Some(frame) = stop {
+                        return AttemptEnd::Stop(frame);
+                    }
+                    held.drain(..).for_each(|frame| run.push(frame));
+                }
+                frame = frames.next() => match frame {
+                    Some(StreamFrame::Admitted) => {
+                        if let Err(frame) = self.begin_acceptance(run, acceptance) {
+                            return AttemptEnd::Stop(frame);
+                        }
+                    }
+                    Some(frame @ StreamFrame::Text(_)) => match acceptance {
+                        Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
+                        Acceptance::Standing | Acceptance::Unrecorded => run.push(frame),
+                    },
+                    Some(StreamFrame::Done { outcome, .. }) => {
+                        return self.end_accepted(run, acceptance, held, outcome).await;
+                    }
+                    Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
+                        return AttemptEnd::Refused(note);
+                    }
+                    _ => return AttemptEnd::Lost,
+                },
+                () = tokio::time::sleep_until(patience) => {
+                    patience += LOG_PATIENCE;
+                    if self.log_is_silent(run, acceptance) {
+                        *acceptance = Acceptance::Unrecorded;
+                        held.drain(..).for_each(|frame| run.push(frame));
+                    }
+                }
+                () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Lost,
+            }
+        }
+    }
+
+    async fn end_accepted(
+        &self,
+        run: &Arc<KeyRun>,
+        acceptance: &mut Acceptance,
+        held: Vec<StreamFrame>,
+        outcome: ItemOutcome,
+    ) -> AttemptEnd {
+        while matches!(acceptance, Acceptance::Pending(_)) {
+            tokio::select! {
+                biased;
+                stop = settle(acceptance) => {
+                    if let Some(frame) = stop {
+                        return AttemptEnd::Stop(frame);
+                    }
+                }
+                () = tokio::time::sleep(LOG_PATIENCE) => {
+                    if self.log_is_silent(run, acceptance) {
+                        *acceptance = Acceptance::Unrecorded;
+                    }
+                }
+            }
+        }
+        for frame in held {
+            run.push(frame);
+        }
+        AttemptEnd::Done(outcome)
+    }
+
+    pub(super) async fn open_attempt(
+        &self,
+        run: &Arc<KeyRun>,
+        endpoint: &Arc<str>,
+    ) -> Result<FrameStream, AttemptEnd> {
+        let Some(target) = self.fleet.view().gate_of(endpoint) else {
+            return Err(not_reached());
+        };
+        let number = self.gates.next_attempt();
+        let request = RunRequest {
+            endpoint: Arc::clone(endpoint),
+            attempt: format!("{}-{number}", self.parts.identity).into(),
+            request: run.request.clone(),
+            left_ms: millis(run.left()),
+        };
+        self.parts.events.trace("attempt", &run.name, endpoint);
+        if target.host == self.parts.identity {
+            return Ok(self.gates.run(request));
+        }
+        match self
+            .parts
+            .link
+            .open(&target, StreamRequest::Run(request))
+            .await
+        {
+            Ok(frames) => Ok(frames),
+            Err(PeerError::NotReached { .. }) => Err(not_reached()),
+            Err(PeerError::NoAnswer { .. }) => Err(AttemptEnd::Lost),
+        }
+    }
+
+    fn begin_acceptance(
+        &self,
+        run: &KeyRun,
+        acceptance: &mut Acceptance,
+    ) -> Result<(), StreamFrame> {
+        if !matches!(acceptance, Acceptance::Open) {
+            return Ok(());
+        }
+        let body = RecordBody::Accept(run.request.clone());
+        match self.shards.append(run.shard, body) {
+            Ok(receiver) => {
+                *acceptance = Acceptance::Pending(receiver);
+                if self.log_is_silent(run, acceptance) {
+                    *acceptance = Acceptance::Unrecorded;
+                }
+                Ok(())
+            }
+            Err(BookError::Closed) => Err(StreamFrame::NotOwner),
+            Err(error @ BookError::Full) => Err(not_run_frame(&error.to_string(), RETRY_AFTER)),
+        }
+    }
+
+    fn log_is_silent(&self, run: &KeyRun, acceptance: &Acceptance) -> bool {
+        matches!(acceptance, Acceptance::Pending(_))
+            && !self.shards.book(run.shard).is_fresh(LOG_SILENCE)
+    }
+
+    /// Records the outcome, here or at the new owner of the shard, and returns the last frame.
+    async fn finish(
+        &self,
+        run: &Arc<KeyRun>,
+        acceptance: Acceptance,
+        outcome: ItemOutcome,
+    ) -> StreamFrame {
+        if matches!(acceptance, Acceptance::Unrecorded) {
+            return StreamFrame::Done {
+                outcome,
+                recorded: false,
+            };
+        }
+        let recording = self.record(run, outcome.clone());
+        match tokio::time::timeout(LOG_SILENCE, recording).await {
+            Ok(frame) => frame,
+            Err(_) => StreamFrame::Done {
+                outcome,
+                recorded: false,
+            },
+        }
+    }
+
+    /// Records an outcome that was given before the log had it.
+    async fn record_late(self: Arc<Self>, run: Arc<KeyRun>, outcome: ItemOutcome) {
+        self.record(&run, outcome).await;
+        self.end_run(&run);
+    }
+
+    /// Records an outcome, however long it takes, and returns the outcome that stands.
+    pub(super) async fn record(&self, run: &Arc<KeyRun>, outcome: ItemOutcome) -> StreamFrame {
+        loop {
+            if let Some(frame) = self.record_here(run, &outcome).await {
+                return frame;
+            }
+            if let Some(frame) = self.record_elsewhere(run, &outcome).await {
+                return frame;
+            }
+            tokio::time::sleep(RECORD_PAUSE).await;
+        }
+    }
+
+    async fn record_here(&self, run: &Arc<KeyRun>, outcome: &ItemOutcome) -> Option<StreamFrame> {
+        let key = Arc::clone(&run.name);
+        let body = RecordBody::Outcome(KeyOutcome {
+            key,
+            outcome: outcome.clone(),
+        });
+        let appended = self.shards.append(run.shard, body).ok()?.await.ok()?;
+        match appended.verdict {
+            RecordVerdict::Valid => Some(StreamFrame::Done {
+                outcome: outcome.clone(),
+                recorded: true,
+            }),
+            RecordVerdict::Repeat => {
+                let place = self.shards.with_shard(run.shard, |state| {
+                    Some(state.key(&run.name)?.outcome?.place)
+                })?;
+                Some(self.recorded_frame(run.shard, place).await)
+            }
+            RecordVerdict::Void(_) => None,
+        }
+    }
+
+    async fn record_elsewhere(
+        &self,
+        run: &Arc<KeyRun>,
+        outcome: &ItemOutcome,
+    ) -> Option<StreamFrame> {
+        let target = self.shards.owner_target(run.shard)?;
+        if target.host == self.parts.identity {
+            return None;
+        }
+        let note = OutcomeNote {
+            request: run.request.clone(),
+            outcome: outcome.clone(),
+        };
+        match self
+            .parts
+            .link
+            .call(&target, PeerMessage::RecordOutcome(note))
+            .await
+        {
+            Ok(PeerReply::Outcome(Some(outcome))) => Some(StreamFrame::Done {
+                outcome,
+                recorded: true,
+            }),
+            _ => None,
+        }
+    }
+}
+
+/// Waits until a pending acceptance is settled; never returns for others. A frame says that the request
+/// must stop.
+async fn settle(acceptance: &mut Acceptance) -> Option<StreamFrame> {
+    let Acceptance::Pending(receiver) = acceptance else {
+        return std::future::pending().await;
+    };
+    let verdict = receiver.await.map(|appended| appended.verdict);
+    *acceptance = Acceptance::Standing;
+    match verdict {
+        Ok(RecordVerdict::Valid | RecordVerdict::Repeat) => None,
+        Ok(RecordVerdict::Void(VoidReason::NameTaken)) => Some(conflict()),
+        Ok(RecordVerdict::Void(_)) => Some(StreamFrame::NotOwner),
+        Err(_) => Some(unknown_frame("the host is stopping; ask by key")),
+    }
+}
+
+fn not_reached() -> AttemptEnd {
+    AttemptEnd::Refused(RefusalNote {
+        reason: "the gate of the endpoint was not reached".into(),
+        ran: RunState::NotRun,
+        retry_after_ms: millis(RETRY_AFTER),
+    })
+}
+
+fn frame_name(frame: &StreamFrame) -> &'static str {
+    match frame {
+        StreamFrame::Done { recorded: true, .. } => "recorded",
+        StreamFrame::Done {
+            recorded: false, ..
+        } => "waits for the log",
+        StreamFrame::Refused(_) => "refused",
+        StreamFrame::NotOwner => "moved",
+        _ => "open",
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -0,0 +1,98 @@
+//! Driving a call that may be run at most once.
+//!
+//! The announcement must stand on the log, as the first one and under this owner's epoch, before the
+//! first byte goes out. Whoever finds an announcement without an outcome never sends the call again.
+
+use super::attempt::AttemptEnd;
+use super::run::KeyRun;
+use super::{KeyOwner, LOG_SILENCE, RETRY_AFTER, not_run_frame, unknown_frame};
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_peer::StreamFrame;
+use fulmarswitch_peer::message::RunState;
+use fulmarswitch_records::record::KeyRunning;
+use fulmarswitch_records::{ItemOutcome, RecordBody};
+use futures::StreamExt;
+use std::sync::Arc;
+
+impl KeyOwner {
+    pub(super) async fn drive_once(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
+        if !self.shards.book(run.shard).is_fresh(LOG_SILENCE) {
+            return not_run_frame("the log does not answer", RETRY_AFTER);
+        }
+        if let Err(frame) = self.announce(run, resumed).await {
+            return frame;
+        }
+        let mut excluded = Vec::new();
+        let mut outcome = ItemOutcome::NotRun {
+            retry_after_ms: super::millis(RETRY_AFTER),
+        };
+        while !run.left().is_zero() {
+            let Some(endpoint) = self.gates.choose(&run.request, &excluded) else {
+                break;
+            };
+            match self.attempt_once(run, &endpoint).await {
+                AttemptEnd::Refused(_) => excluded.push(endpoint),
+                AttemptEnd::Done(done) => {
+                    outcome = done;
+                    break;
+                }
+                AttemptEnd::Lost | AttemptEnd::Stop(_) => {
+                    outcome = ItemOutcome::MayHaveRun;
+                    break;
+                }
+            }
+        }
+        let recording = self.record(run, outcome.clone());
+        match tokio::time::timeout(LOG_SILENCE, recording).await {
+            Ok(frame) => frame,
+            Err(_) => StreamFrame::Done {
+                outcome,
+                recorded: false,
+            },
+        }
+    }
+
+    /// Waits until the announcement stands on the log.
+    async fn announce(&self, run: &Arc<KeyRun>, resumed: bool) -> Result<(), StreamFrame> {
+        let running = RecordBody::Running(KeyRunning {
+            key: Arc::clone(&run.name),
+        });
+        let bodies = if resumed {
+            vec![running]
+        } else {
+            vec![RecordBody::Accept(run.request.clone()), running]
+        };
+        let moved = |_| StreamFrame::NotOwner;
+        let mut receivers = self.shards.append_all(run.shard, bodies).map_err(moved)?;
+        let Some(last) = receivers.pop() else {
+            return Err(StreamFrame::NotOwner);
+        };
+        match tokio::time::timeout_at(run.deadline, last).await {
+            Ok(Ok(appended)) if appended.verdict == RecordVerdict::Valid => Ok(()),
+            Ok(Ok(_)) => Err(StreamFrame::NotOwner),
+            // The announcement may yet come to stand; nobody sends the call for it.
+            Ok(Err(_)) | Err(_) => Err(unknown_frame(
+                "the log did not answer in time; ask for the result by key",
+            )),
+        }
+    }
+
+    async fn attempt_once(&self, run: &Arc<KeyRun>, endpoint: &Arc<str>) -> AttemptEnd {
+        let mut frames = match self.open_attempt(run, endpoint).await {
+            Ok(frames) => frames,
+            Err(end) => return end,
+        };
+        loop {
+            let frame = tokio::time::timeout_at(run.deadline, frames.next()).await;
+            match frame.ok().flatten() {
+                Some(StreamFrame::Admitted) => {}
+                Some(frame @ StreamFrame::Text(_)) => run.push(frame),
+                Some(StreamFrame::Done { outcome, .. }) => return AttemptEnd::Done(outcome),
+                Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
+                    return AttemptEnd::Refused(note);
+                }
+                _ => return AttemptEnd::Lost,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/keys/run.rs
@@ -0,0 +1,80 @@
+//! One request in progress, and the streams attached to it.
+
+use fulmarswitch_peer::{FrameStream, StreamFrame};
+use fulmarswitch_records::{OnlineRequest, ShardIndex};
+use futures::StreamExt;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::parts::lock;
+
+/// A request in progress. Its frames are kept until it ends, so that a stream may attach at any time.
+pub(super) struct KeyRun {
+    /// The request.
+    pub(super) request: OnlineRequest,
+    /// Workspace and key.
+    pub(super) name: Arc<str>,
+    /// Shard of the key.
+    pub(super) shard: ShardIndex,
+    /// When the caller stops waiting.
+    pub(super) deadline: Instant,
+    frames: Mutex<Vec<StreamFrame>>,
+    count: watch::Sender<usize>,
+}
+
+impl KeyRun {
+    pub(super) fn new(request: OnlineRequest, shard: ShardIndex) -> Self {
+        let deadline = Instant::now() + Duration::from_millis(request.deadline_ms);
+        let name = request.full_key();
+        let count = watch::Sender::new(0);
+        Self {
+            request,
+            name,
+            shard,
+            deadline,
+            frames: Mutex::default(),
+            count,
+        }
+    }
+
+    /// Time left until the caller stops waiting.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Gives a frame to all streams.
+    pub(super) fn push(&self, frame: StreamFrame) {
+        let mut frames = lock(&self.frames);
+        frames.push(frame);
+        self.count.send_replace(frames.len());
+    }
+
+    /// Tells the streams that the text so far is void, if there was any.
+    pub(super) fn reset(&self) {
+        let mut frames = lock(&self.frames);
+        if frames
+            .iter()
+            .any(|frame| matches!(frame, StreamFrame::Text(_)))
+        {
+            frames.push(StreamFrame::Reset);
+            self.count.send_replace(frames.len());
+        }
+    }
+
+    /// Returns a stream of all frames, from the first.
+    pub(super) fn attach(self: &Arc<Self>) -> FrameStream {
+        let state = (Arc::clone(self), 0, self.count.subscribe(), false);
+        futures::stream::unfold(state, |(run, at, mut count, ended)| async move {
+            if ended {
+                return None;
+            }
+            count.wait_for(|count| *count > at).await.ok()?;
+            let frame = lock(&run.frames).get(at).cloned()?;
+            let last = frame.is_last();
+            Some((frame, (run, at + 1, count, last)))
+        })
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/fulmarswitch/src/lib.rs
@@ -0,0 +1,31 @@
+//! Online and batch inference on one shared fleet.
+//!
+//! Every host runs one daemon with five roles. The log is the only thing that lasts and the only thing
+//! that orders; each role can be taken over by any host from what the log says.
+//!
+//! - [`settings`]: the daemon's settings, read from TOML and checked.
+//! - [`host`]: puts the roles together and answers other hosts.
+//! - [`entry`]: callers' and operators' connections.
+//! - [`shards`]: which shards this host owns, and claims to them.
+//! - [`keys`] and [`jobs`]: the owner of idempotency keys and of batch jobs.
+//! - [`gates`]: everything that goes to an endpoint.
+//! - [`commit`]: group commit to the log.
+//! - [`watcher`]: joins, heartbeats and suspicion.
+//! - [`book`]: one stream of the log, replayed and written.
+//! - [`fleet`]: the live hosts and the configuration in force, as seen here.
+//! - [`events`] and [`metrics`]: the time line and the counters.
+
+pub mod book;
+pub mod commit;
+pub mod entry;
+pub mod events;
+pub mod fleet;
+pub mod gates;
+pub mod host;
+pub mod jobs;
+pub mod keys;
+pub mod metrics;
+pub mod parts;
+pub mod settings;
+pub mod shards;
+pub mod watcher;
--- /dev/null
+++ b/crates/fulmarswitch/src/shards.rs
@@ -0,0 +1,225 @@
+//! Which shards this host owns, and claims to them.
+//!
+//! A host claims the shards that rendezvous hashing gives it among the live hosts, by an append in the
+//! stream of the shard. The claim counts where it stands on the log; until it is read back the host owns
+//! nothing. An older owner learns of the claim from the same stream, and what it writes behind it is void.
+
+use crate::book::{AppendedRecord, BookError, LogBook, StreamReplay};
+use crate::commit::RecordCommitter;
+use crate::fleet::FleetBooks;
+use crate::parts::HostParts;
+use fulmarswitch_decide::placement::group_of;
+use fulmarswitch_decide::shard::{RecordVerdict, ShardState, VoidReason};
+use fulmarswitch_peer::PeerTarget;
+use fulmarswitch_records::record::ShardClaim;
+use fulmarswitch_records::{Epoch, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between looks at which shards to claim.
+const CLAIM_PERIOD: Duration = Duration::from_millis(100);
+/// A host claims nothing if the log has not answered for this long.
+const FRESH_LIMIT: Duration = Duration::from_millis(1_500);
+/// Part of the log's retention after which a claim is renewed.
+const RENEW_PART: u32 = 4;
+
+/// Replays the records of one group's shards.
+pub struct GroupReplay {
+    shards: Vec<ShardState>,
+    groups: u16,
+}
+
+impl GroupReplay {
+    fn new(group: u16, shards: u16, groups: u16) -> Self {
+        let members = (0..shards).filter(|shard| shard % groups == group);
+        Self {
+            shards: members
+                .map(|shard| ShardState::new(ShardIndex(shard)))
+                .collect(),
+            groups,
+        }
+    }
+
+    /// Returns the state of one of the group's shards.
+    ///
+    /// # Panics
+    /// When the shard is not of this group.
+    #[must_use]
+    pub fn shard(&self, shard: ShardIndex) -> &ShardState {
+        &self.shards[usize::from(shard.0 / self.groups)]
+    }
+
+    /// Returns the states of all shards of the group.
+    #[must_use]
+    pub fn shards(&self) -> &[ShardState] {
+        &self.shards
+    }
+}
+
+impl StreamReplay for GroupReplay {
+    fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict {
+        match self
+            .shards
+            .get_mut(usize::from(record.shard.0 / self.groups))
+        {
+            Some(state) if state.shard() == record.shard => state.apply(place, at_ms, record),
+            _ => RecordVerdict::Void(VoidReason::Unknown),
+        }
+    }
+}
+
+/// Book of one group.
+pub type GroupBook = LogBook<GroupReplay>;
+
+/// The books of all groups, and the claims to their shards.
+pub struct ShardBooks {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    books: Vec<Arc<GroupBook>>,
+}
+
+impl ShardBooks {
+    /// Starts to replay all groups.
+    #[must_use]
+    pub fn start(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        committer: &Arc<RecordCommitter>,
+    ) -> Arc<Self> {
+        let layout = &parts.settings.layout;
+        let book = |group| {
+            let replay = GroupReplay::new(group, layout.shards, layout.groups);
+            LogBook::start(&format!("items-{group}"), parts, committer, replay)
+        };
+        let books = (0..layout.groups).map(book).collect();
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            books,
+        })
+    }
+
+    /// Returns the book that holds a shard.
+    #[must_use]
+    pub fn book(&self, shard: ShardIndex) -> &Arc<GroupBook> {
+        let group = group_of(shard, self.parts.settings.layout.groups);
+        &self.books[usize::from(group.0)]
+    }
+
+    /// Returns the books of all groups.
+    #[must_use]
+    pub fn books(&self) -> &[Arc<GroupBook>] {
+        &self.books
+    }
+
+    /// Reads the state of a shard.
+    pub fn with_shard<T>(&self, shard: ShardIndex, read: impl FnOnce(&ShardState) -> T) -> T {
+        read(self.book(shard).state().shard(shard))
+    }
+
+    /// Returns the epoch under which this run owns a shard, as far as it has read.
+    #[must_use]
+    pub fn owned_epoch(&self, shard: ShardIndex) -> Option<Epoch> {
+        self.with_shard(shard, |state| {
+            (state.owner() == Some(&self.parts.identity)).then(|| state.epoch())
+        })
+    }
+
+    /// Returns the shards that this run owns.
+    #[must_use]
+    pub fn owned(&self) -> Vec<ShardIndex> {
+        let mut owned = Vec::new();
+        for book in &self.books {
+            let state = book.state();
+            let mine = |shard: &&ShardState| shard.owner() == Some(&self.parts.identity);
+            owned.extend(state.shards().iter().filter(mine).map(ShardState::shard));
+        }
+        owned
+    }
+
+    /// Returns the run that owns a shard by the log.
+    #[must_use]
+    pub fn owner(&self, shard: ShardIndex) -> Option<HostIdentity> {
+        self.with_shard(shard, |state| state.owner().cloned())
+    }
+
+    /// Returns where to send what concerns a shard: its owner by the log, if it is reachable.
+    #[must_use]
+    pub fn owner_target(&self, shard: ShardIndex) -> Option<PeerTarget> {
+        let owner = self.owner(shard)?;
+        self.fleet.view().target(&owner)
+    }
+
+    /// Writes a record of a shard under this run's epoch.
+    ///
+    /// # Errors
+    /// [`BookError::Closed`] when this run does not own the shard.
+    pub fn append(
+        &self,
+        shard: ShardIndex,
+        body: RecordBody,
+    ) -> Result<oneshot::Receiver<AppendedRecord>, BookError> {
+        let epoch = self.owned_epoch(shard).ok_or(BookError::Closed)?;
+        self.book(shard).append(shard, epoch, body)
+    }
+
+    /// Writes records of a shard, one behind the other, under this run's epoch.
+    ///
+    /// # Errors
+    /// [`BookError::Closed`] when this run does not own the shard.
+    pub fn append_all(
+        &self,
+        shard: ShardIndex,
+        bodies: Vec<RecordBody>,
+    ) -> Result<Vec<oneshot::Receiver<AppendedRecord>>, BookError> {
+        let epoch = self.owned_epoch(shard).ok_or(BookError::Closed)?;
+        self.book(shard).append_all(shard, epoch, bodies)
+    }
+
+    /// Claims shards for as long as the runtime lives.
+    pub async fn run_claims(self: Arc<Self>) {
+        loop {
+            let claims = self.send_claims();
+            for claim in claims {
+                // A claim of unknown fate is looked at again in the next round.
+                let _ = tokio::time::timeout(FRESH_LIMIT, claim).await;
+            }
+            tokio::time::sleep(CLAIM_PERIOD).await;
+        }
+    }
+
+    fn send_claims(&self) -> Vec<oneshot::Receiver<AppendedRecord>> {
+        let view = self.fleet.view();
+        let mut claims = Vec::new();
+        for shard in (0..self.parts.settings.layout.shards).map(ShardIndex) {
+            let wanted = view
+                .owner_of(shard)
+                .is_some_and(|t| t.host == self.parts.identity);
+            let book = self.book(shard);
+            if !wanted || !book.is_fresh(FRESH_LIMIT) {
+                continue;
+            }
+            let (current, due) = self.with_shard(shard, |state| {
+                let mine = state.owner() == Some(&self.parts.identity);
+                (state.epoch(), !mine || is_old(book, state.claimed_ms()))
+            });
+            if !due {
+                continue;
+            }
+            let claim = ShardClaim {
+                owner: self.parts.identity.clone(),
+            };
+            claims.extend(book.append(shard, current.next(), RecordBody::Claim(claim)));
+        }
+        claims
+    }
+}
+
+/// Tells whether so much of the log's retention has passed that a claim must be renewed.
+fn is_old(book: &GroupBook, written_ms: u64) -> bool {
+    let status = book.status();
+    let status = status.borrow();
+    let age = Duration::from_millis(status.log_ms.saturating_sub(written_ms));
+    age > status.retention / RENEW_PART
+}
--- /dev/null
+++ b/crates/peer/src/network.rs
@@ -0,0 +1,80 @@
+//! Both carriers behind the [`PeerLink`] trait, and the server side of both.
+
+use crate::message::{PeerMessage, PeerReply, StreamRequest};
+use crate::nng_link::{NngSender, listen, spawn_workers};
+use crate::streams::{StreamOpener, answer};
+use crate::{FrameStream, PeerError, PeerHandler, PeerLink, PeerTarget};
+use anng::Socket;
+use anng::protocols::reqrep0::Rep0;
+use async_trait::async_trait;
+use fulmarswitch_records::{HostIdentity, LogicalClock};
+use std::io;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Sends messages and opens streams over the network.
+pub struct PeerNetwork {
+    sender: NngSender,
+    opener: StreamOpener,
+}
+
+impl PeerNetwork {
+    /// Creates the network side of one run of a host.
+    #[must_use]
+    pub fn new(me: HostIdentity, clock: &LogicalClock) -> Self {
+        let sender = NngSender::new(me, clock.clone());
+        Self {
+            sender,
+            opener: StreamOpener::new(clock.clone()),
+        }
+    }
+}
+
+#[async_trait]
+impl PeerLink for PeerNetwork {
+    async fn call(&self, to: &PeerTarget, message: PeerMessage) -> Result<PeerReply, PeerError> {
+        self.sender.call(to, &message).await
+    }
+
+    async fn open(
+        &self,
+        to: &PeerTarget,
+        request: StreamRequest,
+    ) -> Result<FrameStream, PeerError> {
+        self.opener.open(to, request).await
+    }
+}
+
+/// Sockets on which a host hears others.
+pub struct PeerListener {
+    messages: Arc<Socket<Rep0>>,
+    streams: TcpListener,
+}
+
+impl PeerListener {
+    /// Listens on both addresses.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on.
+    pub async fn bind(message_address: &str, stream_address: &str) -> io::Result<Self> {
+        let messages = listen(message_address).await?;
+        let streams = TcpListener::bind(stream_address).await?;
+        Ok(Self { messages, streams })
+    }
+
+    /// Serves until `stop` becomes true, then waits until all streams in progress have ended.
+    pub async fn serve(
+        self,
+        me: HostIdentity,
+        clock: LogicalClock,
+        handler: Arc<dyn PeerHandler>,
+        stop: watch::Receiver<bool>,
+    ) {
+        spawn_workers(&self.messages, &me, &clock, &handler);
+        let service = tower::service_fn(move |request| {
+            answer(me.clone(), clock.clone(), Arc::clone(&handler), request)
+        });
+        fulmarswitch_http::server::serve(self.streams, service, stop).await;
+    }
+}
