--- /dev/null
+++ b/crates/peer/src/nng_link.rs
@@ -0,0 +1,205 @@
+//! Messages over nng's request and reply sockets.
+
+use crate::envelope::{
+    EnvelopeAnswer, MessageEnvelope, ReplyEnvelope, SeenMessages, decode_message,
+};
+use crate::message::{PeerMessage, PeerReply};
+use crate::{PeerError, PeerHandler, PeerTarget};
+use anng::protocols::reqrep0::{Rep0, Req0};
+use anng::{Message, Socket};
+use fulmarswitch_records::{HostIdentity, LogicalClock, SortedIndex};
+use std::ffi::CString;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Messages that are handled at once.
+const WORKERS: usize = 64;
+/// Time allowed for a reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time allowed for opening a connection.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends messages to other hosts.
+pub struct NngSender {
+    me: HostIdentity,
+    clock: LogicalClock,
+    number: AtomicU64,
+    sockets: Mutex<SortedIndex<Arc<str>, Arc<Socket<Req0>>>>,
+}
+
+impl NngSender {
+    /// Creates a sender for this run.
+    #[must_use]
+    pub fn new(me: HostIdentity, clock: LogicalClock) -> Self {
+        Self {
+            me,
+            clock,
+            number: AtomicU64::new(0),
+            sockets: Mutex::default(),
+        }
+    }
+
+    /// Sends a message and waits for its reply.
+    ///
+    /// # Errors
+    /// [`PeerError`] says whether the peer may have acted.
+    pub async fn call(
+        &self,
+        to: &PeerTarget,
+        message: &PeerMessage,
+    ) -> Result<PeerReply, PeerError> {
+        let body = encode(to, message)?;
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let envelope = MessageEnvelope {
+            from: self.me.clone(),
+            to: to.host.clone(),
+            number,
+            stamp: self.clock.tick(),
+            body,
+        };
+        let bytes = encode(to, &envelope)?;
+        let socket = self.socket(to).await?;
+        let exchange = async {
+            let mut context = socket.context();
+            let reply = context.request(Message::from(&bytes[..])).await;
+            let reply = reply.map_err(|(error, _)| error)?.await?;
+            Ok::<_, anng::AioError>(postcard::from_bytes(reply.as_slice()))
+        };
+        let reply: ReplyEnvelope = match tokio::time::timeout(REPLY_TIMEOUT, exchange).await {
+            Ok(Ok(Ok(reply))) => reply,
+            Ok(Ok(Err(error))) => return Err(no_answer(to, &error.to_string())),
+            Ok(Err(error)) => return Err(no_answer(to, &error.to_string())),
+            Err(_) => {
+                self.forget(to);
+                return Err(no_answer(to, "timeout"));
+            }
+        };
+        self.clock.observe(reply.stamp);
+        match reply.answer {
+            EnvelopeAnswer::Reply(reply) => Ok(reply),
+            EnvelopeAnswer::OtherRun => {
+                self.forget(to);
+                Err(not_reached(to, "it has restarted"))
+            }
+            EnvelopeAnswer::Repeat => Err(no_answer(to, "the reply was lost")),
+        }
+    }
+
+    async fn socket(&self, to: &PeerTarget) -> Result<Arc<Socket<Req0>>, PeerError> {
+        if let Some(socket) = lock(&self.sockets).get(&*to.message_address) {
+            return Ok(Arc::clone(socket));
+        }
+        let dialing = Req0::dial(url(&to.message_address));
+        let socket = match tokio::time::timeout(DIAL_TIMEOUT, dialing).await {
+            Ok(Ok(socket)) => Arc::new(socket),
+            Ok(Err(error)) => return Err(not_reached(to, &error.to_string())),
+            Err(_) => return Err(not_reached(to, "timeout")),
+        };
+        lock(&self.sockets).insert(Arc::clone(&to.message_address), Arc::clone(&socket));
+        Ok(socket)
+    }
+
+    fn forget(&self, to: &PeerTarget) {
+        lock(&self.sockets).remove(&*to.message_address);
+    }
+}
+
+/// Opens the socket that other hosts send to.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub async fn listen(address: &str) -> io::Result<Arc<Socket<Rep0>>> {
+    Rep0::listen(url(address)).await.map(Arc::new)
+}
+
+/// Handles messages until the tasks are dropped with the runtime.
+pub fn spawn_workers(
+    socket: &Arc<Socket<Rep0>>,
+    me: &HostIdentity,
+    clock: &LogicalClock,
+    handler: &Arc<dyn PeerHandler>,
+) {
+    let seen = Arc::new(Mutex::new(SeenMessages::new()));
+    for _ in 0..WORKERS {
+        let worker = MessageWorker {
+            socket: Arc::clone(socket),
+            me: me.clone(),
+            clock: clock.clone(),
+            handler: Arc::clone(handler),
+            seen: Arc::clone(&seen),
+        };
+        tokio::spawn(worker.run());
+    }
+}
+
+struct MessageWorker {
+    socket: Arc<Socket<Rep0>>,
+    me: HostIdentity,
+    clock: LogicalClock,
+    handler: Arc<dyn PeerHandler>,
+    seen: Arc<Mutex<SeenMessages>>,
+}
+
+impl MessageWorker {
+    async fn run(self) {
+        let mut context = self.socket.context();
+        loop {
+            let Ok((request, responder)) = context.receive().await else {
+                return;
+            };
+            let answer = self.answer(request.as_slice()).await;
+            let reply = ReplyEnvelope {
+                stamp: self.clock.tick(),
+                answer,
+            };
+            let bytes = postcard::to_stdvec(&reply).unwrap_or_default();
+            // The requester has gone away if the reply cannot be sent; it will ask again.
+            let _ = responder.reply(Message::from(&bytes[..])).await;
+        }
+    }
+
+    async fn answer(&self, bytes: &[u8]) -> EnvelopeAnswer {
+        let Ok(envelope) = postcard::from_bytes::<MessageEnvelope>(bytes) else {
+            return EnvelopeAnswer::Reply(PeerReply::Unsupported);
+        };
+        self.clock.observe(envelope.stamp);
+        if envelope.to != self.me {
+            return EnvelopeAnswer::OtherRun;
+        }
+        if !lock(&self.seen).first(&envelope.from, envelope.number) {
+            return EnvelopeAnswer::Repeat;
+        }
+        let Some(message) = decode_message(&envelope.body) else {
+            return EnvelopeAnswer::Reply(PeerReply::Unsupported);
+        };
+        EnvelopeAnswer::Reply(self.handler.handle(envelope.from, message).await)
+    }
+}
+
+fn encode<T: serde::Serialize>(to: &PeerTarget, value: &T) -> Result<Vec<u8>, PeerError> {
+    postcard::to_stdvec(value).map_err(|error| not_reached(to, &error.to_string()))
+}
+
+fn url(address: &str) -> CString {
+    CString::new(format!("tcp://{address}")).unwrap_or_default()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn not_reached(to: &PeerTarget, cause: &str) -> PeerError {
+    PeerError::NotReached {
+        host: to.host.clone(),
+        cause: cause.into(),
+    }
+}
+
+fn no_answer(to: &PeerTarget, cause: &str) -> PeerError {
+    PeerError::NoAnswer {
+        host: to.host.clone(),
+        cause: cause.into(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-plain.rs
@@ -0,0 +1,70 @@
+//! A plain service as a program.
+
+use bpaf::Bpaf;
+use fulmarswitch_endpoint::http::{PlainCall, PlainReply};
+use fulmarswitch_endpoint::{EndpointCall, EndpointError};
+use fulmarswitch_http::{HttpRequest, HttpResponse, json_response};
+use fulmarswitch_standins::control::{serve_until_stopped, with_json};
+use fulmarswitch_standins::plain::{MemoryPlain, PlainFaults};
+use hyper::{Method, StatusCode};
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+
+/// A stand-in for a plain service
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct PlainOptions {
+    /// Address to listen on
+    #[bpaf(argument("IP:PORT"), fallback("127.0.0.1:0".into()))]
+    listen: String,
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let options = plain_options().run();
+    let plain = MemoryPlain::new(PlainFaults {
+        call_ms: 5,
+        ..PlainFaults::default()
+    });
+    let service = tower::service_fn(move |request| {
+        let plain = Arc::clone(&plain);
+        async move { Ok::<_, Infallible>(answer(&plain, request).await) }
+    });
+    serve_until_stopped(&options.listen, service).await
+}
+
+async fn answer(plain: &MemoryPlain, request: HttpRequest) -> HttpResponse {
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, "/call") => {
+            with_json(request, async |call: PlainCall| run(plain, call).await).await
+        }
+        (&Method::GET, "/runs") => json_response(StatusCode::OK, &plain.runs()),
+        (&Method::POST, "/control") => {
+            with_json(request, async |faults: PlainFaults| {
+                plain.set_faults(|current| *current = faults);
+                json_response(StatusCode::OK, &true)
+            })
+            .await
+        }
+        _ => json_response(StatusCode::NOT_FOUND, &"no such call"),
+    }
+}
+
+async fn run(plain: &MemoryPlain, call: PlainCall) -> HttpResponse {
+    let call = EndpointCall {
+        id: call.id,
+        model: "".into(),
+        input: call.input,
+        prior: "".into(),
+        prior_tokens: 0,
+        max_tokens: 0,
+    };
+    match plain.call(&call).await {
+        Ok(text) => json_response(StatusCode::OK, &PlainReply { text }),
+        Err(error @ EndpointError::Refused { .. }) => {
+            json_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        }
+        Err(error) => json_response(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/control.rs
@@ -0,0 +1,71 @@
+//! Serving of the programs: reading bodies and queries, and stopping on a signal.
+
+use bytes::Bytes;
+use fulmarswitch_http::{HttpRequest, HttpResponse, json_response, server};
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+use std::convert::Infallible;
+use std::io;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// Serves `service` on `address` until SIGTERM. Prints the address once it listens.
+///
+/// # Errors
+/// When the address cannot be listened on.
+pub async fn serve_until_stopped<S>(address: &str, service: S) -> io::Result<()>
+where
+    S: tower::Service<HttpRequest, Response = HttpResponse, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    println!("listening on {}", listener.local_addr()?);
+    let (stop, stopped) = watch::channel(false);
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::spawn(async move {
+        terminate.recv().await;
+        stop.send_replace(true);
+    });
+    let mut ended = stopped.clone();
+    tokio::select! {
+        () = server::serve(listener, service, stopped) => {}
+        // A stand-in does not wait for the streams that it still holds.
+        _ = ended.wait_for(|stop| *stop) => {}
+    }
+    Ok(())
+}
+
+/// Reads a whole body.
+pub async fn read_body(request: HttpRequest) -> Bytes {
+    request
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default()
+}
+
+/// Reads a number from the query of a request.
+#[must_use]
+pub fn query_number(request: &HttpRequest, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+/// Reads a JSON body and answers with what `act` returns, or says what is wrong with the body.
+pub async fn with_json<T: DeserializeOwned>(
+    request: HttpRequest,
+    act: impl AsyncFnOnce(T) -> HttpResponse,
+) -> HttpResponse {
+    match serde_json::from_slice(&read_body(request).await) {
+        Ok(value) => act(value).await,
+        Err(error) => json_response(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,321 @@
+//! A model engine that batches continuously and knows no priorities.
+//!
+//! A step gives one token to every stream in the batch and takes longer the more streams there are and
+//! the more prompt has to be read first. Streams beyond the batch wait in order of arrival. Prompts whose
+//! prefix is in the cache are read at once.
+
+use fulmarswitch_endpoint::{
+    AnswerPart, AnswerStream, EndpointCall, EndpointError, EndpointOrder, EndpointReport,
+    OrderAction,
+};
+use fulmarswitch_records::SortedIndex;
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of a prompt that make up one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Bytes of a prompt that are its cached prefix.
+const PREFIX_BYTES: usize = 64;
+
+/// Speed, limits and faults, changed while the engine runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Microseconds that a step takes with an empty batch.
+    pub step_us: u64,
+    /// Microseconds that a step takes longer for each stream.
+    pub stream_us: u64,
+    /// Microseconds to read one token of a prompt.
+    pub prompt_us: u64,
+    /// Streams in the batch at once.
+    pub batch_limit: usize,
+    /// Prefixes in the cache.
+    pub cache_limit: usize,
+    /// Factor on the time of each step.
+    pub slow_factor: f64,
+    /// Whether calls are refused.
+    pub refuse: bool,
+    /// Whether running calls break off; each is told once.
+    pub lost: bool,
+    /// Steps that a report lags behind.
+    pub report_lag: u32,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        Self {
+            step_us: 6_000,
+            stream_us: 250,
+            prompt_us: 60,
+            batch_limit: 64,
+            cache_limit: 64,
+            slow_factor: 1.0,
+            refuse: false,
+            lost: false,
+            report_lag: 20,
+            checks_fencing: true,
+        }
+    }
+}
+
+struct EngineStream {
+    prompt: Arc<str>,
+    made: u32,
+    max_tokens: u32,
+    prompt_tokens: u64,
+    output: mpsc::UnboundedSender<Result<AnswerPart, EndpointError>>,
+}
+
+struct EngineState {
+    faults: EngineFaults,
+    batch: Vec<EngineStream>,
+    waiting: VecDeque<EngineStream>,
+    cache: VecDeque<Arc<str>>,
+    models: SortedIndex<Arc<str>, ()>,
+    fencing: u64,
+    held_history: VecDeque<u32>,
+    tokens: u64,
+}
+
+/// The engine.
+pub struct MemoryEngine {
+    state: Mutex<EngineState>,
+    work: Notify,
+}
+
+impl MemoryEngine {
+    /// Creates an engine with the given models loaded.
+    #[must_use]
+    pub fn new(faults: EngineFaults, models: &[&str]) -> Arc<Self> {
+        let mut loaded = SortedIndex::new();
+        for model in models {
+            loaded.insert(Arc::from(*model), ());
+        }
+        let state = EngineState {
+            faults,
+            batch: Vec::new(),
+            waiting: VecDeque::new(),
+            cache: VecDeque::new(),
+            models: loaded,
+            fencing: 0,
+            held_history: VecDeque::new(),
+            tokens: 0,
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+            work: Notify::new(),
+        })
+    }
+
+    /// Runs steps for as long as the runtime lives.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            if self.lock().is_idle() {
+                self.work.notified().await;
+                continue;
+            }
+            let step = self.lock().begin_step();
+            tokio::time::sleep(step).await;
+            self.lock().end_step();
+        }
+    }
+
+    /// Starts a stream; dropping the answer cancels it.
+    ///
+    /// # Errors
+    /// [`EndpointError::Refused`] when the engine refuses calls or has not loaded the model.
+    pub fn start(&self, call: &EndpointCall) -> Result<AnswerStream, EndpointError> {
+        let mut state = self.lock();
+        if state.faults.lost {
+            return Err(EndpointError::NotSent {
+                cause: "the engine is lost".into(),
+            });
+        }
+        if state.faults.refuse {
+            return Err(refused("the engine refuses calls"));
+        }
+        if !call.model.is_empty() && !state.models.contains(&*call.model) {
+            return Err(refused("the model is not loaded"));
+        }
+        let (output, answer) = mpsc::unbounded_channel();
+        let read = call.input.len() / BYTES_PER_TOKEN + call.prior_tokens as usize;
+        state.waiting.push_back(EngineStream {
+            prompt: Arc::clone(&call.input),
+            made: call.prior_tokens,
+            max_tokens: call.max_tokens,
+            prompt_tokens: read as u64,
+            output,
+        });
+        drop(state);
+        self.work.notify_one();
+        Ok(UnboundedReceiverStream::new(answer).boxed())
+    }
+
+    /// Reports models and load, the load with a lag.
+    ///
+    /// # Errors
+    /// [`EndpointError::NotSent`] when the engine is lost.
+    pub fn report(&self) -> Result<EndpointReport, EndpointError> {
+        let state = self.lock();
+        if state.faults.lost {
+            return Err(EndpointError::NotSent {
+                cause: "the engine is lost".into(),
+            });
+        }
+        Ok(EndpointReport {
+            models: state
+                .models
+                .iter()
+                .map(|(model, ())| Arc::clone(model))
+                .collect(),
+            held: state.held_history.front().copied().unwrap_or(0),
+            fencing: state.fencing,
+        })
+    }
+
+    /// Follows an order.
+    ///
+    /// # Errors
+    /// [`EndpointError::Refused`] when the fencing number is old and the engine checks it.
+    pub fn order(&self, order: &EndpointOrder) -> Result<(), EndpointError> {
+        let mut state = self.lock();
+        if state.faults.checks_fencing && order.fencing < state.fencing {
+            return Err(refused("the fencing number is old"));
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        match &order.action {
+            OrderAction::Load { model } => state.models.insert(Arc::clone(model), ()),
+            OrderAction::Unload { model } => state.models.remove(&**model),
+        };
+        Ok(())
+    }
+
+    /// Changes speed, limits and faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
+        let mut state = self.lock();
+        change(&mut state.faults);
+        if state.faults.lost {
+            state.break_all();
+        }
+    }
+
+    /// Returns the number of tokens generated so far.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.lock().tokens
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl EngineState {
+    fn is_idle(&self) -> bool {
+        self.batch.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Fills the batch and returns how long the step takes.
+    fn begin_step(&mut self) -> Duration {
+        self.batch.retain(|stream| !stream.output.is_closed());
+        self.waiting.retain(|stream| !stream.output.is_closed());
+        let mut micros = self.faults.step_us;
+        while self.batch.len() < self.faults.batch_limit {
+            let Some(stream) = self.waiting.pop_front() else {
+                break;
+            };
+            if !self.touch_cache(&stream.prompt) {
+                micros += stream.prompt_tokens * self.faults.prompt_us;
+            }
+            self.batch.push(stream);
+        }
+        micros += self.batch.len() as u64 * self.faults.stream_us;
+        let held = u32::try_from(self.batch.len() + self.waiting.len()).unwrap_or(u32::MAX);
+        self.held_history.push_back(held);
+        while self.held_history.len() > self.faults.report_lag as usize + 1 {
+            self.held_history.pop_front();
+        }
+        Duration::from_micros(micros).mul_f64(self.faults.slow_factor)
+    }
+
+    fn end_step(&mut self) {
+        let mut made = 0;
+        self.batch.retain_mut(|stream| {
+            if stream.made < stream.max_tokens {
+                let text = token_text(&stream.prompt, stream.made).into();
+                // A closed output is a cancelled stream; the next step drops it.
+                let _ = stream.output.send(Ok(AnswerPart::Text(text)));
+                stream.made += 1;
+                made += 1;
+            }
+            let more = stream.made < stream.max_tokens;
+            if !more {
+                let _ = stream.output.send(Ok(AnswerPart::End));
+            }
+            more
+        });
+        self.tokens += made;
+    }
+
+    /// Notes the use of a prompt's prefix and tells whether it was cached.
+    fn touch_cache(&mut self, prompt: &str) -> bool {
+        let end = (0..=PREFIX_BYTES.min(prompt.len()))
+            .rev()
+            .find(|end| prompt.is_char_boundary(*end));
+        let prefix = &prompt[..end.unwrap_or(0)];
+        let known = self.cache.iter().position(|cached| **cached == *prefix);
+        if let Some(at) = known {
+            self.cache.remove(at);
+        }
+        self.cache.push_back(prefix.into());
+        while self.cache.len() > self.faults.cache_limit {
+            self.cache.pop_front();
+        }
+        known.is_some()
+    }
+
+    fn break_all(&mut self) {
+        let cut = EndpointError::Broken {
+            cause: "the engine is lost".into(),
+        };
+        for stream in self.batch.drain(..).chain(self.waiting.drain(..)) {
+            // Whoever has gone away need not be told.
+            let _ = stream.output.send(Err(cut.clone()));
+        }
+    }
+}
+
+/// Returns the text of one token of the answer to a prompt; the same on every engine.
+///
+/// ```
+/// use fulmarswitch_standins::engine::token_text;
+/// assert_eq!(token_text("p", 3), token_text("p", 3));
+/// ```
+#[must_use]
+pub fn token_text(prompt: &str, index: u32) -> String {
+    format!(
+        "{:04x} ",
+        xxh3_64_with_seed(prompt.as_bytes(), u64::from(index)) & 0xffff
+    )
+}
+
+/// Returns the whole answer to a prompt.
+#[must_use]
+pub fn whole_answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token_text(prompt, index)).collect()
+}
+
+fn refused(cause: &str) -> EndpointError {
+    EndpointError::Refused {
+        cause: cause.into(),
+        retry_after: Duration::from_millis(200),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,77 @@
+//! Engines and plain services by address, behind the endpoint trait.
+
+use crate::engine::MemoryEngine;
+use crate::plain::MemoryPlain;
+use async_trait::async_trait;
+use fulmarswitch_endpoint::{
+    AnswerPart, AnswerStream, EndpointCall, EndpointClient, EndpointError, EndpointOrder,
+    EndpointReport,
+};
+use fulmarswitch_records::SortedIndex;
+use fulmarswitch_records::config::EndpointProtocol;
+use futures::StreamExt;
+use std::sync::Arc;
+
+/// Endpoints inside one process.
+#[derive(Clone, Default)]
+pub struct MemoryFleet {
+    engines: SortedIndex<Arc<str>, Arc<MemoryEngine>>,
+    plains: SortedIndex<Arc<str>, Arc<MemoryPlain>>,
+}
+
+impl MemoryFleet {
+    /// Creates an empty fleet.
+    ///
+    /// ```
+    /// let fleet = fulmarswitch_standins::fleet::MemoryFleet::new();
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds an engine.
+    pub fn add_engine(&mut self, address: &str, engine: Arc<MemoryEngine>) {
+        self.engines.insert(address.into(), engine);
+    }
+
+    /// Adds a plain service.
+    pub fn add_plain(&mut self, address: &str, plain: Arc<MemoryPlain>) {
+        self.plains.insert(address.into(), plain);
+    }
+
+    fn engine(&self, address: &str) -> Result<&Arc<MemoryEngine>, EndpointError> {
+        let missing = || EndpointError::NotSent {
+            cause: "no engine at this address".into(),
+        };
+        self.engines.get(address).ok_or_else(missing)
+    }
+}
+
+#[async_trait]
+impl EndpointClient for MemoryFleet {
+    async fn start(
+        &self,
+        address: &str,
+        protocol: EndpointProtocol,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, EndpointError> {
+        if protocol == EndpointProtocol::Engine {
+            return self.engine(address)?.start(&call);
+        }
+        let missing = || EndpointError::NotSent {
+            cause: "no service at this address".into(),
+        };
+        let plain = self.plains.get(address).ok_or_else(missing)?;
+        let text = plain.call(&call).await?;
+        Ok(futures::stream::iter([Ok(AnswerPart::Text(text)), Ok(AnswerPart::End)]).boxed())
+    }
+
+    async fn report(&self, address: &str) -> Result<EndpointReport, EndpointError> {
+        self.engine(address)?.report()
+    }
+
+    async fn order(&self, address: &str, order: EndpointOrder) -> Result<(), EndpointError> {
+        self.engine(address)?.order(&order)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log.rs
@@ -0,0 +1,274 @@
+//! The platform's log in memory.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarswitch_platform::{LogEntry, LogError, LogPage, LogService};
+use fulmarswitch_records::{Offset, SortedIndex};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Time on the log's clock when it starts, in milliseconds since the Unix epoch.
+const START_MS: u64 = 1_700_000_000_000;
+/// Time to come back after a refusal.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Faults and limits, changed while the log runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LogFaults {
+    /// Whether every call is refused.
+    pub down: bool,
+    /// Milliseconds that every call takes longer.
+    pub slow_ms: u64,
+    /// Appends whose acknowledgement is lost after the effect; counts down.
+    pub lose_acks: u32,
+    /// Appends a second over all streams; the rest is refused.
+    pub appends_per_second: u32,
+    /// Milliseconds for which entries are kept.
+    pub retention_ms: u64,
+}
+
+impl Default for LogFaults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            slow_ms: 2,
+            lose_acks: 0,
+            appends_per_second: 400,
+            retention_ms: 24 * 3_600_000,
+        }
+    }
+}
+
+/// Counters of the log, for measurements.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct LogCounts {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Bytes appended.
+    pub bytes: u64,
+    /// Appends refused for their rate.
+    pub refused: u64,
+}
+
+#[derive(Debug, Default)]
+struct StreamState {
+    base: u64,
+    entries: VecDeque<LogEntry>,
+}
+
+#[derive(Debug)]
+struct LogState {
+    streams: SortedIndex<String, StreamState>,
+    faults: LogFaults,
+    counts: LogCounts,
+    window: Instant,
+    window_appends: u32,
+}
+
+/// The log.
+#[derive(Debug)]
+pub struct MemoryLog {
+    start: Instant,
+    state: Mutex<LogState>,
+    appended: Notify,
+}
+
+impl Default for MemoryLog {
+    fn default() -> Self {
+        Self::new(LogFaults::default())
+    }
+}
+
+impl MemoryLog {
+    /// Creates an empty log.
+    ///
+    /// ```
+    /// use fulmarswitch_standins::log::{LogFaults, MemoryLog};
+    /// let log = MemoryLog::new(LogFaults::default());
+    /// assert_eq!(log.counts().appends, 0);
+    /// ```
+    #[must_use]
+    pub fn new(faults: LogFaults) -> Self {
+        let start = Instant::now();
+        let state = LogState {
+            streams: SortedIndex::new(),
+            faults,
+            counts: LogCounts::default(),
+            window: start,
+            window_appends: 0,
+        };
+        Self {
+            start,
+            state: Mutex::new(state),
+            appended: Notify::new(),
+        }
+    }
+
+    /// Changes faults and limits.
+    pub fn set_faults(&self, change: impl FnOnce(&mut LogFaults)) {
+        change(&mut self.lock().faults);
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counts(&self) -> LogCounts {
+        self.lock().counts
+    }
+
+    fn now_ms(&self) -> u64 {
+        START_MS + u64::try_from(self.start.elapsed().as_millis()).unwrap_or(0)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn delay(&self) -> Result<(), LogError> {
+        let (down, slow_ms) = {
+            let state = self.lock();
+            (state.faults.down, state.faults.slow_ms)
+        };
+        if slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+        }
+        if down {
+            Err(LogError::Refused {
+                retry_after: RETRY_AFTER,
+            })
+        } else {
+            Ok(())
+        }
+    }
+
+    fn append_now(&self, stream: &str, data: Bytes) -> Result<(Offset, bool), LogError> {
+        let at_ms = self.now_ms();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        if !state.take_permit() {
+            state.counts.refused += 1;
+            return Err(LogError::Refused {
+                retry_after: RETRY_AFTER,
+            });
+        }
+        state.counts.appends += 1;
+        state.counts.bytes += data.len() as u64;
+        let lost = state.faults.lose_acks > 0;
+        state.faults.lose_acks -= u32::from(lost);
+        let retention_ms = state.faults.retention_ms;
+        let entries = state.stream(stream);
+        entries.expire(at_ms.saturating_sub(retention_ms));
+        let offset = entries.next();
+        entries.entries.push_back(LogEntry {
+            offset,
+            at_ms,
+            data,
+        });
+        Ok((offset, lost))
+    }
+
+    fn read_now(&self, stream: &str, from: Offset, max: usize) -> LogPage {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let retention_ms = state.faults.retention_ms;
+        let stream = state.stream(stream);
+        stream.expire(now_ms.saturating_sub(retention_ms));
+        let skip = usize::try_from(from.0.saturating_sub(stream.base)).unwrap_or(usize::MAX);
+        LogPage {
+            oldest: Offset(stream.base),
+            head: stream.next(),
+            now_ms,
+            retention: Duration::from_millis(retention_ms),
+            entries: stream
+                .entries
+                .iter()
+                .skip(skip)
+                .take(max)
+                .cloned()
+                .collect(),
+        }
+    }
+}
+
+impl LogState {
+    fn take_permit(&mut self) -> bool {
+        if self.window.elapsed() >= Duration::from_secs(1) {
+            self.window = Instant::now();
+            self.window_appends = 0;
+        }
+        let free = self.window_appends < self.faults.appends_per_second;
+        self.window_appends += u32::from(free);
+        free
+    }
+
+    fn stream(&mut self, name: &str) -> &mut StreamState {
+        if !self.streams.contains(name) {
+            self.streams.insert(name.to_owned(), StreamState::default());
+        }
+        self.streams
+            .get_mut(name)
+            .expect("the stream was inserted above")
+    }
+}
+
+impl StreamState {
+    fn next(&self) -> Offset {
+        Offset(self.base + self.entries.len() as u64)
+    }
+
+    fn expire(&mut self, before_ms: u64) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.at_ms < before_ms)
+        {
+            self.entries.pop_front();
+            self.base += 1;
+        }
+    }
+}
+
+#[async_trait]
+impl LogService for MemoryLog {
+    async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
+        self.delay().await?;
+        let (offset, lost) = self.append_now(stream, data)?;
+        self.appended.notify_waiters();
+        if lost {
+            return Err(LogError::Unknown {
+                cause: "the acknowledgement was lost".into(),
+            });
+        }
+        Ok(offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        self.delay().await?;
+        let deadline = Instant::now() + wait;
+        loop {
+            let mut appended = std::pin::pin!(self.appended.notified());
+            appended.as_mut().enable();
+            let page = self.read_now(stream, from, max);
+            if !page.entries.is_empty() || Instant::now() >= deadline {
+                return Ok(page);
+            }
+            if self.lock().faults.down {
+                return Err(LogError::Refused {
+                    retry_after: RETRY_AFTER,
+                });
+            }
+            // A timeout here only ends the wait; the loop then returns the empty page.
+            let _ = tokio::time::timeout_at(deadline, appended).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/plain.rs
@@ -0,0 +1,97 @@
+//! A plain service whose calls may not be repeated; it counts how often each input ran.
+
+use fulmarswitch_endpoint::{EndpointCall, EndpointError};
+use fulmarswitch_records::SortedIndex;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Faults, changed while the service runs.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlainFaults {
+    /// Milliseconds that a call takes.
+    pub call_ms: u64,
+    /// Calls that run and whose answer is lost; counts down.
+    pub lose_answers: u32,
+    /// Whether calls are refused.
+    pub refuse: bool,
+}
+
+#[derive(Debug, Default)]
+struct PlainState {
+    faults: PlainFaults,
+    runs: SortedIndex<Arc<str>, u32>,
+}
+
+/// The service.
+#[derive(Debug, Default)]
+pub struct MemoryPlain {
+    state: Mutex<PlainState>,
+}
+
+impl MemoryPlain {
+    /// Creates a service.
+    #[must_use]
+    pub fn new(faults: PlainFaults) -> Arc<Self> {
+        let state = PlainState {
+            faults,
+            runs: SortedIndex::new(),
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Runs a call and returns its answer.
+    ///
+    /// # Errors
+    /// [`EndpointError::Broken`] when the answer is lost after the call ran.
+    pub async fn call(&self, call: &EndpointCall) -> Result<Arc<str>, EndpointError> {
+        let (call_ms, lost) = {
+            let mut state = self.lock();
+            if state.faults.refuse {
+                let cause = "the service refuses calls".into();
+                let retry_after = Duration::from_millis(200);
+                return Err(EndpointError::Refused { cause, retry_after });
+            }
+            let runs = state.runs.get(&*call.input).copied().unwrap_or(0);
+            state.runs.insert(Arc::clone(&call.input), runs + 1);
+            let lost = state.faults.lose_answers > 0;
+            state.faults.lose_answers -= u32::from(lost);
+            (state.faults.call_ms, lost)
+        };
+        tokio::time::sleep(Duration::from_millis(call_ms)).await;
+        if lost {
+            return Err(EndpointError::Broken {
+                cause: "the answer was lost".into(),
+            });
+        }
+        Ok(plain_answer(&call.input).into())
+    }
+
+    /// Returns how often each input ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<(Arc<str>, u32)> {
+        self.lock()
+            .runs
+            .iter()
+            .map(|(input, runs)| (Arc::clone(input), *runs))
+            .collect()
+    }
+
+    /// Changes faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut PlainFaults)) {
+        change(&mut self.lock().faults);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlainState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the answer to an input.
+#[must_use]
+pub fn plain_answer(input: &str) -> String {
+    format!("ok:{input}")
+}
