--- /dev/null
+++ b/crates/decide/examples/choices.rs
@@ -0,0 +1,107 @@
+//! Measures the processor time of one choice of an endpoint, from 10 to 10,000 endpoints of a service.
+//!
+//! Each choice has a prefix of its own and reads the load of its candidates from notes. The scan over all
+//! endpoints, which weighs each by name, is measured beside it.
+
+use fulmarswitch_decide::balance::{
+    EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
+};
+use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
+use fulmarswitch_decide::placement::weight;
+use std::hint::black_box;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Choices that one figure is the mean of.
+const CHOICES: u32 = 200_000;
+/// Scans that one figure is the mean of.
+const SCANS: u32 = 200;
+/// Rounds of which the fastest counts, since other work runs on the machine.
+const ROUNDS: usize = 5;
+
+fn main() {
+    println!(
+        "{:>9} {:>10} {:>10} {:>10} {:>10} {:>12}",
+        "endpoints", "prefix ns", "any ns", "scan ns", "build us", "top/mean"
+    );
+    for count in [10, 16, 17, 100, 1_000, 10_000] {
+        measure(count);
+    }
+}
+
+fn measure(count: u32) {
+    let specs: Vec<EndpointSpec> = (0..count)
+        .map(|at| EndpointSpec {
+            name: format!("endpoint-{at:05}").into(),
+            near: at % 3 == 0,
+        })
+        .collect();
+    let build = fastest(1, |_| {
+        black_box(EndpointTable::new(specs.clone()));
+    });
+    let table = EndpointTable::new(specs.clone());
+    let now = Duration::from_secs(1);
+    let loads: Vec<EndpointLoad> = (0..count).map(load_of).collect();
+    let look = |index: EndpointIndex| EndpointView {
+        load: loads[index.at()].share(now),
+        standing: EndpointStanding::Ready,
+    };
+    let prefix = fastest(CHOICES, |at| {
+        let affinity = RequestAffinity::Prefix(u64::from(at) * 7_919);
+        black_box(table.choose(affinity, look));
+    });
+    let any = fastest(CHOICES, |at| {
+        let affinity = RequestAffinity::Any(u64::from(at));
+        black_box(table.choose(affinity, look));
+    });
+    let scan = fastest(SCANS, |at| {
+        let work = format!("prefix-{at}");
+        let best = specs.iter().max_by_key(|spec| weight(&spec.name, &work));
+        black_box(best);
+    });
+    println!(
+        "{count:>9} {:>10} {:>10} {:>10} {:>10} {:>12.2}",
+        prefix.as_nanos(),
+        any.as_nanos(),
+        scan.as_nanos(),
+        build.as_micros(),
+        top_share(&table),
+    );
+}
+
+/// Returns the mean time of one call, of the fastest round.
+fn fastest(calls: u32, mut call: impl FnMut(u32)) -> Duration {
+    let mut best = Duration::MAX;
+    for _ in 0..ROUNDS {
+        let start = Instant::now();
+        for at in 0..calls {
+            call(at);
+        }
+        best = best.min(start.elapsed() / calls);
+    }
+    best
+}
+
+fn load_of(at: u32) -> EndpointLoad {
+    let mut load = EndpointLoad::default();
+    let held = at * 31 % 50;
+    load.note(Duration::ZERO, LoadShare { held, limit: 64 });
+    load
+}
+
+/// Returns the share of prefixes of the endpoint with most of them, over the mean, when all are idle.
+fn top_share(table: &EndpointTable) -> f64 {
+    let idle = |_| EndpointView {
+        load: LoadShare { held: 0, limit: 64 },
+        standing: EndpointStanding::Ready,
+    };
+    let mut counts = vec![0_u32; table.len()];
+    let prefixes = 1_000 * u32::try_from(table.len()).unwrap_or(u32::MAX);
+    for at in 0..prefixes {
+        let affinity = RequestAffinity::of_prefix(&format!("prefix {at}"));
+        if let Some(index) = table.choose(affinity, idle) {
+            counts[index.at()] += 1;
+        }
+    }
+    f64::from(counts.iter().copied().max().unwrap_or(0)) / 1_000.0
+}
--- /dev/null
+++ b/crates/decide/examples/detectors.rs
@@ -0,0 +1,339 @@
+//! Compares failure detectors of hosts on a model of heartbeats in virtual time.
+//!
+//! Three neighbours watch one host over a network that is quiet, bursts with load and loses messages; the
+//! host pauses now and then. One part counts wrong suspicions of a host that never fails, the other measures
+//! the time to suspect one that does. With long pauses, one pause in ten lasts three times as long. Seeds
+//! are fixed.
+
+use fulmarswitch_decide::detector::{
+    AdaptiveDetector, AdaptiveSettings, BeatIndex, ConfiguringSettings, FixedDetector,
+    HostDetector, SelfConfiguringDetector,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+/// Step of the model's clock.
+const TICK: Duration = Duration::from_millis(5);
+/// Neighbours that watch a host, at any size of the fleet.
+const WATCHERS: usize = 3;
+/// Watchers that must suspect a host at once before it is taken to be lost.
+const REPORTERS: usize = 2;
+/// Bytes on the wire of a heartbeat and its answer, with the headers of TCP and IP and acknowledgements.
+const EXCHANGE_BYTES: f64 = 320.0;
+/// Virtual hours without a failure.
+const STEADY_HOURS: u32 = 200;
+/// Failures whose detection is timed.
+const FAILURES: u32 = 1_000;
+/// Virtual time before each failure.
+const WARM_UP: Duration = Duration::from_mins(2);
+/// Virtual time after which a failure counts as not noticed.
+const GIVE_UP: Duration = Duration::from_secs(10);
+/// Length of a pause of the host.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Length of a pause where pauses are long, for one in [`LONG_PAUSE_EVERY`].
+const LONG_PAUSE: Duration = Duration::from_millis(900);
+/// Pauses of which one is long.
+const LONG_PAUSE_EVERY: u32 = 10;
+/// Rows that are worked out at once.
+const THREADS: usize = 4;
+/// Mean time between pauses of the host.
+const BETWEEN_PAUSES: Duration = Duration::from_mins(2);
+/// Mean length of a burst of load.
+const BURST: Duration = Duration::from_secs(5);
+/// Mean time between bursts of load.
+const BETWEEN_BURSTS: Duration = Duration::from_mins(1);
+
+/// The network and the watched host.
+struct HostModel {
+    rng: SmallRng,
+    burst: bool,
+    paused_until: Duration,
+    crashed: bool,
+    long_pauses: bool,
+}
+
+impl HostModel {
+    fn new(seed: u64, long_pauses: bool) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            burst: false,
+            paused_until: Duration::ZERO,
+            crashed: false,
+            long_pauses,
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let mean = if self.burst { BURST } else { BETWEEN_BURSTS };
+        if self.happens(mean) {
+            self.burst = !self.burst;
+        }
+        if self.happens(BETWEEN_PAUSES) {
+            let long = self.long_pauses && self.rng.random_ratio(1, LONG_PAUSE_EVERY);
+            self.paused_until = now + if long { LONG_PAUSE } else { PAUSE };
+        }
+    }
+
+    fn happens(&mut self, mean: Duration) -> bool {
+        self.rng.random::<f64>() < TICK.as_secs_f64() / mean.as_secs_f64()
+    }
+
+    /// Time of one message on its way; nothing when it is lost.
+    fn travel(&mut self) -> Option<Duration> {
+        let (loss, spread_s) = if self.burst {
+            (0.02, 0.030)
+        } else {
+            (0.001, 0.000_2)
+        };
+        if self.rng.random::<f64>() < loss {
+            return None;
+        }
+        let spread = -(1.0 - self.rng.random::<f64>()).ln() * spread_s;
+        Some(Duration::from_millis(1) + Duration::from_secs_f64(spread))
+    }
+
+    /// When the answer to a heartbeat sent now arrives; nothing when it does not.
+    fn answer_at(&mut self, now: Duration) -> Option<Duration> {
+        let reached = now + self.travel()?;
+        if self.crashed {
+            return None;
+        }
+        let answered = reached.max(self.paused_until);
+        Some(answered + self.travel()?)
+    }
+}
+
+/// One watcher: a detector and the answers on their way to it.
+struct WatcherModel {
+    detector: Box<dyn HostDetector>,
+    answers: Vec<(Duration, BeatIndex)>,
+    next_send: Duration,
+    beats: u64,
+    suspected_at: Duration,
+    mistakes: u32,
+    wrong: Duration,
+}
+
+impl WatcherModel {
+    fn new(detector: Box<dyn HostDetector>, offset: Duration) -> Self {
+        Self {
+            detector,
+            answers: Vec::new(),
+            next_send: offset,
+            beats: 0,
+            suspected_at: Duration::ZERO,
+            mistakes: 0,
+            wrong: Duration::ZERO,
+        }
+    }
+
+    fn tick(&mut self, now: Duration, model: &mut HostModel) {
+        self.answers.sort_unstable();
+        while self.answers.first().is_some_and(|(at, _)| *at <= now) {
+            let (at, beat) = self.answers.remove(0);
+            if self.detector.answered(at, beat).is_some() {
+                self.wrong += at.saturating_sub(self.suspected_at);
+            }
+        }
+        if self.detector.poll(now).is_some() {
+            self.mistakes += 1;
+            self.suspected_at = now;
+        }
+        if now >= self.next_send {
+            let beat = BeatIndex(self.beats);
+            self.beats += 1;
+            self.detector.sent(now, beat);
+            self.answers
+                .extend(model.answer_at(now).map(|at| (at, beat)));
+            self.next_send = now + self.detector.period();
+        }
+    }
+}
+
+type MakeDetector = fn() -> Box<dyn HostDetector>;
+
+fn watchers(make: MakeDetector, rng: &mut SmallRng) -> Vec<WatcherModel> {
+    (0..WATCHERS)
+        .map(|_| WatcherModel::new(make(), Duration::from_millis(rng.random_range(0..250))))
+        .collect()
+}
+
+fn down(watchers: &[WatcherModel]) -> bool {
+    let suspecting = watchers.iter().filter(|w| w.detector.is_suspected());
+    suspecting.count() >= REPORTERS
+}
+
+/// What the run without failures shows.
+struct SteadyResult {
+    mistakes_an_hour: f64,
+    mistake_ms: f64,
+    availability: f64,
+    false_downs_an_hour: f64,
+    bytes_a_second: f64,
+}
+
+fn run_steady(make: MakeDetector, long_pauses: bool, seed: u64) -> SteadyResult {
+    let mut model = HostModel::new(seed, long_pauses);
+    let mut rng = SmallRng::seed_from_u64(seed + 1);
+    let mut watchers = watchers(make, &mut rng);
+    let end = Duration::from_hours(1) * STEADY_HOURS;
+    let mut now = Duration::ZERO;
+    let mut was_down = false;
+    let mut false_downs = 0_u32;
+    while now < end {
+        model.tick(now);
+        for watcher in &mut watchers {
+            watcher.tick(now, &mut model);
+        }
+        let is_down = down(&watchers);
+        false_downs += u32::from(is_down && !was_down);
+        was_down = is_down;
+        now += TICK;
+    }
+    let mistakes: u32 = watchers.iter().map(|w| w.mistakes).sum();
+    let wrong: Duration = watchers.iter().map(|w| w.wrong).sum();
+    let beats: f64 = watchers
+        .iter()
+        .map(|w| f64::from(u32::try_from(w.beats).unwrap_or(u32::MAX)))
+        .sum();
+    let watched_hours = f64::from(STEADY_HOURS) * 3.0;
+    SteadyResult {
+        mistakes_an_hour: f64::from(mistakes) / watched_hours,
+        mistake_ms: wrong.as_secs_f64() * 1_000.0 / f64::from(mistakes.max(1)),
+        availability: 1.0 - wrong.as_secs_f64() / (watched_hours * 3_600.0),
+        false_downs_an_hour: f64::from(false_downs) / f64::from(STEADY_HOURS),
+        // A host pays for the exchanges that it begins and for as many that its watchers begin.
+        bytes_a_second: 2.0 * beats * EXCHANGE_BYTES / end.as_secs_f64(),
+    }
+}
+
+/// Returns the times to suspicion by two watchers, sorted.
+fn run_failures(make: MakeDetector, seed: u64) -> Vec<Duration> {
+    let mut times: Vec<Duration> = (0..FAILURES)
+        .map(|at| time_failure(make, seed + u64::from(at)))
+        .collect();
+    times.sort_unstable();
+    times
+}
+
+fn time_failure(make: MakeDetector, seed: u64) -> Duration {
+    let mut model = HostModel::new(seed, false);
+    let mut rng = SmallRng::seed_from_u64(seed + 1_000_000);
+    let mut watchers = watchers(make, &mut rng);
+    let failure = WARM_UP + Duration::from_millis(rng.random_range(0..2_000));
+    let mut now = Duration::ZERO;
+    while now < failure + GIVE_UP {
+        model.tick(now);
+        model.crashed = now >= failure;
+        for watcher in &mut watchers {
+            watcher.tick(now, &mut model);
+        }
+        if model.crashed && down(&watchers) {
+            return now.saturating_sub(failure);
+        }
+        now += TICK;
+    }
+    GIVE_UP
+}
+
+fn fixed(period_ms: u64, timeout_ms: u64) -> Box<dyn HostDetector> {
+    let period = Duration::from_millis(period_ms);
+    Box::new(FixedDetector::new(
+        period,
+        Duration::from_millis(timeout_ms),
+    ))
+}
+
+fn adaptive(period_ms: u64, floor_ms: u64, losses: u32) -> Box<dyn HostDetector> {
+    Box::new(AdaptiveDetector::new(AdaptiveSettings {
+        period: Duration::from_millis(period_ms),
+        floor: Duration::from_millis(floor_ms),
+        ceiling: Duration::from_millis(1_500),
+        losses,
+    }))
+}
+
+fn configuring(detection_ms: u64, consumption: f64) -> Box<dyn HostDetector> {
+    Box::new(SelfConfiguringDetector::new(ConfiguringSettings {
+        detection_limit: Duration::from_millis(detection_ms),
+        mistake_limit: Duration::from_millis(500),
+        recurrence_floor: Duration::from_hours(24),
+        consumption,
+        budget_period: Duration::from_millis(213),
+    }))
+}
+
+fn main() {
+    let rows: Vec<(&str, MakeDetector)> = vec![
+        ("fixed 250/1200 ms", || fixed(250, 1_200)),
+        ("fixed 500/1200 ms", || fixed(500, 1_200)),
+        ("fixed 400/1000 ms", || fixed(400, 1_000)),
+        ("fixed 400/1200 ms", || fixed(400, 1_200)),
+        ("fixed 400/1400 ms", || fixed(400, 1_400)),
+        ("adaptive 250, floor 0, no loss", || adaptive(250, 0, 0)),
+        ("adaptive 250, floor 350, 1 loss", || adaptive(250, 350, 1)),
+        ("adaptive 400, floor 350, 1 loss", || adaptive(400, 350, 1)),
+        ("adaptive 400, floor 700, 1 loss", || adaptive(400, 700, 1)),
+        ("adaptive 400, floor 350, 2 losses", || {
+            adaptive(400, 350, 2)
+        }),
+        ("self-configuring 1500 ms, rc 0.5", || {
+            configuring(1_500, 0.5)
+        }),
+        ("self-configuring 1000 ms, rc 0.8", || {
+            configuring(1_000, 0.8)
+        }),
+    ];
+    println!(
+        "{:<34} {:>7} {:>7} {:>7} {:>10} {:>8} {:>9} {:>10} {:>12} {:>11} {:>7}",
+        "detector",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+        "mistakes/h",
+        "dur ms",
+        "avail",
+        "downs/d 12",
+        "downs/d 2300",
+        "long pauses",
+        "B/s"
+    );
+    for part in rows.chunks(THREADS) {
+        let lines: Vec<String> = std::thread::scope(|scope| {
+            let running: Vec<_> = part
+                .iter()
+                .map(|(name, make)| scope.spawn(|| run_row(name, *make)))
+                .collect();
+            running
+                .into_iter()
+                .filter_map(|row| row.join().ok())
+                .collect()
+        });
+        for line in lines {
+            println!("{line}");
+        }
+    }
+    println!("{STEADY_HOURS} hours of one host and {FAILURES} failures a row");
+}
+
+fn run_row(name: &str, make: MakeDetector) -> String {
+    let steady = run_steady(make, false, 11);
+    let paused = run_steady(make, true, 12);
+    let times = run_failures(make, 1_000);
+    let at = |part: usize| times[(times.len() - 1) * part / 100].as_millis();
+    let downs_a_day = steady.false_downs_an_hour * 24.0;
+    format!(
+        "{name:<34} {:>7} {:>7} {:>7} {:>10.3} {:>8.0} {:>9.6} {:>10.1} {:>12.0} {:>11.0} {:>7.0}",
+        at(50),
+        at(99),
+        at(100),
+        steady.mistakes_an_hour,
+        steady.mistake_ms,
+        steady.availability,
+        downs_a_day * 12.0,
+        downs_a_day * 2_300.0,
+        paused.false_downs_an_hour * 24.0 * 2_300.0,
+        steady.bytes_a_second,
+    )
+}
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -1,43 +1,391 @@
 //! Which endpoint a request goes to.
 //!
 //! Requests with one prefix prefer one endpoint, so that its cache serves them; an endpoint that holds more
-//! than its fair share passes them on to the next in the prefix's rendezvous order.
+//! than its fair share passes them on to the next in the prefix's order. Requests without a prefix go to
+//! the cheapest of a few.
+//!
+//! A service with few endpoints is ranked by rendezvous weights over all of them. A larger one has a table
+//! of one point an endpoint, sorted once a change of configuration; a prefix is hashed a few times and each
+//! hash finds the next point. The endpoint with the smallest distance comes first, so losing an endpoint
+//! moves only its own prefixes, and the time of a choice does not grow with the service.
 
-use crate::placement::weight;
+use crate::load::LoadShare;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Share over the mean load up to which an endpoint keeps its prefixes, in percent.
-const LOAD_BOUND_PERCENT: usize = 125;
-/// Requests above the mean that an endpoint may hold however small the mean is.
-const LOAD_SLACK: usize = 2;
+/// Load over the mean up to which an endpoint keeps its prefixes, in percent.
+const LOAD_BOUND_PERCENT: u64 = 125;
+/// Requests above the bound that an endpoint may hold however small the mean is.
+const LOAD_SLACK: u64 = 2;
+/// Endpoints up to which all are ranked; also the most candidates of one choice.
+const RANKED_LIMIT: usize = 16;
+/// Hashes of a prefix that are looked up in a larger table.
+const PROBES: u64 = 12;
+/// Cost of a request to another failure domain, in microseconds.
+const CROSS_DOMAIN_US: u64 = 1_000;
+/// Cost of a request to an endpoint that is at its limit, in microseconds.
+const FULL_ENDPOINT_US: u64 = 500_000;
 
-/// An endpoint as the chooser sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EndpointView<'a> {
+/// Position of an endpoint in the table of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointIndex(pub u32);
+
+impl EndpointIndex {
+    /// Returns the position as an index into dense tables.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::balance::EndpointIndex;
+    /// assert_eq!(EndpointIndex(3).at(), 3);
+    /// ```
+    #[must_use]
+    pub fn at(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// An endpoint that may be chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointSpec {
     /// Name of the endpoint.
-    pub name: &'a str,
-    /// Requests that it holds, as far as known here.
-    pub held: usize,
+    pub name: Arc<str>,
     /// Whether it stands in the chooser's failure domain.
     pub near: bool,
 }
 
-/// Chooses an endpoint for a request with the given prefix, or `None` when there are none.
+/// Whether an endpoint may be chosen now, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndpointStanding {
+    /// It may be chosen.
+    Ready,
+    /// It has not loaded the model; chosen when no endpoint is ready.
+    Cold,
+    /// It is suspected; chosen when all others are excluded.
+    Suspected,
+    /// It is never chosen.
+    Excluded,
+}
+
+/// What the chooser knows of an endpoint at this moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointView {
+    /// Load as far as known here.
+    pub load: LoadShare,
+    /// Whether it may be chosen.
+    pub standing: EndpointStanding,
+}
+
+/// What binds a request to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestAffinity {
+    /// Requests of this prefix prefer the same endpoint.
+    Prefix(u64),
+    /// Any endpoint is as good; the number spreads the choices.
+    Any(u64),
+}
+
+impl RequestAffinity {
+    /// Returns the affinity of requests with this prefix.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::balance::RequestAffinity;
+    /// assert_eq!(RequestAffinity::of_prefix("a"), RequestAffinity::of_prefix("a"));
+    /// ```
+    #[must_use]
+    pub fn of_prefix(prefix: &str) -> Self {
+        Self::Prefix(xxh3_64(prefix.as_bytes()))
+    }
+
+    fn seed(self) -> u64 {
+        match self {
+            Self::Prefix(seed) | Self::Any(seed) => seed,
+        }
+    }
+}
+
+/// One endpoint's place among the hashes.
+#[derive(Clone, Copy, Debug)]
+struct RingPoint {
+    hash: u64,
+    index: EndpointIndex,
+}
+
+/// One endpoint that a choice looks at.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    /// Smallest for the endpoint that the prefix prefers.
+    distance: u64,
+    index: EndpointIndex,
+    view: EndpointView,
+}
+
+/// Candidates in order of preference, in place of a vector on the heap.
+#[derive(Debug)]
+struct CandidateList {
+    places: [Option<Candidate>; RANKED_LIMIT],
+    len: usize,
+}
+
+/// The endpoints of one service, prepared for choices.
 ///
-/// ```
-/// use fulmarswitch_decide::balance::{EndpointView, choose};
-/// let free = EndpointView { name: "a", held: 0, near: true };
-/// let full = EndpointView { name: "b", held: 90, near: true };
-/// assert_eq!(choose(&[free, full], "prefix"), Some(0));
-/// ```
-#[must_use]
-pub fn choose(endpoints: &[EndpointView<'_>], prefix: &str) -> Option<usize> {
-    let total: usize = endpoints.iter().map(|endpoint| endpoint.held).sum();
-    let mean = total / endpoints.len().max(1);
-    let bound = mean * LOAD_BOUND_PERCENT / 100 + LOAD_SLACK;
-    let within = |endpoint: &EndpointView<'_>| endpoint.held <= bound;
-    endpoints
-        .iter()
-        .enumerate()
-        .max_by_key(|(_, endpoint)| (within(endpoint), weight(endpoint.name, prefix)))
-        .map(|(at, _)| at)
+/// Points are sorted by hash, and `starts[b]` is the first point whose hash falls into bucket `b` or later.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    specs: Vec<EndpointSpec>,
+    points: Vec<RingPoint>,
+    starts: Vec<u32>,
+    shift: u32,
+}
+
+impl EndpointTable {
+    /// Prepares a table; the endpoints are sorted by name.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::balance::{EndpointSpec, EndpointTable};
+    /// let spec = |name: &str| EndpointSpec { name: name.into(), near: true };
+    /// let table = EndpointTable::new(vec![spec("b"), spec("a")]);
+    /// assert_eq!(table.index_of("a").map(|index| index.0), Some(0));
+    /// ```
+    #[must_use]
+    pub fn new(mut specs: Vec<EndpointSpec>) -> Self {
+        specs.sort_by(|a, b| a.name.cmp(&b.name));
+        specs.dedup_by(|a, b| a.name == b.name);
+        let mut points: Vec<RingPoint> = (0..)
+            .zip(&specs)
+            .map(|(at, spec)| RingPoint {
+                hash: xxh3_64(spec.name.as_bytes()),
+                index: EndpointIndex(at),
+            })
+            .collect();
+        points.sort_by_key(|point| point.hash);
+        let buckets = specs.len().next_power_of_two().max(2);
+        let shift = u64::BITS - buckets.trailing_zeros();
+        let starts = bucket_starts(&points, buckets, shift);
+        Self {
+            specs,
+            points,
+            starts,
+            shift,
+        }
+    }
+
+    /// Returns the number of endpoints.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.specs.len()
+    }
+
+    /// Tells whether the service has no endpoint.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.specs.is_empty()
+    }
+
+    /// Returns the endpoints in order of their names.
+    #[must_use]
+    pub fn specs(&self) -> &[EndpointSpec] {
+        &self.specs
+    }
+
+    /// Returns the position of an endpoint.
+    #[must_use]
+    pub fn index_of(&self, name: &str) -> Option<EndpointIndex> {
+        let at = self
+            .specs
+            .binary_search_by(|spec| (*spec.name).cmp(name))
+            .ok()?;
+        u32::try_from(at).ok().map(EndpointIndex)
+    }
+
+    /// Chooses an endpoint, or `None` when all are excluded.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::balance::*;
+    /// use fulmarswitch_decide::load::LoadShare;
+    /// let spec = |name: &str| EndpointSpec { name: name.into(), near: true };
+    /// let table = EndpointTable::new(vec![spec("a"), spec("b")]);
+    /// // Only the first endpoint has room.
+    /// let look = |index: EndpointIndex| EndpointView {
+    ///     load: LoadShare { held: 90 * index.0, limit: 100 },
+    ///     standing: EndpointStanding::Ready,
+    /// };
+    /// let chosen = table.choose(RequestAffinity::of_prefix("p"), look);
+    /// assert_eq!(chosen, Some(EndpointIndex(0)));
+    /// ```
+    pub fn choose(
+        &self,
+        affinity: RequestAffinity,
+        look: impl Fn(EndpointIndex) -> EndpointView,
+    ) -> Option<EndpointIndex> {
+        let list = self.candidates(affinity.seed(), &look);
+        let best = list.iter().map(|candidate| candidate.view.standing).min();
+        match best {
+            Some(EndpointStanding::Ready) => {}
+            // The few that were looked at are not ready; another may be.
+            _ if self.len() > RANKED_LIMIT => return self.sweep(affinity.seed(), &look),
+            None | Some(EndpointStanding::Excluded) => return None,
+            Some(_) => {}
+        }
+        let mut list = list;
+        list.keep(|candidate| Some(candidate.view.standing) == best);
+        let kept = match affinity {
+            RequestAffinity::Prefix(_) => list.first_within_bound(),
+            RequestAffinity::Any(_) => None,
+        };
+        kept.or_else(|| self.cheapest(&list))
+    }
+
+    fn candidates(
+        &self,
+        seed: u64,
+        look: &impl Fn(EndpointIndex) -> EndpointView,
+    ) -> CandidateList {
+        let mut list = CandidateList::new();
+        if self.len() <= RANKED_LIMIT {
+            for point in &self.points {
+                list.offer(mix(point.hash ^ seed), point.index, look);
+            }
+        } else {
+            for probe in 0..PROBES {
+                let hash = mix(seed.wrapping_add(probe));
+                let point = self.next_point(hash);
+                list.offer(point.hash.wrapping_sub(hash), point.index, look);
+            }
+        }
+        list
+    }
+
+    /// Returns the first point at or after `hash`, around the end if need be.
+    fn next_point(&self, hash: u64) -> RingPoint {
+        let bucket = usize::try_from(hash >> self.shift).unwrap_or(0);
+        let start = self.starts[bucket] as usize;
+        self.points[start..]
+            .iter()
+            .find(|point| point.hash >= hash)
+            .copied()
+            .unwrap_or(self.points[0])
+    }
+
+    fn cheapest(&self, list: &CandidateList) -> Option<EndpointIndex> {
+        let cost = |candidate: &&Candidate| {
+            let far = !self.specs[candidate.index.at()].near;
+            let wait = candidate.view.load.part_of(FULL_ENDPOINT_US);
+            (wait + u64::from(far) * CROSS_DOMAIN_US, candidate.distance)
+        };
+        list.iter()
+            .min_by_key(cost)
+            .map(|candidate| candidate.index)
+    }
+
+    /// Looks at all endpoints from a place that the seed gives; stops at the first that is ready.
+    fn sweep(
+        &self,
+        seed: u64,
+        look: &impl Fn(EndpointIndex) -> EndpointView,
+    ) -> Option<EndpointIndex> {
+        let first = self.next_point(mix(seed)).index.at();
+        let mut best: Option<(EndpointStanding, EndpointIndex)> = None;
+        let places = (first..self.len()).chain(0..first);
+        for index in places.filter_map(|at| u32::try_from(at).ok().map(EndpointIndex)) {
+            let standing = look(index).standing;
+            if standing == EndpointStanding::Ready {
+                return Some(index);
+            }
+            if standing != EndpointStanding::Excluded
+                && best.is_none_or(|(known, _)| standing < known)
+            {
+                best = Some((standing, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+}
+
+impl CandidateList {
+    fn new() -> Self {
+        Self {
+            places: [None; RANKED_LIMIT],
+            len: 0,
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &Candidate> {
+        self.places[..self.len].iter().flatten()
+    }
+
+    /// Puts an endpoint into its place unless it stands there with a smaller distance.
+    fn offer(
+        &mut self,
+        distance: u64,
+        index: EndpointIndex,
+        look: &impl Fn(EndpointIndex) -> EndpointView,
+    ) {
+        let known = self.iter().position(|known| known.index == index);
+        let view = match known {
+            Some(at) => match self.places[at] {
+                Some(known) if known.distance > distance => {
+                    self.places.copy_within(at + 1..self.len, at);
+                    self.len -= 1;
+                    known.view
+                }
+                _ => return,
+            },
+            None => look(index),
+        };
+        let at = self
+            .iter()
+            .take_while(|known| known.distance <= distance)
+            .count();
+        self.places.copy_within(at..self.len, at + 1);
+        self.places[at] = Some(Candidate {
+            distance,
+            index,
+            view,
+        });
+        self.len += 1;
+    }
+
+    fn keep(&mut self, wanted: impl Fn(&Candidate) -> bool) {
+        let mut kept = 0;
+        for at in 0..self.len {
+            if self.places[at].as_ref().is_some_and(&wanted) {
+                self.places[kept] = self.places[at];
+                kept += 1;
+            }
+        }
+        self.len = kept;
+    }
+
+    /// Returns the endpoint that the prefix prefers of those that hold no more than their fair share.
+    fn first_within_bound(&self) -> Option<EndpointIndex> {
+        let held: u64 = self.iter().map(|c| u64::from(c.view.load.held)).sum();
+        let limit: u64 = self.iter().map(|c| u64::from(c.view.load.limit)).sum();
+        let within = |candidate: &&Candidate| {
+            let load = candidate.view.load;
+            let share = held * u64::from(load.limit) / limit.max(1);
+            u64::from(load.held) <= share * LOAD_BOUND_PERCENT / 100 + LOAD_SLACK
+        };
+        self.iter().find(within).map(|candidate| candidate.index)
+    }
+}
+
+fn bucket_starts(points: &[RingPoint], buckets: usize, shift: u32) -> Vec<u32> {
+    let mut starts = Vec::with_capacity(buckets);
+    let mut at = 0;
+    for bucket in (0..).take(buckets) {
+        while points
+            .get(at as usize)
+            .is_some_and(|point| point.hash >> shift < bucket)
+        {
+            at += 1;
+        }
+        starts.push(at);
+    }
+    starts
+}
+
+/// Spreads a number over all 64 bits.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
 }
--- /dev/null
+++ b/crates/decide/src/detector/configuring.rs
@@ -0,0 +1,230 @@
+//! Period and timeout that both follow the measured delays.
+//!
+//! After Sá and Macêdo, "`QoS` Self-configuring Failure Detectors for Distributed Systems" (DAIS 2010): a
+//! margin on the timeout grows while the detector makes more mistakes than it may, and a proportional and
+//! integral controller sets the period so that heartbeats use a given part of the resources. Two points
+//! differ. The part in use is the larger of that estimated from delays and that of the byte budget. And
+//! the estimate from delays uses the filtered delay without the greatest jitter: with it, as printed, the
+//! estimate never falls below one.
+
+use super::{AnswerTime, BeatIndex, BeatWindow, DetectorChange, HostDetector};
+use std::time::Duration;
+
+/// Overshoot that the controller's poles are placed for.
+const OVERSHOOT: f64 = 0.1;
+
+/// Settings of a [`SelfConfiguringDetector`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ConfiguringSettings {
+    /// Most time from a loss to suspicion.
+    pub detection_limit: Duration,
+    /// Most mean time of a mistake.
+    pub mistake_limit: Duration,
+    /// Least mean time between mistakes.
+    pub recurrence_floor: Duration,
+    /// Part of the resources that heartbeats may use, between zero and one.
+    pub consumption: f64,
+    /// Least time between heartbeats: at this period they use all of the byte budget.
+    pub budget_period: Duration,
+}
+
+/// Delays seen so far, in milliseconds; old ones are forgotten slowly.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct DelayRange {
+    least: f64,
+    most: f64,
+    filtered: f64,
+    known: bool,
+}
+
+impl DelayRange {
+    fn take(&mut self, delay: f64, detection_limit: f64) {
+        if !self.known {
+            *self = Self {
+                least: delay,
+                most: delay,
+                filtered: delay,
+                known: true,
+            };
+            return;
+        }
+        let keep = (detection_limit - self.least).max(0.0) / detection_limit;
+        let blend = |old: f64| keep * old + (1.0 - keep) * delay;
+        self.least = delay.min(blend(self.least));
+        self.most = delay.max(blend(self.most));
+        self.filtered = blend(self.filtered);
+    }
+
+    fn spread(&self) -> f64 {
+        self.most - self.least
+    }
+
+    /// Part of the environment's capacity that is in use, as far as delays show.
+    fn consumption(&self) -> f64 {
+        if self.spread() <= f64::EPSILON {
+            return 0.0;
+        }
+        (self.filtered - self.least) / self.spread()
+    }
+}
+
+/// Suspicions that turned out to be wrong, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct MistakeCount {
+    count: f64,
+    wrong_ms: f64,
+}
+
+impl MistakeCount {
+    /// Returns the share of time without a wrong suspicion.
+    fn availability(&self, passed_ms: f64) -> f64 {
+        if passed_ms <= 0.0 {
+            return 1.0;
+        }
+        1.0 - self.wrong_ms / passed_ms
+    }
+}
+
+/// Suspects a neighbour by a timeout that it sets itself, and sends at a period that it sets itself.
+#[derive(Clone, Debug)]
+pub struct SelfConfiguringDetector {
+    settings: ConfiguringSettings,
+    window: BeatWindow,
+    answer_time: AnswerTime,
+    delays: DelayRange,
+    mistakes: MistakeCount,
+    period_ms: f64,
+    margin_ms: f64,
+    integral_ms: f64,
+    /// When the newest answered heartbeat's answer left the neighbour, as far as can be told.
+    alive_at: Option<Duration>,
+    sent_at: Option<Duration>,
+    suspected_at: Option<Duration>,
+    started_at: Option<Duration>,
+}
+
+impl SelfConfiguringDetector {
+    /// Creates a detector.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::detector::{
+    ///     ConfiguringSettings, HostDetector, SelfConfiguringDetector,
+    /// };
+    /// use std::time::Duration;
+    /// let detector = SelfConfiguringDetector::new(ConfiguringSettings {
+    ///     detection_limit: Duration::from_millis(1_500),
+    ///     mistake_limit: Duration::from_millis(500),
+    ///     recurrence_floor: Duration::from_secs(86_400),
+    ///     consumption: 0.5,
+    ///     budget_period: Duration::from_millis(200),
+    /// });
+    /// assert_eq!(detector.period(), Duration::from_millis(200));
+    /// ```
+    #[must_use]
+    pub fn new(settings: ConfiguringSettings) -> Self {
+        Self {
+            settings,
+            window: BeatWindow::default(),
+            answer_time: AnswerTime::default(),
+            delays: DelayRange::default(),
+            mistakes: MistakeCount::default(),
+            period_ms: millis(settings.budget_period),
+            margin_ms: 0.0,
+            integral_ms: 0.0,
+            alive_at: None,
+            sent_at: None,
+            suspected_at: None,
+            started_at: None,
+        }
+    }
+
+    fn timeout(&self) -> Duration {
+        let room = millis(self.settings.detection_limit) - self.delays.least;
+        let margin = self.margin_ms.min(room).max(0.0);
+        self.answer_time.timeout() + Duration::from_secs_f64(margin / 1_000.0)
+    }
+
+    fn set_margin(&mut self, passed_ms: f64) {
+        let recurrence = millis(self.settings.recurrence_floor);
+        let wanted = (recurrence - millis(self.settings.mistake_limit)) / recurrence;
+        let error = wanted - self.mistakes.availability(passed_ms);
+        self.margin_ms = (self.margin_ms + self.period_ms * error).max(0.0);
+    }
+
+    fn set_period(&mut self, step_ms: f64) {
+        let floor = self.delays.least.max(millis(self.settings.budget_period));
+        let ceiling = (millis(self.settings.detection_limit) - self.delays.least).max(floor);
+        let range = ceiling - floor;
+        let by_bytes = millis(self.settings.budget_period) / self.period_ms;
+        let consumption = self.delays.consumption().max(by_bytes);
+        let error = self.settings.consumption - consumption;
+        let magnitude = (-4.0 / self.delays.most.max(1.0)).exp();
+        let angle = std::f64::consts::PI * magnitude.ln() / OVERSHOOT.ln();
+        let inverse_spread = 1.0 / self.delays.spread().max(1.0);
+        let proportional = (inverse_spread - magnitude * magnitude) * range;
+        let integral = (magnitude * magnitude - 2.0 * magnitude * angle.cos() + 1.0) * range;
+        // The integral is kept within the range, so that it turns round as soon as the error does.
+        self.integral_ms += error * integral * step_ms / 1_000.0;
+        self.integral_ms = self.integral_ms.clamp(-range, range);
+        // Spare resources shorten the period.
+        let wanted = self.period_ms - (self.integral_ms + proportional * error);
+        self.period_ms = wanted.clamp(floor, ceiling);
+    }
+}
+
+impl HostDetector for SelfConfiguringDetector {
+    fn sent(&mut self, now: Duration, beat: BeatIndex) {
+        self.window.send(now, beat);
+        let started = *self.started_at.get_or_insert(now);
+        let last_sent = self.sent_at.replace(now);
+        let (Some(alive), Some(last)) = (self.alive_at, last_sent) else {
+            return;
+        };
+        let step_ms = millis(now.saturating_sub(last));
+        let uncertain_ms = millis(now.saturating_sub(alive));
+        let delay = (uncertain_ms - step_ms).abs();
+        self.delays
+            .take(delay, millis(self.settings.detection_limit));
+        self.set_margin(millis(now.saturating_sub(started)));
+        self.set_period(step_ms);
+    }
+
+    fn answered(&mut self, now: Duration, beat: BeatIndex) -> Option<DetectorChange> {
+        let sent = self.window.answer(beat)?;
+        let answer = now.saturating_sub(sent);
+        self.answer_time.take(answer);
+        self.alive_at = Some(now.saturating_sub(answer / 2));
+        if let Some(suspected) = self.suspected_at.take() {
+            self.mistakes.count += 1.0;
+            self.mistakes.wrong_ms += millis(now.saturating_sub(suspected));
+        }
+        self.window.trust()
+    }
+
+    fn poll(&mut self, now: Duration) -> Option<DetectorChange> {
+        let oldest = self.window.oldest()?;
+        let overdue = self.answer_time.known && now.saturating_sub(oldest) >= self.timeout();
+        let change = self.window.suspect_if(overdue);
+        if change.is_some() {
+            self.suspected_at = Some(now);
+        }
+        change
+    }
+
+    fn restart(&mut self, _now: Duration) {
+        self.window.restart();
+        self.alive_at = None;
+    }
+
+    fn period(&self) -> Duration {
+        Duration::from_secs_f64(self.period_ms / 1_000.0)
+    }
+
+    fn is_suspected(&self) -> bool {
+        self.window.suspected
+    }
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,12 +12,20 @@
 //! - [`offers`]: which job a gate pulls from.
 //! - [`gate`]: what one endpoint is given, and when: online before batch.
 //! - [`balance`]: which endpoint a request goes to.
+//! - [`load`]: the load of an endpoint as seen by one chooser.
+//! - [`suspicion`]: which endpoints are suspected and trusted again.
+//! - [`retry`]: whether a request that failed is tried again.
+//! - [`detector`]: when a silent neighbour is suspected.
 
 pub mod balance;
 pub mod config;
+pub mod detector;
 pub mod gate;
 pub mod handout;
 pub mod hosts;
+pub mod load;
 pub mod offers;
 pub mod placement;
+pub mod retry;
 pub mod shard;
+pub mod suspicion;
--- /dev/null
+++ b/crates/decide/src/suspicion.rs
@@ -0,0 +1,333 @@
+//! Which endpoints of a service are suspected, and when they are trusted again.
+//!
+//! Each attempt at an endpoint gives signs: it was not reached, it broke off, its first token was early or
+//! late, its tokens follow fast or slowly. Late and slow are judged against what is typical of the service,
+//! which follows the median of all its endpoints. So one slow endpoint stands out, and when all are slow
+//! nothing does: that is overload, for which no endpoint is to blame.
+//!
+//! A suspected endpoint gets single requests as probes, at growing intervals, until it answers well.
+
+use crate::balance::EndpointIndex;
+use std::time::Duration;
+
+/// Times the typical from which a first token is late and a gap between tokens is long.
+const SLOW_FACTOR: u32 = 3;
+/// Strikes from which an endpoint is suspected.
+const STRIKE_LIMIT: u32 = 4;
+/// Strikes of an attempt that did not reach the endpoint or broke off.
+const HARD_STRIKES: u32 = 2;
+/// Strikes of an attempt whose first token is overdue.
+const OVERDUE_STRIKES: u32 = 2;
+/// Time over which an endpoint must have been slow; a pause of it gives many signs at one moment.
+const SLOW_SPAN: Duration = Duration::from_millis(400);
+/// Good signs in a row after which a suspected endpoint is trusted.
+const GOOD_NEEDED: u32 = 2;
+/// Time from suspicion to the first probe.
+const FIRST_PROBE: Duration = Duration::from_millis(500);
+/// Most time between probes.
+const PROBE_LIMIT: Duration = Duration::from_secs(8);
+/// Part of the service's endpoints that may be suspected of slowness at once.
+const SLOW_PART: usize = 3;
+/// Samples before which nothing is called late.
+const SAMPLES_NEEDED: u32 = 20;
+/// Least time that an attempt waits for its first token before it is overdue.
+const PATIENCE_FLOOR: Duration = Duration::from_millis(200);
+
+/// What an attempt tells of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptSign {
+    /// It could not be reached; no byte went out.
+    Unreached,
+    /// The answer broke off.
+    Broken,
+    /// No first token has come within [`ServiceHealth::patience`].
+    Overdue,
+    /// The first token came after this time.
+    FirstToken(Duration),
+    /// The mean time between some tokens that followed.
+    TokenGap(Duration),
+}
+
+/// A change of trust.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrustChange {
+    /// The endpoint is suspected from now on.
+    Suspected(EndpointIndex),
+    /// The endpoint is trusted again.
+    Trusted(EndpointIndex),
+}
+
+/// Whether an endpoint is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrustState {
+    Trusted,
+    Suspected {
+        slow: bool,
+        good: u32,
+        next_probe: Duration,
+        interval: Duration,
+    },
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct EndpointHealth {
+    state: TrustState,
+    strikes: u32,
+    /// When the first of the strikes came.
+    struck_at: Duration,
+}
+
+impl Default for EndpointHealth {
+    fn default() -> Self {
+        Self {
+            state: TrustState::Trusted,
+            strikes: 0,
+            struck_at: Duration::ZERO,
+        }
+    }
+}
+
+/// A time that half of the samples exceed, followed in steps of an eighth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct TypicalTime {
+    micros: u64,
+    samples: u32,
+}
+
+impl TypicalTime {
+    /// Takes a sample and tells whether it is far above the typical.
+    fn is_slow(&mut self, sample: Duration) -> bool {
+        let micros = u64::try_from(sample.as_micros()).unwrap_or(u64::MAX);
+        let known = self.samples >= SAMPLES_NEEDED;
+        let slow = known && micros > self.micros * u64::from(SLOW_FACTOR);
+        let step = self.micros / 8 + 1;
+        self.micros = if self.samples == 0 {
+            micros
+        } else if micros > self.micros {
+            self.micros + step
+        } else {
+            self.micros.saturating_sub(step)
+        };
+        self.samples = self.samples.saturating_add(1);
+        slow
+    }
+
+    fn time(self) -> Option<Duration> {
+        (self.samples >= SAMPLES_NEEDED).then(|| Duration::from_micros(self.micros))
+    }
+}
+
+/// Trust in the endpoints of one service.
+///
+/// At least one endpoint is trusted at any time, and of all at most a third, or one, is suspected of
+/// slowness.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServiceHealth {
+    endpoints: Vec<EndpointHealth>,
+    suspected: Vec<EndpointIndex>,
+    first_token: TypicalTime,
+    token_gap: TypicalTime,
+}
+
+impl ServiceHealth {
+    /// Creates the health of a service whose endpoints are all trusted.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::balance::EndpointIndex;
+    /// use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth};
+    /// use std::time::Duration;
+    /// let mut health = ServiceHealth::new(3);
+    /// let lost = EndpointIndex(1);
+    /// health.note(Duration::ZERO, lost, AttemptSign::Unreached);
+    /// health.note(Duration::ZERO, lost, AttemptSign::Unreached);
+    /// assert!(health.is_suspected(lost));
+    /// assert_eq!(health.take_probe(Duration::from_secs(1)), Some(lost));
+    /// ```
+    #[must_use]
+    pub fn new(endpoints: usize) -> Self {
+        Self {
+            endpoints: vec![EndpointHealth::default(); endpoints],
+            ..Self::default()
+        }
+    }
+
+    /// Returns the health after a change of configuration; `old_places` holds the place that each endpoint
+    /// had before.
+    #[must_use]
+    pub fn remapped(&self, old_places: &[Option<EndpointIndex>]) -> Self {
+        let old_health = |place: &Option<EndpointIndex>| {
+            place.map_or_else(EndpointHealth::default, |old| self.endpoints[old.at()])
+        };
+        let endpoints: Vec<EndpointHealth> = old_places.iter().map(old_health).collect();
+        let mut next = Self {
+            suspected: Vec::new(),
+            endpoints,
+            ..*self
+        };
+        for place in (0..).take(next.endpoints.len()).map(EndpointIndex) {
+            if next.is_suspected(place) {
+                next.suspected.push(place);
+            }
+        }
+        if next.suspected.len() == next.endpoints.len() {
+            // Those that were trusted have left the service.
+            next.endpoints.fill(EndpointHealth::default());
+            next.suspected.clear();
+        }
+        next
+    }
+
+    /// Tells whether an endpoint is suspected.
+    #[must_use]
+    pub fn is_suspected(&self, endpoint: EndpointIndex) -> bool {
+        self.endpoints
+            .get(endpoint.at())
+            .is_some_and(|health| health.state != TrustState::Trusted)
+    }
+
+    /// Returns the suspected endpoints.
+    #[must_use]
+    pub fn suspected(&self) -> &[EndpointIndex] {
+        &self.suspected
+    }
+
+    /// Returns how long an attempt waits for its first token before it is overdue, once that is known.
+    #[must_use]
+    pub fn patience(&self) -> Option<Duration> {
+        let typical = self.first_token.time()?;
+        Some((typical * SLOW_FACTOR).max(PATIENCE_FLOOR))
+    }
+
+    /// Returns the typical time to the first token, once it is known.
+    #[must_use]
+    pub fn typical_first_token(&self) -> Option<Duration> {
+        self.first_token.time()
+    }
+
+    /// Takes a sign of an endpoint; returns the change of trust that it brings.
+    ///
+    /// # Panics
+    /// In debug builds, when no endpoint is left that is trusted.
+    pub fn note(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointIndex,
+        sign: AttemptSign,
+    ) -> Option<TrustChange> {
+        let (strikes, hard) = match sign {
+            AttemptSign::Unreached | AttemptSign::Broken => (HARD_STRIKES, true),
+            AttemptSign::Overdue => (OVERDUE_STRIKES, false),
+            AttemptSign::FirstToken(time) => (u32::from(self.first_token.is_slow(time)), false),
+            AttemptSign::TokenGap(time) => (u32::from(self.token_gap.is_slow(time)), false),
+        };
+        let health = self.endpoints.get_mut(endpoint.at())?;
+        let change = match health.state {
+            TrustState::Trusted => self.judge_trusted(now, endpoint, strikes, hard),
+            TrustState::Suspected { .. } => self.judge_suspected(now, endpoint, strikes == 0),
+        };
+        debug_assert!(
+            self.suspected.len() < self.endpoints.len(),
+            "all {} endpoints are suspected",
+            self.endpoints.len()
+        );
+        change
+    }
+
+    /// Returns a suspected endpoint that is due for a probe; it is not returned again before its next one.
+    pub fn take_probe(&mut self, now: Duration) -> Option<EndpointIndex> {
+        let endpoints = &mut self.endpoints;
+        for place in &self.suspected {
+            if let TrustState::Suspected {
+                next_probe,
+                interval,
+                ..
+            } = &mut endpoints[place.at()].state
+                && *next_probe <= now
+            {
+                *interval = (*interval * 2).min(PROBE_LIMIT);
+                *next_probe = now + *interval;
+                return Some(*place);
+            }
+        }
+        None
+    }
+
+    fn judge_trusted(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointIndex,
+        strikes: u32,
+        hard: bool,
+    ) -> Option<TrustChange> {
+        let allowed = self.may_suspect(hard);
+        let health = &mut self.endpoints[endpoint.at()];
+        if strikes == 0 {
+            health.strikes = health.strikes.saturating_sub(1);
+            return None;
+        }
+        if health.strikes == 0 {
+            health.struck_at = now;
+        }
+        health.strikes = (health.strikes + strikes).min(2 * STRIKE_LIMIT);
+        let long_enough = hard || now.saturating_sub(health.struck_at) >= SLOW_SPAN;
+        if health.strikes < STRIKE_LIMIT || !long_enough || !allowed {
+            return None;
+        }
+        health.state = TrustState::Suspected {
+            slow: !hard,
+            good: 0,
+            next_probe: now + FIRST_PROBE,
+            interval: FIRST_PROBE,
+        };
+        self.suspected.push(endpoint);
+        Some(TrustChange::Suspected(endpoint))
+    }
+
+    fn judge_suspected(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointIndex,
+        is_good: bool,
+    ) -> Option<TrustChange> {
+        let health = &mut self.endpoints[endpoint.at()];
+        let TrustState::Suspected {
+            good, next_probe, ..
+        } = &mut health.state
+        else {
+            return None;
+        };
+        if !is_good {
+            *good = 0;
+            return None;
+        }
+        *good += 1;
+        // An endpoint that does well is probed again at once.
+        *next_probe = now;
+        if *good < GOOD_NEEDED {
+            return None;
+        }
+        *health = EndpointHealth {
+            strikes: STRIKE_LIMIT / 2,
+            struck_at: now,
+            ..EndpointHealth::default()
+        };
+        self.suspected.retain(|place| *place != endpoint);
+        Some(TrustChange::Trusted(endpoint))
+    }
+
+    fn may_suspect(&self, hard: bool) -> bool {
+        let len = self.endpoints.len();
+        if self.suspected.len() + 1 >= len {
+            return false;
+        }
+        let is_slow = |place: &&EndpointIndex| {
+            matches!(
+                self.endpoints[place.at()].state,
+                TrustState::Suspected { slow: true, .. }
+            )
+        };
+        let slow = self.suspected.iter().filter(is_slow).count();
+        hard || slow < (len / SLOW_PART).max(1)
+    }
+}
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -41,7 +41,7 @@
         tokio::spawn(Arc::clone(self).follow(call.into(), frames));
         let first = loop {
             match stream.recv().await {
-                Some(StreamFrame::Admitted | StreamFrame::Reset) => {}
+                Some(StreamFrame::Load(_) | StreamFrame::Admitted | StreamFrame::Reset) => {}
                 Some(StreamFrame::Refused(note)) => {
                     HostMetrics::count(&self.parts.metrics.requests, "refused");
                     return Err(EntryError::Online { note });
@@ -251,7 +251,7 @@
 
 fn event_of(frame: StreamFrame) -> Option<AnswerEvent> {
     match frame {
-        StreamFrame::Admitted | StreamFrame::NotOwner => None,
+        StreamFrame::Load(_) | StreamFrame::Admitted | StreamFrame::NotOwner => None,
         StreamFrame::Text(text) => Some(AnswerEvent::Text { text }),
         StreamFrame::Reset => Some(AnswerEvent::Reset),
         StreamFrame::Done { outcome, recorded } => Some(AnswerEvent::Done {
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -10,12 +10,11 @@
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
-use fulmarswitch_decide::balance::{EndpointView, choose};
 use fulmarswitch_decide::gate::GateSettings;
 use fulmarswitch_peer::message::{JobName, OfferList, RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{FrameStream, PeerReply, StreamFrame};
 use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
-use fulmarswitch_records::{HostIdentity, OnlineRequest, SortedIndex};
+use fulmarswitch_records::{HostIdentity, SortedIndex};
 use futures::StreamExt;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -24,8 +23,6 @@
 
 /// Time between looks at the configuration, and between polls of each gate.
 const GATE_PERIOD: Duration = Duration::from_millis(20);
-/// Bytes of an input that are taken for its prefix.
-const PREFIX_BYTES: usize = 64;
 /// Time to come back after a refusal of a gate that has moved.
 const MOVED_RETRY: Duration = Duration::from_millis(200);
 
@@ -36,8 +33,6 @@
     shards: Arc<ShardBooks>,
     units: Mutex<SortedIndex<Arc<str>, Arc<GateUnit>>>,
     offers: Mutex<SortedIndex<HostIdentity, OfferList>>,
-    /// Requests that this host has sent to each endpoint and that have not ended.
-    sent: Mutex<SortedIndex<Arc<str>, usize>>,
     attempts: AtomicU64,
     leaving: AtomicBool,
 }
@@ -52,7 +47,6 @@
             shards: Arc::clone(shards),
             units: Mutex::default(),
             offers: Mutex::default(),
-            sent: Mutex::default(),
             attempts: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -76,26 +70,6 @@
         (units.len(), held)
     }
 
-    /// Chooses an endpoint for a request.
-    #[must_use]
-    pub fn choose(&self, request: &OnlineRequest, excluded: &[Arc<str>]) -> Option<Arc<str>> {
-        let view = self.fleet.view();
-        let sent = lock(&self.sent);
-        let candidates: Vec<EndpointView<'_>> = view
-            .config
-            .endpoints()
-            .filter(|(_, endpoint)| endpoint.service == request.service && !endpoint.leaving)
-            .filter(|(name, _)| !excluded.iter().any(|excluded| **excluded == **name))
-            .map(|(name, endpoint)| EndpointView {
-                name,
-                held: sent.get(name).copied().unwrap_or(0),
-                near: endpoint.failure_domain == self.parts.settings.failure_domain,
-            })
-            .collect();
-        let at = choose(&candidates, prefix_of(&request.input))?;
-        Some(candidates[at].name.into())
-    }
-
     /// Runs a request on an endpoint whose gate is here.
     pub fn run(self: &Arc<Self>, request: RunRequest) -> FrameStream {
         let view = self.fleet.view();
@@ -199,13 +173,6 @@
     }
 }
 
-fn prefix_of(input: &str) -> &str {
-    let end = (0..=PREFIX_BYTES.min(input.len()))
-        .rev()
-        .find(|end| input.is_char_boundary(*end));
-    &input[..end.unwrap_or(0)]
-}
-
 fn refuse(reason: &str) -> FrameStream {
     let frame = refusal(reason, MOVED_RETRY);
     futures::stream::once(std::future::ready(frame)).boxed()
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -4,7 +4,7 @@
 use crate::parts::{HostParts, lock};
 use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
 use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
-use fulmarswitch_peer::message::{RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::message::{LoadNote, RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{FrameStream, StreamFrame};
 use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
 use fulmarswitch_records::{ItemOutcome, SortedIndex};
@@ -56,7 +56,9 @@
     Done,
     /// The endpoint reports a failure.
     Failed(Arc<str>),
-    /// No byte went out, or the endpoint refused without running.
+    /// No byte went out.
+    Unreached(Arc<str>),
+    /// The endpoint refused without running.
     NotRun(Arc<str>),
     /// The call broke off and may have run.
     Broken(Arc<str>),
@@ -113,6 +115,17 @@
         lock(&self.config).clone()
     }
 
+    /// Says what the endpoint holds, for those who choose endpoints.
+    fn load_note(&self, reached: bool) -> LoadNote {
+        let held = lock(&self.gate).held();
+        LoadNote {
+            held: u32::try_from(held).unwrap_or(u32::MAX),
+            limit: lock(&self.config).0.max_concurrent,
+            loaded: true,
+            reached,
+        }
+    }
+
     /// Returns how many batch items to pull now.
     pub(super) fn batch_room(&self) -> usize {
         let leaving = lock(&self.config).0.leaving;
@@ -205,6 +218,8 @@
         let wait = Duration::from_millis(request.left_ms);
         let mut held = self.enter(RequestClass::Online, wait, None);
         let mut first = held.orders.try_recv().ok();
+        // A stream that is gone shows itself in `closed` below.
+        let _ = frames.send(StreamFrame::Load(self.load_note(true)));
         if !matches!(first, Some(GateOrder::Refuse(_))) {
             // A stream that is gone shows itself in `closed` below.
             let _ = frames.send(StreamFrame::Admitted);
@@ -228,6 +243,9 @@
                     end = run => end,
                     () = frames.closed() => return,
                 };
+                if matches!(end, CallEnd::Unreached(_)) {
+                    let _ = frames.send(StreamFrame::Load(self.load_note(false)));
+                }
                 last_frame(end, text)
             }
             Some(GateOrder::Refuse(retry_after)) => {
@@ -303,9 +321,8 @@
 
 fn error_end(error: EndpointError) -> CallEnd {
     match error {
-        EndpointError::NotSent { cause } | EndpointError::Refused { cause, .. } => {
-            CallEnd::NotRun(cause)
-        }
+        EndpointError::NotSent { cause } => CallEnd::Unreached(cause),
+        EndpointError::Refused { cause, .. } => CallEnd::NotRun(cause),
         EndpointError::Broken { cause } => CallEnd::Broken(cause),
         EndpointError::Failed { cause } => CallEnd::Failed(cause),
     }
@@ -319,7 +336,7 @@
     match end {
         CallEnd::Done => done(ItemOutcome::Done { text: text.into() }),
         CallEnd::Failed(reason) => done(ItemOutcome::Failed { reason }),
-        CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
+        CallEnd::Unreached(cause) | CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
         CallEnd::Broken(cause) => StreamFrame::Refused(RefusalNote {
             reason: cause,
             ran: RunState::MayHaveRun,
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -1,5 +1,6 @@
 //! One host: all roles together, and the answers to other hosts.
 
+use crate::chooser::EndpointChooser;
 use crate::commit::RecordCommitter;
 use crate::entry::EntryRole;
 use crate::fleet::FleetBooks;
@@ -44,7 +45,8 @@
         let (fleet, committer) = FleetBooks::start(parts);
         let shards = ShardBooks::start(parts, &fleet, &committer);
         let gates = GateRole::new(parts, &fleet, &shards);
-        let keys = KeyOwner::new(parts, &fleet, &shards, &gates);
+        let chooser = EndpointChooser::new(parts, &fleet);
+        let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
         let entry = EntryRole::new(parts, &fleet, &shards, &keys, &jobs, &gates, &watcher);
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -7,6 +7,7 @@
 mod once;
 mod run;
 
+use crate::chooser::EndpointChooser;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
 use crate::parts::{HostParts, lock};
@@ -42,6 +43,7 @@
     fleet: Arc<FleetBooks>,
     shards: Arc<ShardBooks>,
     gates: Arc<GateRole>,
+    chooser: Arc<EndpointChooser>,
     runs: Mutex<SortedIndex<Arc<str>, Arc<KeyRun>>>,
     /// Keys that still run at the host that owned their shard before.
     elsewhere: Mutex<SortedIndex<Arc<str>, HostIdentity>>,
@@ -56,12 +58,14 @@
         fleet: &Arc<FleetBooks>,
         shards: &Arc<ShardBooks>,
         gates: &Arc<GateRole>,
+        chooser: &Arc<EndpointChooser>,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
             fleet: Arc::clone(fleet),
             shards: Arc::clone(shards),
             gates: Arc::clone(gates),
+            chooser: Arc::clone(chooser),
             runs: Mutex::default(),
             elsewhere: Mutex::default(),
             in_progress: watch::Sender::new(0),
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -6,6 +6,8 @@
     unknown_frame,
 };
 use crate::book::{AppendedRecord, BookError};
+use crate::chooser::SentAttempt;
+use fulmarswitch_decide::retry::RetryVerdict;
 use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
 use fulmarswitch_peer::message::{OutcomeNote, RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{
@@ -20,9 +22,7 @@
 use tokio::time::Instant;
 
 /// Endpoints that are asked before a request is refused.
-const MAX_REFUSALS: usize = 3;
-/// Attempts that may break off before a request is given up.
-const MAX_LOST: u32 = 3;
+const MAX_REFUSALS: u32 = 3;
 /// Pause before the new owner of a shard is asked again to record an outcome.
 const RECORD_PAUSE: Duration = Duration::from_millis(100);
 
@@ -86,59 +86,75 @@
             Acceptance::Open
         };
         let mut excluded = Vec::new();
-        let mut refusal = None;
-        let mut lost = u32::from(resumed);
-        while !run.left().is_zero() && lost <= MAX_LOST {
-            let Some(endpoint) = self.gates.choose(&run.request, &excluded) else {
+        let mut retry_after = RETRY_AFTER;
+        let mut refusals = 0;
+        let mut may_have_run = resumed;
+        while !run.left().is_zero() {
+            let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
                 break;
             };
-            match self.attempt(run, &endpoint, &mut acceptance).await {
+            match self.attempt(run, &mut sent, &mut acceptance).await {
                 AttemptEnd::Done(outcome) => return self.finish(run, acceptance, outcome).await,
                 AttemptEnd::Stop(frame) => return frame,
-                AttemptEnd::Refused(note) => refusal = Some(note),
+                AttemptEnd::Refused(note) => {
+                    refusals += 1;
+                    retry_after = Duration::from_millis(note.retry_after_ms);
+                    if refusals == MAX_REFUSALS {
+                        break;
+                    }
+                }
                 AttemptEnd::Lost => {
-                    lost += 1;
-                    self.parts.metrics.retries.inc();
+                    may_have_run = true;
                     run.reset();
+                    if let Some(wait) = self.wait_to_come_back(run) {
+                        retry_after = wait;
+                        break;
+                    }
+                    self.parts.metrics.retries.inc();
                 }
             }
-            excluded.push(endpoint);
-            if excluded.len() >= MAX_REFUSALS && matches!(acceptance, Acceptance::Open) {
-                break;
-            }
+            excluded.push(Arc::clone(&sent.endpoint));
         }
-        let retry_after = refusal.map_or(RETRY_AFTER, |note| {
-            Duration::from_millis(note.retry_after_ms)
-        });
         if matches!(acceptance, Acceptance::Open) {
             return not_run_frame("no endpoint of the service has room", retry_after);
         }
-        let outcome = if lost == 0 {
-            ItemOutcome::NotRun {
-                retry_after_ms: millis(retry_after),
-            }
-        } else {
+        let outcome = if may_have_run {
             ItemOutcome::Failed {
                 reason: "no endpoint answered in time; try again".into(),
             }
+        } else {
+            ItemOutcome::NotRun {
+                retry_after_ms: millis(retry_after),
+            }
         };
         self.finish(run, acceptance, outcome).await
     }
 
+    /// Decides on a request whose attempt broke off: returns nothing when it is tried again, and otherwise
+    /// when the caller may come back.
+    fn wait_to_come_back(&self, run: &KeyRun) -> Option<Duration> {
+        match self.chooser.judge_retry(&run.request, true, run.left()) {
+            RetryVerdict::Retry => None,
+            RetryVerdict::NoBudget { retry_after } => Some(retry_after),
+            RetryVerdict::TooLate | RetryVerdict::MayHaveRun => Some(RETRY_AFTER),
+        }
+    }
+
     /// Makes one attempt at an endpoint, through its gate.
     async fn attempt(
         &self,
         run: &Arc<KeyRun>,
-        endpoint: &Arc<str>,
+        sent: &mut SentAttempt,
         acceptance: &mut Acceptance,
     ) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, endpoint).await {
+        let mut frames = match self.open_attempt(run, sent).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
         let mut held = Vec::new();
         let mut patience = Instant::now() + LOG_PATIENCE;
         loop {
+            let overdue_at = sent.overdue_at();
             tokio::select! {
                 biased;
                 stop = settle(acceptance) => {
@@ -147,7 +163,8 @@
                     }
                     held.drain(..).for_each(|frame| run.push(frame));
                 }
-                frame = frames.next() => match frame {
+                frame = next_frame(&mut frames, sent) => match frame {
+                    Some(StreamFrame::Load(_)) => {}
                     Some(StreamFrame::Admitted) => {
                         if let Err(frame) = self.begin_acceptance(run, acceptance) {
                             return AttemptEnd::Stop(frame);
@@ -172,6 +189,7 @@
                         held.drain(..).for_each(|frame| run.push(frame));
                     }
                 }
+                () = wait_until(overdue_at) => sent.see_overdue(),
                 () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Lost,
             }
         }
@@ -208,8 +226,9 @@
     pub(super) async fn open_attempt(
         &self,
         run: &Arc<KeyRun>,
-        endpoint: &Arc<str>,
+        sent: &SentAttempt,
     ) -> Result<FrameStream, AttemptEnd> {
+        let endpoint = &sent.endpoint;
         let Some(target) = self.fleet.view().gate_of(endpoint) else {
             return Err(not_reached());
         };
@@ -231,8 +250,14 @@
             .await
         {
             Ok(frames) => Ok(frames),
-            Err(PeerError::NotReached { .. }) => Err(not_reached()),
-            Err(PeerError::NoAnswer { .. }) => Err(AttemptEnd::Lost),
+            Err(PeerError::NotReached { .. }) => {
+                sent.see_unreached();
+                Err(not_reached())
+            }
+            Err(PeerError::NoAnswer { .. }) => {
+                sent.see_broken();
+                Err(AttemptEnd::Lost)
+            }
         }
     }
 
@@ -371,6 +396,27 @@
     }
 }
 
+/// Waits for the next frame and lets the chooser learn from it.
+pub(super) async fn next_frame(
+    frames: &mut FrameStream,
+    sent: &mut SentAttempt,
+) -> Option<StreamFrame> {
+    let frame = frames.next().await;
+    match &frame {
+        Some(frame) => sent.see(frame),
+        None => sent.see_broken(),
+    }
+    frame
+}
+
+/// Waits until a time; never returns when there is none.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn not_reached() -> AttemptEnd {
     AttemptEnd::Refused(RefusalNote {
         reason: "the gate of the endpoint was not reached".into(),
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -3,15 +3,15 @@
 //! The announcement must stand on the log, as the first one and under this owner's epoch, before the
 //! first byte goes out. Whoever finds an announcement without an outcome never sends the call again.
 
-use super::attempt::AttemptEnd;
+use super::attempt::{AttemptEnd, next_frame};
 use super::run::KeyRun;
 use super::{KeyOwner, LOG_SILENCE, RETRY_AFTER, not_run_frame, unknown_frame};
+use crate::chooser::SentAttempt;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::StreamFrame;
 use fulmarswitch_peer::message::RunState;
 use fulmarswitch_records::record::KeyRunning;
 use fulmarswitch_records::{ItemOutcome, RecordBody};
-use futures::StreamExt;
 use std::sync::Arc;
 
 impl KeyOwner {
@@ -27,11 +27,11 @@
             retry_after_ms: super::millis(RETRY_AFTER),
         };
         while !run.left().is_zero() {
-            let Some(endpoint) = self.gates.choose(&run.request, &excluded) else {
+            let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
                 break;
             };
-            match self.attempt_once(run, &endpoint).await {
-                AttemptEnd::Refused(_) => excluded.push(endpoint),
+            match self.attempt_once(run, &mut sent).await {
+                AttemptEnd::Refused(_) => excluded.push(Arc::clone(&sent.endpoint)),
                 AttemptEnd::Done(done) => {
                     outcome = done;
                     break;
@@ -77,15 +77,16 @@
         }
     }
 
-    async fn attempt_once(&self, run: &Arc<KeyRun>, endpoint: &Arc<str>) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, endpoint).await {
+    async fn attempt_once(&self, run: &Arc<KeyRun>, sent: &mut SentAttempt) -> AttemptEnd {
+        let mut frames = match self.open_attempt(run, sent).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
         loop {
-            let frame = tokio::time::timeout_at(run.deadline, frames.next()).await;
+            let next = next_frame(&mut frames, sent);
+            let frame = tokio::time::timeout_at(run.deadline, next).await;
             match frame.ok().flatten() {
-                Some(StreamFrame::Admitted) => {}
+                Some(StreamFrame::Load(_) | StreamFrame::Admitted) => {}
                 Some(frame @ StreamFrame::Text(_)) => run.push(frame),
                 Some(StreamFrame::Done { outcome, .. }) => return AttemptEnd::Done(outcome),
                 Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`shards`]: which shards this host owns, and claims to them.
 //! - [`keys`] and [`jobs`]: the owner of idempotency keys and of batch jobs.
 //! - [`gates`]: everything that goes to an endpoint.
+//! - [`chooser`]: which endpoint a request goes to, and what is learnt of endpoints.
 //! - [`commit`]: group commit to the log.
 //! - [`watcher`]: joins, heartbeats and suspicion.
 //! - [`book`]: one stream of the log, replayed and written.
@@ -16,6 +17,7 @@
 //! - [`events`] and [`metrics`]: the time line and the counters.
 
 pub mod book;
+pub mod chooser;
 pub mod commit;
 pub mod entry;
 pub mod events;
--- a/crates/fulmarswitch/src/metrics.rs
+++ b/crates/fulmarswitch/src/metrics.rs
@@ -34,6 +34,8 @@
     pub preemptions: Counter,
     /// Attempts that were made again elsewhere.
     pub retries: Counter,
+    /// Endpoints that were suspected.
+    pub suspicions: Counter,
     /// Online requests in progress at this entry.
     pub online_in_progress: Gauge,
     registry: Arc<Mutex<Registry>>,
@@ -88,6 +90,11 @@
                 metrics.preemptions.clone(),
             );
             registry.register("retries", "Attempts made again", metrics.retries.clone());
+            registry.register(
+                "suspicions",
+                "Endpoints suspected",
+                metrics.suspicions.clone(),
+            );
             registry.register(
                 "online_in_progress",
                 "Online requests in progress",
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -296,9 +296,24 @@
     pub left_ms: u64,
 }
 
+/// What a gate says of its endpoint, with each answer to a request to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNote {
+    /// Requests that wait or run.
+    pub held: u32,
+    /// Requests that the endpoint may hold within its promises.
+    pub limit: u32,
+    /// Whether the endpoint has loaded the service's model.
+    pub loaded: bool,
+    /// Whether the endpoint could be reached.
+    pub reached: bool,
+}
+
 /// One frame of a stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StreamFrame {
+    /// The load of the endpoint; it may come at any time.
+    Load(LoadNote),
     /// The gate has taken the request; it waits for room or runs.
     Admitted,
     /// Some of the answer.
