Keep sorted indexes in blocks

Cause: replaying a shard took 25 us a key at 400,000 keys. The index kept new entries in one sorted vector of up to 1/64 of the whole, so that each insertion moved some hundred kilobytes. Ruled out: hashing and decoding (a job item, which needs no index entry, replays in 0.08 us). Change: the index is a vector of sorted blocks of at most 128 entries; an insertion moves part of one block, and iteration is in key order. Compared with the standard ordered map by a property test.

--- /dev/null
+++ b/crates/records/tests/index.rs
@@ -0,0 +1,60 @@
+//! The sorted index against the standard library's ordered map.
+
+use fulmarswitch_records::SortedIndex;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+/// One operation on a map.
+#[derive(Clone, Debug)]
+enum MapStep {
+    Insert(u16, u32),
+    Remove(u16),
+    KeepBelow(u16),
+}
+
+fn steps() -> impl Strategy<Value = Vec<MapStep>> {
+    let key = 0_u16..2_000;
+    let step = prop_oneof![
+        20 => (key.clone(), any::<u32>()).prop_map(|(key, value)| MapStep::Insert(key, value)),
+        5 => key.clone().prop_map(MapStep::Remove),
+        1 => (1_000_u16..2_000).prop_map(MapStep::KeepBelow),
+    ];
+    proptest::collection::vec(step, 0..3_000)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn behaves_like_an_ordered_map(steps in steps()) {
+        let mut index = SortedIndex::new();
+        let mut model = BTreeMap::new();
+        for step in steps {
+            match step {
+                MapStep::Insert(key, value) => {
+                    prop_assert_eq!(index.insert(key, value), model.insert(key, value));
+                }
+                MapStep::Remove(key) => prop_assert_eq!(index.remove(&key), model.remove(&key)),
+                MapStep::KeepBelow(limit) => {
+                    index.retain(|key, _| *key < limit);
+                    model.retain(|key, _| *key < limit);
+                }
+            }
+            prop_assert_eq!(index.len(), model.len());
+        }
+        prop_assert!(index.iter().eq(model.iter()));
+        for key in 0..2_000 {
+            prop_assert_eq!(index.get(&key), model.get(&key));
+        }
+    }
+}
+
+#[test]
+fn keys_in_order_fill_whole_blocks() {
+    let mut index = SortedIndex::new();
+    for key in 0..10_000 {
+        index.insert(key, ());
+    }
+    assert!(index.iter().map(|(key, ())| *key).eq(0..10_000));
+}
--- /dev/null
+++ b/crates/slopes/src/fit.rs
@@ -0,0 +1,133 @@
+//! A straight line through measured points, and the table of all slopes.
+
+use std::fmt::Write as _;
+use std::path::Path;
+use std::{fs, io};
+
+/// One measured point.
+#[derive(Clone, Copy, Debug)]
+pub struct SlopePoint {
+    /// The size.
+    pub size: f64,
+    /// The cost at that size.
+    pub cost: f64,
+}
+
+/// A line `cost = fixed + slope * size`, fitted by least squares.
+#[derive(Clone, Copy, Debug)]
+pub struct LineFit {
+    /// Cost at size zero.
+    pub fixed: f64,
+    /// Cost of one more.
+    pub slope: f64,
+    /// Share of the points' variance that the line explains.
+    pub explained: f64,
+}
+
+impl LineFit {
+    /// Fits a line through at least two points.
+    #[must_use]
+    pub fn through(points: &[SlopePoint]) -> Self {
+        let count = points.iter().map(|_| 1.0).sum::<f64>();
+        let mean = |value: fn(&SlopePoint) -> f64| points.iter().map(value).sum::<f64>() / count;
+        let (mean_size, mean_cost) = (mean(|p| p.size), mean(|p| p.cost));
+        let sum = |value: &dyn Fn(&SlopePoint) -> f64| points.iter().map(value).sum::<f64>();
+        let spread = sum(&|p| (p.size - mean_size).powi(2));
+        let together = sum(&|p| (p.size - mean_size) * (p.cost - mean_cost));
+        let slope = if spread > 0.0 { together / spread } else { 0.0 };
+        let fixed = mean_cost - slope * mean_size;
+        let total = sum(&|p| (p.cost - mean_cost).powi(2));
+        let missed = sum(&|p| (p.cost - fixed - slope * p.size).powi(2));
+        let explained = if total > 0.0 {
+            1.0 - missed / total
+        } else {
+            1.0
+        };
+        Self {
+            fixed,
+            slope,
+            explained,
+        }
+    }
+}
+
+/// All slopes measured in one run.
+#[derive(Debug, Default)]
+pub struct SlopeTable {
+    only: String,
+    rows: String,
+    count: usize,
+}
+
+impl SlopeTable {
+    /// Creates a table of the slopes whose name contains `only`.
+    #[must_use]
+    pub fn new(only: &str) -> Self {
+        Self {
+            only: only.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Measures one slope: `measure` gives the cost at each of the sizes.
+    pub fn add(
+        &mut self,
+        name: &str,
+        unit: &str,
+        sizes: &[usize],
+        mut measure: impl FnMut(usize) -> f64,
+    ) {
+        if !name.contains(&self.only) {
+            return;
+        }
+        let points: Vec<SlopePoint> = sizes
+            .iter()
+            .map(|size| SlopePoint {
+                size: as_float(*size),
+                cost: measure(*size),
+            })
+            .collect();
+        let fit = LineFit::through(&points);
+        println!(
+            "{name}: {:.4} {unit} each + {:.4} fixed ({:.1}% explained)",
+            fit.slope,
+            fit.fixed,
+            fit.explained * 100.0
+        );
+        for point in &points {
+            // Writing to a string cannot fail.
+            let _ = writeln!(
+                self.rows,
+                "{name},{unit},{},{:.4},{:.6},{:.4},{:.4}",
+                point.size, point.cost, fit.slope, fit.fixed, fit.explained
+            );
+        }
+        self.count += 1;
+    }
+
+    /// Returns the number of slopes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Writes all points and fits as CSV.
+    ///
+    /// # Errors
+    /// When the file cannot be written.
+    pub fn write(&self, path: &Path) -> io::Result<()> {
+        if let Some(folder) = path.parent() {
+            fs::create_dir_all(folder)?;
+        }
+        fs::write(
+            path,
+            format!("slope,unit,size,cost,each,fixed,explained\n{}", self.rows),
+        )
+    }
+}
+
+/// Converts a size for the fit.
+#[must_use]
+pub fn as_float(size: usize) -> f64 {
+    f64::from(u32::try_from(size).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/slopes/src/state.rs
@@ -0,0 +1,294 @@
+//! Memory and time of the replayed state, by keys, items, hosts and configuration records.
+
+use crate::ALLOCATOR;
+use crate::fit::{SlopeTable, as_float};
+use fulmarswitch_decide::config::ConfigTable;
+use fulmarswitch_decide::hosts::HostTable;
+use fulmarswitch_decide::shard::ShardState;
+use fulmarswitch_decide::shard::jobs::{chunk_digest, job_digest};
+use fulmarswitch_records::record::{
+    HostJoin, ItemOutcomes, JobChunk, JobSeal, KeyOutcome, ShardClaim,
+};
+use fulmarswitch_records::{
+    ConfigChange, Epoch, HostIdentity, ItemOutcome, JobHeader, LogRecord, Offset, OnlineRequest,
+    RecordBody, RecordId, RecordPlace, ShardIndex,
+};
+use stats_alloc::Region;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Numbers of keys and items.
+const ITEM_SIZES: [usize; 4] = [1_000, 10_000, 100_000, 400_000];
+/// Numbers of hosts.
+const HOST_SIZES: [usize; 4] = [10, 100, 1_000, 2_300];
+/// Numbers of configuration records.
+const RECORD_SIZES: [usize; 4] = [100, 1_000, 10_000, 20_000];
+/// Items of a job in one record.
+const CHUNK_ITEMS: usize = 256;
+/// Outcomes of a job in one record.
+const OUTCOME_ITEMS: usize = 16;
+
+/// Measures all slopes of the state.
+pub fn measure(table: &mut SlopeTable) {
+    let completed = |count| key_records(count, true);
+    table.add("memory a key with outcome", "bytes", &ITEM_SIZES, |count| {
+        shard_bytes(&completed(count))
+    });
+    table.add(
+        "replay a key with outcome",
+        "microseconds",
+        &ITEM_SIZES,
+        |count| shard_micros(&completed(count)),
+    );
+    table.add("memory an open job item", "bytes", &ITEM_SIZES, |count| {
+        shard_bytes(&job_records(count, false))
+    });
+    table.add(
+        "memory a completed job item",
+        "bytes",
+        &ITEM_SIZES,
+        |count| shard_bytes(&job_records(count, true)),
+    );
+    table.add(
+        "replay a completed job item",
+        "microseconds",
+        &ITEM_SIZES,
+        |count| shard_micros(&job_records(count, true)),
+    );
+    table.add("memory a host", "bytes", &HOST_SIZES, |count| {
+        held_bytes(|| {
+            let mut hosts = HostTable::new();
+            (0..count).for_each(|at| {
+                hosts.apply(place(at), &record(at, join(at)));
+            });
+            hosts
+        })
+    });
+    table.add(
+        "memory a workspace record",
+        "bytes",
+        &RECORD_SIZES,
+        |count| held_bytes(|| config_of(count, workspace)),
+    );
+    table.add(
+        "memory an endpoint record",
+        "bytes",
+        &RECORD_SIZES,
+        |count| held_bytes(|| config_of(count, endpoint)),
+    );
+    table.add(
+        "replay a configuration record",
+        "microseconds",
+        &RECORD_SIZES,
+        |count| micros(|| config_of(count, endpoint)),
+    );
+    table.add(
+        "copy of the configuration for a change",
+        "microseconds",
+        &RECORD_SIZES,
+        |count| {
+            let config = config_of(count, endpoint);
+            micros(|| config.clone())
+        },
+    );
+}
+
+fn shard_bytes(records: &[LogRecord]) -> f64 {
+    held_bytes(|| replay(records))
+}
+
+fn shard_micros(records: &[LogRecord]) -> f64 {
+    micros(|| replay(records))
+}
+
+/// Returns the bytes that what `make` returns holds.
+fn held_bytes<T>(make: impl FnOnce() -> T) -> f64 {
+    let region = Region::new(ALLOCATOR);
+    let result = black_box(make());
+    let change = region.change();
+    drop(result);
+    as_float(
+        change
+            .bytes_allocated
+            .saturating_sub(change.bytes_deallocated),
+    )
+}
+
+/// Returns the microseconds that `make` takes, the shortest of three runs.
+fn micros<T>(make: impl Fn() -> T) -> f64 {
+    let run = || {
+        let started = Instant::now();
+        let result = black_box(make());
+        let taken = started.elapsed().as_secs_f64() * 1e6;
+        drop(result);
+        taken
+    };
+    (0..3).map(|_| run()).fold(f64::INFINITY, f64::min)
+}
+
+fn replay(records: &[LogRecord]) -> ShardState {
+    let mut state = ShardState::new(ShardIndex(0));
+    for (at, record) in records.iter().enumerate() {
+        state.apply(place(at), 0, record);
+    }
+    state
+}
+
+fn place(at: usize) -> RecordPlace {
+    RecordPlace {
+        offset: Offset(at as u64),
+        position: 0,
+    }
+}
+
+fn writer() -> HostIdentity {
+    HostIdentity {
+        name: "host-0001".into(),
+        incarnation: 1,
+    }
+}
+
+fn record(at: usize, body: RecordBody) -> LogRecord {
+    let id = RecordId {
+        writer: writer(),
+        sequence: at as u64,
+    };
+    LogRecord {
+        id,
+        shard: ShardIndex(0),
+        epoch: Epoch(1),
+        stamp: 0,
+        body,
+    }
+}
+
+fn key_records(count: usize, completed: bool) -> Vec<LogRecord> {
+    let mut records = vec![record(0, RecordBody::Claim(ShardClaim { owner: writer() }))];
+    for at in 0..count {
+        let request = request(at);
+        let key = request.full_key();
+        records.push(record(at, RecordBody::Accept(request)));
+        if completed {
+            let outcome = ItemOutcome::Done {
+                text: "an answer".into(),
+            };
+            records.push(record(at, RecordBody::Outcome(KeyOutcome { key, outcome })));
+        }
+    }
+    records
+}
+
+fn request(at: usize) -> OnlineRequest {
+    OnlineRequest {
+        // Keys come in no order, as from many callers.
+        key: format!("{:016x}", at.wrapping_mul(0x9e37_79b9_7f4a_7c15)).into(),
+        workspace: "workspace-0001".into(),
+        service: "diagassist".into(),
+        input: "a reading".into(),
+        max_tokens: 128,
+        deadline_ms: 30_000,
+        idempotent: true,
+    }
+}
+
+fn job_records(count: usize, completed: bool) -> Vec<LogRecord> {
+    let header = JobHeader {
+        job: "job-0001".into(),
+        workspace: "workspace-0001".into(),
+        service: "diagassist".into(),
+        due_ms: 0,
+        max_tokens: 128,
+        idempotent: true,
+    };
+    let job = header.full_name();
+    let mut records = vec![record(0, RecordBody::Claim(ShardClaim { owner: writer() }))];
+    let mut digests = Vec::new();
+    for first in (0..count).step_by(CHUNK_ITEMS) {
+        let inputs: Vec<Arc<str>> = (first..count.min(first + CHUNK_ITEMS))
+            .map(|at| format!("item {at}").into())
+            .collect();
+        digests.push(chunk_digest(&inputs));
+        let chunk = JobChunk {
+            job: Arc::clone(&job),
+            first: index(first),
+            inputs,
+        };
+        records.push(record(first, RecordBody::JobChunk(chunk)));
+    }
+    let digest = job_digest(digests.into_iter());
+    records.push(record(
+        count,
+        RecordBody::JobSeal(JobSeal {
+            header,
+            total: index(count),
+            digest,
+        }),
+    ));
+    if completed {
+        for first in (0..count).step_by(OUTCOME_ITEMS) {
+            let outcomes = (first..count.min(first + OUTCOME_ITEMS))
+                .map(|at| {
+                    (
+                        index(at),
+                        ItemOutcome::Done {
+                            text: "an answer".into(),
+                        },
+                    )
+                })
+                .collect();
+            let outcomes = ItemOutcomes {
+                job: Arc::clone(&job),
+                outcomes,
+            };
+            records.push(record(first, RecordBody::ItemOutcomes(outcomes)));
+        }
+    }
+    records
+}
+
+fn index(at: usize) -> u32 {
+    u32::try_from(at).unwrap_or(u32::MAX)
+}
+
+fn join(at: usize) -> RecordBody {
+    RecordBody::HostJoin(HostJoin {
+        host: HostIdentity {
+            name: format!("host-{at:04}").into(),
+            incarnation: 1,
+        },
+        failure_domain: format!("domain-{:02}", at % 28).into(),
+        caller_address: "192.0.2.1:7001".into(),
+        message_address: "192.0.2.1:7002".into(),
+        stream_address: "192.0.2.1:7003".into(),
+        shards: 64,
+        groups: 4,
+    })
+}
+
+fn workspace(at: usize) -> (String, &'static str) {
+    (
+        format!("workspace/workspace-{at:05}"),
+        r#"{"max_online":64,"batch_weight":2}"#,
+    )
+}
+
+fn endpoint(at: usize) -> (String, &'static str) {
+    let body = r#"{"service":"diagassist","address":"192.0.2.1:8000","failure_domain":"d1"}"#;
+    (format!("endpoint/endpoint-{at:05}"), body)
+}
+
+fn config_of(count: usize, make: fn(usize) -> (String, &'static str)) -> ConfigTable {
+    let mut config = ConfigTable::new();
+    for at in 0..count {
+        let (name, body) = make(at);
+        let change = ConfigChange {
+            name: name.into(),
+            base_version: 0,
+            schema: 1,
+            body: body.into(),
+        };
+        config.apply(place(at), &record(at, RecordBody::Config(change)));
+    }
+    config
+}
