Watch neighbours through a detector, and let reports of silence grow old

Cause: (1) a report that a neighbour is silent counted until the host joined again, so two wrong reports hours apart took a live host to be lost and moved its shards. (3) The loop of heartbeats waited for the record of a rejoin, so in an outage of the log a host that was taken to be lost stopped watching others.

Ruled out: a record that takes a report back (an append for each mistake, and it may come late); a report by time of the reporting host (clocks take no part).

Change: reports count for 3 s on the log's clock and are renewed every 1.5 s while the silence lasts; one report a neighbour waits for the log at a time. The ring of neighbours is worked out anew only when the hosts change. Rejoining is a task of its own.

--- a/crates/decide/src/hosts.rs
+++ b/crates/decide/src/hosts.rs
@@ -1,7 +1,7 @@
 //! The hosts that take part, replayed from the `hosts` stream.
 //!
-//! A host is live from its join until it leaves or two neighbours report it silent; one is enough where
-//! only two hosts are live. A host that was taken to be lost and is not joins again. A join of a higher
+//! A host is live from its join until it leaves or two neighbours report it silent within a few seconds of
+//! each other on the log's clock; one is enough where only two hosts are live. A host that was taken to be lost and is not joins again. A join of a higher
 //! incarnation replaces the older run. The order on the stream decides, so all hosts come to the same
 //! list; how far each has read is the only difference.
 
@@ -11,6 +11,9 @@
 
 /// Neighbours that must report a host silent before it is taken to be lost.
 const REPORTERS_NEEDED: usize = 2;
+/// Time for which a report of silence counts, on the log's clock, in milliseconds. A neighbour that goes on
+/// hearing nothing reports again before that.
+pub const REPORT_TTL_MS: u64 = 3_000;
 
 /// Where a host stands between joining and being gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +33,17 @@
     pub join: HostJoin,
     /// Where the host stands.
     pub phase: HostPhase,
-    /// Neighbours that have reported the host silent since it joined last.
-    pub reporters: Vec<Arc<str>>,
+    /// Reports that the host is silent, of which the old ones no longer count.
+    pub reports: Vec<SilenceReport>,
+}
+
+/// A neighbour's report that a host is silent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilenceReport {
+    /// Name of the neighbour.
+    pub reporter: Arc<str>,
+    /// When the report came to stand, on the log's clock.
+    pub at_ms: u64,
 }
 
 /// Current giver of orders to an endpoint.
@@ -63,12 +75,13 @@
         Self::default()
     }
 
-    /// Applies one record and tells whether it changed the table.
-    pub fn apply(&mut self, place: RecordPlace, record: &LogRecord) -> bool {
+    /// Applies the record that stands at `place` since `at_ms` on the log's clock, and tells whether it
+    /// changed the table.
+    pub fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> bool {
         let changed = match &record.body {
             RecordBody::HostJoin(join) => self.join(join),
             RecordBody::HostLeave(host) => self.set_phase(host, HostPhase::Leaving),
-            RecordBody::HostDown(suspicion) => self.suspect(suspicion),
+            RecordBody::HostDown(suspicion) => self.suspect(suspicion, at_ms),
             RecordBody::GateClaim(claim) => self.claim_gate(place, claim),
             _ => false,
         };
@@ -123,13 +136,13 @@
         let entry = HostEntry {
             join: join.clone(),
             phase: HostPhase::Live,
-            reporters: Vec::new(),
+            reports: Vec::new(),
         };
         self.hosts.insert(join.host.name.clone(), entry);
         true
     }
 
-    fn suspect(&mut self, suspicion: &HostSuspicion) -> bool {
+    fn suspect(&mut self, suspicion: &HostSuspicion, at_ms: u64) -> bool {
         let needed = if self.live().count() <= 2 {
             1
         } else {
@@ -138,11 +151,18 @@
         let Some(entry) = self.hosts.get_mut(&suspicion.host.name) else {
             return false;
         };
-        if entry.join.host != suspicion.host || entry.reporters.contains(&suspicion.reporter) {
+        if entry.join.host != suspicion.host {
             return false;
         }
-        entry.reporters.push(suspicion.reporter.clone());
-        entry.reporters.len() >= needed && self.set_phase(&suspicion.host, HostPhase::Down)
+        entry.reports.retain(|report| {
+            let counts = at_ms.saturating_sub(report.at_ms) < REPORT_TTL_MS;
+            counts && report.reporter != suspicion.reporter
+        });
+        entry.reports.push(SilenceReport {
+            reporter: suspicion.reporter.clone(),
+            at_ms,
+        });
+        entry.reports.len() >= needed && self.set_phase(&suspicion.host, HostPhase::Down)
     }
 
     fn set_phase(&mut self, host: &HostIdentity, phase: HostPhase) -> bool {
--- /dev/null
+++ b/crates/decide/tests/detector.rs
@@ -0,0 +1,130 @@
+//! Failure detectors of hosts on short scripts of heartbeats.
+
+use fulmarswitch_decide::detector::{
+    AdaptiveDetector, AdaptiveSettings, BeatIndex, ConfiguringSettings, DetectorChange,
+    FixedDetector, HostDetector, SelfConfiguringDetector,
+};
+use rstest::rstest;
+use std::time::Duration;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn fixed() -> Box<dyn HostDetector> {
+    Box::new(FixedDetector::new(ms(400), ms(1_400)))
+}
+
+fn adaptive() -> Box<dyn HostDetector> {
+    Box::new(AdaptiveDetector::new(AdaptiveSettings {
+        period: ms(400),
+        floor: ms(350),
+        ceiling: ms(1_500),
+        losses: 2,
+    }))
+}
+
+fn configuring() -> Box<dyn HostDetector> {
+    Box::new(SelfConfiguringDetector::new(ConfiguringSettings {
+        detection_limit: ms(1_500),
+        mistake_limit: ms(500),
+        recurrence_floor: Duration::from_hours(24),
+        consumption: 0.5,
+        budget_period: ms(200),
+    }))
+}
+
+/// Sends heartbeats for `count` periods; all are answered after `delay` but those from `silent_from` on.
+/// Returns when the last answered heartbeat was sent and when the neighbour was suspected.
+fn run(
+    detector: &mut dyn HostDetector,
+    count: u64,
+    silent_from: u64,
+    delay: Duration,
+) -> (u64, Vec<u64>) {
+    let mut suspected = Vec::new();
+    let mut alive = 0;
+    let mut answers: Vec<(Duration, BeatIndex)> = Vec::new();
+    let mut next_send = Duration::ZERO;
+    let mut beat = 0;
+    for tick in 0..count * 40 {
+        let now = ms(tick * 10);
+        while answers.first().is_some_and(|(at, _)| *at <= now) {
+            let (at, answered) = answers.remove(0);
+            detector.answered(at, answered);
+        }
+        if detector.poll(now) == Some(DetectorChange::Suspect) {
+            suspected.push(tick * 10);
+        }
+        if now >= next_send {
+            detector.sent(now, BeatIndex(beat));
+            if beat < silent_from {
+                answers.push((now + delay, BeatIndex(beat)));
+                alive = tick * 10;
+            }
+            next_send = now + detector.period();
+            beat += 1;
+        }
+    }
+    (alive, suspected)
+}
+
+#[rstest]
+#[case::fixed(fixed())]
+#[case::adaptive(adaptive())]
+#[case::configuring(configuring())]
+fn a_neighbour_that_answers_is_trusted(#[case] mut detector: Box<dyn HostDetector>) {
+    let (_, suspected) = run(&mut *detector, 500, u64::MAX, ms(3));
+    assert_eq!(suspected, Vec::<u64>::new());
+}
+
+#[rstest]
+#[case::fixed(fixed())]
+#[case::adaptive(adaptive())]
+fn a_slow_answer_is_an_answer(#[case] mut detector: Box<dyn HostDetector>) {
+    let (_, suspected) = run(&mut *detector, 500, u64::MAX, ms(300));
+    assert_eq!(suspected, Vec::<u64>::new());
+}
+
+#[rstest]
+#[case::fixed(fixed(), 1_410)]
+#[case::adaptive(adaptive(), 1_560)]
+#[case::configuring(configuring(), 1_510)]
+fn a_lost_neighbour_is_suspected_once(
+    #[case] mut detector: Box<dyn HostDetector>,
+    #[case] within_ms: u64,
+) {
+    let (alive, suspected) = run(&mut *detector, 100, 20, ms(3));
+    assert_eq!(suspected.len(), 1, "{suspected:?}");
+    assert!(detector.is_suspected());
+    let passed = suspected[0] - alive;
+    assert!(passed <= within_ms, "suspected after {passed} ms");
+}
+
+#[rstest]
+#[case::fixed(fixed())]
+#[case::adaptive(adaptive())]
+#[case::configuring(configuring())]
+fn an_answer_brings_trust_back(#[case] mut detector: Box<dyn HostDetector>) {
+    run(&mut *detector, 100, 20, ms(3));
+    let now = ms(60_000);
+    detector.sent(now, BeatIndex(1_000_000));
+    assert_eq!(
+        detector.answered(now + ms(3), BeatIndex(1_000_000)),
+        Some(DetectorChange::Trust)
+    );
+    assert!(!detector.is_suspected());
+}
+
+#[rstest]
+#[case::fixed(fixed())]
+#[case::adaptive(adaptive())]
+#[case::configuring(configuring())]
+fn a_pause_of_the_watcher_says_nothing(#[case] mut detector: Box<dyn HostDetector>) {
+    run(&mut *detector, 50, u64::MAX, ms(3));
+    let now = ms(300_000);
+    detector.restart(now);
+    detector.sent(now, BeatIndex(1_000_000));
+    assert_eq!(detector.poll(now + ms(1)), None);
+    assert!(!detector.is_suspected());
+}
--- /dev/null
+++ b/crates/decide/tests/suspicion.rs
@@ -0,0 +1,177 @@
+//! Which endpoints are suspected and trusted again, and which failed requests are tried again.
+
+use fulmarswitch_decide::balance::EndpointIndex;
+use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
+use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+use AttemptSign::{Broken, FirstToken, Overdue, TokenGap, Unreached};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A service whose endpoints have all answered in 60 ms, with 20 ms between tokens.
+fn healthy(endpoints: u32) -> ServiceHealth {
+    let mut health = ServiceHealth::new(endpoints as usize);
+    for round in 0..100 {
+        let endpoint = EndpointIndex(round % endpoints);
+        health.note(ms(0), endpoint, FirstToken(ms(60)));
+        health.note(ms(0), endpoint, TokenGap(ms(20)));
+    }
+    health
+}
+
+/// Signs of endpoint 1 of four, with their times in milliseconds.
+#[rstest]
+#[case::two_refused(&[(0, Unreached), (1, Unreached)], true)]
+#[case::one_refused(&[(0, Unreached)], false)]
+#[case::refused_between_answers(&[(0, Unreached), (1, FirstToken(ms(60))), (2, FirstToken(ms(60))), (3, Unreached)], false)]
+#[case::two_broken(&[(0, Broken), (500, Broken)], true)]
+#[case::overdue_and_late(&[(0, Overdue), (200, FirstToken(ms(300))), (450, TokenGap(ms(100)))], true)]
+#[case::slow_tokens(&[(0, TokenGap(ms(100))), (400, TokenGap(ms(100))), (800, TokenGap(ms(100))), (1_200, TokenGap(ms(100)))], true)]
+#[case::one_pause_seen_by_many_streams(&[(0, TokenGap(ms(100))), (1, TokenGap(ms(100))), (2, TokenGap(ms(100))), (3, TokenGap(ms(100))), (4, TokenGap(ms(100)))], false)]
+#[case::twice_as_slow(&[(0, TokenGap(ms(40))), (400, TokenGap(ms(40))), (800, TokenGap(ms(40))), (1_200, TokenGap(ms(40)))], false)]
+fn suspicion_of_one_endpoint(#[case] signs: &[(u64, AttemptSign)], #[case] expected: bool) {
+    let mut health = healthy(4);
+    for (at, sign) in signs {
+        health.note(ms(*at), EndpointIndex(1), *sign);
+    }
+    assert_eq!(health.is_suspected(EndpointIndex(1)), expected);
+}
+
+#[rstest]
+#[case::five_times_slower(300, 100)]
+#[case::twenty_times_slower(1_200, 400)]
+fn all_slow_is_overload(#[case] first_ms: u64, #[case] gap_ms: u64) {
+    let mut health = healthy(12);
+    let mut most = 0;
+    for round in 0..2_000_u32 {
+        let now = Duration::from_millis(5) * round;
+        let endpoint = EndpointIndex(round % 12);
+        health.note(now, endpoint, FirstToken(ms(first_ms)));
+        health.note(now, endpoint, TokenGap(ms(gap_ms)));
+        most = most.max(health.suspected().len());
+        if let Some(probe) = health.take_probe(now) {
+            health.note(now, probe, FirstToken(ms(first_ms)));
+        }
+    }
+    assert!(most <= 4, "{most} of 12 were suspected at once");
+    assert_eq!(health.suspected(), &[]);
+}
+
+#[rstest]
+#[case::good(&[FirstToken(ms(60)), TokenGap(ms(20))], false)]
+#[case::one_good_sign_is_not_enough(&[FirstToken(ms(60))], true)]
+#[case::early_token_and_slow_ones(&[FirstToken(ms(60)), TokenGap(ms(100))], true)]
+#[case::refused_again(&[Unreached], true)]
+fn a_probe_decides(#[case] signs: &[AttemptSign], #[case] expected: bool) {
+    let mut health = healthy(4);
+    let lost = EndpointIndex(1);
+    health.note(ms(0), lost, Unreached);
+    health.note(ms(0), lost, Unreached);
+    assert_eq!(health.take_probe(ms(499)), None);
+    assert_eq!(health.take_probe(ms(500)), Some(lost));
+    assert_eq!(health.take_probe(ms(500)), None);
+    for sign in signs {
+        health.note(ms(600), lost, *sign);
+    }
+    assert_eq!(health.is_suspected(lost), expected);
+}
+
+#[rstest]
+#[case::the_suspected_stays(&[Some(1), Some(0)], &[0])]
+#[case::the_suspected_has_left(&[Some(0), None], &[])]
+#[case::only_the_suspected_stays(&[Some(1)], &[])]
+fn trust_is_carried_over(#[case] old_places: &[Option<u32>], #[case] expected: &[u32]) {
+    let mut health = healthy(3);
+    health.note(ms(0), EndpointIndex(1), Unreached);
+    health.note(ms(0), EndpointIndex(1), Unreached);
+    let old_places: Vec<_> = old_places
+        .iter()
+        .map(|old| old.map(EndpointIndex))
+        .collect();
+    let next = health.remapped(&old_places);
+    let expected: Vec<_> = expected.iter().copied().map(EndpointIndex).collect();
+    assert_eq!(next.suspected(), expected);
+}
+
+fn any_sign() -> impl Strategy<Value = AttemptSign> {
+    prop_oneof![
+        Just(Unreached),
+        Just(Broken),
+        Just(Overdue),
+        (1_u64..5_000).prop_map(|time| FirstToken(ms(time))),
+        (1_u64..500).prop_map(|time| TokenGap(ms(time))),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn never_all_are_suspected(
+        endpoints in 1_u32..8,
+        signs in proptest::collection::vec((0_u32..8, any_sign()), 0..300),
+    ) {
+        let mut health = ServiceHealth::new(endpoints as usize);
+        for (at, (endpoint, sign)) in (0..).zip(signs) {
+            let now = ms(at * 100);
+            health.note(now, EndpointIndex(endpoint % endpoints), sign);
+            prop_assert!(health.suspected().len() < endpoints as usize);
+            if let Some(probe) = health.take_probe(now) {
+                prop_assert!(health.is_suspected(probe));
+            }
+        }
+    }
+}
+
+const IDEMPOTENT: FailedAttempt = FailedAttempt {
+    idempotent: true,
+    may_have_run: true,
+    left: ms(2_000),
+    needed: ms(60),
+};
+
+#[rstest]
+#[case::idempotent(IDEMPOTENT, RetryVerdict::Retry)]
+#[case::may_have_run_once(FailedAttempt { idempotent: false, ..IDEMPOTENT }, RetryVerdict::MayHaveRun)]
+#[case::has_not_run(FailedAttempt { idempotent: false, may_have_run: false, ..IDEMPOTENT }, RetryVerdict::Retry)]
+#[case::no_time_left(FailedAttempt { left: ms(60), ..IDEMPOTENT }, RetryVerdict::TooLate)]
+fn one_failed_attempt(#[case] failed: FailedAttempt, #[case] expected: RetryVerdict) {
+    let mut budget = RetryBudget::new(ms(0));
+    assert_eq!(budget.judge(ms(0), failed), expected);
+}
+
+#[rstest]
+#[case::nothing_succeeds(1_000, 0, 5)]
+#[case::all_succeed(0, 1_000, 20)]
+#[case::half_succeed(500, 500, 55)]
+fn retries_of_a_service(#[case] failed: u32, #[case] succeeded: u32, #[case] expected: usize) {
+    let mut budget = RetryBudget::new(ms(0));
+    let mut retries = 0;
+    for at in 0..failed.max(succeeded) {
+        if at < succeeded {
+            budget.succeed();
+        }
+        if at < failed {
+            retries += usize::from(budget.judge(ms(0), IDEMPOTENT) == RetryVerdict::Retry);
+        }
+    }
+    if failed == 0 {
+        while budget.judge(ms(0), IDEMPOTENT) == RetryVerdict::Retry {
+            retries += 1;
+        }
+    }
+    assert_eq!(retries, expected);
+}
+
+#[rstest]
+#[case::at_once(0, RetryVerdict::NoBudget { retry_after: ms(5_000) })]
+#[case::before_the_floor_pays(4_000, RetryVerdict::NoBudget { retry_after: ms(1_000) })]
+#[case::once_the_floor_has_paid(5_000, RetryVerdict::Retry)]
+fn a_spent_budget_fills_slowly(#[case] at_ms: u64, #[case] expected: RetryVerdict) {
+    let mut budget = RetryBudget::new(ms(0));
+    while budget.judge(ms(0), IDEMPOTENT) == RetryVerdict::Retry {}
+    assert_eq!(budget.judge(ms(at_ms), IDEMPOTENT), expected);
+}
--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -102,10 +102,10 @@
 }
 
 impl StreamReplay for HostReplay {
-    fn apply(&mut self, place: RecordPlace, _at_ms: u64, record: &LogRecord) -> RecordVerdict {
+    fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict {
         let mut changed = false;
         self.view.send_if_modified(|view| {
-            changed = Arc::make_mut(view).hosts.apply(place, record);
+            changed = Arc::make_mut(view).hosts.apply(place, at_ms, record);
             changed
         });
         if changed {
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -96,6 +96,7 @@
         );
         let mut tasks = self.tasks.lock().await;
         tasks.spawn(Arc::clone(&self.watcher).run_heartbeats());
+        tasks.spawn(Arc::clone(&self.watcher).run_rejoins());
         tasks.spawn(Arc::clone(&self.shards).run_claims());
         tasks.spawn(Arc::clone(&self.gates).run_gates());
         tasks.spawn(Arc::clone(&self.keys).run_sweeps());
--- a/crates/fulmarswitch/src/settings.rs
+++ b/crates/fulmarswitch/src/settings.rs
@@ -90,8 +90,8 @@
     fn default() -> Self {
         Self {
             linger_ms: 25,
-            heartbeat_ms: 250,
-            suspect_ms: 1_200,
+            heartbeat_ms: 400,
+            suspect_ms: 1_400,
             neighbours: 3,
             result_ttl_ms: 6 * 3_600_000,
             item_lease_ms: 120_000,
--- a/crates/fulmarswitch/src/watcher.rs
+++ b/crates/fulmarswitch/src/watcher.rs
@@ -1,11 +1,13 @@
 //! Joins, heartbeats and suspicion.
 //!
 //! A host sends heartbeats to a few neighbours on a ring of the live hosts and reports to the `hosts`
-//! stream those that stay silent. So the messages a host sends do not grow with the fleet.
+//! stream those that stay silent, as [`fulmarswitch_decide::detector`] decides. So the messages a host sends
+//! do not grow with the fleet.
 
 use crate::fleet::FleetBooks;
 use crate::parts::{HostParts, lock};
-use fulmarswitch_decide::hosts::HostPhase;
+use fulmarswitch_decide::detector::{BeatIndex, FixedDetector, HostDetector};
+use fulmarswitch_decide::hosts::{HostPhase, REPORT_TTL_MS};
 use fulmarswitch_decide::placement::weight;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::message::HeartbeatNote;
@@ -27,6 +29,15 @@
 /// Time between looks at the platform's list.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time between looks at which neighbours are due for a heartbeat or silent for too long.
+const WATCH_TICK: Duration = Duration::from_millis(20);
+/// Lateness of a look from which this host itself was paused.
+const OWN_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which an answer to a heartbeat is waited for.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Time between two reports of one silent neighbour.
+const REPORT_PERIOD: Duration = Duration::from_millis(REPORT_TTL_MS / 2);
+
 /// Errors of joining.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum JoinError {
@@ -83,12 +94,56 @@
     config_read: Offset,
 }
 
+/// A neighbour that is watched.
+struct WatchedNeighbour {
+    detector: Box<dyn HostDetector>,
+    beats: u64,
+    next_send: Instant,
+    reported_at: Option<Instant>,
+    /// Whether a report waits for the log.
+    reporting: bool,
+}
+
+impl WatchedNeighbour {
+    /// Returns the number of the heartbeat to send, if one is due.
+    fn take_beat(&mut self, now: Instant, time: Duration) -> Option<BeatIndex> {
+        if now < self.next_send {
+            return None;
+        }
+        let beat = BeatIndex(self.beats);
+        self.beats += 1;
+        self.next_send = now + self.detector.period();
+        self.detector.sent(time, beat);
+        Some(beat)
+    }
+
+    /// Tells whether the neighbour's silence is to be reported now.
+    fn take_report(&mut self, now: Instant, time: Duration) -> bool {
+        self.detector.poll(time);
+        let recent = |at: Instant| now - at < REPORT_PERIOD;
+        let done = self.reporting || self.reported_at.is_some_and(recent);
+        if !self.detector.is_suspected() || done {
+            return false;
+        }
+        self.reporting = true;
+        self.reported_at = Some(now);
+        true
+    }
+}
+
+/// The neighbours that a host watches, as worked out from one version of the hosts.
+#[derive(Default)]
+struct NeighbourRing {
+    version: Option<u64>,
+    targets: Vec<PeerTarget>,
+}
+
 /// Joins, heartbeats and suspicion on one host.
 pub struct HostWatcher {
     parts: HostParts,
     fleet: Arc<FleetBooks>,
     heard: Mutex<SortedIndex<HostIdentity, HeardNeighbour>>,
-    answered: Mutex<SortedIndex<HostIdentity, Instant>>,
+    watched: Mutex<SortedIndex<HostIdentity, WatchedNeighbour>>,
 }
 
 impl HostWatcher {
@@ -99,7 +154,7 @@
             parts: parts.clone(),
             fleet: Arc::clone(fleet),
             heard: Mutex::default(),
-            answered: Mutex::default(),
+            watched: Mutex::default(),
         })
     }
 
@@ -150,22 +205,22 @@
 
     /// Sends heartbeats and reports silent neighbours, for as long as the runtime lives.
     pub async fn run_heartbeats(self: Arc<Self>) {
-        let tuning = &self.parts.settings.tuning;
         let mut last = Instant::now();
+        let mut ring = NeighbourRing::default();
         loop {
-            tokio::time::sleep(tuning.heartbeat()).await;
-            if last.elapsed() > tuning.heartbeat() * 3 {
-                // This host itself was paused; its neighbours' silence says nothing.
-                lock(&self.answered).retain(|_, _| false);
-            }
-            last = Instant::now();
-            let neighbours = self.neighbours();
-            let watched =
-                |host: &HostIdentity| neighbours.iter().any(|target| target.host == *host);
-            lock(&self.answered).retain(|host, _| watched(host));
-            for target in neighbours {
-                tokio::spawn(Arc::clone(&self).beat(target));
-            }
+            tokio::time::sleep(WATCH_TICK).await;
+            let now = Instant::now();
+            let paused = now - last > WATCH_TICK + OWN_PAUSE;
+            last = now;
+            self.follow_hosts(&mut ring);
+            self.watch(&ring.targets, now, paused);
+        }
+    }
+
+    /// Joins again whenever this host is taken to be lost, for as long as the runtime lives.
+    pub async fn run_rejoins(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(self.parts.settings.tuning.heartbeat()).await;
             self.rejoin_if_down().await;
         }
     }
@@ -186,41 +241,88 @@
         }
     }
 
-    async fn beat(self: Arc<Self>, target: PeerTarget) {
+    /// Looks at each neighbour: sends what is due and reports those that are silent.
+    fn watch(self: &Arc<Self>, neighbours: &[PeerTarget], now: Instant, paused: bool) {
+        let time = self.parts.now();
+        let mut watched = lock(&self.watched);
+        for target in neighbours {
+            if !watched.contains(&target.host) {
+                watched.insert(target.host.clone(), self.new_neighbour(now));
+            }
+            let Some(neighbour) = watched.get_mut(&target.host) else {
+                continue;
+            };
+            if paused {
+                // This host itself was paused; its neighbours' silence says nothing.
+                neighbour.detector.restart(time);
+            }
+            if neighbour.take_report(now, time) {
+                tokio::spawn(Arc::clone(self).report(target.host.clone()));
+            }
+            if let Some(beat) = neighbour.take_beat(now, time) {
+                tokio::spawn(Arc::clone(self).beat(target.clone(), beat));
+            }
+        }
+    }
+
+    /// Works the neighbours out anew when the hosts have changed.
+    fn follow_hosts(&self, ring: &mut NeighbourRing) {
+        let version = self.fleet.view().hosts.version();
+        if ring.version == Some(version) {
+            return;
+        }
+        let targets = self.neighbours();
+        let watches = |host: &HostIdentity| targets.iter().any(|target| target.host == *host);
+        lock(&self.watched).retain(|host, _| watches(host));
+        *ring = NeighbourRing {
+            version: Some(version),
+            targets,
+        };
+    }
+
+    fn new_neighbour(&self, now: Instant) -> WatchedNeighbour {
+        let tuning = &self.parts.settings.tuning;
+        let detector = FixedDetector::new(tuning.heartbeat(), tuning.suspect());
+        WatchedNeighbour {
+            detector: Box::new(detector),
+            beats: 0,
+            next_send: now,
+            reported_at: None,
+            reporting: false,
+        }
+    }
+
+    async fn beat(self: Arc<Self>, target: PeerTarget, beat: BeatIndex) {
         let note = HeartbeatNote {
             hosts_read: self.fleet.hosts.status().borrow().next,
             config_read: self.fleet.config.status().borrow().next,
         };
-        let limit = self.parts.settings.tuning.heartbeat() * 2;
         self.parts.metrics.peer_messages.inc();
         let call = self.parts.link.call(&target, PeerMessage::Heartbeat(note));
-        let answered = matches!(tokio::time::timeout(limit, call).await, Ok(Ok(_)));
-        let silent = {
-            let mut answers = lock(&self.answered);
-            let now = Instant::now();
-            match answers.get_mut(&target.host) {
-                Some(at) if answered => {
-                    *at = now;
-                    false
-                }
-                Some(at) => at.elapsed() >= self.parts.settings.tuning.suspect(),
-                None => {
-                    answers.insert(target.host.clone(), now);
-                    false
-                }
-            }
-        };
-        if silent {
-            self.report_silent(&target.host).await;
+        if !matches!(tokio::time::timeout(ANSWER_LIMIT, call).await, Ok(Ok(_))) {
+            return;
+        }
+        let time = self.parts.now();
+        let mut watched = lock(&self.watched);
+        if let Some(neighbour) = watched.get_mut(&target.host) {
+            neighbour.detector.answered(time, beat);
+        }
+    }
+
+    async fn report(self: Arc<Self>, host: HostIdentity) {
+        self.report_silent(&host).await;
+        if let Some(neighbour) = lock(&self.watched).get_mut(&host) {
+            neighbour.reporting = false;
         }
     }
 
     async fn report_silent(&self, host: &HostIdentity) {
         let reporter = &self.parts.identity.name;
         let view = self.fleet.view();
-        let known = view.hosts.get(&host.name).is_some_and(|entry| {
-            entry.phase != HostPhase::Down && !entry.reporters.contains(reporter)
-        });
+        let known = view
+            .hosts
+            .get(&host.name)
+            .is_some_and(|entry| entry.phase != HostPhase::Down);
         if !known {
             return;
         }
--- a/crates/slopes/src/state.rs
+++ b/crates/slopes/src/state.rs
@@ -60,7 +60,7 @@
         held_bytes(|| {
             let mut hosts = HostTable::new();
             (0..count).for_each(|at| {
-                hosts.apply(place(at), &record(at, join(at)));
+                hosts.apply(place(at), 0, &record(at, join(at)));
             });
             hosts
         })
