Move requests away from endpoints that turn slow, and let gates report them

Cause: an attempt without a token was waited for until its deadline, and each owner learned of a slow endpoint from its own few requests only.

Change: an idempotent request whose first token is overdue (three times what is typical of the service), or whose endpoint becomes suspected, is cancelled and made at another endpoint, paid from the budget of retries. The gate's host judges the endpoint by all that goes through the gate, against what its own attempts show to be typical, and reports a suspicion with the load. A suspected endpoint that is due for a probe may be chosen like others; it was preferred before, which at 2,300 owners would have sent it more probes than its share of requests.

--- /dev/null
+++ b/crates/decide/examples/retries/world.rs
@@ -0,0 +1,421 @@
+//! The events of one run.
+
+use crate::model::{
+    ARRIVALS, Attempt, BAD, Counts, DEADLINE, END, ENDPOINTS, Endpoint, Event, FAULT_AT, FAULT_END,
+    Fault, GAP_TOKENS, MAX_REFUSALS, OWNERS, Owner, PREFILL, PREFIXES, PROMISED_FIRST, Policy,
+    QUEUE_LIMIT, Request, SLOTS, TOKEN_GAP,
+};
+use fulmarswitch_decide::balance::{
+    EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
+};
+use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
+use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
+use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth, TrustChange};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// The service, its owners and what is in progress.
+pub struct World {
+    rng: SmallRng,
+    fault: Fault,
+    policy: Policy,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    scheduled: u64,
+    table: EndpointTable,
+    endpoints: Vec<Endpoint>,
+    owners: Vec<Owner>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    counts: Counts,
+}
+
+impl World {
+    pub fn new(fault: Fault, policy: Policy, seed: u64) -> Self {
+        let spec = |at| EndpointSpec {
+            name: format!("endpoint-{at}").into(),
+            near: at % 3 == 0,
+        };
+        let owner = |_| Owner {
+            loads: vec![EndpointLoad::default(); ENDPOINTS as usize],
+            health: ServiceHealth::new(ENDPOINTS as usize),
+            budget: RetryBudget::new(Duration::ZERO),
+            late: Duration::from_millis(500),
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            fault,
+            policy,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            scheduled: 0,
+            table: EndpointTable::new((0..ENDPOINTS).map(spec).collect()),
+            endpoints: (0..ENDPOINTS).map(|_| Endpoint::default()).collect(),
+            owners: (0..OWNERS).map(owner).collect(),
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn run(mut self) -> Counts {
+        self.schedule(Duration::ZERO, Event::Arrive);
+        self.schedule(FAULT_AT, Event::FaultBegins);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::First(attempt) => self.first_token(attempt),
+                Event::Tokens(attempt) => self.more_tokens(attempt),
+                Event::Check(attempt) => self.check(attempt),
+                Event::Deadline(request) => self.end_request(request, false),
+                Event::FaultBegins => self.begin_fault(),
+            }
+        }
+        self.counts
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.scheduled += 1;
+        self.events.push(Reverse((at, self.scheduled, event)));
+    }
+
+    fn in_fault(&self) -> bool {
+        self.now >= FAULT_AT && self.now < FAULT_END
+    }
+
+    fn slowness(&self, endpoint: EndpointIndex) -> f64 {
+        match self.fault {
+            Fault::OneSlow if endpoint == BAD && self.in_fault() => 5.0,
+            Fault::AllSlow(factor) if self.in_fault() => factor,
+            _ => 1.0,
+        }
+    }
+
+    fn is_bad(&self, fault: Fault, endpoint: EndpointIndex) -> bool {
+        self.fault == fault && endpoint == BAD && self.in_fault()
+    }
+
+    fn arrive(&mut self) {
+        let factor = match self.fault {
+            Fault::Overload(factor) if self.in_fault() => factor,
+            _ => 1.0,
+        };
+        let wait = -(1.0 - self.rng.random::<f64>()).ln() / (ARRIVALS * factor);
+        let next = self.now + Duration::from_secs_f64(wait);
+        if next < END {
+            self.schedule(next, Event::Arrive);
+        }
+        let request = self.requests.len();
+        self.requests.push(Request {
+            owner: self.rng.random_range(0..OWNERS),
+            prefix: self.rng.random_range(0..PREFIXES),
+            tokens: self.rng.random_range(20..100),
+            arrived: self.now,
+            first: None,
+            finished: false,
+            ended: false,
+            tried: Vec::new(),
+            live: Vec::new(),
+            hedged: false,
+        });
+        self.counts.requests += 1;
+        self.schedule(self.now + DEADLINE, Event::Deadline(request));
+        self.send(request);
+    }
+
+    /// Sends a request to an endpoint that it has not tried; ends it when the gates refuse.
+    fn send(&mut self, request: usize) {
+        for _ in 0..MAX_REFUSALS {
+            let Some(endpoint) = self.choose(request) else {
+                break;
+            };
+            self.requests[request].tried.push(endpoint);
+            if self.is_bad(Fault::OneLost, endpoint) {
+                self.note(request, endpoint, AttemptSign::Unreached);
+                continue;
+            }
+            let waiting = self.endpoints[endpoint.at()].queue.len();
+            self.tell_load(request, endpoint);
+            if waiting < QUEUE_LIMIT {
+                self.start(request, endpoint);
+                self.take_report(request, endpoint);
+                return;
+            }
+        }
+        if self.requests[request].live.is_empty() {
+            self.end_request(request, false);
+        }
+    }
+
+    fn choose(&mut self, request: usize) -> Option<EndpointIndex> {
+        let request = &self.requests[request];
+        let owner = &mut self.owners[request.owner];
+        let affinity = RequestAffinity::of_prefix(&request.prefix.to_string());
+        let (loads, health) = (&owner.loads, &owner.health);
+        let chosen = self.table.choose(affinity, |index| EndpointView {
+            load: loads[index.at()].share(self.now),
+            standing: if request.tried.contains(&index) {
+                EndpointStanding::Excluded
+            } else if health.is_suspected(index) && !health.may_probe(self.now, index) {
+                EndpointStanding::Suspected
+            } else {
+                EndpointStanding::Ready
+            },
+        })?;
+        owner.health.probe(self.now, chosen);
+        Some(chosen)
+    }
+
+    fn tell_load(&mut self, request: usize, endpoint: EndpointIndex) {
+        let gate = &self.endpoints[endpoint.at()];
+        let held = u32::try_from(gate.running + gate.queue.len()).unwrap_or(u32::MAX);
+        let share = LoadShare { held, limit: 16 };
+        let owner = &mut self.owners[self.requests[request].owner];
+        owner.loads[endpoint.at()].note(self.now, share);
+    }
+
+    /// Tells the owner whether the host of the gate suspects the endpoint.
+    fn take_report(&mut self, request: usize, endpoint: EndpointIndex) {
+        let gate_host = &self.owners[endpoint.at()];
+        if self.policy != Policy::Reports || !gate_host.health.is_suspected(endpoint) {
+            return;
+        }
+        self.note(request, endpoint, AttemptSign::Reported);
+    }
+
+    fn start(&mut self, request: usize, endpoint: EndpointIndex) {
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            endpoint,
+            sent: self.now,
+            tokens: 0,
+            running: false,
+            has_first: false,
+            over: false,
+        });
+        self.counts.attempts += 1;
+        self.requests[request].live.push(attempt);
+        let owner = &mut self.owners[self.requests[request].owner];
+        owner.loads[endpoint.at()].send();
+        let patience = match self.policy {
+            Policy::Hedge => Some(owner.late),
+            _ => owner.health.patience(),
+        };
+        if let Some(patience) = patience {
+            self.schedule(self.now + patience, Event::Check(attempt));
+        }
+        self.endpoints[endpoint.at()].queue.push_back(attempt);
+        self.fill_slots(endpoint);
+    }
+
+    fn fill_slots(&mut self, endpoint: EndpointIndex) {
+        while self.endpoints[endpoint.at()].running < SLOTS {
+            let Some(attempt) = self.endpoints[endpoint.at()].queue.pop_front() else {
+                return;
+            };
+            self.endpoints[endpoint.at()].running += 1;
+            self.attempts[attempt].running = true;
+            let spread = -(1.0 - self.rng.random::<f64>()).ln() * 0.010;
+            let time = (PREFILL + Duration::from_secs_f64(spread)).mul_f64(self.slowness(endpoint));
+            self.schedule(self.now + time, Event::First(attempt));
+        }
+    }
+
+    fn first_token(&mut self, attempt: usize) {
+        let Some((request, endpoint)) = self.working(attempt) else {
+            return;
+        };
+        let time = self.now.saturating_sub(self.attempts[attempt].sent);
+        self.attempts[attempt].has_first = true;
+        self.note(request, endpoint, AttemptSign::FirstToken(time));
+        let owner = &mut self.owners[self.requests[request].owner];
+        let step = owner.late / 100;
+        owner.late = if time > owner.late {
+            owner.late + step * 19
+        } else {
+            owner.late.saturating_sub(step)
+        };
+        if self.attempts[attempt].over {
+            return;
+        }
+        if self.requests[request].first.is_none() {
+            self.requests[request].first = Some(self.now);
+        }
+        let others: Vec<usize> = self.requests[request].live.clone();
+        for other in others.into_iter().filter(|other| *other != attempt) {
+            self.cancel(other);
+        }
+        self.schedule_tokens(attempt);
+    }
+
+    fn schedule_tokens(&mut self, attempt: usize) {
+        let slowness = self.slowness(self.attempts[attempt].endpoint);
+        let time = (TOKEN_GAP * GAP_TOKENS).mul_f64(slowness);
+        self.schedule(self.now + time, Event::Tokens(attempt));
+    }
+
+    fn more_tokens(&mut self, attempt: usize) {
+        let Some((request, endpoint)) = self.working(attempt) else {
+            return;
+        };
+        let gap = TOKEN_GAP.mul_f64(self.slowness(endpoint));
+        self.attempts[attempt].tokens += GAP_TOKENS;
+        self.note(request, endpoint, AttemptSign::TokenGap(gap));
+        if self.attempts[attempt].over {
+            return;
+        }
+        if self.attempts[attempt].tokens < self.requests[request].tokens {
+            self.schedule_tokens(attempt);
+            return;
+        }
+        let owner = &mut self.owners[self.requests[request].owner];
+        owner.budget.succeed();
+        self.end_request(request, true);
+    }
+
+    /// Returns the request and endpoint of an attempt whose endpoint still works on it.
+    fn working(&self, attempt: usize) -> Option<(usize, EndpointIndex)> {
+        let known = &self.attempts[attempt];
+        let frozen = self.is_bad(Fault::OneFrozen, known.endpoint);
+        (!known.over && !frozen).then_some((known.request, known.endpoint))
+    }
+
+    fn check(&mut self, attempt: usize) {
+        let known = &self.attempts[attempt];
+        if known.over || known.has_first {
+            return;
+        }
+        let (request, endpoint) = (known.request, known.endpoint);
+        if self.policy == Policy::Hedge {
+            if !self.requests[request].hedged && self.may_retry(request) {
+                self.requests[request].hedged = true;
+                self.send(request);
+            }
+            return;
+        }
+        self.note(request, endpoint, AttemptSign::Overdue);
+        let retries = matches!(
+            self.policy,
+            Policy::Overdue | Policy::Move | Policy::Reports
+        );
+        if retries && !self.attempts[attempt].over {
+            self.make_elsewhere(attempt);
+        }
+    }
+
+    fn make_elsewhere(&mut self, attempt: usize) {
+        let request = self.attempts[attempt].request;
+        if self.may_retry(request) {
+            self.cancel(attempt);
+            self.send(request);
+        }
+    }
+
+    fn may_retry(&mut self, request: usize) -> bool {
+        let request = &self.requests[request];
+        let owner = &mut self.owners[request.owner];
+        let passed = self.now.saturating_sub(request.arrived);
+        let failed = FailedAttempt {
+            idempotent: true,
+            may_have_run: true,
+            left: DEADLINE.saturating_sub(passed),
+            needed: owner.health.typical_first_token().unwrap_or(PREFILL),
+        };
+        owner.budget.judge(self.now, failed) == RetryVerdict::Retry
+    }
+
+    fn note(&mut self, request: usize, endpoint: EndpointIndex, sign: AttemptSign) {
+        let owner_at = self.requests[request].owner;
+        if self.policy == Policy::Reports && sign != AttemptSign::Reported {
+            let gate_host = &mut self.owners[endpoint.at()].health;
+            let change = gate_host.note_seen(self.now, endpoint, sign);
+            self.take_change(endpoint.at(), change);
+        }
+        let change = self.owners[owner_at].health.note(self.now, endpoint, sign);
+        self.take_change(owner_at, change);
+    }
+
+    fn take_change(&mut self, owner_at: usize, change: Option<TrustChange>) {
+        let Some(TrustChange::Suspected(endpoint)) = change else {
+            return;
+        };
+        let one_bad = matches!(
+            self.fault,
+            Fault::OneSlow | Fault::OneLost | Fault::OneFrozen
+        );
+        if one_bad && endpoint == BAD && self.in_fault() {
+            let passed = self.now.saturating_sub(FAULT_AT);
+            self.counts.noticed.push(passed);
+            self.counts.first_noticed.get_or_insert(passed);
+        } else {
+            self.counts.wrong += 1;
+        }
+        if matches!(self.policy, Policy::Move | Policy::Reports) {
+            let there: Vec<usize> = (0..self.attempts.len())
+                .filter(|at| {
+                    let known = &self.attempts[*at];
+                    let mine = self.requests[known.request].owner == owner_at;
+                    !known.over && known.endpoint == endpoint && mine
+                })
+                .collect();
+            for attempt in there {
+                self.make_elsewhere(attempt);
+            }
+        }
+    }
+
+    fn cancel(&mut self, attempt: usize) {
+        let known = &mut self.attempts[attempt];
+        if std::mem::replace(&mut known.over, true) {
+            return;
+        }
+        let (request, endpoint, running) = (known.request, known.endpoint, known.running);
+        self.requests[request].live.retain(|at| *at != attempt);
+        let owner = &mut self.owners[self.requests[request].owner];
+        owner.loads[endpoint.at()].end();
+        let gate = &mut self.endpoints[endpoint.at()];
+        gate.queue.retain(|at| *at != attempt);
+        gate.running -= usize::from(running);
+        self.fill_slots(endpoint);
+    }
+
+    fn end_request(&mut self, request: usize, finished: bool) {
+        if std::mem::replace(&mut self.requests[request].ended, true) {
+            return;
+        }
+        self.requests[request].finished = finished;
+        for attempt in self.requests[request].live.clone() {
+            self.cancel(attempt);
+        }
+        let known = &self.requests[request];
+        let first = known.first.map(|first| first.saturating_sub(known.arrived));
+        self.counts.failed += u32::from(!finished);
+        let in_promise = first.is_some_and(|first| first <= PROMISED_FIRST);
+        self.counts.in_promise += u32::from(finished && in_promise);
+        self.counts.firsts.push(first.unwrap_or(DEADLINE));
+    }
+
+    fn begin_fault(&mut self) {
+        if self.fault != Fault::OneLost {
+            return;
+        }
+        let cut: Vec<usize> = (0..self.attempts.len())
+            .filter(|at| !self.attempts[*at].over && self.attempts[*at].endpoint == BAD)
+            .collect();
+        for attempt in cut {
+            let request = self.attempts[attempt].request;
+            self.note(request, BAD, AttemptSign::Broken);
+            if self.policy != Policy::Nothing && !self.attempts[attempt].over {
+                self.make_elsewhere(attempt);
+            }
+            if !self.attempts[attempt].over {
+                self.end_request(request, false);
+            }
+        }
+    }
+}
--- a/crates/decide/src/suspicion.rs
+++ b/crates/decide/src/suspicion.rs
@@ -5,7 +5,9 @@
 //! which follows the median of all its endpoints. So one slow endpoint stands out, and when all are slow
 //! nothing does: that is overload, for which no endpoint is to blame.
 //!
-//! A suspected endpoint gets single requests as probes, at growing intervals, until it answers well.
+//! The host that holds an endpoint's gate sees all attempts at it, so it notices first and says so with the
+//! load that it reports. A suspected endpoint may be chosen for single requests, as probes, at growing
+//! intervals, until it answers well.
 
 use crate::balance::EndpointIndex;
 use std::time::Duration;
@@ -46,6 +48,8 @@
     FirstToken(Duration),
     /// The mean time between some tokens that followed.
     TokenGap(Duration),
+    /// The host that holds the endpoint's gate suspects it.
+    Reported,
 }
 
 /// A change of trust.
@@ -96,11 +100,14 @@
 }
 
 impl TypicalTime {
-    /// Takes a sample and tells whether it is far above the typical.
-    fn is_slow(&mut self, sample: Duration) -> bool {
+    /// Tells whether a sample is far above the typical.
+    fn is_slow(self, sample: Duration) -> bool {
+        self.time()
+            .is_some_and(|typical| sample > typical * SLOW_FACTOR)
+    }
+
+    fn learn(&mut self, sample: Duration) {
         let micros = u64::try_from(sample.as_micros()).unwrap_or(u64::MAX);
-        let known = self.samples >= SAMPLES_NEEDED;
-        let slow = known && micros > self.micros * u64::from(SLOW_FACTOR);
         let step = self.micros / 8 + 1;
         self.micros = if self.samples == 0 {
             micros
@@ -110,7 +117,6 @@
             self.micros.saturating_sub(step)
         };
         self.samples = self.samples.saturating_add(1);
-        slow
     }
 
     fn time(self) -> Option<Duration> {
@@ -142,7 +148,7 @@
     /// health.note(Duration::ZERO, lost, AttemptSign::Unreached);
     /// health.note(Duration::ZERO, lost, AttemptSign::Unreached);
     /// assert!(health.is_suspected(lost));
-    /// assert_eq!(health.take_probe(Duration::from_secs(1)), Some(lost));
+    /// assert!(health.may_probe(Duration::from_secs(1), lost));
     /// ```
     #[must_use]
     pub fn new(endpoints: usize) -> Self {
@@ -205,7 +211,7 @@
         self.first_token.time()
     }
 
-    /// Takes a sign of an endpoint; returns the change of trust that it brings.
+    /// Takes a sign of an own attempt; returns the change of trust that it brings.
     ///
     /// # Panics
     /// In debug builds, when no endpoint is left that is trusted.
@@ -215,15 +221,30 @@
         endpoint: EndpointIndex,
         sign: AttemptSign,
     ) -> Option<TrustChange> {
-        let (strikes, hard) = match sign {
-            AttemptSign::Unreached | AttemptSign::Broken => (HARD_STRIKES, true),
-            AttemptSign::Overdue => (OVERDUE_STRIKES, false),
-            AttemptSign::FirstToken(time) => (u32::from(self.first_token.is_slow(time)), false),
-            AttemptSign::TokenGap(time) => (u32::from(self.token_gap.is_slow(time)), false),
-        };
+        let change = self.note_seen(now, endpoint, sign);
+        match sign {
+            AttemptSign::FirstToken(time) => self.first_token.learn(time),
+            AttemptSign::TokenGap(time) => self.token_gap.learn(time),
+            _ => {}
+        }
+        change
+    }
+
+    /// Takes a sign of another owner's attempt, seen at the gate. It is judged as an own one, but what is
+    /// typical of the service is not learned from it, since a host sees only the gates that it holds.
+    ///
+    /// # Panics
+    /// In debug builds, when no endpoint is left that is trusted.
+    pub fn note_seen(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointIndex,
+        sign: AttemptSign,
+    ) -> Option<TrustChange> {
+        let strikes = self.strikes_of(sign);
         let health = self.endpoints.get_mut(endpoint.at())?;
         let change = match health.state {
-            TrustState::Trusted => self.judge_trusted(now, endpoint, strikes, hard),
+            TrustState::Trusted => self.judge_trusted(now, endpoint, sign, strikes),
             TrustState::Suspected { .. } => self.judge_suspected(now, endpoint, strikes == 0),
         };
         debug_assert!(
@@ -234,32 +255,45 @@
         change
     }
 
-    /// Returns a suspected endpoint that is due for a probe; it is not returned again before its next one.
-    pub fn take_probe(&mut self, now: Duration) -> Option<EndpointIndex> {
-        let endpoints = &mut self.endpoints;
-        for place in &self.suspected {
-            if let TrustState::Suspected {
-                next_probe,
-                interval,
-                ..
-            } = &mut endpoints[place.at()].state
-                && *next_probe <= now
-            {
-                *interval = (*interval * 2).min(PROBE_LIMIT);
-                *next_probe = now + *interval;
-                return Some(*place);
-            }
+    /// Tells whether an endpoint is suspected and due for a probe.
+    #[must_use]
+    pub fn may_probe(&self, now: Duration, endpoint: EndpointIndex) -> bool {
+        let state = self.endpoints.get(endpoint.at()).map(|health| health.state);
+        matches!(state, Some(TrustState::Suspected { next_probe, .. }) if next_probe <= now)
+    }
+
+    /// Notes that a suspected endpoint was chosen; it is not due again before a longer interval has passed.
+    pub fn probe(&mut self, now: Duration, endpoint: EndpointIndex) {
+        let state = self.endpoints.get_mut(endpoint.at());
+        if let Some(TrustState::Suspected {
+            next_probe,
+            interval,
+            ..
+        }) = state.map(|health| &mut health.state)
+        {
+            *interval = (*interval * 2).min(PROBE_LIMIT);
+            *next_probe = now + *interval;
+        }
+    }
+
+    fn strikes_of(&self, sign: AttemptSign) -> u32 {
+        match sign {
+            AttemptSign::Unreached | AttemptSign::Broken => HARD_STRIKES,
+            AttemptSign::Overdue => OVERDUE_STRIKES,
+            AttemptSign::FirstToken(time) => u32::from(self.first_token.is_slow(time)),
+            AttemptSign::TokenGap(time) => u32::from(self.token_gap.is_slow(time)),
+            AttemptSign::Reported => STRIKE_LIMIT,
         }
-        None
     }
 
     fn judge_trusted(
         &mut self,
         now: Duration,
         endpoint: EndpointIndex,
+        sign: AttemptSign,
         strikes: u32,
-        hard: bool,
     ) -> Option<TrustChange> {
+        let hard = matches!(sign, AttemptSign::Unreached | AttemptSign::Broken);
         let allowed = self.may_suspect(hard);
         let health = &mut self.endpoints[endpoint.at()];
         if strikes == 0 {
@@ -270,7 +304,8 @@
             health.struck_at = now;
         }
         health.strikes = (health.strikes + strikes).min(2 * STRIKE_LIMIT);
-        let long_enough = hard || now.saturating_sub(health.struck_at) >= SLOW_SPAN;
+        let at_once = hard || sign == AttemptSign::Reported;
+        let long_enough = at_once || now.saturating_sub(health.struck_at) >= SLOW_SPAN;
         if health.strikes < STRIKE_LIMIT || !long_enough || !allowed {
             return None;
         }
--- a/crates/decide/tests/suspicion.rs
+++ b/crates/decide/tests/suspicion.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use std::time::Duration;
 
-use AttemptSign::{Broken, FirstToken, Overdue, TokenGap, Unreached};
+use AttemptSign::{Broken, FirstToken, Overdue, Reported, TokenGap, Unreached};
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -29,6 +29,7 @@
 #[case::two_refused(&[(0, Unreached), (1, Unreached)], true)]
 #[case::one_refused(&[(0, Unreached)], false)]
 #[case::refused_between_answers(&[(0, Unreached), (1, FirstToken(ms(60))), (2, FirstToken(ms(60))), (3, Unreached)], false)]
+#[case::reported_by_the_gate(&[(0, Reported)], true)]
 #[case::two_broken(&[(0, Broken), (500, Broken)], true)]
 #[case::overdue_and_late(&[(0, Overdue), (200, FirstToken(ms(300))), (450, TokenGap(ms(100)))], true)]
 #[case::slow_tokens(&[(0, TokenGap(ms(100))), (400, TokenGap(ms(100))), (800, TokenGap(ms(100))), (1_200, TokenGap(ms(100)))], true)]
@@ -54,14 +55,29 @@
         health.note(now, endpoint, FirstToken(ms(first_ms)));
         health.note(now, endpoint, TokenGap(ms(gap_ms)));
         most = most.max(health.suspected().len());
-        if let Some(probe) = health.take_probe(now) {
-            health.note(now, probe, FirstToken(ms(first_ms)));
+        if health.may_probe(now, endpoint) {
+            health.probe(now, endpoint);
         }
     }
     assert!(most <= 4, "{most} of 12 were suspected at once");
     assert_eq!(health.suspected(), &[]);
 }
 
+/// All samples of a host are of the slow endpoint's gate, but for the few of its own.
+#[test]
+fn what_a_gate_sees_does_not_change_what_is_typical() {
+    let mut health = healthy(4);
+    for round in 0..200 {
+        let now = ms(round * 10);
+        health.note_seen(now, EndpointIndex(1), TokenGap(ms(100)));
+    }
+    assert!(health.is_suspected(EndpointIndex(1)));
+    assert_eq!(
+        health.note(ms(2_000), EndpointIndex(2), TokenGap(ms(20))),
+        None
+    );
+}
+
 #[rstest]
 #[case::good(&[FirstToken(ms(60)), TokenGap(ms(20))], false)]
 #[case::one_good_sign_is_not_enough(&[FirstToken(ms(60))], true)]
@@ -72,9 +88,11 @@
     let lost = EndpointIndex(1);
     health.note(ms(0), lost, Unreached);
     health.note(ms(0), lost, Unreached);
-    assert_eq!(health.take_probe(ms(499)), None);
-    assert_eq!(health.take_probe(ms(500)), Some(lost));
-    assert_eq!(health.take_probe(ms(500)), None);
+    assert!(!health.may_probe(ms(499), lost));
+    assert!(health.may_probe(ms(500), lost));
+    health.probe(ms(500), lost);
+    assert!(!health.may_probe(ms(1_499), lost));
+    assert!(health.may_probe(ms(1_500), lost));
     for sign in signs {
         health.note(ms(600), lost, *sign);
     }
@@ -103,6 +121,7 @@
         Just(Unreached),
         Just(Broken),
         Just(Overdue),
+        Just(Reported),
         (1_u64..5_000).prop_map(|time| FirstToken(ms(time))),
         (1_u64..500).prop_map(|time| TokenGap(ms(time))),
     ]
@@ -119,8 +138,8 @@
             let now = ms(at * 100);
             health.note(now, EndpointIndex(endpoint % endpoints), sign);
             prop_assert!(health.suspected().len() < endpoints as usize);
-            if let Some(probe) = health.take_probe(now) {
-                prop_assert!(health.is_suspected(probe));
+            for probe in (0..endpoints).map(EndpointIndex) {
+                prop_assert!(!health.may_probe(now, probe) || health.is_suspected(probe));
             }
         }
     }
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -4,6 +4,13 @@
 //! and a budget of retries. The decisions are in [`fulmarswitch_decide::balance`],
 //! [`fulmarswitch_decide::suspicion`] and [`fulmarswitch_decide::retry`]. The table is prepared anew on the
 //! first choice after a change of configuration; load and trust are carried over by name.
+//!
+//! The gates on this host tell the chooser what they see of their endpoints, and pass on whether it suspects
+//! them.
+
+mod sent;
+
+pub(crate) use sent::{SentAttempt, WatchedCall};
 
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
@@ -13,17 +20,14 @@
 use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
 use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
 use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth, TrustChange};
-use fulmarswitch_peer::StreamFrame;
-use fulmarswitch_peer::message::{LoadNote, RunState};
+use fulmarswitch_peer::message::LoadNote;
 use fulmarswitch_records::{Offset, OnlineRequest, SortedIndex};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::sync::watch;
 
 /// Bytes of an input that are taken for its prefix.
 const PREFIX_BYTES: usize = 64;
-/// Tokens over which the time between them is averaged.
-const GAP_TOKENS: u32 = 4;
 /// Time that another attempt is taken to need while the service's typical time is not known.
 const UNKNOWN_NEED: Duration = Duration::from_millis(50);
 
@@ -46,6 +50,8 @@
     parts: HostParts,
     fleet: Arc<FleetBooks>,
     services: Mutex<SortedIndex<Arc<str>, ServiceBook>>,
+    /// Number of suspicions so far.
+    suspicions: watch::Sender<u64>,
 }
 
 impl EndpointChooser {
@@ -56,6 +62,7 @@
             parts: parts.clone(),
             fleet: Arc::clone(fleet),
             services: Mutex::default(),
+            suspicions: watch::Sender::new(0),
         })
     }
 
@@ -66,22 +73,15 @@
         excluded: &[Arc<str>],
     ) -> Option<SentAttempt> {
         let now = self.parts.now();
-        let endpoint = self.with_service(&request.service, |service| {
-            let probe = excluded.is_empty() && request.idempotent;
-            let index = service.choose(now, &request.input, excluded, probe)?;
+        let (endpoint, probe) = self.with_service(&request.service, |service| {
+            let index = service.choose(now, request, excluded)?;
+            let probe = service.health.is_suspected(index);
+            service.health.probe(now, index);
             service.loads[index.at()].send();
-            Some(Arc::clone(&service.table.specs()[index.at()].name))
+            Some((Arc::clone(&service.table.specs()[index.at()].name), probe))
         })?;
-        Some(SentAttempt {
-            chooser: Arc::clone(self),
-            service: Arc::clone(&request.service),
-            endpoint,
-            sent_at: Instant::now(),
-            first_at: None,
-            gap_from: Instant::now(),
-            gap_tokens: 0,
-            overdue: false,
-        })
+        let service = &request.service;
+        Some(SentAttempt::new(self, service, endpoint, probe))
     }
 
     /// Decides whether a request that failed at one endpoint is tried at another.
@@ -104,19 +104,67 @@
         })
     }
 
+    /// Decides whether an attempt that is late is cancelled and made at another endpoint.
+    pub(crate) fn judge_move(
+        &self,
+        request: &OnlineRequest,
+        tried: &[Arc<str>],
+        left: Duration,
+    ) -> bool {
+        let now = self.parts.now();
+        let ready = self.with_service(&request.service, |service| {
+            let other = service.choose(now, request, tried);
+            other.is_some_and(|other| !service.health.is_suspected(other))
+        });
+        ready && self.judge_retry(request, true, left) == RetryVerdict::Retry
+    }
+
+    /// Watches a call that a gate on this host makes.
+    pub(crate) fn watch_call(
+        self: &Arc<Self>,
+        service: &Arc<str>,
+        endpoint: &Arc<str>,
+    ) -> WatchedCall {
+        WatchedCall::new(self, service, endpoint)
+    }
+
+    /// Tells whether an endpoint is suspected here.
+    pub(crate) fn is_suspected(&self, service: &str, endpoint: &str) -> bool {
+        self.with_service(service, |service| {
+            let index = service.table.index_of(endpoint);
+            index.is_some_and(|index| service.health.is_suspected(index))
+        })
+    }
+
     /// Returns the time after which an attempt's first token is overdue, once that is known.
     fn patience(&self, service: &str) -> Option<Duration> {
         self.with_service(service, |service| service.health.patience())
     }
 
-    fn note(&self, service: &Arc<str>, endpoint: &str, sign: AttemptSign) {
+    /// Takes a sign of an own attempt.
+    fn note(&self, service: &str, endpoint: &str, sign: AttemptSign) {
         let now = self.parts.now();
         let change = self.with_service(service, |service| {
             let index = service.table.index_of(endpoint)?;
             service.health.note(now, index, sign)
         });
+        self.tell_change(endpoint, sign, change);
+    }
+
+    /// Takes a sign that a gate on this host has seen.
+    fn note_seen(&self, service: &str, endpoint: &str, sign: AttemptSign) {
+        let now = self.parts.now();
+        let change = self.with_service(service, |service| {
+            let index = service.table.index_of(endpoint)?;
+            service.health.note_seen(now, index, sign)
+        });
+        self.tell_change(endpoint, sign, change);
+    }
+
+    fn tell_change(&self, endpoint: &str, sign: AttemptSign, change: Option<TrustChange>) {
         match change {
             Some(TrustChange::Suspected(_)) => {
+                self.suspicions.send_modify(|count| *count += 1);
                 self.parts.metrics.suspicions.inc();
                 self.parts
                     .events
@@ -225,16 +273,12 @@
     fn choose(
         &mut self,
         now: Duration,
-        input: &str,
+        request: &OnlineRequest,
         excluded: &[Arc<str>],
-        probe: bool,
     ) -> Option<EndpointIndex> {
-        if probe && let Some(index) = self.health.take_probe(now) {
-            return Some(index);
-        }
         self.choices += 1;
         let affinity = if self.affine {
-            RequestAffinity::of_prefix(prefix_of(input))
+            RequestAffinity::of_prefix(prefix_of(&request.input))
         } else {
             RequestAffinity::Any(self.choices)
         };
@@ -242,10 +286,15 @@
             let name = &self.table.specs()[index.at()].name;
             excluded.contains(name)
         };
+        let may_probe = request.idempotent && excluded.is_empty();
+        let is_shunned = |index: EndpointIndex| {
+            let due = may_probe && self.health.may_probe(now, index);
+            self.health.is_suspected(index) && !due
+        };
         self.table.choose(affinity, |index| {
             let standing = if is_excluded(index) {
                 EndpointStanding::Excluded
-            } else if self.health.is_suspected(index) {
+            } else if is_shunned(index) {
                 EndpointStanding::Suspected
             } else if self.cold[index.at()] {
                 EndpointStanding::Cold
@@ -260,89 +309,6 @@
     }
 }
 
-/// A request on its way to an endpoint; dropping it counts the request as ended.
-pub(crate) struct SentAttempt {
-    chooser: Arc<EndpointChooser>,
-    service: Arc<str>,
-    /// The endpoint.
-    pub(crate) endpoint: Arc<str>,
-    sent_at: Instant,
-    first_at: Option<Instant>,
-    gap_from: Instant,
-    gap_tokens: u32,
-    overdue: bool,
-}
-
-impl SentAttempt {
-    /// Learns from a frame of the answer.
-    pub(crate) fn see(&mut self, frame: &StreamFrame) {
-        match frame {
-            StreamFrame::Load(note) => self.see_load(note),
-            StreamFrame::Text(_) => self.see_token(),
-            StreamFrame::Done { .. } => self.chooser.succeed(&self.service),
-            StreamFrame::Refused(note) if note.ran == RunState::MayHaveRun => self.see_broken(),
-            _ => {}
-        }
-    }
-
-    /// Learns that the gate or the endpoint was not reached.
-    pub(crate) fn see_unreached(&self) {
-        self.note(AttemptSign::Unreached);
-    }
-
-    /// Learns that the answer broke off.
-    pub(crate) fn see_broken(&self) {
-        self.note(AttemptSign::Broken);
-    }
-
-    /// Learns that no token has come for [`Self::overdue_at`].
-    pub(crate) fn see_overdue(&mut self) {
-        self.overdue = true;
-        self.note(AttemptSign::Overdue);
-    }
-
-    /// Returns when the first token is overdue; nothing when it has come or its time is not known.
-    pub(crate) fn overdue_at(&self) -> Option<Instant> {
-        if self.overdue || self.first_at.is_some() {
-            return None;
-        }
-        Some(self.sent_at + self.chooser.patience(&self.service)?)
-    }
-
-    fn see_load(&self, note: &LoadNote) {
-        self.chooser.take_load(&self.service, &self.endpoint, note);
-        if !note.reached {
-            self.see_unreached();
-        }
-    }
-
-    fn see_token(&mut self) {
-        let now = Instant::now();
-        if self.first_at.is_none() {
-            self.first_at = Some(now);
-            self.gap_from = now;
-            self.note(AttemptSign::FirstToken(now - self.sent_at));
-            return;
-        }
-        self.gap_tokens += 1;
-        if self.gap_tokens == GAP_TOKENS {
-            self.note(AttemptSign::TokenGap((now - self.gap_from) / GAP_TOKENS));
-            self.gap_from = now;
-            self.gap_tokens = 0;
-        }
-    }
-
-    fn note(&self, sign: AttemptSign) {
-        self.chooser.note(&self.service, &self.endpoint, sign);
-    }
-}
-
-impl Drop for SentAttempt {
-    fn drop(&mut self) {
-        self.chooser.end(&self.service, &self.endpoint);
-    }
-}
-
 fn prefix_of(input: &str) -> &str {
     let end = (0..=PREFIX_BYTES.min(input.len()))
         .rev()
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod unit;
 
+use crate::chooser::EndpointChooser;
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
@@ -31,6 +32,7 @@
     parts: HostParts,
     fleet: Arc<FleetBooks>,
     shards: Arc<ShardBooks>,
+    chooser: Arc<EndpointChooser>,
     units: Mutex<SortedIndex<Arc<str>, Arc<GateUnit>>>,
     offers: Mutex<SortedIndex<HostIdentity, OfferList>>,
     attempts: AtomicU64,
@@ -40,11 +42,17 @@
 impl GateRole {
     /// Creates the role.
     #[must_use]
-    pub fn new(parts: &HostParts, fleet: &Arc<FleetBooks>, shards: &Arc<ShardBooks>) -> Arc<Self> {
+    pub fn new(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        shards: &Arc<ShardBooks>,
+        chooser: &Arc<EndpointChooser>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
             fleet: Arc::clone(fleet),
             shards: Arc::clone(shards),
+            chooser: Arc::clone(chooser),
             units: Mutex::default(),
             offers: Mutex::default(),
             attempts: AtomicU64::new(0),
@@ -148,7 +156,7 @@
             unit.configure(endpoint, service);
             return Arc::clone(unit);
         }
-        let unit = GateUnit::new(&self.parts, endpoint, service);
+        let unit = GateUnit::new(&self.parts, &self.chooser, name, endpoint, service);
         units.insert(name.into(), Arc::clone(&unit));
         self.parts
             .events
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -1,6 +1,7 @@
 //! The gate of one endpoint: carries out what the decisions say.
 
 use super::{refusal, settings_of};
+use crate::chooser::{EndpointChooser, WatchedCall};
 use crate::parts::{HostParts, lock};
 use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
 use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
@@ -69,6 +70,8 @@
 /// The gate of one endpoint.
 pub(super) struct GateUnit {
     pub(super) parts: HostParts,
+    name: Arc<str>,
+    chooser: Arc<EndpointChooser>,
     config: Mutex<(EndpointConfig, ServiceConfig)>,
     gate: Mutex<EndpointGate>,
     posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
@@ -80,11 +83,15 @@
 impl GateUnit {
     pub(super) fn new(
         parts: &HostParts,
+        chooser: &Arc<EndpointChooser>,
+        name: &str,
         endpoint: &EndpointConfig,
         service: &ServiceConfig,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
+            name: name.into(),
+            chooser: Arc::clone(chooser),
             config: Mutex::new((endpoint.clone(), service.clone())),
             gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
             posts: Mutex::default(),
@@ -118,11 +125,14 @@
     /// Says what the endpoint holds, for those who choose endpoints.
     fn load_note(&self, reached: bool) -> LoadNote {
         let held = lock(&self.gate).held();
+        let (endpoint, _) = self.config();
+        let suspected = self.chooser.is_suspected(&endpoint.service, &self.name);
         LoadNote {
             held: u32::try_from(held).unwrap_or(u32::MAX),
-            limit: lock(&self.config).0.max_concurrent,
+            limit: endpoint.max_concurrent,
             loaded: true,
             reached,
+            suspected,
         }
     }
 
@@ -287,17 +297,23 @@
         show: &mut impl FnMut(&Arc<str>) -> bool,
     ) -> CallEnd {
         let (endpoint, service) = self.config();
+        let mut watched = self.chooser.watch_call(&endpoint.service, &self.name);
         let starting = self
             .parts
             .endpoints
             .start(&endpoint.address, service.protocol, call);
-        let mut parts = match starting.await {
+        let started = tokio::select! {
+            started = starting => started,
+            never = watched.watch_overdue() => match never {},
+        };
+        let mut parts = match started {
             Ok(parts) => parts,
-            Err(error) => return error_end(error),
+            Err(error) => return error_end(error, &watched),
         };
         loop {
             let part = tokio::select! {
                 part = parts.next() => part,
+                never = watched.watch_overdue() => match never {},
                 order = held.orders.recv() => match order {
                     Some(GateOrder::Cancel) => return CallEnd::Cancelled,
                     _ => continue,
@@ -307,19 +323,28 @@
                 Some(Ok(AnswerPart::Text(text))) => {
                     let now = self.parts.now();
                     lock(&self.gate).token(now, held.ticket);
+                    watched.see_token();
                     if !show(&text) {
                         return CallEnd::Cancelled;
                     }
                 }
                 Some(Ok(AnswerPart::End)) => return CallEnd::Done,
-                Some(Err(error)) => return error_end(error),
-                None => return CallEnd::Broken("the answer ended early".into()),
+                Some(Err(error)) => return error_end(error, &watched),
+                None => {
+                    watched.see_broken();
+                    return CallEnd::Broken("the answer ended early".into());
+                }
             }
         }
     }
 }
 
-fn error_end(error: EndpointError) -> CallEnd {
+fn error_end(error: EndpointError, watched: &WatchedCall) -> CallEnd {
+    match &error {
+        EndpointError::NotSent { .. } => watched.see_unreached(),
+        EndpointError::Broken { .. } => watched.see_broken(),
+        EndpointError::Refused { .. } | EndpointError::Failed { .. } => {}
+    }
     match error {
         EndpointError::NotSent { cause } => CallEnd::Unreached(cause),
         EndpointError::Refused { cause, .. } => CallEnd::NotRun(cause),
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -44,8 +44,8 @@
     pub fn new(parts: &HostParts) -> Arc<Self> {
         let (fleet, committer) = FleetBooks::start(parts);
         let shards = ShardBooks::start(parts, &fleet, &committer);
-        let gates = GateRole::new(parts, &fleet, &shards);
         let chooser = EndpointChooser::new(parts, &fleet);
+        let gates = GateRole::new(parts, &fleet, &shards, &chooser);
         let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -46,6 +46,8 @@
     Refused(RefusalNote),
     /// The attempt broke off; it may have run.
     Lost,
+    /// The endpoint was too slow; the request is tried at another, which the budget has paid for.
+    Moved,
     /// The attempt must not go on; the frame says why.
     Stop(StreamFrame),
 }
@@ -93,7 +95,11 @@
             let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
                 break;
             };
-            match self.attempt(run, &mut sent, &mut acceptance).await {
+            excluded.push(Arc::clone(&sent.endpoint));
+            match self
+                .attempt(run, &mut sent, &excluded, &mut acceptance)
+                .await
+            {
                 AttemptEnd::Done(outcome) => return self.finish(run, acceptance, outcome).await,
                 AttemptEnd::Stop(frame) => return frame,
                 AttemptEnd::Refused(note) => {
@@ -112,8 +118,12 @@
                     }
                     self.parts.metrics.retries.inc();
                 }
+                AttemptEnd::Moved => {
+                    may_have_run = true;
+                    run.reset();
+                    self.parts.metrics.retries.inc();
+                }
             }
-            excluded.push(Arc::clone(&sent.endpoint));
         }
         if matches!(acceptance, Acceptance::Open) {
             return not_run_frame("no endpoint of the service has room", retry_after);
@@ -145,6 +155,7 @@
         &self,
         run: &Arc<KeyRun>,
         sent: &mut SentAttempt,
+        tried: &[Arc<str>],
         acceptance: &mut Acceptance,
     ) -> AttemptEnd {
         let mut frames = match self.open_attempt(run, sent).await {
@@ -163,25 +174,28 @@
                     }
                     held.drain(..).for_each(|frame| run.push(frame));
                 }
-                frame = next_frame(&mut frames, sent) => match frame {
-                    Some(StreamFrame::Load(_)) => {}
-                    Some(StreamFrame::Admitted) => {
-                        if let Err(frame) = self.begin_acceptance(run, acceptance) {
-                            return AttemptEnd::Stop(frame);
+                frame = frames.next() => {
+                    sent.see(frame.as_ref());
+                    match frame {
+                        Some(StreamFrame::Load(_)) => {}
+                        Some(StreamFrame::Admitted) => {
+                            if let Err(frame) = self.begin_acceptance(run, acceptance) {
+                                return AttemptEnd::Stop(frame);
+                            }
                         }
+                        Some(frame @ StreamFrame::Text(_)) => match acceptance {
+                            Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
+                            Acceptance::Standing | Acceptance::Unrecorded => run.push(frame),
+                        },
+                        Some(StreamFrame::Done { outcome, .. }) => {
+                            return self.end_accepted(run, acceptance, held, outcome).await;
+                        }
+                        Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
+                            return AttemptEnd::Refused(note);
+                        }
+                        _ => return AttemptEnd::Lost,
                     }
-                    Some(frame @ StreamFrame::Text(_)) => match acceptance {
-                        Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
-                        Acceptance::Standing | Acceptance::Unrecorded => run.push(frame),
-                    },
-                    Some(StreamFrame::Done { outcome, .. }) => {
-                        return self.end_accepted(run, acceptance, held, outcome).await;
-                    }
-                    Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
-                        return AttemptEnd::Refused(note);
-                    }
-                    _ => return AttemptEnd::Lost,
-                },
+                }
                 () = tokio::time::sleep_until(patience) => {
                     patience += LOG_PATIENCE;
                     if self.log_is_silent(run, acceptance) {
@@ -189,7 +203,17 @@
                         held.drain(..).for_each(|frame| run.push(frame));
                     }
                 }
-                () = wait_until(overdue_at) => sent.see_overdue(),
+                () = wait_until(overdue_at) => {
+                    sent.see_overdue();
+                    if self.chooser.judge_move(&run.request, tried, run.left()) {
+                        return AttemptEnd::Moved;
+                    }
+                }
+                () = sent.wait_suspected() => {
+                    if self.chooser.judge_move(&run.request, tried, run.left()) {
+                        return AttemptEnd::Moved;
+                    }
+                }
                 () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Lost,
             }
         }
@@ -396,19 +420,6 @@
     }
 }
 
-/// Waits for the next frame and lets the chooser learn from it.
-pub(super) async fn next_frame(
-    frames: &mut FrameStream,
-    sent: &mut SentAttempt,
-) -> Option<StreamFrame> {
-    let frame = frames.next().await;
-    match &frame {
-        Some(frame) => sent.see(frame),
-        None => sent.see_broken(),
-    }
-    frame
-}
-
 /// Waits until a time; never returns when there is none.
 async fn wait_until(at: Option<Instant>) {
     match at {
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -3,7 +3,7 @@
 //! The announcement must stand on the log, as the first one and under this owner's epoch, before the
 //! first byte goes out. Whoever finds an announcement without an outcome never sends the call again.
 
-use super::attempt::{AttemptEnd, next_frame};
+use super::attempt::AttemptEnd;
 use super::run::KeyRun;
 use super::{KeyOwner, LOG_SILENCE, RETRY_AFTER, not_run_frame, unknown_frame};
 use crate::chooser::SentAttempt;
@@ -12,6 +12,7 @@
 use fulmarswitch_peer::message::RunState;
 use fulmarswitch_records::record::KeyRunning;
 use fulmarswitch_records::{ItemOutcome, RecordBody};
+use futures::StreamExt;
 use std::sync::Arc;
 
 impl KeyOwner {
@@ -36,7 +37,7 @@
                     outcome = done;
                     break;
                 }
-                AttemptEnd::Lost | AttemptEnd::Stop(_) => {
+                AttemptEnd::Lost | AttemptEnd::Moved | AttemptEnd::Stop(_) => {
                     outcome = ItemOutcome::MayHaveRun;
                     break;
                 }
@@ -83,9 +84,12 @@
             Err(end) => return end,
         };
         loop {
-            let next = next_frame(&mut frames, sent);
-            let frame = tokio::time::timeout_at(run.deadline, next).await;
-            match frame.ok().flatten() {
+            let frame = tokio::time::timeout_at(run.deadline, frames.next()).await;
+            let Ok(frame) = frame else {
+                return AttemptEnd::Lost;
+            };
+            sent.see(frame.as_ref());
+            match frame {
                 Some(StreamFrame::Load(_) | StreamFrame::Admitted) => {}
                 Some(frame @ StreamFrame::Text(_)) => run.push(frame),
                 Some(StreamFrame::Done { outcome, .. }) => return AttemptEnd::Done(outcome),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -307,6 +307,8 @@
     pub loaded: bool,
     /// Whether the endpoint could be reached.
     pub reached: bool,
+    /// Whether the host of the gate suspects the endpoint, from all that goes through the gate.
+    pub suspected: bool,
 }
 
 /// One frame of a stream.
