Keep the placement of shards and gates in a table

Cause: each host hashed every shard against every live host ten times a second, and every endpoint against every live host fifty times a second. At 2,300 hosts and 10,000 endpoints that is 23 million hashes a round, which no host can do. Ruled out: hashing less often (a change must still move work at once). Change: the view of the fleet holds a placement table. A host that joins is compared once with each holder; a host that leaves is replaced only where it held.

--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -1,9 +1,11 @@
 //! Rendezvous hashing of work over hosts.
 //!
 //! Losing a host moves only what it held, and every host that sees the same live hosts computes the same
-//! placement without a message.
+//! placement without a message. [`PlacementTable`] keeps the holder of each piece of work: a host that
+//! joins is compared once with each holder, and a host that leaves is replaced only where it held.
 
-use fulmarswitch_records::{GroupIndex, ShardIndex};
+use fulmarswitch_records::{GroupIndex, ShardIndex, SortedIndex};
+use std::sync::Arc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Returns the shard that a key or job belongs to.
@@ -33,7 +35,11 @@
 /// Returns the rendezvous weight of `host` for `work`; the host with the highest weight holds the work.
 #[must_use]
 pub fn weight(host: &str, work: &str) -> u64 {
-    xxh3_64_with_seed(work.as_bytes(), xxh3_64(host.as_bytes()))
+    mixed_weight(xxh3_64(host.as_bytes()), xxh3_64(work.as_bytes()))
+}
+
+fn mixed_weight(host: u64, work: u64) -> u64 {
+    xxh3_64_with_seed(&work.to_le_bytes(), host)
 }
 
 /// Returns the position of the host that holds `work`, or `None` when there are no hosts.
@@ -47,9 +53,119 @@
 /// assert_eq!(holder(rest, "shard/7"), Some(0));
 /// ```
 pub fn holder<'a>(hosts: impl IntoIterator<Item = &'a str>, work: &str) -> Option<usize> {
+    let work = xxh3_64(work.as_bytes());
     hosts
         .into_iter()
         .enumerate()
-        .max_by_key(|(_, host)| (weight(host, work), *host))
+        .max_by_key(|(_, host)| (mixed_weight(xxh3_64(host.as_bytes()), work), *host))
         .map(|(at, _)| at)
 }
+
+/// A host among which work is placed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct PlacedHost {
+    name: Arc<str>,
+    hash: u64,
+}
+
+/// A piece of work and its holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct PlacedWork {
+    hash: u64,
+    holder: Option<(u64, Arc<str>)>,
+}
+
+/// Holders of named pieces of work.
+///
+/// The holder of each piece is the host with the highest weight, as [`holder`] would find it.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementTable {
+    hosts: Vec<PlacedHost>,
+    works: SortedIndex<Arc<str>, PlacedWork>,
+}
+
+impl PlacementTable {
+    /// Creates a table without hosts and work.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::placement::PlacementTable;
+    /// let mut table = PlacementTable::new();
+    /// table.add_work("gate/e1");
+    /// assert_eq!(table.holder("gate/e1"), None);
+    /// table.add_host("a");
+    /// assert_eq!(table.holder("gate/e1").map(|host| &**host), Some("a"));
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a piece of work, if it is not there yet.
+    pub fn add_work(&mut self, name: &str) {
+        if self.works.contains(name) {
+            return;
+        }
+        let mut work = PlacedWork {
+            hash: xxh3_64(name.as_bytes()),
+            holder: None,
+        };
+        self.hosts.iter().for_each(|host| work.offer(host));
+        self.works.insert(name.into(), work);
+    }
+
+    /// Removes a piece of work.
+    pub fn remove_work(&mut self, name: &str) {
+        self.works.remove(name);
+    }
+
+    /// Returns all pieces of work with their holders.
+    pub fn works(&self) -> impl Iterator<Item = (&Arc<str>, Option<&Arc<str>>)> {
+        self.works
+            .iter()
+            .map(|(name, work)| (name, work.holder.as_ref().map(|held| &held.1)))
+    }
+
+    /// Adds a host, if it is not there yet.
+    pub fn add_host(&mut self, name: &str) {
+        let Err(at) = self.position(name) else { return };
+        let host = PlacedHost {
+            name: name.into(),
+            hash: xxh3_64(name.as_bytes()),
+        };
+        self.works.values_mut().for_each(|work| work.offer(&host));
+        self.hosts.insert(at, host);
+    }
+
+    /// Removes a host and places anew what it held.
+    pub fn remove_host(&mut self, name: &str) {
+        let Ok(at) = self.position(name) else { return };
+        self.hosts.remove(at);
+        for work in self.works.values_mut() {
+            if work.holder.as_ref().is_some_and(|held| *held.1 == *name) {
+                work.holder = None;
+                self.hosts.iter().for_each(|host| work.offer(host));
+            }
+        }
+    }
+
+    /// Returns the name of the host that holds a piece of work.
+    #[must_use]
+    pub fn holder(&self, work: &str) -> Option<&Arc<str>> {
+        self.works.get(work)?.holder.as_ref().map(|held| &held.1)
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.hosts.binary_search_by(|host| (*host.name).cmp(name))
+    }
+}
+
+impl PlacedWork {
+    /// Gives the work to a host whose weight is higher than its holder's.
+    fn offer(&mut self, host: &PlacedHost) {
+        let weight = mixed_weight(host.hash, self.hash);
+        let held = self.holder.as_ref().map(|held| (held.0, &held.1));
+        if held < Some((weight, &host.name)) {
+            self.holder = Some((weight, Arc::clone(&host.name)));
+        }
+    }
+}
--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -5,12 +5,14 @@
 use crate::parts::HostParts;
 use crate::settings::LayoutSettings;
 use fulmarswitch_decide::config::{ConfigTable, ConfigVerdict};
-use fulmarswitch_decide::hosts::HostTable;
-use fulmarswitch_decide::placement::{group_of, holder, shard_of};
+use fulmarswitch_decide::hosts::{HostPhase, HostTable};
+use fulmarswitch_decide::placement::{PlacementTable, group_of, holder, shard_of};
 use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
 use fulmarswitch_peer::PeerTarget;
 use fulmarswitch_records::record::HostJoin;
-use fulmarswitch_records::{GroupIndex, HostIdentity, LogRecord, RecordPlace, ShardIndex};
+use fulmarswitch_records::{
+    GroupIndex, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex,
+};
 use std::sync::Arc;
 use tokio::sync::watch;
 
@@ -28,9 +30,72 @@
     pub config: Arc<ConfigTable>,
     /// How keys and jobs are split.
     pub layout: LayoutSettings,
+    /// The hosts that should own each shard.
+    shards: Arc<PlacementTable>,
+    /// The hosts that should hold the gate of each endpoint.
+    gates: Arc<PlacementTable>,
 }
 
 impl FleetView {
+    fn new(layout: LayoutSettings) -> Self {
+        let mut shards = PlacementTable::new();
+        for shard in 0..layout.shards {
+            shards.add_work(&shard_work(ShardIndex(shard)));
+        }
+        Self {
+            layout,
+            shards: Arc::new(shards),
+            ..Self::default()
+        }
+    }
+
+    /// Applies a record of the `hosts` stream and tells whether it changed the view.
+    fn apply_host(&mut self, place: RecordPlace, record: &LogRecord) -> bool {
+        if !self.hosts.apply(place, record) {
+            return false;
+        }
+        let Some(name) = host_named(record) else {
+            return true;
+        };
+        let live = self
+            .hosts
+            .get(name)
+            .is_some_and(|entry| entry.phase == HostPhase::Live);
+        for table in [&mut self.shards, &mut self.gates] {
+            let table = Arc::make_mut(table);
+            if live {
+                table.add_host(name);
+            } else {
+                table.remove_host(name);
+            }
+        }
+        true
+    }
+
+    /// Applies a record of the `config` stream and returns what became of it.
+    fn apply_config(&mut self, place: RecordPlace, record: &LogRecord) -> Option<ConfigVerdict> {
+        let verdict = Arc::make_mut(&mut self.config).apply(place, record);
+        if let Some(name) = config_named(record)
+            && let Some(endpoint) = name.strip_prefix("endpoint/")
+        {
+            let gates = Arc::make_mut(&mut self.gates);
+            if self.config.endpoint(endpoint).is_some() {
+                gates.add_work(endpoint);
+            } else {
+                gates.remove_work(endpoint);
+            }
+        }
+        verdict
+    }
+
+    /// Returns the names of the endpoints whose gate `host` should hold.
+    pub fn gates_of(&self, host: &str) -> impl Iterator<Item = &Arc<str>> {
+        let works = self.gates.works();
+        works
+            .filter(move |(_, held)| held.is_some_and(|held| **held == *host))
+            .map(|(name, _)| name)
+    }
+
     /// Returns the live host that holds `work`.
     #[must_use]
     pub fn holder_of(&self, work: &str) -> Option<PeerTarget> {
@@ -42,13 +107,25 @@
     /// Returns the host that should own a shard.
     #[must_use]
     pub fn owner_of(&self, shard: ShardIndex) -> Option<PeerTarget> {
-        self.holder_of(&format!("shard/{shard}"))
+        self.named_target(self.shards.holder(&shard_work(shard))?)
     }
 
     /// Returns the host that holds the gate of an endpoint.
     #[must_use]
     pub fn gate_of(&self, endpoint: &str) -> Option<PeerTarget> {
-        self.holder_of(&format!("gate/{endpoint}"))
+        self.named_target(self.gates.holder(endpoint)?)
+    }
+
+    /// Tells whether `host` should own a shard.
+    #[must_use]
+    pub fn should_own(&self, host: &str, shard: ShardIndex) -> bool {
+        self.shards
+            .holder(&shard_work(shard))
+            .is_some_and(|held| **held == *host)
+    }
+
+    fn named_target(&self, host: &str) -> Option<PeerTarget> {
+        Some(target_of(&self.hosts.get(host)?.join))
     }
 
     /// Returns the host that appends to a stream.
@@ -88,6 +165,29 @@
     }
 }
 
+fn shard_work(shard: ShardIndex) -> String {
+    format!("shard/{shard}")
+}
+
+/// Returns the host that a record of the `hosts` stream speaks of.
+fn host_named(record: &LogRecord) -> Option<&Arc<str>> {
+    match &record.body {
+        RecordBody::HostJoin(join) => Some(&join.host.name),
+        RecordBody::HostLeave(host) => Some(&host.name),
+        RecordBody::HostDown(suspicion) => Some(&suspicion.host.name),
+        _ => None,
+    }
+}
+
+/// Returns the configuration record that a record of the `config` stream speaks of.
+fn config_named(record: &LogRecord) -> Option<&Arc<str>> {
+    match &record.body {
+        RecordBody::Config(change) => Some(&change.name),
+        RecordBody::CarriedConfig(carried) => Some(&carried.change.name),
+        _ => None,
+    }
+}
+
 fn target_of(join: &HostJoin) -> PeerTarget {
     PeerTarget {
         host: join.host.clone(),
@@ -105,7 +205,7 @@
     fn apply(&mut self, place: RecordPlace, _at_ms: u64, record: &LogRecord) -> RecordVerdict {
         let mut changed = false;
         self.view.send_if_modified(|view| {
-            changed = Arc::make_mut(view).hosts.apply(place, record);
+            changed = Arc::make_mut(view).apply_host(place, record);
             changed
         });
         if changed {
@@ -125,8 +225,7 @@
     fn apply(&mut self, place: RecordPlace, _at_ms: u64, record: &LogRecord) -> RecordVerdict {
         let mut verdict = None;
         self.view.send_modify(|view| {
-            let view = Arc::make_mut(view);
-            verdict = Arc::make_mut(&mut view.config).apply(place, record);
+            verdict = Arc::make_mut(view).apply_config(place, record);
         });
         match verdict {
             Some(ConfigVerdict::Accepted { .. }) => RecordVerdict::Valid,
@@ -150,10 +249,7 @@
     #[must_use]
     pub fn start(parts: &HostParts) -> (Arc<Self>, Arc<RecordCommitter>) {
         let layout = parts.settings.layout.clone();
-        let sender = watch::Sender::new(Arc::new(FleetView {
-            layout,
-            ..FleetView::default()
-        }));
+        let sender = watch::Sender::new(Arc::new(FleetView::new(layout)));
         let view = sender.subscribe();
         let committer = RecordCommitter::new(parts, view.clone());
         let replay = HostReplay {
--- a/crates/fulmarswitch/src/shards.rs
+++ b/crates/fulmarswitch/src/shards.rs
@@ -193,9 +193,7 @@
         let view = self.fleet.view();
         let mut claims = Vec::new();
         for shard in (0..self.parts.settings.layout.shards).map(ShardIndex) {
-            let wanted = view
-                .owner_of(shard)
-                .is_some_and(|t| t.host == self.parts.identity);
+            let wanted = view.should_own(&self.parts.identity.name, shard);
             let book = self.book(shard);
             if !wanted || !book.is_fresh(FRESH_LIMIT) {
                 continue;
