--- /dev/null
+++ b/crates/trials/src/borders.rs
@@ -0,0 +1,138 @@
+//! A host's log, list and endpoints behind its switch.
+
+use crate::ledger::{CallStart, TrialLedger};
+use crate::switch::{HostSwitch, relay};
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarswitch_endpoint::{
+    AnswerStream, EndpointCall, EndpointClient, EndpointError, EndpointOrder, EndpointReport,
+};
+use fulmarswitch_platform::{HostList, ListedHost, LogError, LogPage, LogService, PlatformError};
+use fulmarswitch_records::config::EndpointProtocol;
+use fulmarswitch_records::{HostIdentity, Offset};
+use fulmarswitch_standins::fleet::MemoryFleet;
+use fulmarswitch_standins::log::MemoryLog;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which a host that is cut off from the log gives up a call.
+const CUT_TIME: Duration = Duration::from_millis(100);
+
+/// The log as one host reaches it.
+pub struct HostLog {
+    log: Arc<MemoryLog>,
+    switch: HostSwitch,
+}
+
+impl HostLog {
+    /// Creates a host's side of the log.
+    #[must_use]
+    pub fn new(log: Arc<MemoryLog>, switch: HostSwitch) -> Self {
+        Self { log, switch }
+    }
+
+    async fn reach(&self) -> Result<(), LogError> {
+        self.switch.running().await;
+        if self.switch.is_log_cut() {
+            tokio::time::sleep(CUT_TIME).await;
+            return Err(LogError::Refused {
+                retry_after: CUT_TIME,
+            });
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl LogService for HostLog {
+    async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
+        self.reach().await?;
+        let appended = self.log.append(stream, data).await;
+        self.switch.running().await;
+        appended
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        self.reach().await?;
+        let page = self.log.read(stream, from, max, wait).await;
+        self.switch.running().await;
+        page
+    }
+}
+
+/// A list of hosts that names none as leaving; operators drain hosts through their entry.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EmptyList;
+
+#[async_trait]
+impl HostList for EmptyList {
+    async fn hosts(&self) -> Result<Vec<ListedHost>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+/// The endpoints as one host reaches them; each start of a call goes into the ledger.
+pub struct HostEndpoints {
+    fleet: MemoryFleet,
+    host: HostIdentity,
+    switch: HostSwitch,
+    ledger: Arc<TrialLedger>,
+}
+
+impl HostEndpoints {
+    /// Creates a host's side of the endpoints.
+    #[must_use]
+    pub fn new(
+        fleet: MemoryFleet,
+        host: HostIdentity,
+        switch: HostSwitch,
+        ledger: Arc<TrialLedger>,
+    ) -> Self {
+        Self {
+            fleet,
+            host,
+            switch,
+            ledger,
+        }
+    }
+}
+
+#[async_trait]
+impl EndpointClient for HostEndpoints {
+    async fn start(
+        &self,
+        address: &str,
+        protocol: EndpointProtocol,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, EndpointError> {
+        self.switch.running().await;
+        self.ledger.note_start(CallStart {
+            at: self.ledger.now(),
+            address: address.into(),
+            input: Arc::clone(&call.input),
+            host: self.host.clone(),
+        });
+        let answer = tokio::select! {
+            answer = self.fleet.start(address, protocol, call) => answer,
+            () = self.switch.killed() => std::future::pending().await,
+        };
+        self.switch.running().await;
+        Ok(relay(answer?, self.switch.clone()))
+    }
+
+    async fn report(&self, address: &str) -> Result<EndpointReport, EndpointError> {
+        self.switch.running().await;
+        self.fleet.report(address).await
+    }
+
+    async fn order(&self, address: &str, order: EndpointOrder) -> Result<(), EndpointError> {
+        self.switch.running().await;
+        self.fleet.order(address, order).await
+    }
+}
--- /dev/null
+++ b/crates/trials/src/callers.rs
@@ -0,0 +1,385 @@
+//! Callers: online requests with resends, jobs with resubmissions, cancelling and reading.
+
+use crate::door::DoorError;
+use crate::fleet::{
+    CHAT_SERVICE, LEDGER_SERVICE, STOP_CUTS_NOTHING, TrialFleet, TrialHost, WORKSPACE,
+};
+use crate::ledger::{AttemptNote, JobNote, KeyNote, is_final};
+use crate::switch::HostMode;
+use fulmarswitch_caller::wire::{
+    AnswerEvent, ErrorReply, ItemLine, JobCall, JobReply, OutcomeReply, RanReply, RequestCall,
+    ResultPage,
+};
+use fulmarswitch_http::full_body;
+use fulmarswitch_records::OnlineRequest;
+use futures::StreamExt;
+use hyper::{Method, StatusCode};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for which a caller keeps resending one request.
+const CALLER_PATIENCE: Duration = Duration::from_secs(25);
+/// Time beyond a request's deadline for which a caller listens.
+const ANSWER_GRACE: Duration = Duration::from_secs(5);
+/// Time that a caller waits for an answer that does not stream.
+const CALL_LIMIT: Duration = Duration::from_secs(12);
+/// Pause before a caller sends again.
+const RESEND_PAUSE: Duration = Duration::from_millis(300);
+/// Results on one page.
+const PAGE_ITEMS: u32 = 40;
+
+/// One caller with its own random numbers.
+pub struct TrialCaller {
+    fleet: Arc<TrialFleet>,
+    rng: SmallRng,
+    number: usize,
+}
+
+impl TrialCaller {
+    /// Creates a caller.
+    #[must_use]
+    pub fn new(fleet: Arc<TrialFleet>, rng: SmallRng, number: usize) -> Self {
+        Self { fleet, rng, number }
+    }
+
+    /// Makes online requests until `end`.
+    pub async fn run_online(mut self, end: Instant) {
+        let mut count = 0;
+        while Instant::now() < end {
+            let pause = self.rng.random_range(50..900);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let request = self.draw_request(count);
+            count += 1;
+            self.complete(&request).await;
+        }
+    }
+
+    /// Submits one job, and then cancels it or reads it until `end`.
+    pub async fn run_job(mut self, end: Instant) {
+        let pause = self.rng.random_range(0..3_000);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let job = self.draw_job();
+        let name = Arc::clone(&job.name);
+        let cancels = self.rng.random_ratio(1, 3);
+        self.fleet
+            .ledger
+            .notes()
+            .jobs
+            .insert(Arc::clone(&name), job.clone());
+        while !self.submit_job(&job).await {
+            if Instant::now() > end {
+                return;
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+        if self.rng.random_ratio(1, 3) {
+            // A submission that was acknowledged already changes nothing.
+            self.submit_job(&job).await;
+        }
+        if cancels {
+            let pause = self.rng.random_range(0..4_000);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            while !self.cancel_job(&name).await && Instant::now() < end {
+                tokio::time::sleep(RESEND_PAUSE).await;
+            }
+        }
+        while Instant::now() < end {
+            self.read_results(&name, None).await;
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+    }
+
+    /// Submits a request until it has an outcome or the caller loses patience.
+    pub async fn complete(&mut self, request: &OnlineRequest) {
+        let key = Arc::clone(&request.key);
+        let note = KeyNote {
+            request: request.clone(),
+            attempts: Vec::new(),
+            reads: Vec::new(),
+        };
+        self.fleet
+            .ledger
+            .notes()
+            .keys
+            .insert(Arc::clone(&key), note);
+        let end = Instant::now() + CALLER_PATIENCE;
+        let mut again = self.rng.random_ratio(1, 5);
+        while Instant::now() < end {
+            let Some(host) = self.pick() else {
+                tokio::time::sleep(RESEND_PAUSE).await;
+                continue;
+            };
+            let attempt = self.attempt(&host, request).await;
+            self.note_attempt(&key, &attempt);
+            if matches!(attempt, AttemptNote::Done { .. }) {
+                let name = request.full_key();
+                self.fleet.ledger.note_ack(&host.identity.name, &name);
+            }
+            if let AttemptNote::Done { .. } = attempt {
+                if !again {
+                    return;
+                }
+                again = false;
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+    }
+
+    /// Submits a request once through a host.
+    pub async fn attempt(&mut self, host: &TrialHost, request: &OnlineRequest) -> AttemptNote {
+        let limit = Duration::from_millis(request.deadline_ms) + ANSWER_GRACE;
+        let submitting = submit_request(host, request);
+        let attempt = tokio::time::timeout(limit, submitting).await;
+        let attempt = attempt.unwrap_or(AttemptNote::Lost);
+        let drains = *host.draining.borrow() && host.switch.mode() == HostMode::Running;
+        if attempt == AttemptNote::Lost && drains {
+            let detail = format!("{} at {} while it drained", request.key, host.identity);
+            self.fleet.ledger.note_broken(STOP_CUTS_NOTHING, detail);
+        }
+        attempt
+    }
+
+    fn note_attempt(&self, key: &Arc<str>, attempt: &AttemptNote) {
+        let ledger = &self.fleet.ledger;
+        let not_run = matches!(
+            attempt,
+            AttemptNote::Refused {
+                ran: RanReply::NotRun
+            } | AttemptNote::Done {
+                outcome: OutcomeReply::NotRun { .. },
+                ..
+            }
+        );
+        let mut broken = None;
+        if let Some(note) = ledger.notes().keys.get_mut(key) {
+            let earlier_unknown = note.attempts.iter().any(|attempt| !is_not_run(attempt));
+            if not_run && !earlier_unknown && !note.request.idempotent {
+                let runs = self.fleet.plain_runs(&note.request.input);
+                if runs > 0 {
+                    broken = Some(format!("{key} ran {runs} times: {attempt:?}"));
+                }
+            }
+            note.attempts.push(attempt.clone());
+        }
+        if let Some(detail) = broken {
+            ledger.note_broken("what is refused as not run did not run", detail);
+        }
+    }
+
+    async fn submit_job(&mut self, job: &JobNote) -> bool {
+        let Some(host) = self.pick() else {
+            return false;
+        };
+        let body = job_body(job);
+        let call = host.door.call(Method::POST, "/v1/jobs", full_body(body));
+        let Ok(Ok(reply)) = tokio::time::timeout(CALL_LIMIT, call).await else {
+            return false;
+        };
+        let accepted = reply.status == StatusCode::OK;
+        if accepted && let Some(note) = self.fleet.ledger.notes().jobs.get_mut(&job.name) {
+            note.accepted = true;
+        }
+        if accepted {
+            let name = format!("{WORKSPACE}/{}", job.name);
+            self.fleet.ledger.note_ack(&host.identity.name, &name);
+        }
+        accepted
+    }
+
+    async fn cancel_job(&mut self, name: &Arc<str>) -> bool {
+        let Some(host) = self.pick() else {
+            return false;
+        };
+        let path = format!("/v1/jobs/{WORKSPACE}/{name}");
+        let call = host.door.call(Method::DELETE, &path, full_body(""));
+        let Ok(Ok(reply)) = tokio::time::timeout(CALL_LIMIT, call).await else {
+            return false;
+        };
+        let Some(report) = reply.read::<JobReply>() else {
+            return false;
+        };
+        let ledger = &self.fleet.ledger;
+        let now = ledger.now();
+        if report.is_cancelled
+            && let Some(note) = ledger.notes().jobs.get_mut(name)
+        {
+            note.cancelled = Some(note.cancelled.unwrap_or(now));
+        }
+        reply.status == StatusCode::OK
+    }
+
+    /// Reads all results of a job through a host, or any, and compares them with those read before.
+    /// Returns the number of results read, or none if the reading broke off.
+    pub async fn read_results(
+        &mut self,
+        name: &Arc<str>,
+        host: Option<Arc<TrialHost>>,
+    ) -> Option<usize> {
+        let mut first = Some(0);
+        let mut count = 0;
+        while let Some(from) = first {
+            let host = host.clone().or_else(|| self.pick())?;
+            let path =
+                format!("/v1/jobs/{WORKSPACE}/{name}/results?first={from}&count={PAGE_ITEMS}");
+            let reply = tokio::time::timeout(CALL_LIMIT, host.door.get(&path)).await;
+            let page: ResultPage = reply.ok()?.ok()?.read()?;
+            first = page.next;
+            let mut broken = Vec::new();
+            if let Some(note) = self.fleet.ledger.notes().jobs.get_mut(name) {
+                for line in page.results {
+                    count += 1;
+                    let known = note.reads.insert(line.index, line.outcome.clone());
+                    if known.is_some_and(|known| known != line.outcome) {
+                        broken.push(format!("{name} item {}: {:?}", line.index, line.outcome));
+                    }
+                }
+            }
+            for detail in broken {
+                self.fleet
+                    .ledger
+                    .note_broken("one outcome for all readers", detail);
+            }
+        }
+        Some(count)
+    }
+
+    /// Chooses a host that runs, as far as a caller can tell.
+    fn pick(&mut self) -> Option<Arc<TrialHost>> {
+        let at = self.rng.random_range(0..self.fleet.size());
+        self.fleet.host(at)
+    }
+
+    fn draw_request(&mut self, count: usize) -> OnlineRequest {
+        let key: Arc<str> = format!("key-{}-{count}", self.number).into();
+        let plain = self.rng.random_ratio(2, 5);
+        OnlineRequest {
+            input: format!("input of {key}").into(),
+            key,
+            workspace: WORKSPACE.into(),
+            service: if plain { LEDGER_SERVICE } else { CHAT_SERVICE }.into(),
+            max_tokens: self.rng.random_range(1..60),
+            deadline_ms: self.rng.random_range(1_500..6_000),
+            idempotent: !plain,
+        }
+    }
+
+    fn draw_job(&mut self) -> JobNote {
+        let name: Arc<str> = format!("job-{}", self.number).into();
+        let items = self.rng.random_range(1..90);
+        JobNote {
+            inputs: (0..items)
+                .map(|item| format!("item {item} of {name}").into())
+                .collect(),
+            name,
+            max_tokens: self.rng.random_range(4..80),
+            idempotent: self.rng.random_ratio(3, 5),
+            accepted: false,
+            cancelled: None,
+            reads: fulmarswitch_records::SortedIndex::new(),
+        }
+    }
+}
+
+/// Submits a request once through a host and listens to the end.
+pub async fn submit_request(host: &TrialHost, request: &OnlineRequest) -> AttemptNote {
+    let call = RequestCall {
+        key: Arc::clone(&request.key),
+        workspace: Arc::clone(&request.workspace),
+        service: Arc::clone(&request.service),
+        input: Arc::clone(&request.input),
+        max_tokens: request.max_tokens,
+        deadline_ms: request.deadline_ms,
+        idempotent: request.idempotent,
+    };
+    let body = full_body(serde_json::to_vec(&call).unwrap_or_default());
+    let opening = host.door.open(Method::POST, "/v1/requests", body);
+    let response = match opening.await {
+        Ok(response) => response,
+        Err(DoorError::Closed) => return AttemptNote::NotReached,
+        Err(DoorError::Broken) => return AttemptNote::Lost,
+    };
+    if response.status() != StatusCode::OK {
+        return refusal_of(response).await;
+    }
+    let mut streamed = String::new();
+    let mut events = host.door.events(response.into_body());
+    while let Some(Some(line)) = events.next().await {
+        match serde_json::from_str(&line) {
+            Ok(AnswerEvent::Text { text }) => streamed.push_str(&text),
+            Ok(AnswerEvent::Reset) => streamed.clear(),
+            Ok(AnswerEvent::Done { outcome, recorded }) => {
+                return AttemptNote::Done {
+                    outcome,
+                    recorded,
+                    streamed,
+                };
+            }
+            Ok(AnswerEvent::Error(error)) => return AttemptNote::Refused { ran: error.ran },
+            Err(_) => return AttemptNote::Lost,
+        }
+    }
+    AttemptNote::Lost
+}
+
+/// Reads the outcome of a key through a host.
+pub async fn read_key(host: &TrialHost, key: &str) -> Option<OutcomeReply> {
+    let path = format!("/v1/requests/{WORKSPACE}/{key}");
+    let reply = tokio::time::timeout(CALL_LIMIT, host.door.get(&path)).await;
+    reply.ok()?.ok()?.read()
+}
+
+/// Reads the counts of a job through a host.
+pub async fn read_job(host: &TrialHost, name: &str) -> Option<JobReply> {
+    let path = format!("/v1/jobs/{WORKSPACE}/{name}");
+    let reply = tokio::time::timeout(CALL_LIMIT, host.door.get(&path)).await;
+    reply.ok()?.ok()?.read()
+}
+
+/// Writes the body of a job's submission.
+#[must_use]
+pub fn job_body(job: &JobNote) -> String {
+    let service = if job.idempotent {
+        CHAT_SERVICE
+    } else {
+        LEDGER_SERVICE
+    };
+    let call = JobCall {
+        job: Arc::clone(&job.name),
+        workspace: WORKSPACE.into(),
+        service: service.into(),
+        due_ms: 0,
+        max_tokens: job.max_tokens,
+        idempotent: job.idempotent,
+    };
+    let mut lines = vec![serde_json::to_string(&call).unwrap_or_default()];
+    for input in &job.inputs {
+        let line = ItemLine {
+            input: Arc::clone(input),
+        };
+        lines.push(serde_json::to_string(&line).unwrap_or_default());
+    }
+    lines.join("\n")
+}
+
+async fn refusal_of(response: hyper::Response<hyper::body::Incoming>) -> AttemptNote {
+    use http_body_util::BodyExt;
+    let Ok(body) = response.into_body().collect().await else {
+        return AttemptNote::Lost;
+    };
+    match serde_json::from_slice::<ErrorReply>(&body.to_bytes()) {
+        Ok(error) => AttemptNote::Refused { ran: error.ran },
+        Err(_) => AttemptNote::Lost,
+    }
+}
+
+fn is_not_run(attempt: &AttemptNote) -> bool {
+    match attempt {
+        AttemptNote::Done { outcome, .. } => !is_final(outcome) && *outcome != OutcomeReply::Open,
+        AttemptNote::Refused { ran } => *ran == RanReply::NotRun,
+        AttemptNote::NotReached => true,
+        AttemptNote::Lost => false,
+    }
+}
--- /dev/null
+++ b/crates/trials/src/door.rs
@@ -0,0 +1,214 @@
+//! Calls to a host's HTTP entry over an in-memory connection.
+//!
+//! The entry is served by the same library as on the network, so a call takes the same way as a caller's.
+
+use crate::switch::HostSwitch;
+use fulmarswitch::entry::EntryRole;
+use fulmarswitch_http::lines::read_events;
+use fulmarswitch_http::{HttpBody, HttpRequest, full_body};
+use futures::{Stream, StreamExt};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::watch;
+
+/// Bytes that a connection buffers.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// Errors of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum DoorError {
+    /// The host takes no connections.
+    #[snafu(display("the host takes no connections; call another"))]
+    Closed,
+    /// The connection broke off.
+    #[snafu(display("the connection broke off; the call may have taken effect"))]
+    Broken,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct DoorReply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: bytes::Bytes,
+}
+
+impl DoorReply {
+    /// Reads the body, if it is of this form.
+    #[must_use]
+    pub fn read<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+/// The HTTP entry of one run of a host.
+pub struct HostDoor {
+    entry: Arc<EntryRole>,
+    switch: HostSwitch,
+    closed: watch::Sender<bool>,
+    connections: Arc<AtomicUsize>,
+}
+
+impl HostDoor {
+    /// Opens the entry to callers.
+    #[must_use]
+    pub fn new(entry: Arc<EntryRole>, switch: HostSwitch) -> Self {
+        Self {
+            entry,
+            switch,
+            closed: watch::Sender::new(false),
+            connections: Arc::default(),
+        }
+    }
+
+    /// Takes no more connections; those that are open go on.
+    pub fn close(&self) {
+        self.closed.send_replace(true);
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Makes a call and returns its answer as soon as it begins.
+    ///
+    /// # Errors
+    /// [`DoorError`] says whether the call may have taken effect.
+    pub async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        body: HttpBody,
+    ) -> Result<Response<Incoming>, DoorError> {
+        if *self.closed.borrow() || self.switch.mode() == crate::switch::HostMode::Killed {
+            return Err(DoorError::Closed);
+        }
+        let (near, far) = tokio::io::duplex(BUFFER_BYTES);
+        tokio::spawn(self.serve(far));
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake::<_, HttpBody>(TokioIo::new(near))
+                .await
+                .map_err(|_| DoorError::Broken)?;
+        // The connection's end shows itself in the call.
+        tokio::spawn(async move { drop(connection.await) });
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .body(body)
+            .map_err(|_| DoorError::Closed)?;
+        let answered = sender.send_request(request).await;
+        answered.map_err(|_| DoorError::Broken)
+    }
+
+    /// Makes a call and waits for its whole answer.
+    ///
+    /// # Errors
+    /// [`DoorError`] says whether the call may have taken effect.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: HttpBody,
+    ) -> Result<DoorReply, DoorError> {
+        let response = self.open(method, path, body).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|_| DoorError::Broken)?.to_bytes();
+        Ok(DoorReply { status, body })
+    }
+
+    /// Makes a call without a body.
+    ///
+    /// # Errors
+    /// [`DoorError`] says whether the call may have taken effect.
+    pub async fn get(&self, path: &str) -> Result<DoorReply, DoorError> {
+        self.call(Method::GET, path, full_body("")).await
+    }
+
+    /// Makes a call with a JSON body.
+    ///
+    /// # Errors
+    /// [`DoorError`] says whether the call may have taken effect.
+    pub async fn send<T: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        value: &T,
+    ) -> Result<DoorReply, DoorError> {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        self.call(method, path, full_body(body)).await
+    }
+
+    /// Returns the events of a streamed answer, as they come out of a host that may be frozen.
+    pub fn events(&self, body: Incoming) -> impl Stream<Item = Option<String>> + Send + Unpin {
+        let switch = self.switch.clone();
+        read_events(body)
+            .then(move |line| {
+                let switch = switch.clone();
+                async move {
+                    tokio::select! {
+                        () = switch.running() => line.ok(),
+                        () = switch.killed() => None,
+                    }
+                }
+            })
+            .boxed()
+    }
+
+    fn serve(&self, far: tokio::io::DuplexStream) -> impl Future<Output = ()> + Send + 'static {
+        let (entry, switch) = (Arc::clone(&self.entry), self.switch.clone());
+        let count = ConnectionCount::new(&self.connections);
+        let gate = switch.clone();
+        let service = service_fn(move |request: HttpRequest| {
+            let (entry, switch) = (Arc::clone(&entry), switch.clone());
+            async move {
+                switch.running().await;
+                let answer = entry.answer(request).await;
+                switch.running().await;
+                Ok::<_, Infallible>(answer)
+            }
+        });
+        let served =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(far), service);
+        async move {
+            let _open = count;
+            tokio::select! {
+                // An error here is a caller that went away.
+                _ = served => {}
+                () = gate.killed() => {}
+            }
+        }
+    }
+}
+
+/// Counts a connection until it is dropped.
+struct ConnectionCount {
+    connections: Arc<AtomicUsize>,
+}
+
+impl ConnectionCount {
+    fn new(connections: &Arc<AtomicUsize>) -> Self {
+        connections.fetch_add(1, Ordering::Relaxed);
+        Self {
+            connections: Arc::clone(connections),
+        }
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/trials/src/faults.rs
@@ -0,0 +1,233 @@
+//! The faults and their schedule: one to three at a time, drawn from the seed.
+
+use crate::fleet::{DOMAINS, TrialFleet};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Longest time that a fault waits for an acknowledgement to strike behind.
+const ACK_WAIT: Duration = Duration::from_secs(3);
+/// Milliseconds for which a log that is slow takes longer.
+const SLOW_MS: u64 = 700;
+/// Retention of a log whose records expire during the run, in milliseconds.
+pub const SHORT_RETENTION_MS: u64 = 20_000;
+
+/// Kinds of faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FaultKind {
+    /// A host is lost right after an acknowledgement, and a new run of it starts later.
+    HostLost,
+    /// A host pauses for longer than its neighbours wait before they take it to be lost.
+    HostPaused,
+    /// The log refuses every call.
+    LogDown,
+    /// The log is slow.
+    LogSlow,
+    /// Appends take effect and their acknowledgements are lost.
+    AckLost,
+    /// One host alone does not reach the log.
+    LogCut,
+    /// Two failure domains do not hear each other.
+    DomainsCut,
+    /// Messages between hosts are lost, late and repeated, and so are their replies.
+    NetworkLossy,
+    /// An engine breaks off all it runs and is gone for a while.
+    EngineLost,
+    /// Calls to a plain service run and their answers are lost.
+    AnswerLost,
+    /// A host is stopped as planned and a new run of it starts later.
+    HostStopped,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [Self; 11] = [
+        Self::HostLost,
+        Self::HostPaused,
+        Self::LogDown,
+        Self::LogSlow,
+        Self::AckLost,
+        Self::LogCut,
+        Self::DomainsCut,
+        Self::NetworkLossy,
+        Self::EngineLost,
+        Self::AnswerLost,
+        Self::HostStopped,
+    ];
+}
+
+impl fmt::Display for FaultKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// One fault as it happened.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultNote {
+    /// Its kind.
+    pub kind: FaultKind,
+    /// Its beginning, counted from the start of the run.
+    pub from: Duration,
+    /// Its end.
+    pub until: Duration,
+}
+
+impl fmt::Display for FaultNote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (from, until) = (self.from.as_secs_f64(), self.until.as_secs_f64());
+        write!(f, "{} {from:.1}-{until:.1} s", self.kind)
+    }
+}
+
+/// Draws and runs faults until `end`, and returns what happened.
+pub async fn run_faults(
+    fleet: Arc<TrialFleet>,
+    mut rng: SmallRng,
+    kinds: Vec<FaultKind>,
+    end: Instant,
+) -> Vec<FaultNote> {
+    let mut notes = Vec::new();
+    while Instant::now() < end && !kinds.is_empty() {
+        let count = rng.random_range(1..=3);
+        let mut faults = JoinSet::new();
+        for _ in 0..count {
+            let Some(kind) = kinds.choose(&mut rng).copied() else {
+                continue;
+            };
+            let rng = SmallRng::seed_from_u64(rng.random());
+            faults.spawn(run_fault(Arc::clone(&fleet), rng, kind));
+        }
+        notes.extend(faults.join_all().await);
+        let pause = rng.random_range(0..2_500);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    notes
+}
+
+/// Runs one fault from its beginning to its end.
+pub async fn run_fault(fleet: Arc<TrialFleet>, mut rng: SmallRng, kind: FaultKind) -> FaultNote {
+    let wait = Duration::from_millis(rng.random_range(0..1_000));
+    tokio::time::sleep(wait).await;
+    let from = fleet.ledger.now();
+    let time = Duration::from_millis(rng.random_range(300..7_000));
+    let at = rng.random_range(0..fleet.size());
+    match kind {
+        FaultKind::HostLost => lose_host(&fleet, &mut rng, time).await,
+        FaultKind::HostPaused => pause_host(&fleet, at, time).await,
+        FaultKind::LogDown => {
+            fleet.ledger.note_deaf(&"*".into(), time);
+            fleet.log.set_faults(|faults| faults.down = true);
+            tokio::time::sleep(time).await;
+            fleet.log.set_faults(|faults| faults.down = false);
+        }
+        FaultKind::LogSlow => {
+            fleet.ledger.note_deaf(&"*".into(), time);
+            fleet.log.set_faults(|faults| faults.slow_ms = SLOW_MS);
+            tokio::time::sleep(time).await;
+            fleet.log.set_faults(|faults| faults.slow_ms = 2);
+        }
+        FaultKind::AckLost => {
+            let count = rng.random_range(1..12);
+            fleet.log.set_faults(|faults| faults.lose_acks = count);
+            tokio::time::sleep(time).await;
+            fleet.log.set_faults(|faults| faults.lose_acks = 0);
+        }
+        FaultKind::LogCut => {
+            fleet.ledger.note_deaf(fleet.name(at), time);
+            fleet.set_log_cut(at, true);
+            tokio::time::sleep(time).await;
+            fleet.set_log_cut(at, false);
+        }
+        FaultKind::DomainsCut => cut_domains(&fleet, &mut rng, time).await,
+        FaultKind::NetworkLossy => {
+            fleet.network.set_faults(|faults| {
+                faults.delay_ms = 60;
+                faults.lost = 30;
+                faults.lost_replies = 30;
+                faults.repeats = 60;
+            });
+            tokio::time::sleep(time).await;
+            fleet.network.set_faults(|faults| {
+                faults.delay_ms = 3;
+                faults.lost = 0;
+                faults.lost_replies = 0;
+                faults.repeats = 0;
+            });
+        }
+        FaultKind::EngineLost => {
+            let engine = Arc::clone(&fleet.engines[at % fleet.engines.len()]);
+            engine.set_faults(|faults| faults.lost = true);
+            tokio::time::sleep(time).await;
+            engine.set_faults(|faults| faults.lost = false);
+        }
+        FaultKind::AnswerLost => {
+            let count = rng.random_range(1..5);
+            let plain = &fleet.plains[at % fleet.plains.len()];
+            plain.set_faults(|faults| faults.lose_answers = count);
+            tokio::time::sleep(time).await;
+        }
+        FaultKind::HostStopped => {
+            fleet.drain(at).await;
+            tokio::time::sleep(time).await;
+            restart(&fleet, at);
+        }
+    }
+    let until = fleet.ledger.now();
+    FaultNote { kind, from, until }
+}
+
+/// Kills the host that a caller was connected to, or the owner of what it asked for, as soon as an
+/// acknowledgement is given.
+async fn lose_host(fleet: &Arc<TrialFleet>, rng: &mut SmallRng, time: Duration) {
+    let ack = tokio::time::timeout(ACK_WAIT, fleet.ledger.next_ack()).await;
+    let mut at = rng.random_range(0..fleet.size());
+    if let Ok(Some(ack)) = ack {
+        let owner = rng.random_bool(0.6).then(|| owner_of(fleet, &ack.name));
+        let wanted = owner.flatten().unwrap_or(ack.host);
+        let found = (0..fleet.size()).find(|at| *fleet.name(*at) == wanted);
+        at = found.unwrap_or(at);
+    }
+    fleet.kill(at);
+    tokio::time::sleep(time).await;
+    restart(fleet, at);
+}
+
+fn owner_of(fleet: &TrialFleet, name: &str) -> Option<Arc<str>> {
+    let host = fleet.joined().into_iter().next()?;
+    let shard = host.node.fleet().view().shard_of(name);
+    host.node.shards().owner(shard).map(|owner| owner.name)
+}
+
+async fn pause_host(fleet: &Arc<TrialFleet>, at: usize, time: Duration) {
+    fleet.ledger.note_deaf(fleet.name(at), time);
+    fleet.set_frozen(at, true);
+    tokio::time::sleep(time).await;
+    fleet.set_frozen(at, false);
+}
+
+async fn cut_domains(fleet: &Arc<TrialFleet>, rng: &mut SmallRng, time: Duration) {
+    let first = rng.random_range(0..DOMAINS.len());
+    let second = (first + 1) % DOMAINS.len();
+    let cut: (Arc<str>, Arc<str>) = (DOMAINS[first].into(), DOMAINS[second].into());
+    fleet
+        .network
+        .set_faults(|faults| faults.cuts.push(cut.clone()));
+    tokio::time::sleep(time).await;
+    fleet.network.set_faults(|faults| {
+        if let Some(at) = faults.cuts.iter().position(|other| *other == cut) {
+            faults.cuts.remove(at);
+        }
+    });
+}
+
+fn restart(fleet: &Arc<TrialFleet>, at: usize) {
+    if !fleet.is_started(at) {
+        fleet.start(at);
+    }
+}
--- /dev/null
+++ b/crates/trials/src/fleet.rs
@@ -0,0 +1,348 @@
+//! Starts, kills, freezes and drains hosts.
+
+use crate::borders::{EmptyList, HostEndpoints, HostLog};
+use crate::door::HostDoor;
+use crate::ledger::TrialLedger;
+use crate::network::{MemoryLink, MemoryNetwork};
+use crate::switch::{HostMode, HostSwitch};
+use fulmarswitch::events::EventLog;
+use fulmarswitch::host::HostNode;
+use fulmarswitch::metrics::HostMetrics;
+use fulmarswitch::parts::{HostParts, lock};
+use fulmarswitch::settings::{HostSettings, LayoutSettings, PlatformSettings, TuningSettings};
+use fulmarswitch::watcher::next_incarnation;
+use fulmarswitch_records::{HostIdentity, LogicalClock};
+use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
+use fulmarswitch_standins::fleet::MemoryFleet;
+use fulmarswitch_standins::log::{LogFaults, MemoryLog};
+use fulmarswitch_standins::plain::{MemoryPlain, PlainFaults};
+use slog::{Discard, Logger, o};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Failure domains.
+pub const DOMAINS: [&str; 3] = ["catania", "palermo", "siracusa"];
+/// Service of model engines.
+pub const CHAT_SERVICE: &str = "chat";
+/// Plain service whose calls may not be repeated.
+pub const LEDGER_SERVICE: &str = "hours";
+/// Model of the engines.
+pub const MODEL: &str = "m";
+/// Workspace of all callers.
+pub const WORKSPACE: &str = "w";
+/// Engines, one a failure domain.
+pub const ENGINES: usize = 3;
+/// Plain endpoints.
+pub const PLAINS: usize = 2;
+/// Promise of a planned stop.
+pub const STOP_CUTS_NOTHING: &str = "a planned stop cuts nothing";
+/// Time that a stopped process still waits for its open connections.
+const CONNECTIONS_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between looks at open connections.
+const CONNECTIONS_PAUSE: Duration = Duration::from_millis(20);
+
+/// One run of a host.
+pub struct TrialHost {
+    /// Which run it is.
+    pub identity: HostIdentity,
+    /// The host itself.
+    pub node: Arc<HostNode>,
+    /// Its HTTP entry.
+    pub door: HostDoor,
+    /// Its switch.
+    pub switch: HostSwitch,
+    /// Whether it has joined.
+    pub joined: watch::Sender<bool>,
+    /// Whether it was asked to leave.
+    pub draining: watch::Sender<bool>,
+}
+
+/// Place of a host, which one run after the other may take.
+struct HostSlot {
+    name: Arc<str>,
+    domain: Arc<str>,
+    switch: Mutex<HostSwitch>,
+    host: watch::Sender<Option<Arc<TrialHost>>>,
+}
+
+/// The whole fleet with its surroundings.
+pub struct TrialFleet {
+    /// The log.
+    pub log: Arc<MemoryLog>,
+    /// The network between hosts.
+    pub network: Arc<MemoryNetwork>,
+    /// The engines, by number.
+    pub engines: Vec<Arc<MemoryEngine>>,
+    /// The plain services, by number.
+    pub plains: Vec<Arc<MemoryPlain>>,
+    /// What everybody saw.
+    pub ledger: Arc<TrialLedger>,
+    endpoints: MemoryFleet,
+    slots: Vec<HostSlot>,
+}
+
+impl TrialFleet {
+    /// Creates a fleet of which no host runs yet.
+    #[must_use]
+    pub fn new(seed: u64, hosts: usize) -> Arc<Self> {
+        let mut endpoints = MemoryFleet::new();
+        let engine_faults = EngineFaults {
+            step_us: 5_000,
+            ..EngineFaults::default()
+        };
+        let engines: Vec<_> = (0..ENGINES)
+            .map(|_| MemoryEngine::new(engine_faults.clone(), &[MODEL]))
+            .collect();
+        let plain_faults = PlainFaults {
+            call_ms: 30,
+            ..PlainFaults::default()
+        };
+        let plains: Vec<_> = (0..PLAINS)
+            .map(|_| MemoryPlain::new(plain_faults.clone()))
+            .collect();
+        for (at, engine) in engines.iter().enumerate() {
+            tokio::spawn(Arc::clone(engine).run());
+            endpoints.add_engine(&engine_address(at), Arc::clone(engine));
+        }
+        for (at, plain) in plains.iter().enumerate() {
+            endpoints.add_plain(&plain_address(at), Arc::clone(plain));
+        }
+        let slot = |at: usize| HostSlot {
+            name: format!("host-{at}").into(),
+            domain: DOMAINS[at % DOMAINS.len()].into(),
+            switch: Mutex::default(),
+            host: watch::Sender::new(None),
+        };
+        Arc::new(Self {
+            log: Arc::new(MemoryLog::new(LogFaults::default())),
+            network: MemoryNetwork::new(seed),
+            engines,
+            plains,
+            ledger: Arc::new(TrialLedger::new()),
+            endpoints,
+            slots: (0..hosts).map(slot).collect(),
+        })
+    }
+
+    /// Returns the number of places for hosts.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns the host in a place, if one runs there.
+    #[must_use]
+    pub fn host(&self, at: usize) -> Option<Arc<TrialHost>> {
+        let host = self.slots[at].host.borrow().clone()?;
+        (host.switch.mode() != HostMode::Killed).then_some(host)
+    }
+
+    /// Returns all hosts that run and have joined.
+    #[must_use]
+    pub fn joined(&self) -> Vec<Arc<TrialHost>> {
+        let hosts = (0..self.size()).filter_map(|at| self.host(at));
+        hosts.filter(|host| *host.joined.borrow()).collect()
+    }
+
+    /// Starts a new run of a host; it takes part once it has joined.
+    pub fn start(self: &Arc<Self>, at: usize) {
+        let switch = HostSwitch::new();
+        *lock(&self.slots[at].switch) = switch.clone();
+        let fleet = Arc::clone(self);
+        tokio::spawn(async move {
+            let killed = switch.clone();
+            tokio::select! {
+                () = fleet.run_host(at, switch) => {}
+                () = killed.killed() => {}
+            }
+        });
+    }
+
+    /// Returns once all hosts have joined.
+    pub async fn wait_joined(&self) {
+        for slot in &self.slots {
+            let mut host = slot.host.subscribe();
+            // The senders live as long as the fleet, so the waits cannot fail.
+            let Ok(Some(host)) = host
+                .wait_for(Option::is_some)
+                .await
+                .map(|host| host.clone())
+            else {
+                continue;
+            };
+            let _ = host.joined.subscribe().wait_for(|joined| *joined).await;
+        }
+    }
+
+    /// Kills the host in a place, whether it has joined or not.
+    pub fn kill(&self, at: usize) {
+        let slot = &self.slots[at];
+        lock(&slot.switch).set(HostMode::Killed);
+        slot.host.send_replace(None);
+    }
+
+    /// Freezes the host in a place, or lets it go on.
+    pub fn set_frozen(&self, at: usize, frozen: bool) {
+        let mode = if frozen {
+            HostMode::Frozen
+        } else {
+            HostMode::Running
+        };
+        lock(&self.slots[at].switch).set(mode);
+    }
+
+    /// Cuts the host in a place off from the log, or ends the cut.
+    pub fn set_log_cut(&self, at: usize, cut: bool) {
+        lock(&self.slots[at].switch).set_log_cut(cut);
+    }
+
+    /// Returns the name of the host in a place.
+    #[must_use]
+    pub fn name(&self, at: usize) -> &Arc<str> {
+        &self.slots[at].name
+    }
+
+    /// Stops the host in a place as planned, as its daemon does, and returns once it is gone.
+    pub async fn drain(&self, at: usize) {
+        let Some(host) = self.host(at) else { return };
+        host.draining.send_replace(true);
+        let gone = host.switch.clone();
+        tokio::select! {
+            () = host.node.leave() => {}
+            () = gone.killed() => return,
+        }
+        host.door.close();
+        let limit = Instant::now() + CONNECTIONS_LIMIT;
+        while host.door.connections() > 0 && Instant::now() < limit {
+            tokio::time::sleep(CONNECTIONS_PAUSE).await;
+        }
+        let open = host.door.connections();
+        if open > 0 && host.switch.mode() == HostMode::Running {
+            let detail = format!("{open} connections of {} were open", host.identity);
+            self.ledger.note_broken(STOP_CUTS_NOTHING, detail);
+        }
+        host.switch.set(HostMode::Killed);
+        self.slots[at].host.send_if_modified(|current| {
+            let mine = current
+                .as_ref()
+                .is_some_and(|c| c.identity == host.identity);
+            if mine {
+                *current = None;
+            }
+            mine
+        });
+    }
+
+    /// Tells whether anything runs, or is about to, in a place.
+    #[must_use]
+    pub fn is_started(&self, at: usize) -> bool {
+        let slot = &self.slots[at];
+        let mode = lock(&slot.switch).mode();
+        mode != HostMode::Killed
+    }
+
+    /// Returns how often each input ran, over all plain services.
+    #[must_use]
+    pub fn plain_runs(&self, input: &str) -> u32 {
+        let runs = self.plains.iter().flat_map(|plain| plain.runs());
+        runs.filter(|(ran, _)| **ran == *input)
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    async fn run_host(self: &Arc<Self>, at: usize, switch: HostSwitch) {
+        let slot = &self.slots[at];
+        let log = Arc::new(HostLog::new(Arc::clone(&self.log), switch.clone()));
+        let incarnation = next_incarnation(log.as_ref(), &slot.name).await;
+        let identity = HostIdentity {
+            name: Arc::clone(&slot.name),
+            incarnation,
+        };
+        let clock = LogicalClock::new();
+        let link = MemoryLink::new(
+            Arc::clone(&self.network),
+            identity.clone(),
+            Arc::clone(&slot.domain),
+            switch.clone(),
+        );
+        let endpoints = HostEndpoints::new(
+            self.endpoints.clone(),
+            identity.clone(),
+            switch.clone(),
+            Arc::clone(&self.ledger),
+        );
+        let logger = Logger::root(Discard, o!());
+        let parts = HostParts {
+            settings: Arc::new(settings(slot)),
+            identity: identity.clone(),
+            log,
+            list: Arc::new(EmptyList),
+            link: Arc::new(link),
+            endpoints: Arc::new(endpoints),
+            events: EventLog::new(Arc::clone(&slot.name), clock, logger),
+            metrics: HostMetrics::new(),
+            started: Instant::now(),
+        };
+        let node = HostNode::new(&parts);
+        let handler = Arc::clone(&node);
+        self.network
+            .attach(&identity, &slot.domain, &switch, handler);
+        let door = HostDoor::new(Arc::clone(node.entry()), switch.clone());
+        let host = Arc::new(TrialHost {
+            identity,
+            node: Arc::clone(&node),
+            door,
+            switch: switch.clone(),
+            joined: watch::Sender::new(false),
+            draining: watch::Sender::new(false),
+        });
+        if node.join().await.is_err() {
+            // The daemon would exit and be started again.
+            switch.set(HostMode::Killed);
+            return;
+        }
+        host.joined.send_replace(true);
+        slot.host.send_replace(Some(host));
+        node.wait_asked_to_leave().await;
+    }
+}
+
+/// Returns the address of an engine.
+#[must_use]
+pub fn engine_address(at: usize) -> String {
+    format!("127.0.1.1:{at}")
+}
+
+/// Returns the address of a plain service.
+#[must_use]
+pub fn plain_address(at: usize) -> String {
+    format!("127.0.2.1:{at}")
+}
+
+fn settings(slot: &HostSlot) -> HostSettings {
+    let address: Arc<str> = "127.0.0.1:1".into();
+    HostSettings {
+        host: Arc::clone(&slot.name),
+        failure_domain: Arc::clone(&slot.domain),
+        caller_address: Arc::clone(&address),
+        message_address: Arc::clone(&address),
+        stream_address: Arc::clone(&address),
+        platform: PlatformSettings {
+            log_address: Arc::clone(&address),
+            list_address: Arc::clone(&address),
+            store_address: address,
+        },
+        layout: LayoutSettings {
+            shards: 8,
+            groups: 2,
+        },
+        tuning: TuningSettings {
+            linger_ms: 10,
+            item_lease_ms: 8_000,
+            drain_ms: 20_000,
+            ..TuningSettings::default()
+        },
+    }
+}
--- /dev/null
+++ b/crates/trials/src/ledger.rs
@@ -0,0 +1,262 @@
+//! What callers, operators and endpoints saw during a run.
+
+use fulmarswitch::parts::lock;
+use fulmarswitch_caller::wire::{OutcomeReply, RanReply};
+use fulmarswitch_records::{HostIdentity, OnlineRequest, SortedIndex};
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// One call as it went out to an endpoint.
+#[derive(Clone, Debug)]
+pub struct CallStart {
+    /// When, counted from the start of the run.
+    pub at: Duration,
+    /// Address of the endpoint.
+    pub address: Arc<str>,
+    /// The input.
+    pub input: Arc<str>,
+    /// The host that made the call.
+    pub host: HostIdentity,
+}
+
+/// How one submission of a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptNote {
+    /// With an outcome.
+    Done {
+        /// The outcome.
+        outcome: OutcomeReply,
+        /// Whether it stands on the log.
+        recorded: bool,
+        /// Text put together from the parts.
+        streamed: String,
+    },
+    /// With an error.
+    Refused {
+        /// Whether the request ran.
+        ran: RanReply,
+    },
+    /// Without an answer.
+    Lost,
+    /// The host took no connection.
+    NotReached,
+}
+
+/// One online request and all that its caller heard of it.
+#[derive(Clone, Debug)]
+pub struct KeyNote {
+    /// The request.
+    pub request: OnlineRequest,
+    /// How each submission ended.
+    pub attempts: Vec<AttemptNote>,
+    /// Outcomes that readers were given later.
+    pub reads: Vec<OutcomeReply>,
+}
+
+impl KeyNote {
+    /// Returns the outcomes that were given as standing on the log and are final.
+    pub fn recorded(&self) -> impl Iterator<Item = &OutcomeReply> {
+        let given = self.attempts.iter().filter_map(|attempt| match attempt {
+            AttemptNote::Done {
+                outcome,
+                recorded: true,
+                ..
+            } => Some(outcome),
+            _ => None,
+        });
+        given.chain(&self.reads).filter(|outcome| is_final(outcome))
+    }
+}
+
+/// Tells whether an outcome can never be followed by another one.
+#[must_use]
+pub fn is_final(outcome: &OutcomeReply) -> bool {
+    !matches!(outcome, OutcomeReply::Open | OutcomeReply::NotRun { .. })
+}
+
+/// One batch job and all that its caller heard of it.
+#[derive(Clone, Debug)]
+pub struct JobNote {
+    /// Workspace and job, as in a path.
+    pub name: Arc<str>,
+    /// Inputs of the items.
+    pub inputs: Vec<Arc<str>>,
+    /// Most tokens to generate for an item.
+    pub max_tokens: u32,
+    /// False when an item may be run at most once.
+    pub idempotent: bool,
+    /// Whether the submission was acknowledged.
+    pub accepted: bool,
+    /// When cancelling was first acknowledged, counted from the start of the run.
+    pub cancelled: Option<Duration>,
+    /// Results that readers were given, by item.
+    pub reads: SortedIndex<u32, OutcomeReply>,
+}
+
+/// One accepted change of configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigNote {
+    /// Name of the record.
+    pub name: Arc<str>,
+    /// Its version after the change.
+    pub version: u64,
+    /// Its body.
+    pub body: serde_json::Value,
+    /// When it was acknowledged, counted from the start of the run.
+    pub at: Duration,
+}
+
+/// One acknowledgement to a caller.
+#[derive(Clone, Debug)]
+pub struct AckNote {
+    /// The host that the caller was connected to.
+    pub host: Arc<str>,
+    /// Workspace and key, or workspace and job.
+    pub name: Arc<str>,
+}
+
+/// One change of whether an endpoint is leaving.
+#[derive(Clone, Debug)]
+pub struct LeavingNote {
+    /// Address of the endpoint.
+    pub address: Arc<str>,
+    /// When the change was acknowledged.
+    pub from: Duration,
+    /// When the endpoint was asked to come back; none if it never was.
+    pub until: Option<Duration>,
+}
+
+/// A time during which a host could not hear of changes.
+#[derive(Clone, Debug)]
+pub struct DeafTime {
+    /// The host; `*` for all of them.
+    pub host: Arc<str>,
+    /// Its beginning.
+    pub from: Duration,
+    /// Its end.
+    pub until: Duration,
+}
+
+/// A promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenPromise {
+    /// Name of the promise.
+    pub promise: &'static str,
+    /// The entity and what was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.detail)
+    }
+}
+
+/// All notes of a run.
+#[derive(Debug, Default)]
+pub struct LedgerNotes {
+    /// Calls to endpoints, in order of time.
+    pub starts: Vec<CallStart>,
+    /// Online requests by key.
+    pub keys: SortedIndex<Arc<str>, KeyNote>,
+    /// Jobs by name.
+    pub jobs: SortedIndex<Arc<str>, JobNote>,
+    /// Accepted changes of configuration.
+    pub changes: Vec<ConfigNote>,
+    /// Endpoints that were told to leave.
+    pub leaving: Vec<LeavingNote>,
+    /// Times during which hosts could not hear.
+    pub deaf: Vec<DeafTime>,
+    /// Promises found broken so far.
+    pub broken: Vec<BrokenPromise>,
+}
+
+/// The notes of a run, shared by all its tasks.
+#[derive(Debug)]
+pub struct TrialLedger {
+    started: Instant,
+    notes: Mutex<LedgerNotes>,
+    acknowledged: watch::Sender<Option<AckNote>>,
+}
+
+impl Default for TrialLedger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TrialLedger {
+    /// Creates an empty ledger, from whose creation time counts.
+    ///
+    /// ```
+    /// use fulmarswitch_trials::ledger::TrialLedger;
+    /// assert!(TrialLedger::new().notes().broken.is_empty());
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            notes: Mutex::default(),
+            acknowledged: watch::Sender::new(None),
+        }
+    }
+
+    /// Notes that a caller was given an acknowledgement.
+    pub fn note_ack(&self, host: &Arc<str>, name: &str) {
+        self.acknowledged.send_replace(Some(AckNote {
+            host: Arc::clone(host),
+            name: name.into(),
+        }));
+    }
+
+    /// Returns the next acknowledgement.
+    pub async fn next_ack(&self) -> Option<AckNote> {
+        let mut acknowledged = self.acknowledged.subscribe();
+        acknowledged.changed().await.ok()?;
+        let note = acknowledged.borrow();
+        note.clone()
+    }
+
+    /// Returns the time since the start of the run.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Locks the notes. The lock is never held over an await.
+    pub fn notes(&self) -> MutexGuard<'_, LedgerNotes> {
+        lock(&self.notes)
+    }
+
+    /// Notes a call to an endpoint.
+    pub fn note_start(&self, start: CallStart) {
+        self.notes().starts.push(start);
+    }
+
+    /// Notes a promise that did not hold.
+    pub fn note_broken(&self, promise: &'static str, detail: String) {
+        self.notes().broken.push(BrokenPromise { promise, detail });
+    }
+
+    /// Tells whether a host could not hear at some moment from `from` to `until`.
+    #[must_use]
+    pub fn is_deaf(&self, host: &str, from: Duration, until: Duration) -> bool {
+        let covers = |deaf: &DeafTime| {
+            (*deaf.host == *host || &*deaf.host == "*") && deaf.from <= until && from <= deaf.until
+        };
+        self.notes().deaf.iter().any(covers)
+    }
+
+    /// Notes that a host cannot hear for a time.
+    pub fn note_deaf(&self, host: &Arc<str>, time: Duration) {
+        let from = self.now();
+        self.notes().deaf.push(DeafTime {
+            host: Arc::clone(host),
+            from,
+            until: from + time,
+        });
+    }
+}
--- /dev/null
+++ b/crates/trials/src/network.rs
@@ -0,0 +1,335 @@
+//! Messages and streams between hosts, with delays, losses, repeats and partitions.
+//!
+//! A message that arrives is acted on even if its sender has stopped waiting. Repeats are dropped by the
+//! same table as on the real network. A stream between two failure domains that are cut off from each
+//! other either ends or stalls until the cut ends.
+
+use crate::switch::{HostMode, HostSwitch};
+use async_trait::async_trait;
+use fulmarswitch::parts::lock;
+use fulmarswitch_peer::envelope::SeenMessages;
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
+    StreamRequest,
+};
+use fulmarswitch_records::{HostIdentity, SortedIndex};
+use futures::StreamExt;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// Time that a sender waits for a reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a repeat of a message arrives.
+const REPEAT_DELAY: Duration = Duration::from_millis(150);
+
+/// Faults of the network, changed while it runs.
+#[derive(Clone, Debug)]
+pub struct NetworkFaults {
+    /// Longest delay of a message, in milliseconds.
+    pub delay_ms: u64,
+    /// Messages in a thousand that get lost.
+    pub lost: u32,
+    /// Replies in a thousand that get lost.
+    pub lost_replies: u32,
+    /// Messages in a thousand that arrive twice.
+    pub repeats: u32,
+    /// Pairs of failure domains that do not hear each other.
+    pub cuts: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl Default for NetworkFaults {
+    fn default() -> Self {
+        Self {
+            delay_ms: 3,
+            lost: 0,
+            lost_replies: 0,
+            repeats: 0,
+            cuts: Vec::new(),
+        }
+    }
+}
+
+/// One run of a host on the network.
+pub struct NetworkStation {
+    identity: HostIdentity,
+    domain: Arc<str>,
+    switch: HostSwitch,
+    handler: Arc<dyn PeerHandler>,
+    seen: Mutex<SeenMessages>,
+}
+
+/// The network between all hosts.
+pub struct MemoryNetwork {
+    stations: Mutex<SortedIndex<Arc<str>, Arc<NetworkStation>>>,
+    faults: watch::Sender<NetworkFaults>,
+    rng: Mutex<SmallRng>,
+}
+
+impl MemoryNetwork {
+    /// Creates a network without hosts.
+    #[must_use]
+    pub fn new(seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            stations: Mutex::default(),
+            faults: watch::Sender::new(NetworkFaults::default()),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Lets a host be reached under its name.
+    pub fn attach(
+        &self,
+        identity: &HostIdentity,
+        domain: &Arc<str>,
+        switch: &HostSwitch,
+        handler: Arc<dyn PeerHandler>,
+    ) {
+        let station = NetworkStation {
+            identity: identity.clone(),
+            domain: Arc::clone(domain),
+            switch: switch.clone(),
+            handler,
+            seen: Mutex::default(),
+        };
+        lock(&self.stations).insert(Arc::clone(&identity.name), Arc::new(station));
+    }
+
+    /// Takes all hosts away.
+    pub fn close(&self) {
+        lock(&self.stations).retain(|_, _| false);
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut NetworkFaults)) {
+        self.faults.send_modify(change);
+    }
+
+    fn chance(&self, per_thousand: u32) -> bool {
+        lock(&self.rng).random_ratio(per_thousand.min(1_000), 1_000)
+    }
+
+    async fn delay(&self) {
+        let longest = self.faults.borrow().delay_ms;
+        let delay = lock(&self.rng).random_range(0..=longest);
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+
+    fn station(&self, to: &HostIdentity) -> Option<Arc<NetworkStation>> {
+        let station = lock(&self.stations).get(&*to.name).cloned()?;
+        let reached = station.identity == *to && station.switch.mode() != HostMode::Killed;
+        reached.then_some(station)
+    }
+
+    fn is_cut(&self, one: &str, other: &str) -> bool {
+        is_cut(&self.faults.borrow(), one, other)
+    }
+}
+
+fn is_cut(faults: &NetworkFaults, one: &str, other: &str) -> bool {
+    let pair = |cut: &&(Arc<str>, Arc<str>)| {
+        (&*cut.0, &*cut.1) == (one, other) || (&*cut.0, &*cut.1) == (other, one)
+    };
+    faults.cuts.iter().any(|cut| pair(&cut))
+}
+
+/// A host's side of the network.
+pub struct MemoryLink {
+    network: Arc<MemoryNetwork>,
+    me: HostIdentity,
+    domain: Arc<str>,
+    switch: HostSwitch,
+    sent: AtomicU64,
+}
+
+impl MemoryLink {
+    /// Creates a host's side of the network.
+    #[must_use]
+    pub fn new(
+        network: Arc<MemoryNetwork>,
+        me: HostIdentity,
+        domain: Arc<str>,
+        switch: HostSwitch,
+    ) -> Self {
+        Self {
+            network,
+            me,
+            domain,
+            switch,
+            sent: AtomicU64::new(0),
+        }
+    }
+
+    async fn reach(&self, to: &HostIdentity) -> Result<Arc<NetworkStation>, PeerError> {
+        self.network.delay().await;
+        let not_reached = |cause: &str| PeerError::NotReached {
+            host: to.clone(),
+            cause: cause.into(),
+        };
+        let station = self
+            .network
+            .station(to)
+            .ok_or_else(|| not_reached("no such run of the host listens"))?;
+        if self.network.is_cut(&self.domain, &station.domain) {
+            // A connection that is made anew fails; one that is kept only falls silent.
+            if self.network.chance(500) {
+                return Err(not_reached("no route"));
+            }
+            std::future::pending::<()>().await;
+        }
+        if self.network.chance(self.network.faults.borrow().lost) {
+            std::future::pending::<()>().await;
+        }
+        Ok(station)
+    }
+
+    async fn exchange(
+        &self,
+        to: &HostIdentity,
+        message: PeerMessage,
+    ) -> Result<PeerReply, PeerError> {
+        let number = self.sent.fetch_add(1, Ordering::Relaxed);
+        let station = self.reach(to).await?;
+        if self.network.chance(self.network.faults.borrow().repeats) {
+            let (station, from, message) = (Arc::clone(&station), self.me.clone(), message.clone());
+            tokio::spawn(async move {
+                tokio::time::sleep(REPEAT_DELAY).await;
+                // Nobody waits for the reply to a repeat.
+                drop(station.deliver(from, number, message));
+            });
+        }
+        let reply = station
+            .clone()
+            .deliver(self.me.clone(), number, message)
+            .await;
+        let lost = self
+            .network
+            .chance(self.network.faults.borrow().lost_replies);
+        self.network.delay().await;
+        match reply {
+            Ok(reply) if !lost && !self.network.is_cut(&self.domain, &station.domain) => Ok(reply),
+            _ => std::future::pending().await,
+        }
+    }
+
+    fn no_answer(&self, to: &HostIdentity) -> PeerError {
+        PeerError::NoAnswer {
+            host: to.clone(),
+            cause: format!("{} waited in vain", self.me).into(),
+        }
+    }
+}
+
+impl NetworkStation {
+    /// Hands a message to the host in a task of its own, so that it is acted on whoever waits.
+    fn deliver(
+        self: Arc<Self>,
+        from: HostIdentity,
+        number: u64,
+        message: PeerMessage,
+    ) -> oneshot::Receiver<PeerReply> {
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            self.switch.running().await;
+            if !lock(&self.seen).first(&from, number) {
+                return;
+            }
+            let reply = self.handler.handle(from, message).await;
+            self.switch.running().await;
+            // The sender may have stopped waiting.
+            let _ = sender.send(reply);
+        });
+        receiver
+    }
+}
+
+#[async_trait]
+impl PeerLink for MemoryLink {
+    async fn call(&self, to: &PeerTarget, message: PeerMessage) -> Result<PeerReply, PeerError> {
+        self.switch.running().await;
+        let exchange = self.exchange(&to.host, message);
+        let reply = tokio::time::timeout(REPLY_TIMEOUT, exchange).await;
+        self.switch.running().await;
+        reply.unwrap_or_else(|_| Err(self.no_answer(&to.host)))
+    }
+
+    async fn open(
+        &self,
+        to: &PeerTarget,
+        request: StreamRequest,
+    ) -> Result<FrameStream, PeerError> {
+        self.switch.running().await;
+        let reached = tokio::time::timeout(REPLY_TIMEOUT, self.reach(&to.host)).await;
+        let station = reached.unwrap_or_else(|_| Err(self.no_answer(&to.host)))?;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let stream = LinkStream {
+            network: Arc::clone(&self.network),
+            opener: (Arc::clone(&self.domain), self.switch.clone()),
+            stalls: self.network.chance(500),
+            station,
+        };
+        tokio::spawn(stream.run(request, sender));
+        Ok(UnboundedReceiverStream::new(receiver).boxed())
+    }
+}
+
+/// One stream between two hosts.
+struct LinkStream {
+    network: Arc<MemoryNetwork>,
+    opener: (Arc<str>, HostSwitch),
+    stalls: bool,
+    station: Arc<NetworkStation>,
+}
+
+impl LinkStream {
+    async fn run(self, request: StreamRequest, sender: mpsc::UnboundedSender<StreamFrame>) {
+        let opener = self.opener.1.clone();
+        let station = Arc::clone(&self.station);
+        tokio::select! {
+            biased;
+            () = opener.killed() => {}
+            () = station.switch.killed() => {}
+            () = sender.closed() => {}
+            () = self.broken() => {}
+            () = self.forward(request, &sender) => {}
+        }
+    }
+
+    async fn forward(&self, request: StreamRequest, sender: &mpsc::UnboundedSender<StreamFrame>) {
+        self.station.switch.running().await;
+        let mut frames = self.station.handler.serve(request).await;
+        while let Some(frame) = frames.next().await {
+            self.station.switch.running().await;
+            self.wait_connected().await;
+            self.network.delay().await;
+            self.opener.1.running().await;
+            if sender.send(frame).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns once a cut has ended the stream.
+    async fn broken(&self) {
+        if self.stalls {
+            return std::future::pending().await;
+        }
+        let mut faults = self.network.faults.subscribe();
+        // The sender lives as long as the network, so the wait cannot fail.
+        let _ = faults
+            .wait_for(|faults| is_cut(faults, &self.opener.0, &self.station.domain))
+            .await;
+    }
+
+    async fn wait_connected(&self) {
+        let mut faults = self.network.faults.subscribe();
+        // The sender lives as long as the network, so the wait cannot fail.
+        let _ = faults
+            .wait_for(|faults| !is_cut(faults, &self.opener.0, &self.station.domain))
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/trials/src/operators.rs
@@ -0,0 +1,160 @@
+//! Operators: the first configuration, racing changes and endpoints that leave and come back.
+
+use crate::fleet::{
+    CHAT_SERVICE, DOMAINS, ENGINES, LEDGER_SERVICE, MODEL, PLAINS, TrialFleet, TrialHost,
+    WORKSPACE, engine_address, plain_address,
+};
+use crate::ledger::{ConfigNote, LeavingNote};
+use fulmarswitch_operator::{PublishCall, RecordReply};
+use hyper::{Method, StatusCode};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time that an operator waits for an answer.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(6);
+/// Pause before an operator publishes again.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(400);
+/// Schema of the records that operators publish.
+const SCHEMA: u16 = 1;
+
+/// Publishes a change through a host and notes it if it was accepted.
+pub async fn publish(
+    fleet: &TrialFleet,
+    host: &TrialHost,
+    name: &str,
+    base_version: u64,
+    body: Value,
+) -> bool {
+    let call = PublishCall {
+        base_version,
+        schema: SCHEMA,
+        body: body.clone(),
+    };
+    let path = format!("/v1/config/{name}");
+    let sending = host.door.send(Method::PUT, &path, &call);
+    let Ok(Ok(reply)) = tokio::time::timeout(PUBLISH_LIMIT, sending).await else {
+        return false;
+    };
+    let accepted = reply.status == StatusCode::OK;
+    if accepted && let Some(record) = reply.read::<RecordReply>() {
+        let at = fleet.ledger.now();
+        fleet.ledger.notes().changes.push(ConfigNote {
+            name: name.into(),
+            version: record.version,
+            body,
+            at,
+        });
+    }
+    accepted
+}
+
+/// Publishes the services, the workspace and the endpoints.
+pub async fn publish_first(fleet: &TrialFleet) {
+    let Some(host) = fleet.joined().into_iter().next() else {
+        return;
+    };
+    let chat = json!({"protocol": "engine", "model": MODEL, "max_attempts": 8});
+    let ledger = json!({"protocol": "plain"});
+    let mut records = vec![
+        (format!("workspace/{WORKSPACE}"), json!({})),
+        (format!("service/{CHAT_SERVICE}"), chat),
+        (format!("service/{LEDGER_SERVICE}"), ledger),
+    ];
+    records.extend((0..ENGINES + PLAINS).map(|at| {
+        let (name, body) = endpoint_record(at, false);
+        (name, body)
+    }));
+    for (name, body) in records {
+        publish(fleet, &host, &name, 0, body).await;
+    }
+}
+
+/// Returns the name and body of an endpoint's record; engines come first.
+#[must_use]
+pub fn endpoint_record(at: usize, leaving: bool) -> (String, Value) {
+    let (service, address) = if at < ENGINES {
+        (CHAT_SERVICE, engine_address(at))
+    } else {
+        (LEDGER_SERVICE, plain_address(at - ENGINES))
+    };
+    let body = json!({
+        "service": service,
+        "address": address,
+        "failure_domain": DOMAINS[at % DOMAINS.len()],
+        "leaving": leaving,
+        "max_concurrent": 16,
+    });
+    (format!("endpoint/{service}-{at}"), body)
+}
+
+/// Changes one record again and again until `end`, racing with other operators who do the same.
+pub async fn run_racer(fleet: Arc<TrialFleet>, mut rng: SmallRng, number: usize, end: Instant) {
+    let mut count = 0;
+    while Instant::now() < end {
+        let pause = rng.random_range(100..1_500);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let at = rng.random_range(0..fleet.size());
+        let Some(host) = fleet.host(at) else { continue };
+        let name = "workspace/raced";
+        let base = host.node.fleet().view().config.version_of(name);
+        count += 1;
+        let body = json!({"max_online": 1 + number * 1_000 + count, "batch_weight": 1});
+        publish(&fleet, &host, name, base, body).await;
+    }
+}
+
+/// Lets endpoints leave and come back until `end`; one of each service always stays.
+pub async fn run_leaver(fleet: Arc<TrialFleet>, mut rng: SmallRng, end: Instant) {
+    while Instant::now() < end {
+        let pause = rng.random_range(500..4_000);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let number = rng.random_range(1..ENGINES + PLAINS - 1);
+        set_leaving(&fleet, &mut rng, number, true, end).await;
+        let stay = rng.random_range(2_000..9_000);
+        tokio::time::sleep(Duration::from_millis(stay)).await;
+        set_leaving(&fleet, &mut rng, number, false, end + PUBLISH_LIMIT).await;
+    }
+}
+
+/// Publishes whether an endpoint is leaving, until that is accepted.
+pub async fn set_leaving(
+    fleet: &TrialFleet,
+    rng: &mut SmallRng,
+    number: usize,
+    leaving: bool,
+    end: Instant,
+) {
+    let (name, body) = endpoint_record(number, leaving);
+    let address: Arc<str> = body["address"].as_str().unwrap_or_default().into();
+    if !leaving {
+        // From here on a change of unknown fate may be in force.
+        let now = fleet.ledger.now();
+        for note in &mut fleet.ledger.notes().leaving {
+            if note.address == address && note.until.is_none() {
+                note.until = Some(now);
+            }
+        }
+    }
+    while Instant::now() < end {
+        let at = rng.random_range(0..fleet.size());
+        if let Some(host) = fleet.host(at) {
+            let base = host.node.fleet().view().config.version_of(&name);
+            if publish(fleet, &host, &name, base, body.clone()).await {
+                if leaving {
+                    let from = fleet.ledger.now();
+                    fleet.ledger.notes().leaving.push(LeavingNote {
+                        address,
+                        from,
+                        until: None,
+                    });
+                }
+                return;
+            }
+        }
+        tokio::time::sleep(PUBLISH_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/trials/src/promises.rs
@@ -0,0 +1,390 @@
+//! The checks of a run, each with the name of the promise that it stands for.
+
+use crate::callers::{TrialCaller, read_job, read_key};
+use crate::fleet::{TrialFleet, TrialHost};
+use crate::ledger::{AttemptNote, JobNote, KeyNote, is_final};
+use crate::switch::HostMode;
+use fulmarswitch_caller::wire::OutcomeReply;
+use fulmarswitch_decide::shard::ShardState;
+use fulmarswitch_decide::shard::verify::verify_shard;
+use fulmarswitch_records::{HostIdentity, SortedIndex};
+use fulmarswitch_standins::engine::whole_answer;
+use fulmarswitch_standins::plain::plain_answer;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for which accepted work may go on after all faults have ended.
+const SETTLE_LIMIT: Duration = Duration::from_secs(150);
+/// Pause between looks at what is open.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which a change of configuration is in force on every host that can hear.
+const CONFIG_LIMIT: Duration = Duration::from_secs(4);
+/// Time after which a leaving endpoint gets no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(4);
+/// Time after which no item of a cancelled job starts.
+const CANCEL_LIMIT: Duration = Duration::from_secs(4);
+/// Time after a pause in which a host catches up with what it missed.
+const CATCH_UP: Duration = Duration::from_secs(3);
+/// Time between looks of the watch.
+const WATCH_PERIOD: Duration = Duration::from_millis(250);
+
+const ONE_OUTCOME: &str = "one outcome for all readers";
+const NOTHING_LOST: &str = "nothing accepted is lost";
+const OWN_ANSWER: &str = "each caller gets the whole answer to its own request";
+const AT_MOST_ONCE: &str = "a call that may not be repeated runs at most once";
+const CANCEL_STOPS: &str = "a cancelled job stops";
+const LEAVING_RESTS: &str = "a leaving endpoint gets no new work";
+const CONFIG_STANDS: &str = "accepted configuration is in force everywhere and never reverts";
+const STATES_AGREE: &str = "all hosts that have read as far agree";
+const STATE_HOLDS: &str = "every replayed state holds its invariants";
+
+/// Watches configuration and replayed state while the run lasts.
+pub async fn watch_hosts(fleet: Arc<TrialFleet>) {
+    let mut seen: SortedIndex<(HostIdentity, Arc<str>), u64> = SortedIndex::new();
+    loop {
+        tokio::time::sleep(WATCH_PERIOD).await;
+        for host in fleet.joined() {
+            check_versions(&fleet, &host, &mut seen);
+            check_in_force(&fleet, &host);
+            check_states(&fleet, &host);
+        }
+    }
+}
+
+fn check_versions(
+    fleet: &TrialFleet,
+    host: &TrialHost,
+    seen: &mut SortedIndex<(HostIdentity, Arc<str>), u64>,
+) {
+    for entry in host.node.fleet().view().config.all() {
+        let name = (host.identity.clone(), Arc::clone(&entry.change.name));
+        let before = seen.insert(name, entry.version).unwrap_or(0);
+        if entry.version < before {
+            let detail = format!("{} at {}", entry.change.name, host.identity);
+            fleet.ledger.note_broken(CONFIG_STANDS, detail);
+        }
+    }
+}
+
+fn check_in_force(fleet: &TrialFleet, host: &TrialHost) {
+    let now = fleet.ledger.now();
+    let since = now.saturating_sub(CONFIG_LIMIT + CATCH_UP);
+    if host.switch.mode() != HostMode::Running
+        || fleet.ledger.is_deaf(&host.identity.name, since, now)
+    {
+        return;
+    }
+    let view = host.node.fleet().view();
+    let mut broken = Vec::new();
+    for change in &fleet.ledger.notes().changes {
+        let due = change.at + CONFIG_LIMIT < now;
+        if due && view.config.version_of(&change.name) < change.version {
+            let detail = format!("{} v{} at {}", change.name, change.version, host.identity);
+            broken.push(detail);
+        }
+    }
+    for detail in broken {
+        fleet.ledger.note_broken(CONFIG_STANDS, detail);
+    }
+}
+
+fn check_states(fleet: &TrialFleet, host: &TrialHost) {
+    for book in host.node.shards().books() {
+        let state = book.state();
+        for broken in state.shards().iter().flat_map(verify_shard) {
+            let detail = format!("{broken} at {}", host.identity);
+            fleet.ledger.note_broken(STATE_HOLDS, detail);
+        }
+    }
+}
+
+/// Waits until all accepted work has its outcome, reads everything through every host and checks it.
+pub async fn check_end(fleet: &Arc<TrialFleet>) {
+    let keys: Vec<Arc<str>> = names(fleet.ledger.notes().keys.iter());
+    let jobs: Vec<Arc<str>> = {
+        let notes = fleet.ledger.notes();
+        names(notes.jobs.iter().filter(|(_, job)| job.accepted))
+    };
+    settle_keys(fleet, &keys).await;
+    settle_jobs(fleet, &jobs).await;
+    for host in fleet.joined() {
+        read_all(fleet, &host, &keys, &jobs).await;
+    }
+    for key in &keys {
+        let note = fleet.ledger.notes().keys.get(key).cloned();
+        if let Some(note) = note {
+            check_key(fleet, &note);
+        }
+    }
+    for job in &jobs {
+        let note = fleet.ledger.notes().jobs.get(job).cloned();
+        if let Some(note) = note {
+            check_job(fleet, &note);
+        }
+    }
+    check_leaving(fleet);
+    check_config(fleet);
+    check_agreement(fleet).await;
+}
+
+fn names<'a, T: 'a>(entries: impl Iterator<Item = (&'a Arc<str>, &'a T)>) -> Vec<Arc<str>> {
+    entries.map(|(name, _)| Arc::clone(name)).collect()
+}
+
+async fn settle_keys(fleet: &Arc<TrialFleet>, keys: &[Arc<str>]) {
+    let end = Instant::now() + SETTLE_LIMIT;
+    for key in keys {
+        loop {
+            let Some(host) = fleet.joined().into_iter().next() else {
+                break;
+            };
+            if read_key(&host, key).await != Some(OutcomeReply::Open) {
+                break;
+            }
+            if Instant::now() > end {
+                fleet
+                    .ledger
+                    .note_broken(NOTHING_LOST, format!("{key} stays open"));
+                break;
+            }
+            tokio::time::sleep(SETTLE_PAUSE).await;
+        }
+    }
+}
+
+async fn settle_jobs(fleet: &Arc<TrialFleet>, jobs: &[Arc<str>]) {
+    let end = Instant::now() + SETTLE_LIMIT;
+    for job in jobs {
+        loop {
+            let Some(host) = fleet.joined().into_iter().next() else {
+                break;
+            };
+            let report = read_job(&host, job).await;
+            if report.as_ref().is_some_and(|report| report.open == 0) {
+                break;
+            }
+            if Instant::now() > end {
+                let detail = format!("{job} stays open: {report:?}");
+                fleet.ledger.note_broken(NOTHING_LOST, detail);
+                break;
+            }
+            tokio::time::sleep(SETTLE_PAUSE).await;
+        }
+    }
+}
+
+async fn read_all(
+    fleet: &Arc<TrialFleet>,
+    host: &Arc<TrialHost>,
+    keys: &[Arc<str>],
+    jobs: &[Arc<str>],
+) {
+    for key in keys {
+        let outcome = read_key(host, key).await;
+        if let (Some(outcome), Some(note)) = (outcome, fleet.ledger.notes().keys.get_mut(key)) {
+            note.reads.push(outcome);
+        }
+    }
+    let mut reader = TrialCaller::new(Arc::clone(fleet), SmallRng::seed_from_u64(0), 0);
+    for job in jobs {
+        let count = reader.read_results(job, Some(Arc::clone(host))).await;
+        let total = fleet
+            .ledger
+            .notes()
+            .jobs
+            .get(job)
+            .map(|note| note.inputs.len());
+        if count != total {
+            let detail = format!("{job}: {count:?} of {total:?} results at {}", host.identity);
+            fleet.ledger.note_broken(NOTHING_LOST, detail);
+        }
+    }
+}
+
+fn check_key(fleet: &TrialFleet, note: &KeyNote) {
+    let key = &note.request.key;
+    let mut recorded = note.recorded();
+    let first = recorded.next();
+    if let Some(other) = recorded.find(|outcome| Some(*outcome) != first) {
+        let detail = format!("{key}: {first:?} and {other:?}");
+        fleet.ledger.note_broken(ONE_OUTCOME, detail);
+    }
+    let unread = !note.reads.iter().any(is_final);
+    if first.is_some() && unread {
+        let detail = format!("{key}: {first:?} cannot be read");
+        fleet.ledger.note_broken(NOTHING_LOST, detail);
+    }
+    let answer = if note.request.idempotent {
+        whole_answer(&note.request.input, note.request.max_tokens)
+    } else {
+        plain_answer(&note.request.input)
+    };
+    let wrong = |text: &str| text != answer;
+    for attempt in &note.attempts {
+        if let AttemptNote::Done {
+            outcome: OutcomeReply::Done { text },
+            streamed,
+            ..
+        } = attempt
+            && (wrong(text) || !(streamed.is_empty() || *streamed == answer))
+        {
+            let detail = format!("{key}: {text:?}, streamed {streamed:?}");
+            fleet.ledger.note_broken(OWN_ANSWER, detail);
+        }
+    }
+    for outcome in &note.reads {
+        if let OutcomeReply::Done { text } = outcome
+            && wrong(text)
+        {
+            fleet
+                .ledger
+                .note_broken(OWN_ANSWER, format!("{key}: read {text:?}"));
+        }
+    }
+    if !note.request.idempotent {
+        let runs = fleet.plain_runs(&note.request.input);
+        if runs > 1 {
+            fleet
+                .ledger
+                .note_broken(AT_MOST_ONCE, format!("{key} ran {runs} times"));
+        }
+    }
+}
+
+fn check_job(fleet: &TrialFleet, note: &JobNote) {
+    for (index, input) in (0..).zip(&note.inputs) {
+        let entity = format!("{} item {index}", note.name);
+        match note.reads.get(&index) {
+            Some(OutcomeReply::Done { text }) => {
+                let answer = if note.idempotent {
+                    whole_answer(input, note.max_tokens)
+                } else {
+                    plain_answer(input)
+                };
+                if **text != *answer {
+                    let detail = format!("{entity}: {text:?}");
+                    fleet.ledger.note_broken(OWN_ANSWER, detail);
+                }
+            }
+            Some(OutcomeReply::Cancelled) if note.cancelled.is_none() => {
+                let detail = format!("{entity} is cancelled and nobody was told");
+                fleet.ledger.note_broken(CANCEL_STOPS, detail);
+            }
+            Some(outcome) if !is_final(outcome) => {
+                let detail = format!("{entity}: {outcome:?}");
+                fleet.ledger.note_broken(NOTHING_LOST, detail);
+            }
+            _ => {}
+        }
+        if !note.idempotent {
+            let runs = fleet.plain_runs(input);
+            if runs > 1 {
+                let detail = format!("{entity} ran {runs} times");
+                fleet.ledger.note_broken(AT_MOST_ONCE, detail);
+            }
+        }
+    }
+    let Some(cancelled) = note.cancelled else {
+        return;
+    };
+    let late = fleet.ledger.notes().starts.iter().find_map(|start| {
+        let late = start.at > cancelled + CANCEL_LIMIT && note.inputs.contains(&start.input);
+        late.then(|| start.clone())
+    });
+    if let Some(start) = late {
+        let since = start.at.saturating_sub(CANCEL_LIMIT + CATCH_UP);
+        if !fleet.ledger.is_deaf(&start.host.name, since, start.at) {
+            let detail = format!("{}, cancelled at {cancelled:?}: {start:?}", note.name);
+            fleet.ledger.note_broken(CANCEL_STOPS, detail);
+        }
+    }
+}
+
+fn check_leaving(fleet: &TrialFleet) {
+    let (starts, leaving) = {
+        let notes = fleet.ledger.notes();
+        (notes.starts.clone(), notes.leaving.clone())
+    };
+    for start in starts {
+        let late = leaving.iter().find(|note| {
+            note.address == start.address
+                && start.at > note.from + LEAVING_LIMIT
+                && note.until.is_none_or(|until| start.at < until)
+        });
+        let since = start.at.saturating_sub(LEAVING_LIMIT + CATCH_UP);
+        if let Some(note) = late
+            && !fleet.ledger.is_deaf(&start.host.name, since, start.at)
+        {
+            let detail = format!("leaving since {:?}: {start:?}", note.from);
+            fleet.ledger.note_broken(LEAVING_RESTS, detail);
+        }
+    }
+}
+
+fn check_config(fleet: &TrialFleet) {
+    let changes = fleet.ledger.notes().changes.clone();
+    for (at, change) in changes.iter().enumerate() {
+        let same = |other: &&crate::ledger::ConfigNote| {
+            other.name == change.name && other.version == change.version
+        };
+        if changes[..at].iter().any(|other| same(&other)) {
+            let detail = format!("{} v{} is given twice", change.name, change.version);
+            fleet.ledger.note_broken(CONFIG_STANDS, detail);
+        }
+        for host in fleet.joined() {
+            let view = host.node.fleet().view();
+            let entry = view.config.get(&change.name);
+            let version = entry.map_or(0, |entry| entry.version);
+            let body = change.body.to_string();
+            let kept = entry.is_some_and(|entry| *entry.change.body == *body);
+            if version < change.version || (version == change.version && !kept) {
+                let detail = format!("{} v{} at {}", change.name, change.version, host.identity);
+                fleet.ledger.note_broken(CONFIG_STANDS, detail);
+            }
+        }
+    }
+}
+
+async fn check_agreement(fleet: &TrialFleet) {
+    // Nothing is written any more but renewed claims, so a moment later all hosts have read everything.
+    tokio::time::sleep(SETTLE_PAUSE * 4).await;
+    let hosts = fleet.joined();
+    let Some(first) = hosts.first() else { return };
+    for host in &hosts[1..] {
+        let books = first.node.shards().books().iter();
+        for (one, other) in books.zip(host.node.shards().books()) {
+            if one.status().borrow().next != other.status().borrow().next {
+                continue;
+            }
+            let (one, other) = (one.state(), other.state());
+            for (one, other) in one.shards().iter().zip(other.shards()) {
+                if !same_state(one, other) {
+                    let detail = format!(
+                        "shard {} at {} and {}",
+                        one.shard(),
+                        first.identity,
+                        host.identity
+                    );
+                    fleet.ledger.note_broken(STATES_AGREE, detail);
+                }
+            }
+        }
+    }
+}
+
+/// Compares two replays of one shard.
+#[must_use]
+pub fn same_state(one: &ShardState, other: &ShardState) -> bool {
+    let keys = one.keys().count() == other.keys().count()
+        && one
+            .keys()
+            .all(|(name, entry)| other.key(name) == Some(entry));
+    let jobs = one.jobs().count() == other.jobs().count()
+        && one
+            .jobs()
+            .all(|(name, entry)| other.job(name) == Some(entry));
+    keys && jobs && one.epoch() == other.epoch() && one.owner() == other.owner()
+}
--- /dev/null
+++ b/crates/trials/src/run.rs
@@ -0,0 +1,217 @@
+//! One run from its seed to its report.
+
+use crate::callers::TrialCaller;
+use crate::faults::{FaultKind, FaultNote, run_faults};
+use crate::fleet::TrialFleet;
+use crate::ledger::{AttemptNote, BrokenPromise};
+use crate::operators::{publish_first, run_leaver, run_racer};
+use crate::promises::{check_end, watch_hosts};
+use fulmarswitch_caller::wire::OutcomeReply;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Length of one step of a run.
+const STEP: Duration = Duration::from_secs(1);
+/// Time for which hosts may take to join once nothing fails.
+const JOIN_LIMIT: Duration = Duration::from_mins(1);
+/// Time for which callers may go on behind the last step.
+const CALLERS_LIMIT: Duration = Duration::from_mins(1);
+/// Promise that a host which starts takes part.
+const HOSTS_JOIN: &str = "a host that starts takes part once nothing fails";
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct RunPlan {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Steps for which callers, operators and faults go on.
+    pub steps: u32,
+    /// Kinds of faults to draw from.
+    pub kinds: Vec<FaultKind>,
+    /// Callers of online requests.
+    pub online_callers: usize,
+    /// Jobs.
+    pub jobs: usize,
+    /// Whether operators change configuration.
+    pub operators: bool,
+}
+
+impl RunPlan {
+    /// Creates a plan with all kinds of faults.
+    ///
+    /// ```
+    /// assert_eq!(fulmarswitch_trials::run::RunPlan::new(7, 10).seed, 7);
+    /// ```
+    #[must_use]
+    pub fn new(seed: u64, steps: u32) -> Self {
+        Self {
+            seed,
+            steps,
+            kinds: FaultKind::ALL.to_vec(),
+            online_callers: 5,
+            jobs: 3,
+            operators: true,
+        }
+    }
+}
+
+/// What a run did and what it found.
+#[derive(Clone, Debug)]
+pub struct RunReport {
+    /// The seed.
+    pub seed: u64,
+    /// The faults.
+    pub faults: Vec<FaultNote>,
+    /// Online requests submitted.
+    pub requests: usize,
+    /// Online requests that were answered.
+    pub answered: usize,
+    /// Online requests whose caller was told that they may have run.
+    pub unknown: usize,
+    /// Batch items accepted.
+    pub items: usize,
+    /// Batch items answered.
+    pub items_done: usize,
+    /// Promises found broken.
+    pub broken: Vec<BrokenPromise>,
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed {}: {} of {} requests answered, {} of {} items",
+            self.seed, self.answered, self.requests, self.items_done, self.items
+        )?;
+        for fault in &self.faults {
+            writeln!(f, "  fault {fault}")?;
+        }
+        for broken in &self.broken {
+            writeln!(f, "  BROKEN {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Makes one run on a paused clock of its own.
+///
+/// # Panics
+/// When the runtime cannot be built, or an invariant asserted inside the system breaks.
+#[must_use]
+pub fn run_plan(plan: &RunPlan) -> RunReport {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime of the current thread needs no resources")
+        .block_on(run_inside(plan))
+}
+
+async fn run_inside(plan: &RunPlan) -> RunReport {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let hosts = rng.random_range(3..=5);
+    let fleet = TrialFleet::new(rng.random(), hosts);
+    for at in 0..hosts {
+        fleet.start(at);
+    }
+    wait_joined(&fleet).await;
+    publish_first(&fleet).await;
+    tokio::time::sleep(STEP).await;
+    let watch = tokio::spawn(watch_hosts(Arc::clone(&fleet)));
+    let end = Instant::now() + STEP * plan.steps;
+    let mut workload = spawn_workload(plan, &fleet, &mut rng, end);
+    let faults_rng = SmallRng::seed_from_u64(rng.random());
+    let faults = run_faults(Arc::clone(&fleet), faults_rng, plan.kinds.clone(), end).await;
+    tokio::time::sleep_until(end).await;
+    // Callers stop by themselves; one that waits for a lost host must not hold up the run.
+    let rest = async { while workload.join_next().await.is_some() {} };
+    let _ = tokio::time::timeout(CALLERS_LIMIT, rest).await;
+    workload.abort_all();
+    for at in 0..hosts {
+        if !fleet.is_started(at) {
+            fleet.start(at);
+        }
+    }
+    wait_joined(&fleet).await;
+    check_end(&fleet).await;
+    watch.abort();
+    fleet.network.close();
+    report(plan, &fleet, faults)
+}
+
+async fn wait_joined(fleet: &TrialFleet) {
+    let joining = fleet.wait_joined();
+    if tokio::time::timeout(JOIN_LIMIT, joining).await.is_err() {
+        let detail = format!("{} of {} joined", fleet.joined().len(), fleet.size());
+        fleet.ledger.note_broken(HOSTS_JOIN, detail);
+    }
+}
+
+fn spawn_workload(
+    plan: &RunPlan,
+    fleet: &Arc<TrialFleet>,
+    rng: &mut SmallRng,
+    end: Instant,
+) -> JoinSet<()> {
+    let mut workload = JoinSet::new();
+    let mut fork = || SmallRng::seed_from_u64(rng.random());
+    for number in 0..plan.online_callers {
+        let caller = TrialCaller::new(Arc::clone(fleet), fork(), number);
+        workload.spawn(caller.run_online(end));
+    }
+    for number in 0..plan.jobs {
+        let caller = TrialCaller::new(Arc::clone(fleet), fork(), number);
+        workload.spawn(caller.run_job(end));
+    }
+    if plan.operators {
+        for number in 0..2 {
+            workload.spawn(run_racer(Arc::clone(fleet), fork(), number, end));
+        }
+        workload.spawn(run_leaver(Arc::clone(fleet), fork(), end));
+    }
+    workload
+}
+
+fn report(plan: &RunPlan, fleet: &TrialFleet, faults: Vec<FaultNote>) -> RunReport {
+    let notes = fleet.ledger.notes();
+    let ended = |wanted: fn(&AttemptNote) -> bool| {
+        let keys = notes.keys.iter();
+        keys.filter(|(_, note)| note.attempts.iter().any(wanted))
+            .count()
+    };
+    let accepted = || notes.jobs.iter().filter(|(_, job)| job.accepted);
+    let is_done = |outcome: &OutcomeReply| matches!(outcome, OutcomeReply::Done { .. });
+    RunReport {
+        seed: plan.seed,
+        faults,
+        requests: notes.keys.len(),
+        answered: ended(|attempt| {
+            matches!(
+                attempt,
+                AttemptNote::Done {
+                    outcome: OutcomeReply::Done { .. },
+                    ..
+                }
+            )
+        }),
+        unknown: ended(|attempt| {
+            matches!(
+                attempt,
+                AttemptNote::Done {
+                    outcome: OutcomeReply::MayHaveRun,
+                    ..
+                }
+            )
+        }),
+        items: accepted().map(|(_, job)| job.inputs.len()).sum(),
+        items_done: accepted()
+            .map(|(_, job)| job.reads.iter().filter(|(_, read)| is_done(read)).count())
+            .sum(),
+        broken: notes.broken.clone(),
+    }
+}
