Keep the chunks of two streams apart in the owner's cache

Cause: the cache of inputs was keyed by the place in a stream alone, and places repeat from one group's stream to the next. Ruled out: the engines (the answers are right for the other inputs) and the replay (states agree and hold their invariants). Change: a cached chunk is known by job and place. Test: items_of_two_groups_are_not_mixed_up failed before (from job-2 on, every item had another job's answer) and passes now.

--- a/crates/fulmarswitch/src/jobs.rs
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -27,6 +27,13 @@
     since: Instant,
 }
 
+/// A chunk of inputs in memory. Places repeat from stream to stream, so the job is part of its identity.
+struct CachedChunk {
+    job: Arc<str>,
+    place: RecordPlace,
+    chunk: Arc<JobChunk>,
+}
+
 /// The owner of jobs on one host.
 pub struct JobOwner {
     parts: HostParts,
@@ -34,7 +41,7 @@
     shards: Arc<ShardBooks>,
     runs: Mutex<SortedIndex<Arc<str>, JobRun>>,
     sessions: Mutex<SortedIndex<Arc<str>, Instant>>,
-    chunks: Mutex<Vec<(RecordPlace, Arc<JobChunk>)>>,
+    chunks: Mutex<Vec<CachedChunk>>,
 }
 
 impl JobOwner {
--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -1,6 +1,6 @@
 //! Handing items out to gates, and recording what became of them.
 
-use super::{CHUNK_CACHE, JobOwner, JobRun};
+use super::{CHUNK_CACHE, CachedChunk, JobOwner, JobRun};
 use crate::parts::lock;
 use fulmarswitch_decide::handout::ItemHandout;
 use fulmarswitch_decide::shard::RecordVerdict;
@@ -324,19 +324,20 @@
 
     async fn input_of(&self, shard: ShardIndex, job: &str, item: u32) -> Option<Arc<str>> {
         let chunk = self.with_job(shard, job, |job| job.chunk_of(item).copied())??;
-        let inputs = self.read_chunk(shard, chunk.place).await.ok()?;
+        let inputs = self.read_chunk(shard, job, chunk.place).await.ok()?;
         inputs.inputs.get((item - inputs.first) as usize).cloned()
     }
 
     async fn read_chunk(
         &self,
         shard: ShardIndex,
+        job: &str,
         place: RecordPlace,
     ) -> Result<Arc<JobChunk>, LogError> {
         let cached = lock(&self.chunks)
             .iter()
-            .find(|entry| entry.0 == place)
-            .map(|e| Arc::clone(&e.1));
+            .find(|cached| cached.place == place && *cached.job == *job)
+            .map(|cached| Arc::clone(&cached.chunk));
         if let Some(chunk) = cached {
             return Ok(chunk);
         }
@@ -358,7 +359,11 @@
         if chunks.len() >= CHUNK_CACHE {
             chunks.remove(0);
         }
-        chunks.push((place, Arc::clone(&chunk)));
+        chunks.push(CachedChunk {
+            job: job.into(),
+            place,
+            chunk: Arc::clone(&chunk),
+        });
         Ok(chunk)
     }
 }
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -11,7 +11,7 @@
     ResultPage,
 };
 use fulmarswitch_http::full_body;
-use fulmarswitch_records::OnlineRequest;
+use fulmarswitch_records::{OnlineRequest, SortedIndex};
 use futures::StreamExt;
 use hyper::{Method, StatusCode};
 use rand::Rng;
@@ -28,6 +28,8 @@
 const CALL_LIMIT: Duration = Duration::from_secs(12);
 /// Pause before a caller sends again.
 const RESEND_PAUSE: Duration = Duration::from_millis(300);
+/// Deadline of a request unless a caller draws another, in milliseconds.
+const REQUEST_DEADLINE_MS: u64 = 6_000;
 /// Results on one page.
 const PAGE_ITEMS: u32 = 40;
 
@@ -64,11 +66,7 @@
         let job = self.draw_job();
         let name = Arc::clone(&job.name);
         let cancels = self.rng.random_ratio(1, 3);
-        self.fleet
-            .ledger
-            .notes()
-            .jobs
-            .insert(Arc::clone(&name), job.clone());
+        self.add_job(&job);
         while !self.submit_job(&job).await {
             if Instant::now() > end {
                 return;
@@ -92,6 +90,12 @@
         }
     }
 
+    /// Notes a job that is about to be submitted.
+    pub fn add_job(&self, job: &JobNote) {
+        let name = Arc::clone(&job.name);
+        self.fleet.ledger.notes().jobs.insert(name, job.clone());
+    }
+
     /// Submits a request until it has an outcome or the caller loses patience.
     pub async fn complete(&mut self, request: &OnlineRequest) {
         let key = Arc::clone(&request.key);
@@ -169,7 +173,8 @@
         }
     }
 
-    async fn submit_job(&mut self, job: &JobNote) -> bool {
+    /// Submits a job once through any host and tells whether it was acknowledged.
+    pub async fn submit_job(&mut self, job: &JobNote) -> bool {
         let Some(host) = self.pick() else {
             return false;
         };
@@ -189,7 +194,8 @@
         accepted
     }
 
-    async fn cancel_job(&mut self, name: &Arc<str>) -> bool {
+    /// Cancels a job through any host and tells whether that was acknowledged.
+    pub async fn cancel_job(&mut self, name: &Arc<str>) -> bool {
         let Some(host) = self.pick() else {
             return false;
         };
@@ -253,33 +259,54 @@
     }
 
     fn draw_request(&mut self, count: usize) -> OnlineRequest {
-        let key: Arc<str> = format!("key-{}-{count}", self.number).into();
-        let plain = self.rng.random_ratio(2, 5);
+        let key = format!("key-{}-{count}", self.number);
+        let max_tokens = self.rng.random_range(1..60);
         OnlineRequest {
-            input: format!("input of {key}").into(),
-            key,
-            workspace: WORKSPACE.into(),
-            service: if plain { LEDGER_SERVICE } else { CHAT_SERVICE }.into(),
-            max_tokens: self.rng.random_range(1..60),
             deadline_ms: self.rng.random_range(1_500..6_000),
-            idempotent: !plain,
+            ..make_request(&key, max_tokens, self.rng.random_ratio(3, 5))
         }
     }
 
     fn draw_job(&mut self) -> JobNote {
-        let name: Arc<str> = format!("job-{}", self.number).into();
+        let name = format!("job-{}", self.number);
         let items = self.rng.random_range(1..90);
-        JobNote {
-            inputs: (0..items)
-                .map(|item| format!("item {item} of {name}").into())
-                .collect(),
-            name,
-            max_tokens: self.rng.random_range(4..80),
-            idempotent: self.rng.random_ratio(3, 5),
-            accepted: false,
-            cancelled: None,
-            reads: fulmarswitch_records::SortedIndex::new(),
-        }
+        let max_tokens = self.rng.random_range(4..80);
+        make_job(&name, items, max_tokens, self.rng.random_ratio(3, 5))
+    }
+}
+
+/// Makes a job whose inputs name it.
+#[must_use]
+pub fn make_job(name: &str, items: usize, max_tokens: u32, idempotent: bool) -> JobNote {
+    JobNote {
+        name: name.into(),
+        inputs: (0..items)
+            .map(|item| format!("item {item} of {name}").into())
+            .collect(),
+        max_tokens,
+        idempotent,
+        accepted: false,
+        cancelled: None,
+        reads: SortedIndex::new(),
+    }
+}
+
+/// Makes a request whose input names its key.
+#[must_use]
+pub fn make_request(key: &str, max_tokens: u32, idempotent: bool) -> OnlineRequest {
+    let service = if idempotent {
+        CHAT_SERVICE
+    } else {
+        LEDGER_SERVICE
+    };
+    OnlineRequest {
+        key: key.into(),
+        workspace: WORKSPACE.into(),
+        service: service.into(),
+        input: format!("input of {key}").into(),
+        max_tokens,
+        deadline_ms: REQUEST_DEADLINE_MS,
+        idempotent,
     }
 }
 
--- a/crates/trials/src/run.rs
+++ b/crates/trials/src/run.rs
@@ -112,16 +112,22 @@
         .block_on(run_inside(plan))
 }
 
-async fn run_inside(plan: &RunPlan) -> RunReport {
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let hosts = rng.random_range(3..=5);
-    let fleet = TrialFleet::new(rng.random(), hosts);
+/// Starts a fleet in which all hosts have joined and the first configuration is in force.
+pub async fn start_fleet(seed: u64, hosts: usize) -> Arc<TrialFleet> {
+    let fleet = TrialFleet::new(seed, hosts);
     for at in 0..hosts {
         fleet.start(at);
     }
     wait_joined(&fleet).await;
     publish_first(&fleet).await;
     tokio::time::sleep(STEP).await;
+    fleet
+}
+
+async fn run_inside(plan: &RunPlan) -> RunReport {
+    let mut rng = SmallRng::seed_from_u64(plan.seed);
+    let hosts = rng.random_range(3..=5);
+    let fleet = start_fleet(rng.random(), hosts).await;
     let watch = tokio::spawn(watch_hosts(Arc::clone(&fleet)));
     let end = Instant::now() + STEP * plan.steps;
     let mut workload = spawn_workload(plan, &fleet, &mut rng, end);
--- /dev/null
+++ b/crates/trials/tests/answers.rs
@@ -0,0 +1,23 @@
+//! Each caller gets the whole answer to its own request.
+
+use fulmarswitch_trials::callers::{TrialCaller, make_job};
+use fulmarswitch_trials::promises::check_end;
+use fulmarswitch_trials::run::start_fleet;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::Arc;
+
+/// Jobs of shards in different groups stand at the same places of different streams.
+#[tokio::test(start_paused = true)]
+async fn items_of_two_groups_are_not_mixed_up() {
+    let fleet = start_fleet(1, 1).await;
+    let mut caller = TrialCaller::new(Arc::clone(&fleet), SmallRng::seed_from_u64(1), 0);
+    for number in 0..24 {
+        let job = make_job(&format!("job-{number}"), 3, 4, true);
+        caller.add_job(&job);
+        assert!(caller.submit_job(&job).await);
+    }
+    check_end(&fleet).await;
+    assert_eq!(fleet.ledger.notes().broken, vec![]);
+    fleet.network.close();
+}
