--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -50,8 +50,8 @@
     }
 
     /// Applies a record of the `hosts` stream and tells whether it changed the view.
-    fn apply_host(&mut self, place: RecordPlace, record: &LogRecord) -> bool {
-        if !self.hosts.apply(place, record) {
+    fn apply_host(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> bool {
+        if !self.hosts.apply(place, at_ms, record) {
             return false;
         }
         let Some(name) = host_named(record) else {
@@ -202,10 +202,10 @@
 }
 
 impl StreamReplay for HostReplay {
-    fn apply(&mut self, place: RecordPlace, _at_ms: u64, record: &LogRecord) -> RecordVerdict {
+    fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict {
         let mut changed = false;
         self.view.send_if_modified(|view| {
-            changed = Arc::make_mut(view).apply_host(place, record);
+            changed = Arc::make_mut(view).apply_host(place, at_ms, record);
             changed
         });
         if changed {
