Add the command line fulmarswitch

The commands are thin calls of the callers' and operators' interface. The client gives up an answer whose host is silent and asks again by key: a host that is frozen accepts connections and never answers, so a caller would have waited for ever. A submission whose input cannot be read to its end is broken off, so a job is never accepted with a part of its items.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -18,6 +18,12 @@
 
 /// Pause between attempts after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Silence after which an answer is asked for again, at another host; the key makes that harmless.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time beyond the deadline for which the last event of an answer is waited for.
+const LAST_EVENT_GRACE: Duration = Duration::from_secs(4);
+/// Time for which a client keeps to the one address it was given.
+const PINNED_TTL: Duration = Duration::from_hours(24);
 /// Time allowed for a call that does not stream.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -83,6 +89,21 @@
         }
     }
 
+    /// Creates a client that talks to one host only and asks nobody which addresses to use.
+    ///
+    /// ```
+    /// let client = fulmarswitch_caller::client::CallerClient::pinned("127.0.0.1:7001".into());
+    /// ```
+    #[must_use]
+    pub fn pinned(address: Arc<str>) -> Self {
+        let client = Self::new(vec![Arc::clone(&address)]);
+        client.note(AddressReply {
+            addresses: vec![address],
+            ttl_ms: u64::try_from(PINNED_TTL.as_millis()).unwrap_or(u64::MAX),
+        });
+        client
+    }
+
     /// Submits a request and collects its answer, resending under the same key until the deadline.
     ///
     /// # Errors
@@ -103,10 +124,12 @@
         let started = Instant::now();
         let deadline = started + Duration::from_millis(call.deadline_ms);
         loop {
-            let error = match self.attempt(call, started, &mut show).await {
-                Ok(answer) => return Ok(answer),
-                Err(error @ CallerError::Refused { .. }) => return Err(error),
-                Err(error) => error,
+            let attempt = self.attempt(call, started, &mut show);
+            let error = match tokio::time::timeout_at(deadline + LAST_EVENT_GRACE, attempt).await {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(error @ CallerError::Refused { .. })) => return Err(error),
+                Ok(Err(error)) => error,
+                Err(_) => no_answer("the deadline passed without an answer"),
             };
             self.forget();
             if Instant::now() + RETRY_PAUSE >= deadline {
@@ -124,14 +147,15 @@
     ) -> Result<TimedAnswer, CallerError> {
         let url = format!("http://{}/v1/requests", self.address().await?);
         let body = encode_json(&url, call)?;
-        let response = self.http.open(Method::POST, &url, full_body(body)).await?;
+        let opening = self.http.open(Method::POST, &url, full_body(body));
+        let response = unless_silent(opening).await??;
         if !response.status().is_success() {
             return Err(refusal(&read_reply(&url, response).await?));
         }
         let mut events = read_events(response.into_body());
         let mut streamed = String::new();
         let mut parts = Vec::new();
-        while let Some(event) = events.next().await {
+        while let Some(event) = unless_silent(events.next()).await? {
             let data = event.map_err(|error| no_answer(&error.to_string()))?;
             let event: AnswerEvent =
                 serde_json::from_str(&data).map_err(|error| no_answer(&error.to_string()))?;
@@ -167,13 +191,28 @@
         &self,
         call: &JobCall,
         items: impl Stream<Item = Arc<str>> + Send + 'static,
+    ) -> Result<JobReply, CallerError> {
+        self.submit_checked(call, items.map(Ok)).await
+    }
+
+    /// Submits a job whose items may fail to be read. The first failure breaks the submission off, so that
+    /// a job is never accepted with a part of its items.
+    ///
+    /// # Errors
+    /// [`CallerError`] with the failure; submitting the same job again is harmless.
+    pub async fn submit_checked(
+        &self,
+        call: &JobCall,
+        items: impl Stream<Item = io::Result<Arc<str>>> + Send + 'static,
     ) -> Result<JobReply, CallerError> {
         let url = format!("http://{}/v1/jobs", self.address().await?);
         let first = encode_json(&url, call)?;
-        let lines = items.map(|input| serde_json::json!({ "input": input }).to_string().into());
-        let lines = futures::stream::once(std::future::ready(first)).chain(lines);
-        let chunks =
-            lines.map(|line: Bytes| Ok::<_, io::Error>([&line[..], b"\n"].concat().into()));
+        let lines = items.map(|item| {
+            let input = item?;
+            Ok::<Bytes, io::Error>(serde_json::json!({ "input": input }).to_string().into())
+        });
+        let lines = futures::stream::once(std::future::ready(Ok(first))).chain(lines);
+        let chunks = lines.map(|line| Ok([&line?[..], b"\n"].concat().into()));
         let response = self
             .http
             .open(Method::POST, &url, stream_body(chunks))
@@ -243,6 +282,28 @@
         }
     }
 
+    /// Reads once, from one host.
+    ///
+    /// # Errors
+    /// [`CallerError`] with the failure.
+    pub async fn get_once<T: DeserializeOwned>(&self, path: &str) -> Result<T, CallerError> {
+        self.send(Method::GET, path, full_body("")).await
+    }
+
+    /// Makes one call with a JSON body and a JSON answer.
+    ///
+    /// # Errors
+    /// [`CallerError`] with the failure.
+    pub async fn send_json<T: DeserializeOwned, B: serde::Serialize + Sync>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Result<T, CallerError> {
+        let bytes = encode_json(path, body)?;
+        self.send(method, path, full_body(bytes)).await
+    }
+
     /// Makes one call with a JSON answer.
     ///
     /// # Errors
@@ -273,7 +334,10 @@
     }
 
     /// Returns an address to use, asking the seeds when the last answer is old.
-    async fn address(&self) -> Result<Arc<str>, CallerError> {
+    ///
+    /// # Errors
+    /// [`CallerError`] with the last failure.
+    pub async fn address(&self) -> Result<Arc<str>, CallerError> {
         if let Some(address) = self.take_known() {
             return Ok(address);
         }
@@ -330,6 +394,13 @@
     }
 }
 
+/// Waits for the next sign of life of the host that answers.
+async fn unless_silent<T>(next: impl Future<Output = T>) -> Result<T, CallerError> {
+    tokio::time::timeout(SILENCE_LIMIT, next)
+        .await
+        .map_err(|_| no_answer("the host is silent"))
+}
+
 fn parse<T: DeserializeOwned>(reply: &HttpReply) -> Result<T, CallerError> {
     if reply.status.is_success() {
         Ok(reply.json()?)
--- /dev/null
+++ b/crates/cli/src/commands/fleet.rs
@@ -0,0 +1,83 @@
+//! Hosts: status, draining and addresses.
+
+use super::{CommandClients, print_json};
+use crate::error::CommandError;
+use fulmarswitch_caller::wire::AddressReply;
+use fulmarswitch_operator::StatusReply;
+use std::sync::Arc;
+
+/// Prints every host with what it reports itself.
+///
+/// # Errors
+/// [`CommandError`] when no host answers.
+pub async fn status(clients: &CommandClients, json: bool) -> Result<(), CommandError> {
+    let seen = clients.fleet.status().await?;
+    let mut own: Vec<Option<StatusReply>> = Vec::new();
+    for host in &seen.hosts {
+        // A host that is down has no status of its own.
+        let asked = clients.fleet.get(&host.address, "/v1/status").await;
+        own.push(asked.ok().filter(|_| &*host.phase != "down"));
+    }
+    if json {
+        let own: Vec<StatusReply> = own.into_iter().flatten().collect();
+        print_json(&serde_json::json!({ "seen": seen, "hosts": own }));
+        return Ok(());
+    }
+    println!(
+        "{:<16} {:<14} {:<22} {:<8} {:>6} {:>6} {:>7} log",
+        "host", "domain", "address", "phase", "shards", "gates", "config"
+    );
+    for (host, own) in seen.hosts.iter().zip(&own) {
+        let name = format!("{}/{}", host.name, host.incarnation);
+        let (shards, gates, config, log) = match own {
+            Some(own) => (
+                own.owned_shards.to_string(),
+                own.gates.to_string(),
+                own.config_read.to_string(),
+                if own.log_reached {
+                    "reached"
+                } else {
+                    "out of reach"
+                },
+            ),
+            None => ("-".into(), "-".into(), "-".into(), "no answer"),
+        };
+        println!(
+            "{name:<16} {:<14} {:<22} {:<8} {shards:>6} {gates:>6} {config:>7} {log}",
+            host.failure_domain, host.address, host.phase
+        );
+    }
+    Ok(())
+}
+
+/// Asks a host to leave.
+///
+/// # Errors
+/// [`CommandError`] when the host is not known or does not answer.
+pub async fn drain(clients: &CommandClients, name: &str) -> Result<(), CommandError> {
+    let hosts = clients.fleet.hosts().await?;
+    let Some(host) = hosts.iter().find(|host| &*host.name == name) else {
+        let reason = format!("host {name} is not up; `fulmarswitch status` lists the hosts");
+        return Err(CommandError::BadInput {
+            reason: reason.into(),
+        });
+    };
+    let _: bool = clients
+        .fleet
+        .post(&host.address, "/v1/drain", &serde_json::json!({}))
+        .await?;
+    println!("{name} is leaving; it stops once nothing is in progress on it");
+    Ok(())
+}
+
+/// Prints the addresses that a caller is told to use.
+///
+/// # Errors
+/// [`CommandError`] when no host answers.
+pub async fn addresses(clients: &CommandClients) -> Result<(), CommandError> {
+    let reply: AddressReply = clients.caller.get("/v1/addresses").await?;
+    let addresses: Vec<&str> = reply.addresses.iter().map(Arc::as_ref).collect();
+    println!("{}", addresses.join("\n"));
+    eprintln!("valid for {} ms", reply.ttl_ms);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/job.rs
@@ -0,0 +1,186 @@
+//! Batch jobs.
+
+use super::{CommandClients, print_json, wall_ms};
+use crate::error::CommandError;
+use crate::options::{JobCommand, NameOptions, SubmitOptions};
+use fulmarswitch_caller::client::{CallerClient, CallerError};
+use fulmarswitch_caller::wire::{ItemLine, JobCall, JobReply};
+use fulmarswitch_http::lines::MAX_LINE_BYTES;
+use futures::{Stream, StreamExt};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncRead;
+use tokio_util::codec::{FramedRead, LinesCodec};
+
+/// Pause between looks at a job that is waited for.
+const WAIT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Runs a command on jobs.
+///
+/// # Errors
+/// [`CommandError`] names the remedy.
+pub async fn run(clients: &CommandClients, command: JobCommand) -> Result<(), CommandError> {
+    match command {
+        JobCommand::Submit(options) => submit(clients, options).await,
+        JobCommand::JobStatus { wait, name } => {
+            let reply = if wait {
+                wait_for(&clients.caller, &name.workspace, &name.name).await?
+            } else {
+                clients.caller.job(&name.workspace, &name.name).await?
+            };
+            print_json(&reply);
+            Ok(())
+        }
+        JobCommand::Results { first, page, name } => results(clients, first, page, &name).await,
+        JobCommand::Cancel(name) => {
+            let reply = clients.caller.cancel(&name.workspace, &name.name).await?;
+            print_json(&reply);
+            Ok(())
+        }
+    }
+}
+
+async fn submit(clients: &CommandClients, options: SubmitOptions) -> Result<(), CommandError> {
+    let call = JobCall {
+        job: options.job.into(),
+        workspace: options.workspace.into(),
+        service: options.service.into(),
+        due_ms: wall_ms() + options.due_in * 1_000,
+        max_tokens: options.max_tokens,
+        idempotent: !options.at_most_once,
+    };
+    let reader = open(&options.file).await?;
+    let progress = ProgressBar::new_spinner().with_message("items sent");
+    progress.set_style(spinner_style());
+    let shown = progress.clone();
+    let items = read_items(reader, options.json_lines).inspect(move |_| shown.inc(1));
+    let (failure, failed) = tokio::sync::oneshot::channel();
+    let items = note_failure(items, failure);
+    let submitted = clients.caller.submit_checked(&call, items).await;
+    progress.finish_and_clear();
+    let reply = match submitted {
+        Ok(reply) => reply,
+        Err(error) => return Err(failed.await.unwrap_or(error.into())),
+    };
+    if options.wait {
+        print_json(&wait_for(&clients.caller, &call.workspace, &call.job).await?);
+    } else {
+        print_json(&reply);
+    }
+    Ok(())
+}
+
+async fn open(path: &Path) -> Result<Box<dyn AsyncRead + Send + Unpin>, CommandError> {
+    if path == Path::new("-") {
+        return Ok(Box::new(tokio::io::stdin()));
+    }
+    match tokio::fs::File::open(path).await {
+        Ok(file) => Ok(Box::new(file)),
+        Err(source) => Err(CommandError::Unreadable {
+            path: path.into(),
+            source,
+        }),
+    }
+}
+
+/// Reads one item a line; empty lines are left out.
+fn read_items(
+    reader: Box<dyn AsyncRead + Send + Unpin>,
+    json_lines: bool,
+) -> impl Stream<Item = io::Result<Arc<str>>> + Send + Unpin {
+    let mut number = 0;
+    let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
+    FramedRead::new(reader, codec).filter_map(move |line| {
+        number += 1;
+        let item = match line {
+            Ok(line) if line.trim().is_empty() => None,
+            Ok(line) if json_lines => Some(parse_item(&line, number)),
+            Ok(line) => Some(Ok(line.into())),
+            Err(error) => Some(Err(io::Error::other(format!(
+                "line {number} cannot be read ({error}); write UTF-8 lines of at most 1 MiB"
+            )))),
+        };
+        std::future::ready(item)
+    })
+}
+
+fn parse_item(line: &str, number: usize) -> io::Result<Arc<str>> {
+    let item: Result<ItemLine, _> = serde_json::from_str(line);
+    item.map(|item| item.input).map_err(|error| {
+        let remedy = "write {\"input\": TEXT}, or leave --json-lines out for plain lines";
+        io::Error::other(format!("line {number} is not an item ({error}); {remedy}"))
+    })
+}
+
+/// Passes items on and keeps the reason for which reading them failed.
+fn note_failure(
+    items: impl Stream<Item = io::Result<Arc<str>>> + Send + Unpin + 'static,
+    failure: tokio::sync::oneshot::Sender<CommandError>,
+) -> impl Stream<Item = io::Result<Arc<str>>> + Send + 'static {
+    let mut failure = Some(failure);
+    items.map(move |item| {
+        item.inspect_err(|error| {
+            if let Some(failure) = failure.take() {
+                let reason = error.to_string().into();
+                // The submission has ended already if nobody waits for the reason.
+                let _ = failure.send(CommandError::BadInput { reason });
+            }
+        })
+    })
+}
+
+/// Waits until no item is open, with progress on standard error.
+///
+/// # Errors
+/// [`CallerError`] when the job is not known or no host answers.
+pub async fn wait_for(
+    caller: &CallerClient,
+    workspace: &str,
+    job: &str,
+) -> Result<JobReply, CallerError> {
+    let progress = ProgressBar::new(0);
+    progress.set_style(bar_style());
+    loop {
+        let reply = caller.job(workspace, job).await?;
+        progress.set_length(reply.total.into());
+        progress.set_position((reply.total - reply.open).into());
+        if reply.open == 0 {
+            progress.finish_and_clear();
+            return Ok(reply);
+        }
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
+
+async fn results(
+    clients: &CommandClients,
+    first: u32,
+    page: u32,
+    name: &NameOptions,
+) -> Result<(), CommandError> {
+    let mut next = Some(first);
+    while let Some(first) = next {
+        let page = clients
+            .caller
+            .results(&name.workspace, &name.name, first, page.max(1))
+            .await?;
+        for line in &page.results {
+            print_json(line);
+        }
+        next = page.next;
+    }
+    Ok(())
+}
+
+pub(super) fn bar_style() -> ProgressStyle {
+    ProgressStyle::with_template("{wide_bar} {pos}/{len} {elapsed_precise} {msg}")
+        .unwrap_or_else(|_| ProgressStyle::default_bar())
+}
+
+fn spinner_style() -> ProgressStyle {
+    ProgressStyle::with_template("{spinner} {pos} {msg} {elapsed_precise}")
+        .unwrap_or_else(|_| ProgressStyle::default_spinner())
+}
--- /dev/null
+++ b/crates/cli/src/commands/load.rs
@@ -0,0 +1,294 @@
+//! An open-loop load of online requests beside a batch job.
+
+use super::job::bar_style;
+use super::{CommandClients, print_json, wall_ms};
+use crate::error::CommandError;
+use crate::options::LoadOptions;
+use fulmarswitch_caller::client::{CallerClient, CallerError, TimedAnswer};
+use fulmarswitch_caller::wire::{JobCall, OutcomeReply, RequestCall};
+use hdrhistogram::Histogram;
+use indicatif::ProgressBar;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Longest load, in seconds.
+const LONGEST_SECONDS: u64 = 3_600;
+/// Most requests a second.
+const HIGHEST_RATE: f64 = 20_000.0;
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+/// Significant figures of a histogram.
+const FIGURES: u8 = 3;
+/// Percentiles that are reported.
+const PERCENTILES: [f64; 4] = [50.0, 95.0, 99.0, 100.0];
+
+/// What a load measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Requests that were due.
+    pub due: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Requests answered whole and in time.
+    pub in_time: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests with any other end.
+    pub other: u64,
+    /// Requests not sent because too many were in progress.
+    pub not_sent: u64,
+    /// Time to the first token.
+    pub first_token: LatencySummary,
+    /// Time between tokens.
+    pub between_tokens: LatencySummary,
+    /// Time to the whole answer.
+    pub whole: LatencySummary,
+    /// Batch items completed while the load ran.
+    pub batch_done: u64,
+    /// Batch items completed a second.
+    pub batch_items_per_second: f64,
+}
+
+/// Percentiles of one latency, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct LatencySummary {
+    /// Half of all are not slower.
+    pub p50_ms: f64,
+    /// 95 in 100 are not slower.
+    pub p95_ms: f64,
+    /// 99 in 100 are not slower.
+    pub p99_ms: f64,
+    /// The slowest.
+    pub max_ms: f64,
+}
+
+/// Runs the load and prints its report.
+///
+/// # Errors
+/// [`CommandError`] when the options make no sense or the batch job is refused.
+pub async fn run(clients: &CommandClients, options: LoadOptions) -> Result<(), CommandError> {
+    check(&options)?;
+    let name: Arc<str> = format!("load-{}-{}", options.seed, wall_ms()).into();
+    let job = start_batch(&clients.caller, &options, &name).await?;
+    let started = Instant::now();
+    let mut report = drive_online(&clients.caller, &options, &name).await;
+    if let Some(job) = job {
+        let counts = clients.caller.job(&job.workspace, &job.job).await?;
+        report.batch_done = counts.done.into();
+        report.batch_items_per_second = f64::from(counts.done) / started.elapsed().as_secs_f64();
+        if counts.open > 0 {
+            clients.caller.cancel(&job.workspace, &job.job).await?;
+        }
+    }
+    if options.json {
+        print_json(&report);
+    } else {
+        print_report(&report);
+    }
+    Ok(())
+}
+
+fn check(options: &LoadOptions) -> Result<(), CommandError> {
+    let bad = |reason: String| {
+        Err(CommandError::BadInput {
+            reason: reason.into(),
+        })
+    };
+    if !(options.rate > 0.0 && options.rate <= HIGHEST_RATE) {
+        return bad(format!("--rate must be over 0 and at most {HIGHEST_RATE}"));
+    }
+    if options.seconds == 0 || options.seconds > LONGEST_SECONDS {
+        return bad(format!("--seconds must be 1 to {LONGEST_SECONDS}"));
+    }
+    Ok(())
+}
+
+async fn start_batch(
+    caller: &CallerClient,
+    options: &LoadOptions,
+    name: &str,
+) -> Result<Option<JobCall>, CommandError> {
+    if options.batch_items == 0 {
+        return Ok(None);
+    }
+    let call = JobCall {
+        job: name.into(),
+        workspace: options.workspace.as_str().into(),
+        service: options.service.as_str().into(),
+        due_ms: wall_ms() + LONGEST_SECONDS * 1_000,
+        max_tokens: options.batch_tokens,
+        idempotent: true,
+    };
+    let seed = options.seed;
+    let inputs = (0..options.batch_items).map(move |item| format!("batch {seed} {item}").into());
+    caller.submit(&call, futures::stream::iter(inputs)).await?;
+    Ok(Some(call))
+}
+
+/// Sends requests when they are due, whether or not earlier ones are answered.
+async fn drive_online(caller: &CallerClient, options: &LoadOptions, name: &str) -> LoadReport {
+    let mut random = SmallRng::seed_from_u64(options.seed);
+    let mut tally = LoadTally::new(options);
+    let mut requests: JoinSet<(Duration, Result<TimedAnswer, CallerError>)> = JoinSet::new();
+    let progress = ProgressBar::new(options.seconds);
+    progress.set_style(bar_style());
+    let started = Instant::now();
+    let mut due = Duration::ZERO;
+    loop {
+        // The gaps of a Poisson process are exponential.
+        let draw: f64 = random.random_range(f64::MIN_POSITIVE..1.0);
+        due += Duration::from_secs_f64(-draw.ln() / options.rate);
+        if due >= Duration::from_secs(options.seconds) {
+            break;
+        }
+        tokio::time::sleep_until(started + due).await;
+        progress.set_position(due.as_secs());
+        while let Some(Ok((whole, answer))) = requests.try_join_next() {
+            tally.take(whole, answer);
+        }
+        tally.report.due += 1;
+        if requests.len() >= options.in_progress {
+            tally.report.not_sent += 1;
+            continue;
+        }
+        let call = online_call(options, name, tally.report.due);
+        let caller = caller.clone();
+        let at = started + due;
+        requests.spawn(async move {
+            let late = at.elapsed();
+            let mut answer = caller.request(&call).await;
+            // Latency counts from when the request was due, also when this process was late to send it.
+            if let Ok(answer) = &mut answer {
+                answer.parts.iter_mut().for_each(|part| *part += late);
+            }
+            (at.elapsed(), answer)
+        });
+    }
+    progress.set_message("waiting for the last answers");
+    while let Some(Ok((whole, answer))) = requests.join_next().await {
+        tally.take(whole, answer);
+    }
+    progress.finish_and_clear();
+    tally.finish()
+}
+
+fn online_call(options: &LoadOptions, name: &str, number: u64) -> RequestCall {
+    RequestCall {
+        key: format!("{name}-{number}").into(),
+        workspace: options.workspace.as_str().into(),
+        service: options.service.as_str().into(),
+        input: format!("online {} {number}", options.seed).into(),
+        max_tokens: options.tokens,
+        deadline_ms: options.deadline_ms,
+        idempotent: true,
+    }
+}
+
+/// Counts answers while the load runs.
+struct LoadTally {
+    report: LoadReport,
+    first_token: Histogram<u64>,
+    between_tokens: Histogram<u64>,
+    whole: Histogram<u64>,
+    first_limit: Duration,
+    whole_limit: Duration,
+}
+
+impl LoadTally {
+    fn new(options: &LoadOptions) -> Self {
+        let report = LoadReport {
+            seed: options.seed,
+            ..LoadReport::default()
+        };
+        Self {
+            report,
+            first_token: empty_histogram(),
+            between_tokens: empty_histogram(),
+            whole: empty_histogram(),
+            first_limit: Duration::from_millis(options.first_token_ms),
+            whole_limit: Duration::from_millis(options.deadline_ms),
+        }
+    }
+
+    fn take(&mut self, whole: Duration, answer: Result<TimedAnswer, CallerError>) {
+        let answer = match answer {
+            Ok(answer) if matches!(answer.outcome, OutcomeReply::Done { .. }) => answer,
+            Err(CallerError::Refused { .. }) => return self.report.refused += 1,
+            Ok(_) | Err(CallerError::NoAnswer { .. }) => return self.report.other += 1,
+        };
+        self.report.answered += 1;
+        record(&mut self.whole, whole);
+        let first = answer.parts.first().copied().unwrap_or(whole);
+        record(&mut self.first_token, first);
+        for pair in answer.parts.windows(2) {
+            record(&mut self.between_tokens, pair[1].saturating_sub(pair[0]));
+        }
+        let in_time = first <= self.first_limit && whole <= self.whole_limit;
+        self.report.in_time += u64::from(in_time);
+    }
+
+    fn finish(mut self) -> LoadReport {
+        self.report.first_token = summary(&self.first_token);
+        self.report.between_tokens = summary(&self.between_tokens);
+        self.report.whole = summary(&self.whole);
+        self.report
+    }
+}
+
+fn empty_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LONGEST_MICROS, FIGURES).expect("the bounds of the histogram are valid")
+}
+
+fn record(histogram: &mut Histogram<u64>, latency: Duration) {
+    let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+    histogram.saturating_record(micros.max(1));
+}
+
+fn summary(histogram: &Histogram<u64>) -> LatencySummary {
+    if histogram.is_empty() {
+        return LatencySummary::default();
+    }
+    let [p50_ms, p95_ms, p99_ms, max_ms] = PERCENTILES.map(|percentile| {
+        let micros = histogram.value_at_percentile(percentile);
+        Duration::from_micros(micros).as_secs_f64() * 1_000.0
+    });
+    LatencySummary {
+        p50_ms,
+        p95_ms,
+        p99_ms,
+        max_ms,
+    }
+}
+
+fn print_report(report: &LoadReport) {
+    println!(
+        "online: due={} answered={} in-time={} refused={} other={} not-sent={}",
+        report.due, report.answered, report.in_time, report.refused, report.other, report.not_sent
+    );
+    let rows = [
+        ("first token", &report.first_token),
+        ("between tokens", &report.between_tokens),
+        ("whole answer", &report.whole),
+    ];
+    println!(
+        "{:<16} {:>9} {:>9} {:>9} {:>9}",
+        "ms", "p50", "p95", "p99", "max"
+    );
+    for (name, latency) in rows {
+        println!(
+            "{name:<16} {:>9.1} {:>9.1} {:>9.1} {:>9.1}",
+            latency.p50_ms, latency.p95_ms, latency.p99_ms, latency.max_ms
+        );
+    }
+    println!(
+        "batch: done={} items/s={:.1}",
+        report.batch_done, report.batch_items_per_second
+    );
+}
--- /dev/null
+++ b/crates/cli/src/commands/online.rs
@@ -0,0 +1,118 @@
+//! Requests to models and calls to plain services.
+
+use super::{CommandClients, print_json, wall_ms};
+use crate::error::CommandError;
+use crate::options::{CallOptions, NameOptions, RequestOptions};
+use fulmarswitch_caller::wire::{AnswerEvent, OutcomeReply, RequestCall};
+use std::io::Write;
+use std::sync::Arc;
+
+/// Sends a request and prints its answer as it comes.
+///
+/// # Errors
+/// [`CommandError`] when there is no answer.
+pub async fn request(
+    clients: &CommandClients,
+    options: RequestOptions,
+) -> Result<(), CommandError> {
+    let call = RequestCall {
+        key: key_or_new(options.key),
+        workspace: options.workspace.into(),
+        service: options.service.into(),
+        input: options.input.into(),
+        max_tokens: options.max_tokens,
+        deadline_ms: options.deadline_ms,
+        idempotent: !options.at_most_once,
+    };
+    stream_answer(clients, &call).await
+}
+
+/// Calls a plain service and prints its answer.
+///
+/// # Errors
+/// [`CommandError`] when there is no answer.
+pub async fn call(clients: &CommandClients, options: CallOptions) -> Result<(), CommandError> {
+    let call = RequestCall {
+        key: key_or_new(options.key),
+        workspace: options.workspace.into(),
+        service: options.service.into(),
+        input: options.input.into(),
+        max_tokens: 1,
+        deadline_ms: options.deadline_ms,
+        idempotent: options.idempotent,
+    };
+    stream_answer(clients, &call).await
+}
+
+/// Prints the outcome of a request as JSON.
+///
+/// # Errors
+/// [`CommandError`] when the key is not known.
+pub async fn result(clients: &CommandClients, name: &NameOptions) -> Result<(), CommandError> {
+    let outcome = clients.caller.result(&name.workspace, &name.name).await?;
+    print_json(&outcome);
+    Ok(())
+}
+
+async fn stream_answer(clients: &CommandClients, call: &RequestCall) -> Result<(), CommandError> {
+    let mut printer = AnswerPrinter::default();
+    let answered = clients
+        .caller
+        .request_with(call, |event| printer.show(event))
+        .await;
+    if printer.printed > 0 {
+        println!();
+    }
+    let answer = answered.inspect_err(|_| eprintln!("key {}", call.key))?;
+    match answer.outcome {
+        OutcomeReply::Done { text } => {
+            if printer.printed == 0 {
+                println!("{text}");
+            }
+            if !answer.recorded {
+                eprintln!("the answer waits for the log; read it again by its key later");
+            }
+            Ok(())
+        }
+        OutcomeReply::MayHaveRun => Err(CommandError::MayHaveRun),
+        OutcomeReply::Failed { reason } => Err(CommandError::NoSuccess { reason }),
+        OutcomeReply::NotRun { retry_after_ms } => Err(CommandError::NoSuccess {
+            reason: format!("the request did not run; try again in {retry_after_ms} ms").into(),
+        }),
+        OutcomeReply::Cancelled | OutcomeReply::Open => Err(CommandError::NoSuccess {
+            reason: "the request has no answer; ask for it again by its key".into(),
+        }),
+    }
+}
+
+/// Prints the text of an answer, and after a new start only what has not been printed yet.
+#[derive(Default)]
+struct AnswerPrinter {
+    seen: usize,
+    printed: usize,
+}
+
+impl AnswerPrinter {
+    fn show(&mut self, event: &AnswerEvent) {
+        match event {
+            AnswerEvent::Text { text } => {
+                let skip = self.printed.saturating_sub(self.seen).min(text.len());
+                self.seen += text.len();
+                // An answer that starts anew is the same answer, so what stands on the screen stays.
+                if let Some(rest) = text.get(skip..) {
+                    print!("{rest}");
+                    // A terminal that has gone away needs no text.
+                    let _ = std::io::stdout().flush();
+                    self.printed += rest.len();
+                }
+            }
+            AnswerEvent::Reset => self.seen = 0,
+            AnswerEvent::Done { .. } | AnswerEvent::Error(_) => {}
+        }
+    }
+}
+
+fn key_or_new(key: Option<String>) -> Arc<str> {
+    key.unwrap_or_else(|| format!("cli-{}-{:08x}", wall_ms(), rand::random::<u32>()))
+        .into()
+}
--- /dev/null
+++ b/crates/cli/src/commands/timeline.rs
@@ -0,0 +1,61 @@
+//! One time line of the events of all hosts.
+
+use super::{CommandClients, print_json};
+use crate::error::CommandError;
+use fulmarswitch_operator::EventReply;
+
+/// Prints the merged events.
+///
+/// # Errors
+/// [`CommandError`] when no host answers.
+pub async fn print(
+    clients: &CommandClients,
+    entity: Option<&str>,
+    json: bool,
+) -> Result<(), CommandError> {
+    let mut lists = Vec::new();
+    for host in clients.fleet.hosts().await? {
+        let asked = clients
+            .fleet
+            .get::<Vec<EventReply>>(&host.address, "/v1/events");
+        match asked.await {
+            Ok(events) => lists.push(events),
+            Err(error) => eprintln!("the events of {} are missing: {error}", host.name),
+        }
+    }
+    for event in merge_events(lists, entity) {
+        if json {
+            print_json(&event);
+        } else {
+            println!("{}", line_of(&event));
+        }
+    }
+    Ok(())
+}
+
+/// Merges the events of several hosts so that a cause stands before its effect.
+///
+/// The logical stamp of a cause is lower than that of its effect, on whichever hosts they are; so sorting
+/// by stamp is enough, and the hosts' clocks take no part.
+///
+/// ```
+/// use fulmarswitch_cli::commands::timeline::merge_events;
+/// assert!(merge_events(vec![vec![], vec![]], None).is_empty());
+/// ```
+#[must_use]
+pub fn merge_events(lists: Vec<Vec<EventReply>>, entity: Option<&str>) -> Vec<EventReply> {
+    let wanted = |event: &EventReply| entity.is_none_or(|text| event.entity.contains(text));
+    let mut events: Vec<EventReply> = lists.into_iter().flatten().filter(wanted).collect();
+    events.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
+    events
+}
+
+fn line_of(event: &EventReply) -> String {
+    let seconds = event.at_ms / 1_000 % 86_400;
+    let (hour, minute, second) = (seconds / 3_600, seconds / 60 % 60, seconds % 60);
+    let millis = event.at_ms % 1_000;
+    format!(
+        "{:>10} {hour:02}:{minute:02}:{second:02}.{millis:03} {:<12} {:<16} {:<32} {}",
+        event.stamp, event.host, event.kind, event.entity, event.detail
+    )
+}
