Add the demo: a fleet of processes that loses one host and drains another

The demo starts stand-ins and five daemons in three failure domains as separate processes, drives online requests and a job of 2,400 items, kills one host, drains another, and checks every answer and every result read again by key.

--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -160,9 +160,29 @@
     }
 }
 
+/// Kind of an error, by which a program tells what to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorKind {
+    /// There is no such call.
+    NoSuchCall,
+    /// The call cannot be used as it is; change it.
+    BadInput,
+    /// The name is not known.
+    NotFound,
+    /// The name stands for something else, or another change came first.
+    Conflict,
+    /// Refused for the moment; repeat the call later.
+    Unavailable,
+    /// Whether the call took effect is not known.
+    Unknown,
+}
+
 /// Body of every error.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorReply {
+    /// Kind of the error.
+    pub kind: ErrorKind,
     /// What happened and what to do.
     pub error: Arc<str>,
     /// `not-run`, `may-have-run` or `done`.
--- a/crates/cli/src/commands/config.rs
+++ b/crates/cli/src/commands/config.rs
@@ -12,7 +12,7 @@
 /// Runs a command on configuration.
 ///
 /// # Errors
-/// [`CommandError::Conflict`] when another operator was faster.
+/// [`CommandError`] names the remedy, also when another operator was faster.
 pub async fn run(clients: &CommandClients, command: ConfigCommand) -> Result<(), CommandError> {
     match command {
         ConfigCommand::Put {
@@ -79,11 +79,6 @@
             println!("{name} is at version {}", record.version);
             Ok(())
         }
-        Err(CallerError::Refused { reply }) if reply.error.contains("is at version") => {
-            Err(CommandError::Conflict {
-                reason: reply.error,
-            })
-        }
         Err(error) => Err(error.into()),
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -10,7 +10,7 @@
 //! | 5 | another change came first, or the name stands for something else |
 
 use fulmarswitch_caller::client::CallerError;
-use fulmarswitch_caller::wire::RanReply;
+use fulmarswitch_caller::wire::{ErrorKind, RanReply};
 use snafu::Snafu;
 use std::io;
 use std::path::PathBuf;
@@ -40,12 +40,6 @@
         "the request may have run and its answer is unknown; do not send it under another key before you have checked its effect"
     ))]
     MayHaveRun,
-    /// An operator's change was overtaken.
-    #[snafu(display("{reason}"))]
-    Conflict {
-        /// What to do.
-        reason: Arc<str>,
-    },
     /// A file cannot be read.
     #[snafu(display("{} cannot be read ({source}); check the path", path.display()))]
     Unreadable {
@@ -74,17 +68,18 @@
         match self {
             Self::Call {
                 source: CallerError::Refused { reply },
-            } if reply.ran == RanReply::MayHaveRun => 4,
-            Self::Call {
-                source: CallerError::Refused { .. },
-            }
-            | Self::NoSuccess { .. } => 1,
-            Self::Unreadable { .. } | Self::BadInput { .. } => USAGE_EXIT_CODE,
+            } => match reply.kind {
+                ErrorKind::NoSuchCall | ErrorKind::BadInput => USAGE_EXIT_CODE,
+                ErrorKind::Conflict => 5,
+                ErrorKind::Unknown => 4,
+                ErrorKind::NotFound | ErrorKind::Unavailable => 1,
+            },
             Self::Call {
                 source: CallerError::NoAnswer { .. },
             } => 3,
+            Self::NoSuccess { .. } => 1,
+            Self::Unreadable { .. } | Self::BadInput { .. } => USAGE_EXIT_CODE,
             Self::MayHaveRun => 4,
-            Self::Conflict { .. } => 5,
         }
     }
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -120,7 +120,7 @@
     pub input: String,
 }
 
-/// Name of a request.
+/// A request or job
 #[derive(Bpaf, Clone, Debug)]
 pub struct NameOptions {
     /// Workspace that it belongs to
--- /dev/null
+++ b/crates/demo/src/batch.rs
@@ -0,0 +1,114 @@
+//! A batch job whose every result is checked.
+
+use crate::online::{ENGINE_SERVICE, WORKSPACE};
+use crate::tally::DemoTally;
+use fulmarswitch_caller::client::{CallerClient, CallerError};
+use fulmarswitch_caller::wire::{JobCall, JobReply, OutcomeReply};
+use fulmarswitch_standins::engine::whole_answer;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Tokens of each item.
+const TOKENS: u32 = 32;
+/// Results read at once.
+const PAGE: u32 = 500;
+/// Pause before a submission is repeated or a job is looked at again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Makes a job that is due after `due`.
+#[must_use]
+pub fn make_job(job: &str, due: Duration) -> JobCall {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    JobCall {
+        job: job.into(),
+        workspace: WORKSPACE.into(),
+        service: ENGINE_SERVICE.into(),
+        due_ms: u64::try_from((now + due).as_millis()).unwrap_or(u64::MAX),
+        max_tokens: TOKENS,
+        idempotent: true,
+    }
+}
+
+/// Returns the input of one item.
+#[must_use]
+pub fn item_input(job: &str, index: u32) -> Arc<str> {
+    format!("motor log {job} {index}").into()
+}
+
+/// Submits the job, repeating the submission while no host answers; that is harmless.
+///
+/// # Errors
+/// [`CallerError`] when the job was not accepted within `limit`.
+pub async fn submit(
+    client: &CallerClient,
+    call: &JobCall,
+    items: u32,
+    limit: Duration,
+) -> Result<JobReply, CallerError> {
+    let deadline = Instant::now() + limit;
+    loop {
+        let job = Arc::clone(&call.job);
+        let inputs = (0..items).map(move |index| item_input(&job, index));
+        match client.submit(call, futures::stream::iter(inputs)).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) if Instant::now() >= deadline => return Err(error),
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Waits until no item is open, or until `limit` has passed.
+pub async fn wait_done(client: &CallerClient, call: &JobCall, limit: Duration) -> Option<JobReply> {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if let Ok(reply) = client.job(&call.workspace, &call.job).await
+            && reply.open == 0
+        {
+            return Some(reply);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    None
+}
+
+/// Reads all results and counts them.
+///
+/// # Errors
+/// [`CallerError`] when a page cannot be read.
+pub async fn count_batch(
+    client: &CallerClient,
+    call: &JobCall,
+    items: u32,
+    tally: &mut DemoTally,
+) -> Result<(), CallerError> {
+    let mut counts = vec![0_u32; items as usize];
+    let mut right = vec![false; items as usize];
+    let mut next = Some(0);
+    while let Some(first) = next {
+        let page = client
+            .results(&call.workspace, &call.job, first, PAGE)
+            .await?;
+        for line in page.results {
+            let index = line.index as usize;
+            counts[index] += 1;
+            let expected = whole_answer(&item_input(&call.job, line.index), call.max_tokens);
+            right[index] =
+                matches!(&line.outcome, OutcomeReply::Done { text } if **text == *expected);
+            if !right[index] {
+                println!("item {index}: {:?}", line.outcome);
+            }
+        }
+        next = page.next;
+    }
+    let count = |hit: bool| u64::from(hit);
+    for (seen, right) in counts.into_iter().zip(right) {
+        tally.batch += 1;
+        tally.batch_answered += count(right && seen == 1);
+        tally.lost += count(seen == 0 || !right);
+        tally.doubled += count(seen > 1);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/demo/src/bin/fulmarswitch-demo.rs
@@ -0,0 +1,175 @@
+//! The demo: a fleet of separate processes that loses one host and drains another under load.
+
+use bpaf::Bpaf;
+use fulmarswitch_demo::batch::{count_batch, make_job, submit, wait_done};
+use fulmarswitch_demo::fleet::LocalFleet;
+use fulmarswitch_demo::online::{
+    ENGINE_SERVICE, OnlineLoad, PLAIN_SERVICE, WORKSPACE, count_doubled, count_online, drive_online,
+};
+use fulmarswitch_demo::tally::DemoTally;
+use rustix::process::Signal;
+use serde_json::json;
+use std::error::Error;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Hosts and the failure domains that they stand in.
+const HOSTS: [(&str, &str); 5] = [
+    ("catania-1", "catania"),
+    ("catania-2", "catania"),
+    ("palermo-1", "palermo"),
+    ("palermo-2", "palermo"),
+    ("siracusa-1", "siracusa"),
+];
+/// Host that is killed.
+const KILLED_HOST: &str = "catania-1";
+/// Host that is drained.
+const DRAINED_HOST: &str = "palermo-1";
+/// Engines of the fleet.
+const ENGINES: [&str; 3] = ["engine-1", "engine-2", "engine-3"];
+/// Time between the start of the load and the kill, and between the kill and the drain.
+const FAULT_PAUSE: Duration = Duration::from_secs(3);
+/// Load of online requests.
+const ONLINE: OnlineLoad = OnlineLoad {
+    gap: Duration::from_millis(25),
+    duration: Duration::from_secs(12),
+};
+/// Time within which the job is due.
+const JOB_DUE: Duration = Duration::from_mins(2);
+/// Time after which an unfinished job counts as lost.
+const JOB_LIMIT: Duration = Duration::from_mins(3);
+/// Time that a drained host may take until it has stopped.
+const DRAIN_LIMIT: Duration = Duration::from_mins(1);
+
+/// Starts a small fleet, loses a host and drains another under load, and checks every answer
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct DemoOptions {
+    /// Items of the batch job (default: 2400)
+    #[bpaf(argument("COUNT"), fallback(2_400))]
+    items: u32,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = demo_options().run();
+    let started = Instant::now();
+    let ran = tokio::select! {
+        ran = run(&options) => ran,
+        () = interrupted() => Err("interrupted".into()),
+    };
+    match ran {
+        Ok(tally) => {
+            println!("the run took {:.1} s", started.elapsed().as_secs_f64());
+            println!("{tally}");
+            if tally.holds() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("fulmarswitch-demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(options: &DemoOptions) -> Result<DemoTally, Box<dyn Error>> {
+    let mut fleet = LocalFleet::start()?;
+    println!("settings and logs are in {}", fleet.folder().display());
+    start_all(&mut fleet).await?;
+    publish_all(&fleet).await?;
+    fleet.settle().await?;
+    let client = fleet.client();
+    println!("{} hosts and {} engines are up", HOSTS.len(), ENGINES.len());
+
+    let job = make_job("night-1", JOB_DUE);
+    let accepted = submit(&client, &job, options.items, JOB_LIMIT).await?;
+    println!("job {} has {} items", accepted.job, accepted.total);
+    let online = tokio::spawn(drive_online(client.clone(), ONLINE));
+
+    tokio::time::sleep(FAULT_PAUSE).await;
+    fleet.host(KILLED_HOST).process.signal(Signal::KILL)?;
+    println!("{KILLED_HOST} is killed");
+    tokio::time::sleep(FAULT_PAUSE).await;
+    drain(&mut fleet).await?;
+
+    let ends = online.await?;
+    println!("{} online requests have ended", ends.len());
+    let mut tally = DemoTally::default();
+    count_online(&client, &ends, &mut tally).await;
+    let runs = fleet.plain_runs(&fleet.endpoint("plain-1").address).await?;
+    count_doubled(&ends, &runs, &mut tally);
+
+    let done = wait_done(&client, &job, JOB_LIMIT).await;
+    let late = done.is_none() || now_ms() > job.due_ms;
+    tally.late += u64::from(late) * u64::from(options.items);
+    count_batch(&client, &job, options.items, &mut tally).await?;
+    println!("{} calls may have run", tally.may_have_run);
+    if tally.holds() {
+        fleet.remove_folder();
+    }
+    Ok(tally)
+}
+
+async fn start_all(fleet: &mut LocalFleet) -> Result<(), Box<dyn Error>> {
+    for engine in ENGINES {
+        fleet.add_engine(engine, "m1")?;
+    }
+    fleet.add_plain("plain-1")?;
+    for (name, failure_domain) in HOSTS {
+        fleet.add_host(name, failure_domain, "").await?;
+    }
+    Ok(())
+}
+
+async fn publish_all(fleet: &LocalFleet) -> Result<(), Box<dyn Error>> {
+    let limits = json!({ "max_online": 512 });
+    let workspace = format!("workspace/{WORKSPACE}");
+    fleet.publish(&workspace, 1, limits).await?;
+    let model = json!({ "version": "1" });
+    fleet.publish("model/m1", 1, model).await?;
+    fleet
+        .publish_service(ENGINE_SERVICE, "engine", "m1", &ENGINES)
+        .await?;
+    fleet
+        .publish_service(PLAIN_SERVICE, "plain", "", &["plain-1"])
+        .await?;
+    Ok(())
+}
+
+/// Asks a host to leave, as an operator does, and waits until its process has ended well.
+async fn drain(fleet: &mut LocalFleet) -> Result<(), Box<dyn Error>> {
+    let host = fleet.host(DRAINED_HOST);
+    let asked = fulmarswitch_caller::client::CallerClient::pinned(host.address.clone());
+    let _: bool = asked
+        .send_json(hyper::Method::POST, "/v1/drain", &json!({}))
+        .await?;
+    println!("{DRAINED_HOST} is draining");
+    let status = host.process.wait(DRAIN_LIMIT).await?;
+    println!("{DRAINED_HOST} has stopped: {status}");
+    if status.success() {
+        Ok(())
+    } else {
+        Err("the drained host did not stop well".into())
+    }
+}
+
+async fn interrupted() {
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/demo/src/fleet.rs
@@ -0,0 +1,419 @@
+//! Stand-ins and daemons on free ports of this machine.
+
+use crate::process::{ChildProcess, ProcessError};
+use bytes::Bytes;
+use fulmarswitch_caller::client::{CallerClient, CallerError};
+use fulmarswitch_http::HttpClient;
+use fulmarswitch_operator::{PublishCall, RecordReply, StatusReply};
+use hyper::Method;
+use serde::Serialize;
+use serde_json::{Value, json};
+use snafu::{ResultExt, Snafu};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time that a daemon may take until it answers.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Pause between looks at a daemon that starts.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+/// Times that a daemon is started with new ports when another program has taken one.
+const START_TRIES: u32 = 3;
+
+/// Errors of a local fleet.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// A process failed.
+    #[snafu(context(false), display("{source}"))]
+    Process {
+        /// Cause.
+        source: ProcessError,
+    },
+    /// A call failed.
+    #[snafu(context(false), display("{source}"))]
+    Call {
+        /// Cause.
+        source: CallerError,
+    },
+    /// A file or port could not be had.
+    #[snafu(display(
+        "{what} failed ({source}); check the space in the folder for temporary files"
+    ))]
+    Local {
+        /// What was tried.
+        what: &'static str,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A daemon did not become ready.
+    #[snafu(display("host {name} does not answer; read {}", log.display()))]
+    NotReady {
+        /// Name of the host.
+        name: String,
+        /// What it wrote.
+        log: PathBuf,
+    },
+    /// A stand-in refused an order.
+    #[snafu(display("the stand-in at {address} refused {path}: {cause}"))]
+    NoControl {
+        /// Address of the stand-in.
+        address: String,
+        /// Path of the order.
+        path: String,
+        /// What it says.
+        cause: String,
+    },
+}
+
+/// One stand-in or daemon.
+#[derive(Debug)]
+pub struct FleetMember {
+    /// Name of the process.
+    pub name: String,
+    /// Address that it answers HTTP on.
+    pub address: Arc<str>,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+/// A fleet of separate processes on this machine; dropping it ends them all.
+#[derive(Debug)]
+pub struct LocalFleet {
+    folder: PathBuf,
+    http: HttpClient,
+    /// The platform.
+    pub platform: FleetMember,
+    /// Engines and plain services.
+    pub endpoints: Vec<FleetMember>,
+    /// Daemons.
+    pub hosts: Vec<FleetMember>,
+}
+
+impl LocalFleet {
+    /// Starts a platform; hosts and endpoints are added afterwards.
+    ///
+    /// # Errors
+    /// [`FleetError`] names the remedy.
+    pub fn start() -> Result<Self, FleetError> {
+        let folder = make_folder()?;
+        let platform = start_standin("standin-platform", "platform", &[], &folder)?;
+        Ok(Self {
+            folder,
+            http: HttpClient::new(),
+            platform,
+            endpoints: Vec::new(),
+            hosts: Vec::new(),
+        })
+    }
+
+    /// Returns the folder with the settings and logs of all processes.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Starts an engine that has `model` loaded.
+    ///
+    /// # Errors
+    /// [`FleetError`] names the remedy.
+    pub fn add_engine(&mut self, name: &str, model: &str) -> Result<Arc<str>, FleetError> {
+        let arguments = ["--model", model];
+        let engine = start_standin("standin-engine", name, &arguments, &self.folder)?;
+        let address = Arc::clone(&engine.address);
+        self.endpoints.push(engine);
+        Ok(address)
+    }
+
+    /// Starts a plain service.
+    ///
+    /// # Errors
+    /// [`FleetError`] names the remedy.
+    pub fn add_plain(&mut self, name: &str) -> Result<Arc<str>, FleetError> {
+        let plain = start_standin("standin-plain", name, &[], &self.folder)?;
+        let address = Arc::clone(&plain.address);
+        self.endpoints.push(plain);
+        Ok(address)
+    }
+
+    /// Starts a daemon and waits until it takes part. `more` is added to its settings.
+    ///
+    /// # Errors
+    /// [`FleetError`] names the remedy.
+    pub async fn add_host(
+        &mut self,
+        name: &str,
+        failure_domain: &str,
+        more: &str,
+    ) -> Result<(), FleetError> {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            match self.try_host(name, failure_domain, more).await {
+                Ok(host) => {
+                    self.hosts.push(host);
+                    return Ok(());
+                }
+                Err(_) if tries < START_TRIES => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    async fn try_host(
+        &self,
+        name: &str,
+        failure_domain: &str,
+        more: &str,
+    ) -> Result<FleetMember, FleetError> {
+        let [callers, messages, streams] = free_addresses()?;
+        let platform = &self.platform.address;
+        let settings = format!(
+            "host = \"{name}\"\n\
+             failure_domain = \"{failure_domain}\"\n\
+             caller_address = \"{callers}\"\n\
+             message_address = \"{messages}\"\n\
+             stream_address = \"{streams}\"\n\
+             [platform]\n\
+             log_address = \"{platform}\"\n\
+             list_address = \"{platform}\"\n\
+             store_address = \"{platform}\"\n\
+             {more}\n"
+        );
+        let path = self.folder.join(format!("{name}.toml"));
+        let what = "writing the settings";
+        std::fs::write(&path, settings).context(LocalSnafu { what })?;
+        let path = path.to_string_lossy();
+        let arguments = ["--settings", &path];
+        let process = ChildProcess::start("fulmarswitchd", name, &arguments, &self.folder)?;
+        let mut host = FleetMember {
+            name: name.into(),
+            address: callers.to_string().into(),
+            process,
+        };
+        wait_ready(&mut host).await?;
+        Ok(host)
+    }
+
+    /// Returns a client that knows the addresses of all hosts started so far.
+    #[must_use]
+    pub fn client(&self) -> CallerClient {
+        let seeds = self.hosts.iter().map(|host| Arc::clone(&host.address));
+        CallerClient::new(seeds.collect())
+    }
+
+    /// Returns a host by its name.
+    ///
+    /// # Panics
+    /// When there is no such host.
+    pub fn host(&mut self, name: &str) -> &mut FleetMember {
+        let at = self.hosts.iter().position(|host| host.name == name);
+        &mut self.hosts[at.expect("the fleet has a host of this name")]
+    }
+
+    /// Takes a host out of the fleet.
+    ///
+    /// # Panics
+    /// When there is no such host.
+    pub fn remove_host(&mut self, name: &str) -> FleetMember {
+        let at = self.hosts.iter().position(|host| host.name == name);
+        self.hosts
+            .remove(at.expect("the fleet has a host of this name"))
+    }
+
+    /// Publishes a new record through any host.
+    ///
+    /// # Errors
+    /// [`FleetError::Call`] with the refusal.
+    pub async fn publish(&self, name: &str, schema: u16, body: Value) -> Result<(), FleetError> {
+        let call = PublishCall {
+            base_version: 0,
+            schema,
+            body,
+        };
+        let path = format!("/v1/config/{name}");
+        let _: RecordReply = self.client().send_json(Method::PUT, &path, &call).await?;
+        Ok(())
+    }
+
+    /// Publishes a service with its endpoints, which are among those started.
+    ///
+    /// # Errors
+    /// [`FleetError::Call`] with the refusal.
+    pub async fn publish_service(
+        &self,
+        service: &str,
+        protocol: &str,
+        model: &str,
+        endpoints: &[&str],
+    ) -> Result<(), FleetError> {
+        let body = json!({ "protocol": protocol, "model": model });
+        self.publish(&format!("service/{service}"), 1, body).await?;
+        for name in endpoints {
+            let address = &self.endpoint(name).address;
+            let body = json!({
+                "service": service,
+                "address": address,
+                "failure_domain": "local",
+            });
+            self.publish(&format!("endpoint/{name}"), 1, body).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns an endpoint by its name.
+    ///
+    /// # Panics
+    /// When there is no such endpoint.
+    #[must_use]
+    pub fn endpoint(&self, name: &str) -> &FleetMember {
+        let found = self.endpoints.iter().find(|member| member.name == name);
+        found.expect("the fleet has an endpoint of this name")
+    }
+
+    /// Waits until every host has applied all configuration and sees every other host as live.
+    ///
+    /// # Errors
+    /// [`FleetError::NotReady`] when one does not in time.
+    pub async fn settle(&self) -> Result<(), FleetError> {
+        for host in &self.hosts {
+            self.settle_host(host).await?;
+        }
+        Ok(())
+    }
+
+    async fn settle_host(&self, host: &FleetMember) -> Result<(), FleetError> {
+        let client = CallerClient::pinned(Arc::clone(&host.address));
+        let deadline = Instant::now() + READY_LIMIT;
+        while Instant::now() < deadline {
+            let status = client.get_once::<StatusReply>("/v1/status").await;
+            let records = client.get_once::<Vec<RecordReply>>("/v1/config").await;
+            if let (Ok(status), Ok(records)) = (status, records) {
+                let live = |host: &&fulmarswitch_operator::HostReply| &*host.phase == "live";
+                let newest = records.iter().map(|record| record.offset + 1).max();
+                let all = self.newest_config().await.unwrap_or(0);
+                if status.hosts.iter().filter(live).count() >= self.hosts.len()
+                    && newest.unwrap_or(0) >= all
+                {
+                    return Ok(());
+                }
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Err(not_ready(host))
+    }
+
+    async fn newest_config(&self) -> Result<u64, FleetError> {
+        let records: Vec<RecordReply> = self.client().get("/v1/config").await?;
+        let newest = records.iter().map(|record| record.offset + 1).max();
+        Ok(newest.unwrap_or(0))
+    }
+
+    /// Gives an order to a stand-in, such as a fault.
+    ///
+    /// # Errors
+    /// [`FleetError::NoControl`] when it is refused.
+    pub async fn control<T: Serialize + Sync>(
+        &self,
+        address: &str,
+        order: &T,
+    ) -> Result<(), FleetError> {
+        let refused = |cause: String| FleetError::NoControl {
+            address: address.into(),
+            path: "/control".into(),
+            cause,
+        };
+        let url = format!("http://{address}/control");
+        let reply = self.http.post_json(&url, order).await;
+        let reply = reply.map_err(|error| refused(error.to_string()))?;
+        if reply.status.is_success() {
+            Ok(())
+        } else {
+            Err(refused(String::from_utf8_lossy(&reply.body).into_owned()))
+        }
+    }
+
+    /// Reads how often each input ran on a plain service.
+    ///
+    /// # Errors
+    /// [`FleetError::NoControl`] when it does not answer.
+    pub async fn plain_runs(&self, address: &str) -> Result<Vec<(Arc<str>, u32)>, FleetError> {
+        let refused = |cause: String| FleetError::NoControl {
+            address: address.into(),
+            path: "/runs".into(),
+            cause,
+        };
+        let url = format!("http://{address}/runs");
+        let reply = self.http.call(Method::GET, &url, Bytes::new()).await;
+        reply
+            .and_then(|reply| reply.json())
+            .map_err(|error| refused(error.to_string()))
+    }
+
+    /// Removes the folder with settings and logs.
+    pub fn remove_folder(&self) {
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn start_standin(
+    program: &str,
+    name: &str,
+    arguments: &[&str],
+    folder: &Path,
+) -> Result<FleetMember, FleetError> {
+    let mut process = ChildProcess::start(program, name, arguments, folder)?;
+    let address = process.read_address()?.into();
+    Ok(FleetMember {
+        name: name.into(),
+        address,
+        process,
+    })
+}
+
+async fn wait_ready(host: &mut FleetMember) -> Result<(), FleetError> {
+    let deadline = Instant::now() + READY_LIMIT;
+    let client = CallerClient::pinned(Arc::clone(&host.address));
+    while Instant::now() < deadline && host.process.ended().is_none() {
+        if client.get_once::<StatusReply>("/v1/status").await.is_ok() {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err(not_ready(host))
+}
+
+fn not_ready(host: &FleetMember) -> FleetError {
+    FleetError::NotReady {
+        name: host.name.clone(),
+        log: host.process.log().into(),
+    }
+}
+
+fn make_folder() -> Result<PathBuf, FleetError> {
+    /// Fleets that this process has started.
+    static STARTED: AtomicU32 = AtomicU32::new(0);
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    let name = format!("fulmarswitch-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let what = "making a folder";
+    std::fs::create_dir_all(&folder).context(LocalSnafu { what })?;
+    Ok(folder)
+}
+
+/// Finds free ports; all are held until the last is found, so that they differ.
+fn free_addresses<const COUNT: usize>() -> Result<[SocketAddr; COUNT], FleetError> {
+    let what = "finding a free port";
+    let mut held = Vec::new();
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind(*address).context(LocalSnafu { what })?;
+        *address = listener.local_addr().context(LocalSnafu { what })?;
+        held.push(listener);
+    }
+    Ok(addresses)
+}
--- a/crates/fulmarswitch/src/entry/reply.rs
+++ b/crates/fulmarswitch/src/entry/reply.rs
@@ -1,6 +1,6 @@
 //! Errors of calls, and their answers.
 
-use fulmarswitch_caller::wire::{ErrorReply, RanReply};
+use fulmarswitch_caller::wire::{ErrorKind, ErrorReply, RanReply};
 use fulmarswitch_http::{HttpResponse, json_response};
 use fulmarswitch_peer::PeerReply;
 use fulmarswitch_peer::message::{RefusalNote, RunState};
@@ -59,22 +59,29 @@
 }
 
 impl EntryError {
-    fn status(&self) -> StatusCode {
+    fn kind(&self) -> ErrorKind {
         match self {
-            Self::NoSuchCall | Self::NotFound { .. } => StatusCode::NOT_FOUND,
+            Self::NoSuchCall => ErrorKind::NoSuchCall,
+            Self::NotFound { .. } => ErrorKind::NotFound,
             Self::BadInput { .. }
             | Self::Refused {
                 retry_after_ms: 0, ..
-            } => StatusCode::BAD_REQUEST,
-            Self::Conflict { .. } => StatusCode::CONFLICT,
-            Self::Online { note } if note.ran == RunState::MayHaveRun => {
-                StatusCode::GATEWAY_TIMEOUT
-            }
-            Self::Online { note } if note.retry_after_ms == 0 => StatusCode::CONFLICT,
-            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
-            Self::Refused { .. } | Self::NoOwner | Self::Online { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            } => ErrorKind::BadInput,
+            Self::Conflict { .. } => ErrorKind::Conflict,
+            Self::Online { note } if note.ran == RunState::MayHaveRun => ErrorKind::Unknown,
+            Self::Online { note } if note.retry_after_ms == 0 => ErrorKind::Conflict,
+            Self::Unknown => ErrorKind::Unknown,
+            Self::Refused { .. } | Self::NoOwner | Self::Online { .. } => ErrorKind::Unavailable,
+        }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self.kind() {
+            ErrorKind::NoSuchCall | ErrorKind::NotFound => StatusCode::NOT_FOUND,
+            ErrorKind::BadInput => StatusCode::BAD_REQUEST,
+            ErrorKind::Conflict => StatusCode::CONFLICT,
+            ErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            ErrorKind::Unknown => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -97,6 +104,7 @@
 
     pub(super) fn reply(&self) -> ErrorReply {
         ErrorReply {
+            kind: self.kind(),
             error: self.to_string().into(),
             ran: self.ran(),
             retry_after_ms: self.retry_after_ms(),
