Trust an endpoint again only when its tokens follow fast, and break off failed probes

Cause: an endpoint that is five times slower still gives its first token early when it holds little, so two early first tokens brought trust back, again and again (14 times in 20 s), and each probe stayed at the endpoint until its deadline.

Ruled out: a longer span of slowness before suspicion (the suspicion was right); longer intervals between probes (they only hide it).

Change: where the time between tokens is known, only tokens that follow count as good signs. A probe that shows the endpoint to be bad is made elsewhere at once, if the budget of retries allows; the gate's report alone does not end a probe, or no probe would ever reach the endpoint.

--- a/crates/decide/examples/retries/model.rs
+++ b/crates/decide/examples/retries/model.rs
@@ -80,14 +80,33 @@
     pub hedged: bool,
 }
 
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptPhase {
+    /// It waits at the gate.
+    Waiting,
+    /// It has a slot and no token.
+    Running,
+    /// It has its first token.
+    Streaming,
+    /// It has ended or was cancelled.
+    Over,
+}
+
+impl Attempt {
+    pub fn is_over(&self) -> bool {
+        self.phase == AttemptPhase::Over
+    }
+}
+
 pub struct Attempt {
     pub request: usize,
     pub endpoint: EndpointIndex,
     pub sent: Duration,
     pub tokens: u32,
-    pub running: bool,
-    pub has_first: bool,
-    pub over: bool,
+    pub phase: AttemptPhase,
+    /// Whether the owner suspected the endpoint before.
+    pub probe: bool,
 }
 
 #[derive(Default)]
--- a/crates/decide/examples/retries/world.rs
+++ b/crates/decide/examples/retries/world.rs
@@ -1,9 +1,9 @@
 //! The events of one run.
 
 use crate::model::{
-    ARRIVALS, Attempt, BAD, Counts, DEADLINE, END, ENDPOINTS, Endpoint, Event, FAULT_AT, FAULT_END,
-    Fault, GAP_TOKENS, MAX_REFUSALS, OWNERS, Owner, PREFILL, PREFIXES, PROMISED_FIRST, Policy,
-    QUEUE_LIMIT, Request, SLOTS, TOKEN_GAP,
+    ARRIVALS, Attempt, AttemptPhase, BAD, Counts, DEADLINE, END, ENDPOINTS, Endpoint, Event,
+    FAULT_AT, FAULT_END, Fault, GAP_TOKENS, MAX_REFUSALS, OWNERS, Owner, PREFILL, PREFIXES,
+    PROMISED_FIRST, Policy, QUEUE_LIMIT, Request, SLOTS, TOKEN_GAP,
 };
 use fulmarswitch_decide::balance::{
     EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
@@ -188,15 +188,16 @@
     }
 
     fn start(&mut self, request: usize, endpoint: EndpointIndex) {
+        let owner = &self.owners[self.requests[request].owner];
+        let probe = owner.health.is_suspected(endpoint);
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request,
             endpoint,
             sent: self.now,
             tokens: 0,
-            running: false,
-            has_first: false,
-            over: false,
+            phase: AttemptPhase::Waiting,
+            probe,
         });
         self.counts.attempts += 1;
         self.requests[request].live.push(attempt);
@@ -219,7 +220,7 @@
                 return;
             };
             self.endpoints[endpoint.at()].running += 1;
-            self.attempts[attempt].running = true;
+            self.attempts[attempt].phase = AttemptPhase::Running;
             let spread = -(1.0 - self.rng.random::<f64>()).ln() * 0.010;
             let time = (PREFILL + Duration::from_secs_f64(spread)).mul_f64(self.slowness(endpoint));
             self.schedule(self.now + time, Event::First(attempt));
@@ -227,12 +228,12 @@
     }
 
     fn first_token(&mut self, attempt: usize) {
-        let Some((request, endpoint)) = self.working(attempt) else {
+        let Some((request, _)) = self.working(attempt) else {
             return;
         };
         let time = self.now.saturating_sub(self.attempts[attempt].sent);
-        self.attempts[attempt].has_first = true;
-        self.note(request, endpoint, AttemptSign::FirstToken(time));
+        self.attempts[attempt].phase = AttemptPhase::Streaming;
+        self.note_tokens(attempt, AttemptSign::FirstToken(time));
         let owner = &mut self.owners[self.requests[request].owner];
         let step = owner.late / 100;
         owner.late = if time > owner.late {
@@ -240,7 +241,7 @@
         } else {
             owner.late.saturating_sub(step)
         };
-        if self.attempts[attempt].over {
+        if self.attempts[attempt].is_over() {
             return;
         }
         if self.requests[request].first.is_none() {
@@ -265,8 +266,8 @@
         };
         let gap = TOKEN_GAP.mul_f64(self.slowness(endpoint));
         self.attempts[attempt].tokens += GAP_TOKENS;
-        self.note(request, endpoint, AttemptSign::TokenGap(gap));
-        if self.attempts[attempt].over {
+        self.note_tokens(attempt, AttemptSign::TokenGap(gap));
+        if self.attempts[attempt].is_over() {
             return;
         }
         if self.attempts[attempt].tokens < self.requests[request].tokens {
@@ -282,12 +283,12 @@
     fn working(&self, attempt: usize) -> Option<(usize, EndpointIndex)> {
         let known = &self.attempts[attempt];
         let frozen = self.is_bad(Fault::OneFrozen, known.endpoint);
-        (!known.over && !frozen).then_some((known.request, known.endpoint))
+        (!known.is_over() && !frozen).then_some((known.request, known.endpoint))
     }
 
     fn check(&mut self, attempt: usize) {
         let known = &self.attempts[attempt];
-        if known.over || known.has_first {
+        if matches!(known.phase, AttemptPhase::Streaming | AttemptPhase::Over) {
             return;
         }
         let (request, endpoint) = (known.request, known.endpoint);
@@ -303,7 +304,7 @@
             self.policy,
             Policy::Overdue | Policy::Move | Policy::Reports
         );
-        if retries && !self.attempts[attempt].over {
+        if retries && !self.attempts[attempt].is_over() {
             self.make_elsewhere(attempt);
         }
     }
@@ -340,6 +341,18 @@
         self.take_change(owner_at, change);
     }
 
+    /// Notes a sign of tokens; a probe that shows the endpoint to be slow is made elsewhere.
+    fn note_tokens(&mut self, attempt: usize, sign: AttemptSign) {
+        let known = &self.attempts[attempt];
+        let (request, endpoint, probe) = (known.request, known.endpoint, known.probe);
+        let owner = &self.owners[self.requests[request].owner];
+        let failed = probe && owner.health.is_bad(sign);
+        self.note(request, endpoint, sign);
+        if failed && self.policy == Policy::Reports && !self.attempts[attempt].is_over() {
+            self.make_elsewhere(attempt);
+        }
+    }
+
     fn take_change(&mut self, owner_at: usize, change: Option<TrustChange>) {
         let Some(TrustChange::Suspected(endpoint)) = change else {
             return;
@@ -360,7 +373,7 @@
                 .filter(|at| {
                     let known = &self.attempts[*at];
                     let mine = self.requests[known.request].owner == owner_at;
-                    !known.over && known.endpoint == endpoint && mine
+                    !known.is_over() && known.endpoint == endpoint && mine
                 })
                 .collect();
             for attempt in there {
@@ -371,10 +384,12 @@
 
     fn cancel(&mut self, attempt: usize) {
         let known = &mut self.attempts[attempt];
-        if std::mem::replace(&mut known.over, true) {
+        let phase = std::mem::replace(&mut known.phase, AttemptPhase::Over);
+        if phase == AttemptPhase::Over {
             return;
         }
-        let (request, endpoint, running) = (known.request, known.endpoint, known.running);
+        let running = phase != AttemptPhase::Waiting;
+        let (request, endpoint) = (known.request, known.endpoint);
         self.requests[request].live.retain(|at| *at != attempt);
         let owner = &mut self.owners[self.requests[request].owner];
         owner.loads[endpoint.at()].end();
@@ -405,15 +420,15 @@
             return;
         }
         let cut: Vec<usize> = (0..self.attempts.len())
-            .filter(|at| !self.attempts[*at].over && self.attempts[*at].endpoint == BAD)
+            .filter(|at| !self.attempts[*at].is_over() && self.attempts[*at].endpoint == BAD)
             .collect();
         for attempt in cut {
             let request = self.attempts[attempt].request;
             self.note(request, BAD, AttemptSign::Broken);
-            if self.policy != Policy::Nothing && !self.attempts[attempt].over {
+            if self.policy != Policy::Nothing && !self.attempts[attempt].is_over() {
                 self.make_elsewhere(attempt);
             }
-            if !self.attempts[attempt].over {
+            if !self.attempts[attempt].is_over() {
                 self.end_request(request, false);
             }
         }
--- a/crates/decide/src/suspicion.rs
+++ b/crates/decide/src/suspicion.rs
@@ -198,6 +198,12 @@
         &self.suspected
     }
 
+    /// Tells whether a sign speaks against an endpoint.
+    #[must_use]
+    pub fn is_bad(&self, sign: AttemptSign) -> bool {
+        self.strikes_of(sign) > 0
+    }
+
     /// Returns how long an attempt waits for its first token before it is overdue, once that is known.
     #[must_use]
     pub fn patience(&self) -> Option<Duration> {
@@ -245,7 +251,7 @@
         let health = self.endpoints.get_mut(endpoint.at())?;
         let change = match health.state {
             TrustState::Trusted => self.judge_trusted(now, endpoint, sign, strikes),
-            TrustState::Suspected { .. } => self.judge_suspected(now, endpoint, strikes == 0),
+            TrustState::Suspected { .. } => self.judge_suspected(now, endpoint, sign, strikes),
         };
         debug_assert!(
             self.suspected.len() < self.endpoints.len(),
@@ -323,8 +329,12 @@
         &mut self,
         now: Duration,
         endpoint: EndpointIndex,
-        is_good: bool,
+        sign: AttemptSign,
+        strikes: u32,
     ) -> Option<TrustChange> {
+        // An endpoint with few requests may give its first token early and still be slow.
+        let says_nothing =
+            matches!(sign, AttemptSign::FirstToken(_)) && self.token_gap.time().is_some();
         let health = &mut self.endpoints[endpoint.at()];
         let TrustState::Suspected {
             good, next_probe, ..
@@ -332,10 +342,13 @@
         else {
             return None;
         };
-        if !is_good {
+        if strikes > 0 {
             *good = 0;
             return None;
         }
+        if says_nothing {
+            return None;
+        }
         *good += 1;
         // An endpoint that does well is probed again at once.
         *next_probe = now;
--- a/crates/decide/tests/suspicion.rs
+++ b/crates/decide/tests/suspicion.rs
@@ -79,9 +79,10 @@
 }
 
 #[rstest]
-#[case::good(&[FirstToken(ms(60)), TokenGap(ms(20))], false)]
-#[case::one_good_sign_is_not_enough(&[FirstToken(ms(60))], true)]
-#[case::early_token_and_slow_ones(&[FirstToken(ms(60)), TokenGap(ms(100))], true)]
+#[case::good(&[FirstToken(ms(60)), TokenGap(ms(20)), TokenGap(ms(20))], false)]
+#[case::one_good_sign_is_not_enough(&[FirstToken(ms(60)), TokenGap(ms(20))], true)]
+#[case::early_first_tokens_are_not_enough(&[FirstToken(ms(60)), FirstToken(ms(60)), FirstToken(ms(60))], true)]
+#[case::early_token_and_slow_ones(&[FirstToken(ms(60)), TokenGap(ms(20)), TokenGap(ms(100)), TokenGap(ms(20))], true)]
 #[case::refused_again(&[Unreached], true)]
 fn a_probe_decides(#[case] signs: &[AttemptSign], #[case] expected: bool) {
     let mut health = healthy(4);
@@ -99,6 +100,22 @@
     assert_eq!(health.is_suspected(lost), expected);
 }
 
+/// A plain service gives one answer a call, so nothing follows the first token.
+#[test]
+fn early_answers_of_a_plain_service_bring_trust_back() {
+    let mut health = ServiceHealth::new(3);
+    for round in 0..30 {
+        health.note(ms(0), EndpointIndex(round % 3), FirstToken(ms(30)));
+    }
+    let lost = EndpointIndex(1);
+    health.note(ms(0), lost, Unreached);
+    health.note(ms(0), lost, Unreached);
+    health.note(ms(600), lost, FirstToken(ms(30)));
+    assert!(health.is_suspected(lost));
+    health.note(ms(700), lost, FirstToken(ms(30)));
+    assert!(!health.is_suspected(lost));
+}
+
 #[rstest]
 #[case::the_suspected_stays(&[Some(1), Some(0)], &[0])]
 #[case::the_suspected_has_left(&[Some(0), None], &[])]
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -141,14 +141,19 @@
         self.with_service(service, |service| service.health.patience())
     }
 
-    /// Takes a sign of an own attempt.
-    fn note(&self, service: &str, endpoint: &str, sign: AttemptSign) {
+    /// Takes a sign of an own attempt and tells whether it speaks against the endpoint.
+    fn note(&self, service: &str, endpoint: &str, sign: AttemptSign) -> bool {
         let now = self.parts.now();
-        let change = self.with_service(service, |service| {
-            let index = service.table.index_of(endpoint)?;
-            service.health.note(now, index, sign)
+        let (bad, change) = self.with_service(service, |service| {
+            let bad = service.health.is_bad(sign);
+            let index = service.table.index_of(endpoint);
+            (
+                bad,
+                index.and_then(|index| service.health.note(now, index, sign)),
+            )
         });
         self.tell_change(endpoint, sign, change);
+        bad
     }
 
     /// Takes a sign that a gate on this host has seen.
--- a/crates/fulmarswitch/src/chooser/sent.rs
+++ b/crates/fulmarswitch/src/chooser/sent.rs
@@ -70,6 +70,8 @@
     tokens: TokenWatch,
     suspicions: watch::Receiver<u64>,
     probe: bool,
+    /// Whether the attempt is a probe that has shown the endpoint to be bad.
+    failed_probe: bool,
 }
 
 impl SentAttempt {
@@ -86,6 +88,7 @@
             tokens: TokenWatch::new(),
             suspicions: chooser.suspicions.subscribe(),
             probe,
+            failed_probe: false,
         }
     }
 
@@ -108,12 +111,12 @@
     }
 
     /// Learns that the gate or the endpoint was not reached.
-    pub(crate) fn see_unreached(&self) {
+    pub(crate) fn see_unreached(&mut self) {
         self.note(AttemptSign::Unreached);
     }
 
     /// Learns that the answer broke off.
-    pub(crate) fn see_broken(&self) {
+    pub(crate) fn see_broken(&mut self) {
         self.note(AttemptSign::Broken);
     }
 
@@ -129,6 +132,11 @@
             .overdue_at(|| self.chooser.patience(&self.service))
     }
 
+    /// Tells, once, that the attempt is a probe that has shown the endpoint to be bad.
+    pub(crate) fn take_failed_probe(&mut self) -> bool {
+        std::mem::take(&mut self.failed_probe)
+    }
+
     /// Waits until the endpoint becomes suspected; never returns for a probe.
     pub(crate) async fn wait_suspected(&mut self) {
         loop {
@@ -141,7 +149,7 @@
         }
     }
 
-    fn see_load(&self, note: &LoadNote) {
+    fn see_load(&mut self, note: &LoadNote) {
         self.chooser.take_load(&self.service, &self.endpoint, note);
         if note.suspected {
             self.note(AttemptSign::Reported);
@@ -150,8 +158,10 @@
         }
     }
 
-    fn note(&self, sign: AttemptSign) {
-        self.chooser.note(&self.service, &self.endpoint, sign);
+    fn note(&mut self, sign: AttemptSign) {
+        let bad = self.chooser.note(&self.service, &self.endpoint, sign);
+        // A probe is there to find out whether the report still holds.
+        self.failed_probe |= self.probe && bad && sign != AttemptSign::Reported;
     }
 }
 
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -195,6 +195,11 @@
                         }
                         _ => return AttemptEnd::Lost,
                     }
+                    if sent.take_failed_probe()
+                        && self.chooser.judge_move(&run.request, tried, run.left())
+                    {
+                        return AttemptEnd::Moved;
+                    }
                 }
                 () = tokio::time::sleep_until(patience) => {
                     patience += LOG_PATIENCE;
@@ -250,7 +255,7 @@
     pub(super) async fn open_attempt(
         &self,
         run: &Arc<KeyRun>,
-        sent: &SentAttempt,
+        sent: &mut SentAttempt,
     ) -> Result<FrameStream, AttemptEnd> {
         let endpoint = &sent.endpoint;
         let Some(target) = self.fleet.view().gate_of(endpoint) else {
