Wait again for requests that come during a leaving host's rest

Cause: a host that leaves waited until it was idle, rested half a second and stopped, whatever had come meanwhile. Ruled out: requests from before the stop (they are counted and waited for) and calls at a gate of the leaving host (tested too). Change: after the rest the host looks again, until its time to drain runs out. Test: a_long_answer_is_not_cut, case during_the_rest, failed before (the answer broke off) and passes now.

--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -121,10 +121,16 @@
         // In an outage of the log the leave record waits; the host then drains without it.
         let _ = tokio::time::timeout(limit / 4, self.watcher.leave()).await;
         let deadline = Instant::now() + limit;
-        while Instant::now() < deadline && !self.is_idle() {
-            tokio::time::sleep(DRAIN_PAUSE).await;
+        loop {
+            while Instant::now() < deadline && !self.is_idle() {
+                tokio::time::sleep(DRAIN_PAUSE).await;
+            }
+            tokio::time::sleep(DRAIN_REST).await;
+            // A caller that kept this address may have come during the rest.
+            if self.is_idle() || Instant::now() >= deadline {
+                break;
+            }
         }
-        tokio::time::sleep(DRAIN_REST).await;
         let end = if self.is_idle() {
             "nothing was cut"
         } else {
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -138,7 +138,7 @@
         let submitting = submit_request(host, request);
         let attempt = tokio::time::timeout(limit, submitting).await;
         let attempt = attempt.unwrap_or(AttemptNote::Lost);
-        let drains = *host.draining.borrow() && host.switch.mode() == HostMode::Running;
+        let drains = host.is_draining() && host.switch.mode() == HostMode::Running;
         if attempt == AttemptNote::Lost && drains {
             let detail = format!("{} at {} while it drained", request.key, host.identity);
             self.fleet.ledger.note_broken(STOP_CUTS_NOTHING, detail);
@@ -255,7 +255,7 @@
     /// Chooses a host that runs, as far as a caller can tell.
     fn pick(&mut self) -> Option<Arc<TrialHost>> {
         let at = self.rng.random_range(0..self.fleet.size());
-        self.fleet.host(at)
+        self.fleet.host(at).filter(|host| host.is_known())
     }
 
     fn draw_request(&mut self, count: usize) -> OnlineRequest {
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -38,6 +38,8 @@
 pub const PLAINS: usize = 2;
 /// Promise of a planned stop.
 pub const STOP_CUTS_NOTHING: &str = "a planned stop cuts nothing";
+/// Time for which callers keep an address.
+const ADDRESS_TTL: Duration = Duration::from_secs(5);
 /// Time that a stopped process still waits for its open connections.
 const CONNECTIONS_LIMIT: Duration = Duration::from_secs(5);
 /// Pause between looks at open connections.
@@ -55,8 +57,23 @@
     pub switch: HostSwitch,
     /// Whether it has joined.
     pub joined: watch::Sender<bool>,
-    /// Whether it was asked to leave.
-    pub draining: watch::Sender<bool>,
+    /// When it was asked to leave, if it was.
+    pub draining: watch::Sender<Option<Instant>>,
+}
+
+impl TrialHost {
+    /// Tells whether the host was asked to leave.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.borrow().is_some()
+    }
+
+    /// Tells whether callers may still hold the address of the host.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        let since = *self.draining.borrow();
+        since.is_none_or(|since| since.elapsed() < ADDRESS_TTL)
+    }
 }
 
 /// Place of a host, which one run after the other may take.
@@ -207,7 +224,7 @@
     /// Stops the host in a place as planned, as its daemon does, and returns once it is gone.
     pub async fn drain(&self, at: usize) {
         let Some(host) = self.host(at) else { return };
-        host.draining.send_replace(true);
+        host.draining.send_replace(Some(Instant::now()));
         let gone = host.switch.clone();
         tokio::select! {
             () = host.node.leave() => {}
@@ -296,7 +313,7 @@
             door,
             switch: switch.clone(),
             joined: watch::Sender::new(false),
-            draining: watch::Sender::new(false),
+            draining: watch::Sender::new(None),
         });
         if node.join().await.is_err() {
             // The daemon would exit and be started again.
