Pass over an appender that gives no answer

Cause: a host that is paused keeps its connections, so a commit through it waited five seconds for a reply and then went to it again. The reports that the host is lost pass through the appender of the hosts stream; when that one was paused, no report came to stand and the others held on to its shards for as long as it was paused. Ruled out: the watcher (the reports were queued in time) and a killed host (its connections break, and its peers append for themselves at once). Change: a commit waits for an appender as long as for a lost host's sign of life; one that gave no answer is passed over for five seconds. The same record may then stand twice, which every replay drops.

--- a/crates/fulmarswitch/src/commit.rs
+++ b/crates/fulmarswitch/src/commit.rs
@@ -2,25 +2,30 @@
 //!
 //! One host appends for each group: the others send it their records, and it commits what has come within
 //! a linger time together. So appends a second grow with groups, not with hosts or items. If the appender
-//! is not reached, a host appends for itself; the order on the log decides, whoever wrote it there.
+//! is not reached or falls silent, a host appends for itself; the order on the log decides, whoever wrote it
+//! there.
 
 use crate::book::encode_records;
 use crate::fleet::FleetView;
 use crate::metrics::HostMetrics;
 use crate::parts::{HostParts, lock};
 use fulmarswitch_peer::message::CommitRequest;
-use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply};
+use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply, PeerTarget};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::{LogRecord, SortedIndex, decode_frame};
+use fulmarswitch_records::{HostIdentity, LogRecord, SortedIndex, decode_frame};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
 
 /// Bytes of records appended at once.
 const APPEND_BYTES: usize = 900 << 10;
 /// Time to come back after an appender refused.
 const COMMIT_RETRY: Duration = Duration::from_millis(50);
 
+/// Time for which an appender that gave no answer is passed over.
+const SILENT_TIME: Duration = Duration::from_secs(5);
+
 struct CommitEntry {
     records: Vec<LogRecord>,
     done: oneshot::Sender<Result<(), LogError>>,
@@ -37,6 +42,8 @@
     parts: HostParts,
     fleet: watch::Receiver<Arc<FleetView>>,
     queues: Mutex<SortedIndex<Arc<str>, Arc<StreamQueue>>>,
+    /// Appenders that gave no answer, and since when.
+    silent: Mutex<SortedIndex<HostIdentity, Instant>>,
 }
 
 impl RecordCommitter {
@@ -47,6 +54,7 @@
             parts: parts.clone(),
             fleet,
             queues: Mutex::default(),
+            silent: Mutex::default(),
         })
     }
 
@@ -62,36 +70,54 @@
         let appender = self.fleet.borrow().appender_of(stream);
         if let Some(target) = appender
             && target.host != self.parts.identity
+            && !self.is_silent(&target.host)
+            && let Some(outcome) = self.commit_through(&target, stream, &records).await
         {
-            let frame = encode_records(&records)?.to_vec();
-            let request = CommitRequest {
-                stream: Arc::clone(stream),
-                frame,
-            };
-            self.parts.metrics.peer_messages.inc();
-            match self
-                .parts
-                .link
-                .call(&target, PeerMessage::Commit(request))
-                .await
-            {
-                Ok(PeerReply::Accepted) => return Ok(()),
-                Ok(PeerReply::Refused { .. }) => {
-                    return Err(LogError::Refused {
-                        retry_after: COMMIT_RETRY,
-                    });
-                }
-                Err(PeerError::NotReached { .. }) => {}
-                Ok(_) | Err(PeerError::NoAnswer { .. }) => {
-                    return Err(LogError::Unknown {
-                        cause: "the appender gave no answer".into(),
-                    });
-                }
-            }
+            return outcome;
         }
         self.commit_here(stream, records).await
     }
 
+    /// Commits records through an appender; `None` when it was not reached.
+    async fn commit_through(
+        &self,
+        target: &PeerTarget,
+        stream: &Arc<str>,
+        records: &[LogRecord],
+    ) -> Option<Result<(), LogError>> {
+        let frame = match encode_records(records) {
+            Ok(frame) => frame.to_vec(),
+            Err(error) => return Some(Err(error)),
+        };
+        let request = CommitRequest {
+            stream: Arc::clone(stream),
+            frame,
+        };
+        self.parts.metrics.peer_messages.inc();
+        let call = self.parts.link.call(target, PeerMessage::Commit(request));
+        let limit = self.parts.settings.tuning.suspect();
+        match tokio::time::timeout(limit, call).await {
+            Ok(Ok(PeerReply::Accepted)) => Some(Ok(())),
+            Ok(Ok(PeerReply::Refused { .. })) => Some(Err(LogError::Refused {
+                retry_after: COMMIT_RETRY,
+            })),
+            Ok(Err(PeerError::NotReached { .. })) => None,
+            Ok(Ok(_)) => Some(Err(unknown("the appender does not know"))),
+            Ok(Err(PeerError::NoAnswer { .. })) | Err(_) => {
+                lock(&self.silent).insert(target.host.clone(), Instant::now());
+                Some(Err(unknown("the appender gave no answer")))
+            }
+        }
+    }
+
+    /// Tells whether an appender gave no answer lately. The report that it is lost may have to pass through
+    /// the very same appender, so nobody waits for that.
+    fn is_silent(&self, host: &HostIdentity) -> bool {
+        let mut silent = lock(&self.silent);
+        silent.retain(|_, since| since.elapsed() < SILENT_TIME);
+        silent.contains(host)
+    }
+
     /// Answers another host that takes this one for the appender of a stream.
     pub async fn handle(self: &Arc<Self>, request: CommitRequest) -> PeerReply {
         let Ok(records) = decode_frame(&request.frame) else {
@@ -116,10 +142,9 @@
         let queue = self.queue(stream);
         lock(&queue.entries).push(CommitEntry { records, done });
         queue.queued.notify_one();
-        let lost = || LogError::Unknown {
-            cause: "the appender stopped".into(),
-        };
-        outcome.await.unwrap_or_else(|_| Err(lost()))
+        outcome
+            .await
+            .unwrap_or_else(|_| Err(unknown("the appender stopped")))
     }
 
     fn queue(self: &Arc<Self>, stream: &Arc<str>) -> Arc<StreamQueue> {
@@ -178,6 +203,12 @@
     }
 }
 
+fn unknown(cause: &str) -> LogError {
+    LogError::Unknown {
+        cause: cause.into(),
+    }
+}
+
 /// Takes entries up to the size of one append.
 fn take_entries(queue: &StreamQueue) -> Vec<CommitEntry> {
     let mut entries = lock(&queue.entries);
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -137,7 +137,9 @@
         let limit = Duration::from_millis(request.deadline_ms) + ANSWER_GRACE;
         let submitting = submit_request(host, request);
         let attempt = tokio::time::timeout(limit, submitting).await;
-        let attempt = attempt.unwrap_or(AttemptNote::Lost);
+        let Ok(attempt) = attempt else {
+            return AttemptNote::Lost;
+        };
         let drains = host.is_draining() && host.switch.mode() == HostMode::Running;
         if attempt == AttemptNote::Lost && drains {
             let detail = format!("{} at {} while it drained", request.key, host.identity);
--- a/crates/trials/src/run.rs
+++ b/crates/trials/src/run.rs
@@ -128,6 +128,7 @@
     let mut rng = SmallRng::seed_from_u64(plan.seed);
     let hosts = rng.random_range(3..=5);
     let fleet = start_fleet(rng.random(), hosts).await;
+    draw_speeds(&fleet, &mut rng);
     let watch = tokio::spawn(watch_hosts(Arc::clone(&fleet)));
     let end = Instant::now() + STEP * plan.steps;
     let mut workload = spawn_workload(plan, &fleet, &mut rng, end);
@@ -150,6 +151,18 @@
     report(plan, &fleet, faults)
 }
 
+/// Draws how long calls take, so that faults strike before, during and after them.
+fn draw_speeds(fleet: &TrialFleet, rng: &mut SmallRng) {
+    let call_ms = [30, 300, 1_500][rng.random_range(0..3)];
+    let step_us = [5_000, 40_000][rng.random_range(0..2)];
+    for plain in &fleet.plains {
+        plain.set_faults(|faults| faults.call_ms = call_ms);
+    }
+    for engine in &fleet.engines {
+        engine.set_faults(|faults| faults.step_us = step_us);
+    }
+}
+
 async fn wait_joined(fleet: &TrialFleet) {
     let joining = fleet.wait_joined();
     if tokio::time::timeout(JOIN_LIMIT, joining).await.is_err() {
