Notice at once that the peer of a waiting message has ended

Cause: nng keeps a request for a lost peer and goes on dialling, so a message that waited when its peer's process ended waited for its whole timeout of 5 s: reports, pulls, forwarded calls. Ruled out: a shorter timeout (a reply may rightly wait for the log). Change: while a request waits, its sender looks every 150 ms whether the peer still listens. Test: a_request_to_an_ended_process_does_not_wait_for_its_timeout failed before (ended by the timeout after 5.17 s) and passes now (0.16 s). A host that is cut off or paused still costs the timeout; suspicion covers it.

--- a/crates/peer/src/nng_link.rs
+++ b/crates/peer/src/nng_link.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 /// Messages that are handled at once.
 const WORKERS: usize = 64;
@@ -21,6 +22,9 @@
 /// Time allowed for opening a connection.
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time between looks at whether the peer of a waiting request still listens.
+const PROBE_PERIOD: Duration = Duration::from_millis(150);
+
 /// Sends messages to other hosts.
 pub struct NngSender {
     me: HostIdentity,
@@ -67,10 +71,20 @@
             let reply = reply.map_err(|(error, _)| error)?.await?;
             Ok::<_, anng::AioError>(postcard::from_bytes(reply.as_slice()))
         };
+        let exchange = async {
+            tokio::select! {
+                reply = exchange => Some(reply),
+                () = wait_refused(&to.message_address) => None,
+            }
+        };
         let reply: ReplyEnvelope = match tokio::time::timeout(REPLY_TIMEOUT, exchange).await {
-            Ok(Ok(Ok(reply))) => reply,
-            Ok(Ok(Err(error))) => return Err(no_answer(to, &error.to_string())),
-            Ok(Err(error)) => return Err(no_answer(to, &error.to_string())),
+            Ok(None) => {
+                self.forget(to);
+                return Err(no_answer(to, "its process has ended"));
+            }
+            Ok(Some(Ok(Ok(reply)))) => reply,
+            Ok(Some(Ok(Err(error)))) => return Err(no_answer(to, &error.to_string())),
+            Ok(Some(Err(error))) => return Err(no_answer(to, &error.to_string())),
             Err(_) => {
                 self.forget(to);
                 return Err(no_answer(to, "timeout"));
@@ -178,6 +192,21 @@
     }
 }
 
+/// Waits until nobody listens at an address any more.
+///
+/// nng keeps a request for a lost peer and goes on dialling, so without this the sender would wait for its
+/// whole timeout.
+async fn wait_refused(address: &str) {
+    loop {
+        tokio::time::sleep(PROBE_PERIOD).await;
+        if let Err(error) = TcpStream::connect(address).await
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            return;
+        }
+    }
+}
+
 fn encode<T: serde::Serialize>(to: &PeerTarget, value: &T) -> Result<Vec<u8>, PeerError> {
     postcard::to_stdvec(value).map_err(|error| not_reached(to, &error.to_string()))
 }
--- /dev/null
+++ b/crates/peer/tests/lost_peer.rs
@@ -0,0 +1,93 @@
+//! Requests to a peer whose process ends while they wait.
+
+use async_trait::async_trait;
+use fulmarswitch_peer::message::HeartbeatNote;
+use fulmarswitch_peer::nng_link::{NngSender, listen, spawn_workers};
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerHandler, PeerMessage, PeerReply, PeerTarget, StreamRequest,
+};
+use fulmarswitch_records::{HostIdentity, LogicalClock, Offset};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// Takes messages and answers none.
+struct SilentHandler {
+    taken: Arc<Notify>,
+}
+
+#[async_trait]
+impl PeerHandler for SilentHandler {
+    async fn handle(&self, _from: HostIdentity, _message: PeerMessage) -> PeerReply {
+        self.taken.notify_one();
+        std::future::pending().await
+    }
+
+    async fn serve(&self, _request: StreamRequest) -> FrameStream {
+        std::future::pending().await
+    }
+}
+
+fn host(name: &str) -> HostIdentity {
+    HostIdentity {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+async fn free_address() -> Arc<str> {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    listener
+        .local_addr()
+        .expect("the listener has an address")
+        .to_string()
+        .into()
+}
+
+#[test]
+fn a_request_to_an_ended_process_does_not_wait_for_its_timeout() {
+    let start = || {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime starts")
+    };
+    let (sender_runtime, peer_runtime) = (start(), start());
+    let address = sender_runtime.block_on(free_address());
+    let taken = Arc::new(Notify::new());
+    let handler: Arc<dyn PeerHandler> = Arc::new(SilentHandler {
+        taken: Arc::clone(&taken),
+    });
+    peer_runtime.block_on(async {
+        let socket = listen(&address).await.expect("the address is free");
+        spawn_workers(&socket, &host("b"), &LogicalClock::new(), &handler);
+    });
+    let error = sender_runtime.block_on(async {
+        let sender = NngSender::new(host("a"), LogicalClock::new());
+        let target = PeerTarget {
+            host: host("b"),
+            message_address: Arc::clone(&address),
+            stream_address: Arc::clone(&address),
+        };
+        let note = HeartbeatNote {
+            hosts_read: Offset(0),
+            config_read: Offset(0),
+        };
+        let call =
+            tokio::spawn(async move { sender.call(&target, &PeerMessage::Heartbeat(note)).await });
+        taken.notified().await;
+        peer_runtime.shutdown_background();
+        call.await
+            .expect("the call ends")
+            .expect_err("nobody answers")
+    });
+    let expected = PeerError::NoAnswer {
+        host: host("b"),
+        cause: "its process has ended".into(),
+    };
+    assert_eq!(error, expected);
+}
