--- a/crates/decide/examples/detectors.rs
+++ b/crates/decide/examples/detectors.rs
@@ -19,7 +19,8 @@
 const WATCHERS: usize = 3;
 /// Watchers that must suspect a host at once before it is taken to be lost.
 const REPORTERS: usize = 2;
-/// Bytes on the wire of a heartbeat and its answer, with the headers of TCP and IP and acknowledgements.
+/// Most bytes on the wire of a heartbeat and its answer: 65 and 7 bytes of envelope with names of twenty
+/// letters, 12 of framing each, and 52 of TCP and IP headers for each of both and their acknowledgements.
 const EXCHANGE_BYTES: f64 = 320.0;
 /// Virtual hours without a failure.
 const STEADY_HOURS: u32 = 200;
--- /dev/null
+++ b/crates/trials/tests/silence.rs
@@ -0,0 +1,65 @@
+//! When the fleet takes a silent host to be lost.
+
+use fulmarswitch_decide::hosts::HostPhase;
+use fulmarswitch_trials::fleet::TrialFleet;
+use fulmarswitch_trials::run::start_fleet;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time within which a loss is known on all hosts.
+const NOTICE_LIMIT: Duration = Duration::from_secs(2);
+/// Time between looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
+/// Hosts of the fleet; the last one fails.
+const HOSTS: usize = 5;
+
+/// Tells whether all other hosts take the last one to be lost.
+fn is_down(fleet: &TrialFleet) -> bool {
+    (0..HOSTS - 1).filter_map(|at| fleet.host(at)).all(|host| {
+        let view = host.node.fleet().view();
+        let entry = view.hosts.get(fleet.name(HOSTS - 1));
+        entry.is_some_and(|entry| entry.phase == HostPhase::Down)
+    })
+}
+
+#[rstest]
+#[case::at_once(0)]
+#[case::between_two_heartbeats(130)]
+#[case::just_before_a_heartbeat(390)]
+#[tokio::test(start_paused = true)]
+async fn a_lost_host_is_noticed(#[case] after_ms: u64) {
+    let fleet = start_fleet(5, HOSTS).await;
+    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+    fleet.kill(HOSTS - 1);
+    let lost_at = Instant::now();
+    while !is_down(&fleet) {
+        assert!(lost_at.elapsed() < NOTICE_LIMIT, "not noticed within 2 s");
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    println!("noticed after {:?}", lost_at.elapsed());
+    fleet.network.close();
+}
+
+#[rstest]
+#[case::as_usual(300)]
+#[case::long(900)]
+#[tokio::test(start_paused = true)]
+async fn a_pause_is_no_loss(#[case] pause_ms: u64) {
+    let fleet = start_fleet(5, HOSTS).await;
+    for _ in 0..5 {
+        fleet.set_frozen(HOSTS - 1, true);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        fleet.set_frozen(HOSTS - 1, false);
+        for _ in 0..300 {
+            let down = (0..HOSTS - 1).filter_map(|at| fleet.host(at)).any(|host| {
+                let view = host.node.fleet().view();
+                let entry = view.hosts.get(fleet.name(HOSTS - 1));
+                entry.is_none_or(|entry| entry.phase != HostPhase::Live)
+            });
+            assert!(!down, "a pause of {pause_ms} ms was taken for a loss");
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+    }
+    fleet.network.close();
+}
