Let hosts be watched from other failure domains

Cause: the three watchers of a host were its neighbours on a ring by hash, whatever their failure domain. Where a domain holds a third of the hosts, two watchers of a host often stood in its own domain; its loss took them along and one reporter was left, so the host was taken to be lost only after the ring had closed, if at all.

Ruled out: one reporter being enough (a cut between two hosts would take one down); more watchers (bytes).

Change: decide::neighbours picks the watchers that follow on the ring from as many other domains as there are, at least two from outside where there are two, then from the own domain. A cut between two domains leaves one watcher who hears nothing, where there are three domains or more.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`suspicion`]: which endpoints are suspected and trusted again.
 //! - [`retry`]: whether a request that failed is tried again.
 //! - [`detector`]: when a silent neighbour is suspected.
+//! - [`neighbours`]: which hosts watch which.
 
 pub mod balance;
 pub mod config;
@@ -24,6 +25,7 @@
 pub mod handout;
 pub mod hosts;
 pub mod load;
+pub mod neighbours;
 pub mod offers;
 pub mod placement;
 pub mod retry;
--- /dev/null
+++ b/crates/decide/src/neighbours.rs
@@ -0,0 +1,69 @@
+//! Which hosts watch which.
+//!
+//! Hosts stand on a ring by a hash of their names. A host is watched by a few that follow it on the ring,
+//! from as many other failure domains as there are: the loss of a whole domain takes none of the watchers
+//! that are needed with it, and a cut between two domains leaves at most one watcher who hears nothing
+//! where there are three domains or more.
+
+/// Watchers that must stand outside the watched host's failure domain, where it has others.
+const OUTSIDE_NEEDED: usize = 2;
+
+/// A host on the ring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingHost {
+    /// Place on the ring.
+    pub place: u64,
+    /// Number of its failure domain.
+    pub domain: u16,
+}
+
+/// Returns the positions of the hosts that watch the one at `watched`, at most `count`.
+///
+/// The ring is sorted by place.
+///
+/// ```
+/// use fulmarswitch_decide::neighbours::{RingHost, watchers_of};
+/// let host = |place, domain| RingHost { place, domain };
+/// let ring = [host(1, 0), host(2, 0), host(3, 1), host(4, 1), host(5, 2)];
+/// assert_eq!(watchers_of(&ring, 0, 2), [2, 4]);
+/// ```
+#[must_use]
+pub fn watchers_of(ring: &[RingHost], watched: usize, count: usize) -> Vec<usize> {
+    let own = ring[watched].domain;
+    let is_outside = |at: usize| ring[at].domain != own;
+    let mut chosen: Vec<usize> = Vec::with_capacity(count);
+    let mut choose = |limit: usize, fits: &dyn Fn(&[usize], usize) -> bool| {
+        let following = (watched + 1..ring.len()).chain(0..watched);
+        for at in following {
+            if chosen.len() >= limit.min(count) {
+                return;
+            }
+            if !chosen.contains(&at) && fits(&chosen, at) {
+                chosen.push(at);
+            }
+        }
+    };
+    choose(count, &|chosen, at| {
+        let is_new = |known: &usize| ring[*known].domain != ring[at].domain;
+        is_outside(at) && chosen.iter().all(is_new)
+    });
+    choose(OUTSIDE_NEEDED, &|_, at| is_outside(at));
+    choose(count, &|_, at| !is_outside(at));
+    choose(count, &|_, _| true);
+    chosen
+}
+
+/// Returns the positions of the hosts that the one at `watcher` watches, in order.
+///
+/// ```
+/// use fulmarswitch_decide::neighbours::{RingHost, watched_by};
+/// let host = |place| RingHost { place, domain: 0 };
+/// let ring = [host(1), host(2), host(3)];
+/// assert_eq!(watched_by(&ring, 0, 1), [2]);
+/// ```
+#[must_use]
+pub fn watched_by(ring: &[RingHost], watcher: usize, count: usize) -> Vec<usize> {
+    (0..ring.len())
+        .filter(|watched| watchers_of(ring, *watched, count).contains(&watcher))
+        .collect()
+}
--- /dev/null
+++ b/crates/decide/tests/neighbours.rs
@@ -0,0 +1,55 @@
+//! Which hosts watch which.
+
+use fulmarswitch_decide::neighbours::{RingHost, watched_by, watchers_of};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn ring(domains: &[u16]) -> Vec<RingHost> {
+    (0..)
+        .zip(domains)
+        .map(|(place, domain)| RingHost {
+            place,
+            domain: *domain,
+        })
+        .collect()
+}
+
+/// Watchers of the first host.
+#[rstest]
+#[case::alone(&[0], &[])]
+#[case::one_domain(&[0, 0, 0, 0, 0], &[1, 2, 3])]
+#[case::fewer_hosts_than_watchers(&[0, 1], &[1])]
+#[case::two_domains(&[0, 0, 1, 1, 0], &[2, 3, 1])]
+#[case::three_domains(&[0, 0, 1, 1, 2, 2], &[2, 4, 1])]
+#[case::many_domains(&[0, 1, 1, 2, 3, 4], &[1, 3, 4])]
+#[case::no_one_else_inside(&[0, 1, 1, 2, 2], &[1, 3, 2])]
+fn watchers_of_one_host(#[case] domains: &[u16], #[case] expected: &[usize]) {
+    assert_eq!(watchers_of(&ring(domains), 0, 3), expected);
+}
+
+proptest! {
+    #[test]
+    fn a_lost_domain_leaves_two_watchers(
+        domains in proptest::collection::vec(0_u16..4, 1..40),
+    ) {
+        let ring = ring(&domains);
+        for watched in 0..ring.len() {
+            let watchers = watchers_of(&ring, watched, 3);
+            let outside = |at: &&usize| ring[**at].domain != ring[watched].domain;
+            let available = ring.iter().filter(|host| host.domain != ring[watched].domain);
+            prop_assert!(!watchers.contains(&watched));
+            prop_assert_eq!(watchers.len(), 3.min(ring.len() - 1));
+            prop_assert!(watchers.iter().filter(outside).count() >= 2.min(available.count()));
+        }
+    }
+
+    #[test]
+    fn both_sides_agree(domains in proptest::collection::vec(0_u16..4, 1..20)) {
+        let ring = ring(&domains);
+        for watcher in 0..ring.len() {
+            for watched in watched_by(&ring, watcher, 3) {
+                prop_assert!(watchers_of(&ring, watched, 3).contains(&watcher));
+            }
+        }
+    }
+}
--- a/crates/fulmarswitch/src/watcher.rs
+++ b/crates/fulmarswitch/src/watcher.rs
@@ -1,13 +1,15 @@
 //! Joins, heartbeats and suspicion.
 //!
-//! A host sends heartbeats to a few neighbours on a ring of the live hosts and reports to the `hosts`
-//! stream those that stay silent, as [`fulmarswitch_decide::detector`] decides. So the messages a host sends
+//! A host sends heartbeats to a few neighbours on a ring of the live hosts, which
+//! [`fulmarswitch_decide::neighbours`] chooses, and reports to the `hosts` stream those that stay silent, as
+//! [`fulmarswitch_decide::detector`] decides. So the messages a host sends
 //! do not grow with the fleet.
 
 use crate::fleet::FleetBooks;
 use crate::parts::{HostParts, lock};
 use fulmarswitch_decide::detector::{BeatIndex, FixedDetector, HostDetector};
 use fulmarswitch_decide::hosts::{HostPhase, REPORT_TTL_MS};
+use fulmarswitch_decide::neighbours::{RingHost, watched_by};
 use fulmarswitch_decide::placement::weight;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::message::HeartbeatNote;
@@ -336,26 +338,36 @@
         self.append(RecordBody::HostDown(suspicion)).await;
     }
 
-    /// Returns the hosts behind this one on the ring; leaving hosts are watched until they are gone.
+    /// Returns the hosts that this one watches; leaving hosts are watched until they are gone.
     fn neighbours(&self) -> Vec<PeerTarget> {
         let view = self.fleet.view();
-        let place = |host: &HostIdentity| weight(&host.name, "ring");
-        let mut ring: Vec<(u64, PeerTarget)> = view
+        let mut hosts: Vec<(u64, &HostJoin)> = view
             .hosts
             .all()
             .filter(|entry| entry.phase != HostPhase::Down)
-            .filter_map(|entry| view.target(&entry.join.host))
-            .filter(|target| target.host != self.parts.identity)
-            .map(|target| (place(&target.host), target))
+            .map(|entry| (weight(&entry.join.host.name, "ring"), &entry.join))
             .collect();
-        ring.sort_by_key(|(place, _)| *place);
-        let mine = place(&self.parts.identity);
-        let first = ring.partition_point(|(place, _)| *place < mine);
-        ring.rotate_left(first);
-        let count = self.parts.settings.tuning.neighbours;
-        ring.into_iter()
-            .take(count)
-            .map(|(_, target)| target)
+        hosts.sort_by_key(|(place, join)| (*place, &join.host.name));
+        let mut domains: Vec<&str> = hosts
+            .iter()
+            .map(|(_, join)| &*join.failure_domain)
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let ring: Vec<RingHost> = hosts
+            .iter()
+            .map(|(place, join)| RingHost {
+                place: *place,
+                domain: number_of(&domains, &join.failure_domain),
+            })
+            .collect();
+        let me = &self.parts.identity;
+        let Some(mine) = hosts.iter().position(|(_, join)| join.host == *me) else {
+            return Vec::new();
+        };
+        watched_by(&ring, mine, self.parts.settings.tuning.neighbours)
+            .into_iter()
+            .filter_map(|at| view.target(&hosts[at].1.host))
             .collect()
     }
 
@@ -415,3 +427,8 @@
         receiver.await.ok().map(|appended| appended.verdict)
     }
 }
+
+fn number_of(domains: &[&str], domain: &str) -> u16 {
+    let at = domains.partition_point(|known| *known < domain);
+    u16::try_from(at).unwrap_or(u16::MAX)
+}
--- a/crates/trials/tests/silence.rs
+++ b/crates/trials/tests/silence.rs
@@ -1,7 +1,7 @@
 //! When the fleet takes a silent host to be lost.
 
 use fulmarswitch_decide::hosts::HostPhase;
-use fulmarswitch_trials::fleet::TrialFleet;
+use fulmarswitch_trials::fleet::{DOMAINS, TrialFleet};
 use fulmarswitch_trials::run::start_fleet;
 use rstest::rstest;
 use std::time::Duration;
@@ -63,3 +63,36 @@
     }
     fleet.network.close();
 }
+
+/// As many hosts in each failure domain, of which one is lost.
+#[rstest]
+#[case::first_of_nine_hosts(0, 9)]
+#[case::second_of_nine_hosts(1, 9)]
+#[case::third_of_nine_hosts(2, 9)]
+#[case::first_of_twelve_hosts(0, 12)]
+#[case::second_of_twelve_hosts(1, 12)]
+#[case::third_of_twelve_hosts(2, 12)]
+#[tokio::test(start_paused = true)]
+async fn a_lost_failure_domain_is_noticed(#[case] domain: usize, #[case] hosts: usize) {
+    let fleet = start_fleet(5, hosts).await;
+    let lost: Vec<usize> = (domain..hosts).step_by(DOMAINS.len()).collect();
+    for at in &lost {
+        fleet.kill(*at);
+    }
+    let lost_at = Instant::now();
+    let known = |at: usize| {
+        let view = fleet.host(at).map(|host| host.node.fleet().view());
+        view.is_some_and(|view| {
+            lost.iter().all(|lost| {
+                let entry = view.hosts.get(fleet.name(*lost));
+                entry.is_some_and(|entry| entry.phase == HostPhase::Down)
+            })
+        })
+    };
+    while !(0..hosts).filter(|at| !lost.contains(at)).all(known) {
+        assert!(lost_at.elapsed() < NOTICE_LIMIT, "not noticed within 2 s");
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    println!("a domain's loss noticed after {:?}", lost_at.elapsed());
+    fleet.network.close();
+}
