Run idempotent requests at the entry while their owner is lost

Cause: a request whose key belonged to a host that was just lost waited until the loss was noticed and the shard taken over; one whose stream was open at a paused host waited longer, since a kept connection to a paused host only falls silent. Ruled out: quicker suspicion alone (a false one moves shards, and it can never be quicker than 0.52 s). Change: the entry runs what may be run twice if the owner does not answer within 200 ms, and records the outcome with the next owner; the first outcome on the log stands. An owner and a gate answer with a first frame at once. Streams end when their host is taken to be lost, a host that gave no answer is left alone for a second, and calls to an owner do not wait for one that is paused. An outcome is never recorded under a key that stands for another request.

--- a/crates/fulmarswitch/src/entry.rs
+++ b/crates/fulmarswitch/src/entry.rs
@@ -33,6 +33,8 @@
 const ADDRESS_COUNT: usize = 3;
 /// Time for which a call that does not stream looks for its owner.
 const OWNER_WAIT: Duration = Duration::from_secs(8);
+/// Time that an owner may take for one message; a host that is paused answers nothing.
+const OWNER_CALL_LIMIT: Duration = Duration::from_secs(2);
 /// Pause before the owner is looked for again.
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 /// A log that has not answered for this long counts as out of reach.
@@ -144,7 +146,13 @@
                     Ok(self.act_here(message.clone()).await)
                 } else {
                     self.parts.metrics.peer_messages.inc();
-                    self.parts.link.call(&target, message.clone()).await
+                    let call = self.parts.link.call(&target, message.clone());
+                    tokio::time::timeout(OWNER_CALL_LIMIT, call)
+                        .await
+                        .unwrap_or_else(|_| {
+                            let (host, cause) = (target.host.clone(), "timeout".into());
+                            Err(PeerError::NoAnswer { host, cause })
+                        })
                 };
                 match reply {
                     Ok(PeerReply::NotOwner) | Err(PeerError::NotReached { .. }) => {}
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -8,7 +8,9 @@
 use fulmarswitch_http::lines::write_event;
 use fulmarswitch_http::{HttpRequest, HttpResponse, json_response, stream_body};
 use fulmarswitch_peer::message::{KeyName, RefusalNote, RunState};
-use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
+};
 use fulmarswitch_records::OnlineRequest;
 use futures::StreamExt;
 use http_body_util::{BodyExt, Limited};
@@ -25,6 +27,8 @@
 const BODY_LIMIT: usize = 1 << 20;
 /// Longest deadline, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
+/// Time that the owner of a key may take to answer that it has the request.
+const OWNER_PATIENCE: Duration = Duration::from_millis(200);
 /// Time beyond the deadline for which the entry waits for the owner's last frame.
 const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -144,9 +148,17 @@
         let mut sent = false;
         let mut text_given = false;
         while Instant::now() < deadline {
-            let Some(mut frames) = self.open_owner(shard, &request, &mut sent).await else {
-                tokio::time::sleep(OWNER_PAUSE).await;
-                continue;
+            let mut frames = match self.open_owner(shard, &request, &mut sent).await {
+                Some(frames) => frames,
+                // Until the next owner has taken over, the entry runs what may be run twice.
+                None if request.idempotent => {
+                    sent = true;
+                    self.keys.submit_for_absent(request.clone()).await
+                }
+                None => {
+                    tokio::time::sleep(OWNER_PAUSE).await;
+                    continue;
+                }
             };
             if text_given {
                 // The caller may be gone; the owner goes on all the same.
@@ -192,21 +204,20 @@
             *sent = true;
             return Some(self.keys.submit(request.clone()).await);
         }
-        let opening = self
-            .parts
-            .link
-            .open(&target, StreamRequest::Submit(request.clone()));
-        match opening.await {
-            Ok(frames) => {
-                *sent = true;
-                Some(frames)
-            }
-            Err(fulmarswitch_peer::PeerError::NotReached { .. }) => None,
-            Err(fulmarswitch_peer::PeerError::NoAnswer { .. }) => {
-                *sent = true;
-                None
-            }
-        }
+        // A call that may not be repeated can only go to the owner, so there is no hurry.
+        let patience = if request.idempotent {
+            OWNER_PATIENCE
+        } else {
+            Duration::from_millis(request.deadline_ms)
+        };
+        let submit = StreamRequest::Submit(request.clone());
+        let link = self.parts.link.as_ref();
+        let opened = self
+            .fleet
+            .open_stream(link, &target, submit, patience)
+            .await;
+        *sent |= !matches!(opened, Err(PeerError::NotReached { .. }));
+        opened.ok()
     }
 }
 
--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -2,25 +2,31 @@
 
 use crate::book::{LogBook, StreamReplay};
 use crate::commit::RecordCommitter;
-use crate::parts::HostParts;
+use crate::parts::{HostParts, lock};
 use crate::settings::LayoutSettings;
 use fulmarswitch_decide::config::{ConfigTable, ConfigVerdict};
 use fulmarswitch_decide::hosts::{HostPhase, HostTable};
 use fulmarswitch_decide::placement::{PlacementTable, group_of, holder, shard_of};
 use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
-use fulmarswitch_peer::PeerTarget;
+use fulmarswitch_peer::{FrameStream, PeerError, PeerLink, PeerTarget, StreamRequest};
 use fulmarswitch_records::record::HostJoin;
 use fulmarswitch_records::{
-    GroupIndex, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex,
+    GroupIndex, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
-use std::sync::Arc;
+use futures::StreamExt;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Name of the stream of joins and leaves.
 pub const HOSTS_STREAM: &str = "hosts";
 /// Name of the stream of configuration.
 pub const CONFIG_STREAM: &str = "config";
 
+/// Time for which a host that gave no answer counts as silent.
+const SILENT_TIME: Duration = Duration::from_secs(1);
+
 /// A consistent view of hosts and configuration.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
@@ -242,6 +248,7 @@
     /// Configuration.
     pub config: Arc<LogBook<ConfigReplay>>,
     view: watch::Receiver<Arc<FleetView>>,
+    silent: Mutex<SortedIndex<HostIdentity, Instant>>,
 }
 
 impl FleetBooks {
@@ -263,6 +270,7 @@
                 hosts,
                 config,
                 view,
+                silent: Mutex::default(),
             }),
             committer,
         )
@@ -274,6 +282,58 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// Opens a stream at a host and waits up to `patience` for its first frame. The stream ends once the
+    /// host is taken to be lost. A host that gave no answer is not asked again for a short time, so that
+    /// what need not go to it goes elsewhere at once.
+    ///
+    /// # Errors
+    /// [`PeerError`] says whether the peer may have acted.
+    pub async fn open_stream(
+        &self,
+        link: &dyn PeerLink,
+        target: &PeerTarget,
+        request: StreamRequest,
+        patience: Duration,
+    ) -> Result<FrameStream, PeerError> {
+        if self.is_silent(&target.host) {
+            let (host, cause) = (target.host.clone(), "it gave no answer lately".into());
+            return Err(PeerError::NotReached { host, cause });
+        }
+        let opening = async {
+            let mut frames = link.open(target, request).await?;
+            let first = frames.next().await;
+            Ok(futures::stream::iter(first).chain(frames).boxed())
+        };
+        let opened = tokio::time::timeout(patience, opening)
+            .await
+            .unwrap_or_else(|_| {
+                let (host, cause) = (target.host.clone(), "timeout".into());
+                Err(PeerError::NoAnswer { host, cause })
+            });
+        if let Err(PeerError::NoAnswer { host, .. }) = &opened {
+            lock(&self.silent).insert(host.clone(), Instant::now());
+        }
+        Ok(self.while_reachable(&target.host, opened?))
+    }
+
+    /// Tells whether a host has lately given no answer.
+    fn is_silent(&self, host: &HostIdentity) -> bool {
+        let mut silent = lock(&self.silent);
+        silent.retain(|_, since| since.elapsed() < SILENT_TIME);
+        silent.contains(host)
+    }
+
+    /// Ends a stream once its host is taken to be lost.
+    fn while_reachable(&self, host: &HostIdentity, frames: FrameStream) -> FrameStream {
+        let mut view = self.view.clone();
+        let host = host.clone();
+        let lost = async move {
+            // The sender lives as long as the books, so the wait cannot fail.
+            let _ = view.wait_for(|view| !view.hosts.is_reachable(&host)).await;
+        };
+        frames.take_until(Box::pin(lost)).boxed()
+    }
+
     /// Returns a receiver that is told of each change.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<Arc<FleetView>> {
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -21,7 +21,7 @@
     HostIdentity, ItemOutcome, OnlineRequest, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
 use futures::StreamExt;
-use run::KeyRun;
+use run::{KeyRun, RunOrigin};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -106,7 +106,38 @@
             }
         }
         let resumed = known.is_some_and(|entry| entry.outcome.is_none());
-        let run = self.start_run(request.clone(), shard, resumed);
+        let origin = if resumed {
+            RunOrigin::Resumed
+        } else {
+            RunOrigin::New
+        };
+        let run = self.start_run(request.clone(), shard, origin);
+        attach_checked(&run, &request)
+    }
+
+    /// Runs a request whose shard has no owner that is reached. What the log says of the key goes before;
+    /// if another host runs it too, the first outcome on the log stands for both.
+    pub async fn submit_for_absent(self: &Arc<Self>, request: OnlineRequest) -> FrameStream {
+        let name = request.full_key();
+        if let Some(run) = self.run_of(&name) {
+            return attach_checked(&run, &request);
+        }
+        let shard = self.fleet.view().shard_of(&name);
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&name).cloned());
+        if let Some(entry) = known {
+            if entry.digest != request.digest() {
+                return last_frame(conflict());
+            }
+            if let Some(result) = entry.outcome.filter(|result| !result.not_run) {
+                return last_frame(self.recorded_frame(shard, result.place).await);
+            }
+        }
+        self.parts
+            .events
+            .trace("owner-absent", &name, "it runs at the entry");
+        let run = self.start_run(request.clone(), shard, RunOrigin::OwnerAbsent);
         attach_checked(&run, &request)
     }
 
@@ -138,17 +169,10 @@
         if self.shards.owned_epoch(shard).is_none() {
             return PeerReply::NotOwner;
         }
-        let known = self
-            .shards
-            .with_shard(shard, |state| state.key(&name).is_some());
-        let mut bodies = Vec::new();
-        if !known {
-            bodies.push(RecordBody::Accept(note.request));
-        }
-        bodies.push(RecordBody::Outcome(KeyOutcome {
-            key: Arc::clone(&name),
-            outcome: note.outcome,
-        }));
+        let Some(bodies) = self.outcome_bodies(shard, &note.request, note.outcome) else {
+            let reason = "the key stands for another request".into();
+            return PeerReply::Conflict { reason };
+        };
         let Ok(mut receivers) = self.shards.append_all(shard, bodies) else {
             return PeerReply::NotOwner;
         };
@@ -165,6 +189,40 @@
         }
     }
 
+    /// Returns the records of an outcome, with the acceptance before it if the log does not have that yet,
+    /// or `None` when the key stands for another request.
+    fn outcome_bodies(
+        &self,
+        shard: ShardIndex,
+        request: &OnlineRequest,
+        outcome: ItemOutcome,
+    ) -> Option<Vec<RecordBody>> {
+        let key = request.full_key();
+        let digest = request.digest();
+        // A run here may have sent out an acceptance that is not read back yet.
+        if self
+            .run_of(&key)
+            .is_some_and(|run| run.request.digest() != digest)
+        {
+            return None;
+        }
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&key).cloned());
+        let accepted = known.filter(|entry| !entry.outcome.is_some_and(|result| result.not_run));
+        if accepted
+            .as_ref()
+            .is_some_and(|entry| entry.digest != digest)
+        {
+            return None;
+        }
+        let outcome = RecordBody::Outcome(KeyOutcome { key, outcome });
+        let acceptance = accepted
+            .is_none()
+            .then(|| RecordBody::Accept(request.clone()));
+        Some(acceptance.into_iter().chain([outcome]).collect())
+    }
+
     /// Notes which requests still run at the host that owned a shard before.
     pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
         let mut elsewhere = lock(&self.elsewhere);
@@ -221,7 +279,7 @@
             self.parts
                 .events
                 .note("resume", &name, "accepted by an earlier owner");
-            self.start_run(request, shard, true);
+            self.start_run(request, shard, RunOrigin::Resumed);
         }
     }
 
@@ -316,7 +374,7 @@
         self: &Arc<Self>,
         request: OnlineRequest,
         shard: ShardIndex,
-        resumed: bool,
+        origin: RunOrigin,
     ) -> Arc<KeyRun> {
         let run = Arc::new(KeyRun::new(request, shard));
         {
@@ -325,8 +383,10 @@
                 return Arc::clone(other);
             }
             runs.insert(Arc::clone(&run.name), Arc::clone(&run));
+            // The first frame tells the entry that the request has arrived.
+            run.push(StreamFrame::Admitted);
         }
-        tokio::spawn(Arc::clone(self).drive(Arc::clone(&run), resumed));
+        tokio::spawn(Arc::clone(self).drive(Arc::clone(&run), origin));
         run
     }
 
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -1,6 +1,6 @@
 //! Driving one request to its end: attempts at endpoints, acceptance and outcome.
 
-use super::run::KeyRun;
+use super::run::{KeyRun, RunOrigin};
 use super::{
     KeyOwner, LOG_PATIENCE, LOG_SILENCE, RETRY_AFTER, conflict, millis, not_run_frame,
     unknown_frame,
@@ -13,7 +13,6 @@
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
 };
-use fulmarswitch_records::record::KeyOutcome;
 use fulmarswitch_records::{ItemOutcome, RecordBody};
 use futures::StreamExt;
 use std::sync::Arc;
@@ -23,6 +22,12 @@
 
 /// Endpoints that are asked before a request is refused.
 const MAX_REFUSALS: u32 = 3;
+/// Time that a gate may take to answer that it has a request which may be run twice.
+const GATE_PATIENCE: Duration = Duration::from_millis(200);
+/// Time for which the outcome of a run without an owner waits for the next owner.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(5);
+/// Time that an owner may take to record an outcome before the owner is looked for again.
+const RECORD_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before the new owner of a shard is asked again to record an outcome.
 const RECORD_PAUSE: Duration = Duration::from_millis(100);
 
@@ -36,6 +41,8 @@
     Standing,
     /// The log is silent; the request is served without waiting for it.
     Unrecorded,
+    /// The shard has no owner that is reached; the acceptance is recorded with the outcome.
+    OwnerAbsent,
 }
 
 /// Why an attempt ended.
@@ -52,14 +59,14 @@
 
 impl KeyOwner {
     /// Drives a request to its end and gives its last frame to all streams.
-    pub(super) async fn drive(self: Arc<Self>, run: Arc<KeyRun>, resumed: bool) {
+    pub(super) async fn drive(self: Arc<Self>, run: Arc<KeyRun>, origin: RunOrigin) {
         self.parts
             .events
             .trace("start", &run.name, "online request");
         let last = if run.request.idempotent {
-            self.drive_idempotent(&run, resumed).await
+            self.drive_idempotent(&run, origin).await
         } else {
-            self.drive_once(&run, resumed).await
+            self.drive_once(&run, origin == RunOrigin::Resumed).await
         };
         let recorded = !matches!(
             last,
@@ -79,16 +86,16 @@
         run.push(last);
     }
 
-    async fn drive_idempotent(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
-        let mut acceptance = if resumed {
-            Acceptance::Standing
-        } else {
-            Acceptance::Open
+    async fn drive_idempotent(&self, run: &Arc<KeyRun>, origin: RunOrigin) -> StreamFrame {
+        let mut acceptance = match origin {
+            RunOrigin::New => Acceptance::Open,
+            RunOrigin::Resumed => Acceptance::Standing,
+            RunOrigin::OwnerAbsent => Acceptance::OwnerAbsent,
         };
         let mut excluded = Vec::new();
         let mut retry_after = RETRY_AFTER;
         let mut refusals = 0;
-        let mut may_have_run = resumed;
+        let mut may_have_run = origin == RunOrigin::Resumed;
         while !run.left().is_zero() {
             let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
                 break;
@@ -115,7 +122,8 @@
             }
             excluded.push(Arc::clone(&sent.endpoint));
         }
-        if matches!(acceptance, Acceptance::Open) {
+        let unaccepted = matches!(acceptance, Acceptance::Open | Acceptance::OwnerAbsent);
+        if unaccepted && !may_have_run {
             return not_run_frame("no endpoint of the service has room", retry_after);
         }
         let outcome = if may_have_run {
@@ -147,7 +155,7 @@
         sent: &mut SentAttempt,
         acceptance: &mut Acceptance,
     ) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, sent).await {
+        let mut frames = match self.open_attempt(run, sent, GATE_PATIENCE).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
@@ -172,7 +180,9 @@
                     }
                     Some(frame @ StreamFrame::Text(_)) => match acceptance {
                         Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
-                        Acceptance::Standing | Acceptance::Unrecorded => run.push(frame),
+                        Acceptance::Standing | Acceptance::Unrecorded | Acceptance::OwnerAbsent => {
+                            run.push(frame);
+                        }
                     },
                     Some(StreamFrame::Done { outcome, .. }) => {
                         return self.end_accepted(run, acceptance, held, outcome).await;
@@ -227,6 +237,7 @@
         &self,
         run: &Arc<KeyRun>,
         sent: &SentAttempt,
+        patience: Duration,
     ) -> Result<FrameStream, AttemptEnd> {
         let endpoint = &sent.endpoint;
         let Some(target) = self.fleet.view().gate_of(endpoint) else {
@@ -243,12 +254,9 @@
         if target.host == self.parts.identity {
             return Ok(self.gates.run(request));
         }
-        match self
-            .parts
-            .link
-            .open(&target, StreamRequest::Run(request))
-            .await
-        {
+        let run = StreamRequest::Run(request);
+        let link = self.parts.link.as_ref();
+        match self.fleet.open_stream(link, &target, run, patience).await {
             Ok(frames) => Ok(frames),
             Err(PeerError::NotReached { .. }) => {
                 sent.see_unreached();
@@ -302,7 +310,11 @@
             };
         }
         let recording = self.record(run, outcome.clone());
-        match tokio::time::timeout(LOG_SILENCE, recording).await {
+        let limit = match acceptance {
+            Acceptance::OwnerAbsent => TAKEOVER_LIMIT,
+            _ => LOG_SILENCE,
+        };
+        match tokio::time::timeout(limit, recording).await {
             Ok(frame) => frame,
             Err(_) => StreamFrame::Done {
                 outcome,
@@ -331,12 +343,12 @@
     }
 
     async fn record_here(&self, run: &Arc<KeyRun>, outcome: &ItemOutcome) -> Option<StreamFrame> {
-        let key = Arc::clone(&run.name);
-        let body = RecordBody::Outcome(KeyOutcome {
-            key,
-            outcome: outcome.clone(),
-        });
-        let appended = self.shards.append(run.shard, body).ok()?.await.ok()?;
+        self.shards.owned_epoch(run.shard)?;
+        let Some(bodies) = self.outcome_bodies(run.shard, &run.request, outcome.clone()) else {
+            return Some(conflict());
+        };
+        let appended = self.shards.append_all(run.shard, bodies).ok()?.pop()?;
+        let appended = appended.await.ok()?;
         match appended.verdict {
             RecordVerdict::Valid => Some(StreamFrame::Done {
                 outcome: outcome.clone(),
@@ -365,16 +377,16 @@
             request: run.request.clone(),
             outcome: outcome.clone(),
         };
-        match self
-            .parts
-            .link
-            .call(&target, PeerMessage::RecordOutcome(note))
-            .await
-        {
+        let message = PeerMessage::RecordOutcome(note);
+        let call = self.parts.link.call(&target, message);
+        // A host that is paused answers nothing; the next owner may be asked by then.
+        let reply = tokio::time::timeout(RECORD_LIMIT, call).await.ok()?;
+        match reply {
             Ok(PeerReply::Outcome(Some(outcome))) => Some(StreamFrame::Done {
                 outcome,
                 recorded: true,
             }),
+            Ok(PeerReply::Conflict { .. }) => Some(conflict()),
             _ => None,
         }
     }
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -78,7 +78,7 @@
     }
 
     async fn attempt_once(&self, run: &Arc<KeyRun>, sent: &mut SentAttempt) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, sent).await {
+        let mut frames = match self.open_attempt(run, sent, run.left()).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
--- a/crates/fulmarswitch/src/keys/run.rs
+++ b/crates/fulmarswitch/src/keys/run.rs
@@ -10,6 +10,17 @@
 
 use crate::parts::lock;
 
+/// Where a run comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RunOrigin {
+    /// The request is new to this owner.
+    New,
+    /// The request was accepted before and has no outcome.
+    Resumed,
+    /// No owner of the shard is reached; the outcome is recorded once there is one.
+    OwnerAbsent,
+}
+
 /// A request in progress. Its frames are kept until it ends, so that a stream may attach at any time.
 pub(super) struct KeyRun {
     /// The request.
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -314,6 +314,28 @@
 
 /// Submits a request once through a host and listens to the end.
 pub async fn submit_request(host: &TrialHost, request: &OnlineRequest) -> AttemptNote {
+    submit_request_with(host, request, || ()).await.1
+}
+
+/// Submits a request once and listens to the end; also returns what `clock` says at the first text.
+pub async fn submit_request_with<T>(
+    host: &TrialHost,
+    request: &OnlineRequest,
+    clock: impl Fn() -> T,
+) -> (Option<T>, AttemptNote) {
+    let mut first = None;
+    let note = listen(host, request, || {
+        first = first.take().or_else(|| Some(clock()));
+    })
+    .await;
+    (first, note)
+}
+
+async fn listen(
+    host: &TrialHost,
+    request: &OnlineRequest,
+    mut show_text: impl FnMut(),
+) -> AttemptNote {
     let call = RequestCall {
         key: Arc::clone(&request.key),
         workspace: Arc::clone(&request.workspace),
@@ -337,7 +359,10 @@
     let mut events = host.door.events(response.into_body());
     while let Some(Some(line)) = events.next().await {
         match serde_json::from_str(&line) {
-            Ok(AnswerEvent::Text { text }) => streamed.push_str(&text),
+            Ok(AnswerEvent::Text { text }) => {
+                show_text();
+                streamed.push_str(&text);
+            }
             Ok(AnswerEvent::Reset) => streamed.clear(),
             Ok(AnswerEvent::Done { outcome, recorded }) => {
                 return AttemptNote::Done {
--- a/crates/trials/tests/takeover.rs
+++ b/crates/trials/tests/takeover.rs
@@ -1,9 +1,12 @@
 //! The others take over from a host that falls silent, whatever it held.
 
+use fulmarswitch_trials::callers::{make_request, read_key, submit_request_with};
+use fulmarswitch_trials::ledger::AttemptNote;
 use fulmarswitch_trials::run::start_fleet;
 use fulmarswitch_trials::switch::HostMode;
 use rstest::rstest;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time in which the others take over everything.
 const TAKEOVER: Duration = Duration::from_secs(6);
@@ -38,3 +41,52 @@
 fn is_running(host: &fulmarswitch_trials::fleet::TrialHost) -> bool {
     host.switch.mode() == HostMode::Running
 }
+
+/// Time to the first token that the service promises.
+const FIRST_TOKEN: Duration = Duration::from_millis(520);
+
+/// The owner of a key has just been lost, and nobody has noticed yet.
+#[rstest]
+#[case::killed(HostMode::Killed)]
+#[case::paused(HostMode::Frozen)]
+#[tokio::test(start_paused = true)]
+async fn online_requests_do_not_wait_for_the_takeover(#[case] mode: HostMode) {
+    let fleet = start_fleet(1, 4).await;
+    let lost = fleet.host(0).expect("the host runs");
+    let entry = fleet.host(1).expect("the host runs");
+    let owned = lost.node.shards().owned();
+    let view = entry.node.fleet().view();
+    let keys = (0..400).map(|number| make_request(&format!("key-{number}"), 3, true));
+    let keys = keys
+        .filter(|request| owned.contains(&view.shard_of(&request.full_key())))
+        .take(20);
+    match mode {
+        HostMode::Killed => fleet.kill(0),
+        _ => fleet.set_frozen(0, true),
+    }
+    for request in keys {
+        let started = Instant::now();
+        let submitted = submit_request_with(&entry, &request, || started.elapsed()).await;
+        let (first, note) = submitted;
+        let first = first.expect("the answer has text");
+        assert!(
+            first <= FIRST_TOKEN,
+            "{}: first token after {first:?}",
+            request.key
+        );
+        let AttemptNote::Done {
+            outcome, recorded, ..
+        } = note
+        else {
+            panic!("{}: {note:?}", request.key);
+        };
+        assert!(recorded, "{}: {outcome:?}", request.key);
+        assert_eq!(
+            read_key(&entry, &request.key).await,
+            Some(outcome),
+            "{}",
+            request.key
+        );
+    }
+    fleet.network.close();
+}
