--- a/crates/trials/tests/promises.rs
+++ b/crates/trials/tests/promises.rs
@@ -78,7 +78,7 @@
 async fn an_acknowledged_job_survives_its_owner() {
     let fleet = start_fleet(2, 3).await;
     let mut caller = caller(&fleet);
-    for number in 0..4 {
+    for number in 0..12 {
         let job = make_job(&format!("job-{number}"), 40, 20, true);
         let (owner, _) = owner_and_other(&fleet, &format!("w/{}", job.name));
         caller.add_job(&job);
