--- a/crates/trials/src/bin/fulmarswitch-soak.rs
+++ b/crates/trials/src/bin/fulmarswitch-soak.rs
@@ -1,7 +1,8 @@
 //! Long randomised runs from the command line.
 
 use bpaf::Bpaf;
-use fulmarswitch_trials::run::{RunPlan, run_plan};
+use fulmarswitch_trials::faults::FaultKind;
+use fulmarswitch_trials::run::{RunPlan, RunReport, run_plan};
 use std::process::ExitCode;
 
 /// Runs a whole fleet under random faults and checks its promises
@@ -17,34 +18,98 @@
     /// Steps of one second of virtual time in each run
     #[bpaf(argument("N"), fallback(20))]
     steps: u32,
+    /// Kind of faults to draw from; may be repeated; all kinds unless given
+    #[bpaf(argument("KIND"))]
+    kind: Vec<FaultKind>,
+    /// Run the seeds for each kind alone and for each pair of kinds, and print a line for each
+    pairs: bool,
     /// Print the report of every run
     verbose: bool,
 }
 
+/// What the runs of one choice of kinds came to.
+#[derive(Default)]
+struct SoakTotals {
+    failed: u64,
+    requests: usize,
+    answered: usize,
+    items: usize,
+    items_done: usize,
+}
+
+impl SoakTotals {
+    fn add(&mut self, report: &RunReport) {
+        self.failed += u64::from(!report.broken.is_empty());
+        self.requests += report.requests;
+        self.answered += report.answered;
+        self.items += report.items;
+        self.items_done += report.items_done;
+    }
+}
+
 fn main() -> ExitCode {
     let options = soak_options().run();
-    let mut failed = 0_u64;
-    let mut totals = (0, 0, 0, 0);
+    let mut failed = 0;
+    for kinds in choices(&options) {
+        let totals = run_seeds(&options, &kinds);
+        failed += totals.failed;
+        println!(
+            "{}: {} seeds from {}, {} steps: {} failed; {} of {} requests answered, {} of {} items",
+            name_of(&kinds),
+            options.seeds,
+            options.seed,
+            options.steps,
+            totals.failed,
+            totals.answered,
+            totals.requests,
+            totals.items_done,
+            totals.items
+        );
+    }
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn run_seeds(options: &SoakOptions, kinds: &[FaultKind]) -> SoakTotals {
+    let mut totals = SoakTotals::default();
     for seed in options.seed..options.seed.saturating_add(options.seeds) {
-        let report = run_plan(&RunPlan::new(seed, options.steps));
-        totals.0 += report.requests;
-        totals.1 += report.answered;
-        totals.2 += report.items;
-        totals.3 += report.items_done;
-        if !report.broken.is_empty() {
-            failed += 1;
-        }
+        let plan = RunPlan {
+            kinds: kinds.to_vec(),
+            ..RunPlan::new(seed, options.steps)
+        };
+        let report = run_plan(&plan);
+        totals.add(&report);
         if options.verbose || !report.broken.is_empty() {
             print!("{report}");
         }
     }
-    println!(
-        "{} seeds from {}, {} steps: {failed} failed; {} of {} requests answered, {} of {} items",
-        options.seeds, options.seed, options.steps, totals.1, totals.0, totals.3, totals.2
-    );
-    if failed == 0 {
-        ExitCode::SUCCESS
+    totals
+}
+
+/// Returns the choices of kinds to run, each alone.
+fn choices(options: &SoakOptions) -> Vec<Vec<FaultKind>> {
+    let kinds = if options.kind.is_empty() {
+        FaultKind::ALL.to_vec()
     } else {
-        ExitCode::FAILURE
+        options.kind.clone()
+    };
+    if !options.pairs {
+        return vec![kinds];
+    }
+    let mut choices: Vec<Vec<FaultKind>> = kinds.iter().map(|kind| vec![*kind]).collect();
+    for (at, first) in kinds.iter().enumerate() {
+        choices.extend(kinds[at + 1..].iter().map(|second| vec![*first, *second]));
+    }
+    choices
+}
+
+fn name_of(kinds: &[FaultKind]) -> String {
+    if kinds.len() == FaultKind::ALL.len() {
+        return "all kinds".into();
     }
+    let names: Vec<String> = kinds.iter().map(FaultKind::to_string).collect();
+    names.join(" + ")
 }
--- a/crates/trials/src/faults.rs
+++ b/crates/trials/src/faults.rs
@@ -5,6 +5,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -67,6 +68,21 @@
     }
 }
 
+impl FromStr for FaultKind {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let kind = Self::ALL.into_iter().find(|kind| kind.to_string() == name);
+        kind.ok_or_else(|| {
+            let known: Vec<String> = Self::ALL.iter().map(Self::to_string).collect();
+            format!(
+                "{name} is no kind of fault; choose from {}",
+                known.join(", ")
+            )
+        })
+    }
+}
+
 /// One fault as it happened.
 #[derive(Clone, Copy, Debug)]
 pub struct FaultNote {
--- /dev/null
+++ b/crates/trials/tests/seeds.rs
@@ -0,0 +1,29 @@
+//! A fixed set of randomised runs.
+
+use fulmarswitch_trials::run::{RunPlan, run_plan};
+use rstest::rstest;
+
+/// Steps of each run.
+const STEPS: u32 = 15;
+
+#[rstest]
+fn promises_hold(
+    #[values(
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24
+    )]
+    seed: u64,
+) {
+    let report = run_plan(&RunPlan::new(seed, STEPS));
+    assert!(report.broken.is_empty(), "{report}");
+}
+
+/// Seeds that have failed once, with the steps that they failed with.
+#[rstest]
+#[case::inputs_of_two_groups_mixed_up(104, 20)]
+#[case::inputs_of_two_groups_mixed_up_again(190, 20)]
+#[case::cut_by_a_planned_stop(42, 20)]
+#[case::cut_by_a_planned_stop_again(155, 20)]
+fn promises_hold_that_once_broke(#[case] seed: u64, #[case] steps: u32) {
+    let report = run_plan(&RunPlan::new(seed, steps));
+    assert!(report.broken.is_empty(), "{report}");
+}
