--- /dev/null
+++ b/crates/demo/tests/processes/failures.rs
@@ -0,0 +1,286 @@
+//! Kills, pauses, outages, late answers and planned stops.
+
+use crate::support::{
+    HOSTS, TestFleet, client_of, done, engine_call, key_owned_by, plain_call, runs_of, start_fleet,
+};
+use fulmarswitch_caller::client::CallerError;
+use fulmarswitch_caller::wire::{AnswerEvent, OutcomeReply, RanReply};
+use fulmarswitch_demo::batch::{count_batch, make_job, submit, wait_done};
+use fulmarswitch_demo::tally::DemoTally;
+use fulmarswitch_operator::StatusReply;
+use fulmarswitch_standins::engine::whole_answer;
+use fulmarswitch_standins::log::LogFaults;
+use fulmarswitch_standins::plain::{PlainFaults, plain_answer};
+use rustix::process::Signal;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Generous limit for anything that a test waits for.
+const LIMIT: Duration = Duration::from_secs(20);
+/// Longer than the time after which a silent host is taken to be lost.
+const PAUSED: Duration = Duration::from_secs(3);
+/// Time for which the log is out of reach.
+const OUTAGE: Duration = Duration::from_secs(3);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_the_kill_of_its_owner() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let call = engine_call(&key_owned_by("a", "kill"), 150);
+    let expected = whole_answer(&call.input, call.max_tokens);
+    let caller = client_of(&mut fleet, "b");
+    let (parts, mut seen) = mpsc::unbounded_channel();
+    let first = tokio::spawn({
+        let call = call.clone();
+        async move {
+            let show = |event: &AnswerEvent| {
+                let _ = parts.send(event.clone());
+            };
+            caller.request_with(&call, show).await
+        }
+    });
+    for _ in 0..10 {
+        seen.recv().await.expect("the answer streams");
+    }
+    let killed = fleet.host("a").process.signal(Signal::KILL);
+    killed.expect("the owner runs");
+    let resent = client_of(&mut fleet, "c").request(&call).await;
+    let first = first.await.expect("the caller does not panic");
+    assert_eq!(first.expect("answered").outcome, done(expected.as_str()));
+    assert_eq!(resent.expect("answered").outcome, done(expected.as_str()));
+    for host in ["b", "c"] {
+        let read = client_of(&mut fleet, host)
+            .result(&call.workspace, &call.key)
+            .await;
+        assert_eq!(read.expect("readable"), done(expected.as_str()), "{host}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_may_not_be_repeated_runs_once_when_its_owner_is_killed() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let slow = PlainFaults {
+        call_ms: 1_500,
+        ..PlainFaults::default()
+    };
+    let address = fleet.endpoint("plain-1").address.clone();
+    let set = fleet.control(&address, &slow).await;
+    set.expect("the service takes orders");
+    let call = plain_call(&key_owned_by("a", "once"));
+    let caller = client_of(&mut fleet, "b");
+    let first = tokio::spawn({
+        let call = call.clone();
+        async move { caller.request(&call).await }
+    });
+    while runs_of(&fleet, &call.input).await == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let killed = fleet.host("a").process.signal(Signal::KILL);
+    killed.expect("the owner runs");
+    let resent = client_of(&mut fleet, "c").request(&call).await;
+    let first = first.await.expect("the caller does not panic");
+    assert_eq!(runs_of(&fleet, &call.input).await, 1);
+    let ends = [
+        end_of(first),
+        end_of(resent),
+        end_of(client_of(&mut fleet, "c").request(&call).await),
+    ];
+    let right = done(plain_answer(&call.input));
+    for end in &ends {
+        let fits = *end == right || *end == OutcomeReply::MayHaveRun;
+        assert!(fits, "{ends:?}");
+    }
+    assert_eq!(runs_of(&fleet, &call.input).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_was_paused_comes_back() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let before = engine_call(&key_owned_by("a", "before"), 150);
+    let once = plain_call(&key_owned_by("a", "paused"));
+    let caller = client_of(&mut fleet, "b");
+    let running = tokio::spawn({
+        let before = before.clone();
+        async move { caller.request(&before).await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let stopped = fleet.host("a").process.signal(Signal::STOP);
+    stopped.expect("the owner runs");
+    let during = client_of(&mut fleet, "b").request(&once).await;
+    tokio::time::sleep(PAUSED).await;
+    let continued = fleet.host("a").process.signal(Signal::CONT);
+    continued.expect("the owner is stopped");
+
+    let expected = whole_answer(&before.input, before.max_tokens);
+    let answer = running.await.expect("the caller does not panic");
+    assert_eq!(answer.expect("answered").outcome, done(expected));
+    let end = end_of(during);
+    let right = done(plain_answer(&once.input));
+    assert!(
+        end == right || end == OutcomeReply::MayHaveRun,
+        "{end:?} is neither the answer nor unknown"
+    );
+    wait_live(&mut fleet).await;
+    let after = engine_call(&key_owned_by("a", "after"), 8);
+    let answer = client_of(&mut fleet, "a").request(&after).await;
+    let expected = whole_answer(&after.input, after.max_tokens);
+    assert_eq!(answer.expect("answered").outcome, done(expected));
+    assert!(runs_of(&fleet, &once.input).await <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_loses_and_doubles_nothing() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let platform = fleet.platform.address.clone();
+    let down = LogFaults {
+        down: true,
+        ..LogFaults::default()
+    };
+    let set = fleet.control(&platform, &down).await;
+    set.expect("the platform takes orders");
+    let engine = engine_call(&key_owned_by("a", "engine"), 16);
+    let once = plain_call(&key_owned_by("b", "plain"));
+    let caller = client_of(&mut fleet, "c");
+    let during = tokio::spawn({
+        let (engine, once) = (engine.clone(), once.clone());
+        async move { tokio::join!(caller.request(&engine), caller.request(&once)) }
+    });
+    tokio::time::sleep(OUTAGE).await;
+    let set = fleet.control(&platform, &LogFaults::default()).await;
+    set.expect("the platform takes orders");
+    let (engine_end, once_end) = during.await.expect("the callers do not panic");
+    if let Ok(answer) = engine_end {
+        let expected = whole_answer(&engine.input, engine.max_tokens);
+        assert_eq!(answer.outcome, done(expected));
+    }
+    if let Err(CallerError::Refused { reply }) = &once_end
+        && reply.ran == RanReply::NotRun
+    {
+        assert_eq!(runs_of(&fleet, &once.input).await, 0, "refused as not run");
+    }
+
+    let expected = whole_answer(&engine.input, engine.max_tokens);
+    let again = client_of(&mut fleet, "a").request(&engine).await;
+    assert_eq!(again.expect("answered").outcome, done(expected.as_str()));
+    let again = client_of(&mut fleet, "a").request(&once).await;
+    let right = done(plain_answer(&once.input));
+    let end = end_of(again);
+    assert!(end == right || end == OutcomeReply::MayHaveRun, "{end:?}");
+    assert!(runs_of(&fleet, &once.input).await <= 1);
+    for host in HOSTS {
+        let read = client_of(&mut fleet, host)
+            .result(&engine.workspace, &engine.key)
+            .await;
+        assert_eq!(read.expect("readable"), done(expected.as_str()), "{host}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_come_out_of_order_reach_their_own_callers() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let address = fleet.endpoint("plain-1").address.clone();
+    let mut running = Vec::new();
+    // Each call is faster than the one before, so the answers come in the reverse order.
+    for (number, call_ms) in [2_000, 1_400, 800, 200].into_iter().enumerate() {
+        let faults = PlainFaults {
+            call_ms,
+            ..PlainFaults::default()
+        };
+        let set = fleet.control(&address, &faults).await;
+        set.expect("the service takes orders");
+        let call = plain_call(&format!("order-{number}"));
+        let caller = client_of(&mut fleet, HOSTS[number % 3]);
+        running.push(tokio::spawn({
+            let call = call.clone();
+            async move { caller.request(&call).await }
+        }));
+        while runs_of(&fleet, &call.input).await == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    for (number, answer) in running.into_iter().enumerate() {
+        let call = plain_call(&format!("order-{number}"));
+        let answer = answer.await.expect("the caller does not panic");
+        let expected = plain_answer(&call.input);
+        assert_eq!(answer.expect("answered").outcome, done(expected));
+        assert_eq!(runs_of(&fleet, &call.input).await, 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_cuts_nothing() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let job = make_job("night", Duration::from_mins(1));
+    let client = fleet.client();
+    let accepted = submit(&client, &job, 300, LIMIT).await;
+    accepted.expect("the job is accepted");
+    let mut running = Vec::new();
+    for (number, owner) in HOSTS.into_iter().cycle().take(24).enumerate() {
+        let call = engine_call(&key_owned_by(owner, &format!("stop-{number}")), 100);
+        // Half of the callers are connected to the host that stops.
+        let entry = if number % 2 == 0 { "a" } else { "b" };
+        let caller = client_of(&mut fleet, entry);
+        running.push(tokio::spawn(async move {
+            let mut parts = 0;
+            let answer = caller.request_with(&call, |event| {
+                parts += u32::from(matches!(event, AnswerEvent::Text { .. }));
+            });
+            let answer = answer.await;
+            (call, answer, parts)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut stopping = fleet.remove_host("a");
+    let told = stopping.process.signal(Signal::TERM);
+    told.expect("the host runs");
+    for request in running {
+        let (call, answer, parts) = request.await.expect("the caller does not panic");
+        let answer = answer.expect("answered");
+        let expected = whole_answer(&call.input, call.max_tokens);
+        assert_eq!(answer.outcome, done(expected), "{}", call.key);
+        // One part a token: the answer was streamed once, from one connection.
+        assert_eq!(parts, call.max_tokens, "{} was cut", call.key);
+    }
+    let status = stopping.process.wait(LIMIT).await;
+    assert!(status.expect("the host stops").success());
+    let rest = client_of(&mut fleet, "b");
+    let finished = wait_done(&rest, &job, LIMIT).await;
+    finished.expect("the job is finished");
+    let mut tally = DemoTally::default();
+    let counted = count_batch(&rest, &job, 300, &mut tally).await;
+    counted.expect("the results are readable");
+    assert!(tally.holds(), "{tally}");
+}
+
+/// Waits until every host sees every host as live.
+async fn wait_live(fleet: &mut fulmarswitch_demo::fleet::LocalFleet) {
+    let all_live = |status: &StatusReply| {
+        let live = |host: &&fulmarswitch_operator::HostReply| &*host.phase == "live";
+        status.hosts.iter().filter(live).count() == HOSTS.len()
+    };
+    for host in HOSTS {
+        let client = client_of(fleet, host);
+        let seen = tokio::time::timeout(LIMIT, async {
+            loop {
+                let status = client.get_once::<StatusReply>("/v1/status").await;
+                if status.is_ok_and(|status| all_live(&status)) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        seen.await.expect("all hosts are live again");
+    }
+}
+
+/// Returns the outcome of a request, also where the caller was told that it is unknown.
+fn end_of(answer: Result<fulmarswitch_caller::client::TimedAnswer, CallerError>) -> OutcomeReply {
+    match answer {
+        Ok(answer) => answer.outcome,
+        Err(CallerError::Refused { reply }) if reply.ran == RanReply::MayHaveRun => {
+            OutcomeReply::MayHaveRun
+        }
+        Err(error) => OutcomeReply::Failed {
+            reason: error.to_string().into(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/demo/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Real processes, seen from the caller's and the operator's side.
+
+mod calls;
+mod failures;
+mod records;
+mod support;
--- /dev/null
+++ b/crates/demo/tests/processes/records.rs
@@ -0,0 +1,182 @@
+//! Older and newer schema versions of configuration side by side, and operators who race.
+
+use crate::support::{HOSTS, TestFleet, client_of, done, engine_call, start_fleet};
+use fulmarswitch_caller::client::{CallerClient, CallerError};
+use fulmarswitch_caller::wire::ErrorKind;
+use fulmarswitch_demo::fleet::LocalFleet;
+use fulmarswitch_http::HttpClient;
+use fulmarswitch_operator::{PublishCall, RecordReply};
+use fulmarswitch_records::record::{LogRecord, RecordBody, UnknownBody};
+use fulmarswitch_records::{ConfigChange, Epoch, HostIdentity, RecordId, ShardIndex, encode_frame};
+use fulmarswitch_standins::engine::whole_answer;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Generous limit for anything that a test waits for.
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn older_and_newer_schema_versions_stand_side_by_side() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let older = json!({"protocol": "engine", "model": "m1"});
+    let newer = json!({"protocol": "engine", "model": "m1", "prefix_affinity": false});
+    // One record goes from schema 1 to 2 and back, as it does when writers of both versions take turns.
+    let turns = [(1, &older), (2, &newer), (1, &older)];
+    for (base, (schema, body)) in turns.into_iter().enumerate() {
+        let call = PublishCall {
+            base_version: u64::try_from(base).expect("small"),
+            schema,
+            body: body.clone(),
+        };
+        let host = HOSTS[base % HOSTS.len()];
+        let record = put(&client_of(&mut fleet, host), "service/turns", &call).await;
+        assert_eq!(record.expect("accepted").version, call.base_version + 1);
+        let name = "service/turns";
+        assert_everywhere(&mut fleet, name, base as u64 + 1, schema, body).await;
+    }
+    let published = fleet.publish("service/newer", 2, newer.clone()).await;
+    published.expect("the record is new");
+    let endpoint = json!({
+        "service": "newer",
+        "address": fleet.endpoint("engine-1").address,
+        "failure_domain": "local",
+    });
+    let published = fleet.publish("endpoint/newer-1", 1, endpoint).await;
+    published.expect("the record is new");
+    fleet
+        .settle()
+        .await
+        .expect("all hosts read the configuration");
+    for (number, service) in ["diagassist", "newer"].into_iter().enumerate() {
+        let mut call = engine_call(&format!("schema-{number}"), 8);
+        call.service = service.into();
+        let answer = client_of(&mut fleet, "b").request(&call).await;
+        let expected = whole_answer(&call.input, call.max_tokens);
+        assert_eq!(answer.expect("answered").outcome, done(expected));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_of_a_newer_program_are_kept_and_shown() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let body = json!({"requests": 7, "window": "minute"});
+    let change = ConfigChange {
+        name: "quota/workshop".into(),
+        base_version: 0,
+        schema: 3,
+        body: body.to_string().into(),
+    };
+    let unknown = UnknownBody {
+        kind: 999,
+        version: 4,
+        bytes: vec![1, 2, 3],
+    };
+    let records: Vec<LogRecord> = [RecordBody::Unknown(unknown), RecordBody::Config(change)]
+        .into_iter()
+        .enumerate()
+        .map(|(sequence, body)| newer_record(sequence as u64, body))
+        .collect();
+    let frame = encode_frame(&records).expect("the frame can be written");
+    let url = format!("http://{}/streams/config", fleet.platform.address);
+    let appended = HttpClient::new()
+        .call(Method::POST, &url, frame.into())
+        .await;
+    assert!(appended.expect("the log answers").status.is_success());
+    assert_everywhere(&mut fleet, "quota/workshop", 1, 3, &body).await;
+
+    // A host that starts afterwards reads the same, and the hosts go on serving.
+    let mut stopping = fleet.remove_host("c");
+    let told = stopping.process.signal(rustix::process::Signal::TERM);
+    told.expect("the host runs");
+    let status = stopping.process.wait(LIMIT).await;
+    assert!(status.expect("the host stops").success());
+    let added = fleet.add_host("c", "domain-c", "").await;
+    added.expect("the host starts");
+    assert_everywhere(&mut fleet, "quota/workshop", 1, 3, &body).await;
+    let call = engine_call("after-newer", 8);
+    let answer = client_of(&mut fleet, "c").request(&call).await;
+    let expected = whole_answer(&call.input, call.max_tokens);
+    assert_eq!(answer.expect("answered").outcome, done(expected));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_who_race_one_wins_and_the_other_is_told() {
+    let TestFleet { mut fleet, .. } = start_fleet().await;
+    let clients = HOSTS.map(|host| client_of(&mut fleet, host));
+    let calls = [1, 2, 3].map(|weight| PublishCall {
+        base_version: 1,
+        schema: 1,
+        body: json!({"batch_weight": weight}),
+    });
+    let name = "workspace/workshop";
+    let ends = futures::future::join_all(
+        clients
+            .iter()
+            .zip(&calls)
+            .map(|(client, call)| put(client, name, call)),
+    )
+    .await;
+    let won: Vec<&RecordReply> = ends.iter().filter_map(|end| end.as_ref().ok()).collect();
+    assert_eq!(won.len(), 1, "{ends:?}");
+    for end in &ends {
+        if let Err(error) = end {
+            let CallerError::Refused { reply } = error else {
+                panic!("{error}");
+            };
+            assert_eq!(reply.kind, ErrorKind::Conflict, "{reply:?}");
+        }
+    }
+    let body = won[0].body.clone();
+    assert_everywhere(&mut fleet, name, 2, 1, &body).await;
+}
+
+async fn put(
+    client: &CallerClient,
+    name: &str,
+    call: &PublishCall,
+) -> Result<RecordReply, CallerError> {
+    let path = format!("/v1/config/{name}");
+    client.send_json(Method::PUT, &path, call).await
+}
+
+/// Waits until every host shows this version of a record, as it was published.
+async fn assert_everywhere(
+    fleet: &mut LocalFleet,
+    name: &str,
+    version: u64,
+    schema: u16,
+    body: &Value,
+) {
+    for host in HOSTS {
+        let client = client_of(fleet, host);
+        let path = format!("/v1/config/{name}");
+        let seen = tokio::time::timeout(LIMIT, async {
+            loop {
+                if let Ok(record) = client.get_once::<RecordReply>(&path).await
+                    && record.version >= version
+                {
+                    return record;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+        let record = seen.await.expect("the record comes into force");
+        assert_eq!((record.version, record.schema), (version, schema), "{host}");
+        assert_eq!(record.body, *body, "{host}");
+    }
+}
+
+fn newer_record(sequence: u64, body: RecordBody) -> LogRecord {
+    let writer = HostIdentity {
+        name: "newer".into(),
+        incarnation: 1,
+    };
+    LogRecord {
+        id: RecordId { writer, sequence },
+        shard: ShardIndex(0),
+        epoch: Epoch(0),
+        stamp: 1,
+        body,
+    }
+}
