Tell a resubmitted job by its items, and let the refusal reach the caller

The owner's report now carries the digest of the seal, and the entry compares it. - A later due time was refused as another job, so a caller that counts it from now could not resubmit. The due time is no longer part of what makes two submissions the same; the first one stands. - A refusal given while the caller still sent items reached it as a broken connection. The rest of a refused submission is read for at most 5 s first. Ruled out: a comparison of the headers in the log's replay; the entry never got that far.

--- a/crates/demo/tests/processes/main.rs
+++ b/crates/demo/tests/processes/main.rs
@@ -2,5 +2,6 @@
 
 mod calls;
 mod failures;
+mod jobs;
 mod records;
 mod support;
--- a/crates/fulmarswitch/src/entry/jobs.rs
+++ b/crates/fulmarswitch/src/entry/jobs.rs
@@ -22,7 +22,9 @@
 const BATCH_ITEMS: usize = 256;
 /// Bytes of inputs in one batch of a submission.
 const BATCH_BYTES: usize = 128 << 10;
-/// Batches of a submission that are on their way at once.
+/// Time for which the rest of a refused submission is read.
+const REST_LIMIT: Duration = Duration::from_secs(5);
+/// Results in a page unless the caller says otherwise.
 const DEFAULT_COUNT: u32 = 100;
 /// Time for which a submission goes on trying while the log takes no more.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
@@ -35,7 +37,21 @@
         request: HttpRequest,
     ) -> Result<HttpResponse, EntryError> {
         let mut lines = read_lines(request.into_body());
-        let first = next_line(&mut lines)
+        let taken = self.take_job(&mut lines).await;
+        if taken.is_err() {
+            // A caller that is still sending would see a broken connection in place of the refusal. One
+            // that goes on for longer than the limit does.
+            let rest = async { while lines.next().await.is_some() {} };
+            let _ = tokio::time::timeout(REST_LIMIT, rest).await;
+        }
+        taken
+    }
+
+    async fn take_job(
+        &self,
+        lines: &mut (impl futures::Stream<Item = std::io::Result<String>> + Unpin),
+    ) -> Result<HttpResponse, EntryError> {
+        let first = next_line(lines)
             .await?
             .ok_or_else(|| bad("the body is empty"))?;
         let call: JobCall = parse_body(first.as_bytes())?;
@@ -53,7 +69,7 @@
             PeerReply::Received { .. } => None,
             reply => return Err(unexpected(reply, "the job")),
         };
-        let seal = self.send_items(header, &mut lines, known.is_some()).await?;
+        let seal = self.send_items(header, lines, known.is_some()).await?;
         if let Some(report) = known {
             return same_job(&seal, &report);
         }
@@ -228,7 +244,7 @@
 }
 
 fn same_job(seal: &JobSeal, report: &JobReport) -> Result<HttpResponse, EntryError> {
-    if seal.total == report.total {
+    if (seal.total, seal.digest) == (report.total, report.digest) {
         return Ok(json_response(StatusCode::OK, &reply_of(report)));
     }
     let reason = "the job id stands for a job with other items; choose a new id";
--- a/crates/fulmarswitch/src/jobs.rs
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -124,6 +124,7 @@
     Some(JobReport {
         header: seal.header.clone(),
         total: seal.total,
+        digest: seal.digest,
         open: counts.open,
         done: counts.done,
         failed: counts.failed,
--- a/crates/fulmarswitch/src/jobs/submit.rs
+++ b/crates/fulmarswitch/src/jobs/submit.rs
@@ -26,7 +26,9 @@
         };
         let known = self.with_job(shard, &name, |job| job.accepted().cloned());
         match known {
-            Some(Some(seal)) if seal.header == header => return self.report_of(shard, &name),
+            Some(Some(seal)) if seal.header.is_same_job(&header) => {
+                return self.report_of(shard, &name);
+            }
             Some(Some(_)) => return conflict(),
             _ => {}
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -220,6 +220,8 @@
     pub header: JobHeader,
     /// Number of items.
     pub total: u32,
+    /// Digest of all inputs.
+    pub digest: u64,
     /// Items without an outcome.
     pub open: u32,
     /// Items answered.
--- a/crates/records/src/request.rs
+++ b/crates/records/src/request.rs
@@ -71,6 +71,29 @@
     pub fn full_name(&self) -> Arc<str> {
         format!("{}/{}", self.workspace, self.job).into()
     }
+
+    /// Tells whether a submission under the same name asks for the same work. The due time may differ: a
+    /// caller that counts it from the time of its submission sends another one when it resubmits, and the
+    /// first one stands.
+    ///
+    /// ```
+    /// # use fulmarswitch_records::JobHeader;
+    /// # let header = JobHeader { job: "j".into(), workspace: "w".into(), service: "s".into(),
+    /// #     due_ms: 1, max_tokens: 1, idempotent: true };
+    /// let later = JobHeader { due_ms: 2, ..header.clone() };
+    /// assert!(header.is_same_job(&later));
+    /// let other = JobHeader { service: "t".into(), ..header.clone() };
+    /// assert!(!header.is_same_job(&other));
+    /// ```
+    #[must_use]
+    pub fn is_same_job(&self, other: &Self) -> bool {
+        let due_ms = self.due_ms;
+        *self
+            == Self {
+                due_ms,
+                ..other.clone()
+            }
+    }
 }
 
 /// The one outcome of an accepted item.
