Refuse floods of connections and calls, and hold workspaces to their limit

- The callers' server takes max_connections connections and answers further ones with 503 and Retry-After.
- tower's load shed, concurrency limit and timeout stand before the entry: at most max_calls calls wait for the start of their answer, and a further one is refused as not run.
- max_online of a workspace was accepted as configuration and had no effect; the entry now counts the requests in progress of each workspace.

--- a/crates/demo/tests/processes/calls.rs
+++ b/crates/demo/tests/processes/calls.rs
@@ -167,7 +167,7 @@
     #[case] kind: ErrorKind,
     #[case] remedy: &str,
 ) {
-    let TestFleet { mut fleet, .. } = start_single().await;
+    let TestFleet { mut fleet, .. } = start_single("").await;
     let url = format!("http://{}{path}", fleet.host("a").address);
     let reply = HttpClient::new().call(method, &url, body.into()).await;
     let reply = reply.expect("the host answers");
@@ -180,7 +180,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_bad_item_refuses_the_job_and_the_job_can_be_submitted_again() {
-    let TestFleet { mut fleet, .. } = start_single().await;
+    let TestFleet { mut fleet, .. } = start_single("").await;
     let published = fleet.publish("workspace/w", 1, json!({})).await;
     published.expect("the workspace is new");
     let published = fleet.publish("service/s", 1, json!({"protocol": "plain"}));
--- a/crates/demo/tests/processes/main.rs
+++ b/crates/demo/tests/processes/main.rs
@@ -3,5 +3,6 @@
 mod calls;
 mod failures;
 mod jobs;
+mod limits;
 mod records;
 mod support;
--- a/crates/demo/tests/processes/support.rs
+++ b/crates/demo/tests/processes/support.rs
@@ -38,11 +38,11 @@
     TestFleet { fleet, _turn: turn }
 }
 
-/// Starts one host alone, without any configuration.
-pub async fn start_single() -> TestFleet {
+/// Starts one host alone, without any configuration; `settings` is added to its own.
+pub async fn start_single(settings: &str) -> TestFleet {
     let turn = TURNS.acquire().await.expect("the semaphore stays open");
     let mut fleet = LocalFleet::start().expect("the platform starts");
-    let added = fleet.add_host("a", "domain-a", "").await;
+    let added = fleet.add_host("a", "domain-a", settings).await;
     added.expect("the host starts");
     TestFleet { fleet, _turn: turn }
 }
--- a/crates/fulmarswitch/src/bin/fulmarswitchd.rs
+++ b/crates/fulmarswitch/src/bin/fulmarswitchd.rs
@@ -1,6 +1,7 @@
 //! The daemon: all roles of one host.
 
 use bpaf::Bpaf;
+use fulmarswitch::entry::caller_service;
 use fulmarswitch::events::EventLog;
 use fulmarswitch::host::HostNode;
 use fulmarswitch::metrics::HostMetrics;
@@ -13,7 +14,6 @@
 use fulmarswitch_platform::http::PlatformClient;
 use fulmarswitch_records::{HostIdentity, LogicalClock};
 use slog::{Drain, Logger, error, o};
-use std::convert::Infallible;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -88,12 +88,10 @@
     let (stop, stopped) = watch::channel(false);
     let serving = tokio::spawn(peers.serve(identity, clock, node.clone(), stopped.clone()));
     node.join().await?;
-    let entry = Arc::clone(node.entry());
-    let service = tower::service_fn(move |request| {
-        let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(entry.answer(request).await) }
-    });
-    let answering = tokio::spawn(server::serve(callers, service, stopped));
+    let tuning = &parts.settings.tuning;
+    let service = caller_service(Arc::clone(node.entry()), tuning.max_calls);
+    let answering = server::serve_limited(callers, service, stopped, tuning.max_connections);
+    let answering = tokio::spawn(answering);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
--- a/crates/fulmarswitch/src/entry.rs
+++ b/crates/fulmarswitch/src/entry.rs
@@ -5,8 +5,12 @@
 
 mod config;
 mod jobs;
+mod limits;
 mod online;
 mod reply;
+mod service;
+
+pub use service::caller_service;
 
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
@@ -22,6 +26,7 @@
 use fulmarswitch_operator::{HostReply, StatusReply};
 use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply};
 use hyper::{Method, Response, StatusCode};
+use limits::WorkspaceCounts;
 use reply::{EntryError, error_response};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -48,6 +53,7 @@
     gates: Arc<GateRole>,
     watcher: Arc<HostWatcher>,
     in_progress: AtomicUsize,
+    workspaces: Arc<WorkspaceCounts>,
     leaving: watch::Sender<bool>,
     asked: watch::Sender<bool>,
 }
@@ -73,6 +79,7 @@
             gates: Arc::clone(gates),
             watcher: Arc::clone(watcher),
             in_progress: AtomicUsize::new(0),
+            workspaces: Arc::default(),
             leaving: watch::Sender::new(false),
             asked: watch::Sender::new(false),
         })
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -1,5 +1,6 @@
 //! Online requests: from the caller to the owner of the key, and the answer back.
 
+use super::limits::WorkspaceGuard;
 use super::reply::{EntryError, unexpected};
 use super::{EntryRole, OWNER_PAUSE, ProgressGuard};
 use crate::metrics::HostMetrics;
@@ -25,6 +26,8 @@
 const BODY_LIMIT: usize = 1 << 20;
 /// Longest deadline, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
+/// Time to come back when a workspace has too many requests in progress, in milliseconds.
+const LIMIT_RETRY_MS: u64 = 500;
 /// Time beyond the deadline for which the entry waits for the owner's last frame.
 const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -37,6 +40,7 @@
         let body = read_limited(request).await?;
         let call: RequestCall = parse_body(&body)?;
         self.check_call(&call)?;
+        let place = self.enter_workspace(&call.workspace)?;
         let (frames, mut stream) = mpsc::unbounded_channel();
         tokio::spawn(Arc::clone(self).follow(call.into(), frames));
         let first = loop {
@@ -55,8 +59,8 @@
         let events = futures::stream::once(std::future::ready(first))
             .chain(rest)
             .filter_map(move |frame| {
-                // The guard lives as long as the stream, so that a planned stop waits for it.
-                let _in_progress = &guard;
+                // Both live as long as the stream: a planned stop and the workspace's limit wait for it.
+                let _in_progress = (&guard, &place);
                 if let StreamFrame::Done { .. } = &frame {
                     HostMetrics::count(&metrics.requests, "done");
                 }
@@ -92,6 +96,28 @@
         }
     }
 
+    /// Takes a place of the workspace for one request.
+    fn enter_workspace(&self, workspace: &Arc<str>) -> Result<WorkspaceGuard, EntryError> {
+        let view = self.fleet.view();
+        let limit = view
+            .config
+            .workspace(workspace)
+            .map(|config| config.max_online);
+        let limit = limit.unwrap_or(0);
+        let place = self.workspaces.enter(workspace, limit);
+        place.ok_or_else(|| {
+            HostMetrics::count(&self.parts.metrics.requests, "refused");
+            let reason = format!(
+                "workspace {workspace} has {limit} requests in progress on this host, its max_online; \
+                 try again later"
+            );
+            EntryError::Refused {
+                reason: reason.into(),
+                retry_after_ms: LIMIT_RETRY_MS,
+            }
+        })
+    }
+
     fn check_call(&self, call: &RequestCall) -> Result<(), EntryError> {
         let bad = |reason: String| {
             Err(EntryError::BadInput {
--- /dev/null
+++ b/crates/fulmarswitch/src/entry/service.rs
@@ -0,0 +1,53 @@
+//! The entry as a tower service with bounds on what it takes.
+
+use super::EntryRole;
+use super::reply::{EntryError, error_response};
+use fulmarswitch_http::{HttpRequest, HttpResponse};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tower::load_shed::error::Overloaded;
+use tower::{BoxError, Service, ServiceBuilder, ServiceExt, service_fn};
+
+/// Time after which a call without the start of its answer is given up; longer than any deadline and any
+/// submission of a whole job.
+const CALL_LIMIT: Duration = Duration::from_mins(15);
+/// Time to come back after a call was refused for the number of others, in milliseconds.
+const OVERLOAD_RETRY_MS: u64 = 1_000;
+
+/// Makes the service that answers callers and operators.
+///
+/// At most `max_calls` calls wait for the start of their answer at once. A further one is refused as not
+/// run in place of waiting in a queue that nobody bounds.
+pub fn caller_service(
+    entry: Arc<EntryRole>,
+    max_calls: usize,
+) -> impl Service<HttpRequest, Response = HttpResponse, Error = Infallible, Future: Send> + Clone + Send
+{
+    let answer = service_fn(move |request| {
+        let entry = Arc::clone(&entry);
+        async move { Ok::<_, Infallible>(entry.answer(request).await) }
+    });
+    let bounded = ServiceBuilder::new()
+        .load_shed()
+        .concurrency_limit(max_calls)
+        .timeout(CALL_LIMIT)
+        .service(answer);
+    // All clones share one limit.
+    service_fn(move |request| {
+        let answered = bounded.clone().oneshot(request);
+        async move { Ok(answered.await.unwrap_or_else(|error| refuse(&error))) }
+    })
+}
+
+fn refuse(error: &BoxError) -> HttpResponse {
+    let refusal = if error.is::<Overloaded>() {
+        EntryError::Refused {
+            reason: "the host has too many calls; use another address or try again later".into(),
+            retry_after_ms: OVERLOAD_RETRY_MS,
+        }
+    } else {
+        EntryError::Unknown
+    };
+    error_response(&refusal)
+}
--- a/crates/fulmarswitch/src/settings.rs
+++ b/crates/fulmarswitch/src/settings.rs
@@ -84,6 +84,10 @@
     pub address_ttl_ms: u64,
     /// Time for which a planned stop waits for requests in progress, in milliseconds.
     pub drain_ms: u64,
+    /// Connections of callers and operators that are open at once; further ones are refused.
+    pub max_connections: usize,
+    /// Calls that wait for the start of their answer at once; further ones are refused.
+    pub max_calls: usize,
 }
 
 impl Default for TuningSettings {
@@ -98,6 +102,8 @@
             pending_bytes: 32 << 20,
             address_ttl_ms: 5_000,
             drain_ms: 60_000,
+            max_connections: 4_096,
+            max_calls: 2_048,
         }
     }
 }
@@ -226,6 +232,22 @@
                 remedy: "allow at least 1048576 bytes",
             }
         );
+        ensure!(
+            self.max_connections > 0,
+            BadValueSnafu {
+                setting: "tuning.max_connections",
+                value: self.max_connections.to_string(),
+                remedy: "allow at least one, and fewer than the process may open files",
+            }
+        );
+        ensure!(
+            self.max_calls > 0,
+            BadValueSnafu {
+                setting: "tuning.max_calls",
+                value: self.max_calls.to_string(),
+                remedy: "allow at least one",
+            }
+        );
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/fulmarswitch/tests/check_settings.rs
@@ -0,0 +1,89 @@
+//! `fulmarswitchd --check-settings` accepts good settings and names the remedy for bad ones.
+
+use rstest::rstest;
+use std::process::Command;
+
+const GOOD: &str = r#"
+host = "catania-1"
+failure_domain = "catania"
+caller_address = "127.0.0.1:7001"
+message_address = "127.0.0.1:7002"
+stream_address = "127.0.0.1:7003"
+[platform]
+log_address = "127.0.0.1:9000"
+list_address = "127.0.0.1:9000"
+store_address = "127.0.0.1:9000"
+"#;
+
+#[rstest]
+#[case::as_it_is("", "", 0, "the settings are valid")]
+#[case::missing_host("host = \"catania-1\"", "", 2, "missing field `host`")]
+#[case::unknown_setting("[platform]", "speed = 1\n[platform]", 2, "unknown field `speed`")]
+#[case::name_with_a_space("catania-1", "catania 1", 2, "use letters, digits")]
+#[case::host_name_as_address("127.0.0.1:7001", "localhost:7001", 2, "write an IP number")]
+#[case::suspicion_too_short(
+    "[platform]",
+    "[tuning]\nsuspect_ms = 300\n[platform]",
+    2,
+    "allow at least three heartbeats"
+)]
+#[case::no_calls(
+    "[platform]",
+    "[tuning]\nmax_calls = 0\n[platform]",
+    2,
+    "allow at least one"
+)]
+#[case::no_connections(
+    "[platform]",
+    "[tuning]\nmax_connections = 0\n[platform]",
+    2,
+    "fewer than the process may open files"
+)]
+#[case::groups_without_shards(
+    "[platform]",
+    "[layout]\nshards = 2\ngroups = 3\n[platform]",
+    2,
+    "give each group at least one shard"
+)]
+fn settings_are_checked(
+    #[case] part: &str,
+    #[case] replacement: &str,
+    #[case] code: i32,
+    #[case] message: &str,
+) {
+    let text = if part.is_empty() {
+        GOOD.to_owned()
+    } else {
+        GOOD.replacen(part, replacement, 1)
+    };
+    let name = format!(
+        "fulmarswitch-check-{}-{code}-{}",
+        std::process::id(),
+        part.len()
+    );
+    let path = std::env::temp_dir().join(format!("{name}-{}.toml", replacement.len()));
+    std::fs::write(&path, text).expect("the folder for temporary files takes files");
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarswitchd"))
+        .arg("--settings")
+        .arg(&path)
+        .arg("--check-settings")
+        .output()
+        .expect("the daemon runs");
+    std::fs::remove_file(&path).expect("written above");
+    let told = [output.stdout, output.stderr].concat();
+    let told = String::from_utf8_lossy(&told);
+    assert_eq!(output.status.code(), Some(code), "{told}");
+    assert!(told.contains(message), "{told}");
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let output = Command::new(env!("CARGO_BIN_EXE_fulmarswitchd"))
+        .args(["--settings", "/nowhere/host.toml", "--check-settings"])
+        .output()
+        .expect("the daemon runs");
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{told}");
+    assert!(told.contains("/nowhere/host.toml"), "{told}");
+    assert!(told.contains("check the path"), "{told}");
+}
--- /dev/null
+++ b/crates/http/tests/server.rs
@@ -0,0 +1,71 @@
+//! Connections beyond the limit are refused, and the places of closed ones are used again.
+
+use fulmarswitch_http::{HttpClient, HttpRequest, full_body, server};
+use hyper::{Method, Response, StatusCode};
+use std::convert::Infallible;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that the server of this test allows.
+const CONNECTIONS: usize = 2;
+
+#[tokio::test]
+async fn a_flood_of_connections_is_refused_with_a_time_to_come_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (stop, stopped) = watch::channel(false);
+    let service = tower::service_fn(|_: HttpRequest| async {
+        Ok::<_, Infallible>(Response::new(full_body("served")))
+    });
+    let serving = server::serve_limited(listener, service, stopped, CONNECTIONS);
+    let serving = tokio::spawn(serving);
+    let mut held = Vec::new();
+    for _ in 0..CONNECTIONS {
+        held.push(TcpStream::connect(address).await.expect("accepted"));
+    }
+    let url = format!("http://{address}/");
+    let client = HttpClient::new();
+    let refused = client.call(Method::GET, &url, "".into()).await;
+    let refused = refused.expect("the refusal is an answer");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.retry_after, Some(Duration::from_secs(1)));
+    let body: serde_json::Value = refused.json().expect("JSON");
+    assert_eq!(body["ran"], "not-run");
+
+    held.clear();
+    let served = tokio::time::timeout(Duration::from_secs(10), async {
+        loop {
+            let reply = client.call(Method::GET, &url, "".into()).await;
+            if reply.is_ok_and(|reply| reply.status.is_success()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    served.await.expect("a place is free again");
+    stop.send_replace(true);
+    let ended = tokio::time::timeout(Duration::from_secs(10), serving).await;
+    ended.expect("the server stops").expect("without a panic");
+}
+
+#[tokio::test]
+async fn connections_beyond_all_refusals_are_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let (_stop, stopped) = watch::channel(false);
+    let service = tower::service_fn(|_: HttpRequest| async {
+        Ok::<_, Infallible>(Response::new(full_body("served")))
+    });
+    tokio::spawn(server::serve_limited(listener, service, stopped, 0));
+    // Nothing is sent, so each refusal waits for its request until its time is over.
+    let mut held = Vec::new();
+    for _ in 0..200 {
+        held.push(TcpStream::connect(address).await.expect("accepted"));
+    }
+    let last = held.last_mut().expect("there are connections");
+    let mut byte = [0];
+    let read = tokio::time::timeout(Duration::from_secs(10), last.read(&mut byte)).await;
+    assert!(matches!(read, Ok(Ok(0) | Err(_))), "{read:?}");
+}
--- /dev/null
+++ b/crates/peer/tests/nng_link.rs
@@ -0,0 +1,155 @@
+//! nng sends a request again by itself; no handler acts on it twice or in another run.
+
+use anng::Message;
+use anng::protocols::reqrep0::Req0;
+use async_trait::async_trait;
+use fulmarswitch_peer::envelope::{EnvelopeAnswer, MessageEnvelope, ReplyEnvelope};
+use fulmarswitch_peer::message::{HeartbeatNote, PeerMessage, PeerReply, StreamRequest};
+use fulmarswitch_peer::nng_link::{NngSender, listen, spawn_workers};
+use fulmarswitch_peer::{FrameStream, PeerError, PeerHandler, PeerTarget};
+use fulmarswitch_records::{HostIdentity, LogicalClock, Offset};
+use futures::StreamExt;
+use std::ffi::CString;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Generous limit for an exchange.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Counts the messages that it acts on.
+#[derive(Default)]
+struct CountingHandler {
+    acted: AtomicU32,
+}
+
+#[async_trait]
+impl PeerHandler for CountingHandler {
+    async fn handle(&self, _from: HostIdentity, _message: PeerMessage) -> PeerReply {
+        self.acted.fetch_add(1, Ordering::Relaxed);
+        PeerReply::Accepted
+    }
+
+    async fn serve(&self, _request: StreamRequest) -> FrameStream {
+        futures::stream::empty().boxed()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_that_nng_sends_again_is_refused_by_the_next_run() {
+    let address = free_address();
+    // The first run takes the message and is gone before it answers.
+    let first = listen(&address).await.expect("the port is free");
+    let sender = Arc::new(NngSender::new(run("sender", 1), LogicalClock::new()));
+    let target = target(&address, 1);
+    let calling = tokio::spawn({
+        let (sender, target) = (Arc::clone(&sender), target.clone());
+        async move { sender.call(&target, &heartbeat()).await }
+    });
+    {
+        let mut context = first.context();
+        let received = tokio::time::timeout(LIMIT, context.receive()).await;
+        drop(received.expect("the message arrives"));
+    }
+    drop(first);
+    let handler = Arc::new(CountingHandler::default());
+    serve(&address, 2, &handler).await;
+    let called = tokio::time::timeout(LIMIT, calling).await;
+    let called = called.expect("the call ends").expect("without a panic");
+    // Only an answer of the next run says so: nng has sent the message to it.
+    assert!(
+        matches!(&called, Err(PeerError::NotReached { .. })),
+        "{called:?}"
+    );
+    assert_eq!(handler.acted.load(Ordering::Relaxed), 0);
+    // The same sender reaches the new run once it means it.
+    let target = PeerTarget {
+        host: run("receiver", 2),
+        ..target
+    };
+    let called = sender.call(&target, &heartbeat()).await;
+    assert_eq!(called, Ok(PeerReply::Accepted));
+    assert_eq!(handler.acted.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_within_one_run_is_dropped() {
+    let address = free_address();
+    let handler = Arc::new(CountingHandler::default());
+    serve(&address, 1, &handler).await;
+    let envelope = MessageEnvelope {
+        from: run("sender", 1),
+        to: run("receiver", 1),
+        number: 7,
+        stamp: 1,
+        body: postcard::to_stdvec(&heartbeat()).expect("encodable"),
+    };
+    let first = exchange(&address, &envelope).await;
+    assert_eq!(first, EnvelopeAnswer::Reply(PeerReply::Accepted));
+    let second = exchange(&address, &envelope).await;
+    assert_eq!(second, EnvelopeAnswer::Repeat);
+    let other_run = MessageEnvelope {
+        to: run("receiver", 2),
+        number: 8,
+        ..envelope
+    };
+    let third = exchange(&address, &other_run).await;
+    assert_eq!(third, EnvelopeAnswer::OtherRun);
+    assert_eq!(handler.acted.load(Ordering::Relaxed), 1);
+}
+
+async fn serve(address: &str, incarnation: u64, handler: &Arc<CountingHandler>) {
+    let deadline = tokio::time::Instant::now() + LIMIT;
+    let socket = loop {
+        match listen(address).await {
+            Ok(socket) => break socket,
+            // The port of the run before is let go a moment after its socket.
+            Err(error) => assert!(tokio::time::Instant::now() < deadline, "{error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let handler: Arc<dyn PeerHandler> = Arc::clone(handler) as Arc<dyn PeerHandler>;
+    let me = run("receiver", incarnation);
+    spawn_workers(&socket, &me, &LogicalClock::new(), &handler);
+}
+
+async fn exchange(address: &str, envelope: &MessageEnvelope) -> EnvelopeAnswer {
+    let url = CString::new(format!("tcp://{address}")).expect("no zero byte");
+    let socket = Req0::dial(url).await.expect("the receiver listens");
+    let bytes = postcard::to_stdvec(envelope).expect("encodable");
+    let mut context = socket.context();
+    let replying = context.request(Message::from(&bytes[..])).await;
+    let replying = replying.map_err(|(error, _)| error).expect("sent");
+    let reply = tokio::time::timeout(LIMIT, replying).await;
+    let reply = reply.expect("in time").expect("answered");
+    let reply: ReplyEnvelope = postcard::from_bytes(reply.as_slice()).expect("decodable");
+    reply.answer
+}
+
+fn run(name: &str, incarnation: u64) -> HostIdentity {
+    HostIdentity {
+        name: name.into(),
+        incarnation,
+    }
+}
+
+fn target(address: &str, incarnation: u64) -> PeerTarget {
+    PeerTarget {
+        host: run("receiver", incarnation),
+        message_address: address.into(),
+        stream_address: address.into(),
+    }
+}
+
+fn heartbeat() -> PeerMessage {
+    PeerMessage::Heartbeat(HeartbeatNote {
+        hosts_read: Offset(1),
+        config_read: Offset(1),
+    })
+}
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound").to_string()
+}
