--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -6,8 +6,10 @@
 
 /// Sends requests and jobs to a fulmarswitch fleet, and operates it
 ///
+///
 /// Answers go to standard output, progress and errors to standard error.
 ///
+///
 /// Exit codes: 0 done, 1 refused or failed, 2 wrong usage or input, 3 no host answered, 4 may have run, 5
 /// another change came first.
 #[derive(Bpaf, Clone, Debug)]
@@ -21,11 +23,12 @@
     pub command: Command,
 }
 
-/// A command with its options.
+/// Commands:
 #[derive(Bpaf, Clone, Debug)]
 pub enum Command {
     /// Sends a request to a model and streams the answer
     ///
+    ///
     /// Sending the same key again gives the same answer.
     #[bpaf(command)]
     Request(#[bpaf(external(request_options))] RequestOptions),
@@ -59,6 +62,7 @@
     Addresses,
     /// Merges the events of all hosts into one time line
     ///
+    ///
     /// A cause always stands before its effect, whatever the hosts' clocks say.
     #[bpaf(command)]
     Timeline {
@@ -198,6 +202,7 @@
 pub enum ConfigCommand {
     /// Publishes a record
     ///
+    ///
     /// Without --base the version in force is read first. With it, the change is refused if another
     /// operator was faster.
     #[bpaf(command)]
