--- a/crates/fulmarswitch/src/entry.rs
+++ b/crates/fulmarswitch/src/entry.rs
@@ -5,8 +5,12 @@
 
 mod config;
 mod jobs;
+mod limits;
 mod online;
 mod reply;
+mod service;
+
+pub use service::caller_service;
 
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
@@ -22,6 +26,7 @@
 use fulmarswitch_operator::{HostReply, StatusReply};
 use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply};
 use hyper::{Method, Response, StatusCode};
+use limits::WorkspaceCounts;
 use reply::{EntryError, error_response};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -33,6 +38,8 @@
 const ADDRESS_COUNT: usize = 3;
 /// Time for which a call that does not stream looks for its owner.
 const OWNER_WAIT: Duration = Duration::from_secs(8);
+/// Time that an owner may take for one message; a host that is paused answers nothing.
+const OWNER_CALL_LIMIT: Duration = Duration::from_secs(2);
 /// Pause before the owner is looked for again.
 const OWNER_PAUSE: Duration = Duration::from_millis(50);
 /// A log that has not answered for this long counts as out of reach.
@@ -48,6 +55,7 @@
     gates: Arc<GateRole>,
     watcher: Arc<HostWatcher>,
     in_progress: AtomicUsize,
+    workspaces: Arc<WorkspaceCounts>,
     leaving: watch::Sender<bool>,
     asked: watch::Sender<bool>,
 }
@@ -73,6 +81,7 @@
             gates: Arc::clone(gates),
             watcher: Arc::clone(watcher),
             in_progress: AtomicUsize::new(0),
+            workspaces: Arc::default(),
             leaving: watch::Sender::new(false),
             asked: watch::Sender::new(false),
         })
@@ -144,7 +153,13 @@
                     Ok(self.act_here(message.clone()).await)
                 } else {
                     self.parts.metrics.peer_messages.inc();
-                    self.parts.link.call(&target, message.clone()).await
+                    let call = self.parts.link.call(&target, message.clone());
+                    tokio::time::timeout(OWNER_CALL_LIMIT, call)
+                        .await
+                        .unwrap_or_else(|_| {
+                            let (host, cause) = (target.host.clone(), "timeout".into());
+                            Err(PeerError::NoAnswer { host, cause })
+                        })
                 };
                 match reply {
                     Ok(PeerReply::NotOwner) | Err(PeerError::NotReached { .. }) => {}
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -1,5 +1,6 @@
 //! Online requests: from the caller to the owner of the key, and the answer back.
 
+use super::limits::WorkspaceGuard;
 use super::reply::{EntryError, unexpected};
 use super::{EntryRole, OWNER_PAUSE, ProgressGuard};
 use crate::metrics::HostMetrics;
@@ -8,7 +9,9 @@
 use fulmarswitch_http::lines::write_event;
 use fulmarswitch_http::{HttpRequest, HttpResponse, json_response, stream_body};
 use fulmarswitch_peer::message::{KeyName, RefusalNote, RunState};
-use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
+};
 use fulmarswitch_records::OnlineRequest;
 use futures::StreamExt;
 use http_body_util::{BodyExt, Limited};
@@ -25,6 +28,10 @@
 const BODY_LIMIT: usize = 1 << 20;
 /// Longest deadline, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
+/// Time that the owner of a key may take to answer that it has the request.
+const OWNER_PATIENCE: Duration = Duration::from_millis(200);
+/// Time to come back when a workspace has too many requests in progress, in milliseconds.
+const LIMIT_RETRY_MS: u64 = 500;
 /// Time beyond the deadline for which the entry waits for the owner's last frame.
 const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -37,6 +44,7 @@
         let body = read_limited(request).await?;
         let call: RequestCall = parse_body(&body)?;
         self.check_call(&call)?;
+        let place = self.enter_workspace(&call.workspace)?;
         let (frames, mut stream) = mpsc::unbounded_channel();
         tokio::spawn(Arc::clone(self).follow(call.into(), frames));
         let first = loop {
@@ -55,8 +63,8 @@
         let events = futures::stream::once(std::future::ready(first))
             .chain(rest)
             .filter_map(move |frame| {
-                // The guard lives as long as the stream, so that a planned stop waits for it.
-                let _in_progress = &guard;
+                // Both live as long as the stream: a planned stop and the workspace's limit wait for it.
+                let _in_progress = (&guard, &place);
                 if let StreamFrame::Done { .. } = &frame {
                     HostMetrics::count(&metrics.requests, "done");
                 }
@@ -92,6 +100,28 @@
         }
     }
 
+    /// Takes a place of the workspace for one request.
+    fn enter_workspace(&self, workspace: &Arc<str>) -> Result<WorkspaceGuard, EntryError> {
+        let view = self.fleet.view();
+        let limit = view
+            .config
+            .workspace(workspace)
+            .map(|config| config.max_online);
+        let limit = limit.unwrap_or(0);
+        let place = self.workspaces.enter(workspace, limit);
+        place.ok_or_else(|| {
+            HostMetrics::count(&self.parts.metrics.requests, "refused");
+            let reason = format!(
+                "workspace {workspace} has {limit} requests in progress on this host, its max_online; \
+                 try again later"
+            );
+            EntryError::Refused {
+                reason: reason.into(),
+                retry_after_ms: LIMIT_RETRY_MS,
+            }
+        })
+    }
+
     fn check_call(&self, call: &RequestCall) -> Result<(), EntryError> {
         let bad = |reason: String| {
             Err(EntryError::BadInput {
@@ -144,9 +174,17 @@
         let mut sent = false;
         let mut text_given = false;
         while Instant::now() < deadline {
-            let Some(mut frames) = self.open_owner(shard, &request, &mut sent).await else {
-                tokio::time::sleep(OWNER_PAUSE).await;
-                continue;
+            let mut frames = match self.open_owner(shard, &request, &mut sent).await {
+                Some(frames) => frames,
+                // Until the next owner has taken over, the entry runs what may be run twice.
+                None if request.idempotent => {
+                    sent = true;
+                    self.keys.submit_for_absent(request.clone()).await
+                }
+                None => {
+                    tokio::time::sleep(OWNER_PAUSE).await;
+                    continue;
+                }
             };
             if text_given {
                 // The caller may be gone; the owner goes on all the same.
@@ -192,21 +230,20 @@
             *sent = true;
             return Some(self.keys.submit(request.clone()).await);
         }
-        let opening = self
-            .parts
-            .link
-            .open(&target, StreamRequest::Submit(request.clone()));
-        match opening.await {
-            Ok(frames) => {
-                *sent = true;
-                Some(frames)
-            }
-            Err(fulmarswitch_peer::PeerError::NotReached { .. }) => None,
-            Err(fulmarswitch_peer::PeerError::NoAnswer { .. }) => {
-                *sent = true;
-                None
-            }
-        }
+        // A call that may not be repeated can only go to the owner, so there is no hurry.
+        let patience = if request.idempotent {
+            OWNER_PATIENCE
+        } else {
+            Duration::from_millis(request.deadline_ms)
+        };
+        let submit = StreamRequest::Submit(request.clone());
+        let link = self.parts.link.as_ref();
+        let opened = self
+            .fleet
+            .open_stream(link, &target, submit, patience)
+            .await;
+        *sent |= !matches!(opened, Err(PeerError::NotReached { .. }));
+        opened.ok()
     }
 }
 
