--- /dev/null
+++ b/crates/measure/src/cost.rs
@@ -0,0 +1,103 @@
+//! Processor time and memory of the decisions, in real time.
+
+use crate::tally::to_float;
+use crate::world::gate_settings;
+use fulmarswitch_decide::balance::{EndpointView, choose};
+use fulmarswitch_decide::gate::{EndpointGate, RequestClass, TicketIndex};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+/// Numbers of endpoints.
+const ENDPOINTS: [usize; 4] = [10, 100, 1_000, 10_000];
+/// Decisions timed at each number.
+const ROUNDS: u32 = 2_000;
+/// Requests that the gate holds while it is timed.
+const HELD: u64 = 64;
+
+/// Cost at one number of endpoints.
+#[derive(Clone, Copy, Debug)]
+pub struct DecisionCost {
+    /// Endpoints of the service.
+    pub endpoints: usize,
+    /// Microseconds to choose an endpoint.
+    pub choose_us: f64,
+    /// Microseconds for a gate's arrive, one token and end.
+    pub gate_us: f64,
+}
+
+impl DecisionCost {
+    /// Returns the microseconds of one decision.
+    #[must_use]
+    pub fn total_us(&self) -> f64 {
+        self.choose_us + self.gate_us
+    }
+}
+
+/// Times the decisions.
+#[must_use]
+pub fn measure_costs() -> Vec<DecisionCost> {
+    let gate_us = time_gate();
+    ENDPOINTS
+        .iter()
+        .map(|endpoints| DecisionCost {
+            endpoints: *endpoints,
+            choose_us: time_choose(*endpoints),
+            gate_us,
+        })
+        .collect()
+}
+
+fn time_choose(endpoints: usize) -> f64 {
+    let names: Vec<String> = (0..endpoints).map(|at| format!("endpoint-{at}")).collect();
+    let views: Vec<EndpointView<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(at, name)| EndpointView {
+            name,
+            held: at % 5,
+            near: at % 3 == 0,
+        })
+        .collect();
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let prefix = format!("prefix {round}");
+        black_box(choose(black_box(&views), &prefix));
+    }
+    micros_each(started.elapsed(), ROUNDS)
+}
+
+fn time_gate() -> f64 {
+    let mut gate = EndpointGate::new(gate_settings());
+    let mut actions = Vec::new();
+    let wait = Duration::from_secs(2);
+    for ticket in 0..HELD {
+        let class = if ticket % 2 == 0 {
+            RequestClass::Online
+        } else {
+            RequestClass::Batch
+        };
+        gate.arrive(
+            Duration::ZERO,
+            TicketIndex(ticket),
+            class,
+            wait,
+            &mut actions,
+        );
+    }
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(u64::from(round) * 100);
+        let ticket = TicketIndex(HELD + u64::from(round));
+        gate.arrive(now, ticket, RequestClass::Online, now + wait, &mut actions);
+        gate.token(now, ticket);
+        gate.end(now, ticket, &mut actions);
+        black_box(&actions);
+        actions.clear();
+    }
+    micros_each(started.elapsed(), ROUNDS)
+}
+
+fn micros_each(time: Duration, rounds: u32) -> f64 {
+    let nanos = u64::try_from(time.as_nanos() / u128::from(rounds)).unwrap_or(u64::MAX);
+    to_float(nanos) / 1_000.0
+}
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,31 @@
+//! `fulmarswitch-measure`: measures the decisions and writes docs/results.
+
+use fulmarswitch_measure::{cost, experiments, results};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Directory of the results, from the root of the repository.
+const RESULTS: &str = "docs/results";
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let commit = arguments.get(1).map_or("unknown", String::as_str);
+    match arguments.first().map(String::as_str) {
+        Some("decisions") => {
+            let report = experiments::measure_all();
+            let costs = cost::measure_costs();
+            if let Err(error) = results::write_all(Path::new(RESULTS), commit, &report, &costs) {
+                eprintln!(
+                    "{RESULTS} cannot be written ({error}); run this from the repository's root"
+                );
+                return ExitCode::FAILURE;
+            }
+            println!("{}", results::last_line(&report, &costs));
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprintln!("usage: measure [decisions]; see the README");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/previous.rs
@@ -0,0 +1,58 @@
+//! The first version of this project's gate, kept to compare with.
+//!
+//! It starts whatever waits, online first, up to the configured limit, and pulls batch up to half of it.
+
+use crate::policy::{GateArrival, GatePolicy};
+use fulmarswitch_decide::gate::{GateAction, RequestClass, TicketIndex};
+use std::time::Duration;
+
+/// The gate as it was.
+#[derive(Debug)]
+pub struct PreviousGate {
+    limit: usize,
+    waiting: Vec<(bool, Duration, TicketIndex)>,
+    running: Vec<TicketIndex>,
+}
+
+impl PreviousGate {
+    /// Creates a gate that holds nothing.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            waiting: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+}
+
+impl GatePolicy for PreviousGate {
+    fn arrive(&mut self, now: Duration, arrival: GateArrival, actions: &mut Vec<GateAction>) {
+        let place = (arrival.class == RequestClass::Batch, arrival.deadline);
+        let at = self
+            .waiting
+            .partition_point(|held| (held.0, held.1) <= place);
+        self.waiting.insert(at, (place.0, place.1, arrival.ticket));
+        self.poll(now, actions);
+    }
+
+    fn token(&mut self, _: Duration, _: TicketIndex, _: &mut Vec<GateAction>) {}
+
+    fn end(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>) {
+        self.waiting.retain(|held| held.2 != ticket);
+        self.running.retain(|held| *held != ticket);
+        self.poll(now, actions);
+    }
+
+    fn poll(&mut self, _: Duration, actions: &mut Vec<GateAction>) {
+        while self.running.len() < self.limit && !self.waiting.is_empty() {
+            let (_, _, ticket) = self.waiting.remove(0);
+            self.running.push(ticket);
+            actions.push(GateAction::Start(ticket));
+        }
+    }
+
+    fn batch_room(&self) -> usize {
+        (self.limit / 2).saturating_sub(self.running.len() + self.waiting.len())
+    }
+}
