--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,7 +11,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let commit = arguments.get(1).map_or("unknown", String::as_str);
     match arguments.first().map(String::as_str) {
-        Some("decisions") => {
+        None | Some("decisions") => {
             let report = experiments::measure_all();
             let costs = cost::measure_costs();
             if let Err(error) = results::write_all(Path::new(RESULTS), commit, &report, &costs) {
@@ -23,8 +23,8 @@
             println!("{}", results::last_line(&report, &costs));
             ExitCode::SUCCESS
         }
-        _ => {
-            eprintln!("usage: measure [decisions]; see the README");
+        Some(part) => {
+            eprintln!("there is no part {part}; run ./measure decisions");
             ExitCode::FAILURE
         }
     }
