Learn what an endpoint may hold, and keep batch in what is spare

Change: a limit on all requests, learned from online first tokens and late times between tokens; a limit on batch beside online, learned from the share of late online gaps; a reserve for the online peak of the last seconds; batch prompts one at a time, none while an online prompt is unread; batch cancelled, least tokens first, when online comes; refusal at once of what cannot start in time; verify_gate asserted after each decision. Calls that may run once are never cancelled. The daemon tells the gate which requests may be resumed.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -1,11 +1,36 @@
 //! What one endpoint is given, and when: online before batch.
 //!
-//! The engine admits whatever arrives, so the gate keeps what the engine holds short and does the queueing
-//! itself: online in order of deadline, batch only in what is spare. The gate is told what happens and
-//! answers with actions; it never waits.
+//! The engine admits whatever arrives and knows no priorities, so the gate keeps what the engine holds short
+//! and does the queueing itself. The gate is told what happens and answers with actions; it never waits.
+//!
+//! - Online requests start in order of deadline, up to a learned limit ([`limits`]). One that could not
+//!   start in time is refused at once.
+//! - Batch requests start in what is spare beside the online requests that run and those that are likely to
+//!   come. Their prompts are read a few at a time, since reading delays every stream's next token.
+//! - When online requests need the room, batch streams are cancelled, those with the fewest tokens first.
+//!   A cancelled request waits again under its ticket; a call that may run once is never cancelled.
+//!
+//! What the gate does not do: choose endpoints, talk to the engine, or keep texts.
+
+pub mod limits;
+mod queue;
+pub mod verify;
 
+use limits::EndpointLimits;
+use queue::{HeldRequest, RunningTable, WaitingQueue};
 use std::time::Duration;
 
+/// Batch prompts that may be unread at once while no online request is about.
+const UNREAD_ALONE: usize = 2;
+/// Batch requests that wait at the gate so that one that ends is followed at once.
+const BATCH_AHEAD: usize = 3;
+/// Batch streams over what is allowed, in percent, that may end by themselves.
+const EXCESS_PERCENT: usize = 25;
+/// Shortest time to come back that a refusal names.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest time to come back that a refusal names.
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
 /// Number of a request at one gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TicketIndex(pub u64);
@@ -30,12 +55,25 @@
     pub between_tokens: Duration,
 }
 
+/// A request as it arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateRequest {
+    /// Number of the request; higher than those before.
+    pub ticket: TicketIndex,
+    /// Online or batch.
+    pub class: RequestClass,
+    /// Time by which the answer is due.
+    pub deadline: Duration,
+    /// Whether a run may be cancelled and resumed.
+    pub resumable: bool,
+}
+
 /// What the gate wants done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GateAction {
     /// Send the request to the endpoint now.
     Start(TicketIndex),
-    /// Cancel the request at the endpoint; it goes back to where it came from.
+    /// Cancel the request at the endpoint; it waits again under the same ticket.
     Cancel(TicketIndex),
     /// Tell the caller that the request does not run.
     Refuse {
@@ -46,93 +84,109 @@
     },
 }
 
-/// A request that waits or runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct HeldRequest {
-    ticket: TicketIndex,
-    class: RequestClass,
-    deadline: Duration,
-    started: Option<Duration>,
-    tokens: u32,
-}
-
 /// The gate of one endpoint. Times are measured from any fixed start.
+///
+/// ```
+/// use fulmarswitch_decide::gate::{
+///     EndpointGate, GateAction, GateRequest, GateSettings, RequestClass, TicketIndex,
+/// };
+/// use std::time::Duration;
+/// let mut gate = EndpointGate::new(GateSettings {
+///     max_concurrent: 8,
+///     first_token: Duration::from_millis(520),
+///     between_tokens: Duration::from_millis(26),
+/// });
+/// let request = GateRequest {
+///     ticket: TicketIndex(0),
+///     class: RequestClass::Online,
+///     deadline: Duration::from_secs(2),
+///     resumable: false,
+/// };
+/// let mut actions = Vec::new();
+/// gate.arrive(Duration::ZERO, request, &mut actions);
+/// assert_eq!(actions, [GateAction::Start(TicketIndex(0))]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct EndpointGate {
     settings: GateSettings,
-    waiting: Vec<HeldRequest>,
-    running: Vec<HeldRequest>,
+    waiting: WaitingQueue,
+    running: RunningTable,
+    limits: EndpointLimits,
 }
 
 impl EndpointGate {
     /// Creates the gate of an endpoint that holds nothing.
     #[must_use]
     pub fn new(settings: GateSettings) -> Self {
+        let limits = EndpointLimits::new(&settings);
         Self {
             settings,
-            waiting: Vec::new(),
-            running: Vec::new(),
+            waiting: WaitingQueue::default(),
+            running: RunningTable::default(),
+            limits,
         }
     }
 
     /// Changes what the gate promises and may use.
     pub fn configure(&mut self, settings: GateSettings) {
+        self.limits.configure(&settings);
         self.settings = settings;
     }
 
     /// Takes a request into the queue.
-    pub fn arrive(
-        &mut self,
-        now: Duration,
-        ticket: TicketIndex,
-        class: RequestClass,
-        deadline: Duration,
-        actions: &mut Vec<GateAction>,
-    ) {
-        let request = HeldRequest {
-            ticket,
-            class,
-            deadline,
-            started: None,
-            tokens: 0,
-        };
-        let order = |held: &HeldRequest| (held.class == RequestClass::Batch, held.deadline);
-        let at = self
-            .waiting
-            .partition_point(|held| order(held) <= order(&request));
-        self.waiting.insert(at, request);
+    pub fn arrive(&mut self, now: Duration, request: GateRequest, actions: &mut Vec<GateAction>) {
+        let held = HeldRequest::new(request, now);
+        match request.class {
+            RequestClass::Online => self.admit(now, held, actions),
+            RequestClass::Batch => self.waiting.push_batch(held),
+        }
         self.poll(now, actions);
     }
 
     /// Notes one token of a running request.
-    pub fn token(&mut self, _now: Duration, ticket: TicketIndex) {
-        if let Some(held) = self.running.iter_mut().find(|held| held.ticket == ticket) {
-            held.tokens += 1;
+    pub fn token(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>) {
+        let Some(token) = self.running.note_token(now, ticket) else {
+            return;
+        };
+        if token.first {
+            self.limits.note_first_token(now, &token, &self.running);
+            self.poll(now, actions);
+        } else if self.limits.note_gap(now, &token, &self.running) {
+            self.poll(now, actions);
         }
     }
 
     /// Notes that a request has ended, for whatever reason.
     pub fn end(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>) {
-        self.waiting.retain(|held| held.ticket != ticket);
-        self.running.retain(|held| held.ticket != ticket);
+        if let Some(held) = self.running.remove(ticket) {
+            self.limits.note_end(now, &held);
+        } else {
+            self.waiting.remove(ticket);
+        }
         self.poll(now, actions);
     }
 
     /// Decides anew.
     pub fn poll(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
-        while self.running.len() < self.limit() && !self.waiting.is_empty() {
-            let mut held = self.waiting.remove(0);
-            held.started = Some(now);
-            self.running.push(held);
-            actions.push(GateAction::Start(held.ticket));
-        }
+        let online = self.running.online() + self.waiting.online_len();
+        self.limits.note_time(now, online);
+        self.refuse_late(now, actions);
+        self.cancel_excess(now, actions);
+        self.start_online(now, actions);
+        self.start_batch(now, actions);
+        debug_assert_eq!(verify::verify_gate(self), vec![]);
     }
 
     /// Returns how many more batch items the gate has room for.
     #[must_use]
     pub fn batch_room(&self) -> usize {
-        let held = self.running.len() + self.waiting.len();
-        (self.limit() / 2).saturating_sub(held)
+        if self.waiting.online_len() > 0 {
+            return 0;
+        }
+        let allowed = self.limits.batch_allowed(&self.running);
+        let held = self.running.batch() + self.waiting.batch_len();
+        let ahead = if allowed > 0 { BATCH_AHEAD } else { 0 };
+        (allowed + ahead).saturating_sub(held)
     }
 
     /// Returns the number of requests that wait or run, as a measure of load.
@@ -141,7 +195,87 @@
         self.running.len() + self.waiting.len()
     }
 
-    fn limit(&self) -> usize {
-        self.settings.max_concurrent as usize
+    /// Queues an online request unless it could not start in time.
+    fn admit(&mut self, now: Duration, held: HeldRequest, actions: &mut Vec<GateAction>) {
+        let ahead = self.waiting.online_before(&held);
+        let online = self.running.online();
+        let wait = self.limits.expected_wait(ahead, online);
+        let latest = self.limits.latest_start(&held);
+        if wait.is_zero() || now + wait <= latest {
+            self.waiting.push_online(held);
+            return;
+        }
+        let retry_after = (now + wait).saturating_sub(latest);
+        actions.push(GateAction::Refuse {
+            ticket: held.request.ticket,
+            retry_after: retry_after.clamp(RETRY_MIN, RETRY_MAX),
+        });
+    }
+
+    fn refuse_late(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
+        while let Some(held) = self.waiting.first_online() {
+            let free = self.running.online() < self.limits.limit();
+            if free || now <= self.limits.latest_start(held) {
+                return;
+            }
+            let ticket = held.request.ticket;
+            self.waiting.pop_online();
+            actions.push(GateAction::Refuse {
+                ticket,
+                retry_after: RETRY_MIN,
+            });
+        }
+    }
+
+    fn cancel_excess(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
+        let limit = self.limits.limit();
+        let allowed = self.limits.batch_allowed(&self.running);
+        let mut excess = self.running.batch().saturating_sub(allowed);
+        if excess * 100 <= allowed.max(4) * EXCESS_PERCENT {
+            excess = 0;
+        }
+        let wanted = self.running.len() + self.waiting.online_len();
+        let blocked = match self.waiting.online_len() {
+            0 => 0,
+            _ => wanted.saturating_sub(limit),
+        };
+        for _ in 0..excess.max(blocked) {
+            let Some(mut held) = self.running.take_least_batch() else {
+                return;
+            };
+            actions.push(GateAction::Cancel(held.request.ticket));
+            held.queue_again(now);
+            self.waiting.push_batch_again(held);
+        }
+    }
+
+    fn start_online(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
+        while self.running.len() < self.limits.limit() {
+            let Some(held) = self.waiting.pop_online() else {
+                return;
+            };
+            actions.push(GateAction::Start(held.request.ticket));
+            self.running.start(now, held);
+        }
+    }
+
+    fn start_batch(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
+        if self.waiting.online_len() > 0 || self.running.unread_online() > 0 {
+            return;
+        }
+        let unread_limit = if self.limits.is_online_near() {
+            1
+        } else {
+            UNREAD_ALONE
+        };
+        while self.running.batch() < self.limits.batch_allowed(&self.running)
+            && self.running.unread_batch() < unread_limit
+        {
+            let Some(held) = self.waiting.pop_batch() else {
+                return;
+            };
+            actions.push(GateAction::Start(held.request.ticket));
+            self.running.start(now, held);
+        }
     }
 }
--- /dev/null
+++ b/crates/decide/src/gate/limits.rs
@@ -0,0 +1,223 @@
+//! How much an endpoint may hold, learned from the times of its tokens.
+//!
+//! Two limits are learned. The limit on all requests falls when online first tokens are so late that the
+//! engine must be queueing, or when times between tokens are late without batch streams being the cause. The
+//! limit on batch streams beside online ones falls when more than a small share of the times between tokens
+//! of online streams is late. Both rise step by step while they are what holds requests back.
+
+use super::GateSettings;
+use super::queue::{HeldRequest, RunningTable, TokenNote};
+use std::time::Duration;
+
+/// Thousandths, in which limits are counted.
+const MILLI: u32 = 1_000;
+/// Limit on all requests before anything is learned.
+const FIRST_LIMIT: u32 = 32;
+/// Lowest limit on all requests.
+const LEAST_LIMIT: u32 = 2;
+/// Limit on batch streams beside online ones before anything is learned.
+const FIRST_BATCH: u32 = 4;
+/// Time between changes of the limits.
+const ADJUST_PERIOD: Duration = Duration::from_millis(250);
+/// Share of late times between tokens above which a limit falls, in parts per million.
+const LATE_HIGH: i64 = 40_000;
+/// Share of late times between tokens below which a limit rises, in parts per million.
+const LATE_LOW: i64 = 30_000;
+/// All times late, in parts per million.
+const LATE_ALL: i64 = 1_000_000;
+/// Times between tokens over which the late share is averaged, as a power of two.
+const LATE_SHIFT: u32 = 8;
+/// Time after the last online request in which others are expected.
+const ONLINE_NEAR: Duration = Duration::from_secs(1);
+/// Time in which the highest number of online requests is remembered; twice that at most.
+const PEAK_PERIOD: Duration = Duration::from_secs(4);
+/// The part of the promised time to the first token that a first token may take before the engine counts as
+/// queueing.
+const QUEUEING_PART: u32 = 4;
+
+/// The learned limits of one endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointLimits {
+    first_token: Duration,
+    between_tokens: Duration,
+    max_milli: u32,
+    limit_milli: u32,
+    batch_milli: u32,
+    late_share: i64,
+    /// Mean time to the first token of online requests.
+    mean_first: Duration,
+    /// Mean time from start to end of online requests.
+    mean_service: Duration,
+    queueing: bool,
+    adjusted: Duration,
+    online_until: Duration,
+    online_near: bool,
+    peak: usize,
+    peak_before: usize,
+    peak_since: Duration,
+}
+
+impl EndpointLimits {
+    /// Creates the limits of an endpoint of which nothing is known.
+    #[must_use]
+    pub fn new(settings: &GateSettings) -> Self {
+        let max_milli = settings.max_concurrent.saturating_mul(MILLI);
+        Self {
+            first_token: settings.first_token,
+            between_tokens: settings.between_tokens,
+            max_milli,
+            limit_milli: max_milli.min(FIRST_LIMIT * MILLI),
+            batch_milli: FIRST_BATCH * MILLI,
+            late_share: 0,
+            mean_first: Duration::ZERO,
+            mean_service: Duration::ZERO,
+            queueing: false,
+            adjusted: Duration::ZERO,
+            online_until: Duration::ZERO,
+            online_near: false,
+            peak: 0,
+            peak_before: 0,
+            peak_since: Duration::ZERO,
+        }
+    }
+
+    /// Changes what is promised.
+    pub fn configure(&mut self, settings: &GateSettings) {
+        self.first_token = settings.first_token;
+        self.between_tokens = settings.between_tokens;
+        self.max_milli = settings.max_concurrent.saturating_mul(MILLI);
+        self.limit_milli = self.limit_milli.min(self.max_milli);
+    }
+
+    /// Returns the limit on all requests.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        (self.limit_milli / MILLI).max(1) as usize
+    }
+
+    /// Tells whether online requests run or are expected.
+    #[must_use]
+    pub fn is_online_near(&self) -> bool {
+        self.online_near
+    }
+
+    /// Returns the number of batch streams that may run beside the online ones.
+    pub(super) fn batch_allowed(&self, running: &RunningTable) -> usize {
+        if !self.online_near {
+            return self.limit();
+        }
+        let reserved = running.online().max(self.peak).max(self.peak_before);
+        let beside = (self.batch_milli / MILLI) as usize;
+        self.limit().saturating_sub(reserved).min(beside)
+    }
+
+    /// Returns the time until the online request behind `ahead` others can start.
+    #[must_use]
+    pub fn expected_wait(&self, ahead: usize, online: usize) -> Duration {
+        let free = self.limit().saturating_sub(online);
+        let Some(behind) = (ahead + 1).checked_sub(free).filter(|behind| *behind > 0) else {
+            return Duration::ZERO;
+        };
+        let behind = u32::try_from(behind).unwrap_or(u32::MAX);
+        let limit = u32::try_from(self.limit()).unwrap_or(u32::MAX);
+        self.mean_service * behind / limit
+    }
+
+    /// Returns the latest time at which a request may start and still keep its promise and deadline.
+    pub(super) fn latest_start(&self, held: &HeldRequest) -> Duration {
+        let promised = held.arrived + self.first_token.saturating_sub(self.mean_first * 2);
+        let due = held.request.deadline.saturating_sub(self.mean_service);
+        promised.min(due).max(held.arrived)
+    }
+
+    /// Learns from a first token.
+    pub(super) fn note_first_token(
+        &mut self,
+        now: Duration,
+        token: &TokenNote,
+        running: &RunningTable,
+    ) {
+        if token.online {
+            self.mean_first = mean(self.mean_first, token.since);
+            self.queueing |= token.since > self.first_token / QUEUEING_PART;
+            if !self.queueing && running.len() >= self.limit() {
+                self.limit_milli = (self.limit_milli + MILLI / 2).min(self.max_milli);
+            }
+        } else if running.online() == 0 && running.len() >= self.limit() {
+            self.limit_milli = (self.limit_milli + MILLI / 2).min(self.max_milli);
+        }
+        self.adjust(now, running);
+    }
+
+    /// Learns from the time between two tokens; tells whether the limits changed.
+    pub(super) fn note_gap(
+        &mut self,
+        now: Duration,
+        token: &TokenNote,
+        running: &RunningTable,
+    ) -> bool {
+        if token.online {
+            let late = token.since > self.between_tokens;
+            let sample = if late { LATE_ALL } else { 0 };
+            self.late_share += (sample - self.late_share) >> LATE_SHIFT;
+        }
+        self.adjust(now, running)
+    }
+
+    /// Learns from the end of a run.
+    pub(super) fn note_end(&mut self, now: Duration, held: &HeldRequest) {
+        if held.is_online() && held.run_tokens > 0 {
+            let service = now.saturating_sub(held.started);
+            self.mean_service = mean(self.mean_service, service);
+        }
+    }
+
+    /// Follows the number of online requests that run or wait.
+    pub(super) fn note_time(&mut self, now: Duration, online: usize) {
+        if online > 0 {
+            self.online_until = now + ONLINE_NEAR;
+        }
+        self.online_near = now < self.online_until;
+        self.peak = self.peak.max(online);
+        if now >= self.peak_since + PEAK_PERIOD {
+            self.peak_before = self.peak;
+            self.peak = online;
+            self.peak_since = now;
+        }
+    }
+
+    fn adjust(&mut self, now: Duration, running: &RunningTable) -> bool {
+        if now < self.adjusted + ADJUST_PERIOD || running.online() == 0 {
+            return false;
+        }
+        self.adjusted = now;
+        let beside = self.batch_milli / MILLI;
+        let batch = u32::try_from(running.batch()).unwrap_or(u32::MAX);
+        let queueing = std::mem::take(&mut self.queueing);
+        if self.late_share > LATE_HIGH || queueing {
+            if batch > 0 {
+                self.batch_milli = self.batch_milli * 7 / 8;
+            } else {
+                let held = u32::try_from(running.len()).unwrap_or(u32::MAX);
+                let from = self.limit_milli.min(held.saturating_mul(MILLI));
+                self.limit_milli = (from / 16 * 15)
+                    .max(LEAST_LIMIT * MILLI)
+                    .min(self.max_milli);
+            }
+            return true;
+        }
+        if self.late_share < LATE_LOW && batch >= beside && self.batch_milli < self.max_milli {
+            self.batch_milli += MILLI / 4;
+            return true;
+        }
+        false
+    }
+}
+
+/// Returns a mean that follows the newest values.
+fn mean(old: Duration, new: Duration) -> Duration {
+    if old.is_zero() {
+        return new;
+    }
+    (old * 15 + new) / 16
+}
--- /dev/null
+++ b/crates/decide/src/gate/queue.rs
@@ -0,0 +1,228 @@
+//! Requests that wait and requests that run, in dense tables.
+
+use super::{GateRequest, RequestClass, TicketIndex};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A request that waits or runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct HeldRequest {
+    pub(super) request: GateRequest,
+    pub(super) arrived: Duration,
+    /// Time of the start of this run.
+    pub(super) started: Duration,
+    /// Time of the last token of this run, or of its start.
+    pub(super) last: Duration,
+    /// Tokens of this run.
+    pub(super) run_tokens: u32,
+    /// Tokens over all runs.
+    pub(super) tokens: u32,
+}
+
+impl HeldRequest {
+    pub(super) fn new(request: GateRequest, now: Duration) -> Self {
+        Self {
+            request,
+            arrived: now,
+            started: now,
+            last: now,
+            run_tokens: 0,
+            tokens: 0,
+        }
+    }
+
+    pub(super) fn is_online(&self) -> bool {
+        self.request.class == RequestClass::Online
+    }
+
+    /// Makes the request wait again after its run was cancelled.
+    pub(super) fn queue_again(&mut self, now: Duration) {
+        self.started = now;
+        self.last = now;
+        self.run_tokens = 0;
+    }
+}
+
+/// One token as the limits learn from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TokenNote {
+    /// Whether it is the first of its run.
+    pub(super) first: bool,
+    /// Whether its request is online.
+    pub(super) online: bool,
+    /// Time since the token before, or since the start of the run.
+    pub(super) since: Duration,
+}
+
+/// Requests that wait: online in order of deadline, batch in order of arrival.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WaitingQueue {
+    /// In descending order, so that the next one is the last.
+    online: Vec<HeldRequest>,
+    batch: VecDeque<HeldRequest>,
+}
+
+impl WaitingQueue {
+    pub(super) fn len(&self) -> usize {
+        self.online.len() + self.batch.len()
+    }
+
+    pub(super) fn online_len(&self) -> usize {
+        self.online.len()
+    }
+
+    pub(super) fn batch_len(&self) -> usize {
+        self.batch.len()
+    }
+
+    /// Returns the number of online requests that start before `held`.
+    pub(super) fn online_before(&self, held: &HeldRequest) -> usize {
+        self.online.len() - self.place_of(held)
+    }
+
+    pub(super) fn push_online(&mut self, held: HeldRequest) {
+        let at = self.place_of(&held);
+        self.online.insert(at, held);
+    }
+
+    pub(super) fn first_online(&self) -> Option<&HeldRequest> {
+        self.online.last()
+    }
+
+    pub(super) fn pop_online(&mut self) -> Option<HeldRequest> {
+        self.online.pop()
+    }
+
+    pub(super) fn push_batch(&mut self, held: HeldRequest) {
+        self.batch.push_back(held);
+    }
+
+    /// Queues a cancelled request before the others.
+    pub(super) fn push_batch_again(&mut self, held: HeldRequest) {
+        self.batch.push_front(held);
+    }
+
+    pub(super) fn pop_batch(&mut self) -> Option<HeldRequest> {
+        self.batch.pop_front()
+    }
+
+    pub(super) fn remove(&mut self, ticket: TicketIndex) {
+        self.online.retain(|held| held.request.ticket != ticket);
+        self.batch.retain(|held| held.request.ticket != ticket);
+    }
+
+    /// Returns all waiting requests, online first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &HeldRequest> {
+        self.online.iter().chain(self.batch.iter())
+    }
+
+    fn place_of(&self, held: &HeldRequest) -> usize {
+        let order = |held: &HeldRequest| (held.request.deadline, held.request.ticket);
+        self.online
+            .partition_point(|other| order(other) > order(held))
+    }
+}
+
+/// Requests that run, by ticket.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunningTable {
+    held: Vec<HeldRequest>,
+    online: usize,
+    unread_online: usize,
+    unread_batch: usize,
+}
+
+impl RunningTable {
+    pub(super) fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub(super) fn online(&self) -> usize {
+        self.online
+    }
+
+    pub(super) fn batch(&self) -> usize {
+        self.held.len() - self.online
+    }
+
+    /// Returns the number of online requests without a token.
+    pub(super) fn unread_online(&self) -> usize {
+        self.unread_online
+    }
+
+    /// Returns the number of batch requests without a token in this run.
+    pub(super) fn unread_batch(&self) -> usize {
+        self.unread_batch
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &HeldRequest> {
+        self.held.iter()
+    }
+
+    pub(super) fn start(&mut self, now: Duration, mut held: HeldRequest) {
+        held.started = now;
+        held.last = now;
+        self.count(&held, true);
+        let at = self.place_of(held.request.ticket);
+        self.held.insert(at, held);
+    }
+
+    pub(super) fn note_token(&mut self, now: Duration, ticket: TicketIndex) -> Option<TokenNote> {
+        let at = self.place_of(ticket);
+        let held = self.held.get_mut(at)?;
+        if held.request.ticket != ticket {
+            return None;
+        }
+        let note = TokenNote {
+            first: held.run_tokens == 0,
+            online: held.is_online(),
+            since: now.saturating_sub(held.last),
+        };
+        held.last = now;
+        held.run_tokens += 1;
+        held.tokens += 1;
+        if note.first && note.online {
+            self.unread_online -= 1;
+        } else if note.first {
+            self.unread_batch -= 1;
+        }
+        Some(note)
+    }
+
+    pub(super) fn remove(&mut self, ticket: TicketIndex) -> Option<HeldRequest> {
+        let at = self.place_of(ticket);
+        let found = self.held.get(at)?.request.ticket == ticket;
+        found.then(|| self.remove_at(at))
+    }
+
+    /// Removes the batch request that may be resumed and has the fewest tokens.
+    pub(super) fn take_least_batch(&mut self) -> Option<HeldRequest> {
+        let candidates = self.held.iter().enumerate();
+        let (at, _) = candidates
+            .filter(|(_, held)| !held.is_online() && held.request.resumable)
+            .min_by_key(|(_, held)| (held.tokens, std::cmp::Reverse(held.request.ticket)))?;
+        Some(self.remove_at(at))
+    }
+
+    fn remove_at(&mut self, at: usize) -> HeldRequest {
+        let held = self.held.remove(at);
+        self.count(&held, false);
+        held
+    }
+
+    fn count(&mut self, held: &HeldRequest, added: bool) {
+        let change = |count: &mut usize, by: bool| {
+            let by = usize::from(by);
+            *count = if added { *count + by } else { *count - by };
+        };
+        let unread = held.run_tokens == 0;
+        change(&mut self.online, held.is_online());
+        change(&mut self.unread_online, held.is_online() && unread);
+        change(&mut self.unread_batch, !held.is_online() && unread);
+    }
+
+    fn place_of(&self, ticket: TicketIndex) -> usize {
+        self.held
+            .partition_point(|held| held.request.ticket < ticket)
+    }
+}
--- a/crates/fulmarswitch/src/gates/batch.rs
+++ b/crates/fulmarswitch/src/gates/batch.rs
@@ -139,7 +139,12 @@
         item: PulledItem,
         job: (Arc<str>, oneshot::Sender<()>),
     ) -> AttemptResult {
-        let mut held = unit.enter(RequestClass::Batch, BATCH_WAIT, Some(job));
+        let mut held = unit.enter(
+            RequestClass::Batch,
+            BATCH_WAIT,
+            header.idempotent,
+            Some(job),
+        );
         let mut text = String::new();
         let mut tokens = 0;
         loop {
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -2,7 +2,7 @@
 
 use super::{refusal, settings_of};
 use crate::parts::{HostParts, lock};
-use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
+use fulmarswitch_decide::gate::{EndpointGate, GateAction, GateRequest, RequestClass, TicketIndex};
 use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
 use fulmarswitch_peer::message::{RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{FrameStream, StreamFrame};
@@ -153,6 +153,7 @@
         self: &Arc<Self>,
         class: RequestClass,
         wait: Duration,
+        resumable: bool,
         job: Option<(Arc<str>, oneshot::Sender<()>)>,
     ) -> HeldTicket {
         let ticket = TicketIndex(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -172,7 +173,13 @@
             unit: Arc::clone(self),
         };
         let now = self.parts.now();
-        self.decide(|gate, actions| gate.arrive(now, ticket, class, now + wait, actions));
+        let request = GateRequest {
+            ticket,
+            class,
+            deadline: now + wait,
+            resumable,
+        };
+        self.decide(|gate, actions| gate.arrive(now, request, actions));
         held
     }
 
@@ -180,6 +187,9 @@
     fn decide(&self, event: impl FnOnce(&mut EndpointGate, &mut Vec<GateAction>)) {
         let mut actions = Vec::new();
         event(&mut lock(&self.gate), &mut actions);
+        if actions.is_empty() {
+            return;
+        }
         let posts = lock(&self.posts);
         for action in actions {
             let (ticket, order) = match action {
@@ -203,7 +213,7 @@
         frames: mpsc::UnboundedSender<StreamFrame>,
     ) {
         let wait = Duration::from_millis(request.left_ms);
-        let mut held = self.enter(RequestClass::Online, wait, None);
+        let mut held = self.enter(RequestClass::Online, wait, false, None);
         let mut first = held.orders.try_recv().ok();
         if !matches!(first, Some(GateOrder::Refuse(_))) {
             // A stream that is gone shows itself in `closed` below.
@@ -287,8 +297,8 @@
             };
             match part {
                 Some(Ok(AnswerPart::Text(text))) => {
-                    let now = self.parts.now();
-                    lock(&self.gate).token(now, held.ticket);
+                    let (now, ticket) = (self.parts.now(), held.ticket);
+                    self.decide(|gate, actions| gate.token(now, ticket, actions));
                     if !show(&text) {
                         return CallEnd::Cancelled;
                     }
--- a/crates/measure/src/baseline.rs
+++ b/crates/measure/src/baseline.rs
@@ -1,7 +1,7 @@
 //! Gates without learning, to compare with.
 
-use crate::policy::{GateArrival, GatePolicy};
-use fulmarswitch_decide::gate::{GateAction, RequestClass, TicketIndex};
+use crate::policy::GatePolicy;
+use fulmarswitch_decide::gate::{GateAction, GateRequest, RequestClass, TicketIndex};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
 }
 
 impl GatePolicy for OpenGate {
-    fn arrive(&mut self, now: Duration, arrival: GateArrival, actions: &mut Vec<GateAction>) {
+    fn arrive(&mut self, now: Duration, arrival: GateRequest, actions: &mut Vec<GateAction>) {
         if arrival.class == RequestClass::Online && !self.shared {
             self.online.push(arrival.ticket);
             actions.push(GateAction::Start(arrival.ticket));
--- a/crates/measure/src/cost.rs
+++ b/crates/measure/src/cost.rs
@@ -3,7 +3,7 @@
 use crate::tally::to_float;
 use crate::world::gate_settings;
 use fulmarswitch_decide::balance::{EndpointView, choose};
-use fulmarswitch_decide::gate::{EndpointGate, RequestClass, TicketIndex};
+use fulmarswitch_decide::gate::{EndpointGate, GateRequest, RequestClass, TicketIndex};
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -76,27 +76,31 @@
         } else {
             RequestClass::Batch
         };
-        gate.arrive(
-            Duration::ZERO,
-            TicketIndex(ticket),
-            class,
-            wait,
-            &mut actions,
-        );
+        gate.arrive(Duration::ZERO, request(ticket, class, wait), &mut actions);
     }
     let started = Instant::now();
     for round in 0..ROUNDS {
         let now = Duration::from_micros(u64::from(round) * 100);
-        let ticket = TicketIndex(HELD + u64::from(round));
-        gate.arrive(now, ticket, RequestClass::Online, now + wait, &mut actions);
-        gate.token(now, ticket);
-        gate.end(now, ticket, &mut actions);
+        let ticket = HELD + u64::from(round);
+        let online = request(ticket, RequestClass::Online, now + wait);
+        gate.arrive(now, online, &mut actions);
+        gate.token(now, TicketIndex(ticket), &mut actions);
+        gate.end(now, TicketIndex(ticket), &mut actions);
         black_box(&actions);
         actions.clear();
     }
     micros_each(started.elapsed(), ROUNDS)
 }
 
+fn request(ticket: u64, class: RequestClass, deadline: Duration) -> GateRequest {
+    GateRequest {
+        ticket: TicketIndex(ticket),
+        class,
+        deadline,
+        resumable: true,
+    }
+}
+
 fn micros_each(time: Duration, rounds: u32) -> f64 {
     let nanos = u64::try_from(time.as_nanos() / u128::from(rounds)).unwrap_or(u64::MAX);
     to_float(nanos) / 1_000.0
--- a/crates/measure/src/experiments.rs
+++ b/crates/measure/src/experiments.rs
@@ -7,6 +7,7 @@
 };
 use crate::tally::{NOTICE_SLOT, RunTally, to_float};
 use crate::world::run_scenario;
+use hdrhistogram::Histogram;
 use std::time::Duration;
 
 /// Runs at a time.
@@ -92,19 +93,19 @@
     /// Returns the time to the first token at a quantile, in milliseconds.
     #[must_use]
     pub fn first_token_ms(&self, quantile: f64) -> f64 {
-        to_float(self.tally.first_token.value_at_quantile(quantile)) / 1_000.0
+        quantile_ms(&self.tally.first_token, quantile)
     }
 
     /// Returns the time between tokens at a quantile, in milliseconds.
     #[must_use]
     pub fn between_ms(&self, quantile: f64) -> f64 {
-        to_float(self.tally.between.value_at_quantile(quantile)) / 1_000.0
+        quantile_ms(&self.tally.between, quantile)
     }
 
     /// Returns the time until refusals at a quantile, in milliseconds.
     #[must_use]
     pub fn refusal_ms(&self, quantile: f64) -> f64 {
-        to_float(self.tally.refusal.value_at_quantile(quantile)) / 1_000.0
+        quantile_ms(&self.tally.refusal, quantile)
     }
 
     /// Tells whether 95 in 100 first tokens and times between tokens keep the promise.
@@ -242,6 +243,12 @@
     }
 }
 
+/// Returns a quantile in milliseconds: the lowest value of its slot, since all values are whole milliseconds.
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    let value = histogram.value_at_quantile(quantile);
+    to_float(histogram.lowest_equivalent(value)) / 1_000.0
+}
+
 /// Runs everything.
 #[must_use]
 pub fn measure_all() -> MeasureReport {
--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -3,9 +3,7 @@
 use crate::baseline::OpenGate;
 use crate::previous::PreviousGate;
 use fulmarswitch_decide::balance::{EndpointView, choose};
-use fulmarswitch_decide::gate::{
-    EndpointGate, GateAction, GateSettings, RequestClass, TicketIndex,
-};
+use fulmarswitch_decide::gate::{EndpointGate, GateAction, GateRequest, GateSettings, TicketIndex};
 use std::time::Duration;
 
 /// Streams that the fixed cap of the compared baseline lets batch have on an endpoint.
@@ -13,21 +11,10 @@
 /// Streams that one engine batches, as an operator would configure it for the baselines.
 const ENGINE_BATCH: usize = 64;
 
-/// A request as it arrives at a gate.
-#[derive(Clone, Copy, Debug)]
-pub struct GateArrival {
-    /// Number at the gate.
-    pub ticket: TicketIndex,
-    /// Online or batch.
-    pub class: RequestClass,
-    /// Time by which the answer is due.
-    pub deadline: Duration,
-}
-
 /// What decides at one endpoint.
 pub trait GatePolicy: Send {
     /// Takes a request.
-    fn arrive(&mut self, now: Duration, arrival: GateArrival, actions: &mut Vec<GateAction>);
+    fn arrive(&mut self, now: Duration, arrival: GateRequest, actions: &mut Vec<GateAction>);
     /// Notes a token.
     fn token(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>);
     /// Notes an end.
@@ -101,17 +88,12 @@
 }
 
 impl GatePolicy for EndpointGate {
-    fn arrive(&mut self, now: Duration, arrival: GateArrival, actions: &mut Vec<GateAction>) {
-        let GateArrival {
-            ticket,
-            class,
-            deadline,
-        } = arrival;
-        self.arrive(now, ticket, class, deadline, actions);
+    fn arrive(&mut self, now: Duration, arrival: GateRequest, actions: &mut Vec<GateAction>) {
+        self.arrive(now, arrival, actions);
     }
 
-    fn token(&mut self, now: Duration, ticket: TicketIndex, _: &mut Vec<GateAction>) {
-        self.token(now, ticket);
+    fn token(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>) {
+        self.token(now, ticket, actions);
     }
 
     fn end(&mut self, now: Duration, ticket: TicketIndex, actions: &mut Vec<GateAction>) {
--- a/crates/measure/src/previous.rs
+++ b/crates/measure/src/previous.rs
@@ -2,8 +2,8 @@
 //!
 //! It starts whatever waits, online first, up to the configured limit, and pulls batch up to half of it.
 
-use crate::policy::{GateArrival, GatePolicy};
-use fulmarswitch_decide::gate::{GateAction, RequestClass, TicketIndex};
+use crate::policy::GatePolicy;
+use fulmarswitch_decide::gate::{GateAction, GateRequest, RequestClass, TicketIndex};
 use std::time::Duration;
 
 /// The gate as it was.
@@ -27,7 +27,7 @@
 }
 
 impl GatePolicy for PreviousGate {
-    fn arrive(&mut self, now: Duration, arrival: GateArrival, actions: &mut Vec<GateAction>) {
+    fn arrive(&mut self, now: Duration, arrival: GateRequest, actions: &mut Vec<GateAction>) {
         let place = (arrival.class == RequestClass::Batch, arrival.deadline);
         let at = self
             .waiting
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -6,12 +6,12 @@
 mod callers;
 mod items;
 
-use crate::policy::{GateArrival, GatePolicy, PolicyKind};
+use crate::policy::{GatePolicy, PolicyKind};
 use crate::scenario::{
     BETWEEN_TOKENS, ENDPOINTS, ENTRIES, FIRST_TOKEN, FaultKind, FaultPlan, RunScenario,
 };
 use crate::tally::RunTally;
-use fulmarswitch_decide::gate::{GateAction, GateSettings, RequestClass, TicketIndex};
+use fulmarswitch_decide::gate::{GateAction, GateRequest, GateSettings, RequestClass, TicketIndex};
 use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -138,10 +138,11 @@
         let ticket = TicketIndex(gate.next);
         gate.next += 1;
         gate.channels.push((ticket, sender));
-        let arrival = GateArrival {
+        let arrival = GateRequest {
             ticket,
             class,
             deadline: now + wait,
+            resumable: class == RequestClass::Batch,
         };
         gate.decide(|policy, actions| policy.arrive(now, arrival, actions));
         drop(gate);
