Plan arrivals from the one before

Cause: each sleep rounds up to a millisecond, so 774 requests a second became 525 and the overload was none. Arrivals now follow a schedule; 120 a second give 120.

--- a/crates/measure/src/experiments.rs
+++ b/crates/measure/src/experiments.rs
@@ -15,8 +15,8 @@
 /// Caps that are tried to find the spare capacity.
 const CAPS: [usize; 12] = [1, 2, 3, 4, 6, 8, 10, 12, 16, 24, 32, 48];
 /// Online rates that are tried to find the capacity for online requests.
-const RATES: [f64; 10] = [
-    300.0, 350.0, 400.0, 450.0, 500.0, 550.0, 600.0, 650.0, 700.0, 750.0,
+const RATES: [f64; 12] = [
+    300.0, 400.0, 500.0, 550.0, 600.0, 650.0, 700.0, 750.0, 800.0, 850.0, 900.0, 1_000.0,
 ];
 /// Share of answers that must be in time.
 const IN_TIME_SHARE: f64 = 0.95;
--- a/crates/measure/src/world/callers.rs
+++ b/crates/measure/src/world/callers.rs
@@ -55,10 +55,13 @@
     /// Sends online requests at random times for as long as the runtime lives.
     pub(super) async fn send_requests(self: Arc<Self>) {
         let mut random = SmallRng::seed_from_u64(self.scenario.seed);
+        // Arrivals are planned from the one before, as the clock rounds each sleep up to a millisecond.
+        let mut next = self.started;
         for turn in 0.. {
             let rate = self.scenario.rate_at(self.now());
             let gap = -(1.0 - random.random::<f64>()).ln() / rate;
-            tokio::time::sleep(Duration::from_secs_f64(gap)).await;
+            next += Duration::from_secs_f64(gap);
+            tokio::time::sleep_until(next).await;
             let spread: f64 = random.random();
             // The square makes some prefixes much more frequent than others.
             let scaled = spread * spread * f64::from(ONLINE_PREFIXES);
