Keep the limit near what the engine batches, and admit by the whole queue

Cause: under 1.5x load p95 first token was 761 ms and refusals took 689 ms: the limit rose by half a stream a first token without end, so the engine queued, and requests sent on from other gates jumped the queue by their earlier deadline. Change: after the engine was seen to queue (mean first token over a sixth of the promise) the limit moves once a second; a request is admitted if the whole queue fits half of its time. Tried first: lowering from the number held; a cold cache then pulled the limit to a few streams and burst p99 alone rose to 188 ms.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -137,7 +137,7 @@
     pub fn arrive(&mut self, now: Duration, request: GateRequest, actions: &mut Vec<GateAction>) {
         let held = HeldRequest::new(request, now);
         match request.class {
-            RequestClass::Online => self.admit(now, held, actions),
+            RequestClass::Online => self.admit(held, actions),
             RequestClass::Batch => self.waiting.push_batch(held),
         }
         self.poll(now, actions);
@@ -196,16 +196,17 @@
     }
 
     /// Queues an online request unless it could not start in time.
-    fn admit(&mut self, now: Duration, held: HeldRequest, actions: &mut Vec<GateAction>) {
-        let ahead = self.waiting.online_before(&held);
+    fn admit(&mut self, held: HeldRequest, actions: &mut Vec<GateAction>) {
+        // The whole queue counts, so that one with an early deadline makes no other one late.
+        let ahead = self.waiting.online_len();
         let online = self.running.online();
         let wait = self.limits.expected_wait(ahead, online);
-        let latest = self.limits.latest_start(&held);
-        if wait.is_zero() || now + wait <= latest {
+        let longest = self.limits.longest_wait(&held);
+        if wait <= longest {
             self.waiting.push_online(held);
             return;
         }
-        let retry_after = (now + wait).saturating_sub(latest);
+        let retry_after = wait.saturating_sub(longest);
         actions.push(GateAction::Refuse {
             ticket: held.request.ticket,
             retry_after: retry_after.clamp(RETRY_MIN, RETRY_MAX),
--- a/crates/decide/src/gate/limits.rs
+++ b/crates/decide/src/gate/limits.rs
@@ -12,13 +12,15 @@
 /// Thousandths, in which limits are counted.
 const MILLI: u32 = 1_000;
 /// Limit on all requests before anything is learned.
-const FIRST_LIMIT: u32 = 32;
+const FIRST_LIMIT: u32 = 48;
 /// Lowest limit on all requests.
 const LEAST_LIMIT: u32 = 2;
 /// Limit on batch streams beside online ones before anything is learned.
 const FIRST_BATCH: u32 = 4;
 /// Time between changes of the limits.
 const ADJUST_PERIOD: Duration = Duration::from_millis(250);
+/// Time between changes of the limit on all requests, once the engine was seen to queue.
+const LIMIT_PERIOD: Duration = Duration::from_secs(1);
 /// Share of late times between tokens above which a limit falls, in parts per million.
 const LATE_HIGH: i64 = 40_000;
 /// Share of late times between tokens below which a limit rises, in parts per million.
@@ -31,9 +33,11 @@
 const ONLINE_NEAR: Duration = Duration::from_secs(1);
 /// Time in which the highest number of online requests is remembered; twice that at most.
 const PEAK_PERIOD: Duration = Duration::from_secs(4);
-/// The part of the promised time to the first token that a first token may take before the engine counts as
-/// queueing.
-const QUEUEING_PART: u32 = 4;
+/// The part of the promised time to the first token that the mean first token may take before the engine
+/// counts as queueing.
+const QUEUEING_PART: u32 = 6;
+/// Share of late times between tokens at which an endpoint counts as slow, in parts per million.
+const LATE_SEVERE: i64 = 500_000;
 
 /// The learned limits of one endpoint.
 #[derive(Clone, Debug)]
@@ -49,7 +53,10 @@
     /// Mean time from start to end of online requests.
     mean_service: Duration,
     queueing: bool,
+    /// Whether the engine was ever seen to queue; the limit rises fast until then.
+    bounded: bool,
     adjusted: Duration,
+    limit_changed: Duration,
     online_until: Duration,
     online_near: bool,
     peak: usize,
@@ -72,7 +79,9 @@
             mean_first: Duration::ZERO,
             mean_service: Duration::ZERO,
             queueing: false,
+            bounded: false,
             adjusted: Duration::ZERO,
+            limit_changed: Duration::ZERO,
             online_until: Duration::ZERO,
             online_near: false,
             peak: 0,
@@ -130,6 +139,12 @@
         promised.min(due).max(held.arrived)
     }
 
+    /// Returns the longest wait that is expected of a request for it to be admitted; half of what it has,
+    /// so that few are refused after they have waited.
+    pub(super) fn longest_wait(&self, held: &HeldRequest) -> Duration {
+        self.latest_start(held).saturating_sub(held.arrived) / 2
+    }
+
     /// Learns from a first token.
     pub(super) fn note_first_token(
         &mut self,
@@ -139,12 +154,12 @@
     ) {
         if token.online {
             self.mean_first = mean(self.mean_first, token.since);
-            self.queueing |= token.since > self.first_token / QUEUEING_PART;
-            if !self.queueing && running.len() >= self.limit() {
-                self.limit_milli = (self.limit_milli + MILLI / 2).min(self.max_milli);
+            self.queueing = self.mean_first > self.first_token / QUEUEING_PART;
+            if !self.queueing {
+                self.raise_limit(now, running);
             }
-        } else if running.online() == 0 && running.len() >= self.limit() {
-            self.limit_milli = (self.limit_milli + MILLI / 2).min(self.max_milli);
+        } else if running.online() == 0 {
+            self.raise_limit(now, running);
         }
         self.adjust(now, running);
     }
@@ -186,6 +201,43 @@
         }
     }
 
+    /// Raises the limit on all requests if it is what holds requests back.
+    fn raise_limit(&mut self, now: Duration, running: &RunningTable) {
+        if running.len() < self.limit() {
+            return;
+        }
+        let step = if !self.bounded {
+            MILLI / 2
+        } else if now >= self.limit_changed + LIMIT_PERIOD {
+            self.limit_changed = now;
+            MILLI.max(self.limit_milli / 16)
+        } else {
+            0
+        };
+        self.limit_milli = (self.limit_milli + step).min(self.max_milli);
+    }
+
+    fn lower_limit(&mut self, now: Duration, running: &RunningTable) {
+        let held = u32::try_from(running.len()).unwrap_or(u32::MAX);
+        let held_milli = held.saturating_mul(MILLI);
+        let slow = self.late_share > LATE_SEVERE;
+        // Times that are late far below the limit come from long prompts, not from too many streams.
+        let full = held_milli >= self.limit_milli / 4 * 3;
+        let soon = self.bounded && now < self.limit_changed + LIMIT_PERIOD;
+        if soon || !(slow || full) {
+            return;
+        }
+        self.bounded = true;
+        self.limit_changed = now;
+        let from = if slow {
+            self.limit_milli.min(held_milli)
+        } else {
+            self.limit_milli
+        };
+        let least = (LEAST_LIMIT * MILLI).min(self.max_milli);
+        self.limit_milli = (from / 16 * 15).max(least);
+    }
+
     fn adjust(&mut self, now: Duration, running: &RunningTable) -> bool {
         if now < self.adjusted + ADJUST_PERIOD || running.online() == 0 {
             return false;
@@ -193,16 +245,12 @@
         self.adjusted = now;
         let beside = self.batch_milli / MILLI;
         let batch = u32::try_from(running.batch()).unwrap_or(u32::MAX);
-        let queueing = std::mem::take(&mut self.queueing);
+        let queueing = self.queueing;
         if self.late_share > LATE_HIGH || queueing {
             if batch > 0 {
                 self.batch_milli = self.batch_milli * 7 / 8;
             } else {
-                let held = u32::try_from(running.len()).unwrap_or(u32::MAX);
-                let from = self.limit_milli.min(held.saturating_mul(MILLI));
-                self.limit_milli = (from / 16 * 15)
-                    .max(LEAST_LIMIT * MILLI)
-                    .min(self.max_milli);
+                self.lower_limit(now, running);
             }
             return true;
         }
--- a/crates/decide/src/gate/queue.rs
+++ b/crates/decide/src/gate/queue.rs
@@ -75,11 +75,6 @@
         self.batch.len()
     }
 
-    /// Returns the number of online requests that start before `held`.
-    pub(super) fn online_before(&self, held: &HeldRequest) -> usize {
-        self.online.len() - self.place_of(held)
-    }
-
     pub(super) fn push_online(&mut self, held: HeldRequest) {
         let at = self.place_of(&held);
         self.online.insert(at, held);
