Run the chooser's decisions in the measurement, and tell entries the online load

Entries of the measurement run these decisions as the daemon's chooser does, and the old choice stays with the policy previous. The gate's load note counts online requests against the learned limit, since batch gives way to them; it counted batch against the configured 256. Probes are not counted as not noticing a fault. Admission covers the expected wait by a quarter of the time (a half before).

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -16,6 +16,7 @@
 mod queue;
 pub mod verify;
 
+use crate::load::LoadShare;
 use limits::EndpointLimits;
 use queue::{HeldRequest, RunningTable, WaitingQueue};
 use std::time::Duration;
@@ -195,6 +196,16 @@
         self.running.len() + self.waiting.len()
     }
 
+    /// Returns the load for those who choose endpoints: the online requests, since batch gives way to them.
+    #[must_use]
+    pub fn online_load(&self) -> LoadShare {
+        let held = self.running.online() + self.waiting.online_len();
+        LoadShare {
+            held: u32::try_from(held).unwrap_or(u32::MAX),
+            limit: u32::try_from(self.limits.limit()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Queues an online request unless it could not start in time.
     fn admit(&mut self, held: HeldRequest, actions: &mut Vec<GateAction>) {
         // The whole queue counts, so that one with an early deadline makes no other one late.
--- a/crates/decide/src/gate/limits.rs
+++ b/crates/decide/src/gate/limits.rs
@@ -36,6 +36,8 @@
 /// The part of the promised time to the first token that the mean first token may take before the engine
 /// counts as queueing.
 const QUEUEING_PART: u32 = 6;
+/// The part of the time that a request may wait by which its expected wait must be covered.
+const ADMIT_PART: u32 = 4;
 /// Share of late times between tokens at which an endpoint counts as slow, in parts per million.
 const LATE_SEVERE: i64 = 500_000;
 
@@ -139,10 +141,10 @@
         promised.min(due).max(held.arrived)
     }
 
-    /// Returns the longest wait that is expected of a request for it to be admitted; half of what it has,
+    /// Returns the longest wait that is expected of a request for it to be admitted; a part of what it has,
     /// so that few are refused after they have waited.
     pub(super) fn longest_wait(&self, held: &HeldRequest) -> Duration {
-        self.latest_start(held).saturating_sub(held.arrived) / 2
+        self.latest_start(held).saturating_sub(held.arrived) / ADMIT_PART
     }
 
     /// Learns from a first token.
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -117,10 +117,10 @@
 
     /// Says what the endpoint holds, for those who choose endpoints.
     fn load_note(&self, reached: bool) -> LoadNote {
-        let held = lock(&self.gate).held();
+        let share = lock(&self.gate).online_load();
         LoadNote {
-            held: u32::try_from(held).unwrap_or(u32::MAX),
-            limit: lock(&self.config).0.max_concurrent,
+            held: share.held,
+            limit: share.limit,
             loaded: true,
             reached,
         }
--- a/crates/measure/src/experiments.rs
+++ b/crates/measure/src/experiments.rs
@@ -116,7 +116,7 @@
     }
 
     /// Returns the time after a fault from which the struck endpoints got less than a quarter of their
-    /// fair part of the requests, in milliseconds.
+    /// fair part of the requests, probes of suspected endpoints apart, in milliseconds.
     #[must_use]
     pub fn noticed_ms(&self) -> Option<f64> {
         let fault = self.scenario.faults.first()?;
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod items;
 
+use crate::entry::EntryBook;
 use crate::policy::{GatePolicy, PolicyKind};
 use crate::scenario::{
     BETWEEN_TOKENS, ENDPOINTS, ENTRIES, FIRST_TOKEN, FaultKind, FaultPlan, RunScenario,
@@ -56,7 +57,7 @@
     kind: PolicyKind,
     started: Instant,
     sites: Vec<Mutex<GateSite>>,
-    sent: Mutex<Vec<Vec<usize>>>,
+    entries: Vec<Mutex<EntryBook>>,
     tally: Mutex<RunTally>,
     /// Batch items that each of the jobs has handed out.
     handed: Mutex<Vec<u64>>,
@@ -116,7 +117,9 @@
             kind,
             started: Instant::now(),
             sites: (0..ENDPOINTS).map(|_| site()).collect(),
-            sent: Mutex::new(vec![vec![0; ENDPOINTS]; ENTRIES]),
+            entries: (0..ENTRIES)
+                .map(|entry| Mutex::new(EntryBook::new(kind, entry)))
+                .collect(),
             tally: Mutex::default(),
             handed: Mutex::new(vec![0; items::JOBS.len()]),
         })
