Follow an item that ends at once, report in groups, and share by weight

Cause: a gate pulled every 20 ms and sent one message for each item; the load of a workspace was passed as zero, so weights had no effect. Change: an item that ends pulls its follower; results of one job gather for 20 ms and go out in one report; a workspace's load is its items at the gate over its weight.

--- a/crates/decide/src/offers.rs
+++ b/crates/decide/src/offers.rs
@@ -16,10 +16,24 @@
     pub due_ms: u64,
     /// Items that may be handed out.
     pub waiting: u32,
-    /// Items of the workspace that this gate holds, divided by the workspace's weight.
+    /// Load of the workspace at this gate, from [`workspace_load`].
     pub workspace_load: u32,
 }
 
+/// Items of weight one that make a load of one, in thousandths.
+const LOAD_UNIT: u32 = 1_000;
+
+/// Returns the load of a workspace that holds some items at a gate: the more weight, the less load.
+///
+/// ```
+/// use fulmarswitch_decide::offers::workspace_load;
+/// assert!(workspace_load(6, 3) == workspace_load(2, 1));
+/// ```
+#[must_use]
+pub fn workspace_load(items: u32, weight: u32) -> u32 {
+    items.saturating_mul(LOAD_UNIT) / weight.max(1)
+}
+
 /// Chooses the job to pull from, or `None` when no job has items.
 ///
 /// ```
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -11,12 +11,14 @@
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::gate::GateSettings;
-use fulmarswitch_peer::message::{JobName, OfferList, RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::message::{
+    ItemReport, JobName, OfferList, RefusalNote, RunRequest, RunState,
+};
 use fulmarswitch_peer::{FrameStream, PeerReply, StreamFrame};
 use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
 use fulmarswitch_records::{HostIdentity, SortedIndex};
 use futures::StreamExt;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use unit::GateUnit;
@@ -33,6 +35,10 @@
     shards: Arc<ShardBooks>,
     units: Mutex<SortedIndex<Arc<str>, Arc<GateUnit>>>,
     offers: Mutex<SortedIndex<HostIdentity, OfferList>>,
+    /// Results that are not sent yet, by job.
+    reports: Mutex<SortedIndex<Arc<str>, ItemReport>>,
+    /// Reports on their way.
+    sending: AtomicUsize,
     attempts: AtomicU64,
     leaving: AtomicBool,
 }
@@ -47,6 +53,8 @@
             shards: Arc::clone(shards),
             units: Mutex::default(),
             offers: Mutex::default(),
+            reports: Mutex::default(),
+            sending: AtomicUsize::new(0),
             attempts: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
         })
@@ -62,12 +70,13 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Returns the number of gates held, and of requests in them.
+    /// Returns the number of gates held, and of requests in them and reports to be sent.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
         let units = lock(&self.units);
-        let held = units.iter().map(|(_, unit)| unit.held()).sum();
-        (units.len(), held)
+        let held: usize = units.iter().map(|(_, unit)| unit.held()).sum();
+        let unsent = lock(&self.reports).len() + self.sending.load(Ordering::Acquire);
+        (units.len(), held + unsent)
     }
 
     /// Runs a request on an endpoint whose gate is here.
--- a/crates/fulmarswitch/src/gates/batch.rs
+++ b/crates/fulmarswitch/src/gates/batch.rs
@@ -4,7 +4,7 @@
 use super::unit::{CallEnd, GateOrder, GateUnit};
 use crate::parts::lock;
 use fulmarswitch_decide::gate::RequestClass;
-use fulmarswitch_decide::offers::{OfferView, choose_offer};
+use fulmarswitch_decide::offers::{OfferView, choose_offer, workspace_load};
 use fulmarswitch_endpoint::EndpointCall;
 use fulmarswitch_peer::message::{
     AttemptResult, ItemReport, JobOffer, PullRequest, PulledItem, PulledItems,
@@ -20,11 +20,18 @@
 const PULL_LIMIT: usize = 32;
 /// Time that a batch item may wait at the gate; a long time, since its due date is far off.
 const BATCH_WAIT: Duration = Duration::from_hours(1);
+/// Time over which the results of one job are gathered into one report.
+const REPORT_LINGER: Duration = Duration::from_millis(20);
+/// Most results in one report.
+const REPORT_LIMIT: usize = 64;
 /// Pause before a report is sent again.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 /// Times that a report is sent before the item is left to its lease.
 const REPORT_TRIES: u32 = 50;
 
+/// Index of an item in its job, and what it came to.
+type ItemResult = (u32, AttemptResult);
+
 impl GateRole {
     /// Pulls items if the gate has room and no pull is under way.
     pub(super) fn pull_batch(self: &Arc<Self>, unit: &Arc<GateUnit>) {
@@ -45,6 +52,13 @@
 
     fn best_offer(&self, unit: &GateUnit) -> Option<(HostIdentity, JobOffer)> {
         let service = unit.config().0.service;
+        let view = self.fleet.view();
+        let held = unit.held_by_workspace();
+        let load_of = |workspace: &str| {
+            let items = held.get(workspace).copied().unwrap_or(0);
+            let weight = view.config.workspace(workspace);
+            workspace_load(items, weight.map_or(1, |config| config.batch_weight))
+        };
         let offers = lock(&self.offers);
         let mut candidates = Vec::new();
         let mut views = Vec::new();
@@ -56,7 +70,7 @@
                     workspace: Arc::clone(&offer.workspace),
                     due_ms: offer.due_ms,
                     waiting: offer.waiting,
-                    workspace_load: 0,
+                    workspace_load: load_of(&offer.workspace),
                 });
             }
         }
@@ -119,16 +133,55 @@
         let index = item.index;
         let run = self.run_item(&unit, &header, item, (Arc::clone(&job), stop));
         let result = tokio::select! {
-            result = run => result,
+            result = run => Some(result),
             // The job is cancelled, so its owner waits for nothing.
-            _ = stopped => return,
+            _ = stopped => None,
         };
+        if let Some(result) = result {
+            self.add_result(&job, shard, (index, result));
+        }
+        // The item that ended leaves room, which is filled at once.
+        self.pull_batch(&unit);
+    }
+
+    /// Puts a result into the job's next report.
+    fn add_result(self: &Arc<Self>, job: &Arc<str>, shard: ShardIndex, result: ItemResult) {
+        let mut reports = lock(&self.reports);
+        if let Some(report) = reports.get_mut(&**job) {
+            report.results.push(result);
+            return;
+        }
         let report = ItemReport {
-            job,
+            job: Arc::clone(job),
             shard,
-            results: vec![(index, result)],
+            results: vec![result],
         };
-        self.send_report(report).await;
+        reports.insert(Arc::clone(job), report);
+        drop(reports);
+        tokio::spawn(Arc::clone(self).report_soon(Arc::clone(job)));
+    }
+
+    /// Sends what a job's items came to, once some results have gathered.
+    async fn report_soon(self: Arc<Self>, job: Arc<str>) {
+        tokio::time::sleep(REPORT_LINGER).await;
+        // Counted before it is taken out, so that a host that leaves always sees it.
+        self.sending.fetch_add(1, Ordering::AcqRel);
+        let taken = lock(&self.reports).remove(&*job);
+        if let Some(report) = taken {
+            self.send_results(&report).await;
+        }
+        self.sending.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    async fn send_results(&self, report: &ItemReport) {
+        for results in report.results.chunks(REPORT_LIMIT) {
+            let part = ItemReport {
+                job: Arc::clone(&report.job),
+                shard: report.shard,
+                results: results.to_vec(),
+            };
+            self.send_report(part).await;
+        }
     }
 
     /// Runs an item, again after each time that online work takes its place.
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -111,6 +111,24 @@
         lock(&self.posts).len()
     }
 
+    /// Returns the number of batch items held of each workspace.
+    pub(super) fn held_by_workspace(&self) -> SortedIndex<Arc<str>, u32> {
+        let mut held: SortedIndex<Arc<str>, u32> = SortedIndex::new();
+        for (_, post) in lock(&self.posts).iter() {
+            let Some((workspace, _)) = post.job.as_deref().and_then(|job| job.split_once('/'))
+            else {
+                continue;
+            };
+            match held.get_mut(workspace) {
+                Some(items) => *items += 1,
+                None => {
+                    held.insert(workspace.into(), 1);
+                }
+            }
+        }
+        held
+    }
+
     pub(super) fn config(&self) -> (EndpointConfig, ServiceConfig) {
         lock(&self.config).clone()
     }
