--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -3,7 +3,7 @@
 use super::{refusal, settings_of};
 use crate::chooser::{EndpointChooser, WatchedCall};
 use crate::parts::{HostParts, lock};
-use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
+use fulmarswitch_decide::gate::{EndpointGate, GateAction, GateRequest, RequestClass, TicketIndex};
 use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
 use fulmarswitch_peer::message::{LoadNote, RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{FrameStream, StreamFrame};
@@ -118,18 +118,36 @@
         lock(&self.posts).len()
     }
 
+    /// Returns the number of batch items held of each workspace.
+    pub(super) fn held_by_workspace(&self) -> SortedIndex<Arc<str>, u32> {
+        let mut held: SortedIndex<Arc<str>, u32> = SortedIndex::new();
+        for (_, post) in lock(&self.posts).iter() {
+            let Some((workspace, _)) = post.job.as_deref().and_then(|job| job.split_once('/'))
+            else {
+                continue;
+            };
+            match held.get_mut(workspace) {
+                Some(items) => *items += 1,
+                None => {
+                    held.insert(workspace.into(), 1);
+                }
+            }
+        }
+        held
+    }
+
     pub(super) fn config(&self) -> (EndpointConfig, ServiceConfig) {
         lock(&self.config).clone()
     }
 
     /// Says what the endpoint holds, for those who choose endpoints.
     fn load_note(&self, reached: bool) -> LoadNote {
-        let held = lock(&self.gate).held();
+        let share = lock(&self.gate).online_load();
         let (endpoint, _) = self.config();
         let suspected = self.chooser.is_suspected(&endpoint.service, &self.name);
         LoadNote {
-            held: u32::try_from(held).unwrap_or(u32::MAX),
-            limit: endpoint.max_concurrent,
+            held: share.held,
+            limit: share.limit,
             loaded: true,
             reached,
             suspected,
@@ -176,6 +194,7 @@
         self: &Arc<Self>,
         class: RequestClass,
         wait: Duration,
+        resumable: bool,
         job: Option<(Arc<str>, oneshot::Sender<()>)>,
     ) -> HeldTicket {
         let ticket = TicketIndex(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -195,7 +214,13 @@
             unit: Arc::clone(self),
         };
         let now = self.parts.now();
-        self.decide(|gate, actions| gate.arrive(now, ticket, class, now + wait, actions));
+        let request = GateRequest {
+            ticket,
+            class,
+            deadline: now + wait,
+            resumable,
+        };
+        self.decide(|gate, actions| gate.arrive(now, request, actions));
         held
     }
 
@@ -203,6 +228,9 @@
     fn decide(&self, event: impl FnOnce(&mut EndpointGate, &mut Vec<GateAction>)) {
         let mut actions = Vec::new();
         event(&mut lock(&self.gate), &mut actions);
+        if actions.is_empty() {
+            return;
+        }
         let posts = lock(&self.posts);
         for action in actions {
             let (ticket, order) = match action {
@@ -226,7 +254,7 @@
         frames: mpsc::UnboundedSender<StreamFrame>,
     ) {
         let wait = Duration::from_millis(request.left_ms);
-        let mut held = self.enter(RequestClass::Online, wait, None);
+        let mut held = self.enter(RequestClass::Online, wait, false, None);
         let mut first = held.orders.try_recv().ok();
         // A stream that is gone shows itself in `closed` below.
         let _ = frames.send(StreamFrame::Load(self.load_note(true)));
@@ -321,8 +349,8 @@
             };
             match part {
                 Some(Ok(AnswerPart::Text(text))) => {
-                    let now = self.parts.now();
-                    lock(&self.gate).token(now, held.ticket);
+                    let (now, ticket) = (self.parts.now(), held.ticket);
+                    self.decide(|gate, actions| gate.token(now, ticket, actions));
                     watched.see_token();
                     if !show(&text) {
                         return CallEnd::Cancelled;
--- /dev/null
+++ b/crates/measure/src/cost.rs
@@ -0,0 +1,117 @@
+//! Processor time and memory of the decisions, in real time.
+
+use crate::tally::to_float;
+use crate::world::gate_settings;
+use fulmarswitch_decide::balance::{
+    EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
+};
+use fulmarswitch_decide::gate::{EndpointGate, GateRequest, RequestClass, TicketIndex};
+use fulmarswitch_decide::load::EndpointLoad;
+use fulmarswitch_decide::suspicion::ServiceHealth;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+/// Numbers of endpoints.
+const ENDPOINTS: [usize; 4] = [10, 100, 1_000, 10_000];
+/// Decisions timed at each number.
+const ROUNDS: u32 = 2_000;
+/// Requests that the gate holds while it is timed.
+const HELD: u64 = 64;
+
+/// Cost at one number of endpoints.
+#[derive(Clone, Copy, Debug)]
+pub struct DecisionCost {
+    /// Endpoints of the service.
+    pub endpoints: usize,
+    /// Microseconds to choose an endpoint.
+    pub choose_us: f64,
+    /// Microseconds for a gate's arrive, one token and end.
+    pub gate_us: f64,
+}
+
+impl DecisionCost {
+    /// Returns the microseconds of one decision.
+    #[must_use]
+    pub fn total_us(&self) -> f64 {
+        self.choose_us + self.gate_us
+    }
+}
+
+/// Times the decisions.
+#[must_use]
+pub fn measure_costs() -> Vec<DecisionCost> {
+    let gate_us = time_gate();
+    ENDPOINTS
+        .iter()
+        .map(|endpoints| DecisionCost {
+            endpoints: *endpoints,
+            choose_us: time_choose(*endpoints),
+            gate_us,
+        })
+        .collect()
+}
+
+fn time_choose(endpoints: usize) -> f64 {
+    let spec = |at| EndpointSpec {
+        name: format!("endpoint-{at}").into(),
+        near: at % 3 == 0,
+    };
+    let table = EndpointTable::new((0..endpoints).map(spec).collect());
+    let loads = vec![EndpointLoad::default(); endpoints];
+    let health = ServiceHealth::new(endpoints);
+    let look = |index: EndpointIndex| EndpointView {
+        load: loads[index.at()].share(Duration::ZERO),
+        standing: if health.is_suspected(index) {
+            EndpointStanding::Suspected
+        } else {
+            EndpointStanding::Ready
+        },
+    };
+    let prefixes: Vec<String> = (0..ROUNDS).map(|round| format!("prefix {round}")).collect();
+    let started = Instant::now();
+    for prefix in &prefixes {
+        let affinity = RequestAffinity::of_prefix(black_box(prefix));
+        black_box(table.choose(affinity, look));
+    }
+    micros_each(started.elapsed(), ROUNDS)
+}
+
+fn time_gate() -> f64 {
+    let mut gate = EndpointGate::new(gate_settings());
+    let mut actions = Vec::new();
+    let wait = Duration::from_secs(2);
+    for ticket in 0..HELD {
+        let class = if ticket % 2 == 0 {
+            RequestClass::Online
+        } else {
+            RequestClass::Batch
+        };
+        gate.arrive(Duration::ZERO, request(ticket, class, wait), &mut actions);
+    }
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(u64::from(round) * 100);
+        let ticket = HELD + u64::from(round);
+        let online = request(ticket, RequestClass::Online, now + wait);
+        gate.arrive(now, online, &mut actions);
+        gate.token(now, TicketIndex(ticket), &mut actions);
+        gate.end(now, TicketIndex(ticket), &mut actions);
+        black_box(&actions);
+        actions.clear();
+    }
+    micros_each(started.elapsed(), ROUNDS)
+}
+
+fn request(ticket: u64, class: RequestClass, deadline: Duration) -> GateRequest {
+    GateRequest {
+        ticket: TicketIndex(ticket),
+        class,
+        deadline,
+        resumable: true,
+    }
+}
+
+fn micros_each(time: Duration, rounds: u32) -> f64 {
+    let nanos = u64::try_from(time.as_nanos() / u128::from(rounds)).unwrap_or(u64::MAX);
+    to_float(nanos) / 1_000.0
+}
