Suspect endpoints that refuse calls

Cause: an endpoint that refused calls, as while its model is not loaded, was no sign to anybody, so each owner went on sending to it and was refused; the note that an endpoint has not loaded its model was never set.

Change: a refused call is a sign like one that was not reached. The standing of an endpoint without its model and the fields for it are gone.

Conclusion: one mechanism for all endpoints that do not take calls.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -57,9 +57,7 @@
 pub enum EndpointStanding {
     /// It may be chosen.
     Ready,
-    /// It has not loaded the model; chosen when no endpoint is ready.
-    Cold,
-    /// It is suspected; chosen when all others are excluded.
+    /// It is suspected, or has not loaded the model and refuses; chosen when no endpoint is ready.
     Suspected,
     /// It is never chosen.
     Excluded,
--- a/crates/decide/src/suspicion.rs
+++ b/crates/decide/src/suspicion.rs
@@ -1,6 +1,6 @@
 //! Which endpoints of a service are suspected, and when they are trusted again.
 //!
-//! Each attempt at an endpoint gives signs: it was not reached, it broke off, its first token was early or
+//! Each attempt at an endpoint gives signs: it was not reached or refused the call, it broke off, its first token was early or
 //! late, its tokens follow fast or slowly. Late and slow are judged against what is typical of the service,
 //! which follows the median of all its endpoints. So one slow endpoint stands out, and when all are slow
 //! nothing does: that is overload, for which no endpoint is to blame.
@@ -38,7 +38,7 @@
 /// What an attempt tells of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptSign {
-    /// It could not be reached; no byte went out.
+    /// It could not be reached, or refused the call; nothing ran.
     Unreached,
     /// The answer broke off.
     Broken,
--- a/crates/decide/tests/balance.rs
+++ b/crates/decide/tests/balance.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::time::Duration;
 
-use EndpointStanding::{Cold, Excluded, Ready, Suspected};
+use EndpointStanding::{Excluded, Ready, Suspected};
 
 fn table(count: u32) -> EndpointTable {
     let spec = |at| EndpointSpec {
@@ -30,8 +30,7 @@
 #[case::the_idle_one(&[(9, Ready), (9, Ready), (0, Ready)], Some(2))]
 #[case::the_near_one_of_equals(&[(1, Ready), (1, Ready)], Some(0))]
 #[case::load_outweighs_nearness(&[(1, Ready), (0, Ready)], Some(1))]
-#[case::a_cold_one_waits(&[(9, Ready), (0, Cold)], Some(0))]
-#[case::a_cold_one_before_a_suspected(&[(0, Suspected), (9, Cold)], Some(1))]
+#[case::a_suspected_one_waits(&[(9, Ready), (0, Suspected)], Some(0))]
 #[case::a_suspected_one_when_alone(&[(0, Excluded), (9, Suspected)], Some(1))]
 #[case::none_when_all_are_excluded(&[(0, Excluded), (0, Excluded)], None)]
 #[case::none_when_there_are_none(&[], None)]
@@ -108,7 +107,7 @@
 }
 
 fn standings() -> impl Strategy<Value = Vec<EndpointStanding>> {
-    let one = prop_oneof![Just(Ready), Just(Cold), Just(Suspected), Just(Excluded)];
+    let one = prop_oneof![Just(Ready), Just(Suspected), Just(Excluded)];
     proptest::collection::vec(one, 1..80)
 }
 
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -38,8 +38,6 @@
     table: EndpointTable,
     affine: bool,
     loads: Vec<EndpointLoad>,
-    /// Endpoints whose gate says that they have not loaded the model.
-    cold: Vec<bool>,
     health: ServiceHealth,
     budget: RetryBudget,
     choices: u64,
@@ -193,7 +191,6 @@
                     limit: note.limit,
                 };
                 service.loads[index.at()].note(now, share);
-                service.cold[index.at()] = !note.loaded;
             }
         });
     }
@@ -236,7 +233,6 @@
             table: EndpointTable::default(),
             affine: true,
             loads: Vec::new(),
-            cold: Vec::new(),
             health: ServiceHealth::default(),
             budget: RetryBudget::new(now),
             choices: 0,
@@ -260,11 +256,9 @@
             .map(|spec| self.table.index_of(&spec.name))
             .collect();
         let old_loads = std::mem::take(&mut self.loads);
-        let old_cold = std::mem::take(&mut self.cold);
         for old in &old_places {
             let load = old.map(|old| old_loads[old.at()].clone());
             self.loads.push(load.unwrap_or_default());
-            self.cold.push(old.is_some_and(|old| old_cold[old.at()]));
         }
         self.health = self.health.remapped(&old_places);
         self.table = table;
@@ -301,8 +295,6 @@
                 EndpointStanding::Excluded
             } else if is_shunned(index) {
                 EndpointStanding::Suspected
-            } else if self.cold[index.at()] {
-                EndpointStanding::Cold
             } else {
                 EndpointStanding::Ready
             };
--- a/crates/fulmarswitch/src/chooser/sent.rs
+++ b/crates/fulmarswitch/src/chooser/sent.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// Learns that the gate or the endpoint was not reached.
+    /// Learns that the gate was not reached, or the endpoint does not take calls.
     pub(crate) fn see_unreached(&mut self) {
         self.note(AttemptSign::Unreached);
     }
@@ -153,7 +153,7 @@
         self.chooser.take_load(&self.service, &self.endpoint, note);
         if note.suspected {
             self.note(AttemptSign::Reported);
-        } else if !note.reached {
+        } else if !note.takes_calls {
             self.see_unreached();
         }
     }
@@ -200,7 +200,7 @@
         }
     }
 
-    /// Learns that the endpoint was not reached.
+    /// Learns that the endpoint was not reached or refused the call.
     pub(crate) fn see_unreached(&self) {
         self.note(AttemptSign::Unreached);
     }
--- a/crates/fulmarswitch/src/gates/batch.rs
+++ b/crates/fulmarswitch/src/gates/batch.rs
@@ -226,7 +226,7 @@
             match unit.call_endpoint(&mut held, call, &mut show).await {
                 CallEnd::Done => return AttemptResult::Done { text: text.into() },
 
-                CallEnd::Unreached(_) | CallEnd::NotRun(_) => {
+                CallEnd::NotRun(_) => {
                     return AttemptResult::Returned {
                         may_have_run: false,
                     };
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -57,9 +57,7 @@
     Done,
     /// The endpoint reports a failure.
     Failed(Arc<str>),
-    /// No byte went out.
-    Unreached(Arc<str>),
-    /// The endpoint refused without running.
+    /// No byte went out, or the endpoint refused without running.
     NotRun(Arc<str>),
     /// The call broke off and may have run.
     Broken(Arc<str>),
@@ -141,15 +139,14 @@
     }
 
     /// Says what the endpoint holds, for those who choose endpoints.
-    fn load_note(&self, reached: bool) -> LoadNote {
+    fn load_note(&self, takes_calls: bool) -> LoadNote {
         let share = lock(&self.gate).online_load();
         let (endpoint, _) = self.config();
         let suspected = self.chooser.is_suspected(&endpoint.service, &self.name);
         LoadNote {
             held: share.held,
             limit: share.limit,
-            loaded: true,
-            reached,
+            takes_calls,
             suspected,
         }
     }
@@ -281,7 +278,7 @@
                     end = run => end,
                     () = frames.closed() => return,
                 };
-                if matches!(end, CallEnd::Unreached(_)) {
+                if matches!(end, CallEnd::NotRun(_)) {
                     let _ = frames.send(StreamFrame::Load(self.load_note(false)));
                 }
                 last_frame(end, text)
@@ -369,13 +366,14 @@
 
 fn error_end(error: EndpointError, watched: &WatchedCall) -> CallEnd {
     match &error {
-        EndpointError::NotSent { .. } => watched.see_unreached(),
+        EndpointError::NotSent { .. } | EndpointError::Refused { .. } => watched.see_unreached(),
         EndpointError::Broken { .. } => watched.see_broken(),
-        EndpointError::Refused { .. } | EndpointError::Failed { .. } => {}
+        EndpointError::Failed { .. } => {}
     }
     match error {
-        EndpointError::NotSent { cause } => CallEnd::Unreached(cause),
-        EndpointError::Refused { cause, .. } => CallEnd::NotRun(cause),
+        EndpointError::NotSent { cause } | EndpointError::Refused { cause, .. } => {
+            CallEnd::NotRun(cause)
+        }
         EndpointError::Broken { cause } => CallEnd::Broken(cause),
         EndpointError::Failed { cause } => CallEnd::Failed(cause),
     }
@@ -389,7 +387,7 @@
     match end {
         CallEnd::Done => done(ItemOutcome::Done { text: text.into() }),
         CallEnd::Failed(reason) => done(ItemOutcome::Failed { reason }),
-        CallEnd::Unreached(cause) | CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
+        CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
         CallEnd::Broken(cause) => StreamFrame::Refused(RefusalNote {
             reason: cause,
             ran: RunState::MayHaveRun,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -305,10 +305,8 @@
     pub held: u32,
     /// Requests that the endpoint may hold within its promises.
     pub limit: u32,
-    /// Whether the endpoint has loaded the service's model.
-    pub loaded: bool,
-    /// Whether the endpoint could be reached.
-    pub reached: bool,
+    /// Whether the endpoint was reached and took the call, as far as known.
+    pub takes_calls: bool,
     /// Whether the host of the gate suspects the endpoint, from all that goes through the gate.
     pub suspected: bool,
 }
--- a/crates/trials/tests/endpoints.rs
+++ b/crates/trials/tests/endpoints.rs
@@ -33,6 +33,10 @@
     faults.slow_factor = 1e6;
 }
 
+fn refusing(faults: &mut EngineFaults) {
+    faults.refuse = true;
+}
+
 fn lost(faults: &mut EngineFaults) {
     faults.lost = true;
 }
@@ -71,6 +75,7 @@
 #[rstest]
 #[case::five_times_slower(slow, 1)]
 #[case::frozen(frozen, 1)]
+#[case::refusing(refusing, 0)]
 #[case::lost(lost, 1)]
 #[tokio::test(start_paused = true)]
 async fn one_bad_endpoint(#[case] fault: fn(&mut EngineFaults), #[case] failures: usize) {
