--- a/crates/decide/src/config.rs
+++ b/crates/decide/src/config.rs
@@ -20,8 +20,10 @@
     pub change: ConfigChange,
     /// The change as this program understands it.
     pub body: ConfigBody,
-    /// Offset of the change.
+    /// Offset of the change, or of its newest copy.
     pub offset: Offset,
+    /// Offset from which a reader knows the record: its first change, or its newest copy.
+    pub anchor: Offset,
 }
 
 /// What became of a change.
@@ -107,6 +109,29 @@
             .filter(|entry| !entry.change.deletes())
     }
 
+    /// Returns all records, deleted ones too: their versions go on counting.
+    pub fn entries(&self) -> impl Iterator<Item = &ConfigEntry> {
+        self.entries.iter().map(|(_, entry)| entry)
+    }
+
+    /// Returns copies of up to `limit` records that only entries before `before` make known.
+    #[must_use]
+    pub fn plan_copies(&self, before: Offset, limit: usize) -> Vec<CarriedConfig> {
+        let old = self.entries().filter(|entry| entry.anchor < before);
+        let copies = old.map(|entry| CarriedConfig {
+            version: entry.version,
+            change: entry.change.clone(),
+        });
+        copies.take(limit).collect()
+    }
+
+    /// Returns the names of the records that a reader which starts at `oldest` would not come to know.
+    #[must_use]
+    pub fn unretained(&self, oldest: Offset) -> Vec<Arc<str>> {
+        let lost = self.entries().filter(|entry| entry.anchor < oldest);
+        lost.map(|entry| Arc::clone(&entry.change.name)).collect()
+    }
+
     /// Returns the service of this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceConfig> {
@@ -166,6 +191,7 @@
             change,
             body,
             offset,
+            anchor: offset,
         };
         self.entries.insert(carried.change.name.clone(), entry);
     }
@@ -175,6 +201,8 @@
         if change.base_version != current {
             return ConfigVerdict::Lost { current };
         }
+        let known = self.entries.get(&change.name);
+        let anchor = known.map_or(offset, |entry| entry.anchor);
         let version = current + 1;
         let body = change.parse_lenient();
         let entry = ConfigEntry {
@@ -182,6 +210,7 @@
             change: change.clone(),
             body,
             offset,
+            anchor,
         };
         self.entries.insert(change.name.clone(), entry);
         ConfigVerdict::Accepted { version }
--- a/crates/decide/src/hosts.rs
+++ b/crates/decide/src/hosts.rs
@@ -113,7 +113,13 @@
     }
 
     fn join(&mut self, join: &HostJoin) -> bool {
-        if let Some(entry) = self.hosts.get(&join.host.name) {
+        if let Some(entry) = self.hosts.get_mut(&join.host.name) {
+            let alive = join.host == entry.join.host && entry.phase == HostPhase::Live;
+            if alive && !entry.reporters.is_empty() {
+                // A host that repeats its join is not silent.
+                entry.reporters.clear();
+                return true;
+            }
             let newer = join.host.incarnation > entry.join.host.incarnation;
             let again = join.host == entry.join.host && entry.phase == HostPhase::Down;
             if !newer && !again {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`shard`]: replays the records of one shard; says which records are valid, who owns the shard and
 //!   what state each key, job and item is in.
+//! - [`retention`]: what a shard's owner writes again or forgets before the log drops it.
 //! - [`hosts`]: replays joins and leaves; says which hosts are live.
 //! - [`config`]: replays configuration; says which change won and what is in force.
 //! - [`placement`]: rendezvous hashing of shards, groups and endpoints over hosts.
@@ -20,4 +21,5 @@
 pub mod hosts;
 pub mod offers;
 pub mod placement;
+pub mod retention;
 pub mod shard;
--- /dev/null
+++ b/crates/decide/src/retention/copy.rs
@@ -0,0 +1,196 @@
+//! Making copies of keys and items from the records that hold them.
+//!
+//! The caller reads the records at the places named here and makes the copy from the state as it then
+//! stands; `as_of` is the place of the newest record in that state. If the state has come to name another place meanwhile, there is no copy and the step is planned
+//! again.
+
+use crate::shard::KeyEntry;
+use crate::shard::jobs::{ChunkEntry, ItemState, JobEntry};
+use fulmarswitch_records::record::{CarriedItem, CarriedItems, CarriedKey};
+use fulmarswitch_records::{ItemOutcome, OnlineRequest, RecordBody, RecordPlace, SortedIndex};
+use std::sync::Arc;
+
+/// Bytes of an item beside its texts.
+const FIXED_BYTES: usize = 16;
+
+/// Records by their places.
+pub type RecordsRead = SortedIndex<RecordPlace, RecordBody>;
+
+/// Returns the places of the records that a copy of a key is made from.
+#[must_use]
+pub fn key_places(entry: &KeyEntry) -> Vec<RecordPlace> {
+    let outcome = entry.outcome.map(|result| result.place);
+    std::iter::once(entry.accepted).chain(outcome).collect()
+}
+
+/// Makes a copy of a key; none when a record is missing.
+#[must_use]
+pub fn copy_key(as_of: RecordPlace, entry: &KeyEntry, records: &RecordsRead) -> Option<CarriedKey> {
+    let request = request_in(records.get(&entry.accepted)?)?.clone();
+    let outcome = match &entry.outcome {
+        Some(result) => Some(key_outcome_in(records.get(&result.place)?)?.clone()),
+        None => None,
+    };
+    Some(CarriedKey {
+        as_of,
+        request,
+        running: entry.running,
+        outcome,
+        completed_ms: entry.outcome.map_or(0, |result| result.completed_ms),
+    })
+}
+
+/// Returns the places of the records that a copy of a range of items is made from.
+#[must_use]
+pub fn items_places(job: &JobEntry, first: u32, count: u32) -> Vec<RecordPlace> {
+    let mut places: Vec<RecordPlace> = (first..first.saturating_add(count))
+        .filter_map(|item| place_of(job, item))
+        .collect();
+    places.sort_unstable();
+    places.dedup();
+    places
+}
+
+/// Makes a copy of a range of items; none when a record is missing or the job has no such items.
+#[must_use]
+pub fn copy_items(
+    as_of: RecordPlace,
+    job: &JobEntry,
+    first: u32,
+    count: u32,
+    records: &RecordsRead,
+) -> Option<CarriedItems> {
+    let seal = job.accepted()?;
+    let mut items = Vec::with_capacity(count as usize);
+    for item in first..first.checked_add(count)? {
+        items.push(copy_item(job, item, records)?);
+    }
+    Some(CarriedItems {
+        as_of,
+        seal: (**seal).clone(),
+        cancelled: job.is_cancelled(),
+        completed_ms: job.completed_ms(),
+        first,
+        items,
+    })
+}
+
+/// Splits a copy into parts of about `limit` bytes of text.
+#[must_use]
+pub fn split_items(copy: CarriedItems, limit: usize) -> Vec<CarriedItems> {
+    let mut parts = Vec::new();
+    let mut first = copy.first;
+    let mut part: Vec<CarriedItem> = Vec::new();
+    let mut bytes = 0;
+    let part_of = |first, items| CarriedItems {
+        seal: copy.seal.clone(),
+        first,
+        items,
+        ..copy
+    };
+    for item in copy.items {
+        let size = item_bytes(&item);
+        if !part.is_empty() && bytes + size > limit {
+            let count = u32::try_from(part.len()).unwrap_or(u32::MAX);
+            parts.push(part_of(first, std::mem::take(&mut part)));
+            first += count;
+            bytes = 0;
+        }
+        bytes += size;
+        part.push(item);
+    }
+    parts.push(part_of(first, part));
+    parts
+}
+
+/// Returns the outcome of an item that a record holds.
+#[must_use]
+pub fn item_outcome_in(body: &RecordBody, item: u32) -> Option<&ItemOutcome> {
+    match body {
+        RecordBody::ItemOutcomes(outcomes) => outcomes
+            .outcomes
+            .iter()
+            .find(|(index, _)| *index == item)
+            .map(|(_, outcome)| outcome),
+        RecordBody::CarriedItems(carried) => {
+            let at = item.checked_sub(carried.first)?;
+            carried.items.get(at as usize)?.outcome.as_ref()
+        }
+        _ => None,
+    }
+}
+
+/// Returns the input of an item that a record holds.
+#[must_use]
+pub fn item_input_in(body: &RecordBody, item: u32) -> Option<&Arc<str>> {
+    match body {
+        RecordBody::JobChunk(chunk) => chunk.inputs.get(item.checked_sub(chunk.first)? as usize),
+        RecordBody::CarriedItems(carried) => {
+            let at = item.checked_sub(carried.first)?;
+            carried.items.get(at as usize).map(|item| &item.input)
+        }
+        _ => None,
+    }
+}
+
+/// Returns the outcome of a key that a record holds.
+#[must_use]
+pub fn key_outcome_in(body: &RecordBody) -> Option<&ItemOutcome> {
+    match body {
+        RecordBody::Outcome(outcome) => Some(&outcome.outcome),
+        RecordBody::CarriedKey(carried) => carried.outcome.as_ref(),
+        _ => None,
+    }
+}
+
+/// Returns the request that a record holds.
+#[must_use]
+pub fn request_in(body: &RecordBody) -> Option<&OnlineRequest> {
+    match body {
+        RecordBody::Accept(request) => Some(request),
+        RecordBody::CarriedKey(carried) => Some(&carried.request),
+        _ => None,
+    }
+}
+
+/// Returns the place of the one record that a copy of an item needs: its result, or else its input.
+fn place_of(job: &JobEntry, item: u32) -> Option<RecordPlace> {
+    let state = job.states().get(item as usize)?;
+    if state.is_final() {
+        job.result_of(item)
+    } else {
+        job.chunk_of(item).map(|chunk: &ChunkEntry| chunk.place)
+    }
+}
+
+fn copy_item(job: &JobEntry, item: u32, records: &RecordsRead) -> Option<CarriedItem> {
+    let state = *job.states().get(item as usize)?;
+    let mut copy = CarriedItem {
+        input: "".into(),
+        running: state == ItemState::Announced,
+        attempts: job.attempts_of(item),
+        outcome: None,
+    };
+    match (state, place_of(job, item)) {
+        (ItemState::Open | ItemState::Announced, Some(place)) => {
+            copy.input = item_input_in(records.get(&place)?, item)?.clone();
+        }
+        (ItemState::Open | ItemState::Announced, None) => return None,
+        (_, Some(place)) => {
+            copy.outcome = Some(item_outcome_in(records.get(&place)?, item)?.clone());
+        }
+        // A cancel record gives outcomes without naming them.
+        (ItemState::MayHaveRun, None) => copy.outcome = Some(ItemOutcome::MayHaveRun),
+        (_, None) => copy.outcome = Some(ItemOutcome::Cancelled),
+    }
+    Some(copy)
+}
+
+fn item_bytes(item: &CarriedItem) -> usize {
+    let outcome = match &item.outcome {
+        Some(ItemOutcome::Done { text }) => text.len(),
+        Some(ItemOutcome::Failed { reason }) => reason.len(),
+        _ => 0,
+    };
+    FIXED_BYTES + item.input.len() + outcome
+}
--- a/crates/decide/src/shard.rs
+++ b/crates/decide/src/shard.rs
@@ -5,25 +5,37 @@
 //! readers. The state is an index: inputs and results stay on the log, at the places kept here.
 //!
 //! - [`jobs`]: a job's items as dense tables.
+//! - [`carry`]: copies of keys and jobs, written before their records expire.
 //! - [`verify`]: walks a whole state and names every broken invariant.
 //!
 //! A reader that starts in the middle of the stream does not know the epoch of the records before the
-//! first claim it sees and passes over them. The owner renews its claim, and writes needed state again,
+//! first claim it can judge and passes over them; so does one that fell behind what the log keeps. The owner renews its claim, and writes needed state again,
 //! so often that everything needed stands behind the oldest claim that the log still keeps.
 
+pub mod carry;
+mod job_records;
 pub mod jobs;
+mod key_records;
 pub mod verify;
 
-use fulmarswitch_records::record::{
-    CarriedKey, ForgetName, ItemAttempts, ItemsRunning, JobCancel, JobChunk, KeyOutcome,
-    KeyRunning, ShardClaim,
-};
+use fulmarswitch_records::record::{ForgetName, ShardClaim};
 use fulmarswitch_records::{
-    Epoch, HostIdentity, ItemOutcome, LogRecord, OnlineRequest, RecordBody, RecordPlace,
+    Epoch, HostIdentity, ItemOutcome, LogRecord, Offset, OnlineRequest, RecordBody, RecordPlace,
     ShardIndex, SortedIndex,
 };
 use jobs::JobEntry;
+use std::collections::VecDeque;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Claims whose offsets are kept, to tell where a new reader would start.
+const CLAIMS_KEPT: usize = 64;
+
+/// Entries of the stream between the place up to which a copy's writer had read and the copy's own place;
+/// a copy that comes later does not count.
+const COPY_WINDOW: u64 = 4_096;
+/// Names that are kept of keys and jobs that are not known, before old ones are dropped.
+const STRAYS_KEPT: usize = 1_024;
 
 /// What became of a record at its place in the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +76,8 @@
     pub running: bool,
     /// Place of the newest record that holds the request.
     pub accepted: RecordPlace,
+    /// Place of the newest record that names the key.
+    pub touched: RecordPlace,
     /// Time of that record on the log's clock, in milliseconds.
     pub written_ms: u64,
     /// The outcome's kind and place.
@@ -77,10 +91,18 @@
     pub place: RecordPlace,
     /// Time of the outcome on the log's clock, in milliseconds.
     pub completed_ms: u64,
-    /// Whether the key was given up before any byte went out, so that a resend starts anew.
+    /// Whether the key was given up before any byte went out. A resend starts anew: its owner forgets the
+    /// key and accepts the request in one append.
     pub not_run: bool,
 }
 
+/// A valid claim.
+#[derive(Clone, Copy, Debug)]
+struct KnownClaim {
+    offset: Offset,
+    read: Offset,
+}
+
 /// State of one shard.
 #[derive(Clone, Debug, Default)]
 pub struct ShardState {
@@ -88,9 +110,16 @@
     epoch: Epoch,
     owner: Option<HostIdentity>,
     claimed_ms: u64,
+    claims: VecDeque<KnownClaim>,
+    /// Where the reader started; it knows the epoch from the first claim that was written behind it.
+    start: Offset,
+    anchored: bool,
+    applied: RecordPlace,
     keys: SortedIndex<Arc<str>, KeyEntry>,
     open_keys: SortedIndex<Arc<str>, ()>,
     jobs: SortedIndex<Arc<str>, JobEntry>,
+    /// Digests of names that records spoke of while they were not known here, and the newest places.
+    strays: SortedIndex<u64, RecordPlace>,
 }
 
 impl ShardState {
@@ -103,8 +132,22 @@
     /// ```
     #[must_use]
     pub fn new(shard: ShardIndex) -> Self {
+        Self::starting_at(shard, Offset(0))
+    }
+
+    /// Creates the state of a shard for a reader that starts at `start`.
+    ///
+    /// ```
+    /// use fulmarswitch_decide::shard::ShardState;
+    /// use fulmarswitch_records::{Offset, ShardIndex};
+    /// assert!(ShardState::starting_at(ShardIndex(3), Offset(9)).owner().is_none());
+    /// ```
+    #[must_use]
+    pub fn starting_at(shard: ShardIndex, start: Offset) -> Self {
         Self {
             shard,
+            start,
+            anchored: start == Offset(0),
             ..Self::default()
         }
     }
@@ -133,6 +176,32 @@
         self.claimed_ms
     }
 
+    /// Returns the offset of the claim from which a reader knows the shard that starts at `oldest`; none
+    /// when there is no such claim, or when it may be older than those that are kept here.
+    #[must_use]
+    pub fn start_of(&self, oldest: Offset) -> Option<Offset> {
+        let forgotten = self.claims.len() == CLAIMS_KEPT
+            && self
+                .claims
+                .front()
+                .is_some_and(|first| first.offset > oldest);
+        let mut claims = self.claims.iter();
+        let claim = claims.find(|claim| claim.read >= oldest && claim.offset >= oldest);
+        claim.filter(|_| !forgotten).map(|claim| claim.offset)
+    }
+
+    /// Tells whether the reader knows the shard's epoch.
+    #[must_use]
+    pub fn is_anchored(&self) -> bool {
+        self.anchored
+    }
+
+    /// Returns the place of the newest record that was applied.
+    #[must_use]
+    pub fn applied(&self) -> RecordPlace {
+        self.applied
+    }
+
     /// Returns one key.
     #[must_use]
     pub fn key(&self, name: &str) -> Option<&KeyEntry> {
@@ -174,6 +243,7 @@
             record.id
         );
         let verdict = self.decide(place, at_ms, record);
+        self.applied = place;
         #[cfg(debug_assertions)]
         self.check_after(record);
         verdict
@@ -181,185 +251,84 @@
 
     fn decide(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict {
         if let RecordBody::Claim(claim) = &record.body {
-            return self.apply_claim(at_ms, record.epoch, claim);
+            return self.apply_claim(place, at_ms, record.epoch, claim);
         }
-        if record.epoch != self.epoch {
+        if record.epoch != self.epoch || !self.anchored {
             return RecordVerdict::Void(VoidReason::StaleEpoch);
         }
         match &record.body {
             RecordBody::Accept(request) => self.apply_accept(place, at_ms, request),
-            RecordBody::Running(running) => self.apply_running(running),
+            RecordBody::Running(running) => self.apply_running(place, running),
             RecordBody::Outcome(outcome) => self.apply_outcome(place, at_ms, outcome),
             RecordBody::CarriedKey(carried) => self.apply_carried_key(place, at_ms, carried),
             RecordBody::Forget(forget) => self.apply_forget(forget),
             RecordBody::JobChunk(chunk) => self.apply_chunk(place, at_ms, chunk),
-            RecordBody::JobCancel(cancel) => self.apply_cancel(at_ms, cancel),
-            RecordBody::ItemsRunning(running) => self.apply_items_running(running),
-            RecordBody::ItemAttempts(attempts) => self.apply_attempts(attempts),
-            RecordBody::JobSeal(seal) => match self.jobs.get_mut(&*seal.header.full_name()) {
-                Some(job) => job.seal(seal),
-                None if seal.total == 0 => {
-                    let mut job = JobEntry::new(at_ms);
-                    let verdict = job.seal(seal);
-                    self.jobs.insert(seal.header.full_name(), job);
-                    verdict
-                }
-                None => RecordVerdict::Void(VoidReason::JobIncomplete),
-            },
-            RecordBody::ItemOutcomes(outcomes) => match self.jobs.get_mut(&*outcomes.job) {
-                Some(job) => job.complete(place, at_ms, &outcomes.outcomes),
-                None => RecordVerdict::Void(VoidReason::NotOpen),
-            },
-            RecordBody::CarriedItems(carried) => {
-                let name = carried.seal.header.full_name();
-                if !self.jobs.contains(&*name) {
-                    self.jobs.insert(name.clone(), JobEntry::new(at_ms));
-                }
-                match self.jobs.get_mut(&*name) {
-                    Some(job) => job.carry(place, at_ms, carried),
-                    None => RecordVerdict::Void(VoidReason::NotOpen),
-                }
-            }
+            RecordBody::JobCancel(cancel) => self.apply_cancel(place, at_ms, cancel),
+            RecordBody::ItemsRunning(running) => self.apply_items_running(place, running),
+            RecordBody::ItemAttempts(attempts) => self.apply_attempts(place, attempts),
+            RecordBody::JobSeal(seal) => self.apply_seal(place, at_ms, seal),
+            RecordBody::ItemOutcomes(outcomes) => self.apply_outcomes(place, at_ms, outcomes),
+            RecordBody::CarriedItems(carried) => self.apply_carried_items(place, at_ms, carried),
             _ => RecordVerdict::Void(VoidReason::Unknown),
         }
     }
 
-    fn apply_claim(&mut self, at_ms: u64, epoch: Epoch, claim: &ShardClaim) -> RecordVerdict {
-        if epoch <= self.epoch {
+    fn apply_claim(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        epoch: Epoch,
+        claim: &ShardClaim,
+    ) -> RecordVerdict {
+        let judged = self.anchored || claim.read >= self.start;
+        if epoch <= self.epoch || !judged {
+            self.epoch = self.epoch.max(epoch);
             return RecordVerdict::Void(VoidReason::StaleEpoch);
         }
+        self.anchored = true;
         self.epoch = epoch;
         self.owner = Some(claim.owner.clone());
         self.claimed_ms = at_ms;
-        RecordVerdict::Valid
-    }
-
-    fn apply_accept(
-        &mut self,
-        place: RecordPlace,
-        at_ms: u64,
-        request: &OnlineRequest,
-    ) -> RecordVerdict {
-        let name = request.full_key();
-        if let Some(entry) = self.keys.get(&*name)
-            && !entry.outcome.is_some_and(|result| result.not_run)
-        {
-            let same = entry.digest == request.digest();
-            return if same {
-                RecordVerdict::Repeat
-            } else {
-                RecordVerdict::Void(VoidReason::NameTaken)
-            };
+        if self.claims.len() == CLAIMS_KEPT {
+            self.claims.pop_front();
         }
-        self.open_keys.insert(name.clone(), ());
-        self.keys.insert(name, KeyEntry::new(place, at_ms, request));
+        self.claims.push_back(KnownClaim {
+            offset: place.offset,
+            read: claim.read,
+        });
         RecordVerdict::Valid
     }
 
-    fn apply_running(&mut self, running: &KeyRunning) -> RecordVerdict {
-        match self.keys.get_mut(&*running.key) {
-            Some(entry) if entry.outcome.is_some() => RecordVerdict::Void(VoidReason::NotOpen),
-            Some(entry) if entry.running => RecordVerdict::Void(VoidReason::AlreadyRunning),
-            Some(entry) => {
-                entry.running = true;
-                RecordVerdict::Valid
-            }
-            None => RecordVerdict::Void(VoidReason::NotOpen),
+    /// Notes that a record names a key, a job as a whole, or a block of a job's items, of which nothing is
+    /// known here.
+    fn note_stray(&mut self, place: RecordPlace, name: &str, block: Option<usize>) {
+        if self.strays.len() >= STRAYS_KEPT {
+            let oldest = place.offset.0.saturating_sub(COPY_WINDOW);
+            self.strays.retain(|_, place| place.offset.0 >= oldest);
         }
+        self.strays.insert(stray_digest(name, block), place);
     }
 
-    fn apply_outcome(
-        &mut self,
-        place: RecordPlace,
-        at_ms: u64,
-        outcome: &KeyOutcome,
-    ) -> RecordVerdict {
-        match self.keys.get_mut(&*outcome.key) {
-            Some(entry) if entry.outcome.is_some() => RecordVerdict::Repeat,
-            Some(entry) => {
-                entry.outcome = Some(KeyResult::new(place, at_ms, &outcome.outcome));
-                self.open_keys.remove(&*outcome.key);
-                RecordVerdict::Valid
-            }
-            None => RecordVerdict::Void(VoidReason::NotOpen),
-        }
-    }
-
-    /// Merges a copy into the state. A copy may have been made before a later record was applied, so it
-    /// adds what it knows and takes nothing away.
-    fn apply_carried_key(
-        &mut self,
-        place: RecordPlace,
-        at_ms: u64,
-        carried: &CarriedKey,
-    ) -> RecordVerdict {
-        let name = carried.request.full_key();
-        let copy = KeyEntry::new(place, at_ms, &carried.request);
-        if !self.keys.contains(&*name) {
-            self.keys.insert(name.clone(), copy.clone());
-        }
-        let Some(entry) = self.keys.get_mut(&*name) else {
-            return RecordVerdict::Void(VoidReason::NotOpen);
-        };
-        if entry.digest != copy.digest {
-            return RecordVerdict::Void(VoidReason::NameTaken);
-        }
-        entry.accepted = place;
-        entry.written_ms = at_ms;
-        entry.running |= carried.running;
-        if let Some(outcome) = &carried.outcome {
-            entry.outcome = Some(KeyResult::new(place, carried.completed_ms, outcome));
-        }
-        if entry.outcome.is_some() {
-            self.open_keys.remove(&*name);
-        } else {
-            self.open_keys.insert(name, ());
-        }
-        RecordVerdict::Valid
+    /// Tells whether a copy was overtaken by a record that named what was not known here.
+    fn is_stray_behind(&self, as_of: RecordPlace, name: &str, block: Option<usize>) -> bool {
+        let stray = self.strays.get(&stray_digest(name, block));
+        stray.is_some_and(|place| *place > as_of)
     }
 
+    /// Forgets what nothing has happened to since the writer looked.
     fn apply_forget(&mut self, forget: &ForgetName) -> RecordVerdict {
         let name = &*forget.name;
         if forget.job {
-            let removable = self.jobs.get(name).is_some_and(JobEntry::may_be_forgotten);
+            let untouched = |job: &JobEntry| job.touched() <= forget.as_of;
+            let removable = self.jobs.get(name).is_some_and(untouched);
             return take_if(removable, || self.jobs.remove(name).is_some());
         }
-        let removable = self
-            .keys
-            .get(name)
-            .is_some_and(|entry| entry.outcome.is_some());
-        take_if(removable, || self.keys.remove(name).is_some())
-    }
-
-    fn apply_chunk(&mut self, place: RecordPlace, at_ms: u64, chunk: &JobChunk) -> RecordVerdict {
-        if !self.jobs.contains(&*chunk.job) {
-            self.jobs.insert(chunk.job.clone(), JobEntry::new(at_ms));
-        }
-        match self.jobs.get_mut(&*chunk.job) {
-            Some(job) => job.add_chunk(place, at_ms, chunk),
-            None => RecordVerdict::Void(VoidReason::NotOpen),
-        }
-    }
-
-    fn apply_cancel(&mut self, at_ms: u64, cancel: &JobCancel) -> RecordVerdict {
-        match self.jobs.get_mut(&*cancel.job) {
-            Some(job) => job.cancel(at_ms),
-            None => RecordVerdict::Void(VoidReason::NotOpen),
-        }
-    }
-
-    fn apply_items_running(&mut self, running: &ItemsRunning) -> RecordVerdict {
-        match self.jobs.get_mut(&*running.job) {
-            Some(job) => job.start(&running.items),
-            None => RecordVerdict::Void(VoidReason::NotOpen),
-        }
-    }
-
-    fn apply_attempts(&mut self, attempts: &ItemAttempts) -> RecordVerdict {
-        match self.jobs.get_mut(&*attempts.job) {
-            Some(job) => job.count_attempts(&attempts.items),
-            None => RecordVerdict::Void(VoidReason::NotOpen),
+        let untouched = |entry: &KeyEntry| entry.touched <= forget.as_of;
+        let removable = self.keys.get(name).is_some_and(untouched);
+        if removable {
+            self.open_keys.remove(name);
         }
+        take_if(removable, || self.keys.remove(name).is_some())
     }
 
     /// Checks what the record touched; the whole state is checked by [`verify::verify_shard`].
@@ -381,6 +350,7 @@
             idempotent: request.idempotent,
             running: false,
             accepted: place,
+            touched: place,
             written_ms: at_ms,
             outcome: None,
         }
@@ -398,6 +368,16 @@
     }
 }
 
+/// Tells whether a copy was so long on its way that it does not count.
+fn is_late(place: RecordPlace, as_of: RecordPlace) -> bool {
+    place.offset.0 > as_of.offset.0 + COPY_WINDOW
+}
+
+fn stray_digest(name: &str, block: Option<usize>) -> u64 {
+    let seed = block.map_or(0, |block| block as u64 + 1);
+    xxh3_64_with_seed(name.as_bytes(), seed)
+}
+
 fn take_if(removable: bool, remove: impl FnOnce() -> bool) -> RecordVerdict {
     if removable && remove() {
         RecordVerdict::Valid
--- /dev/null
+++ b/crates/decide/src/shard/carry.rs
@@ -0,0 +1,186 @@
+//! Copies of keys and jobs that their owner writes before the records they came from expire.
+//!
+//! A copy names the place up to which its writer had read. If a record behind that place names the same
+//! entity, the copy was overtaken: it changes nothing and is written again later. Otherwise it is the exact
+//! state at its own place, and replaces what the reader knew. So a reader that starts behind the older
+//! records, and may have misjudged some for want of them, comes to the same state as one that has read all.
+
+use super::jobs::{ChunkEntry, ItemState, JobEntry, NO_RESULT};
+use super::{KeyEntry, KeyResult, RecordVerdict};
+use fulmarswitch_records::RecordPlace;
+use fulmarswitch_records::record::{CarriedItem, CarriedItems, CarriedKey};
+
+/// Items that share one place of the newest record that names them.
+const BLOCK_ITEMS: u32 = 16;
+
+pub(super) fn block_of(item: u32) -> usize {
+    (item / BLOCK_ITEMS) as usize
+}
+
+/// Returns the blocks that a copy touches.
+pub(super) fn blocks_of(carried: &CarriedItems) -> impl Iterator<Item = usize> + use<> {
+    let count = u32::try_from(carried.items.len()).unwrap_or(u32::MAX);
+    let end = carried.first.saturating_add(count);
+    let blocks = block_of(carried.first)..=block_of(end.saturating_sub(1));
+    blocks.take(if count == 0 { 0 } else { usize::MAX })
+}
+
+impl KeyEntry {
+    /// Returns the oldest place that a reader needs to know the key.
+    #[must_use]
+    pub fn floor(&self) -> RecordPlace {
+        self.accepted
+    }
+
+    pub(super) fn from_copy(place: RecordPlace, at_ms: u64, carried: &CarriedKey) -> Self {
+        let outcome = carried.outcome.as_ref();
+        let result = |outcome| KeyResult::new(place, carried.completed_ms, outcome);
+        Self {
+            running: carried.running,
+            outcome: outcome.map(result),
+            ..Self::new(place, at_ms, &carried.request)
+        }
+    }
+}
+
+impl JobEntry {
+    /// Returns the oldest place that a reader needs to know the items of `chunk`.
+    ///
+    /// A chunk as submitted counts only with all chunks before it, so it needs the job's first record.
+    #[must_use]
+    pub fn floor_of(&self, chunk: &ChunkEntry) -> RecordPlace {
+        if chunk.carried {
+            chunk.place
+        } else {
+            self.first_place
+        }
+    }
+
+    /// Returns the oldest place that a reader needs to know the whole job.
+    #[must_use]
+    pub fn floor(&self) -> RecordPlace {
+        let floors = self.chunks.iter().map(|chunk| self.floor_of(chunk));
+        floors.min().unwrap_or(self.first_place)
+    }
+
+    /// Returns the place of the newest record that names the job or one of its items.
+    #[must_use]
+    pub fn touched(&self) -> RecordPlace {
+        let blocks = self.touched_blocks.iter().copied();
+        blocks.max().unwrap_or_default().max(self.touched)
+    }
+
+    /// Puts a copy in the place of what is known of a range of items, unless the copy was overtaken.
+    pub(super) fn carry(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        carried: &CarriedItems,
+    ) -> RecordVerdict {
+        let known = self.seal.as_deref() == Some(&carried.seal);
+        if self.touched_in(carried) > carried.as_of {
+            return RecordVerdict::Repeat;
+        }
+        if !known {
+            self.chunks.clear();
+            self.open_items(&carried.seal);
+        }
+        self.cancelled = carried.cancelled;
+        self.completed_ms = self.completed_ms.max(carried.completed_ms);
+        let answered = carried.items.iter().any(|item| item.outcome.is_some());
+        let number = if answered {
+            self.add_place(place)
+        } else {
+            NO_RESULT
+        };
+        for (at, item) in (carried.first..).zip(&carried.items) {
+            self.carry_item(at, item, number);
+        }
+        if carried.items.is_empty() {
+            self.first_place = place;
+        }
+        self.replace_chunk(place, at_ms, carried);
+        RecordVerdict::Valid
+    }
+
+    /// Returns the place of the newest record that names the job as a whole or an item of the range.
+    fn touched_in(&self, carried: &CarriedItems) -> RecordPlace {
+        let known = |block| self.touched_blocks.get(block).copied();
+        let places = blocks_of(carried).filter_map(known);
+        places.max().unwrap_or_default().max(self.touched)
+    }
+
+    /// Notes that a record other than a copy names items.
+    pub(super) fn touch_items(&mut self, place: RecordPlace, items: impl Iterator<Item = u32>) {
+        let end = self.states.len();
+        if end == 0 {
+            self.touched = place;
+        }
+        for block in items.filter(|item| (*item as usize) < end).map(block_of) {
+            if block >= self.touched_blocks.len() {
+                let default = RecordPlace::default();
+                self.touched_blocks.resize(block + 1, default);
+            }
+            self.touched_blocks[block] = place;
+        }
+    }
+
+    fn carry_item(&mut self, at: u32, item: &CarriedItem, number: u32) {
+        let index = at as usize;
+        if index >= self.states.len() {
+            return;
+        }
+        let (state, result) = match &item.outcome {
+            Some(outcome) => (outcome.into(), number),
+            None if item.running => (ItemState::Announced, NO_RESULT),
+            None => (ItemState::Open, NO_RESULT),
+        };
+        self.set_state(index, state, result);
+        if item.attempts > 0 {
+            self.attempts.insert(at, item.attempts);
+        } else {
+            self.attempts.remove(&at);
+        }
+    }
+
+    /// Puts the copy in the place of the inputs that it covers; what is left of a chunk stays behind.
+    fn replace_chunk(&mut self, place: RecordPlace, at_ms: u64, carried: &CarriedItems) {
+        let count = u32::try_from(carried.items.len()).unwrap_or(0);
+        if count == 0 {
+            return;
+        }
+        let (first, end) = (carried.first, carried.first + count);
+        let mut chunks = Vec::with_capacity(self.chunks.len() + 2);
+        let mut digest = 0;
+        for chunk in self.chunks.drain(..) {
+            let chunk_end = chunk.first + chunk.count;
+            if (chunk.first, chunk_end) == (first, end) {
+                digest = chunk.digest;
+            }
+            if chunk.first < first {
+                let count = chunk_end.min(first) - chunk.first;
+                chunks.push(ChunkEntry { count, ..chunk });
+            }
+            if chunk_end > end {
+                let first = chunk.first.max(end);
+                let count = chunk_end - first;
+                chunks.push(ChunkEntry {
+                    first,
+                    count,
+                    ..chunk
+                });
+            }
+        }
+        let at = chunks.partition_point(|chunk| chunk.first < first);
+        let entry = ChunkEntry {
+            first,
+            count,
+            place,
+            written_ms: at_ms,
+            digest,
+            carried: true,
+        };
+        chunks.insert(at, entry);
+        self.chunks = chunks;
+    }
+}
--- /dev/null
+++ b/crates/decide/src/shard/job_records.rs
@@ -0,0 +1,134 @@
+//! What the records of batch jobs do to a shard.
+
+use super::carry::{block_of, blocks_of};
+use super::jobs::JobEntry;
+use super::{RecordVerdict, ShardState, VoidReason, is_late};
+use fulmarswitch_records::RecordPlace;
+use fulmarswitch_records::record::{
+    CarriedItems, ItemAttempts, ItemOutcomes, ItemsRunning, JobCancel, JobChunk, JobSeal,
+};
+
+impl ShardState {
+    pub(super) fn apply_carried_items(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        carried: &CarriedItems,
+    ) -> RecordVerdict {
+        let name = carried.seal.header.full_name();
+        let mut blocks = blocks_of(carried).map(Some).chain([None]);
+        let overtaken = blocks.any(|block| self.is_stray_behind(carried.as_of, &name, block));
+        if overtaken || is_late(place, carried.as_of) {
+            return RecordVerdict::Repeat;
+        }
+        if !self.jobs.contains(&*name) {
+            let job = JobEntry::new(place, at_ms);
+            self.jobs.insert(name.clone(), job);
+        }
+        match self.jobs.get_mut(&*name) {
+            Some(job) => job.carry(place, at_ms, carried),
+            None => RecordVerdict::Void(VoidReason::NotOpen),
+        }
+    }
+
+    pub(super) fn apply_seal(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        seal: &JobSeal,
+    ) -> RecordVerdict {
+        let name = seal.header.full_name();
+        if !self.jobs.contains(&*name) {
+            if seal.total > 0 {
+                self.note_stray(place, &name, None);
+                return RecordVerdict::Void(VoidReason::JobIncomplete);
+            }
+            let job = JobEntry::new(place, at_ms);
+            self.jobs.insert(name.clone(), job);
+        }
+        match self.jobs.get_mut(&*name) {
+            Some(job) => job.seal(place, seal),
+            None => RecordVerdict::Void(VoidReason::JobIncomplete),
+        }
+    }
+
+    pub(super) fn apply_chunk(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        chunk: &JobChunk,
+    ) -> RecordVerdict {
+        if !self.jobs.contains(&*chunk.job) {
+            if chunk.first > 0 {
+                self.note_stray(place, &chunk.job, None);
+                return RecordVerdict::Void(VoidReason::JobIncomplete);
+            }
+            let job = JobEntry::new(place, at_ms);
+            self.jobs.insert(chunk.job.clone(), job);
+        }
+        match self.jobs.get_mut(&*chunk.job) {
+            Some(job) => job.add_chunk(place, at_ms, chunk),
+            None => RecordVerdict::Void(VoidReason::NotOpen),
+        }
+    }
+
+    pub(super) fn apply_cancel(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        cancel: &JobCancel,
+    ) -> RecordVerdict {
+        let Some(job) = self.jobs.get_mut(&*cancel.job) else {
+            self.note_stray(place, &cancel.job, None);
+            return RecordVerdict::Void(VoidReason::NotOpen);
+        };
+        job.cancel(place, at_ms)
+    }
+
+    pub(super) fn apply_items_running(
+        &mut self,
+        place: RecordPlace,
+        running: &ItemsRunning,
+    ) -> RecordVerdict {
+        match self.jobs.get_mut(&*running.job) {
+            Some(job) => job.start(place, &running.items),
+            None => self.unknown_items(place, &running.job, running.items.iter()),
+        }
+    }
+
+    pub(super) fn apply_attempts(
+        &mut self,
+        place: RecordPlace,
+        attempts: &ItemAttempts,
+    ) -> RecordVerdict {
+        match self.jobs.get_mut(&*attempts.job) {
+            Some(job) => job.count_attempts(place, &attempts.items),
+            None => self.unknown_items(place, &attempts.job, attempts.items.iter()),
+        }
+    }
+
+    pub(super) fn apply_outcomes(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        outcomes: &ItemOutcomes,
+    ) -> RecordVerdict {
+        let Some(job) = self.jobs.get_mut(&*outcomes.job) else {
+            let items = outcomes.outcomes.iter().map(|(item, _)| item);
+            return self.unknown_items(place, &outcomes.job, items);
+        };
+        job.complete(place, at_ms, &outcomes.outcomes)
+    }
+
+    fn unknown_items<'a>(
+        &mut self,
+        place: RecordPlace,
+        name: &str,
+        items: impl Iterator<Item = &'a u32>,
+    ) -> RecordVerdict {
+        for item in items {
+            self.note_stray(place, name, Some(block_of(*item)));
+        }
+        RecordVerdict::Void(VoidReason::NotOpen)
+    }
+}
--- a/crates/decide/src/shard/jobs.rs
+++ b/crates/decide/src/shard/jobs.rs
@@ -1,7 +1,7 @@
 //! A job's items as dense tables: a state byte and a result number an item, and a place a chunk.
 
 use super::{RecordVerdict, VoidReason};
-use fulmarswitch_records::record::{CarriedItems, JobChunk, JobSeal};
+use fulmarswitch_records::record::{JobChunk, JobSeal};
 use fulmarswitch_records::{ItemOutcome, RecordPlace, SortedIndex};
 use std::sync::Arc;
 use xxhash_rust::xxh3::Xxh3;
@@ -60,8 +60,10 @@
     pub place: RecordPlace,
     /// Time of that record on the log's clock, in milliseconds.
     pub written_ms: u64,
-    /// Digest of the inputs.
+    /// Digest of the inputs; zero where only a copy of the chunk was read.
     pub digest: u64,
+    /// Whether the record at `place` is a copy that holds all that was known of the items there.
+    pub carried: bool,
 }
 
 /// Counts of a job's items by state.
@@ -80,32 +82,42 @@
 }
 
 /// Number of an item's result among the job's result places; this one says that there is none.
-const NO_RESULT: u32 = u32::MAX;
+pub(super) const NO_RESULT: u32 = u32::MAX;
+/// Result places from which unused ones are dropped, at the least.
+const COMPACT_FLOOR: usize = 64;
 
 /// One job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobEntry {
-    chunks: Vec<ChunkEntry>,
-    seal: Option<Arc<JobSeal>>,
-    cancelled: bool,
-    states: Vec<ItemState>,
-    results: Vec<u32>,
+    pub(super) first_place: RecordPlace,
+    pub(super) touched: RecordPlace,
+    pub(super) touched_blocks: Vec<RecordPlace>,
+    pub(super) chunks: Vec<ChunkEntry>,
+    pub(super) seal: Option<Arc<JobSeal>>,
+    pub(super) cancelled: bool,
+    pub(super) states: Vec<ItemState>,
+    pub(super) results: Vec<u32>,
     result_places: Vec<RecordPlace>,
-    attempts: SortedIndex<u32, u8>,
+    compact_at: usize,
+    pub(super) attempts: SortedIndex<u32, u8>,
     counts: JobCounts,
     started_ms: u64,
-    completed_ms: u64,
+    pub(super) completed_ms: u64,
 }
 
 impl JobEntry {
-    pub(super) fn new(at_ms: u64) -> Self {
+    pub(super) fn new(place: RecordPlace, at_ms: u64) -> Self {
         Self {
+            first_place: place,
+            touched: RecordPlace::default(),
+            touched_blocks: Vec::new(),
             chunks: Vec::new(),
             seal: None,
             cancelled: false,
             states: Vec::new(),
             results: Vec::new(),
             result_places: Vec::new(),
+            compact_at: COMPACT_FLOOR,
             attempts: SortedIndex::new(),
             counts: JobCounts::default(),
             started_ms: at_ms,
@@ -182,6 +194,12 @@
         self.completed_ms
     }
 
+    /// Returns the number of places that are kept for results.
+    #[must_use]
+    pub fn place_count(&self) -> usize {
+        self.result_places.len()
+    }
+
     /// Returns a digest over the digests of the chunks, and the number of items.
     #[must_use]
     pub fn submitted(&self) -> (u32, u64) {
@@ -195,10 +213,6 @@
         )
     }
 
-    pub(super) fn may_be_forgotten(&self) -> bool {
-        self.seal.is_none() || self.is_finished()
-    }
-
     pub(super) fn add_chunk(
         &mut self,
         place: RecordPlace,
@@ -208,6 +222,7 @@
         let Ok(count) = u32::try_from(chunk.inputs.len()) else {
             return RecordVerdict::Void(VoidReason::JobIncomplete);
         };
+        self.touched = place;
         let digest = chunk_digest(&chunk.inputs);
         if let Some(known) = self.chunk_of(chunk.first) {
             let same = (known.first, known.count, known.digest) == (chunk.first, count, digest);
@@ -227,12 +242,14 @@
             place,
             written_ms: at_ms,
             digest,
+            carried: false,
         };
         self.chunks.push(entry);
         RecordVerdict::Valid
     }
 
-    pub(super) fn seal(&mut self, seal: &JobSeal) -> RecordVerdict {
+    pub(super) fn seal(&mut self, place: RecordPlace, seal: &JobSeal) -> RecordVerdict {
+        self.touched = place;
         if let Some(known) = &self.seal {
             return if **known == *seal {
                 RecordVerdict::Repeat
@@ -247,12 +264,14 @@
         RecordVerdict::Valid
     }
 
-    pub(super) fn cancel(&mut self, at_ms: u64) -> RecordVerdict {
+    pub(super) fn cancel(&mut self, place: RecordPlace, at_ms: u64) -> RecordVerdict {
+        self.touched = place;
         if self.seal.is_none() || self.is_finished() {
             return RecordVerdict::Void(VoidReason::NotOpen);
         }
         self.cancelled = true;
         self.completed_ms = at_ms;
+        self.attempts = SortedIndex::new();
         for item in 0..self.states.len() {
             match self.states[item] {
                 ItemState::Open => self.finish(item, ItemState::Cancelled, NO_RESULT),
@@ -265,7 +284,8 @@
     }
 
     /// Announces items. All or none: the writer sends out what it announced, or nothing.
-    pub(super) fn start(&mut self, items: &[u32]) -> RecordVerdict {
+    pub(super) fn start(&mut self, place: RecordPlace, items: &[u32]) -> RecordVerdict {
+        self.touch_items(place, items.iter().copied());
         for item in items {
             match self.states.get(*item as usize) {
                 Some(ItemState::Open) => {}
@@ -281,8 +301,13 @@
         RecordVerdict::Valid
     }
 
-    pub(super) fn count_attempts(&mut self, items: &[u32]) -> RecordVerdict {
+    pub(super) fn count_attempts(&mut self, place: RecordPlace, items: &[u32]) -> RecordVerdict {
+        self.touch_items(place, items.iter().copied());
         for item in items {
+            let state = self.states.get(*item as usize);
+            if state.is_none_or(|state| state.is_final()) {
+                continue;
+            }
             let count = self.attempts_of(*item).saturating_add(1);
             self.attempts.insert(*item, count);
         }
@@ -296,6 +321,7 @@
         at_ms: u64,
         outcomes: &[(u32, ItemOutcome)],
     ) -> RecordVerdict {
+        self.touch_items(place, outcomes.iter().map(|(item, _)| *item));
         let mut number = NO_RESULT;
         for (item, outcome) in outcomes {
             let open = self
@@ -319,67 +345,7 @@
         }
     }
 
-    /// Merges a copy of a range of items; it adds what it knows and takes nothing away.
-    pub(super) fn carry(
-        &mut self,
-        place: RecordPlace,
-        at_ms: u64,
-        carried: &CarriedItems,
-    ) -> RecordVerdict {
-        if self.seal.is_none() {
-            self.open_items(&carried.seal);
-        }
-        self.cancelled |= carried.cancelled;
-        self.completed_ms = self.completed_ms.max(carried.completed_ms);
-        let number = self.add_place(place);
-        for (at, item) in (carried.first..).zip(&carried.items) {
-            let at_usize = at as usize;
-            let Some(state) = self.states.get(at_usize).copied() else {
-                continue;
-            };
-            if let Some(outcome) = &item.outcome {
-                if !state.is_final() {
-                    self.finish(at_usize, outcome.into(), number);
-                }
-                self.results[at_usize] = number;
-                continue;
-            }
-            if item.running && state == ItemState::Open {
-                self.states[at_usize] = ItemState::Announced;
-            }
-            if item.attempts > self.attempts_of(at) {
-                self.attempts.insert(at, item.attempts);
-            }
-        }
-        self.replace_chunk(place, at_ms, carried);
-        RecordVerdict::Valid
-    }
-
-    fn replace_chunk(&mut self, place: RecordPlace, at_ms: u64, carried: &CarriedItems) {
-        let count = u32::try_from(carried.items.len()).unwrap_or(0);
-        let at = self
-            .chunks
-            .partition_point(|chunk| chunk.first < carried.first);
-        match self.chunks.get_mut(at) {
-            Some(chunk) if chunk.first == carried.first => {
-                chunk.place = place;
-                chunk.written_ms = at_ms;
-            }
-            _ => {
-                let first = carried.first;
-                let entry = ChunkEntry {
-                    first,
-                    count,
-                    place,
-                    written_ms: at_ms,
-                    digest: 0,
-                };
-                self.chunks.insert(at, entry);
-            }
-        }
-    }
-
-    fn open_items(&mut self, seal: &JobSeal) {
+    pub(super) fn open_items(&mut self, seal: &JobSeal) {
         self.states = vec![ItemState::Open; seal.total as usize];
         self.results = vec![NO_RESULT; seal.total as usize];
         self.counts = JobCounts {
@@ -387,25 +353,62 @@
             ..JobCounts::default()
         };
         self.seal = Some(Arc::new(seal.clone()));
+        if seal.total == 0 {
+            self.completed_ms = self.completed_ms.max(self.started_ms);
+        }
     }
 
-    fn add_place(&mut self, place: RecordPlace) -> u32 {
+    pub(super) fn add_place(&mut self, place: RecordPlace) -> u32 {
+        if self.result_places.len() >= self.compact_at {
+            self.compact_places();
+        }
         self.result_places.push(place);
         u32::try_from(self.result_places.len() - 1).unwrap_or(NO_RESULT)
     }
 
-    fn finish(&mut self, item: usize, state: ItemState, result: u32) {
-        debug_assert!(!self.states[item].is_final(), "item {item} completes twice");
+    /// Drops the places that no item uses any longer. It runs when their number has doubled, so that it
+    /// costs little for each record.
+    fn compact_places(&mut self) {
+        let mut numbers = vec![NO_RESULT; self.result_places.len()];
+        let mut places = Vec::new();
+        for result in &mut self.results {
+            if *result == NO_RESULT {
+                continue;
+            }
+            let number = &mut numbers[*result as usize];
+            if *number == NO_RESULT {
+                *number = u32::try_from(places.len()).unwrap_or(NO_RESULT);
+                places.push(self.result_places[*result as usize]);
+            }
+            *result = *number;
+        }
+        self.result_places = places;
+        self.compact_at = COMPACT_FLOOR.max(2 * self.result_places.len());
+    }
+
+    /// Sets the state of an item whatever it was before.
+    pub(super) fn set_state(&mut self, item: usize, state: ItemState, result: u32) {
+        self.count(self.states[item], -1);
+        self.count(state, 1);
         self.states[item] = state;
         self.results[item] = result;
-        self.counts.open -= 1;
-        match state {
-            ItemState::Done => self.counts.done += 1,
-            ItemState::Failed => self.counts.failed += 1,
-            ItemState::MayHaveRun => self.counts.may_have_run += 1,
-            ItemState::Cancelled => self.counts.cancelled += 1,
-            ItemState::Open | ItemState::Announced => {}
-        }
+    }
+
+    fn finish(&mut self, item: usize, state: ItemState, result: u32) {
+        debug_assert!(!self.states[item].is_final(), "item {item} completes twice");
+        self.set_state(item, state, result);
+    }
+
+    fn count(&mut self, state: ItemState, change: i32) {
+        let counts = &mut self.counts;
+        let count = match state {
+            ItemState::Open | ItemState::Announced => &mut counts.open,
+            ItemState::Done => &mut counts.done,
+            ItemState::Failed => &mut counts.failed,
+            ItemState::MayHaveRun => &mut counts.may_have_run,
+            ItemState::Cancelled => &mut counts.cancelled,
+        };
+        *count = count.wrapping_add_signed(change);
     }
 }
 
--- /dev/null
+++ b/crates/decide/src/shard/key_records.rs
@@ -0,0 +1,97 @@
+//! What the records of online requests do to a shard.
+
+use super::{KeyEntry, KeyResult, RecordVerdict, ShardState, VoidReason, is_late};
+use fulmarswitch_records::record::{CarriedKey, KeyOutcome, KeyRunning};
+use fulmarswitch_records::{OnlineRequest, RecordPlace};
+
+impl ShardState {
+    pub(super) fn apply_accept(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        request: &OnlineRequest,
+    ) -> RecordVerdict {
+        let name = request.full_key();
+        if let Some(entry) = self.keys.get_mut(&*name) {
+            entry.touched = place;
+            if entry.digest != request.digest() {
+                return RecordVerdict::Void(VoidReason::NameTaken);
+            }
+            // A late second copy of an acceptance must not run what was refused as not run.
+            let refused = entry.outcome.is_some_and(|result| result.not_run);
+            return if refused {
+                RecordVerdict::Void(VoidReason::NotOpen)
+            } else {
+                RecordVerdict::Repeat
+            };
+        }
+        self.open_keys.insert(name.clone(), ());
+        let entry = KeyEntry::new(place, at_ms, request);
+        self.keys.insert(name, entry);
+        RecordVerdict::Valid
+    }
+
+    pub(super) fn apply_running(
+        &mut self,
+        place: RecordPlace,
+        running: &KeyRunning,
+    ) -> RecordVerdict {
+        let Some(entry) = self.keys.get_mut(&*running.key) else {
+            self.note_stray(place, &running.key, None);
+            return RecordVerdict::Void(VoidReason::NotOpen);
+        };
+        entry.touched = place;
+        if entry.outcome.is_some() {
+            return RecordVerdict::Void(VoidReason::NotOpen);
+        }
+        if entry.running {
+            return RecordVerdict::Void(VoidReason::AlreadyRunning);
+        }
+        entry.running = true;
+        RecordVerdict::Valid
+    }
+
+    pub(super) fn apply_outcome(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        outcome: &KeyOutcome,
+    ) -> RecordVerdict {
+        let Some(entry) = self.keys.get_mut(&*outcome.key) else {
+            self.note_stray(place, &outcome.key, None);
+            return RecordVerdict::Void(VoidReason::NotOpen);
+        };
+        entry.touched = place;
+        if entry.outcome.is_some() {
+            return RecordVerdict::Repeat;
+        }
+        entry.outcome = Some(KeyResult::new(place, at_ms, &outcome.outcome));
+        self.open_keys.remove(&*outcome.key);
+        RecordVerdict::Valid
+    }
+
+    /// Puts a copy in the place of what is known of the key, unless the copy was overtaken.
+    pub(super) fn apply_carried_key(
+        &mut self,
+        place: RecordPlace,
+        at_ms: u64,
+        carried: &CarriedKey,
+    ) -> RecordVerdict {
+        let name = carried.request.full_key();
+        let overtaken = match self.keys.get(&*name) {
+            Some(entry) => entry.touched > carried.as_of,
+            None => self.is_stray_behind(carried.as_of, &name, None),
+        };
+        if overtaken || is_late(place, carried.as_of) {
+            return RecordVerdict::Repeat;
+        }
+        let entry = KeyEntry::from_copy(place, at_ms, carried);
+        if entry.outcome.is_some() {
+            self.open_keys.remove(&*name);
+        } else {
+            self.open_keys.insert(name.clone(), ());
+        }
+        self.keys.insert(name, entry);
+        RecordVerdict::Valid
+    }
+}
--- a/crates/fulmarswitch/src/book.rs
+++ b/crates/fulmarswitch/src/book.rs
@@ -31,6 +31,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Records committed at once.
 const BATCH_RECORDS: usize = 512;
+/// Marks of when entries were written, in the time for which the log keeps them.
+const AGE_MARKS: u32 = 64;
 /// Bytes of records committed at once; one larger record goes alone.
 const BATCH_BYTES: usize = 512 << 10;
 
@@ -38,6 +40,11 @@
 pub trait StreamReplay: Send + 'static {
     /// Applies the record at `place`, which stands there since `at_ms` on the log's clock.
     fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict;
+
+    /// Tells that the log no longer keeps the entries before `start`, which were not read.
+    fn start_over(&mut self, start: Offset) {
+        let _ = start;
+    }
 }
 
 /// Errors of an append.
@@ -101,6 +108,8 @@
     queued: Notify,
     sequence: AtomicU64,
     status: watch::Sender<TailStatus>,
+    /// Some offsets and their times on the log's clock, in milliseconds.
+    marks: Mutex<VecDeque<(Offset, u64)>>,
 }
 
 impl<R: StreamReplay> LogBook<R> {
@@ -129,6 +138,7 @@
             queued: Notify::new(),
             sequence: AtomicU64::new(0),
             status: watch::Sender::new(status),
+            marks: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&book).run_tail());
         tokio::spawn(Arc::clone(&book).run_writer());
@@ -159,6 +169,16 @@
         status.caught_up && status.read_at.elapsed() <= limit
     }
 
+    /// Returns an offset before which all entries are older than `age`, by the log's clock.
+    #[must_use]
+    pub fn offset_at_age(&self, age: Duration) -> Offset {
+        let log_ms = self.status.borrow().log_ms;
+        let before_ms = log_ms.saturating_sub(millis(age));
+        let marks = lock(&self.marks);
+        let at = marks.partition_point(|(_, at_ms)| *at_ms < before_ms);
+        at.checked_sub(1).map_or(Offset(0), |at| marks[at].0.next())
+    }
+
     /// Returns the bytes of records that wait for the log.
     #[must_use]
     pub fn pending_bytes(&self) -> usize {
@@ -268,9 +288,17 @@
     }
 
     fn apply_page(&self, page: &LogPage) {
-        let mut next = self.status.borrow().next.max(page.oldest);
+        let mut next = self.status.borrow().next;
+        if page.oldest > next {
+            next = page.oldest;
+            self.state().start_over(next);
+            let place = format!("{}:{next}", self.stream);
+            let text = "entries before this one have expired unread";
+            self.parts.events.note("start-over", &place, text);
+        }
         for entry in &page.entries {
             next = entry.offset.next();
+            self.mark_age(entry.offset, entry.at_ms, page);
             match decode_frame(&entry.data) {
                 Ok(records) => self.apply_entry(entry.offset, entry.at_ms, &records),
                 Err(error) => {
@@ -292,6 +320,23 @@
         });
     }
 
+    /// Notes when an entry was written, for some entries only.
+    fn mark_age(&self, offset: Offset, at_ms: u64, page: &LogPage) {
+        let retention_ms = millis(page.retention);
+        let mut marks = lock(&self.marks);
+        let step_ms = retention_ms / u64::from(AGE_MARKS);
+        // The last mark is always the newest entry; it is kept once the one before it is old enough.
+        let kept = marks.len().checked_sub(2).map(|at| marks[at].1);
+        if kept.is_some_and(|kept_ms| at_ms < kept_ms + step_ms) {
+            marks.pop_back();
+        }
+        marks.push_back((offset, at_ms));
+        let expired_ms = page.now_ms.saturating_sub(retention_ms);
+        while marks.len() > 1 && marks[1].1 < expired_ms {
+            marks.pop_front();
+        }
+    }
+
     fn apply_entry(&self, offset: Offset, at_ms: u64, records: &[LogRecord]) {
         for (position, record) in (0..).zip(records) {
             let place = RecordPlace { offset, position };
@@ -367,6 +412,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn gone(stream: &str, offset: Offset) -> LogError {
     LogError::Unknown {
         cause: format!("{stream}:{offset} has expired").into(),
--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -51,6 +51,12 @@
         self.holder_of(&format!("gate/{endpoint}"))
     }
 
+    /// Returns the host that writes the configuration again before the log drops it.
+    #[must_use]
+    pub fn config_carrier(&self) -> Option<PeerTarget> {
+        self.holder_of("carry/config")
+    }
+
     /// Returns the host that appends to a stream.
     #[must_use]
     pub fn appender_of(&self, stream: &str) -> Option<PeerTarget> {
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -7,6 +7,7 @@
 use crate::jobs::JobOwner;
 use crate::keys::KeyOwner;
 use crate::parts::HostParts;
+use crate::retention::RetentionRole;
 use crate::shards::ShardBooks;
 use crate::watcher::{HostWatcher, JoinError};
 use async_trait::async_trait;
@@ -33,6 +34,7 @@
     keys: Arc<KeyOwner>,
     jobs: Arc<JobOwner>,
     watcher: Arc<HostWatcher>,
+    retention: Arc<RetentionRole>,
     entry: Arc<EntryRole>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -47,6 +49,7 @@
         let keys = KeyOwner::new(parts, &fleet, &shards, &gates);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
+        let retention = RetentionRole::new(parts, &fleet, &shards, &watcher);
         let entry = EntryRole::new(parts, &fleet, &shards, &keys, &jobs, &gates, &watcher);
         Arc::new(Self {
             parts: parts.clone(),
@@ -57,6 +60,7 @@
             keys,
             jobs,
             watcher,
+            retention,
             entry,
             tasks: Mutex::default(),
         })
@@ -95,6 +99,7 @@
         let mut tasks = self.tasks.lock().await;
         tasks.spawn(Arc::clone(&self.watcher).run_heartbeats());
         tasks.spawn(Arc::clone(&self.shards).run_claims());
+        tasks.spawn(Arc::clone(&self.retention).run());
         tasks.spawn(Arc::clone(&self.gates).run_gates());
         tasks.spawn(Arc::clone(&self.keys).run_sweeps());
         tasks.spawn(Arc::clone(&self.jobs).run_offers());
--- a/crates/fulmarswitch/src/jobs/submit.rs
+++ b/crates/fulmarswitch/src/jobs/submit.rs
@@ -3,7 +3,7 @@
 use super::JobOwner;
 use crate::book::BookError;
 use crate::parts::lock;
-use fulmarswitch_decide::shard::{RecordVerdict, VoidReason};
+use fulmarswitch_decide::shard::{RecordVerdict, ShardState, VoidReason};
 use fulmarswitch_peer::PeerReply;
 use fulmarswitch_peer::message::ItemBatch;
 use fulmarswitch_records::record::{ForgetName, JobChunk, JobSeal};
@@ -44,7 +44,13 @@
 
     /// Drops what a submission that broke off has left.
     async fn forget_rest(&self, shard: ShardIndex, name: Arc<str>) -> PeerReply {
-        let body = RecordBody::Forget(ForgetName { name, job: true });
+        let as_of = self.shards.with_shard(shard, ShardState::applied);
+        let forget = ForgetName {
+            as_of,
+            name,
+            job: true,
+        };
+        let body = RecordBody::Forget(forget);
         match self.append_verdict(shard, body).await {
             Ok(RecordVerdict::Valid) => PeerReply::Received { items: 0 },
             Ok(_) => PeerReply::NotOwner,
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -15,7 +15,7 @@
 use fulmarswitch_peer::message::{HandoverNote, KeyName, OutcomeNote, RefusalNote, RunState};
 use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::record::{ForgetName, KeyOutcome};
 use fulmarswitch_records::{
     HostIdentity, ItemOutcome, OnlineRequest, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
@@ -304,6 +304,24 @@
         }
     }
 
+    /// Returns the records that accept a request. A key that was refused as not run starts anew.
+    fn acceptance_of(&self, shard: ShardIndex, request: &OnlineRequest) -> Vec<RecordBody> {
+        let name = request.full_key();
+        let refused = self.shards.with_shard(shard, |state| {
+            let outcome = state.key(&name)?.outcome?;
+            outcome.not_run.then(|| state.applied())
+        });
+        let forget = refused.map(|as_of| {
+            RecordBody::Forget(ForgetName {
+                as_of,
+                name,
+                job: false,
+            })
+        });
+        let accept = RecordBody::Accept(request.clone());
+        forget.into_iter().chain([accept]).collect()
+    }
+
     fn run_of(&self, name: &str) -> Option<Arc<KeyRun>> {
         lock(&self.runs).get(name).cloned()
     }
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -244,9 +244,12 @@
         if !matches!(acceptance, Acceptance::Open) {
             return Ok(());
         }
-        let body = RecordBody::Accept(run.request.clone());
-        match self.shards.append(run.shard, body) {
-            Ok(receiver) => {
+        let bodies = self.acceptance_of(run.shard, &run.request);
+        match self.shards.append_all(run.shard, bodies) {
+            Ok(mut receivers) => {
+                let Some(receiver) = receivers.pop() else {
+                    return Err(StreamFrame::NotOwner);
+                };
                 *acceptance = Acceptance::Pending(receiver);
                 if self.log_is_silent(run, acceptance) {
                     *acceptance = Acceptance::Unrecorded;
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -57,11 +57,12 @@
         let running = RecordBody::Running(KeyRunning {
             key: Arc::clone(&run.name),
         });
-        let bodies = if resumed {
-            vec![running]
+        let mut bodies = if resumed {
+            Vec::new()
         } else {
-            vec![RecordBody::Accept(run.request.clone()), running]
+            self.acceptance_of(run.shard, &run.request)
         };
+        bodies.push(running);
         let moved = |_| StreamFrame::NotOwner;
         let mut receivers = self.shards.append_all(run.shard, bodies).map_err(moved)?;
         let Some(last) = receivers.pop() else {
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`keys`] and [`jobs`]: the owner of idempotency keys and of batch jobs.
 //! - [`gates`]: everything that goes to an endpoint.
 //! - [`commit`]: group commit to the log.
+//! - [`retention`]: state written again before the log drops it.
 //! - [`watcher`]: joins, heartbeats and suspicion.
 //! - [`book`]: one stream of the log, replayed and written.
 //! - [`fleet`]: the live hosts and the configuration in force, as seen here.
@@ -26,6 +27,7 @@
 pub mod keys;
 pub mod metrics;
 pub mod parts;
+pub mod retention;
 pub mod settings;
 pub mod shards;
 pub mod watcher;
--- a/crates/fulmarswitch/src/metrics.rs
+++ b/crates/fulmarswitch/src/metrics.rs
@@ -28,6 +28,8 @@
     pub append_bytes: Counter,
     /// Records appended to the log.
     pub append_records: Counter,
+    /// Records that write state again, or forget it, before the log drops it.
+    pub carried: Counter,
     /// Messages sent to other hosts.
     pub peer_messages: Counter,
     /// Batch streams cancelled for online work.
@@ -67,6 +69,11 @@
                 "Appends to the log by end",
                 metrics.appends.clone(),
             );
+            registry.register(
+                "carried",
+                "Records that write state again or forget it",
+                metrics.carried.clone(),
+            );
             registry.register(
                 "append_bytes",
                 "Bytes appended",
--- /dev/null
+++ b/crates/fulmarswitch/src/retention.rs
@@ -0,0 +1,254 @@
+//! Writing state again before the log drops the records that it came from.
+//!
+//! The owner of a shard carries its keys and jobs and forgets what need not stay readable; one host
+//! carries the configuration; each host repeats its own join. What is due is decided in
+//! [`fulmarswitch_decide::retention`], by the log's own clock. Little is written at a time, so that it
+//! never crowds out work.
+
+use crate::book::{LogBook, StreamReplay};
+use crate::fleet::FleetBooks;
+use crate::parts::{HostParts, lock};
+use crate::shards::ShardBooks;
+use crate::watcher::HostWatcher;
+use fulmarswitch_decide::retention::copy::{
+    RecordsRead, copy_items, copy_key, items_places, key_places, split_items,
+};
+use fulmarswitch_decide::retention::{
+    RetentionStep, RetentionWindow, StepLimits, plan_steps, verify_retained,
+};
+use fulmarswitch_decide::shard::ShardState;
+use fulmarswitch_records::record::ForgetName;
+use fulmarswitch_records::{Epoch, RecordBody, RecordPlace, ShardIndex};
+use futures::future::join_all;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Part of the log's retention after which state is written again.
+const CARRY_PART: u32 = 2;
+/// Part of the log's retention after which a join is repeated, and a submission that has not ended counts
+/// as broken off.
+const RENEW_PART: u32 = 4;
+/// Looks at each shard in the time for which the log keeps records.
+const LOOKS: u32 = 256;
+/// Longest time between two looks.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+/// Time between two looks while there is something to write.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+/// Most copies and forgotten names of a shard in one look.
+const LIMITS: StepLimits = StepLimits {
+    copies: 4,
+    forgets: 256,
+};
+/// Most configuration records in one look.
+const CONFIG_COPIES: usize = 16;
+/// Bytes of text in one copy.
+const COPY_BYTES: usize = 256 << 10;
+/// Nothing is written if the log has not answered for this long.
+const FRESH_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Writes state again on one host.
+pub struct RetentionRole {
+    parts: HostParts,
+    fleet: Arc<FleetBooks>,
+    shards: Arc<ShardBooks>,
+    watcher: Arc<HostWatcher>,
+    /// Time of the newest join on the log's clock, in milliseconds.
+    joined_ms: Mutex<u64>,
+}
+
+impl RetentionRole {
+    /// Creates the role.
+    #[must_use]
+    pub fn new(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        shards: &Arc<ShardBooks>,
+        watcher: &Arc<HostWatcher>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            parts: parts.clone(),
+            fleet: Arc::clone(fleet),
+            shards: Arc::clone(shards),
+            watcher: Arc::clone(watcher),
+            joined_ms: Mutex::default(),
+        })
+    }
+
+    /// Writes what is due, for as long as the runtime lives.
+    pub async fn run(self: Arc<Self>) {
+        let mut pause = BUSY_PAUSE;
+        loop {
+            tokio::time::sleep(pause).await;
+            self.renew_join().await;
+            let config = self.carry_config().await;
+            let shards = self.shards.owned();
+            let written = join_all(shards.into_iter().map(|shard| self.keep_shard(shard))).await;
+            let busy = config || written.contains(&true);
+            pause = if busy { BUSY_PAUSE } else { self.idle_pause() };
+        }
+    }
+
+    fn idle_pause(&self) -> Duration {
+        let retention = self.fleet.hosts.status().borrow().retention;
+        (retention / LOOKS).clamp(BUSY_PAUSE / 4, LONGEST_PAUSE)
+    }
+
+    async fn renew_join(&self) {
+        let (log_ms, retention) = {
+            let status = self.fleet.hosts.status();
+            let status = status.borrow();
+            (status.log_ms, status.retention)
+        };
+        let joined_ms = {
+            let mut joined_ms = lock(&self.joined_ms);
+            if *joined_ms == 0 {
+                *joined_ms = log_ms;
+            }
+            *joined_ms
+        };
+        let due = millis(retention / RENEW_PART);
+        if self.fleet.hosts.is_fresh(FRESH_LIMIT) && log_ms > joined_ms + due {
+            self.watcher.renew_join().await;
+            *lock(&self.joined_ms) = log_ms;
+        }
+    }
+
+    /// Carries configuration if this host is the one to do it; tells whether anything was due.
+    async fn carry_config(&self) -> bool {
+        let view = self.fleet.view();
+        let carrier = view.config_carrier();
+        let here = carrier.is_some_and(|target| target.host == self.parts.identity);
+        let Some(window) = self.window(&self.fleet.config).filter(|_| here) else {
+            return false;
+        };
+        let copies = view.config.plan_copies(window.before, CONFIG_COPIES);
+        let bodies: Vec<RecordBody> = copies.into_iter().map(RecordBody::CarriedConfig).collect();
+        let busy = !bodies.is_empty();
+        let book = &self.fleet.config;
+        if let Ok(receivers) = book.append_all(ShardIndex(0), Epoch(0), bodies) {
+            // A copy that was overtaken by a change is due again in the next look.
+            join_all(receivers).await;
+        }
+        busy
+    }
+
+    /// Writes what is due of one shard; tells whether anything was.
+    ///
+    /// The next look waits until all of it stands on the log, so copies of one entity never overtake each
+    /// other.
+    async fn keep_shard(&self, shard: ShardIndex) -> bool {
+        let book = self.shards.book(shard);
+        let Some(window) = self.window(book) else {
+            return false;
+        };
+        let plan = |state: &ShardState| plan_steps(state, &window, LIMITS);
+        let steps = self.shards.with_shard(shard, plan);
+        if steps.is_empty() {
+            self.check_retained(shard);
+            return false;
+        }
+        let records = self.read_records(shard, &steps).await;
+        let make = |state: &ShardState| make_bodies(state, steps, &records);
+        let bodies = self.shards.with_shard(shard, make);
+        let count = bodies.len() as u64;
+        if let Ok(receivers) = self.shards.append_all(shard, bodies) {
+            self.parts.metrics.carried.inc_by(count);
+            // A copy that was overtaken is planned again in the next look.
+            join_all(receivers).await;
+        }
+        true
+    }
+
+    /// Reads the records that copies are made from. What cannot be read is left out.
+    async fn read_records(&self, shard: ShardIndex, steps: &[RetentionStep]) -> RecordsRead {
+        let mut places = self.shards.with_shard(shard, |state| {
+            let places = steps.iter().flat_map(|step| step_places(state, step));
+            places.collect::<Vec<_>>()
+        });
+        places.sort_unstable();
+        places.dedup();
+        let mut records = RecordsRead::new();
+        for entry in places.chunk_by(|a, b| a.offset == b.offset) {
+            let book = self.shards.book(shard);
+            let Ok(read) = book.read_entry(entry[0].offset).await else {
+                continue;
+            };
+            for place in entry {
+                if let Some(record) = read.get(place.position as usize) {
+                    records.insert(*place, record.body.clone());
+                }
+            }
+        }
+        records
+    }
+
+    /// Returns what counts as old in a stream; none while the log does not answer.
+    fn window<R: StreamReplay>(&self, book: &LogBook<R>) -> Option<RetentionWindow> {
+        if !book.is_fresh(FRESH_LIMIT) {
+            return None;
+        }
+        let status = book.status().borrow().clone();
+        Some(RetentionWindow {
+            before: book.offset_at_age(status.retention / CARRY_PART),
+            now_ms: status.log_ms,
+            ttl_ms: self.parts.settings.tuning.result_ttl_ms,
+            broken_off_ms: millis(status.retention / RENEW_PART),
+        })
+    }
+
+    /// Puts on the time line what a host that starts now would not come to know.
+    fn check_retained(&self, shard: ShardIndex) {
+        let oldest = self.shards.book(shard).status().borrow().oldest;
+        let check = |state: &ShardState| verify_retained(state, oldest);
+        for broken in self.shards.with_shard(shard, check) {
+            let place = format!("shard {shard}");
+            let text = broken.to_string();
+            self.parts.events.note("invariant-broken", &place, &text);
+        }
+    }
+}
+
+fn step_places(state: &ShardState, step: &RetentionStep) -> Vec<RecordPlace> {
+    let places = match step {
+        RetentionStep::CarryKey { key } => state.key(key).map(key_places),
+        RetentionStep::CarryItems { job, first, count } => {
+            let job = state.job(job);
+            job.map(|job| items_places(job, *first, *count))
+        }
+        RetentionStep::Forget { .. } => None,
+    };
+    places.unwrap_or_default()
+}
+
+/// Makes the records of some steps from the state as it is now.
+fn make_bodies(
+    state: &ShardState,
+    steps: Vec<RetentionStep>,
+    records: &RecordsRead,
+) -> Vec<RecordBody> {
+    let as_of = state.applied();
+    let mut bodies = Vec::new();
+    for step in steps {
+        match step {
+            RetentionStep::CarryKey { key } => {
+                let copy = state.key(&key);
+                let copy = copy.and_then(|entry| copy_key(as_of, entry, records));
+                bodies.extend(copy.map(RecordBody::CarriedKey));
+            }
+            RetentionStep::CarryItems { job, first, count } => {
+                let copy = state.job(&job);
+                let copy = copy.and_then(|job| copy_items(as_of, job, first, count, records));
+                let parts = copy.map(|copy| split_items(copy, COPY_BYTES));
+                bodies.extend(parts.into_iter().flatten().map(RecordBody::CarriedItems));
+            }
+            RetentionStep::Forget { name, job } => {
+                bodies.push(RecordBody::Forget(ForgetName { as_of, name, job }));
+            }
+        }
+    }
+    bodies
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fulmarswitch/src/shards.rs
+++ b/crates/fulmarswitch/src/shards.rs
@@ -12,7 +12,9 @@
 use fulmarswitch_decide::shard::{RecordVerdict, ShardState, VoidReason};
 use fulmarswitch_peer::PeerTarget;
 use fulmarswitch_records::record::ShardClaim;
-use fulmarswitch_records::{Epoch, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex};
+use fulmarswitch_records::{
+    Epoch, HostIdentity, LogRecord, Offset, RecordBody, RecordPlace, ShardIndex,
+};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -67,6 +69,13 @@
             _ => RecordVerdict::Void(VoidReason::Unknown),
         }
     }
+
+    /// What was read before the gap may be out of date, so the state is built anew behind it.
+    fn start_over(&mut self, start: Offset) {
+        for state in &mut self.shards {
+            *state = ShardState::starting_at(state.shard(), start);
+        }
+    }
 }
 
 /// Book of one group.
@@ -200,6 +209,8 @@
             if !wanted || !book.is_fresh(FRESH_LIMIT) {
                 continue;
             }
+            // Read before the state is looked at, so that the state is as new as the claim says.
+            let read = book.status().borrow().next;
             let (current, due) = self.with_shard(shard, |state| {
                 let mine = state.owner() == Some(&self.parts.identity);
                 (state.epoch(), !mine || is_old(book, state.claimed_ms()))
@@ -209,6 +220,7 @@
             }
             let claim = ShardClaim {
                 owner: self.parts.identity.clone(),
+                read,
             };
             claims.extend(book.append(shard, current.next(), RecordBody::Claim(claim)));
         }
--- a/crates/fulmarswitch/src/watcher.rs
+++ b/crates/fulmarswitch/src/watcher.rs
@@ -127,6 +127,20 @@
         self.append(body).await;
     }
 
+    /// Repeats the join, so that the log goes on keeping it. Not done once the host is leaving.
+    pub async fn renew_join(&self) {
+        let view = self.fleet.view();
+        let live = view
+            .hosts
+            .get(&self.parts.identity.name)
+            .is_some_and(|entry| {
+                entry.join.host == self.parts.identity && entry.phase == HostPhase::Live
+            });
+        if live {
+            self.append_join().await;
+        }
+    }
+
     /// Notes a neighbour's sign of life.
     pub fn hear(&self, from: &HostIdentity, note: &HeartbeatNote) {
         let heard = HeardNeighbour {
--- /dev/null
+++ b/crates/fulmarswitch/tests/support/mod.rs
@@ -0,0 +1,265 @@
+//! Whole hosts in one process, under tokio's paused clock, with fakes at the borders.
+
+use async_trait::async_trait;
+use fulmarswitch::events::EventLog;
+use fulmarswitch::host::HostNode;
+use fulmarswitch::metrics::HostMetrics;
+use fulmarswitch::parts::HostParts;
+use fulmarswitch::settings::{HostSettings, LayoutSettings, PlatformSettings, TuningSettings};
+use fulmarswitch_peer::{
+    FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
+    StreamRequest,
+};
+use fulmarswitch_platform::{HostList, ListedHost, PlatformError};
+use fulmarswitch_records::{
+    ConfigChange, Epoch, HostIdentity, LogicalClock, OnlineRequest, RecordBody, ShardIndex,
+};
+use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
+use fulmarswitch_standins::fleet::MemoryFleet;
+use fulmarswitch_standins::log::{LogFaults, MemoryLog};
+use futures::StreamExt;
+use slog::{Discard, Logger, o};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Hosts by their runs; a lost host is taken out.
+#[derive(Default)]
+pub struct MemoryNetwork {
+    nodes: Mutex<Vec<(HostIdentity, Arc<HostNode>)>>,
+}
+
+impl MemoryNetwork {
+    fn node(&self, host: &HostIdentity) -> Option<Arc<HostNode>> {
+        let nodes = self.nodes.lock().unwrap();
+        let found = nodes.iter().find(|(known, _)| known == host);
+        found.map(|(_, node)| Arc::clone(node))
+    }
+
+    fn remove(&self, host: &HostIdentity) {
+        self.nodes
+            .lock()
+            .unwrap()
+            .retain(|(known, _)| known != host);
+    }
+}
+
+struct MemoryLink {
+    from: HostIdentity,
+    network: Arc<MemoryNetwork>,
+}
+
+impl MemoryLink {
+    fn find(&self, to: &PeerTarget) -> Result<Arc<HostNode>, PeerError> {
+        let here = self.network.node(&self.from);
+        let node = here.and_then(|_| self.network.node(&to.host));
+        node.ok_or_else(|| PeerError::NotReached {
+            host: to.host.clone(),
+            cause: "no such host".into(),
+        })
+    }
+}
+
+#[async_trait]
+impl PeerLink for MemoryLink {
+    async fn call(&self, to: &PeerTarget, message: PeerMessage) -> Result<PeerReply, PeerError> {
+        let node = self.find(to)?;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let reply = node.handle(self.from.clone(), message).await;
+        // A host that is lost meanwhile gives no answer.
+        self.find(to).map_err(|_| PeerError::NoAnswer {
+            host: to.host.clone(),
+            cause: "the host was lost".into(),
+        })?;
+        Ok(reply)
+    }
+
+    async fn open(
+        &self,
+        to: &PeerTarget,
+        request: StreamRequest,
+    ) -> Result<FrameStream, PeerError> {
+        let node = self.find(to)?;
+        Ok(node.serve(request).await)
+    }
+}
+
+struct QuietPlatform;
+
+#[async_trait]
+impl HostList for QuietPlatform {
+    async fn hosts(&self) -> Result<Vec<ListedHost>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+/// A few hosts, a log and engines.
+pub struct TestFleet {
+    pub log: Arc<MemoryLog>,
+    pub network: Arc<MemoryNetwork>,
+    pub endpoints: MemoryFleet,
+    pub tuning: TuningSettings,
+    pub events: Vec<EventLog>,
+    incarnation: u64,
+}
+
+impl TestFleet {
+    /// Creates a fleet with `engines` engines at the addresses `engine-0` and so on.
+    pub fn new(faults: LogFaults, tuning: TuningSettings, engines: usize) -> Self {
+        let mut endpoints = MemoryFleet::new();
+        for number in 0..engines {
+            let engine = MemoryEngine::new(EngineFaults::default(), &["m"]);
+            tokio::spawn(Arc::clone(&engine).run());
+            endpoints.add_engine(&format!("engine-{number}"), engine);
+        }
+        Self {
+            log: Arc::new(MemoryLog::new(faults)),
+            network: Arc::default(),
+            endpoints,
+            tuning,
+            events: Vec::new(),
+            incarnation: 0,
+        }
+    }
+
+    /// Starts a host without waiting for it to join.
+    pub fn make_host(&mut self, name: &str, domain: &str) -> (HostIdentity, Arc<HostNode>) {
+        self.incarnation += 1;
+        let identity = HostIdentity {
+            name: name.into(),
+            incarnation: self.incarnation,
+        };
+        let address: Arc<str> = "127.0.0.1:1".into();
+        let settings = HostSettings {
+            host: name.into(),
+            failure_domain: domain.into(),
+            caller_address: Arc::clone(&address),
+            message_address: Arc::clone(&address),
+            stream_address: Arc::clone(&address),
+            platform: PlatformSettings {
+                log_address: Arc::clone(&address),
+                list_address: Arc::clone(&address),
+                store_address: address,
+            },
+            layout: LayoutSettings {
+                shards: 4,
+                groups: 2,
+            },
+            tuning: self.tuning.clone(),
+        };
+        let logger = Logger::root(Discard, o!());
+        let clock = LogicalClock::new();
+        let events = EventLog::new(name.into(), clock, logger);
+        self.events.push(events.clone());
+        let parts = HostParts {
+            identity: identity.clone(),
+            log: self.log.clone(),
+            list: Arc::new(QuietPlatform),
+            link: Arc::new(MemoryLink {
+                from: identity.clone(),
+                network: Arc::clone(&self.network),
+            }),
+            endpoints: Arc::new(self.endpoints.clone()),
+            events,
+            metrics: HostMetrics::new(),
+            started: Instant::now(),
+            settings: Arc::new(settings),
+        };
+        let node = HostNode::new(&parts);
+        let nodes = &self.network.nodes;
+        nodes
+            .lock()
+            .unwrap()
+            .push((identity.clone(), Arc::clone(&node)));
+        (identity, node)
+    }
+
+    /// Starts a host and waits until it has joined.
+    pub async fn add_host(&mut self, name: &str, domain: &str) -> (HostIdentity, Arc<HostNode>) {
+        let (identity, node) = self.make_host(name, domain);
+        node.join().await.expect("the host joins");
+        (identity, node)
+    }
+
+    /// Returns what all hosts have noted of one kind.
+    pub fn noted(&self, kind: &str) -> Vec<String> {
+        let all = self.events.iter().flat_map(EventLog::all);
+        let noted = all.filter(|event| *event.kind == *kind);
+        noted
+            .map(|event| format!("{} {}: {}", event.host, event.entity, event.detail))
+            .collect()
+    }
+
+    /// Takes a host away without notice.
+    pub fn lose_host(&self, host: &HostIdentity) {
+        self.network.remove(host);
+    }
+}
+
+/// Publishes a configuration record.
+pub async fn publish(node: &HostNode, name: &str, base_version: u64, body: &str) {
+    let change = ConfigChange {
+        name: name.into(),
+        base_version,
+        schema: 1,
+        body: body.into(),
+    };
+    let body = RecordBody::Config(change);
+    let book = &node.fleet().config;
+    let receiver = book.append(ShardIndex(0), Epoch(0), body).expect("queued");
+    receiver.await.expect("published");
+}
+
+/// Publishes a service with one endpoint an engine, and a workspace.
+pub async fn publish_service(node: &HostNode, engines: usize) {
+    publish(node, "workspace/w", 0, "{}").await;
+    publish(node, "service/s", 0, r#"{"protocol":"engine","model":"m"}"#).await;
+    for number in 0..engines {
+        let body = format!(
+            r#"{{"service":"s","address":"engine-{number}","failure_domain":"d{number}"}}"#
+        );
+        publish(node, &format!("endpoint/e{number}"), 0, &body).await;
+    }
+}
+
+/// Makes a request.
+pub fn request(key: &str, idempotent: bool) -> OnlineRequest {
+    OnlineRequest {
+        key: key.into(),
+        workspace: "w".into(),
+        service: "s".into(),
+        input: format!("input of {key}").into(),
+        max_tokens: 4,
+        deadline_ms: 10_000,
+        idempotent,
+    }
+}
+
+/// Returns the node that owns a key or job by the log, as `node` sees it.
+pub fn owner_of(fleet: &TestFleet, node: &HostNode, name: &str) -> Arc<HostNode> {
+    let shard = node.fleet().view().shard_of(name);
+    let owner = node.shards().owner(shard).expect("the shard has an owner");
+    fleet.network.node(&owner).expect("the owner is there")
+}
+
+/// Submits a request to its owner and returns the last frame.
+pub async fn submit(node: &HostNode, request: OnlineRequest) -> StreamFrame {
+    let mut frames = node.serve(StreamRequest::Submit(request)).await;
+    let mut last = StreamFrame::NotOwner;
+    while let Some(frame) = frames.next().await {
+        last = frame;
+    }
+    last
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+/// When it does not hold within `limit`.
+pub async fn wait_for(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + limit;
+    while !holds() {
+        assert!(Instant::now() < deadline, "{what}: not within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -1,7 +1,7 @@
 //! The domain form of a log record.
 
 use crate::config::ConfigChange;
-use crate::ids::{Epoch, HostIdentity, RecordId, ShardIndex};
+use crate::ids::{Epoch, HostIdentity, Offset, RecordId, RecordPlace, ShardIndex};
 use crate::request::{ItemOutcome, JobHeader, OnlineRequest};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -74,6 +74,10 @@
 pub struct ShardClaim {
     /// The new owner.
     pub owner: HostIdentity,
+    /// Next offset of the stream that the claimer had not read.
+    ///
+    /// A reader that starts at a later offset cannot tell whether the claim is an old one that came late.
+    pub read: Offset,
 }
 
 /// Body of [`RecordBody::Running`].
@@ -158,8 +162,12 @@
 }
 
 /// Body of [`RecordBody::CarriedKey`].
+///
+/// It counts only if no record behind `as_of` and before its own place names the key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CarriedKey {
+    /// Place of the newest record of the shard that the writer had read.
+    pub as_of: RecordPlace,
     /// The request as accepted.
     pub request: OnlineRequest,
     /// Whether a call that may not be repeated has been announced.
@@ -172,9 +180,12 @@
 
 /// Body of [`RecordBody::CarriedItems`].
 ///
-/// A job is carried as its seal, with the header, and its items in ranges.
+/// A job is carried as its seal, with the header, and its items in ranges. It counts only if no record
+/// behind `as_of` and before its own place names the job as a whole or an item of the range.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CarriedItems {
+    /// Place of the newest record of the shard that the writer had read.
+    pub as_of: RecordPlace,
     /// The job's seal.
     pub seal: JobSeal,
     /// Whether the job is cancelled.
@@ -201,8 +212,12 @@
 }
 
 /// Body of [`RecordBody::Forget`].
+///
+/// It counts only if no record behind `as_of` and before its own place names the key or job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForgetName {
+    /// Place of the newest record of the shard that the writer had read.
+    pub as_of: RecordPlace,
     /// Workspace and key, or workspace and job.
     pub name: Arc<str>,
     /// Whether the name is a job's.
@@ -265,7 +280,7 @@
     /// # use fulmarswitch_records::*;
     /// # let owner = HostIdentity { name: "a".into(), incarnation: 1 };
     /// # let id = RecordId { writer: owner.clone(), sequence: 0 };
-    /// # let body = RecordBody::Claim(ShardClaim { owner });
+    /// # let body = RecordBody::Claim(ShardClaim { owner, read: Offset(0) });
     /// # let record = LogRecord { id, shard: ShardIndex(0), epoch: Epoch(1), stamp: 0, body };
     /// assert!(record.size_hint() > 0);
     /// ```
