Keep answers given in an outage of the log at two other hosts

Cause: while the log was down, submissions of jobs, cancels and configuration queued and waited, requests that may run once noticed after 1.2 s, and an answer that was given without a record lived in one host.

The book now says whether the log answers: two failed reads in a row, no read for 1.2 s, or 2.5 s without progress while records wait. Jobs, cancels, configuration and requests that may run once are refused as not run at once; a submission waits 4 s at most and then says that its fate is unknown, also when a later try is refused. Items that may run once are not handed out; half of the bound on waiting records is kept for online requests. When the bound is reached a request is refused before it is sent; one that has been sent by then is no longer called not run.

An outcome that is given without a record goes to two hosts of other failure domains before the caller has it. They answer those who ask for the key, and record the outcome through the owner once the log is back and the sender is lost. A copy for a key that stands for another request is dropped in place of ending that request.

--- a/crates/fulmarswitch/src/book.rs
+++ b/crates/fulmarswitch/src/book.rs
@@ -27,8 +27,9 @@
 const PAGE_ENTRIES: usize = 256;
 /// Time that a read waits for new entries.
 const TAIL_WAIT: Duration = Duration::from_millis(500);
-/// Pause after a failed read.
+/// Pause after a failed read, and the longest pause after many.
 const READ_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_READ_PAUSE: Duration = Duration::from_millis(500);
 /// Records committed at once.
 const BATCH_RECORDS: usize = 512;
 /// Marks of when entries were written, in the time for which the log keeps them.
@@ -36,6 +37,13 @@
 /// Bytes of records committed at once; one larger record goes alone.
 const BATCH_BYTES: usize = 512 << 10;
 
+/// Reads that fail one behind the other before the log counts as silent.
+const FAILED_READS: u32 = 2;
+/// Time without an answered read after which the log counts as silent; more than one wait of a reader.
+const READ_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time without an append that took effect, while records wait, after which the log counts as silent.
+const APPEND_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// What a book feeds its records to.
 pub trait StreamReplay: Send + 'static {
     /// Applies the record at `place`, which stands there since `at_ms` on the log's clock.
@@ -78,6 +86,8 @@
     pub read_at: Instant,
     /// Reads that the log answered.
     pub reads: u64,
+    /// Reads that have failed since.
+    pub failed_reads: u32,
     /// Time on the log's clock at the last read, in milliseconds since the Unix epoch.
     pub log_ms: u64,
     /// Time for which the log keeps entries.
@@ -95,6 +105,8 @@
 struct BookQueue {
     records: VecDeque<QueuedRecord>,
     bytes: usize,
+    /// Since when records have waited without any progress.
+    stalled_since: Option<Instant>,
     waiters: SortedIndex<u64, Option<oneshot::Sender<AppendedRecord>>>,
 }
 
@@ -125,6 +137,7 @@
             caught_up: false,
             read_at: Instant::now(),
             reads: 0,
+            failed_reads: 0,
             log_ms: 0,
             retention: Duration::ZERO,
             oldest: Offset(0),
@@ -179,12 +192,28 @@
         at.checked_sub(1).map_or(Offset(0), |at| marks[at].0.next())
     }
 
+    /// Tells whether the log answers reads and, if records wait, takes appends.
+    #[must_use]
+    pub fn is_answering(&self) -> bool {
+        let stalled = lock(&self.queue)
+            .stalled_since
+            .is_some_and(|since| since.elapsed() > APPEND_SILENCE);
+        let failed = self.status.borrow().failed_reads >= FAILED_READS;
+        !stalled && !failed && self.is_fresh(READ_SILENCE)
+    }
+
     /// Returns the bytes of records that wait for the log.
     #[must_use]
     pub fn pending_bytes(&self) -> usize {
         lock(&self.queue).bytes
     }
 
+    /// Tells whether so much waits for the log that nothing more is queued.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.pending_bytes() > self.parts.settings.tuning.pending_bytes
+    }
+
     /// Queues a record; the receiver tells what became of it once it is read back.
     ///
     /// The record is written even if the receiver is dropped.
@@ -215,6 +244,7 @@
         if queue.bytes > self.parts.settings.tuning.pending_bytes {
             return Err(BookError::Full);
         }
+        queue.stalled_since.get_or_insert_with(Instant::now);
         let mut receivers = Vec::with_capacity(bodies.len());
         for body in bodies {
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -275,15 +305,17 @@
     async fn run_tail(self: Arc<Self>) {
         loop {
             let from = self.status.borrow().next;
-            match self
-                .parts
-                .log
-                .read(&self.stream, from, PAGE_ENTRIES, TAIL_WAIT)
-                .await
-            {
-                Ok(page) => self.apply_page(&page),
-                Err(_) => tokio::time::sleep(READ_PAUSE).await,
+            let log = &self.parts.log;
+            let read = log.read(&self.stream, from, PAGE_ENTRIES, TAIL_WAIT).await;
+            if let Ok(page) = read {
+                self.apply_page(&page);
+                continue;
             }
+            let failed = self.status.borrow().failed_reads + 1;
+            self.status
+                .send_modify(|status| status.failed_reads = failed);
+            let pause = READ_PAUSE * failed;
+            tokio::time::sleep(pause.min(LONGEST_READ_PAUSE)).await;
         }
     }
 
@@ -314,6 +346,7 @@
             status.caught_up |= next >= page.head;
             status.read_at = Instant::now();
             status.reads += 1;
+            status.failed_reads = 0;
             status.log_ms = page.now_ms;
             status.retention = page.retention;
             status.oldest = page.oldest;
@@ -399,7 +432,10 @@
             let queue = lock(&self.queue);
             records.retain(|record| queue.waiters.contains(&record.id.sequence));
         }
-        lock(&self.queue).bytes -= bytes;
+        let mut queue = lock(&self.queue);
+        queue.bytes -= bytes;
+        let more = !queue.records.is_empty();
+        queue.stalled_since = more.then(Instant::now);
     }
 
     /// Waits until the log has answered a read that began after the failed append.
--- a/crates/fulmarswitch/src/entry.rs
+++ b/crates/fulmarswitch/src/entry.rs
@@ -150,6 +150,8 @@
                     Ok(PeerReply::NotOwner) | Err(PeerError::NotReached { .. }) => {}
                     // Every message that comes here is idempotent, so it may be sent again.
                     Ok(PeerReply::Unknown) | Err(PeerError::NoAnswer { .. }) => acted = true,
+                    // What was sent before may yet take effect.
+                    Ok(PeerReply::Refused { .. }) if acted => return Err(EntryError::Unknown),
                     Ok(reply) => return Ok(reply),
                 }
             }
--- a/crates/fulmarswitch/src/entry/config.rs
+++ b/crates/fulmarswitch/src/entry/config.rs
@@ -34,7 +34,7 @@
         change
             .parse_strict()
             .map_err(|error| bad(error.to_string()))?;
-        if !self.fleet.config.is_fresh(PUBLISH_LIMIT) {
+        if !self.fleet.config.is_answering() {
             let reason = "the log does not answer; the change was not published".into();
             return Err(EntryError::Refused {
                 reason,
--- a/crates/fulmarswitch/src/entry/jobs.rs
+++ b/crates/fulmarswitch/src/entry/jobs.rs
@@ -3,6 +3,7 @@
 use super::EntryRole;
 use super::online::{check_field, parse_body};
 use super::reply::{EntryError, unexpected};
+use crate::jobs::FULL_RETRY_MS;
 use fulmarswitch_caller::wire::{
     ItemLine, JobCall, JobReply, OutcomeReply, ResultLine, ResultPage,
 };
@@ -120,7 +121,7 @@
             {
                 PeerReply::Received { .. } => return Ok(()),
                 PeerReply::Refused { retry_after_ms, .. }
-                    if retry_after_ms > 0 && tries < FULL_TRIES =>
+                    if (1..=FULL_RETRY_MS).contains(&retry_after_ms) && tries < FULL_TRIES =>
                 {
                     tries += 1;
                     tokio::time::sleep(FULL_PAUSE).await;
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -2,6 +2,7 @@
 
 use super::reply::{EntryError, unexpected};
 use super::{EntryRole, OWNER_PAUSE, ProgressGuard};
+use crate::keys::OUTAGE_RETRY;
 use crate::metrics::HostMetrics;
 use bytes::Bytes;
 use fulmarswitch_caller::wire::{AnswerEvent, OutcomeReply, RequestCall};
@@ -9,7 +10,7 @@
 use fulmarswitch_http::{HttpRequest, HttpResponse, json_response, stream_body};
 use fulmarswitch_peer::message::{KeyName, RefusalNote, RunState};
 use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
-use fulmarswitch_records::OnlineRequest;
+use fulmarswitch_records::{OnlineRequest, ShardIndex};
 use futures::StreamExt;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -25,6 +26,8 @@
 const BODY_LIMIT: usize = 1 << 20;
 /// Longest deadline, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
+/// Failed tries to reach an owner after which it is given up if the log does not answer.
+const UNREACHED_LIMIT: u32 = 3;
 /// Time beyond the deadline for which the entry waits for the owner's last frame.
 const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -143,8 +146,16 @@
         let shard = self.fleet.view().shard_of(&request.full_key());
         let mut sent = false;
         let mut text_given = false;
+        let mut unreached = 0;
         while Instant::now() < deadline {
             let Some(mut frames) = self.open_owner(shard, &request, &mut sent).await else {
+                unreached += 1;
+                if unreached >= UNREACHED_LIMIT
+                    && let Some(last) = self.answer_in_outage(shard, &request).await
+                {
+                    let _ = caller.send(last);
+                    return;
+                }
                 tokio::time::sleep(OWNER_PAUSE).await;
                 continue;
             };
@@ -181,9 +192,35 @@
         let _ = caller.send(StreamFrame::Refused(note));
     }
 
+    /// Answers for an owner that is not reached while the log does not answer, so that nobody can take its
+    /// place: with the outcome that it gave, if another host keeps a copy.
+    async fn answer_in_outage(
+        &self,
+        shard: ShardIndex,
+        request: &OnlineRequest,
+    ) -> Option<StreamFrame> {
+        if self.shards.book(shard).is_answering() {
+            return None;
+        }
+        let owner = self.shards.owner(shard)?;
+        let found = self.keys.hold().find_elsewhere(&owner, request).await;
+        Some(match found {
+            Some(outcome) => StreamFrame::Done {
+                outcome,
+                recorded: false,
+            },
+            None => StreamFrame::Refused(RefusalNote {
+                reason: "the owner of the key is not reached and the log does not answer".into(),
+                // The owner may have run it for an earlier submission under the key.
+                ran: RunState::MayHaveRun,
+                retry_after_ms: u64::try_from(OUTAGE_RETRY.as_millis()).unwrap_or(u64::MAX),
+            }),
+        })
+    }
+
     async fn open_owner(
         &self,
-        shard: fulmarswitch_records::ShardIndex,
+        shard: ShardIndex,
         request: &OnlineRequest,
         sent: &mut bool,
     ) -> Option<FrameStream> {
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -5,6 +5,7 @@
 use crate::entry::EntryRole;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
+use crate::hold::HoldRole;
 use crate::jobs::JobOwner;
 use crate::keys::KeyOwner;
 use crate::parts::HostParts;
@@ -36,6 +37,7 @@
     jobs: Arc<JobOwner>,
     watcher: Arc<HostWatcher>,
     retention: Arc<RetentionRole>,
+    hold: Arc<HoldRole>,
     entry: Arc<EntryRole>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -48,7 +50,8 @@
         let shards = ShardBooks::start(parts, &fleet, &committer);
         let gates = GateRole::new(parts, &fleet, &shards);
         let chooser = EndpointChooser::new(parts, &fleet);
-        let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser);
+        let hold = HoldRole::new(parts, &fleet);
+        let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser, &hold);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
         let retention = RetentionRole::new(parts, &fleet, &shards, &watcher);
@@ -63,6 +66,7 @@
             jobs,
             watcher,
             retention,
+            hold,
             entry,
             tasks: Mutex::default(),
         })
@@ -80,6 +84,12 @@
         &self.shards
     }
 
+    /// Returns the owner of keys.
+    #[must_use]
+    pub fn keys(&self) -> &Arc<KeyOwner> {
+        &self.keys
+    }
+
     /// Returns hosts and configuration as seen here.
     #[must_use]
     pub fn fleet(&self) -> &Arc<FleetBooks> {
@@ -103,6 +113,7 @@
         tasks.spawn(Arc::clone(&self.watcher).run_rejoins());
         tasks.spawn(Arc::clone(&self.shards).run_claims());
         tasks.spawn(Arc::clone(&self.retention).run());
+        tasks.spawn(Arc::clone(&self.hold).run(Arc::clone(&self.keys)));
         tasks.spawn(Arc::clone(&self.gates).run_gates());
         tasks.spawn(Arc::clone(&self.keys).run_sweeps());
         tasks.spawn(Arc::clone(&self.jobs).run_offers());
@@ -185,7 +196,8 @@
             PeerMessage::ReadJob(name) => self.jobs.read_job(&name),
             PeerMessage::ReadResults(range) => self.jobs.read_results(&range).await,
             PeerMessage::Handover(note) => self.keys.take_handover(&from, note),
-            PeerMessage::Hold(_) => PeerReply::Unsupported,
+            PeerMessage::Hold(request) => self.hold.take(&from, request),
+            PeerMessage::FindHeld(request) => self.hold.find(&request),
         }
     }
 
--- a/crates/fulmarswitch/src/jobs.rs
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -4,6 +4,8 @@
 mod read;
 mod submit;
 
+pub(crate) use submit::FULL_RETRY_MS;
+
 use crate::fleet::FleetBooks;
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
@@ -69,10 +71,7 @@
         let body = RecordBody::JobCancel(JobCancel {
             job: Arc::clone(&name.job),
         });
-        let Ok(receiver) = self.shards.append(shard, body) else {
-            return PeerReply::NotOwner;
-        };
-        match receiver.await.map(|appended| appended.verdict) {
+        match self.append_verdict(shard, body).await {
             Ok(RecordVerdict::Valid) => {
                 self.parts
                     .events
@@ -83,7 +82,7 @@
             }
             // A finished job stays as it is.
             Ok(_) => self.report_of(shard, &name.job),
-            Err(_) => PeerReply::Unknown,
+            Err(reply) => reply,
         }
     }
 
--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -58,10 +58,19 @@
         if self.shards.owned_epoch(request.shard).is_none() {
             return PeerReply::NotOwner;
         }
+        let book = self.shards.book(request.shard);
+        if book.pending_bytes() > self.parts.settings.tuning.pending_bytes / 2 {
+            // What is left is kept for online requests.
+            return PeerReply::NotFound;
+        }
         let count = request.count.min(HAND_LIMIT);
         let Some((seal, items)) = self.take_items(gate, &request, count) else {
             return PeerReply::NotFound;
         };
+        if !seal.header.idempotent && !book.is_answering() {
+            self.give_back(&request.job, &items);
+            return PeerReply::NotFound;
+        }
         if !seal.header.idempotent && !items.is_empty() {
             let running = ItemsRunning {
                 job: Arc::clone(&request.job),
--- a/crates/fulmarswitch/src/jobs/submit.rs
+++ b/crates/fulmarswitch/src/jobs/submit.rs
@@ -2,6 +2,7 @@
 
 use super::JobOwner;
 use crate::book::BookError;
+use crate::keys::OUTAGE_RETRY;
 use crate::parts::lock;
 use fulmarswitch_decide::shard::{RecordVerdict, ShardState, VoidReason};
 use fulmarswitch_peer::PeerReply;
@@ -14,8 +15,10 @@
 
 /// Silence after which a submission counts as broken off.
 const SESSION_LIMIT: Duration = Duration::from_secs(10);
-/// Time to come back while the log takes no more.
-const FULL_RETRY_MS: u64 = 1_000;
+/// Time to come back while the log takes no more, in milliseconds.
+pub(crate) const FULL_RETRY_MS: u64 = 1_000;
+/// Time that a submission waits for a record to stand on the log.
+const STANDING_LIMIT: Duration = Duration::from_secs(4);
 
 impl JobOwner {
     /// Begins a submission, or says what has become of the job already.
@@ -30,6 +33,9 @@
             Some(Some(_)) => return conflict(),
             _ => {}
         }
+        if let Err(refusal) = self.check_log(shard) {
+            return refusal;
+        }
         if !self.open_session(&name) {
             return PeerReply::Refused {
                 reason: "the job is being submitted by another connection".into(),
@@ -111,16 +117,20 @@
         }
     }
 
-    async fn append_verdict(
+    /// Appends a record of a submission and waits until it stands. While the log does not answer, nothing
+    /// is queued.
+    pub(super) async fn append_verdict(
         &self,
         shard: ShardIndex,
         body: RecordBody,
     ) -> Result<RecordVerdict, PeerReply> {
+        self.check_log(shard)?;
         match self.shards.append(shard, body) {
-            Ok(receiver) => receiver
-                .await
-                .map(|appended| appended.verdict)
-                .map_err(|_| PeerReply::Unknown),
+            Ok(receiver) => match tokio::time::timeout(STANDING_LIMIT, receiver).await {
+                Ok(Ok(appended)) => Ok(appended.verdict),
+                // The record may yet come to stand.
+                Ok(Err(_)) | Err(_) => Err(PeerReply::Unknown),
+            },
             Err(BookError::Closed) => Err(PeerReply::NotOwner),
             Err(error @ BookError::Full) => Err(PeerReply::Refused {
                 reason: error.to_string().into(),
@@ -129,6 +139,17 @@
         }
     }
 
+    /// Refuses while the log does not answer.
+    pub(super) fn check_log(&self, shard: ShardIndex) -> Result<(), PeerReply> {
+        if self.shards.book(shard).is_answering() {
+            return Ok(());
+        }
+        Err(PeerReply::Refused {
+            reason: "the log does not answer; nothing was taken".into(),
+            retry_after_ms: u64::try_from(OUTAGE_RETRY.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
     fn open_session(&self, name: &Arc<str>) -> bool {
         let mut sessions = lock(&self.sessions);
         let free = sessions
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -10,6 +10,7 @@
 use crate::chooser::EndpointChooser;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
+use crate::hold::HoldRole;
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::shard::RecordVerdict;
@@ -34,6 +35,8 @@
 const LOG_PATIENCE: Duration = Duration::from_millis(400);
 /// Silence after which the log is taken to be out of reach; more than one wait of its readers.
 const LOG_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time to come back while the log does not answer.
+pub(crate) const OUTAGE_RETRY: Duration = Duration::from_secs(2);
 /// Time to come back after a refusal that has no better one.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,7 @@
     shards: Arc<ShardBooks>,
     gates: Arc<GateRole>,
     chooser: Arc<EndpointChooser>,
+    hold: Arc<HoldRole>,
     runs: Mutex<SortedIndex<Arc<str>, Arc<KeyRun>>>,
     /// Keys that still run at the host that owned their shard before.
     elsewhere: Mutex<SortedIndex<Arc<str>, HostIdentity>>,
@@ -59,6 +63,7 @@
         shards: &Arc<ShardBooks>,
         gates: &Arc<GateRole>,
         chooser: &Arc<EndpointChooser>,
+        hold: &Arc<HoldRole>,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
@@ -66,12 +71,19 @@
             shards: Arc::clone(shards),
             gates: Arc::clone(gates),
             chooser: Arc::clone(chooser),
+            hold: Arc::clone(hold),
             runs: Mutex::default(),
             elsewhere: Mutex::default(),
             in_progress: watch::Sender::new(0),
         })
     }
 
+    /// Returns the copies of outcomes that wait for the log.
+    #[must_use]
+    pub fn hold(&self) -> &Arc<HoldRole> {
+        &self.hold
+    }
+
     /// Returns the number of requests that run here.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -140,9 +152,14 @@
         }
         let known = self
             .shards
-            .with_shard(shard, |state| state.key(&name).is_some());
+            .with_shard(shard, |state| Some(state.key(&name)?.digest));
+        if known.is_some_and(|digest| digest != note.request.digest()) {
+            return PeerReply::Conflict {
+                reason: "the key stands for another request; choose a new key".into(),
+            };
+        }
         let mut bodies = Vec::new();
-        if !known {
+        if known.is_none() {
             bodies.push(RecordBody::Accept(note.request));
         }
         bodies.push(RecordBody::Outcome(KeyOutcome {
@@ -165,6 +182,26 @@
         }
     }
 
+    /// Records an outcome through the owner of its key, here or at another host; tells whether that is done.
+    pub async fn record_anywhere(self: &Arc<Self>, note: OutcomeNote) -> bool {
+        let shard = self.fleet.view().shard_of(&note.request.full_key());
+        let Some(target) = self.shards.owner_target(shard) else {
+            return false;
+        };
+        let reply = if target.host == self.parts.identity {
+            self.record_for(note).await
+        } else {
+            let message = PeerMessage::RecordOutcome(note);
+            let reply = self.parts.link.call(&target, message).await;
+            reply.unwrap_or(PeerReply::Unknown)
+        };
+        // An outcome of a request that is not the one on the log cannot be recorded at all.
+        matches!(
+            reply,
+            PeerReply::Outcome(Some(_)) | PeerReply::Conflict { .. }
+        )
+    }
+
     /// Notes which requests still run at the host that owned a shard before.
     pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
         let mut elsewhere = lock(&self.elsewhere);
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::run::KeyRun;
 use super::{
-    KeyOwner, LOG_PATIENCE, LOG_SILENCE, RETRY_AFTER, conflict, millis, not_run_frame,
-    unknown_frame,
+    KeyOwner, LOG_PATIENCE, LOG_SILENCE, OUTAGE_RETRY, RETRY_AFTER, conflict, millis,
+    not_run_frame, unknown_frame,
 };
 use crate::book::{AppendedRecord, BookError};
 use crate::chooser::SentAttempt;
@@ -71,7 +71,14 @@
         if let StreamFrame::Done { outcome, .. } = &last
             && !recorded
         {
-            tokio::spawn(Arc::clone(&self).record_late(Arc::clone(&run), outcome.clone()));
+            let number = self.hold.add(OutcomeNote {
+                request: run.request.clone(),
+                outcome: outcome.clone(),
+            });
+            let outcome = outcome.clone();
+            let recording = Arc::clone(&self).record_late(Arc::clone(&run), outcome, number);
+            tokio::spawn(recording);
+            self.hold.wait_held(number).await;
         } else {
             self.end_run(&run);
         }
@@ -85,6 +92,9 @@
         } else {
             Acceptance::Open
         };
+        if !resumed && self.shards.book(run.shard).is_full() {
+            return not_run_frame(&BookError::Full.to_string(), OUTAGE_RETRY);
+        }
         let mut excluded = Vec::new();
         let mut retry_after = RETRY_AFTER;
         let mut refusals = 0;
@@ -282,13 +292,13 @@
                 Ok(())
             }
             Err(BookError::Closed) => Err(StreamFrame::NotOwner),
-            Err(error @ BookError::Full) => Err(not_run_frame(&error.to_string(), RETRY_AFTER)),
+            // The endpoint may have begun by now.
+            Err(error @ BookError::Full) => Err(unknown_frame(&error.to_string())),
         }
     }
 
     fn log_is_silent(&self, run: &KeyRun, acceptance: &Acceptance) -> bool {
-        matches!(acceptance, Acceptance::Pending(_))
-            && !self.shards.book(run.shard).is_fresh(LOG_SILENCE)
+        matches!(acceptance, Acceptance::Pending(_)) && !self.shards.book(run.shard).is_answering()
     }
 
     /// Records the outcome, here or at the new owner of the shard, and returns the last frame.
@@ -315,8 +325,9 @@
     }
 
     /// Records an outcome that was given before the log had it.
-    async fn record_late(self: Arc<Self>, run: Arc<KeyRun>, outcome: ItemOutcome) {
+    async fn record_late(self: Arc<Self>, run: Arc<KeyRun>, outcome: ItemOutcome, number: u32) {
         self.record(&run, outcome).await;
+        self.hold.settle(number);
         self.end_run(&run);
     }
 
@@ -378,6 +389,7 @@
                 outcome,
                 recorded: true,
             }),
+            Ok(PeerReply::Conflict { .. }) => Some(conflict()),
             _ => None,
         }
     }
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -5,7 +5,7 @@
 
 use super::attempt::{AttemptEnd, next_frame};
 use super::run::KeyRun;
-use super::{KeyOwner, LOG_SILENCE, RETRY_AFTER, not_run_frame, unknown_frame};
+use super::{KeyOwner, LOG_SILENCE, OUTAGE_RETRY, RETRY_AFTER, not_run_frame, unknown_frame};
 use crate::chooser::SentAttempt;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::StreamFrame;
@@ -16,8 +16,9 @@
 
 impl KeyOwner {
     pub(super) async fn drive_once(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
-        if !self.shards.book(run.shard).is_fresh(LOG_SILENCE) {
-            return not_run_frame("the log does not answer", RETRY_AFTER);
+        let book = self.shards.book(run.shard);
+        if !resumed && (!book.is_answering() || book.is_full()) {
+            return not_run_frame("the log does not answer", OUTAGE_RETRY);
         }
         if let Err(frame) = self.announce(run, resumed).await {
             return frame;
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`keys`] and [`jobs`]: the owner of idempotency keys and of batch jobs.
 //! - [`gates`]: everything that goes to an endpoint.
 //! - [`chooser`]: which endpoint a request goes to, and what is learnt of endpoints.
+//! - [`hold`]: copies of outcomes that wait for the log, at other hosts.
 //! - [`commit`]: group commit to the log.
 //! - [`retention`]: state written again before the log drops it.
 //! - [`watcher`]: joins, heartbeats and suspicion.
@@ -24,6 +25,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gates;
+pub mod hold;
 pub mod host;
 pub mod jobs;
 pub mod keys;
--- a/crates/fulmarswitch/tests/retention.rs
+++ b/crates/fulmarswitch/tests/retention.rs
@@ -125,7 +125,7 @@
 
     // Every record of the beginning expires several times over, and the hosts change.
     tokio::time::sleep(Duration::from_millis(3 * RETENTION_MS)).await;
-    fleet.lose_host(&lost);
+    fleet.freeze_host(&lost);
     let (_, late) = fleet.add_host("c", "d1").await;
     tokio::time::sleep(Duration::from_millis(2 * RETENTION_MS)).await;
 
--- a/crates/fulmarswitch/tests/support/mod.rs
+++ b/crates/fulmarswitch/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Whole hosts in one process, under tokio's paused clock, with fakes at the borders.
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use fulmarswitch::events::EventLog;
 use fulmarswitch::host::HostNode;
 use fulmarswitch::metrics::HostMetrics;
@@ -10,9 +11,9 @@
     FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
     StreamRequest,
 };
-use fulmarswitch_platform::{HostList, ListedHost, PlatformError};
+use fulmarswitch_platform::{HostList, ListedHost, LogError, LogPage, LogService, PlatformError};
 use fulmarswitch_records::{
-    ConfigChange, Epoch, HostIdentity, LogicalClock, OnlineRequest, RecordBody, ShardIndex,
+    ConfigChange, Epoch, HostIdentity, LogicalClock, Offset, OnlineRequest, RecordBody, ShardIndex,
 };
 use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
 use fulmarswitch_standins::fleet::MemoryFleet;
@@ -36,6 +37,12 @@
         found.map(|(_, node)| Arc::clone(node))
     }
 
+    async fn wait_removed(&self, host: &HostIdentity) {
+        while self.node(host).is_some() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     fn remove(&self, host: &HostIdentity) {
         self.nodes
             .lock()
@@ -65,13 +72,14 @@
     async fn call(&self, to: &PeerTarget, message: PeerMessage) -> Result<PeerReply, PeerError> {
         let node = self.find(to)?;
         tokio::time::sleep(Duration::from_millis(1)).await;
-        let reply = node.handle(self.from.clone(), message).await;
-        // A host that is lost meanwhile gives no answer.
-        self.find(to).map_err(|_| PeerError::NoAnswer {
+        let reply = tokio::select! {
+            reply = node.handle(self.from.clone(), message) => Some(reply),
+            () = self.network.wait_removed(&to.host) => None,
+        };
+        reply.ok_or_else(|| PeerError::NoAnswer {
             host: to.host.clone(),
             cause: "the host was lost".into(),
-        })?;
-        Ok(reply)
+        })
     }
 
     async fn open(
@@ -84,6 +92,40 @@
     }
 }
 
+/// The log as one host reaches it; a host that is lost reaches it no longer.
+struct HostLog {
+    log: Arc<MemoryLog>,
+    host: HostIdentity,
+    network: Arc<MemoryNetwork>,
+}
+
+impl HostLog {
+    async fn wait_connected(&self) {
+        while self.network.node(&self.host).is_none() {
+            tokio::time::sleep(Duration::from_hours(1)).await;
+        }
+    }
+}
+
+#[async_trait]
+impl LogService for HostLog {
+    async fn append(&self, stream: &str, data: Bytes) -> Result<Offset, LogError> {
+        self.wait_connected().await;
+        self.log.append(stream, data).await
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        self.wait_connected().await;
+        self.log.read(stream, from, max, wait).await
+    }
+}
+
 struct QuietPlatform;
 
 #[async_trait]
@@ -153,7 +195,11 @@
         self.events.push(events.clone());
         let parts = HostParts {
             identity: identity.clone(),
-            log: self.log.clone(),
+            log: Arc::new(HostLog {
+                log: Arc::clone(&self.log),
+                host: identity.clone(),
+                network: Arc::clone(&self.network),
+            }),
             list: Arc::new(QuietPlatform),
             link: Arc::new(MemoryLink {
                 from: identity.clone(),
@@ -190,8 +236,8 @@
             .collect()
     }
 
-    /// Takes a host away without notice.
-    pub fn lose_host(&self, host: &HostIdentity) {
+    /// Cuts a host off from everything, for ever.
+    pub fn freeze_host(&self, host: &HostIdentity) {
         self.network.remove(host);
     }
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -40,8 +40,10 @@
     ReadResults(ResultRange),
     /// Tells the new owner of a shard which requests still run at the old one.
     Handover(HandoverNote),
-    /// A copy of records that wait for the log, kept until the log has them or the sender is lost.
+    /// Copies of outcomes that wait for the log, kept until the log has them or the sender is lost.
     Hold(HoldRequest),
+    /// Asks for the outcome of a request among the copies that are held for others.
+    FindHeld(OnlineRequest),
 }
 
 /// A sign of life.
@@ -206,11 +208,18 @@
     pub handed_out: Vec<(Arc<str>, Vec<u32>)>,
 }
 
-/// Copies of records that wait for the log.
+/// Copies of outcomes that wait for the log.
+///
+/// The sender numbers its outcomes. The reply names the number from which the receiver needs them, so that
+/// a receiver that has lost its copies gets them again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldRequest {
-    /// Outcomes that the sender has given and not yet recorded; replaces the list sent before.
-    pub outcomes: Vec<OutcomeNote>,
+    /// Outcomes of smaller numbers stand on the log and are dropped.
+    pub kept_from: u32,
+    /// Number of the first outcome in this message.
+    pub first: u32,
+    /// Outcomes that the sender has given; none for those that stand on the log by now.
+    pub outcomes: Vec<Option<OutcomeNote>>,
 }
 
 /// Counts of a job.
