--- a/crates/fulmarswitch/src/book.rs
+++ b/crates/fulmarswitch/src/book.rs
@@ -27,17 +27,32 @@
 const PAGE_ENTRIES: usize = 256;
 /// Time that a read waits for new entries.
 const TAIL_WAIT: Duration = Duration::from_millis(500);
-/// Pause after a failed read.
+/// Pause after a failed read, and the longest pause after many.
 const READ_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_READ_PAUSE: Duration = Duration::from_millis(500);
 /// Records committed at once.
 const BATCH_RECORDS: usize = 512;
+/// Marks of when entries were written, in the time for which the log keeps them.
+const AGE_MARKS: u32 = 64;
 /// Bytes of records committed at once; one larger record goes alone.
 const BATCH_BYTES: usize = 512 << 10;
 
+/// Reads that fail one behind the other before the log counts as silent.
+const FAILED_READS: u32 = 2;
+/// Time without an answered read after which the log counts as silent; more than one wait of a reader.
+const READ_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time without an append that took effect, while records wait, after which the log counts as silent.
+const APPEND_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// What a book feeds its records to.
 pub trait StreamReplay: Send + 'static {
     /// Applies the record at `place`, which stands there since `at_ms` on the log's clock.
     fn apply(&mut self, place: RecordPlace, at_ms: u64, record: &LogRecord) -> RecordVerdict;
+
+    /// Tells that the log no longer keeps the entries before `start`, which were not read.
+    fn start_over(&mut self, start: Offset) {
+        let _ = start;
+    }
 }
 
 /// Errors of an append.
@@ -71,6 +86,8 @@
     pub read_at: Instant,
     /// Reads that the log answered.
     pub reads: u64,
+    /// Reads that have failed since.
+    pub failed_reads: u32,
     /// Time on the log's clock at the last read, in milliseconds since the Unix epoch.
     pub log_ms: u64,
     /// Time for which the log keeps entries.
@@ -88,6 +105,8 @@
 struct BookQueue {
     records: VecDeque<QueuedRecord>,
     bytes: usize,
+    /// Since when records have waited without any progress.
+    stalled_since: Option<Instant>,
     waiters: SortedIndex<u64, Option<oneshot::Sender<AppendedRecord>>>,
 }
 
@@ -101,6 +120,8 @@
     queued: Notify,
     sequence: AtomicU64,
     status: watch::Sender<TailStatus>,
+    /// Some offsets and their times on the log's clock, in milliseconds.
+    marks: Mutex<VecDeque<(Offset, u64)>>,
 }
 
 impl<R: StreamReplay> LogBook<R> {
@@ -116,6 +137,7 @@
             caught_up: false,
             read_at: Instant::now(),
             reads: 0,
+            failed_reads: 0,
             log_ms: 0,
             retention: Duration::ZERO,
             oldest: Offset(0),
@@ -129,6 +151,7 @@
             queued: Notify::new(),
             sequence: AtomicU64::new(0),
             status: watch::Sender::new(status),
+            marks: Mutex::default(),
         });
         tokio::spawn(Arc::clone(&book).run_tail());
         tokio::spawn(Arc::clone(&book).run_writer());
@@ -159,12 +182,38 @@
         status.caught_up && status.read_at.elapsed() <= limit
     }
 
+    /// Returns an offset before which all entries are older than `age`, by the log's clock.
+    #[must_use]
+    pub fn offset_at_age(&self, age: Duration) -> Offset {
+        let log_ms = self.status.borrow().log_ms;
+        let before_ms = log_ms.saturating_sub(millis(age));
+        let marks = lock(&self.marks);
+        let at = marks.partition_point(|(_, at_ms)| *at_ms < before_ms);
+        at.checked_sub(1).map_or(Offset(0), |at| marks[at].0.next())
+    }
+
+    /// Tells whether the log answers reads and, if records wait, takes appends.
+    #[must_use]
+    pub fn is_answering(&self) -> bool {
+        let stalled = lock(&self.queue)
+            .stalled_since
+            .is_some_and(|since| since.elapsed() > APPEND_SILENCE);
+        let failed = self.status.borrow().failed_reads >= FAILED_READS;
+        !stalled && !failed && self.is_fresh(READ_SILENCE)
+    }
+
     /// Returns the bytes of records that wait for the log.
     #[must_use]
     pub fn pending_bytes(&self) -> usize {
         lock(&self.queue).bytes
     }
 
+    /// Tells whether so much waits for the log that nothing more is queued.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.pending_bytes() > self.parts.settings.tuning.pending_bytes
+    }
+
     /// Queues a record; the receiver tells what became of it once it is read back.
     ///
     /// The record is written even if the receiver is dropped.
@@ -195,6 +244,7 @@
         if queue.bytes > self.parts.settings.tuning.pending_bytes {
             return Err(BookError::Full);
         }
+        queue.stalled_since.get_or_insert_with(Instant::now);
         let mut receivers = Vec::with_capacity(bodies.len());
         for body in bodies {
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -255,22 +305,32 @@
     async fn run_tail(self: Arc<Self>) {
         loop {
             let from = self.status.borrow().next;
-            match self
-                .parts
-                .log
-                .read(&self.stream, from, PAGE_ENTRIES, TAIL_WAIT)
-                .await
-            {
-                Ok(page) => self.apply_page(&page),
-                Err(_) => tokio::time::sleep(READ_PAUSE).await,
+            let log = &self.parts.log;
+            let read = log.read(&self.stream, from, PAGE_ENTRIES, TAIL_WAIT).await;
+            if let Ok(page) = read {
+                self.apply_page(&page);
+                continue;
             }
+            let failed = self.status.borrow().failed_reads + 1;
+            self.status
+                .send_modify(|status| status.failed_reads = failed);
+            let pause = READ_PAUSE * failed;
+            tokio::time::sleep(pause.min(LONGEST_READ_PAUSE)).await;
         }
     }
 
     fn apply_page(&self, page: &LogPage) {
-        let mut next = self.status.borrow().next.max(page.oldest);
+        let mut next = self.status.borrow().next;
+        if page.oldest > next {
+            next = page.oldest;
+            self.state().start_over(next);
+            let place = format!("{}:{next}", self.stream);
+            let text = "entries before this one have expired unread";
+            self.parts.events.note("start-over", &place, text);
+        }
         for entry in &page.entries {
             next = entry.offset.next();
+            self.mark_age(entry.offset, entry.at_ms, page);
             match decode_frame(&entry.data) {
                 Ok(records) => self.apply_entry(entry.offset, entry.at_ms, &records),
                 Err(error) => {
@@ -286,12 +346,30 @@
             status.caught_up |= next >= page.head;
             status.read_at = Instant::now();
             status.reads += 1;
+            status.failed_reads = 0;
             status.log_ms = page.now_ms;
             status.retention = page.retention;
             status.oldest = page.oldest;
         });
     }
 
+    /// Notes when an entry was written, for some entries only.
+    fn mark_age(&self, offset: Offset, at_ms: u64, page: &LogPage) {
+        let retention_ms = millis(page.retention);
+        let mut marks = lock(&self.marks);
+        let step_ms = retention_ms / u64::from(AGE_MARKS);
+        // The last mark is always the newest entry; it is kept once the one before it is old enough.
+        let kept = marks.len().checked_sub(2).map(|at| marks[at].1);
+        if kept.is_some_and(|kept_ms| at_ms < kept_ms + step_ms) {
+            marks.pop_back();
+        }
+        marks.push_back((offset, at_ms));
+        let expired_ms = page.now_ms.saturating_sub(retention_ms);
+        while marks.len() > 1 && marks[1].1 < expired_ms {
+            marks.pop_front();
+        }
+    }
+
     fn apply_entry(&self, offset: Offset, at_ms: u64, records: &[LogRecord]) {
         for (position, record) in (0..).zip(records) {
             let place = RecordPlace { offset, position };
@@ -354,7 +432,10 @@
             let queue = lock(&self.queue);
             records.retain(|record| queue.waiters.contains(&record.id.sequence));
         }
-        lock(&self.queue).bytes -= bytes;
+        let mut queue = lock(&self.queue);
+        queue.bytes -= bytes;
+        let more = !queue.records.is_empty();
+        queue.stalled_since = more.then(Instant::now);
     }
 
     /// Waits until the log has answered a read that began after the failed append.
@@ -367,6 +448,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn gone(stream: &str, offset: Offset) -> LogError {
     LogError::Unknown {
         cause: format!("{stream}:{offset} has expired").into(),
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -3,6 +3,7 @@
 use super::limits::WorkspaceGuard;
 use super::reply::{EntryError, unexpected};
 use super::{EntryRole, OWNER_PAUSE, ProgressGuard};
+use crate::keys::OUTAGE_RETRY;
 use crate::metrics::HostMetrics;
 use bytes::Bytes;
 use fulmarswitch_caller::wire::{AnswerEvent, OutcomeReply, RequestCall};
@@ -12,7 +13,7 @@
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
 };
-use fulmarswitch_records::OnlineRequest;
+use fulmarswitch_records::{OnlineRequest, ShardIndex};
 use futures::StreamExt;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -32,6 +33,8 @@
 const OWNER_PATIENCE: Duration = Duration::from_millis(200);
 /// Time to come back when a workspace has too many requests in progress, in milliseconds.
 const LIMIT_RETRY_MS: u64 = 500;
+/// Failed tries to reach an owner after which it is given up if the log does not answer.
+const UNREACHED_LIMIT: u32 = 3;
 /// Time beyond the deadline for which the entry waits for the owner's last frame.
 const LAST_FRAME_GRACE: Duration = Duration::from_secs(3);
 
@@ -173,18 +176,24 @@
         let shard = self.fleet.view().shard_of(&request.full_key());
         let mut sent = false;
         let mut text_given = false;
+        let mut unreached = 0;
         while Instant::now() < deadline {
-            let mut frames = match self.open_owner(shard, &request, &mut sent).await {
-                Some(frames) => frames,
-                // Until the next owner has taken over, the entry runs what may be run twice.
-                None if request.idempotent => {
-                    sent = true;
-                    self.keys.submit_for_absent(request.clone()).await
+            let mut frames = if let Some(frames) = self.open_owner(shard, &request, &mut sent).await
+            {
+                frames
+            } else {
+                unreached += 1;
+                if let Some(last) = self.answer_in_outage(shard, &request, unreached).await {
+                    let _ = caller.send(last);
+                    return;
                 }
-                None => {
+                if !request.idempotent {
                     tokio::time::sleep(OWNER_PAUSE).await;
                     continue;
                 }
+                // Until the next owner has taken over, the entry runs what may be run twice.
+                sent = true;
+                self.keys.submit_for_absent(request.clone()).await
             };
             if text_given {
                 // The caller may be gone; the owner goes on all the same.
@@ -219,9 +228,36 @@
         let _ = caller.send(StreamFrame::Refused(note));
     }
 
+    /// Answers for an owner that is not reached while the log does not answer, so that nobody can take its
+    /// place: with the outcome that it gave, if another host keeps a copy. `None` means to go on trying.
+    async fn answer_in_outage(
+        &self,
+        shard: ShardIndex,
+        request: &OnlineRequest,
+        unreached: u32,
+    ) -> Option<StreamFrame> {
+        if self.shards.book(shard).is_answering() {
+            return None;
+        }
+        let owner = self.shards.owner(shard)?;
+        if let Some(outcome) = self.keys.hold().find_elsewhere(&owner, request).await {
+            let recorded = false;
+            return Some(StreamFrame::Done { outcome, recorded });
+        }
+        if request.idempotent || unreached < UNREACHED_LIMIT {
+            return None;
+        }
+        Some(StreamFrame::Refused(RefusalNote {
+            reason: "the owner of the key is not reached and the log does not answer".into(),
+            // The owner may have run it for an earlier submission under the key.
+            ran: RunState::MayHaveRun,
+            retry_after_ms: u64::try_from(OUTAGE_RETRY.as_millis()).unwrap_or(u64::MAX),
+        }))
+    }
+
     async fn open_owner(
         &self,
-        shard: fulmarswitch_records::ShardIndex,
+        shard: ShardIndex,
         request: &OnlineRequest,
         sent: &mut bool,
     ) -> Option<FrameStream> {
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::run::{KeyRun, RunOrigin};
 use super::{
-    KeyOwner, LOG_PATIENCE, LOG_SILENCE, RETRY_AFTER, conflict, millis, not_run_frame,
-    unknown_frame,
+    KeyOwner, LOG_PATIENCE, LOG_SILENCE, OUTAGE_RETRY, RETRY_AFTER, conflict, millis,
+    not_run_frame, unknown_frame,
 };
 use crate::book::{AppendedRecord, BookError};
 use crate::chooser::SentAttempt;
@@ -13,7 +13,7 @@
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
 };
-use fulmarswitch_records::{ItemOutcome, RecordBody};
+use fulmarswitch_records::ItemOutcome;
 use futures::StreamExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,7 +80,14 @@
         if let StreamFrame::Done { outcome, .. } = &last
             && !recorded
         {
-            tokio::spawn(Arc::clone(&self).record_late(Arc::clone(&run), outcome.clone()));
+            let number = self.hold.add(OutcomeNote {
+                request: run.request.clone(),
+                outcome: outcome.clone(),
+            });
+            let outcome = outcome.clone();
+            let recording = Arc::clone(&self).record_late(Arc::clone(&run), outcome, number);
+            tokio::spawn(recording);
+            self.hold.wait_held(number).await;
         } else {
             self.end_run(&run);
         }
@@ -94,6 +101,9 @@
             RunOrigin::Resumed => Acceptance::Standing,
             RunOrigin::OwnerAbsent => Acceptance::OwnerAbsent,
         };
+        if origin != RunOrigin::Resumed && self.shards.book(run.shard).is_full() {
+            return not_run_frame(&BookError::Full.to_string(), OUTAGE_RETRY);
+        }
         let mut excluded = Vec::new();
         let mut retry_after = RETRY_AFTER;
         let mut refusals = 0;
@@ -306,9 +316,12 @@
         if !matches!(acceptance, Acceptance::Open) {
             return Ok(());
         }
-        let body = RecordBody::Accept(run.request.clone());
-        match self.shards.append(run.shard, body) {
-            Ok(receiver) => {
+        let bodies = self.acceptance_of(run.shard, &run.request);
+        match self.shards.append_all(run.shard, bodies) {
+            Ok(mut receivers) => {
+                let Some(receiver) = receivers.pop() else {
+                    return Err(StreamFrame::NotOwner);
+                };
                 *acceptance = Acceptance::Pending(receiver);
                 if self.log_is_silent(run, acceptance) {
                     *acceptance = Acceptance::Unrecorded;
@@ -316,13 +329,13 @@
                 Ok(())
             }
             Err(BookError::Closed) => Err(StreamFrame::NotOwner),
-            Err(error @ BookError::Full) => Err(not_run_frame(&error.to_string(), RETRY_AFTER)),
+            // The endpoint may have begun by now.
+            Err(error @ BookError::Full) => Err(unknown_frame(&error.to_string())),
         }
     }
 
     fn log_is_silent(&self, run: &KeyRun, acceptance: &Acceptance) -> bool {
-        matches!(acceptance, Acceptance::Pending(_))
-            && !self.shards.book(run.shard).is_fresh(LOG_SILENCE)
+        matches!(acceptance, Acceptance::Pending(_)) && !self.shards.book(run.shard).is_answering()
     }
 
     /// Records the outcome, here or at the new owner of the shard, and returns the last frame.
@@ -340,7 +353,7 @@
         }
         let recording = self.record(run, outcome.clone());
         let limit = match acceptance {
-            Acceptance::OwnerAbsent => TAKEOVER_LIMIT,
+            Acceptance::OwnerAbsent if self.shards.book(run.shard).is_answering() => TAKEOVER_LIMIT,
             _ => LOG_SILENCE,
         };
         match tokio::time::timeout(limit, recording).await {
@@ -353,8 +366,9 @@
     }
 
     /// Records an outcome that was given before the log had it.
-    async fn record_late(self: Arc<Self>, run: Arc<KeyRun>, outcome: ItemOutcome) {
+    async fn record_late(self: Arc<Self>, run: Arc<KeyRun>, outcome: ItemOutcome, number: u32) {
         self.record(&run, outcome).await;
+        self.hold.settle(number);
         self.end_run(&run);
     }
 
