Start nothing at an endpoint that is leaving, not even what waits at its gate

Ruled out: pulls (batch_room is zero for a leaving endpoint) and new online requests (they are refused). Change: a gate whose endpoint is leaving, or gone from the configuration, refuses all that waits and starts nothing; the items go back to their owner. Gates follow the configuration when it changes, also those that have moved to another host, and no longer look through all endpoints fifty times a second.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -113,6 +113,8 @@
     waiting: WaitingQueue,
     running: RunningTable,
     limits: EndpointLimits,
+    /// Whether the endpoint is leaving: nothing starts any more, and what waits is refused.
+    leaving: bool,
 }
 
 impl EndpointGate {
@@ -125,9 +127,15 @@
             waiting: WaitingQueue::default(),
             running: RunningTable::default(),
             limits,
+            leaving: false,
         }
     }
 
+    /// Says whether the endpoint is leaving; the next decision follows it.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
     /// Changes what the gate promises and may use.
     pub fn configure(&mut self, settings: GateSettings) {
         self.limits.configure(&settings);
@@ -171,6 +179,10 @@
     pub fn poll(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
         let online = self.running.online() + self.waiting.online_len();
         self.limits.note_time(now, online);
+        if self.leaving {
+            self.refuse_waiting(actions);
+            return;
+        }
         self.refuse_late(now, actions);
         self.cancel_excess(now, actions);
         self.start_online(now, actions);
@@ -224,6 +236,19 @@
         });
     }
 
+    fn refuse_waiting(&mut self, actions: &mut Vec<GateAction>) {
+        while let Some(held) = self
+            .waiting
+            .pop_online()
+            .or_else(|| self.waiting.pop_batch())
+        {
+            actions.push(GateAction::Refuse {
+                ticket: held.request.ticket,
+                retry_after: RETRY_MIN,
+            });
+        }
+    }
+
     fn refuse_late(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
         while let Some(held) = self.waiting.first_online() {
             let free = self.running.online() < self.limits.limit();
--- a/crates/decide/tests/gate.rs
+++ b/crates/decide/tests/gate.rs
@@ -19,7 +19,7 @@
 /// Plays a script of one event a line and returns what the gate did, in the order of the events.
 ///
 /// Events: `at MS`, `online TICKET DEADLINE_MS`, `batch TICKET`, `once TICKET` (batch that may run once),
-/// `token TICKET`, `end TICKET`, `poll`.
+/// `token TICKET`, `end TICKET`, `leave`, `poll`.
 fn play(max_concurrent: u32, script: &str) -> String {
     let mut gate = EndpointGate::new(settings(max_concurrent));
     let mut now = Duration::ZERO;
@@ -47,6 +47,7 @@
             "once" => gate.arrive(now, request(RequestClass::Batch, far, false), &mut actions),
             "token" => gate.token(now, ticket(), &mut actions),
             "end" => gate.end(now, ticket(), &mut actions),
+            "leave" => gate.set_leaving(true),
             "poll" => gate.poll(now, &mut actions),
             other => panic!("{other} is no event of the script"),
         }
@@ -130,6 +131,17 @@
      online 7 2000",
     "start1 start2 start3 start4 start5 start6 cancel6 cancel5 start7"
 )]
+#[case::leaving_endpoint_starts_nothing(
+    1,
+    "online 1 2000
+     batch 2
+     online 3 2000
+     leave
+     poll
+     end 1
+     online 4 2000",
+    "start1 refuse3 refuse2 refuse4"
+)]
 #[case::cancelled_batch_starts_again(
     1,
     "batch 1
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -43,6 +43,8 @@
     sending: AtomicUsize,
     attempts: AtomicU64,
     leaving: AtomicBool,
+    /// The view that the units follow.
+    followed: Mutex<Arc<FleetView>>,
 }
 
 impl GateRole {
@@ -65,6 +67,7 @@
             sending: AtomicUsize::new(0),
             attempts: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            followed: Mutex::default(),
         })
     }
 
@@ -133,27 +136,45 @@
     /// Opens the gates that belong here and closes idle ones that do not.
     fn adjust_units(self: &Arc<Self>) {
         let view = self.fleet.view();
-        for (name, endpoint) in view.config.endpoints() {
-            let Some(service) = view.config.service(&endpoint.service) else {
-                continue;
-            };
-            let here = view
-                .gate_of(name)
-                .is_some_and(|gate| gate.host == self.parts.identity);
-            if here {
-                self.unit(name, endpoint, service);
-            }
+        if self.is_new_view(&view) {
+            self.follow_view(&view);
         }
+        let leaving = self.leaving.load(Ordering::Relaxed);
         lock(&self.units).retain(|name, unit| {
-            let here = view
-                .gate_of(name)
-                .is_some_and(|gate| gate.host == self.parts.identity);
-            let kept = here && view.config.endpoint(name).is_some();
-            unit.set_open(kept && !self.leaving.load(Ordering::Relaxed));
+            let kept = self.holds_gate(&view, name);
+            unit.set_open(kept && !leaving);
             kept || unit.held() > 0
         });
     }
 
+    fn is_new_view(&self, view: &Arc<FleetView>) -> bool {
+        let mut followed = lock(&self.followed);
+        let new = !Arc::ptr_eq(&followed, view);
+        *followed = Arc::clone(view);
+        new
+    }
+
+    fn follow_view(self: &Arc<Self>, view: &FleetView) {
+        for name in view.gates_of(&self.parts.identity.name) {
+            if let Some((endpoint, service)) = endpoint_of(view, name)
+                && self.holds_gate(view, name)
+            {
+                self.unit(name, endpoint, service);
+            }
+        }
+        for (name, unit) in lock(&self.units).iter() {
+            match endpoint_of(view, name) {
+                Some((endpoint, service)) => unit.configure(endpoint, service),
+                None => unit.set_leaving(true),
+            }
+        }
+    }
+
+    fn holds_gate(&self, view: &FleetView, endpoint: &str) -> bool {
+        let gate = view.gate_of(endpoint);
+        gate.is_some_and(|gate| gate.host == self.parts.identity)
+    }
+
     fn unit(
         self: &Arc<Self>,
         name: &str,
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -107,6 +107,14 @@
             *config = (endpoint.clone(), service.clone());
             lock(&self.gate).configure(settings_of(endpoint, service));
         }
+        drop(config);
+        self.set_leaving(endpoint.leaving);
+    }
+
+    /// Says whether the endpoint is leaving; then nothing that waits here starts any more.
+    pub(super) fn set_leaving(&self, leaving: bool) {
+        lock(&self.gate).set_leaving(leaving);
+        self.poll();
     }
 
     /// Says whether the gate may pull batch items.
