--- a/crates/demo/src/online.rs
+++ b/crates/demo/src/online.rs
@@ -157,7 +157,11 @@
     for (checked, end) in ends {
         tally.online += 1;
         match end {
-            CheckedEnd::Right { whole } => tally.late += u64::from(*whole > LATE_LIMIT),
+            CheckedEnd::Right { whole } if *whole > LATE_LIMIT => {
+                println!("{} took {} ms", checked.call.key, whole.as_millis());
+                tally.late += 1;
+            }
+            CheckedEnd::Right { .. } => {}
             CheckedEnd::MayHaveRun => {
                 println!("{} may have run", checked.call.key);
                 tally.may_have_run += 1;
