--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -1,8 +1,9 @@
 //! The gate of one endpoint: carries out what the decisions say.
 
 use super::{refusal, settings_of};
+use crate::chooser::{EndpointChooser, WatchedCall};
 use crate::parts::{HostParts, lock};
-use fulmarswitch_decide::gate::{EndpointGate, GateAction, RequestClass, TicketIndex};
+use fulmarswitch_decide::gate::{EndpointGate, GateAction, GateRequest, RequestClass, TicketIndex};
 use fulmarswitch_endpoint::{AnswerPart, EndpointCall, EndpointError};
 use fulmarswitch_peer::message::{LoadNote, RefusalNote, RunRequest, RunState};
 use fulmarswitch_peer::{FrameStream, StreamFrame};
@@ -69,6 +70,8 @@
 /// The gate of one endpoint.
 pub(super) struct GateUnit {
     pub(super) parts: HostParts,
+    name: Arc<str>,
+    chooser: Arc<EndpointChooser>,
     config: Mutex<(EndpointConfig, ServiceConfig)>,
     gate: Mutex<EndpointGate>,
     posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
@@ -80,11 +83,15 @@
 impl GateUnit {
     pub(super) fn new(
         parts: &HostParts,
+        chooser: &Arc<EndpointChooser>,
+        name: &str,
         endpoint: &EndpointConfig,
         service: &ServiceConfig,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
+            name: name.into(),
+            chooser: Arc::clone(chooser),
             config: Mutex::new((endpoint.clone(), service.clone())),
             gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
             posts: Mutex::default(),
@@ -111,18 +118,39 @@
         lock(&self.posts).len()
     }
 
+    /// Returns the number of batch items held of each workspace.
+    pub(super) fn held_by_workspace(&self) -> SortedIndex<Arc<str>, u32> {
+        let mut held: SortedIndex<Arc<str>, u32> = SortedIndex::new();
+        for (_, post) in lock(&self.posts).iter() {
+            let Some((workspace, _)) = post.job.as_deref().and_then(|job| job.split_once('/'))
+            else {
+                continue;
+            };
+            match held.get_mut(workspace) {
+                Some(items) => *items += 1,
+                None => {
+                    held.insert(workspace.into(), 1);
+                }
+            }
+        }
+        held
+    }
+
     pub(super) fn config(&self) -> (EndpointConfig, ServiceConfig) {
         lock(&self.config).clone()
     }
 
     /// Says what the endpoint holds, for those who choose endpoints.
     fn load_note(&self, reached: bool) -> LoadNote {
-        let held = lock(&self.gate).held();
+        let share = lock(&self.gate).online_load();
+        let (endpoint, _) = self.config();
+        let suspected = self.chooser.is_suspected(&endpoint.service, &self.name);
         LoadNote {
-            held: u32::try_from(held).unwrap_or(u32::MAX),
-            limit: lock(&self.config).0.max_concurrent,
+            held: share.held,
+            limit: share.limit,
             loaded: true,
             reached,
+            suspected,
         }
     }
 
@@ -166,6 +194,7 @@
         self: &Arc<Self>,
         class: RequestClass,
         wait: Duration,
+        resumable: bool,
         job: Option<(Arc<str>, oneshot::Sender<()>)>,
     ) -> HeldTicket {
         let ticket = TicketIndex(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -185,7 +214,13 @@
             unit: Arc::clone(self),
         };
         let now = self.parts.now();
-        self.decide(|gate, actions| gate.arrive(now, ticket, class, now + wait, actions));
+        let request = GateRequest {
+            ticket,
+            class,
+            deadline: now + wait,
+            resumable,
+        };
+        self.decide(|gate, actions| gate.arrive(now, request, actions));
         held
     }
 
@@ -193,6 +228,9 @@
     fn decide(&self, event: impl FnOnce(&mut EndpointGate, &mut Vec<GateAction>)) {
         let mut actions = Vec::new();
         event(&mut lock(&self.gate), &mut actions);
+        if actions.is_empty() {
+            return;
+        }
         let posts = lock(&self.posts);
         for action in actions {
             let (ticket, order) = match action {
@@ -216,7 +254,7 @@
         frames: mpsc::UnboundedSender<StreamFrame>,
     ) {
         let wait = Duration::from_millis(request.left_ms);
-        let mut held = self.enter(RequestClass::Online, wait, None);
+        let mut held = self.enter(RequestClass::Online, wait, false, None);
         let mut first = held.orders.try_recv().ok();
         // A stream that is gone shows itself in `closed` below.
         let _ = frames.send(StreamFrame::Load(self.load_note(true)));
@@ -287,17 +325,23 @@
         show: &mut impl FnMut(&Arc<str>) -> bool,
     ) -> CallEnd {
         let (endpoint, service) = self.config();
+        let mut watched = self.chooser.watch_call(&endpoint.service, &self.name);
         let starting = self
             .parts
             .endpoints
             .start(&endpoint.address, service.protocol, call);
-        let mut parts = match starting.await {
+        let started = tokio::select! {
+            started = starting => started,
+            never = watched.watch_overdue() => match never {},
+        };
+        let mut parts = match started {
             Ok(parts) => parts,
-            Err(error) => return error_end(error),
+            Err(error) => return error_end(error, &watched),
         };
         loop {
             let part = tokio::select! {
                 part = parts.next() => part,
+                never = watched.watch_overdue() => match never {},
                 order = held.orders.recv() => match order {
                     Some(GateOrder::Cancel) => return CallEnd::Cancelled,
                     _ => continue,
@@ -305,21 +349,30 @@
             };
             match part {
                 Some(Ok(AnswerPart::Text(text))) => {
-                    let now = self.parts.now();
-                    lock(&self.gate).token(now, held.ticket);
+                    let (now, ticket) = (self.parts.now(), held.ticket);
+                    self.decide(|gate, actions| gate.token(now, ticket, actions));
+                    watched.see_token();
                     if !show(&text) {
                         return CallEnd::Cancelled;
                     }
                 }
                 Some(Ok(AnswerPart::End)) => return CallEnd::Done,
-                Some(Err(error)) => return error_end(error),
-                None => return CallEnd::Broken("the answer ended early".into()),
+                Some(Err(error)) => return error_end(error, &watched),
+                None => {
+                    watched.see_broken();
+                    return CallEnd::Broken("the answer ended early".into());
+                }
             }
         }
     }
 }
 
-fn error_end(error: EndpointError) -> CallEnd {
+fn error_end(error: EndpointError, watched: &WatchedCall) -> CallEnd {
+    match &error {
+        EndpointError::NotSent { .. } => watched.see_unreached(),
+        EndpointError::Broken { .. } => watched.see_broken(),
+        EndpointError::Refused { .. } | EndpointError::Failed { .. } => {}
+    }
     match error {
         EndpointError::NotSent { cause } => CallEnd::Unreached(cause),
         EndpointError::Refused { cause, .. } => CallEnd::NotRun(cause),
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -44,8 +44,8 @@
     pub fn new(parts: &HostParts) -> Arc<Self> {
         let (fleet, committer) = FleetBooks::start(parts);
         let shards = ShardBooks::start(parts, &fleet, &committer);
-        let gates = GateRole::new(parts, &fleet, &shards);
         let chooser = EndpointChooser::new(parts, &fleet);
+        let gates = GateRole::new(parts, &fleet, &shards, &chooser);
         let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
@@ -124,10 +124,16 @@
         // In an outage of the log the leave record waits; the host then drains without it.
         let _ = tokio::time::timeout(limit / 4, self.watcher.leave()).await;
         let deadline = Instant::now() + limit;
-        while Instant::now() < deadline && !self.is_idle() {
-            tokio::time::sleep(DRAIN_PAUSE).await;
+        loop {
+            while Instant::now() < deadline && !self.is_idle() {
+                tokio::time::sleep(DRAIN_PAUSE).await;
+            }
+            tokio::time::sleep(DRAIN_REST).await;
+            // A caller that kept this address may have come during the rest.
+            if self.is_idle() || Instant::now() >= deadline {
+                break;
+            }
         }
-        tokio::time::sleep(DRAIN_REST).await;
         let end = if self.is_idle() {
             "nothing was cut"
         } else {
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -1,6 +1,6 @@
 //! Driving one request to its end: attempts at endpoints, acceptance and outcome.
 
-use super::run::KeyRun;
+use super::run::{KeyRun, RunOrigin};
 use super::{
     KeyOwner, LOG_PATIENCE, LOG_SILENCE, RETRY_AFTER, conflict, millis, not_run_frame,
     unknown_frame,
@@ -13,7 +13,6 @@
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerMessage, PeerReply, StreamFrame, StreamRequest,
 };
-use fulmarswitch_records::record::KeyOutcome;
 use fulmarswitch_records::{ItemOutcome, RecordBody};
 use futures::StreamExt;
 use std::sync::Arc;
@@ -23,6 +22,12 @@
 
 /// Endpoints that are asked before a request is refused.
 const MAX_REFUSALS: u32 = 3;
+/// Time that a gate may take to answer that it has a request which may be run twice.
+const GATE_PATIENCE: Duration = Duration::from_millis(200);
+/// Time for which the outcome of a run without an owner waits for the next owner.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(5);
+/// Time that an owner may take to record an outcome before the owner is looked for again.
+const RECORD_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before the new owner of a shard is asked again to record an outcome.
 const RECORD_PAUSE: Duration = Duration::from_millis(100);
 
@@ -36,6 +41,8 @@
     Standing,
     /// The log is silent; the request is served without waiting for it.
     Unrecorded,
+    /// The shard has no owner that is reached; the acceptance is recorded with the outcome.
+    OwnerAbsent,
 }
 
 /// Why an attempt ended.
@@ -46,20 +53,22 @@
     Refused(RefusalNote),
     /// The attempt broke off; it may have run.
     Lost,
+    /// The endpoint was too slow; the request is tried at another, which the budget has paid for.
+    Moved,
     /// The attempt must not go on; the frame says why.
     Stop(StreamFrame),
 }
 
 impl KeyOwner {
     /// Drives a request to its end and gives its last frame to all streams.
-    pub(super) async fn drive(self: Arc<Self>, run: Arc<KeyRun>, resumed: bool) {
+    pub(super) async fn drive(self: Arc<Self>, run: Arc<KeyRun>, origin: RunOrigin) {
         self.parts
             .events
             .trace("start", &run.name, "online request");
         let last = if run.request.idempotent {
-            self.drive_idempotent(&run, resumed).await
+            self.drive_idempotent(&run, origin).await
         } else {
-            self.drive_once(&run, resumed).await
+            self.drive_once(&run, origin == RunOrigin::Resumed).await
         };
         let recorded = !matches!(
             last,
@@ -79,21 +88,25 @@
         run.push(last);
     }
 
-    async fn drive_idempotent(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
-        let mut acceptance = if resumed {
-            Acceptance::Standing
-        } else {
-            Acceptance::Open
+    async fn drive_idempotent(&self, run: &Arc<KeyRun>, origin: RunOrigin) -> StreamFrame {
+        let mut acceptance = match origin {
+            RunOrigin::New => Acceptance::Open,
+            RunOrigin::Resumed => Acceptance::Standing,
+            RunOrigin::OwnerAbsent => Acceptance::OwnerAbsent,
         };
         let mut excluded = Vec::new();
         let mut retry_after = RETRY_AFTER;
         let mut refusals = 0;
-        let mut may_have_run = resumed;
+        let mut may_have_run = origin == RunOrigin::Resumed;
         while !run.left().is_zero() {
             let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
                 break;
             };
-            match self.attempt(run, &mut sent, &mut acceptance).await {
+            excluded.push(Arc::clone(&sent.endpoint));
+            match self
+                .attempt(run, &mut sent, &excluded, &mut acceptance)
+                .await
+            {
                 AttemptEnd::Done(outcome) => return self.finish(run, acceptance, outcome).await,
                 AttemptEnd::Stop(frame) => return frame,
                 AttemptEnd::Refused(note) => {
@@ -112,10 +125,15 @@
                     }
                     self.parts.metrics.retries.inc();
                 }
+                AttemptEnd::Moved => {
+                    may_have_run = true;
+                    run.reset();
+                    self.parts.metrics.retries.inc();
+                }
             }
-            excluded.push(Arc::clone(&sent.endpoint));
         }
-        if matches!(acceptance, Acceptance::Open) {
+        let unaccepted = matches!(acceptance, Acceptance::Open | Acceptance::OwnerAbsent);
+        if unaccepted && !may_have_run {
             return not_run_frame("no endpoint of the service has room", retry_after);
         }
         let outcome = if may_have_run {
@@ -145,9 +163,10 @@
         &self,
         run: &Arc<KeyRun>,
         sent: &mut SentAttempt,
+        tried: &[Arc<str>],
         acceptance: &mut Acceptance,
     ) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, sent).await {
+        let mut frames = match self.open_attempt(run, sent, GATE_PATIENCE).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
@@ -163,25 +182,35 @@
                     }
                     held.drain(..).for_each(|frame| run.push(frame));
                 }
-                frame = next_frame(&mut frames, sent) => match frame {
-                    Some(StreamFrame::Load(_)) => {}
-                    Some(StreamFrame::Admitted) => {
-                        if let Err(frame) = self.begin_acceptance(run, acceptance) {
-                            return AttemptEnd::Stop(frame);
+                frame = frames.next() => {
+                    sent.see(frame.as_ref());
+                    match frame {
+                        Some(StreamFrame::Load(_)) => {}
+                        Some(StreamFrame::Admitted) => {
+                            if let Err(frame) = self.begin_acceptance(run, acceptance) {
+                                return AttemptEnd::Stop(frame);
+                            }
                         }
+                        Some(frame @ StreamFrame::Text(_)) => match acceptance {
+                            Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
+                            Acceptance::Standing | Acceptance::Unrecorded | Acceptance::OwnerAbsent => {
+                                run.push(frame);
+                            }
+                        },
+                        Some(StreamFrame::Done { outcome, .. }) => {
+                            return self.end_accepted(run, acceptance, held, outcome).await;
+                        }
+                        Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
+                            return AttemptEnd::Refused(note);
+                        }
+                        _ => return AttemptEnd::Lost,
                     }
-                    Some(frame @ StreamFrame::Text(_)) => match acceptance {
-                        Acceptance::Open | Acceptance::Pending(_) => held.push(frame),
-                        Acceptance::Standing | Acceptance::Unrecorded => run.push(frame),
-                    },
-                    Some(StreamFrame::Done { outcome, .. }) => {
-                        return self.end_accepted(run, acceptance, held, outcome).await;
-                    }
-                    Some(StreamFrame::Refused(note)) if note.ran == RunState::NotRun => {
-                        return AttemptEnd::Refused(note);
+                    if sent.take_failed_probe()
+                        && self.chooser.judge_move(&run.request, tried, run.left())
+                    {
+                        return AttemptEnd::Moved;
                     }
-                    _ => return AttemptEnd::Lost,
-                },
+                }
                 () = tokio::time::sleep_until(patience) => {
                     patience += LOG_PATIENCE;
                     if self.log_is_silent(run, acceptance) {
@@ -189,7 +218,17 @@
                         held.drain(..).for_each(|frame| run.push(frame));
                     }
                 }
-                () = wait_until(overdue_at) => sent.see_overdue(),
+                () = wait_until(overdue_at) => {
+                    sent.see_overdue();
+                    if self.chooser.judge_move(&run.request, tried, run.left()) {
+                        return AttemptEnd::Moved;
+                    }
+                }
+                () = sent.wait_suspected() => {
+                    if self.chooser.judge_move(&run.request, tried, run.left()) {
+                        return AttemptEnd::Moved;
+                    }
+                }
                 () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Lost,
             }
         }
@@ -226,7 +265,8 @@
     pub(super) async fn open_attempt(
         &self,
         run: &Arc<KeyRun>,
-        sent: &SentAttempt,
+        sent: &mut SentAttempt,
+        patience: Duration,
     ) -> Result<FrameStream, AttemptEnd> {
         let endpoint = &sent.endpoint;
         let Some(target) = self.fleet.view().gate_of(endpoint) else {
@@ -243,12 +283,9 @@
         if target.host == self.parts.identity {
             return Ok(self.gates.run(request));
         }
-        match self
-            .parts
-            .link
-            .open(&target, StreamRequest::Run(request))
-            .await
-        {
+        let run = StreamRequest::Run(request);
+        let link = self.parts.link.as_ref();
+        match self.fleet.open_stream(link, &target, run, patience).await {
             Ok(frames) => Ok(frames),
             Err(PeerError::NotReached { .. }) => {
                 sent.see_unreached();
@@ -302,7 +339,11 @@
             };
         }
         let recording = self.record(run, outcome.clone());
-        match tokio::time::timeout(LOG_SILENCE, recording).await {
+        let limit = match acceptance {
+            Acceptance::OwnerAbsent => TAKEOVER_LIMIT,
+            _ => LOG_SILENCE,
+        };
+        match tokio::time::timeout(limit, recording).await {
             Ok(frame) => frame,
             Err(_) => StreamFrame::Done {
                 outcome,
@@ -331,12 +372,12 @@
     }
 
     async fn record_here(&self, run: &Arc<KeyRun>, outcome: &ItemOutcome) -> Option<StreamFrame> {
-        let key = Arc::clone(&run.name);
-        let body = RecordBody::Outcome(KeyOutcome {
-            key,
-            outcome: outcome.clone(),
-        });
-        let appended = self.shards.append(run.shard, body).ok()?.await.ok()?;
+        self.shards.owned_epoch(run.shard)?;
+        let Some(bodies) = self.outcome_bodies(run.shard, &run.request, outcome.clone()) else {
+            return Some(conflict());
+        };
+        let appended = self.shards.append_all(run.shard, bodies).ok()?.pop()?;
+        let appended = appended.await.ok()?;
         match appended.verdict {
             RecordVerdict::Valid => Some(StreamFrame::Done {
                 outcome: outcome.clone(),
@@ -365,16 +406,16 @@
             request: run.request.clone(),
             outcome: outcome.clone(),
         };
-        match self
-            .parts
-            .link
-            .call(&target, PeerMessage::RecordOutcome(note))
-            .await
-        {
+        let message = PeerMessage::RecordOutcome(note);
+        let call = self.parts.link.call(&target, message);
+        // A host that is paused answers nothing; the next owner may be asked by then.
+        let reply = tokio::time::timeout(RECORD_LIMIT, call).await.ok()?;
+        match reply {
             Ok(PeerReply::Outcome(Some(outcome))) => Some(StreamFrame::Done {
                 outcome,
                 recorded: true,
             }),
+            Ok(PeerReply::Conflict { .. }) => Some(conflict()),
             _ => None,
         }
     }
@@ -396,19 +437,6 @@
     }
 }
 
-/// Waits for the next frame and lets the chooser learn from it.
-pub(super) async fn next_frame(
-    frames: &mut FrameStream,
-    sent: &mut SentAttempt,
-) -> Option<StreamFrame> {
-    let frame = frames.next().await;
-    match &frame {
-        Some(frame) => sent.see(frame),
-        None => sent.see_broken(),
-    }
-    frame
-}
-
 /// Waits until a time; never returns when there is none.
 async fn wait_until(at: Option<Instant>) {
     match at {
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -137,8 +137,10 @@
         let limit = Duration::from_millis(request.deadline_ms) + ANSWER_GRACE;
         let submitting = submit_request(host, request);
         let attempt = tokio::time::timeout(limit, submitting).await;
-        let attempt = attempt.unwrap_or(AttemptNote::Lost);
-        let drains = *host.draining.borrow() && host.switch.mode() == HostMode::Running;
+        let Ok(attempt) = attempt else {
+            return AttemptNote::Lost;
+        };
+        let drains = host.is_draining() && host.switch.mode() == HostMode::Running;
         if attempt == AttemptNote::Lost && drains {
             let detail = format!("{} at {} while it drained", request.key, host.identity);
             self.fleet.ledger.note_broken(STOP_CUTS_NOTHING, detail);
@@ -255,7 +257,7 @@
     /// Chooses a host that runs, as far as a caller can tell.
     fn pick(&mut self) -> Option<Arc<TrialHost>> {
         let at = self.rng.random_range(0..self.fleet.size());
-        self.fleet.host(at)
+        self.fleet.host(at).filter(|host| host.is_known())
     }
 
     fn draw_request(&mut self, count: usize) -> OnlineRequest {
@@ -312,6 +314,28 @@
 
 /// Submits a request once through a host and listens to the end.
 pub async fn submit_request(host: &TrialHost, request: &OnlineRequest) -> AttemptNote {
+    submit_request_with(host, request, || ()).await.1
+}
+
+/// Submits a request once and listens to the end; also returns what `clock` says at the first text.
+pub async fn submit_request_with<T>(
+    host: &TrialHost,
+    request: &OnlineRequest,
+    clock: impl Fn() -> T,
+) -> (Option<T>, AttemptNote) {
+    let mut first = None;
+    let note = listen(host, request, || {
+        first = first.take().or_else(|| Some(clock()));
+    })
+    .await;
+    (first, note)
+}
+
+async fn listen(
+    host: &TrialHost,
+    request: &OnlineRequest,
+    mut show_text: impl FnMut(),
+) -> AttemptNote {
     let call = RequestCall {
         key: Arc::clone(&request.key),
         workspace: Arc::clone(&request.workspace),
@@ -335,7 +359,10 @@
     let mut events = host.door.events(response.into_body());
     while let Some(Some(line)) = events.next().await {
         match serde_json::from_str(&line) {
-            Ok(AnswerEvent::Text { text }) => streamed.push_str(&text),
+            Ok(AnswerEvent::Text { text }) => {
+                show_text();
+                streamed.push_str(&text);
+            }
             Ok(AnswerEvent::Reset) => streamed.clear(),
             Ok(AnswerEvent::Done { outcome, recorded }) => {
                 return AttemptNote::Done {
