Strike at hosts while a call to an endpoint begins

Change: a host that is lost or paused is one with a part in the newest acknowledgement or the newest call to an endpoint, half of the time each.

--- a/crates/trials/src/faults.rs
+++ b/crates/trials/src/faults.rs
@@ -1,6 +1,6 @@
 //! The faults and their schedule: one to three at a time, drawn from the seed.
 
-use crate::fleet::{DOMAINS, TrialFleet};
+use crate::fleet::{DOMAINS, TrialFleet, WORKSPACE};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -11,8 +11,8 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// Longest time that a fault waits for an acknowledgement to strike behind.
-const ACK_WAIT: Duration = Duration::from_secs(3);
+/// Longest time that a fault waits for something to strike at.
+const EVENT_WAIT: Duration = Duration::from_secs(3);
 /// Milliseconds for which a log that is slow takes longer.
 const SLOW_MS: u64 = 700;
 /// Retention of a log whose records expire during the run, in milliseconds.
@@ -21,7 +21,8 @@
 /// Kinds of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FaultKind {
-    /// A host is lost right after an acknowledgement, and a new run of it starts later.
+    /// A host is lost right after an acknowledgement or a call to an endpoint, and a new run of it starts
+    /// later.
     HostLost,
     /// A host pauses for longer than its neighbours wait before they take it to be lost.
     HostPaused,
@@ -135,7 +136,7 @@
     let at = rng.random_range(0..fleet.size());
     match kind {
         FaultKind::HostLost => lose_host(&fleet, &mut rng, time).await,
-        FaultKind::HostPaused => pause_host(&fleet, at, time).await,
+        FaultKind::HostPaused => pause_host(&fleet, &mut rng, time).await,
         FaultKind::LogDown => {
             fleet.ledger.note_deaf(&"*".into(), time);
             fleet.log.set_faults(|faults| faults.down = true);
@@ -198,29 +199,47 @@
     FaultNote { kind, from, until }
 }
 
-/// Kills the host that a caller was connected to, or the owner of what it asked for, as soon as an
-/// acknowledgement is given.
+/// Kills a host that somebody has just relied on.
 async fn lose_host(fleet: &Arc<TrialFleet>, rng: &mut SmallRng, time: Duration) {
-    let ack = tokio::time::timeout(ACK_WAIT, fleet.ledger.next_ack()).await;
-    let mut at = rng.random_range(0..fleet.size());
-    if let Ok(Some(ack)) = ack {
-        let owner = rng.random_bool(0.6).then(|| owner_of(fleet, &ack.name));
-        let wanted = owner.flatten().unwrap_or(ack.host);
-        let found = (0..fleet.size()).find(|at| *fleet.name(*at) == wanted);
-        at = found.unwrap_or(at);
-    }
+    let at = next_victim(fleet, rng).await;
     fleet.kill(at);
     tokio::time::sleep(time).await;
     restart(fleet, at);
 }
 
+/// Waits for an acknowledgement to a caller or a call to an endpoint, and returns the place of a host that
+/// has a part in it: the owner, the host that the caller is connected to, or the gate's.
+async fn next_victim(fleet: &Arc<TrialFleet>, rng: &mut SmallRng) -> usize {
+    let (name, host) = if rng.random_bool(0.5) {
+        let ack = tokio::time::timeout(EVENT_WAIT, fleet.ledger.next_ack()).await;
+        ack.ok().flatten().map(|ack| (ack.name, ack.host)).unzip()
+    } else {
+        let start = tokio::time::timeout(EVENT_WAIT, fleet.ledger.next_start()).await;
+        let start = start.ok().flatten();
+        start
+            .map(|start| (name_in(&start.input), start.host.name))
+            .unzip()
+    };
+    let owner = name.and_then(|name| owner_of(fleet, &name));
+    let wanted = owner.filter(|_| rng.random_bool(0.6)).or(host);
+    let found = (0..fleet.size()).find(|at| Some(fleet.name(*at)) == wanted.as_ref());
+    found.unwrap_or_else(|| rng.random_range(0..fleet.size()))
+}
+
+/// Returns the key or job that an input names with its last word.
+fn name_in(input: &str) -> Arc<str> {
+    let word = input.rsplit(' ').next().unwrap_or_default();
+    format!("{WORKSPACE}/{word}").into()
+}
+
 fn owner_of(fleet: &TrialFleet, name: &str) -> Option<Arc<str>> {
     let host = fleet.joined().into_iter().next()?;
     let shard = host.node.fleet().view().shard_of(name);
     host.node.shards().owner(shard).map(|owner| owner.name)
 }
 
-async fn pause_host(fleet: &Arc<TrialFleet>, at: usize, time: Duration) {
+async fn pause_host(fleet: &Arc<TrialFleet>, rng: &mut SmallRng, time: Duration) {
+    let at = next_victim(fleet, rng).await;
     fleet.ledger.note_deaf(fleet.name(at), time);
     fleet.set_frozen(at, true);
     tokio::time::sleep(time).await;
--- a/crates/trials/src/ledger.rs
+++ b/crates/trials/src/ledger.rs
@@ -180,6 +180,7 @@
     started: Instant,
     notes: Mutex<LedgerNotes>,
     acknowledged: watch::Sender<Option<AckNote>>,
+    started_calls: watch::Sender<Option<CallStart>>,
 }
 
 impl Default for TrialLedger {
@@ -201,6 +202,7 @@
             started: Instant::now(),
             notes: Mutex::default(),
             acknowledged: watch::Sender::new(None),
+            started_calls: watch::Sender::new(None),
         }
     }
 
@@ -233,7 +235,16 @@
 
     /// Notes a call to an endpoint.
     pub fn note_start(&self, start: CallStart) {
-        self.notes().starts.push(start);
+        self.notes().starts.push(start.clone());
+        self.started_calls.send_replace(Some(start));
+    }
+
+    /// Returns the next call to an endpoint.
+    pub async fn next_start(&self) -> Option<CallStart> {
+        let mut started = self.started_calls.subscribe();
+        started.changed().await.ok()?;
+        let start = started.borrow();
+        start.clone()
     }
 
     /// Notes a promise that did not hold.
