--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -10,18 +10,19 @@
 use crate::chooser::EndpointChooser;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
+use crate::hold::HoldRole;
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::message::{HandoverNote, KeyName, OutcomeNote, RefusalNote, RunState};
 use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::record::{ForgetName, KeyOutcome};
 use fulmarswitch_records::{
     HostIdentity, ItemOutcome, OnlineRequest, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
 use futures::StreamExt;
-use run::KeyRun;
+use run::{KeyRun, RunOrigin};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -34,6 +35,8 @@
 const LOG_PATIENCE: Duration = Duration::from_millis(400);
 /// Silence after which the log is taken to be out of reach; more than one wait of its readers.
 const LOG_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time to come back while the log does not answer.
+pub(crate) const OUTAGE_RETRY: Duration = Duration::from_secs(2);
 /// Time to come back after a refusal that has no better one.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,7 @@
     shards: Arc<ShardBooks>,
     gates: Arc<GateRole>,
     chooser: Arc<EndpointChooser>,
+    hold: Arc<HoldRole>,
     runs: Mutex<SortedIndex<Arc<str>, Arc<KeyRun>>>,
     /// Keys that still run at the host that owned their shard before.
     elsewhere: Mutex<SortedIndex<Arc<str>, HostIdentity>>,
@@ -59,6 +63,7 @@
         shards: &Arc<ShardBooks>,
         gates: &Arc<GateRole>,
         chooser: &Arc<EndpointChooser>,
+        hold: &Arc<HoldRole>,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
@@ -66,12 +71,19 @@
             shards: Arc::clone(shards),
             gates: Arc::clone(gates),
             chooser: Arc::clone(chooser),
+            hold: Arc::clone(hold),
             runs: Mutex::default(),
             elsewhere: Mutex::default(),
             in_progress: watch::Sender::new(0),
         })
     }
 
+    /// Returns the copies of outcomes that wait for the log.
+    #[must_use]
+    pub fn hold(&self) -> &Arc<HoldRole> {
+        &self.hold
+    }
+
     /// Returns the number of requests that run here.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -106,7 +118,38 @@
             }
         }
         let resumed = known.is_some_and(|entry| entry.outcome.is_none());
-        let run = self.start_run(request.clone(), shard, resumed);
+        let origin = if resumed {
+            RunOrigin::Resumed
+        } else {
+            RunOrigin::New
+        };
+        let run = self.start_run(request.clone(), shard, origin);
+        attach_checked(&run, &request)
+    }
+
+    /// Runs a request whose shard has no owner that is reached. What the log says of the key goes before;
+    /// if another host runs it too, the first outcome on the log stands for both.
+    pub async fn submit_for_absent(self: &Arc<Self>, request: OnlineRequest) -> FrameStream {
+        let name = request.full_key();
+        if let Some(run) = self.run_of(&name) {
+            return attach_checked(&run, &request);
+        }
+        let shard = self.fleet.view().shard_of(&name);
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&name).cloned());
+        if let Some(entry) = known {
+            if entry.digest != request.digest() {
+                return last_frame(conflict());
+            }
+            if let Some(result) = entry.outcome.filter(|result| !result.not_run) {
+                return last_frame(self.recorded_frame(shard, result.place).await);
+            }
+        }
+        self.parts
+            .events
+            .trace("owner-absent", &name, "it runs at the entry");
+        let run = self.start_run(request.clone(), shard, RunOrigin::OwnerAbsent);
         attach_checked(&run, &request)
     }
 
@@ -138,17 +181,10 @@
         if self.shards.owned_epoch(shard).is_none() {
             return PeerReply::NotOwner;
         }
-        let known = self
-            .shards
-            .with_shard(shard, |state| state.key(&name).is_some());
-        let mut bodies = Vec::new();
-        if !known {
-            bodies.push(RecordBody::Accept(note.request));
-        }
-        bodies.push(RecordBody::Outcome(KeyOutcome {
-            key: Arc::clone(&name),
-            outcome: note.outcome,
-        }));
+        let Some(bodies) = self.outcome_bodies(shard, &note.request, note.outcome) else {
+            let reason = "the key stands for another request".into();
+            return PeerReply::Conflict { reason };
+        };
         let Ok(mut receivers) = self.shards.append_all(shard, bodies) else {
             return PeerReply::NotOwner;
         };
@@ -165,6 +201,60 @@
         }
     }
 
+    /// Returns the records of an outcome, with the acceptance before it if the log does not have that yet,
+    /// or `None` when the key stands for another request.
+    fn outcome_bodies(
+        &self,
+        shard: ShardIndex,
+        request: &OnlineRequest,
+        outcome: ItemOutcome,
+    ) -> Option<Vec<RecordBody>> {
+        let key = request.full_key();
+        let digest = request.digest();
+        // A run here may have sent out an acceptance that is not read back yet.
+        if self
+            .run_of(&key)
+            .is_some_and(|run| run.request.digest() != digest)
+        {
+            return None;
+        }
+        let known = self
+            .shards
+            .with_shard(shard, |state| state.key(&key).cloned());
+        let accepted = known.filter(|entry| !entry.outcome.is_some_and(|result| result.not_run));
+        if accepted
+            .as_ref()
+            .is_some_and(|entry| entry.digest != digest)
+        {
+            return None;
+        }
+        let outcome = RecordBody::Outcome(KeyOutcome { key, outcome });
+        let acceptance = accepted
+            .is_none()
+            .then(|| RecordBody::Accept(request.clone()));
+        Some(acceptance.into_iter().chain([outcome]).collect())
+    }
+
+    /// Records an outcome through the owner of its key, here or at another host; tells whether that is done.
+    pub async fn record_anywhere(self: &Arc<Self>, note: OutcomeNote) -> bool {
+        let shard = self.fleet.view().shard_of(&note.request.full_key());
+        let Some(target) = self.shards.owner_target(shard) else {
+            return false;
+        };
+        let reply = if target.host == self.parts.identity {
+            self.record_for(note).await
+        } else {
+            let message = PeerMessage::RecordOutcome(note);
+            let reply = self.parts.link.call(&target, message).await;
+            reply.unwrap_or(PeerReply::Unknown)
+        };
+        // An outcome of a request that is not the one on the log cannot be recorded at all.
+        matches!(
+            reply,
+            PeerReply::Outcome(Some(_)) | PeerReply::Conflict { .. }
+        )
+    }
+
     /// Notes which requests still run at the host that owned a shard before.
     pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
         let mut elsewhere = lock(&self.elsewhere);
@@ -221,7 +311,7 @@
             self.parts
                 .events
                 .note("resume", &name, "accepted by an earlier owner");
-            self.start_run(request, shard, true);
+            self.start_run(request, shard, RunOrigin::Resumed);
         }
     }
 
@@ -308,6 +398,24 @@
         }
     }
 
+    /// Returns the records that accept a request. A key that was refused as not run starts anew.
+    fn acceptance_of(&self, shard: ShardIndex, request: &OnlineRequest) -> Vec<RecordBody> {
+        let name = request.full_key();
+        let refused = self.shards.with_shard(shard, |state| {
+            let outcome = state.key(&name)?.outcome?;
+            outcome.not_run.then(|| state.applied())
+        });
+        let forget = refused.map(|as_of| {
+            RecordBody::Forget(ForgetName {
+                as_of,
+                name,
+                job: false,
+            })
+        });
+        let accept = RecordBody::Accept(request.clone());
+        forget.into_iter().chain([accept]).collect()
+    }
+
     fn run_of(&self, name: &str) -> Option<Arc<KeyRun>> {
         lock(&self.runs).get(name).cloned()
     }
@@ -316,7 +424,7 @@
         self: &Arc<Self>,
         request: OnlineRequest,
         shard: ShardIndex,
-        resumed: bool,
+        origin: RunOrigin,
     ) -> Arc<KeyRun> {
         let run = Arc::new(KeyRun::new(request, shard));
         {
@@ -325,8 +433,10 @@
                 return Arc::clone(other);
             }
             runs.insert(Arc::clone(&run.name), Arc::clone(&run));
+            // The first frame tells the entry that the request has arrived.
+            run.push(StreamFrame::Admitted);
         }
-        tokio::spawn(Arc::clone(self).drive(Arc::clone(&run), resumed));
+        tokio::spawn(Arc::clone(self).drive(Arc::clone(&run), origin));
         run
     }
 
