--- a/crates/decide/tests/shard.rs
+++ b/crates/decide/tests/shard.rs
@@ -82,3 +82,56 @@
     }
     assert_eq!(verify_shard(&state), vec![]);
 }
+
+/// Applies records, each under its epoch, from an offset on.
+fn replay_from(start: u64, records: &[(u64, RecordBody)]) -> ShardState {
+    let mut state = ShardState::starting_at(ShardIndex(0), Offset(start));
+    for (at, (epoch, body)) in (0..).zip(records) {
+        if at < start {
+            continue;
+        }
+        let id = RecordId {
+            writer: host("a"),
+            sequence: at,
+        };
+        let record = LogRecord {
+            id,
+            shard: ShardIndex(0),
+            epoch: Epoch(*epoch),
+            stamp: 0,
+            body: body.clone(),
+        };
+        let place = RecordPlace {
+            offset: Offset(at),
+            position: 0,
+        };
+        state.apply(place, at, &record);
+    }
+    state
+}
+
+#[test]
+fn a_late_reader_passes_over_a_late_copy_of_an_old_claim() {
+    let claim = |name: &str, read: u64| {
+        RecordBody::Claim(ShardClaim {
+            owner: host(name),
+            read: Offset(read),
+        })
+    };
+    let records = [
+        (1, claim("a", 0)),
+        (2, claim("b", 1)),
+        (1, claim("a", 0)),
+        (1, accept("late")),
+        (2, accept("lost")),
+        (3, claim("b", 5)),
+        (3, accept("kept")),
+    ];
+    let whole = replay_from(0, &records);
+    assert!(whole.key("w/late").is_none());
+    let late = replay_from(2, &records);
+    assert!(late.key("w/late").is_none());
+    assert!(late.key("w/kept").is_some());
+    assert_eq!((late.epoch(), late.owner()), (whole.epoch(), whole.owner()));
+    assert_eq!(verify_shard(&late), vec![]);
+}
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -131,11 +131,14 @@
         let known = self
             .shards
             .with_shard(shard, |state| state.key(&name.key).cloned());
-        let Some(entry) = known else {
-            return PeerReply::NotFound;
-        };
-        let Some(result) = entry.outcome else {
-            return PeerReply::Outcome(None);
+        let recorded = known.as_ref().and_then(|entry| entry.outcome);
+        let Some(result) = recorded else {
+            let run = self.run_of(&name.key);
+            return match (run, known) {
+                (Some(run), _) => PeerReply::Outcome(run.outcome()),
+                (None, Some(_)) => PeerReply::Outcome(None),
+                (None, None) => PeerReply::NotFound,
+            };
         };
         match self.read_outcome(shard, result.place).await {
             Ok(outcome) => PeerReply::Outcome(Some(outcome)),
--- a/crates/fulmarswitch/src/keys/run.rs
+++ b/crates/fulmarswitch/src/keys/run.rs
@@ -1,7 +1,7 @@
 //! One request in progress, and the streams attached to it.
 
 use fulmarswitch_peer::{FrameStream, StreamFrame};
-use fulmarswitch_records::{OnlineRequest, ShardIndex};
+use fulmarswitch_records::{ItemOutcome, OnlineRequest, ShardIndex};
 use futures::StreamExt;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,6 +44,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the outcome, once the run has one.
+    pub(super) fn outcome(&self) -> Option<ItemOutcome> {
+        match lock(&self.frames).last() {
+            Some(StreamFrame::Done { outcome, .. }) => Some(outcome.clone()),
+            _ => None,
+        }
+    }
+
     /// Gives a frame to all streams.
     pub(super) fn push(&self, frame: StreamFrame) {
         let mut frames = lock(&self.frames);
--- a/crates/fulmarswitch/tests/outage.rs
+++ b/crates/fulmarswitch/tests/outage.rs
@@ -123,6 +123,8 @@
                 "{frame:?}"
             );
         }
+        let read = read_key(&fleet, &hosts[1].1, &key).await;
+        assert_eq!(read, PeerReply::Outcome(Some(answer_of(&key))));
     }
     assert!(
         began.elapsed() < Duration::from_secs(9),
