Tell the new owner of a job which items gates hold

Cause: a planned move told the new owner of running requests only. It handed out every open item again, and took announced items for lost after 20 s although they still ran.

The old owner now names the items by gate until the new one has taken the note; the new one offers jobs 0.75 s after it got the shard. Test: 40 items of 3,000 tokens in progress while their owner leaves: all are answered and no token is generated twice; both cases fail without the note, the repeatable one also without the pause. The tests of whole hosts share one program.

--- a/crates/decide/src/handout.rs
+++ b/crates/decide/src/handout.rs
@@ -1,7 +1,7 @@
 //! Which items of a job are handed out to gates.
 //!
-//! This is the volatile side of a job: an owner that takes over starts with nothing handed out and offers
-//! every open item again. What the log says of the items stands in [`crate::shard`].
+//! This is the volatile side of a job: an owner that takes over starts with what the one before tells it,
+//! or with nothing, and offers every other open item again. What the log says of the items stands in [`crate::shard`].
 
 use crate::shard::jobs::{ItemState, JobEntry};
 use fulmarswitch_records::{HostIdentity, SortedIndex};
@@ -67,6 +67,17 @@
         items
     }
 
+    /// Notes that `gate` holds an item for the owner before this one.
+    pub fn note_out(&mut self, item: u32, gate: &HostIdentity, until: Duration) {
+        let gate = gate.clone();
+        self.out.insert(item, HandedItem { gate, until });
+    }
+
+    /// Returns the items that are handed out, with the hosts of their gates.
+    pub fn out(&self) -> impl Iterator<Item = (u32, &HostIdentity)> {
+        self.out.iter().map(|(item, held)| (*item, &held.gate))
+    }
+
     /// Notes that an item has come back, to be handed out again if it is still open.
     pub fn give_back(&mut self, item: u32) {
         if self.out.remove(&item).is_some() {
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -201,7 +201,11 @@
             PeerMessage::CancelJob(name) => self.jobs.cancel(&name).await,
             PeerMessage::ReadJob(name) => self.jobs.read_job(&name),
             PeerMessage::ReadResults(range) => self.jobs.read_results(&range).await,
-            PeerMessage::Handover(note) => self.keys.take_handover(&from, note),
+            PeerMessage::Handover(note) => {
+                let reply = self.jobs.take_handover(&note);
+                self.keys.take_handover(&from, note);
+                reply
+            }
             PeerMessage::Hold(request) => self.hold.take(&from, request),
             PeerMessage::FindHeld(request) => self.hold.find(&request),
         }
--- a/crates/fulmarswitch/src/jobs.rs
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -1,6 +1,7 @@
 //! The owner of batch jobs: submission, offers to gates, items handed out, outcomes, results.
 
 mod hand;
+mod handover;
 mod read;
 mod submit;
 
@@ -16,6 +17,7 @@
 use fulmarswitch_peer::{PeerMessage, PeerReply};
 use fulmarswitch_records::record::{JobCancel, JobChunk};
 use fulmarswitch_records::{RecordBody, RecordPlace, ShardIndex, SortedIndex};
+use handover::PendingNote;
 use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 
@@ -42,6 +44,8 @@
     fleet: Arc<FleetBooks>,
     shards: Arc<ShardBooks>,
     runs: Mutex<SortedIndex<Arc<str>, JobRun>>,
+    owned_since: Mutex<SortedIndex<ShardIndex, Instant>>,
+    pending_notes: Mutex<Vec<PendingNote>>,
     sessions: Mutex<SortedIndex<Arc<str>, Instant>>,
     chunks: Mutex<Vec<CachedChunk>>,
 }
@@ -55,6 +59,8 @@
             fleet: Arc::clone(fleet),
             shards: Arc::clone(shards),
             runs: Mutex::default(),
+            owned_since: Mutex::default(),
+            pending_notes: Mutex::default(),
             sessions: Mutex::default(),
             chunks: Mutex::default(),
         })
--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -34,6 +34,7 @@
         loop {
             tokio::time::sleep(OFFER_PERIOD).await;
             self.adjust_runs();
+            self.tell_new_owners().await;
             self.take_back_lost().await;
             let jobs = self.offers();
             if jobs.is_empty() && !offered {
@@ -219,8 +220,9 @@
     }
 
     /// Follows the shards owned here: begins runs of their unfinished jobs and ends all others.
-    fn adjust_runs(&self) {
+    pub(super) fn adjust_runs(&self) {
         let owned = self.shards.owned();
+        self.follow_shards(&owned);
         let mut runs = lock(&self.runs);
         runs.retain(|name, run| {
             let unfinished = self.with_job(run.shard, name, |job| !job.is_finished());
@@ -287,6 +289,9 @@
     fn offers(&self) -> Vec<JobOffer> {
         let mut offers = Vec::new();
         for (name, run) in lock(&self.runs).iter() {
+            if !self.is_settled_in(run.shard) {
+                continue;
+            }
             let offer = self.with_job(run.shard, name, |job| {
                 let header = &job.accepted()?.header;
                 Some(JobOffer {
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -206,12 +206,11 @@
     }
 
     /// Notes which requests still run at the host that owned a shard before.
-    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
+    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) {
         let mut elsewhere = lock(&self.elsewhere);
         for key in note.running {
             elsewhere.insert(key, from.clone());
         }
-        PeerReply::Accepted
     }
 
     /// Takes up keys that nobody runs, and hands over those of shards that moved away.
--- /dev/null
+++ b/crates/fulmarswitch/tests/hosts/handover.rs
@@ -0,0 +1,61 @@
+//! Planned moves of jobs whose items are at gates.
+
+use crate::support::{
+    TestFleet, job_header, owner_of, publish_service, read_results, submit_job, wait_for,
+};
+use fulmarswitch::settings::TuningSettings;
+use fulmarswitch_records::{ItemOutcome, ShardIndex};
+use fulmarswitch_standins::engine::whole_answer;
+use fulmarswitch_standins::log::LogFaults;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Items of the job.
+const JOB_ITEMS: u32 = 40;
+/// Tokens of each item; one takes longer than a new owner waits for announced calls.
+const ITEM_TOKENS: u32 = 3_000;
+
+#[rstest]
+#[case::repeatable(true)]
+#[case::at_most_once(false)]
+#[tokio::test(start_paused = true)]
+async fn items_at_gates_go_on_when_their_job_moves(#[case] idempotent: bool) {
+    let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), 3);
+    let mut hosts = Vec::new();
+    for (name, domain) in [("a", "d0"), ("b", "d1"), ("c", "d2"), ("d", "d0")] {
+        hosts.push(fleet.add_host(name, domain).await);
+    }
+    let first = Arc::clone(&hosts[0].1);
+    publish_service(&first, 3).await;
+    wait_for(Duration::from_secs(20), "shards are owned", || {
+        (0..4).all(|shard| first.shards().owner(ShardIndex(shard)).is_some())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let header = job_header("s", ITEM_TOKENS, idempotent);
+    submit_job(&fleet, &first, header, JOB_ITEMS, JOB_ITEMS).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let began = fleet.tokens();
+    assert!(began > 0, "items run");
+
+    // The owner leaves; gates of other hosts go on with what they hold.
+    let owner = owner_of(&fleet, &first, "w/j");
+    let leaving = tokio::spawn({
+        let owner = Arc::clone(&owner);
+        async move { owner.leave().await }
+    });
+    let mut nodes = hosts.iter().map(|(_, node)| node);
+    let reader = nodes.rfind(|node| !Arc::ptr_eq(node, &owner));
+    let reader = reader.expect("another host");
+    tokio::time::sleep(Duration::from_mins(5)).await;
+    leaving.await.expect("it leaves");
+    let results = read_results(&fleet, reader, "w/j", JOB_ITEMS).await;
+    assert_eq!(results.len(), JOB_ITEMS as usize);
+    for (item, outcome) in results {
+        let text = whole_answer(&format!("item {item}"), ITEM_TOKENS).into();
+        assert!(outcome == ItemOutcome::Done { text }, "item {item}");
+    }
+    let needed = u64::from(JOB_ITEMS * ITEM_TOKENS);
+    assert_eq!(fleet.tokens(), needed, "tokens generated in vain");
+}
--- /dev/null
+++ b/crates/fulmarswitch/tests/hosts/main.rs
@@ -0,0 +1,6 @@
+//! Whole hosts in one process, over fakes, on the paused clock.
+
+mod handover;
+mod outage;
+mod retention;
+mod support;
--- a/crates/fulmarswitch/tests/outage.rs
+++ b/crates/fulmarswitch/tests/hosts/outage.rs
@@ -1,18 +1,16 @@
 //! What callers get while the log does not answer, and what is on the log afterwards.
 
-mod support;
-
+use crate::support::{TestFleet, job_header, owner_of, publish_service, request, submit, wait_for};
 use fulmarswitch::host::HostNode;
 use fulmarswitch::settings::TuningSettings;
 use fulmarswitch_peer::message::{JobName, KeyName, RunState};
 use fulmarswitch_peer::{PeerHandler, PeerMessage, PeerReply, StreamFrame};
-use fulmarswitch_records::{HostIdentity, ItemOutcome, JobHeader, ShardIndex};
+use fulmarswitch_records::{HostIdentity, ItemOutcome, ShardIndex};
 use fulmarswitch_standins::engine::whole_answer;
 use fulmarswitch_standins::log::LogFaults;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{TestFleet, owner_of, publish_service, request, submit, wait_for};
 use tokio::time::Instant;
 
 /// Longest time to notice an outage.
@@ -43,17 +41,6 @@
     }
 }
 
-fn job_header() -> JobHeader {
-    JobHeader {
-        job: "j".into(),
-        workspace: "w".into(),
-        service: "s".into(),
-        due_ms: 1,
-        max_tokens: 2,
-        idempotent: true,
-    }
-}
-
 fn answer_of(key: &str) -> ItemOutcome {
     let text = whole_answer(&format!("input of {key}"), 4).into();
     ItemOutcome::Done { text }
@@ -79,10 +66,8 @@
     let began = Instant::now();
     let owner = owner_of(&fleet, &hosts[0].1, "w/j");
     let job = JobName { job: "w/j".into() };
-    for message in [
-        PeerMessage::BeginJob(job_header()),
-        PeerMessage::BeginJob(job_header()),
-    ] {
+    for idempotent in [true, false] {
+        let message = PeerMessage::BeginJob(job_header("s", 2, idempotent));
         let reply = owner.handle(from_test(), message).await;
         assert!(
             matches!(reply, PeerReply::Refused { retry_after_ms, .. } if retry_after_ms > 1_000),
--- a/crates/fulmarswitch/tests/support/mod.rs
+++ b/crates/fulmarswitch/tests/hosts/support.rs
@@ -7,13 +7,17 @@
 use fulmarswitch::metrics::HostMetrics;
 use fulmarswitch::parts::HostParts;
 use fulmarswitch::settings::{HostSettings, LayoutSettings, PlatformSettings, TuningSettings};
+use fulmarswitch_decide::shard::jobs::{chunk_digest, job_digest};
+use fulmarswitch_peer::message::{ItemBatch, ResultRange};
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
     StreamRequest,
 };
 use fulmarswitch_platform::{HostList, ListedHost, LogError, LogPage, LogService, PlatformError};
+use fulmarswitch_records::record::JobSeal;
 use fulmarswitch_records::{
-    ConfigChange, Epoch, HostIdentity, LogicalClock, Offset, OnlineRequest, RecordBody, ShardIndex,
+    ConfigChange, Epoch, HostIdentity, ItemOutcome, JobHeader, LogicalClock, Offset, OnlineRequest,
+    RecordBody, ShardIndex,
 };
 use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
 use fulmarswitch_standins::fleet::MemoryFleet;
@@ -140,6 +144,7 @@
     pub log: Arc<MemoryLog>,
     pub network: Arc<MemoryNetwork>,
     pub endpoints: MemoryFleet,
+    engine_list: Vec<Arc<MemoryEngine>>,
     pub tuning: TuningSettings,
     pub events: Vec<EventLog>,
     incarnation: u64,
@@ -149,15 +154,18 @@
     /// Creates a fleet with `engines` engines at the addresses `engine-0` and so on.
     pub fn new(faults: LogFaults, tuning: TuningSettings, engines: usize) -> Self {
         let mut endpoints = MemoryFleet::new();
+        let mut engine_list = Vec::new();
         for number in 0..engines {
             let engine = MemoryEngine::new(EngineFaults::default(), &["m"]);
             tokio::spawn(Arc::clone(&engine).run());
-            endpoints.add_engine(&format!("engine-{number}"), engine);
+            endpoints.add_engine(&format!("engine-{number}"), Arc::clone(&engine));
+            engine_list.push(engine);
         }
         Self {
             log: Arc::new(MemoryLog::new(faults)),
             network: Arc::default(),
             endpoints,
+            engine_list,
             tuning,
             events: Vec::new(),
             incarnation: 0,
@@ -227,6 +235,11 @@
         (identity, node)
     }
 
+    /// Returns the tokens that all engines have generated.
+    pub fn tokens(&self) -> u64 {
+        self.engine_list.iter().map(|engine| engine.tokens()).sum()
+    }
+
     /// Returns what all hosts have noted of one kind.
     pub fn noted(&self, kind: &str) -> Vec<String> {
         let all = self.events.iter().flat_map(EventLog::all);
@@ -309,3 +322,89 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Sends a message to the owner of a key or job.
+pub async fn call(
+    fleet: &TestFleet,
+    node: &HostNode,
+    name: &str,
+    message: PeerMessage,
+) -> PeerReply {
+    let from = HostIdentity {
+        name: "test".into(),
+        incarnation: 1,
+    };
+    owner_of(fleet, node, name).handle(from, message).await
+}
+
+/// Makes the description of the job `w/j`.
+pub fn job_header(service: &str, max_tokens: u32, idempotent: bool) -> JobHeader {
+    JobHeader {
+        job: "j".into(),
+        workspace: "w".into(),
+        service: service.into(),
+        due_ms: 1,
+        max_tokens,
+        idempotent,
+    }
+}
+
+/// Submits a job of `total` items in batches of `batch`; the input of item 7 is `item 7`.
+pub async fn submit_job(
+    fleet: &TestFleet,
+    node: &HostNode,
+    header: JobHeader,
+    total: u32,
+    batch: u32,
+) {
+    let name = header.full_name();
+    let begun = call(fleet, node, &name, PeerMessage::BeginJob(header.clone())).await;
+    assert_eq!(begun, PeerReply::Received { items: 0 });
+    let mut digests = Vec::new();
+    for first in (0..total).step_by(batch as usize) {
+        let inputs: Vec<Arc<str>> = (first..first + batch)
+            .map(|item| format!("item {item}").into())
+            .collect();
+        digests.push(chunk_digest(&inputs));
+        let job = Arc::clone(&name);
+        let batch_sent = ItemBatch { job, first, inputs };
+        let put = call(fleet, node, &name, PeerMessage::PutItems(batch_sent)).await;
+        assert_eq!(
+            put,
+            PeerReply::Received {
+                items: first + batch
+            }
+        );
+    }
+    let digest = job_digest(digests.into_iter());
+    let seal = JobSeal {
+        header,
+        total,
+        digest,
+    };
+    let sealed = call(fleet, node, &name, PeerMessage::SealJob(seal)).await;
+    assert!(matches!(sealed, PeerReply::Job(report) if report.total == total));
+}
+
+/// Reads the results of the first `count` items of a job.
+pub async fn read_results(
+    fleet: &TestFleet,
+    node: &HostNode,
+    job: &str,
+    count: u32,
+) -> Vec<(u32, ItemOutcome)> {
+    let mut results = Vec::new();
+    loop {
+        let first = results.last().map_or(0, |(item, _): &(u32, _)| item + 1);
+        let range = ResultRange {
+            job: job.into(),
+            first,
+            count: count - first,
+        };
+        match call(fleet, node, job, PeerMessage::ReadResults(range)).await {
+            PeerReply::Results(page) if page.is_empty() => return results,
+            PeerReply::Results(page) => results.extend(page),
+            reply => panic!("no results: {reply:?}"),
+        }
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -204,8 +204,19 @@
     pub shard: ShardIndex,
     /// Workspace and key of each.
     pub running: Vec<Arc<str>>,
-    /// Items handed out to gates, by job.
-    pub handed_out: Vec<(Arc<str>, Vec<u32>)>,
+    /// Items of the shard's jobs that gates hold.
+    pub handed_out: Vec<HandedItems>,
+}
+
+/// Items of a job that a gate holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedItems {
+    /// Workspace and job.
+    pub job: Arc<str>,
+    /// The gate's host.
+    pub gate: HostIdentity,
+    /// Indexes of the items.
+    pub items: Vec<u32>,
 }
 
 /// Copies of outcomes that wait for the log.
