--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -34,6 +34,7 @@
         loop {
             tokio::time::sleep(OFFER_PERIOD).await;
             self.adjust_runs();
+            self.tell_new_owners().await;
             self.take_back_lost().await;
             let jobs = self.offers();
             if jobs.is_empty() && !offered {
@@ -58,10 +59,19 @@
         if self.shards.owned_epoch(request.shard).is_none() {
             return PeerReply::NotOwner;
         }
+        let book = self.shards.book(request.shard);
+        if book.pending_bytes() > self.parts.settings.tuning.pending_bytes / 2 {
+            // What is left is kept for online requests.
+            return PeerReply::NotFound;
+        }
         let count = request.count.min(HAND_LIMIT);
         let Some((seal, items)) = self.take_items(gate, &request, count) else {
             return PeerReply::NotFound;
         };
+        if !seal.header.idempotent && !book.is_answering() {
+            self.give_back(&request.job, &items);
+            return PeerReply::NotFound;
+        }
         if !seal.header.idempotent && !items.is_empty() {
             let running = ItemsRunning {
                 job: Arc::clone(&request.job),
@@ -210,8 +220,9 @@
     }
 
     /// Follows the shards owned here: begins runs of their unfinished jobs and ends all others.
-    fn adjust_runs(&self) {
+    pub(super) fn adjust_runs(&self) {
         let owned = self.shards.owned();
+        self.follow_shards(&owned);
         let mut runs = lock(&self.runs);
         runs.retain(|name, run| {
             let unfinished = self.with_job(run.shard, name, |job| !job.is_finished());
@@ -278,6 +289,9 @@
     fn offers(&self) -> Vec<JobOffer> {
         let mut offers = Vec::new();
         for (name, run) in lock(&self.runs).iter() {
+            if !self.is_settled_in(run.shard) {
+                continue;
+            }
             let offer = self.with_job(run.shard, name, |job| {
                 let header = &job.accepted()?.header;
                 Some(JobOffer {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -40,8 +40,10 @@
     ReadResults(ResultRange),
     /// Tells the new owner of a shard which requests still run at the old one.
     Handover(HandoverNote),
-    /// A copy of records that wait for the log, kept until the log has them or the sender is lost.
+    /// Copies of outcomes that wait for the log, kept until the log has them or the sender is lost.
     Hold(HoldRequest),
+    /// Asks for the outcome of a request among the copies that are held for others.
+    FindHeld(OnlineRequest),
 }
 
 /// A sign of life.
@@ -202,15 +204,33 @@
     pub shard: ShardIndex,
     /// Workspace and key of each.
     pub running: Vec<Arc<str>>,
-    /// Items handed out to gates, by job.
-    pub handed_out: Vec<(Arc<str>, Vec<u32>)>,
+    /// Items of the shard's jobs that gates hold.
+    pub handed_out: Vec<HandedItems>,
 }
 
-/// Copies of records that wait for the log.
+/// Items of a job that a gate holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedItems {
+    /// Workspace and job.
+    pub job: Arc<str>,
+    /// The gate's host.
+    pub gate: HostIdentity,
+    /// Indexes of the items.
+    pub items: Vec<u32>,
+}
+
+/// Copies of outcomes that wait for the log.
+///
+/// The sender numbers its outcomes. The reply names the number from which the receiver needs them, so that
+/// a receiver that has lost its copies gets them again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldRequest {
-    /// Outcomes that the sender has given and not yet recorded; replaces the list sent before.
-    pub outcomes: Vec<OutcomeNote>,
+    /// Outcomes of smaller numbers stand on the log and are dropped.
+    pub kept_from: u32,
+    /// Number of the first outcome in this message.
+    pub first: u32,
+    /// Outcomes that the sender has given; none for those that stand on the log by now.
+    pub outcomes: Vec<Option<OutcomeNote>>,
 }
 
 /// Counts of a job.
