--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -7,16 +7,19 @@
 mod batch;
 mod unit;
 
+use crate::chooser::EndpointChooser;
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::gate::GateSettings;
-use fulmarswitch_peer::message::{JobName, OfferList, RefusalNote, RunRequest, RunState};
+use fulmarswitch_peer::message::{
+    ItemReport, JobName, OfferList, RefusalNote, RunRequest, RunState,
+};
 use fulmarswitch_peer::{FrameStream, PeerReply, StreamFrame};
 use fulmarswitch_records::config::{EndpointConfig, ServiceConfig};
 use fulmarswitch_records::{HostIdentity, SortedIndex};
 use futures::StreamExt;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use unit::GateUnit;
@@ -31,24 +34,40 @@
     parts: HostParts,
     fleet: Arc<FleetBooks>,
     shards: Arc<ShardBooks>,
+    chooser: Arc<EndpointChooser>,
     units: Mutex<SortedIndex<Arc<str>, Arc<GateUnit>>>,
     offers: Mutex<SortedIndex<HostIdentity, OfferList>>,
+    /// Results that are not sent yet, by job.
+    reports: Mutex<SortedIndex<Arc<str>, ItemReport>>,
+    /// Reports on their way.
+    sending: AtomicUsize,
     attempts: AtomicU64,
     leaving: AtomicBool,
+    /// The view that the units follow.
+    followed: Mutex<Arc<FleetView>>,
 }
 
 impl GateRole {
     /// Creates the role.
     #[must_use]
-    pub fn new(parts: &HostParts, fleet: &Arc<FleetBooks>, shards: &Arc<ShardBooks>) -> Arc<Self> {
+    pub fn new(
+        parts: &HostParts,
+        fleet: &Arc<FleetBooks>,
+        shards: &Arc<ShardBooks>,
+        chooser: &Arc<EndpointChooser>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
             fleet: Arc::clone(fleet),
             shards: Arc::clone(shards),
+            chooser: Arc::clone(chooser),
             units: Mutex::default(),
             offers: Mutex::default(),
+            reports: Mutex::default(),
+            sending: AtomicUsize::new(0),
             attempts: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            followed: Mutex::default(),
         })
     }
 
@@ -62,12 +81,13 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Returns the number of gates held, and of requests in them.
+    /// Returns the number of gates held, and of requests in them and reports to be sent.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
         let units = lock(&self.units);
-        let held = units.iter().map(|(_, unit)| unit.held()).sum();
-        (units.len(), held)
+        let held: usize = units.iter().map(|(_, unit)| unit.held()).sum();
+        let unsent = lock(&self.reports).len() + self.sending.load(Ordering::Acquire);
+        (units.len(), held + unsent)
     }
 
     /// Runs a request on an endpoint whose gate is here.
@@ -116,27 +136,45 @@
     /// Opens the gates that belong here and closes idle ones that do not.
     fn adjust_units(self: &Arc<Self>) {
         let view = self.fleet.view();
-        for (name, endpoint) in view.config.endpoints() {
-            let Some(service) = view.config.service(&endpoint.service) else {
-                continue;
-            };
-            let here = view
-                .gate_of(name)
-                .is_some_and(|gate| gate.host == self.parts.identity);
-            if here {
-                self.unit(name, endpoint, service);
-            }
+        if self.is_new_view(&view) {
+            self.follow_view(&view);
         }
+        let leaving = self.leaving.load(Ordering::Relaxed);
         lock(&self.units).retain(|name, unit| {
-            let here = view
-                .gate_of(name)
-                .is_some_and(|gate| gate.host == self.parts.identity);
-            let kept = here && view.config.endpoint(name).is_some();
-            unit.set_open(kept && !self.leaving.load(Ordering::Relaxed));
+            let kept = self.holds_gate(&view, name);
+            unit.set_open(kept && !leaving);
             kept || unit.held() > 0
         });
     }
 
+    fn is_new_view(&self, view: &Arc<FleetView>) -> bool {
+        let mut followed = lock(&self.followed);
+        let new = !Arc::ptr_eq(&followed, view);
+        *followed = Arc::clone(view);
+        new
+    }
+
+    fn follow_view(self: &Arc<Self>, view: &FleetView) {
+        for name in view.gates_of(&self.parts.identity.name) {
+            if let Some((endpoint, service)) = endpoint_of(view, name)
+                && self.holds_gate(view, name)
+            {
+                self.unit(name, endpoint, service);
+            }
+        }
+        for (name, unit) in lock(&self.units).iter() {
+            match endpoint_of(view, name) {
+                Some((endpoint, service)) => unit.configure(endpoint, service),
+                None => unit.set_leaving(true),
+            }
+        }
+    }
+
+    fn holds_gate(&self, view: &FleetView, endpoint: &str) -> bool {
+        let gate = view.gate_of(endpoint);
+        gate.is_some_and(|gate| gate.host == self.parts.identity)
+    }
+
     fn unit(
         self: &Arc<Self>,
         name: &str,
@@ -148,7 +186,7 @@
             unit.configure(endpoint, service);
             return Arc::clone(unit);
         }
-        let unit = GateUnit::new(&self.parts, endpoint, service);
+        let unit = GateUnit::new(&self.parts, &self.chooser, name, endpoint, service);
         units.insert(name.into(), Arc::clone(&unit));
         self.parts
             .events
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -240,6 +240,8 @@
     pub header: JobHeader,
     /// Number of items.
     pub total: u32,
+    /// Digest of all inputs.
+    pub digest: u64,
     /// Items without an outcome.
     pub open: u32,
     /// Items answered.
@@ -327,6 +329,8 @@
     pub loaded: bool,
     /// Whether the endpoint could be reached.
     pub reached: bool,
+    /// Whether the host of the gate suspects the endpoint, from all that goes through the gate.
+    pub suspected: bool,
 }
 
 /// One frame of a stream.
