Order engines to load the model that their service wants

Cause: placement of models was configuration only.

The holder of a gate claims its engine in the hosts stream when an order is due, so that the claim's offset is the fencing number, and compares report and wish once a second. For engines that ignore the number a new holder waits 8 s: the longest order of 5 s and the time in which the old holder notices that it hears the log no longer. Loads of one service go one after the other in slots of the weight store's rate. Claims are made when an order is due and not repeated: a later claim always has a larger offset, so an expired one needs no copy.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`config`]: replays configuration; says which change won and what is in force.
 //! - [`placement`]: rendezvous hashing of shards, groups and endpoints over hosts.
 //! - [`handout`]: which items of a job are handed out to gates.
+//! - [`orders`]: when the holder of a gate orders its endpoint to load a model.
 //! - [`offers`]: which job a gate pulls from.
 //! - [`gate`]: what one endpoint is given, and when: online before batch.
 //! - [`balance`]: which endpoint a request goes to.
@@ -26,6 +27,7 @@
 pub mod hosts;
 pub mod load;
 pub mod offers;
+pub mod orders;
 pub mod placement;
 pub mod retention;
 pub mod retry;
--- a/crates/fulmarswitch/src/bin/fulmarswitchd.rs
+++ b/crates/fulmarswitch/src/bin/fulmarswitchd.rs
@@ -76,7 +76,8 @@
     let parts = HostParts {
         identity: identity.clone(),
         log: platform.clone(),
-        list: platform,
+        list: platform.clone(),
+        store: platform,
         link: Arc::new(PeerNetwork::new(identity.clone(), &clock)),
         endpoints: Arc::new(HttpEndpoints::new()),
         events: EventLog::new(Arc::clone(&settings.host), clock.clone(), logger.clone()),
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -8,6 +8,7 @@
 use crate::hold::HoldRole;
 use crate::jobs::JobOwner;
 use crate::keys::KeyOwner;
+use crate::orders::OrderRole;
 use crate::parts::HostParts;
 use crate::retention::RetentionRole;
 use crate::shards::ShardBooks;
@@ -38,6 +39,7 @@
     watcher: Arc<HostWatcher>,
     retention: Arc<RetentionRole>,
     hold: Arc<HoldRole>,
+    orders: Arc<OrderRole>,
     entry: Arc<EntryRole>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -54,6 +56,7 @@
         let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser, &hold);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
+        let orders = OrderRole::new(parts, &fleet);
         let retention = RetentionRole::new(parts, &fleet, &shards, &watcher);
         let entry = EntryRole::new(parts, &fleet, &shards, &keys, &jobs, &gates, &watcher);
         Arc::new(Self {
@@ -67,6 +70,7 @@
             watcher,
             retention,
             hold,
+            orders,
             entry,
             tasks: Mutex::default(),
         })
@@ -84,6 +88,12 @@
         &self.shards
     }
 
+    /// Returns the name of the host.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.parts.identity.name
+    }
+
     /// Returns the owner of keys.
     #[must_use]
     pub fn keys(&self) -> &Arc<KeyOwner> {
@@ -113,6 +123,7 @@
         tasks.spawn(Arc::clone(&self.watcher).run_rejoins());
         tasks.spawn(Arc::clone(&self.shards).run_claims());
         tasks.spawn(Arc::clone(&self.retention).run());
+        tasks.spawn(Arc::clone(&self.orders).run());
         tasks.spawn(Arc::clone(&self.hold).run(Arc::clone(&self.keys)));
         tasks.spawn(Arc::clone(&self.gates).run_gates());
         tasks.spawn(Arc::clone(&self.keys).run_sweeps());
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`gates`]: everything that goes to an endpoint.
 //! - [`chooser`]: which endpoint a request goes to, and what is learnt of endpoints.
 //! - [`hold`]: copies of outcomes that wait for the log, at other hosts.
+//! - [`orders`]: orders to engines to load what their services want.
 //! - [`commit`]: group commit to the log.
 //! - [`retention`]: state written again before the log drops it.
 //! - [`watcher`]: joins, heartbeats and suspicion.
@@ -30,6 +31,7 @@
 pub mod jobs;
 pub mod keys;
 pub mod metrics;
+pub mod orders;
 pub mod parts;
 pub mod retention;
 pub mod settings;
--- a/crates/fulmarswitch/src/parts.rs
+++ b/crates/fulmarswitch/src/parts.rs
@@ -5,7 +5,7 @@
 use crate::settings::HostSettings;
 use fulmarswitch_endpoint::EndpointClient;
 use fulmarswitch_peer::PeerLink;
-use fulmarswitch_platform::{HostList, LogService};
+use fulmarswitch_platform::{HostList, LogService, WeightStore};
 use fulmarswitch_records::HostIdentity;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::time::Instant;
@@ -21,6 +21,8 @@
     pub log: Arc<dyn LogService>,
     /// The platform's list of hosts.
     pub list: Arc<dyn HostList>,
+    /// The platform's weight store.
+    pub store: Arc<dyn WeightStore>,
     /// Other hosts.
     pub link: Arc<dyn PeerLink>,
     /// Endpoints.
--- /dev/null
+++ b/crates/fulmarswitch/tests/hosts/orders.rs
@@ -0,0 +1,148 @@
+//! Orders to engines, with and without a check of fencing numbers.
+
+use crate::support::{STORE_RATE, TestFleet, publish, wait_for};
+use fulmarswitch::host::HostNode;
+use fulmarswitch::settings::TuningSettings;
+use fulmarswitch_endpoint::{EndpointOrder, OrderAction};
+use fulmarswitch_standins::log::LogFaults;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Seconds that the weight store takes for the model.
+const LOAD_SECONDS: u64 = 4;
+/// Engines.
+const ENGINES: usize = 3;
+
+fn is_loaded(fleet: &TestFleet, engine: usize) -> bool {
+    let report = fleet.engine(engine).report().expect("the engine reports");
+    report.models.iter().any(|model| **model == *"new+a")
+}
+
+/// Starts hosts and a service whose model no engine has loaded.
+async fn start(checks_fencing: bool) -> (TestFleet, Vec<Arc<HostNode>>) {
+    let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), ENGINES);
+    for engine in 0..ENGINES {
+        let faults = |faults: &mut fulmarswitch_standins::engine::EngineFaults| {
+            faults.checks_fencing = checks_fencing;
+        };
+        fleet.engine(engine).set_faults(faults);
+    }
+    let mut nodes = Vec::new();
+    for (name, domain) in [("a", "d0"), ("b", "d1"), ("c", "d2")] {
+        nodes.push(fleet.add_host(name, domain).await.1);
+    }
+    let bytes = STORE_RATE * LOAD_SECONDS;
+    let model = format!(r#"{{"version":"1","bytes":{bytes}}}"#);
+    publish(&nodes[0], "model/new", 0, &model).await;
+    for engine in 0..ENGINES {
+        let body = format!(
+            r#"{{"service":"s","address":"engine-{engine}","failure_domain":"d0","checks_fencing":{checks_fencing}}}"#
+        );
+        publish(&nodes[0], &format!("endpoint/e{engine}"), 0, &body).await;
+    }
+    let service = r#"{"protocol":"engine","model":"new","adapter":"a"}"#;
+    publish(&nodes[0], "service/s", 0, service).await;
+    (fleet, nodes)
+}
+
+#[rstest]
+#[case::checked(true)]
+#[case::ignored(false)]
+#[tokio::test(start_paused = true)]
+async fn engines_load_one_after_the_other(#[case] checks_fencing: bool) {
+    let (fleet, _nodes) = start(checks_fencing).await;
+    let began = Instant::now();
+    let mut loaded_at = [None; ENGINES];
+    wait_for(Duration::from_mins(2), "all engines load", || {
+        for (engine, at) in loaded_at.iter_mut().enumerate() {
+            if at.is_none() && is_loaded(&fleet, engine) {
+                *at = Some(began.elapsed());
+            }
+        }
+        loaded_at.iter().all(Option::is_some)
+    })
+    .await;
+    let mut times: Vec<Duration> = loaded_at.into_iter().flatten().collect();
+    times.sort_unstable();
+    for pair in times.windows(2) {
+        // A comparison runs once a second, so two loads begin up to that much nearer to each other.
+        let least = Duration::from_secs(LOAD_SECONDS - 2);
+        assert!(pair[1] - pair[0] >= least, "{times:?}");
+    }
+}
+
+#[rstest]
+#[case::checked(true)]
+#[case::ignored(false)]
+#[tokio::test(start_paused = true)]
+async fn what_an_old_holder_orders_late_is_refused_or_put_right(#[case] checks_fencing: bool) {
+    let (fleet, nodes) = start(checks_fencing).await;
+    wait_for(Duration::from_mins(2), "engine 0 loads", || {
+        is_loaded(&fleet, 0)
+    })
+    .await;
+    let view = nodes[0].fleet().view();
+    let holder = view.hosts.order_holder("e0").expect("it was claimed");
+    let late = EndpointOrder {
+        fencing: holder.fencing.0 - 1,
+        action: OrderAction::Unload {
+            model: "new+a".into(),
+        },
+    };
+    let followed = fleet.engine(0).order(&late);
+    assert_eq!(followed.is_err(), checks_fencing);
+    assert_eq!(is_loaded(&fleet, 0), checks_fencing);
+    wait_for(Duration::from_secs(20), "it is put right", || {
+        is_loaded(&fleet, 0)
+    })
+    .await;
+}
+
+#[rstest]
+#[case::checked(true, Duration::ZERO, Duration::from_secs(20))]
+#[case::ignored(false, Duration::from_secs(8), Duration::from_secs(40))]
+#[tokio::test(start_paused = true)]
+async fn a_new_holder_waits_if_numbers_are_not_checked(
+    #[case] checks_fencing: bool,
+    #[case] least: Duration,
+    #[case] most: Duration,
+) {
+    let (fleet, nodes) = start(checks_fencing).await;
+    wait_for(Duration::from_mins(2), "engine 0 loads", || {
+        is_loaded(&fleet, 0)
+    })
+    .await;
+    let view = nodes[0].fleet().view();
+    let old = view.hosts.order_holder("e0").expect("it was claimed");
+    let old = old.host.clone();
+    fleet.freeze_host(&old);
+    let rest = nodes.iter().find(|node| {
+        let name = &old.name;
+        node.fleet().view().gate_of("e0").is_some() && *node.name() != **name
+    });
+    let rest = rest.expect("another host");
+    wait_for(Duration::from_secs(30), "the gate moves", || {
+        let gate = rest.fleet().view().gate_of("e0");
+        gate.is_some_and(|gate| gate.host != old)
+    })
+    .await;
+    let unload = EndpointOrder {
+        fencing: 1 << 20,
+        action: OrderAction::Unload {
+            model: "new+a".into(),
+        },
+    };
+    // The engine was restarted, so that it has seen no number.
+    fleet
+        .engine(0)
+        .set_faults(|faults| faults.checks_fencing = false);
+    fleet.engine(0).order(&unload).expect("it follows");
+    let began = Instant::now();
+    wait_for(most, "the new holder orders", || is_loaded(&fleet, 0)).await;
+    assert!(began.elapsed() >= least, "{:?}", began.elapsed());
+    let holder = rest.fleet().view();
+    let holder = holder.hosts.order_holder("e0").expect("it was claimed");
+    assert_ne!(holder.host, old);
+}
--- a/crates/fulmarswitch/tests/hosts/support.rs
+++ b/crates/fulmarswitch/tests/hosts/support.rs
@@ -13,7 +13,9 @@
     FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
     StreamRequest,
 };
-use fulmarswitch_platform::{HostList, ListedHost, LogError, LogPage, LogService, PlatformError};
+use fulmarswitch_platform::{
+    HostList, ListedHost, LogError, LogPage, LogService, PlatformError, WeightStore,
+};
 use fulmarswitch_records::record::JobSeal;
 use fulmarswitch_records::{
     ConfigChange, Epoch, HostIdentity, ItemOutcome, JobHeader, LogicalClock, Offset, OnlineRequest,
@@ -139,6 +141,16 @@
     }
 }
 
+/// Bytes that the weight store gives out a second.
+pub const STORE_RATE: u64 = 1_000;
+
+#[async_trait]
+impl WeightStore for QuietPlatform {
+    async fn bytes_per_second(&self) -> Result<u64, PlatformError> {
+        Ok(STORE_RATE)
+    }
+}
+
 /// A few hosts, a log and engines.
 pub struct TestFleet {
     pub log: Arc<MemoryLog>,
@@ -209,6 +221,7 @@
                 network: Arc::clone(&self.network),
             }),
             list: Arc::new(QuietPlatform),
+            store: Arc::new(QuietPlatform),
             link: Arc::new(MemoryLink {
                 from: identity.clone(),
                 network: Arc::clone(&self.network),
@@ -235,6 +248,11 @@
         (identity, node)
     }
 
+    /// Returns an engine.
+    pub fn engine(&self, number: usize) -> &Arc<MemoryEngine> {
+        &self.engine_list[number]
+    }
+
     /// Returns the tokens that all engines have generated.
     pub fn tokens(&self) -> u64 {
         self.engine_list.iter().map(|engine| engine.tokens()).sum()
--- a/crates/trials/src/borders.rs
+++ b/crates/trials/src/borders.rs
@@ -7,7 +7,9 @@
 use fulmarswitch_endpoint::{
     AnswerStream, EndpointCall, EndpointClient, EndpointError, EndpointOrder, EndpointReport,
 };
-use fulmarswitch_platform::{HostList, ListedHost, LogError, LogPage, LogService, PlatformError};
+use fulmarswitch_platform::{
+    HostList, ListedHost, LogError, LogPage, LogService, PlatformError, WeightStore,
+};
 use fulmarswitch_records::config::EndpointProtocol;
 use fulmarswitch_records::{HostIdentity, Offset};
 use fulmarswitch_standins::fleet::MemoryFleet;
@@ -77,6 +79,14 @@
     }
 }
 
+/// A weight store that is no limit.
+#[async_trait]
+impl WeightStore for EmptyList {
+    async fn bytes_per_second(&self) -> Result<u64, PlatformError> {
+        Ok(u64::MAX)
+    }
+}
+
 /// The endpoints as one host reaches them; each start of a call goes into the ledger.
 pub struct HostEndpoints {
     fleet: MemoryFleet,
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -296,6 +296,7 @@
             identity: identity.clone(),
             log,
             list: Arc::new(EmptyList),
+            store: Arc::new(EmptyList),
             link: Arc::new(link),
             endpoints: Arc::new(endpoints),
             events: EventLog::new(Arc::clone(&slot.name), clock, logger),
