Void the text so far before an outcome that is given in an outage

Cause: an entry that had passed on some of an answer and lost the owner in an outage of the log gave the outcome that another host kept, without telling the caller that the text so far is void. The caller had a part of the text and an outcome with the whole.

Ruled out: moved requests (their text is voided where they are moved).

Change: the entry sends Reset first, as it does for a new owner.

--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -184,6 +184,10 @@
             } else {
                 unreached += 1;
                 if let Some(last) = self.answer_in_outage(shard, &request, unreached).await {
+                    if text_given {
+                        // The outcome holds the whole text; what was given of it may be a part.
+                        let _ = caller.send(StreamFrame::Reset);
+                    }
                     let _ = caller.send(last);
                     return;
                 }
