Measure how the costs of a whole fleet grow

Cause: docs/CAPACITY.md needs slopes by hosts: control messages, appends, delays, processor time, memory. Change: fulmarswitch-slopes runs whole fleets of 6 to 192 real hosts in one process over the fakes of the randomised runs; ./measure slopes writes docs/results/slopes.csv.

--- /dev/null
+++ b/crates/slopes/src/fleet.rs
@@ -0,0 +1,266 @@
+//! Messages, appends, delays and costs of a whole fleet, by hosts.
+//!
+//! Real hosts run in one process over the fakes of the randomised runs, on a paused clock: delays are in
+//! virtual time, processor time and memory are real and leave out sockets.
+
+use crate::ALLOCATOR;
+use crate::fit::{SlopeTable, as_float};
+use fulmarswitch_decide::shard::ShardState;
+use fulmarswitch_trials::callers::{TrialCaller, make_job, make_request, submit_request};
+use fulmarswitch_trials::fleet::TrialFleet;
+use fulmarswitch_trials::operators::publish;
+use fulmarswitch_trials::run::start_fleet;
+use fulmarswitch_trials::switch::HostMode;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::json;
+use stats_alloc::Region;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::Instant;
+
+/// Numbers of hosts.
+const HOST_SIZES: [usize; 4] = [6, 12, 24, 48];
+/// Numbers of hosts where only delays are measured.
+const WIDE_SIZES: [usize; 4] = [12, 48, 96, 192];
+/// Time for which a fleet is watched.
+const WATCH: Duration = Duration::from_secs(10);
+/// Time for which a fleet settles first.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Time between looks at whether something has happened.
+const LOOK: Duration = Duration::from_millis(10);
+/// Online requests a second and host.
+const REQUEST_RATE: u64 = 5;
+/// Appends a second that the log allows, so high that it refuses none.
+const LOG_RATE: u32 = 1_000_000;
+/// Seed of everything that is drawn.
+const SEED: u64 = 1;
+
+/// Measures all slopes of the fleet.
+pub fn measure(table: &mut SlopeTable) {
+    table.add(
+        "control messages a second of all idle hosts",
+        "messages",
+        &HOST_SIZES,
+        |hosts| idle(hosts, |fleet| as_count(fleet.network.counts().messages)),
+    );
+    table.add(
+        "control bytes a second of all idle hosts",
+        "bytes",
+        &HOST_SIZES,
+        |hosts| idle(hosts, |fleet| as_count(fleet.network.counts().bytes)),
+    );
+    table.add(
+        "processor milliseconds a second of all idle hosts",
+        "ms",
+        &HOST_SIZES,
+        idle_processor,
+    );
+    table.add("memory of all idle hosts", "bytes", &HOST_SIZES, |hosts| {
+        let runtime = paused();
+        let region = Region::new(ALLOCATOR);
+        let fleet = runtime.block_on(start(hosts));
+        let change = region.change();
+        fleet.network.close();
+        as_float(
+            change
+                .bytes_allocated
+                .saturating_sub(change.bytes_deallocated),
+        )
+    });
+    table.add(
+        "appends a second under load, group commit",
+        "appends",
+        &HOST_SIZES,
+        |hosts| loaded_appends(hosts, false),
+    );
+    table.add(
+        "appends a second under load, each host for itself",
+        "appends",
+        &HOST_SIZES,
+        |hosts| loaded_appends(hosts, true),
+    );
+    table.add(
+        "time until a change is in force everywhere",
+        "ms",
+        &WIDE_SIZES,
+        change_in_force,
+    );
+    table.add(
+        "time until a lost host's shards are owned again",
+        "ms",
+        &HOST_SIZES,
+        takeover,
+    );
+    table.add(
+        "time until a restarted host takes part, by completed items",
+        "ms",
+        &[0, 2_000, 8_000],
+        restart,
+    );
+}
+
+fn paused() -> Runtime {
+    Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime of the current thread needs no resources")
+}
+
+async fn start(hosts: usize) -> Arc<TrialFleet> {
+    let fleet = start_fleet(SEED, hosts).await;
+    fleet
+        .log
+        .set_faults(|faults| faults.appends_per_second = LOG_RATE);
+    tokio::time::sleep(SETTLE).await;
+    fleet
+}
+
+/// Returns how much a counter grows in a second of an idle fleet.
+fn idle(hosts: usize, count: impl Fn(&TrialFleet) -> f64) -> f64 {
+    paused().block_on(async {
+        let fleet = start(hosts).await;
+        let before = count(&fleet);
+        tokio::time::sleep(WATCH).await;
+        let grown = count(&fleet) - before;
+        fleet.network.close();
+        grown / WATCH.as_secs_f64()
+    })
+}
+
+fn idle_processor(hosts: usize) -> f64 {
+    paused().block_on(async {
+        let fleet = start(hosts).await;
+        let started = std::time::Instant::now();
+        tokio::time::sleep(WATCH).await;
+        // One thread runs everything and the clock is paused, so wall time is processor time.
+        let taken = started.elapsed().as_secs_f64() * 1e3;
+        fleet.network.close();
+        taken / WATCH.as_secs_f64()
+    })
+}
+
+/// Returns the appends a second while every host takes some requests a second.
+fn loaded_appends(hosts: usize, alone: bool) -> f64 {
+    paused().block_on(async {
+        let fleet = start(hosts).await;
+        fleet
+            .network
+            .set_faults(|faults| faults.no_appenders = alone);
+        let before = fleet.log.counts().appends;
+        let end = Instant::now() + WATCH;
+        let mut number = 0;
+        while Instant::now() < end {
+            for host in fleet.joined() {
+                let request = make_request(&format!("load-{number}"), 2, true);
+                number += 1;
+                tokio::spawn(async move { submit_request(&host, &request).await });
+                let gap = Duration::from_secs(1) / u32::try_from(hosts).unwrap_or(1);
+                tokio::time::sleep(gap / u32::try_from(REQUEST_RATE).unwrap_or(1)).await;
+            }
+        }
+        let appends = fleet.log.counts().appends - before;
+        fleet.network.close();
+        as_count(appends) / WATCH.as_secs_f64()
+    })
+}
+
+fn change_in_force(hosts: usize) -> f64 {
+    paused().block_on(async {
+        let fleet = start(hosts).await;
+        let host = fleet.host(0).expect("the host runs");
+        let started = Instant::now();
+        let published = publish(&fleet, &host, "workspace/new", 0, json!({"max_online": 7})).await;
+        assert!(published, "nothing fails, so the change is accepted");
+        while !fleet
+            .joined()
+            .iter()
+            .all(|host| host.node.fleet().view().config.workspace("new").is_some())
+        {
+            tokio::time::sleep(LOOK).await;
+        }
+        let taken = started.elapsed().as_secs_f64() * 1e3;
+        fleet.network.close();
+        taken
+    })
+}
+
+fn takeover(hosts: usize) -> f64 {
+    paused().block_on(async {
+        let fleet = start(hosts).await;
+        let owned = |at: usize| {
+            fleet
+                .host(at)
+                .map_or(0, |host| host.node.shards().owned().len())
+        };
+        let lost_at = (0..hosts).max_by_key(|at| owned(*at)).unwrap_or(0);
+        let lost = fleet.host(lost_at).expect("the host runs").identity.clone();
+        let watcher = fleet.host((lost_at + 1) % hosts).expect("the host runs");
+        let started = Instant::now();
+        fleet.kill(lost_at);
+        loop {
+            let held = watcher.node.shards().books().iter().any(|book| {
+                let state = book.state();
+                let mine = |shard: &ShardState| shard.owner() == Some(&lost);
+                state.shards().iter().any(mine)
+            });
+            if !held {
+                break;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        let taken = started.elapsed().as_secs_f64() * 1e3;
+        fleet.network.close();
+        taken
+    })
+}
+
+/// Returns how long a restarted host reads the log until it takes part, in real time.
+fn restart(items: usize) -> f64 {
+    paused().block_on(async {
+        let fleet = start(4).await;
+        let mut caller = TrialCaller::new(Arc::clone(&fleet), SmallRng::seed_from_u64(SEED), 0);
+        if items > 0 {
+            let job = make_job("restart", items, 2, true);
+            caller.add_job(&job);
+            assert!(
+                caller.submit_job(&job).await,
+                "nothing fails, so the job is accepted"
+            );
+            let last = u32::try_from(items - 1).unwrap_or(u32::MAX);
+            while !is_done(&fleet, last) {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+            }
+        }
+        fleet.kill(3);
+        tokio::time::sleep(SETTLE).await;
+        let started = std::time::Instant::now();
+        fleet.start(3);
+        fleet.wait_joined().await;
+        let taken = started.elapsed().as_secs_f64() * 1e3;
+        fleet.network.close();
+        taken
+    })
+}
+
+fn is_done(fleet: &TrialFleet, item: u32) -> bool {
+    let host = fleet
+        .host(0)
+        .filter(|host| host.switch.mode() == HostMode::Running);
+    host.is_some_and(|host| {
+        host.node.shards().books().iter().any(|book| {
+            let state = book.state();
+            state.shards().iter().any(|shard| {
+                shard
+                    .jobs()
+                    .any(|(_, job)| job.is_finished() && job.states().len() > item as usize)
+            })
+        })
+    })
+}
+
+fn as_count(count: u64) -> f64 {
+    as_float(usize::try_from(count).unwrap_or(usize::MAX))
+}
--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -5,12 +5,14 @@
 //!
 //! - [`fit`]: a line through points.
 //! - [`state`]: memory and time of the replayed state, by keys, items, hosts and records.
+//! - [`fleet`]: messages, appends, delays and costs of a whole fleet, by hosts.
 //! - [`bytes`]: records and bytes on the log, by request and item.
 //!
 //! It decides nothing and tests nothing; the figures are as good as the machine is quiet.
 
 mod bytes;
 mod fit;
+mod fleet;
 mod state;
 
 use bpaf::Bpaf;
@@ -40,6 +42,7 @@
     let mut table = SlopeTable::new(&options.only);
     state::measure(&mut table);
     bytes::measure(&mut table);
+    fleet::measure(&mut table);
     match table.write(&options.output) {
         Ok(()) => {
             println!(
--- a/crates/trials/src/network.rs
+++ b/crates/trials/src/network.rs
@@ -7,7 +7,7 @@
 use crate::switch::{HostMode, HostSwitch};
 use async_trait::async_trait;
 use fulmarswitch::parts::lock;
-use fulmarswitch_peer::envelope::SeenMessages;
+use fulmarswitch_peer::envelope::{EnvelopeAnswer, MessageEnvelope, ReplyEnvelope, SeenMessages};
 use fulmarswitch_peer::{
     FrameStream, PeerError, PeerHandler, PeerLink, PeerMessage, PeerReply, PeerTarget, StreamFrame,
     StreamRequest,
@@ -40,6 +40,17 @@
     pub repeats: u32,
     /// Pairs of failure domains that do not hear each other.
     pub cuts: Vec<(Arc<str>, Arc<str>)>,
+    /// Whether no host is reached as an appender, so that each appends for itself.
+    pub no_appenders: bool,
+}
+
+/// Messages that were sent, without streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NetworkCounts {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes of them and of their replies, as encoded for the real network.
+    pub bytes: u64,
 }
 
 impl Default for NetworkFaults {
@@ -50,6 +61,7 @@
             lost_replies: 0,
             repeats: 0,
             cuts: Vec::new(),
+            no_appenders: false,
         }
     }
 }
@@ -67,6 +79,7 @@
 pub struct MemoryNetwork {
     stations: Mutex<SortedIndex<Arc<str>, Arc<NetworkStation>>>,
     faults: watch::Sender<NetworkFaults>,
+    counts: Mutex<NetworkCounts>,
     rng: Mutex<SmallRng>,
 }
 
@@ -77,6 +90,7 @@
         Arc::new(Self {
             stations: Mutex::default(),
             faults: watch::Sender::new(NetworkFaults::default()),
+            counts: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         })
     }
@@ -104,6 +118,23 @@
         lock(&self.stations).retain(|_, _| false);
     }
 
+    /// Returns how much was sent so far.
+    #[must_use]
+    pub fn counts(&self) -> NetworkCounts {
+        *lock(&self.counts)
+    }
+
+    fn count(&self, envelope: &MessageEnvelope, reply: &PeerReply) {
+        let reply = ReplyEnvelope {
+            stamp: envelope.stamp,
+            answer: EnvelopeAnswer::Reply(reply.clone()),
+        };
+        let size = |bytes: Result<Vec<u8>, _>| bytes.map_or(0, |bytes| bytes.len() as u64);
+        let mut counts = lock(&self.counts);
+        counts.messages += 1;
+        counts.bytes += size(postcard::to_stdvec(envelope)) + size(postcard::to_stdvec(&reply));
+    }
+
     /// Changes the faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut NetworkFaults)) {
         self.faults.send_modify(change);
@@ -194,6 +225,19 @@
     ) -> Result<PeerReply, PeerError> {
         let number = self.sent.fetch_add(1, Ordering::Relaxed);
         let station = self.reach(to).await?;
+        if matches!(message, PeerMessage::Commit(_)) && self.network.faults.borrow().no_appenders {
+            return Err(PeerError::NotReached {
+                host: to.clone(),
+                cause: "no appender is reached".into(),
+            });
+        }
+        let counted = MessageEnvelope {
+            from: self.me.clone(),
+            to: to.clone(),
+            number,
+            stamp: number,
+            body: postcard::to_stdvec(&message).unwrap_or_default(),
+        };
         if self.network.chance(self.network.faults.borrow().repeats) {
             let (station, from, message) = (Arc::clone(&station), self.me.clone(), message.clone());
             tokio::spawn(async move {
@@ -206,6 +250,9 @@
             .clone()
             .deliver(self.me.clone(), number, message)
             .await;
+        if let Ok(reply) = &reply {
+            self.network.count(&counted, reply);
+        }
         let lost = self
             .network
             .chance(self.network.faults.borrow().lost_replies);
