--- a/crates/demo/src/bin/fulmarswitch-demo.rs
+++ b/crates/demo/src/bin/fulmarswitch-demo.rs
@@ -49,11 +49,22 @@
     /// Items of the batch job (default: 2400)
     #[bpaf(argument("COUNT"), fallback(2_400))]
     items: u32,
+    /// Leave the fleet running until interrupted, without load and faults, for trying the command line
+    stay: bool,
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = demo_options().run();
+    if options.stay {
+        return match stay().await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("fulmarswitch-demo: {error}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let started = Instant::now();
     let ran = tokio::select! {
         ran = run(&options) => ran,
@@ -114,6 +125,24 @@
     Ok(tally)
 }
 
+/// Starts the fleet and leaves it running until interrupted.
+async fn stay() -> Result<(), Box<dyn Error>> {
+    let mut fleet = LocalFleet::start()?;
+    start_all(&mut fleet).await?;
+    publish_all(&fleet).await?;
+    fleet.settle().await?;
+    println!("settings and logs are in {}", fleet.folder().display());
+    for host in &fleet.hosts {
+        println!("{} answers at {}", host.name, host.address);
+    }
+    println!("workspace {WORKSPACE}, services {ENGINE_SERVICE} and {PLAIN_SERVICE}");
+    println!("export FULMARSWITCH_HOST={}", fleet.hosts[0].address);
+    println!("Ctrl-C stops the fleet");
+    interrupted().await;
+    fleet.remove_folder();
+    Ok(())
+}
+
 async fn start_all(fleet: &mut LocalFleet) -> Result<(), Box<dyn Error>> {
     for engine in ENGINES {
         fleet.add_engine(engine, "m1")?;
