--- a/crates/fulmarswitch/src/jobs.rs
+++ b/crates/fulmarswitch/src/jobs.rs
@@ -1,9 +1,12 @@
 //! The owner of batch jobs: submission, offers to gates, items handed out, outcomes, results.
 
 mod hand;
+mod handover;
 mod read;
 mod submit;
 
+pub(crate) use submit::FULL_RETRY_MS;
+
 use crate::fleet::FleetBooks;
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
@@ -14,6 +17,7 @@
 use fulmarswitch_peer::{PeerMessage, PeerReply};
 use fulmarswitch_records::record::{JobCancel, JobChunk};
 use fulmarswitch_records::{RecordBody, RecordPlace, ShardIndex, SortedIndex};
+use handover::PendingNote;
 use std::sync::{Arc, Mutex};
 use tokio::time::Instant;
 
@@ -40,6 +44,8 @@
     fleet: Arc<FleetBooks>,
     shards: Arc<ShardBooks>,
     runs: Mutex<SortedIndex<Arc<str>, JobRun>>,
+    owned_since: Mutex<SortedIndex<ShardIndex, Instant>>,
+    pending_notes: Mutex<Vec<PendingNote>>,
     sessions: Mutex<SortedIndex<Arc<str>, Instant>>,
     chunks: Mutex<Vec<CachedChunk>>,
 }
@@ -53,6 +59,8 @@
             fleet: Arc::clone(fleet),
             shards: Arc::clone(shards),
             runs: Mutex::default(),
+            owned_since: Mutex::default(),
+            pending_notes: Mutex::default(),
             sessions: Mutex::default(),
             chunks: Mutex::default(),
         })
@@ -69,10 +77,7 @@
         let body = RecordBody::JobCancel(JobCancel {
             job: Arc::clone(&name.job),
         });
-        let Ok(receiver) = self.shards.append(shard, body) else {
-            return PeerReply::NotOwner;
-        };
-        match receiver.await.map(|appended| appended.verdict) {
+        match self.append_verdict(shard, body).await {
             Ok(RecordVerdict::Valid) => {
                 self.parts
                     .events
@@ -83,7 +88,7 @@
             }
             // A finished job stays as it is.
             Ok(_) => self.report_of(shard, &name.job),
-            Err(_) => PeerReply::Unknown,
+            Err(reply) => reply,
         }
     }
 
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -10,13 +10,14 @@
 use crate::chooser::EndpointChooser;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
+use crate::hold::HoldRole;
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::message::{HandoverNote, KeyName, OutcomeNote, RefusalNote, RunState};
 use fulmarswitch_peer::{FrameStream, PeerMessage, PeerReply, StreamFrame, StreamRequest};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::record::{ForgetName, KeyOutcome};
 use fulmarswitch_records::{
     HostIdentity, ItemOutcome, OnlineRequest, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
@@ -34,6 +35,8 @@
 const LOG_PATIENCE: Duration = Duration::from_millis(400);
 /// Silence after which the log is taken to be out of reach; more than one wait of its readers.
 const LOG_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time to come back while the log does not answer.
+pub(crate) const OUTAGE_RETRY: Duration = Duration::from_secs(2);
 /// Time to come back after a refusal that has no better one.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,7 @@
     shards: Arc<ShardBooks>,
     gates: Arc<GateRole>,
     chooser: Arc<EndpointChooser>,
+    hold: Arc<HoldRole>,
     runs: Mutex<SortedIndex<Arc<str>, Arc<KeyRun>>>,
     /// Keys that still run at the host that owned their shard before.
     elsewhere: Mutex<SortedIndex<Arc<str>, HostIdentity>>,
@@ -59,6 +63,7 @@
         shards: &Arc<ShardBooks>,
         gates: &Arc<GateRole>,
         chooser: &Arc<EndpointChooser>,
+        hold: &Arc<HoldRole>,
     ) -> Arc<Self> {
         Arc::new(Self {
             parts: parts.clone(),
@@ -66,12 +71,19 @@
             shards: Arc::clone(shards),
             gates: Arc::clone(gates),
             chooser: Arc::clone(chooser),
+            hold: Arc::clone(hold),
             runs: Mutex::default(),
             elsewhere: Mutex::default(),
             in_progress: watch::Sender::new(0),
         })
     }
 
+    /// Returns the copies of outcomes that wait for the log.
+    #[must_use]
+    pub fn hold(&self) -> &Arc<HoldRole> {
+        &self.hold
+    }
+
     /// Returns the number of requests that run here.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -150,11 +162,14 @@
         let known = self
             .shards
             .with_shard(shard, |state| state.key(&name.key).cloned());
-        let Some(entry) = known else {
-            return PeerReply::NotFound;
-        };
-        let Some(result) = entry.outcome else {
-            return PeerReply::Outcome(None);
+        let recorded = known.as_ref().and_then(|entry| entry.outcome);
+        let Some(result) = recorded else {
+            let run = self.run_of(&name.key);
+            return match (run, known) {
+                (Some(run), _) => PeerReply::Outcome(run.outcome()),
+                (None, Some(_)) => PeerReply::Outcome(None),
+                (None, None) => PeerReply::NotFound,
+            };
         };
         match self.read_outcome(shard, result.place).await {
             Ok(outcome) => PeerReply::Outcome(Some(outcome)),
@@ -223,13 +238,32 @@
         Some(acceptance.into_iter().chain([outcome]).collect())
     }
 
+    /// Records an outcome through the owner of its key, here or at another host; tells whether that is done.
+    pub async fn record_anywhere(self: &Arc<Self>, note: OutcomeNote) -> bool {
+        let shard = self.fleet.view().shard_of(&note.request.full_key());
+        let Some(target) = self.shards.owner_target(shard) else {
+            return false;
+        };
+        let reply = if target.host == self.parts.identity {
+            self.record_for(note).await
+        } else {
+            let message = PeerMessage::RecordOutcome(note);
+            let reply = self.parts.link.call(&target, message).await;
+            reply.unwrap_or(PeerReply::Unknown)
+        };
+        // An outcome of a request that is not the one on the log cannot be recorded at all.
+        matches!(
+            reply,
+            PeerReply::Outcome(Some(_)) | PeerReply::Conflict { .. }
+        )
+    }
+
     /// Notes which requests still run at the host that owned a shard before.
-    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) -> PeerReply {
+    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) {
         let mut elsewhere = lock(&self.elsewhere);
         for key in note.running {
             elsewhere.insert(key, from.clone());
         }
-        PeerReply::Accepted
     }
 
     /// Takes up keys that nobody runs, and hands over those of shards that moved away.
@@ -366,6 +400,24 @@
         }
     }
 
+    /// Returns the records that accept a request. A key that was refused as not run starts anew.
+    fn acceptance_of(&self, shard: ShardIndex, request: &OnlineRequest) -> Vec<RecordBody> {
+        let name = request.full_key();
+        let refused = self.shards.with_shard(shard, |state| {
+            let outcome = state.key(&name)?.outcome?;
+            outcome.not_run.then(|| state.applied())
+        });
+        let forget = refused.map(|as_of| {
+            RecordBody::Forget(ForgetName {
+                as_of,
+                name,
+                job: false,
+            })
+        });
+        let accept = RecordBody::Accept(request.clone());
+        forget.into_iter().chain([accept]).collect()
+    }
+
     fn run_of(&self, name: &str) -> Option<Arc<KeyRun>> {
         lock(&self.runs).get(name).cloned()
     }
--- a/crates/slopes/src/state.rs
+++ b/crates/slopes/src/state.rs
@@ -164,7 +164,13 @@
 }
 
 fn key_records(count: usize, completed: bool) -> Vec<LogRecord> {
-    let mut records = vec![record(0, RecordBody::Claim(ShardClaim { owner: writer() }))];
+    let mut records = vec![record(
+        0,
+        RecordBody::Claim(ShardClaim {
+            owner: writer(),
+            read: Offset(0),
+        }),
+    )];
     for at in 0..count {
         let request = request(at);
         let key = request.full_key();
@@ -202,7 +208,13 @@
         idempotent: true,
     };
     let job = header.full_name();
-    let mut records = vec![record(0, RecordBody::Claim(ShardClaim { owner: writer() }))];
+    let mut records = vec![record(
+        0,
+        RecordBody::Claim(ShardClaim {
+            owner: writer(),
+            read: Offset(0),
+        }),
+    )];
     let mut digests = Vec::new();
     for first in (0..count).step_by(CHUNK_ITEMS) {
         let inputs: Vec<Arc<str>> = (first..count.min(first + CHUNK_ITEMS))
