Keep online requests to a front of endpoints, and run batch on the others

Ruled out: pacing, caps, holding prompts back while online prompts are unread, cancelling. Change: each entry keeps online requests to a front of the service's endpoints, in one order for all entries that goes round the failure domains. It grows and shrinks with the load that the gates report, at once when urgent. Endpoints outside get no online request, so their gates run batch deeply; one that gets an online request cancels its batch. Services with fewer than 4 endpoints mix as before.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -57,6 +57,8 @@
 pub enum EndpointStanding {
     /// It may be chosen.
     Ready,
+    /// It is left to batch; chosen when no endpoint is ready.
+    Reserved,
     /// It has not loaded the model; chosen when no endpoint is ready.
     Cold,
     /// It is suspected; chosen when all others are excluded.
--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -54,6 +54,8 @@
     pub first_token: Duration,
     /// Time between tokens that is promised.
     pub between_tokens: Duration,
+    /// Whether batch may run beside online requests; otherwise it runs while none is about.
+    pub mixed: bool,
 }
 
 /// A request as it arrives.
@@ -96,6 +98,7 @@
 ///     max_concurrent: 8,
 ///     first_token: Duration::from_millis(520),
 ///     between_tokens: Duration::from_millis(26),
+///     mixed: true,
 /// });
 /// let request = GateRequest {
 ///     ticket: TicketIndex(0),
--- a/crates/decide/src/gate/limits.rs
+++ b/crates/decide/src/gate/limits.rs
@@ -46,6 +46,7 @@
 pub struct EndpointLimits {
     first_token: Duration,
     between_tokens: Duration,
+    mixed: bool,
     max_milli: u32,
     limit_milli: u32,
     batch_milli: u32,
@@ -60,7 +61,8 @@
     adjusted: Duration,
     limit_changed: Duration,
     online_until: Duration,
-    online_near: bool,
+    /// Time of the last decision.
+    decided: Duration,
     peak: usize,
     peak_before: usize,
     peak_since: Duration,
@@ -74,6 +76,7 @@
         Self {
             first_token: settings.first_token,
             between_tokens: settings.between_tokens,
+            mixed: settings.mixed,
             max_milli,
             limit_milli: max_milli.min(FIRST_LIMIT * MILLI),
             batch_milli: FIRST_BATCH * MILLI,
@@ -85,7 +88,7 @@
             adjusted: Duration::ZERO,
             limit_changed: Duration::ZERO,
             online_until: Duration::ZERO,
-            online_near: false,
+            decided: Duration::ZERO,
             peak: 0,
             peak_before: 0,
             peak_since: Duration::ZERO,
@@ -96,6 +99,7 @@
     pub fn configure(&mut self, settings: &GateSettings) {
         self.first_token = settings.first_token;
         self.between_tokens = settings.between_tokens;
+        self.mixed = settings.mixed;
         self.max_milli = settings.max_concurrent.saturating_mul(MILLI);
         self.limit_milli = self.limit_milli.min(self.max_milli);
     }
@@ -109,14 +113,17 @@
     /// Tells whether online requests run or are expected.
     #[must_use]
     pub fn is_online_near(&self) -> bool {
-        self.online_near
+        self.decided < self.online_until
     }
 
     /// Returns the number of batch streams that may run beside the online ones.
     pub(super) fn batch_allowed(&self, running: &RunningTable) -> usize {
-        if !self.online_near {
+        if !self.is_online_near() {
             return self.limit();
         }
+        if !self.mixed {
+            return 0;
+        }
         let reserved = running.online().max(self.peak).max(self.peak_before);
         let beside = (self.batch_milli / MILLI) as usize;
         self.limit().saturating_sub(reserved).min(beside)
@@ -209,7 +216,7 @@
         if online > 0 {
             self.online_until = now + ONLINE_NEAR;
         }
-        self.online_near = now < self.online_until;
+        self.decided = now;
         self.peak = self.peak.max(online);
         if now >= self.peak_since + PEAK_PERIOD {
             self.peak_before = self.peak;
--- a/crates/decide/src/gate/verify.rs
+++ b/crates/decide/src/gate/verify.rs
@@ -41,6 +41,7 @@
 ///     max_concurrent: 8,
 ///     first_token: Duration::from_millis(520),
 ///     between_tokens: Duration::from_millis(26),
+///     mixed: true,
 /// });
 /// assert_eq!(verify_gate(&gate), vec![]);
 /// ```
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`placement`]: rendezvous hashing of shards, groups and endpoints over hosts.
 //! - [`handout`]: which items of a job are handed out to gates.
 //! - [`offers`]: which job a gate pulls from.
+//! - [`front`]: which endpoints online requests keep to, and which are left to batch.
 //! - [`gate`]: what one endpoint is given, and when: online before batch.
 //! - [`balance`]: which endpoint a request goes to.
 //! - [`load`]: the load of an endpoint as seen by one chooser.
@@ -20,6 +21,7 @@
 pub mod balance;
 pub mod config;
 pub mod detector;
+pub mod front;
 pub mod gate;
 pub mod handout;
 pub mod hosts;
--- a/crates/decide/tests/gate.rs
+++ b/crates/decide/tests/gate.rs
@@ -13,6 +13,7 @@
         max_concurrent,
         first_token: Duration::from_millis(520),
         between_tokens: Duration::from_millis(26),
+        mixed: true,
     }
 }
 
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -17,6 +17,7 @@
 use fulmarswitch_decide::balance::{
     EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
 };
+use fulmarswitch_decide::front::ServiceFront;
 use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
 use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
 use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth, TrustChange};
@@ -41,6 +42,8 @@
     /// Endpoints whose gate says that they have not loaded the model.
     cold: Vec<bool>,
     health: ServiceHealth,
+    /// Endpoints that online requests keep to.
+    front: ServiceFront,
     budget: RetryBudget,
     choices: u64,
 }
@@ -193,6 +196,7 @@
                     limit: note.limit,
                 };
                 service.loads[index.at()].note(now, share);
+                service.front.note(now, index, share);
                 service.cold[index.at()] = !note.loaded;
             }
         });
@@ -238,6 +242,7 @@
             loads: Vec::new(),
             cold: Vec::new(),
             health: ServiceHealth::default(),
+            front: ServiceFront::default(),
             budget: RetryBudget::new(now),
             choices: 0,
         }
@@ -267,6 +272,7 @@
             self.cold.push(old.is_some_and(|old| old_cold[old.at()]));
         }
         self.health = self.health.remapped(&old_places);
+        self.front = self.front.remapped(&domains_of(&table, view));
         self.table = table;
         self.affine = view
             .config
@@ -303,6 +309,8 @@
                 EndpointStanding::Suspected
             } else if self.cold[index.at()] {
                 EndpointStanding::Cold
+            } else if !self.front.contains(index) {
+                EndpointStanding::Reserved
             } else {
                 EndpointStanding::Ready
             };
@@ -314,6 +322,18 @@
     }
 }
 
+/// Returns the names of a table's endpoints with their failure domains.
+fn domains_of<'a>(table: &'a EndpointTable, view: &'a FleetView) -> Vec<(&'a str, &'a str)> {
+    let domain = |name: &str| {
+        let endpoint = view.config.endpoint(name);
+        endpoint.map_or("", |endpoint| &*endpoint.failure_domain)
+    };
+    let specs = table.specs().iter();
+    specs
+        .map(|spec| (&*spec.name, domain(&spec.name)))
+        .collect()
+}
+
 fn prefix_of(input: &str) -> &str {
     let end = (0..=PREFIX_BYTES.min(input.len()))
         .rev()
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -11,6 +11,7 @@
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
+use fulmarswitch_decide::front::SHARED_BELOW;
 use fulmarswitch_decide::gate::GateSettings;
 use fulmarswitch_peer::message::{
     ItemReport, JobName, OfferList, RefusalNote, RunRequest, RunState,
@@ -133,7 +134,14 @@
     /// Opens the gates that belong here and closes idle ones that do not.
     fn adjust_units(self: &Arc<Self>) {
         let view = self.fleet.view();
+        let mut sizes: SortedIndex<Arc<str>, usize> = SortedIndex::new();
         for (name, endpoint) in view.config.endpoints() {
+            match sizes.get_mut(&*endpoint.service) {
+                Some(size) => *size += 1,
+                None => {
+                    sizes.insert(Arc::clone(&endpoint.service), 1);
+                }
+            }
             let Some(service) = view.config.service(&endpoint.service) else {
                 continue;
             };
@@ -145,6 +153,9 @@
             }
         }
         lock(&self.units).retain(|name, unit| {
+            let service = unit.config().0.service;
+            let size = sizes.get(&*service).copied().unwrap_or(0);
+            unit.set_mixed(size < SHARED_BELOW);
             let here = view
                 .gate_of(name)
                 .is_some_and(|gate| gate.host == self.parts.identity);
@@ -182,11 +193,12 @@
     Some((endpoint, view.config.service(&endpoint.service)?))
 }
 
-fn settings_of(endpoint: &EndpointConfig, service: &ServiceConfig) -> GateSettings {
+fn settings_of(endpoint: &EndpointConfig, service: &ServiceConfig, mixed: bool) -> GateSettings {
     GateSettings {
         max_concurrent: endpoint.max_concurrent,
         first_token: Duration::from_millis(service.first_token_ms),
         between_tokens: Duration::from_millis(service.between_tokens_ms),
+        mixed,
     }
 }
 
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -77,6 +77,7 @@
     posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
     tickets: AtomicU64,
     open: AtomicBool,
+    mixed: AtomicBool,
     pub(super) pulling: AtomicBool,
 }
 
@@ -93,7 +94,8 @@
             name: name.into(),
             chooser: Arc::clone(chooser),
             config: Mutex::new((endpoint.clone(), service.clone())),
-            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
+            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service, true))),
+            mixed: AtomicBool::new(true),
             posts: Mutex::default(),
             tickets: AtomicU64::new(0),
             open: AtomicBool::new(true),
@@ -105,10 +107,22 @@
         let mut config = lock(&self.config);
         if config.0 != *endpoint || config.1 != *service {
             *config = (endpoint.clone(), service.clone());
-            lock(&self.gate).configure(settings_of(endpoint, service));
+            self.apply(&config);
         }
     }
 
+    /// Says whether batch runs beside online requests; it does where the service has few endpoints.
+    pub(super) fn set_mixed(&self, mixed: bool) {
+        if self.mixed.swap(mixed, Ordering::Relaxed) != mixed {
+            self.apply(&lock(&self.config));
+        }
+    }
+
+    fn apply(&self, config: &(EndpointConfig, ServiceConfig)) {
+        let mixed = self.mixed.load(Ordering::Relaxed);
+        lock(&self.gate).configure(settings_of(&config.0, &config.1, mixed));
+    }
+
     /// Says whether the gate may pull batch items.
     pub(super) fn set_open(&self, open: bool) {
         self.open.store(open, Ordering::Relaxed);
--- a/crates/measure/src/entry.rs
+++ b/crates/measure/src/entry.rs
@@ -4,10 +4,11 @@
 //! gates' notes, the trust in endpoints and the budget of retries. The others know what the entry has sent.
 
 use crate::policy::PolicyKind;
-use crate::scenario::ENDPOINTS;
+use crate::scenario::{DOMAINS, ENDPOINTS};
 use fulmarswitch_decide::balance::{
     EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
 };
+use fulmarswitch_decide::front::ServiceFront;
 use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
 use fulmarswitch_decide::placement::weight;
 use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
@@ -18,6 +19,8 @@
 const NAMES: [&str; ENDPOINTS] = [
     "e00", "e01", "e02", "e03", "e04", "e05", "e06", "e07", "e08", "e09", "e10", "e11",
 ];
+/// Names of the failure domains.
+const DOMAIN_NAMES: [&str; DOMAINS] = ["x", "y", "z"];
 /// Share over the mean load up to which an endpoint kept its prefixes in the first version, in percent.
 const OLD_BOUND_PERCENT: usize = 125;
 /// Requests above the mean that an endpoint could hold in the first version.
@@ -33,6 +36,7 @@
     table: EndpointTable,
     loads: Vec<EndpointLoad>,
     health: ServiceHealth,
+    front: ServiceFront,
     budget: RetryBudget,
     turn: usize,
     /// Whether the last choice was a probe of a suspected endpoint.
@@ -53,6 +57,7 @@
             table: EndpointTable::new(NAMES.iter().map(spec).collect()),
             loads: vec![EndpointLoad::default(); ENDPOINTS],
             health: ServiceHealth::new(ENDPOINTS),
+            front: first_front(),
             budget: RetryBudget::new(Duration::ZERO),
             turn: entry,
             probed: false,
@@ -93,6 +98,9 @@
     /// Takes the load note of a gate.
     pub fn take_load(&mut self, now: Duration, site: usize, share: LoadShare) {
         self.loads[site].note(now, share);
+        if let Some(index) = index_of(site) {
+            self.front.note(now, index, share);
+        }
     }
 
     /// Learns from an attempt.
@@ -150,6 +158,8 @@
                 EndpointStanding::Excluded
             } else if is_shunned(index) {
                 EndpointStanding::Suspected
+            } else if !self.front.contains(index) {
+                EndpointStanding::Reserved
             } else {
                 EndpointStanding::Ready
             },
@@ -162,6 +172,23 @@
     }
 }
 
+/// Returns the front before any load is known.
+fn first_front() -> ServiceFront {
+    let endpoints: Vec<(&str, &str)> = (0..)
+        .zip(NAMES)
+        .map(|(at, name): (usize, &str)| (name, DOMAIN_NAMES[at % DOMAINS]))
+        .collect();
+    ServiceFront::new(&endpoints)
+}
+
+/// Returns the endpoint that the front takes first, which faults strike so that they meet online requests.
+#[must_use]
+pub fn first_front_site() -> usize {
+    let front = first_front();
+    let is_first = |site: &usize| index_of(*site).and_then(|index| front.rank_of(index)) == Some(0);
+    (0..ENDPOINTS).find(is_first).unwrap_or(0)
+}
+
 fn index_of(site: usize) -> Option<EndpointIndex> {
     u32::try_from(site).ok().map(EndpointIndex)
 }
--- a/crates/measure/src/world.rs
+++ b/crates/measure/src/world.rs
@@ -12,6 +12,7 @@
     BETWEEN_TOKENS, ENDPOINTS, ENTRIES, FIRST_TOKEN, FaultKind, FaultPlan, RunScenario,
 };
 use crate::tally::RunTally;
+use fulmarswitch_decide::front::SHARED_BELOW;
 use fulmarswitch_decide::gate::{GateAction, GateRequest, GateSettings, RequestClass, TicketIndex};
 use fulmarswitch_standins::engine::{EngineFaults, MemoryEngine};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,6 +31,7 @@
         max_concurrent: MAX_CONCURRENT,
         first_token: FIRST_TOKEN,
         between_tokens: BETWEEN_TOKENS,
+        mixed: ENDPOINTS < SHARED_BELOW,
     }
 }
 
