--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -184,6 +184,10 @@
             } else {
                 unreached += 1;
                 if let Some(last) = self.answer_in_outage(shard, &request, unreached).await {
+                    if text_given {
+                        // The parts so far may be another run's; this answer is whole.
+                        let _ = caller.send(StreamFrame::Reset);
+                    }
                     let _ = caller.send(last);
                     return;
                 }
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -127,6 +127,7 @@
                 .collect();
             for unit in units {
                 unit.poll();
+                self.stop_cancelled(&unit);
                 self.pull_batch(&unit);
             }
             tokio::time::sleep(GATE_PERIOD).await;
--- a/crates/fulmarswitch/src/gates/batch.rs
+++ b/crates/fulmarswitch/src/gates/batch.rs
@@ -5,6 +5,7 @@
 use crate::parts::lock;
 use fulmarswitch_decide::gate::RequestClass;
 use fulmarswitch_decide::offers::{OfferView, choose_offer, workspace_load};
+use fulmarswitch_decide::shard::jobs::JobEntry;
 use fulmarswitch_endpoint::EndpointCall;
 use fulmarswitch_peer::message::{
     AttemptResult, ItemReport, JobOffer, PullRequest, PulledItem, PulledItems,
@@ -184,6 +185,26 @@
         }
     }
 
+    fn is_leaving(&self, unit: &GateUnit) -> bool {
+        let view = self.fleet.view();
+        let endpoint = view.config.endpoint(&unit.name);
+        endpoint.is_none_or(|endpoint| endpoint.leaving)
+    }
+
+    /// Stops items of jobs that are cancelled by what this host has read. The owner tells gates too, but its
+    /// message may be lost.
+    pub(super) fn stop_cancelled(&self, unit: &GateUnit) {
+        let view = self.fleet.view();
+        for job in unit.jobs() {
+            let cancelled = self.shards.with_shard(view.shard_of(&job), |state| {
+                state.job(&job).is_some_and(JobEntry::is_cancelled)
+            });
+            if cancelled {
+                unit.stop_job(&job);
+            }
+        }
+    }
+
     /// Runs an item, again after each time that online work takes its place.
     async fn run_item(
         &self,
@@ -202,9 +223,10 @@
         let mut tokens = 0;
         loop {
             match held.orders.recv().await {
-                Some(GateOrder::Start) => {}
+                Some(GateOrder::Start) if !self.is_leaving(unit) => {}
                 Some(GateOrder::Cancel) => continue,
-                Some(GateOrder::Refuse(_)) | None => {
+                // An endpoint that is leaving gets no new work; the owner finds another.
+                Some(GateOrder::Start | GateOrder::Refuse(_)) | None => {
                     return AttemptResult::Returned {
                         may_have_run: false,
                     };
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -70,7 +70,7 @@
 /// The gate of one endpoint.
 pub(super) struct GateUnit {
     pub(super) parts: HostParts,
-    name: Arc<str>,
+    pub(super) name: Arc<str>,
     chooser: Arc<EndpointChooser>,
     config: Mutex<(EndpointConfig, ServiceConfig)>,
     gate: Mutex<EndpointGate>,
@@ -183,6 +183,18 @@
         UnboundedReceiverStream::new(stream).boxed()
     }
 
+    /// Returns the jobs that have items here.
+    pub(super) fn jobs(&self) -> Vec<Arc<str>> {
+        let posts = lock(&self.posts);
+        let mut jobs: Vec<_> = posts
+            .iter()
+            .filter_map(|(_, post)| post.job.clone())
+            .collect();
+        jobs.sort();
+        jobs.dedup();
+        jobs
+    }
+
     /// Stops the items of a job.
     pub(super) fn stop_job(&self, job: &str) {
         let mut posts = lock(&self.posts);
--- a/crates/trials/tests/promises.rs
+++ b/crates/trials/tests/promises.rs
@@ -224,8 +224,11 @@
     fleet.network.close();
 }
 
+#[rstest]
+#[case::gates_are_told(0)]
+#[case::messages_to_gates_are_lost(1_000)]
 #[tokio::test(start_paused = true)]
-async fn a_cancelled_job_stops() {
+async fn a_cancelled_job_stops(#[case] lost: u32) {
     let fleet = start_fleet(9, 3).await;
     for engine in &fleet.engines {
         engine.set_faults(|faults| faults.step_us = 150_000);
@@ -235,7 +238,9 @@
     caller.add_job(&job);
     assert!(caller.submit_job(&job).await);
     sleep(Duration::from_secs(2)).await;
-    assert!(caller.cancel_job(&job.name).await);
+    fleet.network.set_faults(|faults| faults.lost = lost);
+    while !caller.cancel_job(&job.name).await {}
+    fleet.network.set_faults(|faults| faults.lost = 0);
     let host = fleet.host(0).expect("all hosts run");
     let report = read_job(&host, &job.name).await.expect("the job is known");
     assert!(report.is_cancelled && report.open == 0, "{report:?}");
--- a/crates/trials/tests/seeds.rs
+++ b/crates/trials/tests/seeds.rs
@@ -23,6 +23,10 @@
 #[case::inputs_of_two_groups_mixed_up_again(190, 20)]
 #[case::cut_by_a_planned_stop(42, 20)]
 #[case::cut_by_a_planned_stop_again(155, 20)]
+#[case::parts_of_another_answer(14, 25)]
+#[case::parts_of_another_answer_again(360, 25)]
+#[case::cancelled_items_start_late(722, 25)]
+#[case::cancelled_items_start_late_again(1044, 25)]
 fn promises_hold_that_once_broke(#[case] seed: u64, #[case] steps: u32) {
     let report = run_plan(&RunPlan::new(seed, steps));
     assert!(report.broken.is_empty(), "{report}");
