--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -17,6 +17,7 @@
 use fulmarswitch_decide::balance::{
     EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
 };
+use fulmarswitch_decide::front::ServiceFront;
 use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
 use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
 use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth, TrustChange};
@@ -39,6 +40,8 @@
     affine: bool,
     loads: Vec<EndpointLoad>,
     health: ServiceHealth,
+    /// Endpoints that online requests keep to.
+    front: ServiceFront,
     budget: RetryBudget,
     choices: u64,
 }
@@ -191,6 +194,7 @@
                     limit: note.limit,
                 };
                 service.loads[index.at()].note(now, share);
+                service.front.note(now, index, share);
             }
         });
     }
@@ -234,6 +238,7 @@
             affine: true,
             loads: Vec::new(),
             health: ServiceHealth::default(),
+            front: ServiceFront::default(),
             budget: RetryBudget::new(now),
             choices: 0,
         }
@@ -261,6 +266,7 @@
             self.loads.push(load.unwrap_or_default());
         }
         self.health = self.health.remapped(&old_places);
+        self.front = self.front.remapped(&domains_of(&table, view));
         self.table = table;
         self.affine = view
             .config
@@ -295,6 +301,8 @@
                 EndpointStanding::Excluded
             } else if is_shunned(index) {
                 EndpointStanding::Suspected
+            } else if !self.front.contains(index) {
+                EndpointStanding::Reserved
             } else {
                 EndpointStanding::Ready
             };
@@ -306,6 +314,18 @@
     }
 }
 
+/// Returns the names of a table's endpoints with their failure domains.
+fn domains_of<'a>(table: &'a EndpointTable, view: &'a FleetView) -> Vec<(&'a str, &'a str)> {
+    let domain = |name: &str| {
+        let endpoint = view.config.endpoint(name);
+        endpoint.map_or("", |endpoint| &*endpoint.failure_domain)
+    };
+    let specs = table.specs().iter();
+    specs
+        .map(|spec| (&*spec.name, domain(&spec.name)))
+        .collect()
+}
+
 fn prefix_of(input: &str) -> &str {
     let end = (0..=PREFIX_BYTES.min(input.len()))
         .rev()
--- a/crates/fulmarswitch/src/entry/online.rs
+++ b/crates/fulmarswitch/src/entry/online.rs
@@ -185,7 +185,7 @@
                 unreached += 1;
                 if let Some(last) = self.answer_in_outage(shard, &request, unreached).await {
                     if text_given {
-                        // The outcome holds the whole text; what was given of it may be a part.
+                        // The parts so far may be another run's; this answer is whole.
                         let _ = caller.send(StreamFrame::Reset);
                     }
                     let _ = caller.send(last);
