Bound the outcomes that wait at hosts which do not own their keys

Requests for keys of a lost owner run at the entry in an outage; their outcomes waited without a bound. They are now refused as not run like others once pending_bytes wait; the new test fails without the check.

--- a/crates/fulmarswitch/src/hold.rs
+++ b/crates/fulmarswitch/src/hold.rs
@@ -30,6 +30,8 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
 /// Outcomes in one message.
 const SEND_COUNT: usize = 256;
+/// Bytes of an outcome beside its texts.
+const NOTE_BYTES: usize = 64;
 /// Time to come back for a sender whose copies find no room, in milliseconds.
 const FULL_RETRY_MS: u64 = 1_000;
 
@@ -39,6 +41,7 @@
     /// Number of the first.
     first: u32,
     notes: VecDeque<Option<OutcomeNote>>,
+    bytes: usize,
     /// How far each host has them.
     taken: SortedIndex<HostIdentity, TakenMark>,
 }
@@ -83,6 +86,7 @@
     /// Adds an outcome that waits for the log, and returns its number.
     pub fn add(&self, note: OutcomeNote) -> u32 {
         let mut own = lock(&self.own);
+        own.bytes += note_bytes(&note);
         own.notes.push_back(Some(note));
         let number = own.end() - 1;
         drop(own);
@@ -90,13 +94,19 @@
         number
     }
 
+    /// Tells whether so many outcomes wait here that no more are to be given.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        lock(&self.own).bytes > self.parts.settings.tuning.pending_bytes
+    }
+
     /// Notes that an outcome stands on the log.
     pub fn settle(&self, number: u32) {
         let mut own = lock(&self.own);
         let first = own.first;
-        if let Some(note) = own.notes.get_mut((number - first) as usize) {
-            *note = None;
-        }
+        let note = own.notes.get_mut((number - first) as usize);
+        let bytes = note.and_then(Option::take).map_or(0, |n| note_bytes(&n));
+        own.bytes -= bytes;
         while own.notes.front().is_some_and(Option::is_none) {
             own.notes.pop_front();
             own.first += 1;
@@ -300,8 +310,7 @@
 
 impl KeptOutcomes {
     fn bytes(&self) -> usize {
-        let notes = self.notes.iter().flatten();
-        notes.map(|note| note.request.input.len() * 2).sum()
+        self.notes.iter().flatten().map(note_bytes).sum()
     }
 
     fn drop_first(&mut self) {
@@ -327,6 +336,15 @@
     }
 }
 
+fn note_bytes(note: &OutcomeNote) -> usize {
+    let text = match &note.outcome {
+        ItemOutcome::Done { text } => text.len(),
+        ItemOutcome::Failed { reason } => reason.len(),
+        _ => 0,
+    };
+    NOTE_BYTES + note.request.input.len() + text
+}
+
 /// Returns the hosts that keep copies for a host, in the order in which they are asked: the first ones
 /// stand in failure domains other than its own and each other's.
 fn holders_of(view: &FleetView, host: &HostIdentity) -> Vec<PeerTarget> {
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -101,7 +101,8 @@
             RunOrigin::Resumed => Acceptance::Standing,
             RunOrigin::OwnerAbsent => Acceptance::OwnerAbsent,
         };
-        if origin != RunOrigin::Resumed && self.shards.book(run.shard).is_full() {
+        let full = self.shards.book(run.shard).is_full() || self.hold.is_full();
+        if origin != RunOrigin::Resumed && full {
             return not_run_frame(&BookError::Full.to_string(), OUTAGE_RETRY);
         }
         let mut excluded = Vec::new();
--- /dev/null
+++ b/crates/fulmarswitch/src/keys/sweep.rs
@@ -0,0 +1,167 @@
+//! Keys that nobody runs, and keys that run at the host that owned their shard before.
+
+use super::run::{KeyRun, RunOrigin};
+use super::{KeyOwner, unknown_frame};
+use crate::parts::lock;
+use fulmarswitch_decide::shard::RecordVerdict;
+use fulmarswitch_peer::message::HandoverNote;
+use fulmarswitch_peer::{FrameStream, PeerMessage, StreamFrame, StreamRequest};
+use fulmarswitch_records::record::KeyOutcome;
+use fulmarswitch_records::{
+    HostIdentity, ItemOutcome, OnlineRequest, RecordBody, ShardIndex, SortedIndex,
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between looks at keys that nobody runs.
+const SWEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Time that a new owner waits to be told what still runs at the old one.
+const HANDOVER_GRACE: Duration = Duration::from_millis(750);
+
+impl KeyOwner {
+    /// Notes which requests still run at the host that owned a shard before.
+    pub fn take_handover(&self, from: &HostIdentity, note: HandoverNote) {
+        let mut elsewhere = lock(&self.elsewhere);
+        for key in note.running {
+            elsewhere.insert(key, from.clone());
+        }
+    }
+
+    /// Takes up keys that nobody runs, and hands over those of shards that moved away.
+    pub async fn run_sweeps(self: Arc<Self>) {
+        let mut owned_since = SortedIndex::new();
+        loop {
+            tokio::time::sleep(SWEEP_PERIOD).await;
+            let owned = self.shards.owned();
+            owned_since.retain(|shard, _| owned.contains(shard));
+            for shard in owned {
+                if owned_since.get(&shard).is_none() {
+                    owned_since.insert(shard, self.parts.now());
+                }
+                let since = owned_since.get(&shard).copied().unwrap_or_default();
+                if self.parts.now() >= since + HANDOVER_GRACE {
+                    self.sweep(shard).await;
+                }
+            }
+            self.hand_over().await;
+        }
+    }
+
+    async fn sweep(self: &Arc<Self>, shard: ShardIndex) {
+        let open: Vec<Arc<str>> = self
+            .shards
+            .with_shard(shard, |state| state.open_keys().cloned().collect());
+        for name in open {
+            if self.run_of(&name).is_some() || self.runs_elsewhere(&name).is_some() {
+                continue;
+            }
+            let entry = self
+                .shards
+                .with_shard(shard, |state| state.key(&name).cloned());
+            let Some(entry) = entry.filter(|entry| entry.outcome.is_none()) else {
+                continue;
+            };
+            if entry.running {
+                self.settle_announced(shard, &name).await;
+                continue;
+            }
+            let record = self.shards.book(shard).read_record(entry.accepted).await;
+            let request = match record.map(|record| record.body) {
+                Ok(RecordBody::Accept(request)) => request,
+                Ok(RecordBody::CarriedKey(carried)) => carried.request,
+                _ => continue,
+            };
+            self.parts
+                .events
+                .note("resume", &name, "accepted by an earlier owner");
+            self.start_run(request, shard, RunOrigin::Resumed);
+        }
+    }
+
+    /// Tells the new owners of shards that moved away which requests still run here.
+    async fn hand_over(&self) {
+        let runs: Vec<Arc<KeyRun>> = lock(&self.runs)
+            .iter()
+            .map(|(_, run)| Arc::clone(run))
+            .collect();
+        let mut notes: SortedIndex<ShardIndex, Vec<Arc<str>>> = SortedIndex::new();
+        for run in runs {
+            if self.shards.owned_epoch(run.shard).is_some() {
+                continue;
+            }
+            if !notes.contains(&run.shard) {
+                notes.insert(run.shard, Vec::new());
+            }
+            if let Some(keys) = notes.get_mut(&run.shard) {
+                keys.push(Arc::clone(&run.name));
+            }
+        }
+        for (shard, running) in notes.iter() {
+            let Some(target) = self.shards.owner_target(*shard) else {
+                continue;
+            };
+            let note = HandoverNote {
+                shard: *shard,
+                running: running.clone(),
+                handed_out: Vec::new(),
+            };
+            // The note is sent again in the next round for as long as something runs.
+            let _ = self
+                .parts
+                .link
+                .call(&target, PeerMessage::Handover(note))
+                .await;
+        }
+    }
+
+    fn runs_elsewhere(&self, name: &str) -> Option<HostIdentity> {
+        let mut elsewhere = lock(&self.elsewhere);
+        let host = elsewhere.get(name)?.clone();
+        if self.fleet.view().hosts.is_reachable(&host) {
+            return Some(host);
+        }
+        elsewhere.remove(name);
+        None
+    }
+
+    pub(super) async fn follow_elsewhere(
+        &self,
+        name: &str,
+        request: &OnlineRequest,
+    ) -> Option<FrameStream> {
+        let host = self.runs_elsewhere(name)?;
+        let target = self.fleet.view().target(&host)?;
+        self.parts
+            .link
+            .open(&target, StreamRequest::Submit(request.clone()))
+            .await
+            .ok()
+    }
+
+    /// Gives a call that was announced by an earlier owner its outcome: nobody will send it again.
+    pub(super) async fn settle_announced(&self, shard: ShardIndex, name: &Arc<str>) -> StreamFrame {
+        if self.runs_elsewhere(name).is_some() {
+            return unknown_frame("the call still runs; ask for its result by key");
+        }
+        let outcome = ItemOutcome::MayHaveRun;
+        let body = RecordBody::Outcome(KeyOutcome {
+            key: Arc::clone(name),
+            outcome,
+        });
+        let Ok(receiver) = self.shards.append(shard, body) else {
+            return StreamFrame::NotOwner;
+        };
+        match receiver.await.map(|appended| appended.verdict) {
+            Ok(RecordVerdict::Valid) => {
+                self.parts
+                    .events
+                    .note("may-have-run", name, "its owner was lost");
+                StreamFrame::Done {
+                    outcome: ItemOutcome::MayHaveRun,
+                    recorded: true,
+                }
+            }
+            _ => StreamFrame::NotOwner,
+        }
+    }
+}
--- a/crates/fulmarswitch/tests/hosts/outage.rs
+++ b/crates/fulmarswitch/tests/hosts/outage.rs
@@ -8,6 +8,7 @@
 use fulmarswitch_records::{HostIdentity, ItemOutcome, ShardIndex};
 use fulmarswitch_standins::engine::whole_answer;
 use fulmarswitch_standins::log::LogFaults;
+use futures::StreamExt;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -225,3 +226,35 @@
     .await;
     assert!(node.fleet().view().config.service("s").is_some());
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_bound_holds_for_keys_whose_owner_is_lost() {
+    let tuning = TuningSettings {
+        pending_bytes: 2_000,
+        ..TuningSettings::default()
+    };
+    let (fleet, hosts) = three_hosts(tuning).await;
+    fleet.log.set_faults(|faults| faults.down = true);
+    tokio::time::sleep(NOTICE).await;
+    let node = &hosts[0].1;
+    let mut served = 0;
+    let mut refused = 0;
+    for number in 0..100 {
+        let request = request(&format!("k{number}"), true);
+        let mut frames = node.keys().submit_for_absent(request).await;
+        let mut last = StreamFrame::NotOwner;
+        while let Some(frame) = frames.next().await {
+            last = frame;
+        }
+        match last {
+            StreamFrame::Done {
+                recorded: false, ..
+            } => served += 1,
+            frame => {
+                assert!(is_refused_as_not_run(&frame), "{frame:?}");
+                refused += 1;
+            }
+        }
+    }
+    assert!(served > 10 && refused > 10, "{served} served");
+}
