--- /dev/null
+++ b/crates/decide/tests/config.rs
@@ -0,0 +1,77 @@
+//! Configuration records that are written again before they expire.
+
+use fulmarswitch_decide::config::ConfigTable;
+use fulmarswitch_records::{
+    ConfigChange, Epoch, HostIdentity, LogRecord, Offset, RecordBody, RecordId, RecordPlace,
+    ShardIndex,
+};
+
+fn change(base_version: u64, weight: u32) -> RecordBody {
+    RecordBody::Config(ConfigChange {
+        name: "workspace/w".into(),
+        base_version,
+        schema: 1,
+        body: format!(r#"{{"batch_weight":{weight}}}"#).into(),
+    })
+}
+
+fn replay(start: u64, bodies: &[RecordBody]) -> ConfigTable {
+    let mut table = ConfigTable::new();
+    for (at, body) in (0..).zip(bodies).filter(|(at, _)| *at >= start) {
+        let writer = HostIdentity {
+            name: "a".into(),
+            incarnation: 1,
+        };
+        let id = RecordId {
+            writer,
+            sequence: at,
+        };
+        let record = LogRecord {
+            id,
+            shard: ShardIndex(0),
+            epoch: Epoch(0),
+            stamp: 0,
+            body: body.clone(),
+        };
+        let place = RecordPlace {
+            offset: Offset(at),
+            position: 0,
+        };
+        table.apply(place, &record);
+    }
+    table
+}
+
+/// A young change does not make a record known to a reader that has not read those before it.
+#[test]
+fn a_record_is_old_as_long_as_its_first_change_is() {
+    let mut bodies = vec![change(0, 1), change(1, 2), change(2, 3)];
+    let whole = replay(0, &bodies);
+    assert!(replay(1, &bodies).get("workspace/w").is_none());
+    assert_eq!(&*whole.unretained(Offset(1))[0], "workspace/w");
+    assert!(whole.plan_copies(Offset(0), 8).is_empty());
+
+    let copies = whole.plan_copies(Offset(1), 8);
+    bodies.extend(copies.into_iter().map(RecordBody::CarriedConfig));
+    let whole = replay(0, &bodies);
+    assert!(whole.unretained(Offset(3)).is_empty());
+    assert!(whole.plan_copies(Offset(3), 8).is_empty());
+    for start in 1..4 {
+        let late = replay(start, &bodies);
+        assert_eq!(late.version_of("workspace/w"), 3);
+        let body = |table: &ConfigTable| table.get("workspace/w").map(|entry| entry.body.clone());
+        assert_eq!(body(&late), body(&whole));
+    }
+}
+
+/// A copy that was made before a change does not undo it, and the record is copied again.
+#[test]
+fn a_copy_that_was_overtaken_changes_nothing() {
+    let mut bodies = vec![change(0, 1)];
+    let copies = replay(0, &bodies).plan_copies(Offset(1), 8);
+    bodies.push(change(1, 2));
+    bodies.extend(copies.into_iter().map(RecordBody::CarriedConfig));
+    let whole = replay(0, &bodies);
+    assert_eq!(whole.version_of("workspace/w"), 2);
+    assert_eq!(whole.plan_copies(Offset(1), 8).len(), 1);
+}
--- a/crates/decide/tests/retention.rs
+++ b/crates/decide/tests/retention/main.rs
@@ -4,104 +4,27 @@
 //! later one. Whatever the interleaving, the visible results are those of the records without copies, and
 //! a reader that starts at any offset that the verifier calls safe sees the same.
 
+mod steps;
+
 use fulmarswitch_decide::retention::copy::{
     RecordsRead, copy_items, copy_key, item_outcome_in, key_outcome_in, split_items,
 };
 use fulmarswitch_decide::retention::{
     RetentionStep, RetentionWindow, StepLimits, plan_steps, verify_retained,
 };
-use fulmarswitch_decide::shard::jobs::{ItemState, chunk_digest, job_digest};
+use fulmarswitch_decide::shard::jobs::ItemState;
 use fulmarswitch_decide::shard::verify::verify_shard;
 use fulmarswitch_decide::shard::{RecordVerdict, ShardState};
-use fulmarswitch_records::record::{
-    ForgetName, ItemAttempts, ItemOutcomes, ItemsRunning, JobCancel, JobChunk, JobSeal, KeyOutcome,
-    KeyRunning, ShardClaim,
-};
+use fulmarswitch_records::record::{ForgetName, KeyOutcome};
 use fulmarswitch_records::{
-    Epoch, HostIdentity, ItemOutcome, JobHeader, LogRecord, Offset, OnlineRequest, RecordBody,
-    RecordId, RecordPlace, ShardIndex,
+    Epoch, ItemOutcome, LogRecord, Offset, RecordBody, RecordId, RecordPlace, ShardIndex,
 };
 use proptest::prelude::*;
 use std::sync::Arc;
+use steps::{LogStep, bodies_of, claim, key_name, log_step, owner, text};
 
 /// Milliseconds between two steps on the log's clock.
 const STEP_MS: u64 = 1_000;
-/// Items of one job, in two chunks.
-const JOB_ITEMS: u32 = 6;
-
-#[derive(Clone, Debug)]
-enum LogStep {
-    Claim,
-    Accept {
-        key: u8,
-        input: u8,
-    },
-    Announce {
-        key: u8,
-    },
-    Complete {
-        key: u8,
-        text: u8,
-        not_run: bool,
-    },
-    Submit {
-        job: u8,
-    },
-    CompleteItems {
-        job: u8,
-        items: Vec<u32>,
-        text: u8,
-        failed: bool,
-    },
-    StartItems {
-        job: u8,
-        items: Vec<u32>,
-    },
-    CountAttempts {
-        job: u8,
-        items: Vec<u32>,
-    },
-    Cancel {
-        job: u8,
-    },
-    /// Plans copies of everything older than some offsets.
-    Plan {
-        age: u64,
-    },
-    /// Writes what was planned.
-    Write,
-    /// Writes a record a second time, under its own epoch.
-    Repeat {
-        back: usize,
-    },
-    /// Writes a record under the epoch before.
-    Stale {
-        key: u8,
-        text: u8,
-    },
-}
-
-fn log_step() -> impl Strategy<Value = LogStep> {
-    let items = || prop::collection::vec(0..JOB_ITEMS, 1..4);
-    prop_oneof![
-        1 => Just(LogStep::Claim),
-        3 => (0..4u8, 0..2u8).prop_map(|(key, input)| LogStep::Accept { key, input }),
-        1 => (0..4u8).prop_map(|key| LogStep::Announce { key }),
-        3 => (0..4u8, any::<u8>(), prop::bool::weighted(0.2))
-            .prop_map(|(key, text, not_run)| LogStep::Complete { key, text, not_run }),
-        2 => (0..2u8).prop_map(|job| LogStep::Submit { job }),
-        4 => (0..2u8, items(), any::<u8>(), any::<bool>())
-            .prop_map(|(job, items, text, failed)| LogStep::CompleteItems { job, items, text, failed }),
-        2 => (0..2u8, items()).prop_map(|(job, items)| LogStep::StartItems { job, items }),
-        2 => (0..2u8, items()).prop_map(|(job, items)| LogStep::CountAttempts { job, items }),
-        1 => (0..2u8).prop_map(|job| LogStep::Cancel { job }),
-        4 => (0..12u64).prop_map(|age| LogStep::Plan { age }),
-        4 => Just(LogStep::Write),
-        2 => (0..12usize).prop_map(|back| LogStep::Repeat { back }),
-        1 => (0..4u8, any::<u8>()).prop_map(|(key, text)| LogStep::Stale { key, text }),
-    ]
-}
-
 /// What a caller can see.
 #[derive(Debug, Default, PartialEq)]
 struct VisibleState {
@@ -213,133 +136,6 @@
     }
 }
 
-fn owner() -> HostIdentity {
-    HostIdentity {
-        name: "a".into(),
-        incarnation: 1,
-    }
-}
-
-fn key_name(key: u8) -> Arc<str> {
-    format!("w/k{key}").into()
-}
-
-fn job_name(job: u8) -> Arc<str> {
-    format!("w/j{job}").into()
-}
-
-fn text(text: u8) -> ItemOutcome {
-    ItemOutcome::Done {
-        text: format!("t{text}").into(),
-    }
-}
-
-fn accept(key: u8, input: u8) -> RecordBody {
-    RecordBody::Accept(OnlineRequest {
-        key: format!("k{key}").into(),
-        workspace: "w".into(),
-        service: "s".into(),
-        input: format!("i{input}").into(),
-        max_tokens: 1,
-        deadline_ms: 1,
-        idempotent: false,
-    })
-}
-
-fn claim(read: u64) -> RecordBody {
-    RecordBody::Claim(ShardClaim {
-        owner: owner(),
-        read: Offset(read),
-    })
-}
-
-fn submission(job: u8) -> Vec<RecordBody> {
-    let half = JOB_ITEMS / 2;
-    let inputs = |first: u32| -> Vec<Arc<str>> {
-        (first..first + half)
-            .map(|item| format!("i{item}").into())
-            .collect()
-    };
-    let digests = [0, half].map(|first| chunk_digest(&inputs(first)));
-    let chunk = |first| {
-        RecordBody::JobChunk(JobChunk {
-            job: job_name(job),
-            first,
-            inputs: inputs(first),
-        })
-    };
-    let header = JobHeader {
-        job: format!("j{job}").into(),
-        workspace: "w".into(),
-        service: "s".into(),
-        due_ms: 1,
-        max_tokens: 1,
-        idempotent: true,
-    };
-    let seal = JobSeal {
-        header,
-        total: JOB_ITEMS,
-        digest: job_digest(digests.into_iter()),
-    };
-    vec![chunk(0), chunk(half), RecordBody::JobSeal(seal)]
-}
-
-/// Records that are no copies.
-fn bodies_of(step: &LogStep) -> Vec<RecordBody> {
-    match step.clone() {
-        LogStep::Accept { key, input } => vec![accept(key, input)],
-        LogStep::Announce { key } => vec![RecordBody::Running(KeyRunning { key: key_name(key) })],
-        LogStep::Complete {
-            key,
-            text: number,
-            not_run,
-        } => {
-            let refused = ItemOutcome::NotRun { retry_after_ms: 1 };
-            let outcome = if not_run { refused } else { text(number) };
-            vec![RecordBody::Outcome(KeyOutcome {
-                key: key_name(key),
-                outcome,
-            })]
-        }
-        LogStep::Submit { job } => submission(job),
-        LogStep::CompleteItems {
-            job,
-            items,
-            text: number,
-            failed,
-        } => {
-            let reason = format!("f{number}").into();
-            let outcome = if failed {
-                ItemOutcome::Failed { reason }
-            } else {
-                text(number)
-            };
-            let outcomes = items
-                .into_iter()
-                .map(|item| (item, outcome.clone()))
-                .collect();
-            vec![RecordBody::ItemOutcomes(ItemOutcomes {
-                job: job_name(job),
-                outcomes,
-            })]
-        }
-        LogStep::StartItems { job, items } => {
-            vec![RecordBody::ItemsRunning(ItemsRunning {
-                job: job_name(job),
-                items,
-            })]
-        }
-        LogStep::CountAttempts { job, items } => {
-            vec![RecordBody::ItemAttempts(ItemAttempts {
-                job: job_name(job),
-                items,
-            })]
-        }
-        LogStep::Cancel { job } => vec![RecordBody::JobCancel(JobCancel { job: job_name(job) })],
-        _ => vec![],
-    }
-}
-
 fn window_at(before: u64, now: u64) -> RetentionWindow {
     RetentionWindow {
         before: Offset(before),
@@ -527,3 +323,32 @@
         prop_assert_eq!(log.visible(&log.replay(from)), log.visible(&state));
     }
 }
+
+/// Places of results are dropped once no item uses them.
+#[test]
+fn places_of_results_are_compacted() {
+    let mut log = ShardLog::default();
+    let mut state = ShardState::new(ShardIndex(0));
+    log.push(&mut state, Epoch(1), claim(0));
+    for body in bodies_of(&LogStep::Submit { job: 0 }) {
+        log.push(&mut state, Epoch(1), body);
+    }
+    let complete = LogStep::CompleteItems {
+        job: 0,
+        items: vec![0, 1, 2],
+        text: 0,
+        failed: false,
+    };
+    for body in bodies_of(&complete) {
+        log.push(&mut state, Epoch(1), body);
+    }
+    for _ in 0..400 {
+        let steps = plan(&log, &state, 0, CopyMode::Copies);
+        for body in steps {
+            log.push(&mut state, Epoch(1), body);
+        }
+    }
+    let job = state.job("w/j0").expect("the job is there");
+    assert!(job.place_count() <= 64, "{} places", job.place_count());
+    assert_eq!(log.visible(&log.replay(0)), log.visible(&state));
+}
