--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`handout`]: which items of a job are handed out to gates.
 //! - [`orders`]: when the holder of a gate orders its endpoint to load a model.
 //! - [`offers`]: which job a gate pulls from.
+//! - [`front`]: which endpoints online requests keep to, and which are left to batch.
 //! - [`gate`]: what one endpoint is given, and when: online before batch.
 //! - [`balance`]: which endpoint a request goes to.
 //! - [`load`]: the load of an endpoint as seen by one chooser.
@@ -23,6 +24,7 @@
 pub mod balance;
 pub mod config;
 pub mod detector;
+pub mod front;
 pub mod gate;
 pub mod handout;
 pub mod hosts;
