--- a/crates/demo/tests/processes/failures.rs
+++ b/crates/demo/tests/processes/failures.rs
@@ -11,7 +11,9 @@
 use fulmarswitch_standins::engine::whole_answer;
 use fulmarswitch_standins::log::LogFaults;
 use fulmarswitch_standins::plain::{PlainFaults, plain_answer};
+use futures::stream;
 use rustix::process::Signal;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -145,6 +147,18 @@
         async move { tokio::join!(caller.request(&engine), caller.request(&once)) }
     });
     tokio::time::sleep(OUTAGE).await;
+    let job = make_job("outage", LIMIT);
+    // One of the hosts owns the job itself.
+    for host in HOSTS {
+        let caller = client_of(&mut fleet, host);
+        let items = stream::iter(["one", "two"].map(Arc::from));
+        let refused = tokio::time::timeout(LIMIT, caller.submit(&job, items)).await;
+        let Err(CallerError::Refused { reply }) = refused.expect("refused at once") else {
+            panic!("a job was accepted without the log");
+        };
+        assert_eq!(reply.ran, RanReply::NotRun, "{reply:?}");
+        assert!(reply.retry_after_ms > 0, "{reply:?}");
+    }
     let set = fleet.control(&platform, &LogFaults::default()).await;
     set.expect("the platform takes orders");
     let (engine_end, once_end) = during.await.expect("the callers do not panic");
