--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -57,6 +57,8 @@
 pub enum EndpointStanding {
     /// It may be chosen.
     Ready,
+    /// It is left to batch; chosen when no endpoint is ready.
+    Reserved,
     /// It is suspected, or has not loaded the model and refuses; chosen when no endpoint is ready.
     Suspected,
     /// It is never chosen.
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -68,13 +68,14 @@
 /// The gate of one endpoint.
 pub(super) struct GateUnit {
     pub(super) parts: HostParts,
-    name: Arc<str>,
+    pub(super) name: Arc<str>,
     chooser: Arc<EndpointChooser>,
     config: Mutex<(EndpointConfig, ServiceConfig)>,
     gate: Mutex<EndpointGate>,
     posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
     tickets: AtomicU64,
     open: AtomicBool,
+    mixed: AtomicBool,
     pub(super) pulling: AtomicBool,
 }
 
@@ -91,7 +92,8 @@
             name: name.into(),
             chooser: Arc::clone(chooser),
             config: Mutex::new((endpoint.clone(), service.clone())),
-            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
+            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service, true))),
+            mixed: AtomicBool::new(true),
             posts: Mutex::default(),
             tickets: AtomicU64::new(0),
             open: AtomicBool::new(true),
@@ -103,7 +105,7 @@
         let mut config = lock(&self.config);
         if config.0 != *endpoint || config.1 != *service {
             *config = (endpoint.clone(), service.clone());
-            lock(&self.gate).configure(settings_of(endpoint, service));
+            self.apply(&config);
         }
         drop(config);
         self.set_leaving(endpoint.leaving);
@@ -115,6 +117,18 @@
         self.poll();
     }
 
+    /// Says whether batch runs beside online requests; it does where the service has few endpoints.
+    pub(super) fn set_mixed(&self, mixed: bool) {
+        if self.mixed.swap(mixed, Ordering::Relaxed) != mixed {
+            self.apply(&lock(&self.config));
+        }
+    }
+
+    fn apply(&self, config: &(EndpointConfig, ServiceConfig)) {
+        let mixed = self.mixed.load(Ordering::Relaxed);
+        lock(&self.gate).configure(settings_of(&config.0, &config.1, mixed));
+    }
+
     /// Says whether the gate may pull batch items.
     pub(super) fn set_open(&self, open: bool) {
         self.open.store(open, Ordering::Relaxed);
@@ -180,6 +194,18 @@
         UnboundedReceiverStream::new(stream).boxed()
     }
 
+    /// Returns the jobs that have items here.
+    pub(super) fn jobs(&self) -> Vec<Arc<str>> {
+        let posts = lock(&self.posts);
+        let mut jobs: Vec<_> = posts
+            .iter()
+            .filter_map(|(_, post)| post.job.clone())
+            .collect();
+        jobs.sort();
+        jobs.dedup();
+        jobs
+    }
+
     /// Stops the items of a job.
     pub(super) fn stop_job(&self, job: &str) {
         let mut posts = lock(&self.posts);
