--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -59,9 +59,7 @@
     Ready,
     /// It is left to batch; chosen when no endpoint is ready.
     Reserved,
-    /// It has not loaded the model; chosen when no endpoint is ready.
-    Cold,
-    /// It is suspected; chosen when all others are excluded.
+    /// It is suspected, or has not loaded the model and refuses; chosen when no endpoint is ready.
     Suspected,
     /// It is never chosen.
     Excluded,
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -39,8 +39,6 @@
     table: EndpointTable,
     affine: bool,
     loads: Vec<EndpointLoad>,
-    /// Endpoints whose gate says that they have not loaded the model.
-    cold: Vec<bool>,
     health: ServiceHealth,
     /// Endpoints that online requests keep to.
     front: ServiceFront,
@@ -197,7 +195,6 @@
                 };
                 service.loads[index.at()].note(now, share);
                 service.front.note(now, index, share);
-                service.cold[index.at()] = !note.loaded;
             }
         });
     }
@@ -240,7 +237,6 @@
             table: EndpointTable::default(),
             affine: true,
             loads: Vec::new(),
-            cold: Vec::new(),
             health: ServiceHealth::default(),
             front: ServiceFront::default(),
             budget: RetryBudget::new(now),
@@ -265,11 +261,9 @@
             .map(|spec| self.table.index_of(&spec.name))
             .collect();
         let old_loads = std::mem::take(&mut self.loads);
-        let old_cold = std::mem::take(&mut self.cold);
         for old in &old_places {
             let load = old.map(|old| old_loads[old.at()].clone());
             self.loads.push(load.unwrap_or_default());
-            self.cold.push(old.is_some_and(|old| old_cold[old.at()]));
         }
         self.health = self.health.remapped(&old_places);
         self.front = self.front.remapped(&domains_of(&table, view));
@@ -307,8 +301,6 @@
                 EndpointStanding::Excluded
             } else if is_shunned(index) {
                 EndpointStanding::Suspected
-            } else if self.cold[index.at()] {
-                EndpointStanding::Cold
             } else if !self.front.contains(index) {
                 EndpointStanding::Reserved
             } else {
--- a/crates/fulmarswitch/src/host.rs
+++ b/crates/fulmarswitch/src/host.rs
@@ -5,9 +5,12 @@
 use crate::entry::EntryRole;
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
+use crate::hold::HoldRole;
 use crate::jobs::JobOwner;
 use crate::keys::KeyOwner;
+use crate::orders::OrderRole;
 use crate::parts::HostParts;
+use crate::retention::RetentionRole;
 use crate::shards::ShardBooks;
 use crate::watcher::{HostWatcher, JoinError};
 use async_trait::async_trait;
@@ -34,6 +37,9 @@
     keys: Arc<KeyOwner>,
     jobs: Arc<JobOwner>,
     watcher: Arc<HostWatcher>,
+    retention: Arc<RetentionRole>,
+    hold: Arc<HoldRole>,
+    orders: Arc<OrderRole>,
     entry: Arc<EntryRole>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -46,9 +52,12 @@
         let shards = ShardBooks::start(parts, &fleet, &committer);
         let chooser = EndpointChooser::new(parts, &fleet);
         let gates = GateRole::new(parts, &fleet, &shards, &chooser);
-        let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser);
+        let hold = HoldRole::new(parts, &fleet);
+        let keys = KeyOwner::new(parts, &fleet, &shards, &gates, &chooser, &hold);
         let jobs = JobOwner::new(parts, &fleet, &shards);
         let watcher = HostWatcher::new(parts, &fleet);
+        let orders = OrderRole::new(parts, &fleet);
+        let retention = RetentionRole::new(parts, &fleet, &shards, &watcher);
         let entry = EntryRole::new(parts, &fleet, &shards, &keys, &jobs, &gates, &watcher);
         Arc::new(Self {
             parts: parts.clone(),
@@ -59,6 +68,9 @@
             keys,
             jobs,
             watcher,
+            retention,
+            hold,
+            orders,
             entry,
             tasks: Mutex::default(),
         })
@@ -76,6 +88,18 @@
         &self.shards
     }
 
+    /// Returns the name of the host.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.parts.identity.name
+    }
+
+    /// Returns the owner of keys.
+    #[must_use]
+    pub fn keys(&self) -> &Arc<KeyOwner> {
+        &self.keys
+    }
+
     /// Returns hosts and configuration as seen here.
     #[must_use]
     pub fn fleet(&self) -> &Arc<FleetBooks> {
@@ -98,6 +122,9 @@
         tasks.spawn(Arc::clone(&self.watcher).run_heartbeats());
         tasks.spawn(Arc::clone(&self.watcher).run_rejoins());
         tasks.spawn(Arc::clone(&self.shards).run_claims());
+        tasks.spawn(Arc::clone(&self.retention).run());
+        tasks.spawn(Arc::clone(&self.orders).run());
+        tasks.spawn(Arc::clone(&self.hold).run(Arc::clone(&self.keys)));
         tasks.spawn(Arc::clone(&self.gates).run_gates());
         tasks.spawn(Arc::clone(&self.keys).run_sweeps());
         tasks.spawn(Arc::clone(&self.jobs).run_offers());
@@ -185,8 +212,13 @@
             PeerMessage::CancelJob(name) => self.jobs.cancel(&name).await,
             PeerMessage::ReadJob(name) => self.jobs.read_job(&name),
             PeerMessage::ReadResults(range) => self.jobs.read_results(&range).await,
-            PeerMessage::Handover(note) => self.keys.take_handover(&from, note),
-            PeerMessage::Hold(_) => PeerReply::Unsupported,
+            PeerMessage::Handover(note) => {
+                let reply = self.jobs.take_handover(&note);
+                self.keys.take_handover(&from, note);
+                reply
+            }
+            PeerMessage::Hold(request) => self.hold.take(&from, request),
+            PeerMessage::FindHeld(request) => self.hold.find(&request),
         }
     }
 
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -5,7 +5,7 @@
 
 use super::attempt::AttemptEnd;
 use super::run::KeyRun;
-use super::{KeyOwner, LOG_SILENCE, RETRY_AFTER, not_run_frame, unknown_frame};
+use super::{KeyOwner, LOG_SILENCE, OUTAGE_RETRY, RETRY_AFTER, not_run_frame, unknown_frame};
 use crate::chooser::SentAttempt;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::StreamFrame;
@@ -17,8 +17,9 @@
 
 impl KeyOwner {
     pub(super) async fn drive_once(&self, run: &Arc<KeyRun>, resumed: bool) -> StreamFrame {
-        if !self.shards.book(run.shard).is_fresh(LOG_SILENCE) {
-            return not_run_frame("the log does not answer", RETRY_AFTER);
+        let book = self.shards.book(run.shard);
+        if !resumed && (!book.is_answering() || book.is_full()) {
+            return not_run_frame("the log does not answer", OUTAGE_RETRY);
         }
         if let Err(frame) = self.announce(run, resumed).await {
             return frame;
@@ -58,11 +59,12 @@
         let running = RecordBody::Running(KeyRunning {
             key: Arc::clone(&run.name),
         });
-        let bodies = if resumed {
-            vec![running]
+        let mut bodies = if resumed {
+            Vec::new()
         } else {
-            vec![RecordBody::Accept(run.request.clone()), running]
+            self.acceptance_of(run.shard, &run.request)
         };
+        bodies.push(running);
         let moved = |_| StreamFrame::NotOwner;
         let mut receivers = self.shards.append_all(run.shard, bodies).map_err(moved)?;
         let Some(last) = receivers.pop() else {
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -10,7 +10,10 @@
 //! - [`keys`] and [`jobs`]: the owner of idempotency keys and of batch jobs.
 //! - [`gates`]: everything that goes to an endpoint.
 //! - [`chooser`]: which endpoint a request goes to, and what is learnt of endpoints.
+//! - [`hold`]: copies of outcomes that wait for the log, at other hosts.
+//! - [`orders`]: orders to engines to load what their services want.
 //! - [`commit`]: group commit to the log.
+//! - [`retention`]: state written again before the log drops it.
 //! - [`watcher`]: joins, heartbeats and suspicion.
 //! - [`book`]: one stream of the log, replayed and written.
 //! - [`fleet`]: the live hosts and the configuration in force, as seen here.
@@ -23,11 +26,14 @@
 pub mod events;
 pub mod fleet;
 pub mod gates;
+pub mod hold;
 pub mod host;
 pub mod jobs;
 pub mod keys;
 pub mod metrics;
+pub mod orders;
 pub mod parts;
+pub mod retention;
 pub mod settings;
 pub mod shards;
 pub mod watcher;
