Admit what needs an eighth of its time to wait

Cause: with the front, p99 until a refusal was 508 ms under 1.5 times the capacity: requests admitted with a quarter of their time to wait were refused at their deadline after the limit fell. Change: an eighth.

--- a/crates/decide/src/gate/limits.rs
+++ b/crates/decide/src/gate/limits.rs
@@ -37,7 +37,7 @@
 /// counts as queueing.
 const QUEUEING_PART: u32 = 6;
 /// The part of the time that a request may wait by which its expected wait must be covered.
-const ADMIT_PART: u32 = 4;
+const ADMIT_PART: u32 = 8;
 /// Share of late times between tokens at which an endpoint counts as slow, in parts per million.
 const LATE_SEVERE: i64 = 500_000;
 
