--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -128,6 +128,7 @@
                 .collect();
             for unit in units {
                 unit.poll();
+                self.stop_cancelled(&unit);
                 self.pull_batch(&unit);
             }
             tokio::time::sleep(GATE_PERIOD).await;
@@ -163,12 +164,12 @@
                 self.unit(name, endpoint, service);
             }
         }
+        let sizes = service_sizes(view);
         for (name, unit) in lock(&self.units).iter() {
+            let service = unit.config().0.service;
+            unit.set_mixed(sizes.get(&*service).copied().unwrap_or(0) < SHARED_BELOW);
             match endpoint_of(view, name) {
-                Some((endpoint, service)) => {
-                    unit.configure(endpoint, service);
-                    unit.set_mixed(is_shared(view, &endpoint.service));
-                }
+                Some((endpoint, service)) => unit.configure(endpoint, service),
                 None => unit.set_leaving(true),
             }
         }
@@ -199,12 +200,18 @@
     }
 }
 
-/// Tells whether a service has so few endpoints that all of them take online requests and batch.
-fn is_shared(view: &FleetView, service: &str) -> bool {
-    let endpoints = view.config.endpoints();
-    let chosen =
-        endpoints.filter(|(_, endpoint)| *endpoint.service == *service && !endpoint.leaving);
-    chosen.take(SHARED_BELOW).count() < SHARED_BELOW
+/// Counts the endpoints of each service that online requests may go to.
+fn service_sizes(view: &FleetView) -> SortedIndex<Arc<str>, usize> {
+    let mut sizes: SortedIndex<Arc<str>, usize> = SortedIndex::new();
+    let staying = view
+        .config
+        .endpoints()
+        .filter(|(_, endpoint)| !endpoint.leaving);
+    for (_, endpoint) in staying {
+        let size = sizes.get(&*endpoint.service).copied().unwrap_or(0);
+        sizes.insert(Arc::clone(&endpoint.service), size + 1);
+    }
+    sizes
 }
 
 fn endpoint_of<'a>(
