--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -200,10 +200,14 @@
     }
 }
 
-/// Counts the endpoints of each service.
+/// Counts the endpoints of each service that online requests may go to.
 fn service_sizes(view: &FleetView) -> SortedIndex<Arc<str>, usize> {
     let mut sizes: SortedIndex<Arc<str>, usize> = SortedIndex::new();
-    for (_, endpoint) in view.config.endpoints() {
+    let staying = view
+        .config
+        .endpoints()
+        .filter(|(_, endpoint)| !endpoint.leaving);
+    for (_, endpoint) in staying {
         let size = sizes.get(&*endpoint.service).copied().unwrap_or(0);
         sizes.insert(Arc::clone(&endpoint.service), size + 1);
     }
