--- a/crates/trials/src/bin/fulmarswitch-soak.rs
+++ b/crates/trials/src/bin/fulmarswitch-soak.rs
@@ -4,6 +4,7 @@
 use fulmarswitch_trials::faults::FaultKind;
 use fulmarswitch_trials::run::{RunPlan, RunReport, run_plan};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Runs a whole fleet under random faults and checks its promises
 #[derive(Bpaf, Clone, Debug)]
@@ -23,6 +24,9 @@
     kind: Vec<FaultKind>,
     /// Run the seeds for each kind alone and for each pair of kinds, and print a line for each
     pairs: bool,
+    /// Time for which the log keeps records, in seconds
+    #[bpaf(argument("SECONDS"))]
+    retention: Option<u64>,
     /// Print the report of every run
     verbose: bool,
 }
@@ -78,6 +82,7 @@
     for seed in options.seed..options.seed.saturating_add(options.seeds) {
         let plan = RunPlan {
             kinds: kinds.to_vec(),
+            retention: options.retention.map(Duration::from_secs),
             ..RunPlan::new(seed, options.steps)
         };
         let report = run_plan(&plan);
--- a/crates/trials/src/callers.rs
+++ b/crates/trials/src/callers.rs
@@ -201,6 +201,9 @@
         let Some(host) = self.pick() else {
             return false;
         };
+        if let Some(note) = self.fleet.ledger.notes().jobs.get_mut(name) {
+            note.asked_to_cancel = true;
+        }
         let path = format!("/v1/jobs/{WORKSPACE}/{name}");
         let call = host.door.call(Method::DELETE, &path, full_body(""));
         let Ok(Ok(reply)) = tokio::time::timeout(CALL_LIMIT, call).await else {
@@ -288,6 +291,7 @@
         max_tokens,
         idempotent,
         accepted: false,
+        asked_to_cancel: false,
         cancelled: None,
         reads: SortedIndex::new(),
     }
--- a/crates/trials/src/ledger.rs
+++ b/crates/trials/src/ledger.rs
@@ -90,6 +90,8 @@
     pub idempotent: bool,
     /// Whether the submission was acknowledged.
     pub accepted: bool,
+    /// Whether the caller asked to cancel it, acknowledged or not.
+    pub asked_to_cancel: bool,
     /// When cancelling was first acknowledged, counted from the start of the run.
     pub cancelled: Option<Duration>,
     /// Results that readers were given, by item.
--- a/crates/trials/src/run.rs
+++ b/crates/trials/src/run.rs
@@ -39,6 +39,8 @@
     pub jobs: usize,
     /// Whether operators change configuration.
     pub operators: bool,
+    /// Time for which the log keeps records; as long as the stand-in does unless given.
+    pub retention: Option<Duration>,
 }
 
 impl RunPlan {
@@ -56,6 +58,7 @@
             online_callers: 5,
             jobs: 3,
             operators: true,
+            retention: None,
         }
     }
 }
@@ -129,6 +132,12 @@
     let hosts = rng.random_range(3..=5);
     let fleet = start_fleet(rng.random(), hosts).await;
     draw_speeds(&fleet, &mut rng);
+    if let Some(retention) = plan.retention {
+        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+        fleet
+            .log
+            .set_faults(|faults| faults.retention_ms = retention_ms);
+    }
     let watch = tokio::spawn(watch_hosts(Arc::clone(&fleet)));
     let end = Instant::now() + STEP * plan.steps;
     let mut workload = spawn_workload(plan, &fleet, &mut rng, end);
