--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -54,6 +54,8 @@
     pub first_token: Duration,
     /// Time between tokens that is promised.
     pub between_tokens: Duration,
+    /// Whether batch may run beside online requests; otherwise it runs while none is about.
+    pub mixed: bool,
 }
 
 /// A request as it arrives.
@@ -96,6 +98,7 @@
 ///     max_concurrent: 8,
 ///     first_token: Duration::from_millis(520),
 ///     between_tokens: Duration::from_millis(26),
+///     mixed: true,
 /// });
 /// let request = GateRequest {
 ///     ticket: TicketIndex(0),
@@ -146,7 +149,7 @@
     pub fn arrive(&mut self, now: Duration, request: GateRequest, actions: &mut Vec<GateAction>) {
         let held = HeldRequest::new(request, now);
         match request.class {
-            RequestClass::Online => self.admit(held, actions),
+            RequestClass::Online => self.admit(now, held, actions),
             RequestClass::Batch => self.waiting.push_batch(held),
         }
         self.poll(now, actions);
@@ -219,11 +222,10 @@
     }
 
     /// Queues an online request unless it could not start in time.
-    fn admit(&mut self, held: HeldRequest, actions: &mut Vec<GateAction>) {
+    fn admit(&mut self, now: Duration, held: HeldRequest, actions: &mut Vec<GateAction>) {
         // The whole queue counts, so that one with an early deadline makes no other one late.
         let ahead = self.waiting.online_len();
-        let online = self.running.online();
-        let wait = self.limits.expected_wait(ahead, online);
+        let wait = self.limits.expected_wait(now, ahead, &self.running);
         let longest = self.limits.longest_wait(&held);
         if wait <= longest {
             self.waiting.push_online(held);
--- a/crates/decide/src/gate/limits.rs
+++ b/crates/decide/src/gate/limits.rs
@@ -46,6 +46,7 @@
 pub struct EndpointLimits {
     first_token: Duration,
     between_tokens: Duration,
+    mixed: bool,
     max_milli: u32,
     limit_milli: u32,
     batch_milli: u32,
@@ -60,7 +61,8 @@
     adjusted: Duration,
     limit_changed: Duration,
     online_until: Duration,
-    online_near: bool,
+    /// Time of the last decision.
+    decided: Duration,
     peak: usize,
     peak_before: usize,
     peak_since: Duration,
@@ -74,6 +76,7 @@
         Self {
             first_token: settings.first_token,
             between_tokens: settings.between_tokens,
+            mixed: settings.mixed,
             max_milli,
             limit_milli: max_milli.min(FIRST_LIMIT * MILLI),
             batch_milli: FIRST_BATCH * MILLI,
@@ -85,7 +88,7 @@
             adjusted: Duration::ZERO,
             limit_changed: Duration::ZERO,
             online_until: Duration::ZERO,
-            online_near: false,
+            decided: Duration::ZERO,
             peak: 0,
             peak_before: 0,
             peak_since: Duration::ZERO,
@@ -96,6 +99,7 @@
     pub fn configure(&mut self, settings: &GateSettings) {
         self.first_token = settings.first_token;
         self.between_tokens = settings.between_tokens;
+        self.mixed = settings.mixed;
         self.max_milli = settings.max_concurrent.saturating_mul(MILLI);
         self.limit_milli = self.limit_milli.min(self.max_milli);
     }
@@ -109,42 +113,60 @@
     /// Tells whether online requests run or are expected.
     #[must_use]
     pub fn is_online_near(&self) -> bool {
-        self.online_near
+        self.decided < self.online_until
     }
 
     /// Returns the number of batch streams that may run beside the online ones.
     pub(super) fn batch_allowed(&self, running: &RunningTable) -> usize {
-        if !self.online_near {
+        if !self.is_online_near() {
             return self.limit();
         }
+        if !self.mixed {
+            return 0;
+        }
         let reserved = running.online().max(self.peak).max(self.peak_before);
         let beside = (self.batch_milli / MILLI) as usize;
         self.limit().saturating_sub(reserved).min(beside)
     }
 
     /// Returns the time until the online request behind `ahead` others can start.
-    #[must_use]
-    pub fn expected_wait(&self, ahead: usize, online: usize) -> Duration {
-        let free = self.limit().saturating_sub(online);
-        let Some(behind) = (ahead + 1).checked_sub(free).filter(|behind| *behind > 0) else {
+    ///
+    /// Requests that started together end together, so the time left to those that run counts as well as
+    /// the rate at which they end.
+    pub(super) fn expected_wait(
+        &self,
+        now: Duration,
+        ahead: usize,
+        running: &RunningTable,
+    ) -> Duration {
+        let behind = (ahead + 1 + running.online()).saturating_sub(self.limit());
+        if behind == 0 {
             return Duration::ZERO;
-        };
-        let behind = u32::try_from(behind).unwrap_or(u32::MAX);
+        }
+        let starts = running.iter().filter(|held| held.is_online());
+        let first_end = starts
+            .map(|held| held.started)
+            .nth(behind - 1)
+            .map_or(Duration::ZERO, |started| started + self.mean_service);
+        let parts = u32::try_from(behind).unwrap_or(u32::MAX);
         let limit = u32::try_from(self.limit()).unwrap_or(u32::MAX);
-        self.mean_service * behind / limit
+        first_end
+            .saturating_sub(now)
+            .max(self.mean_service * parts / limit)
     }
 
-    /// Returns the latest time at which a request may start and still keep its promise and deadline.
+    /// Returns the latest time at which a request may start and still meet its deadline.
     pub(super) fn latest_start(&self, held: &HeldRequest) -> Duration {
-        let promised = held.arrived + self.first_token.saturating_sub(self.mean_first * 2);
         let due = held.request.deadline.saturating_sub(self.mean_service);
-        promised.min(due).max(held.arrived)
+        due.max(held.arrived)
     }
 
-    /// Returns the longest wait that is expected of a request for it to be admitted; a part of what it has,
-    /// so that few are refused after they have waited.
+    /// Returns the longest expected wait at which a request is admitted: a part of what the promise and the
+    /// deadline leave, so that few of those admitted come late.
     pub(super) fn longest_wait(&self, held: &HeldRequest) -> Duration {
-        self.latest_start(held).saturating_sub(held.arrived) / ADMIT_PART
+        let promised = self.first_token.saturating_sub(self.mean_first * 2);
+        let due = self.latest_start(held).saturating_sub(held.arrived);
+        promised.min(due) / ADMIT_PART
     }
 
     /// Learns from a first token.
@@ -194,7 +216,7 @@
         if online > 0 {
             self.online_until = now + ONLINE_NEAR;
         }
-        self.online_near = now < self.online_until;
+        self.decided = now;
         self.peak = self.peak.max(online);
         if now >= self.peak_since + PEAK_PERIOD {
             self.peak_before = self.peak;
--- a/crates/fulmarswitch/src/chooser.rs
+++ b/crates/fulmarswitch/src/chooser.rs
@@ -17,6 +17,7 @@
 use fulmarswitch_decide::balance::{
     EndpointIndex, EndpointSpec, EndpointStanding, EndpointTable, EndpointView, RequestAffinity,
 };
+use fulmarswitch_decide::front::ServiceFront;
 use fulmarswitch_decide::load::{EndpointLoad, LoadShare};
 use fulmarswitch_decide::retry::{FailedAttempt, RetryBudget, RetryVerdict};
 use fulmarswitch_decide::suspicion::{AttemptSign, ServiceHealth, TrustChange};
@@ -38,9 +39,9 @@
     table: EndpointTable,
     affine: bool,
     loads: Vec<EndpointLoad>,
-    /// Endpoints whose gate says that they have not loaded the model.
-    cold: Vec<bool>,
     health: ServiceHealth,
+    /// Endpoints that online requests keep to.
+    front: ServiceFront,
     budget: RetryBudget,
     choices: u64,
 }
@@ -193,7 +194,7 @@
                     limit: note.limit,
                 };
                 service.loads[index.at()].note(now, share);
-                service.cold[index.at()] = !note.loaded;
+                service.front.note(now, index, share);
             }
         });
     }
@@ -236,8 +237,8 @@
             table: EndpointTable::default(),
             affine: true,
             loads: Vec::new(),
-            cold: Vec::new(),
             health: ServiceHealth::default(),
+            front: ServiceFront::default(),
             budget: RetryBudget::new(now),
             choices: 0,
         }
@@ -260,13 +261,12 @@
             .map(|spec| self.table.index_of(&spec.name))
             .collect();
         let old_loads = std::mem::take(&mut self.loads);
-        let old_cold = std::mem::take(&mut self.cold);
         for old in &old_places {
             let load = old.map(|old| old_loads[old.at()].clone());
             self.loads.push(load.unwrap_or_default());
-            self.cold.push(old.is_some_and(|old| old_cold[old.at()]));
         }
         self.health = self.health.remapped(&old_places);
+        self.front = self.front.remapped(&domains_of(&table, view));
         self.table = table;
         self.affine = view
             .config
@@ -301,8 +301,8 @@
                 EndpointStanding::Excluded
             } else if is_shunned(index) {
                 EndpointStanding::Suspected
-            } else if self.cold[index.at()] {
-                EndpointStanding::Cold
+            } else if !self.front.contains(index) {
+                EndpointStanding::Reserved
             } else {
                 EndpointStanding::Ready
             };
@@ -314,6 +314,18 @@
     }
 }
 
+/// Returns the names of a table's endpoints with their failure domains.
+fn domains_of<'a>(table: &'a EndpointTable, view: &'a FleetView) -> Vec<(&'a str, &'a str)> {
+    let domain = |name: &str| {
+        let endpoint = view.config.endpoint(name);
+        endpoint.map_or("", |endpoint| &*endpoint.failure_domain)
+    };
+    let specs = table.specs().iter();
+    specs
+        .map(|spec| (&*spec.name, domain(&spec.name)))
+        .collect()
+}
+
 fn prefix_of(input: &str) -> &str {
     let end = (0..=PREFIX_BYTES.min(input.len()))
         .rev()
--- a/crates/fulmarswitch/src/gates.rs
+++ b/crates/fulmarswitch/src/gates.rs
@@ -11,6 +11,7 @@
 use crate::fleet::{FleetBooks, FleetView};
 use crate::parts::{HostParts, lock};
 use crate::shards::ShardBooks;
+use fulmarswitch_decide::front::SHARED_BELOW;
 use fulmarswitch_decide::gate::GateSettings;
 use fulmarswitch_peer::message::{
     ItemReport, JobName, OfferList, RefusalNote, RunRequest, RunState,
@@ -163,7 +164,10 @@
                 self.unit(name, endpoint, service);
             }
         }
+        let sizes = service_sizes(view);
         for (name, unit) in lock(&self.units).iter() {
+            let service = unit.config().0.service;
+            unit.set_mixed(sizes.get(&*service).copied().unwrap_or(0) < SHARED_BELOW);
             match endpoint_of(view, name) {
                 Some((endpoint, service)) => unit.configure(endpoint, service),
                 None => unit.set_leaving(true),
@@ -196,6 +200,16 @@
     }
 }
 
+/// Counts the endpoints of each service.
+fn service_sizes(view: &FleetView) -> SortedIndex<Arc<str>, usize> {
+    let mut sizes: SortedIndex<Arc<str>, usize> = SortedIndex::new();
+    for (_, endpoint) in view.config.endpoints() {
+        let size = sizes.get(&*endpoint.service).copied().unwrap_or(0);
+        sizes.insert(Arc::clone(&endpoint.service), size + 1);
+    }
+    sizes
+}
+
 fn endpoint_of<'a>(
     view: &'a FleetView,
     name: &str,
@@ -204,11 +218,12 @@
     Some((endpoint, view.config.service(&endpoint.service)?))
 }
 
-fn settings_of(endpoint: &EndpointConfig, service: &ServiceConfig) -> GateSettings {
+fn settings_of(endpoint: &EndpointConfig, service: &ServiceConfig, mixed: bool) -> GateSettings {
     GateSettings {
         max_concurrent: endpoint.max_concurrent,
         first_token: Duration::from_millis(service.first_token_ms),
         between_tokens: Duration::from_millis(service.between_tokens_ms),
+        mixed,
     }
 }
 
--- a/crates/fulmarswitch/src/gates/unit.rs
+++ b/crates/fulmarswitch/src/gates/unit.rs
@@ -57,9 +57,7 @@
     Done,
     /// The endpoint reports a failure.
     Failed(Arc<str>),
-    /// No byte went out.
-    Unreached(Arc<str>),
-    /// The endpoint refused without running.
+    /// No byte went out, or the endpoint refused without running.
     NotRun(Arc<str>),
     /// The call broke off and may have run.
     Broken(Arc<str>),
@@ -77,6 +75,7 @@
     posts: Mutex<SortedIndex<TicketIndex, TicketPost>>,
     tickets: AtomicU64,
     open: AtomicBool,
+    mixed: AtomicBool,
     pub(super) pulling: AtomicBool,
 }
 
@@ -93,7 +92,8 @@
             name: name.into(),
             chooser: Arc::clone(chooser),
             config: Mutex::new((endpoint.clone(), service.clone())),
-            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service))),
+            gate: Mutex::new(EndpointGate::new(settings_of(endpoint, service, true))),
+            mixed: AtomicBool::new(true),
             posts: Mutex::default(),
             tickets: AtomicU64::new(0),
             open: AtomicBool::new(true),
@@ -105,7 +105,7 @@
         let mut config = lock(&self.config);
         if config.0 != *endpoint || config.1 != *service {
             *config = (endpoint.clone(), service.clone());
-            lock(&self.gate).configure(settings_of(endpoint, service));
+            self.apply(&config);
         }
         drop(config);
         self.set_leaving(endpoint.leaving);
@@ -117,6 +117,18 @@
         self.poll();
     }
 
+    /// Says whether batch runs beside online requests; it does where the service has few endpoints.
+    pub(super) fn set_mixed(&self, mixed: bool) {
+        if self.mixed.swap(mixed, Ordering::Relaxed) != mixed {
+            self.apply(&lock(&self.config));
+        }
+    }
+
+    fn apply(&self, config: &(EndpointConfig, ServiceConfig)) {
+        let mixed = self.mixed.load(Ordering::Relaxed);
+        lock(&self.gate).configure(settings_of(&config.0, &config.1, mixed));
+    }
+
     /// Says whether the gate may pull batch items.
     pub(super) fn set_open(&self, open: bool) {
         self.open.store(open, Ordering::Relaxed);
@@ -149,15 +161,14 @@
     }
 
     /// Says what the endpoint holds, for those who choose endpoints.
-    fn load_note(&self, reached: bool) -> LoadNote {
+    fn load_note(&self, takes_calls: bool) -> LoadNote {
         let share = lock(&self.gate).online_load();
         let (endpoint, _) = self.config();
         let suspected = self.chooser.is_suspected(&endpoint.service, &self.name);
         LoadNote {
             held: share.held,
             limit: share.limit,
-            loaded: true,
-            reached,
+            takes_calls,
             suspected,
         }
     }
@@ -301,7 +312,7 @@
                     end = run => end,
                     () = frames.closed() => return,
                 };
-                if matches!(end, CallEnd::Unreached(_)) {
+                if matches!(end, CallEnd::NotRun(_)) {
                     let _ = frames.send(StreamFrame::Load(self.load_note(false)));
                 }
                 last_frame(end, text)
@@ -389,13 +400,14 @@
 
 fn error_end(error: EndpointError, watched: &WatchedCall) -> CallEnd {
     match &error {
-        EndpointError::NotSent { .. } => watched.see_unreached(),
+        EndpointError::NotSent { .. } | EndpointError::Refused { .. } => watched.see_unreached(),
         EndpointError::Broken { .. } => watched.see_broken(),
-        EndpointError::Refused { .. } | EndpointError::Failed { .. } => {}
+        EndpointError::Failed { .. } => {}
     }
     match error {
-        EndpointError::NotSent { cause } => CallEnd::Unreached(cause),
-        EndpointError::Refused { cause, .. } => CallEnd::NotRun(cause),
+        EndpointError::NotSent { cause } | EndpointError::Refused { cause, .. } => {
+            CallEnd::NotRun(cause)
+        }
         EndpointError::Broken { cause } => CallEnd::Broken(cause),
         EndpointError::Failed { cause } => CallEnd::Failed(cause),
     }
@@ -409,7 +421,7 @@
     match end {
         CallEnd::Done => done(ItemOutcome::Done { text: text.into() }),
         CallEnd::Failed(reason) => done(ItemOutcome::Failed { reason }),
-        CallEnd::Unreached(cause) | CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
+        CallEnd::NotRun(cause) => refusal(&cause, super::MOVED_RETRY),
         CallEnd::Broken(cause) => StreamFrame::Refused(RefusalNote {
             reason: cause,
             ran: RunState::MayHaveRun,
