Start a refused key anew also when another host records its outcome

Cause: a key that was refused as not run is forgotten and accepted anew in one append; the records of an outcome that another host's run came to only accepted it, which is a repeat. So the outcome was one too, and the caller was told that a request did not run which had run. Ruled out: the replay (it judges the records as they stand) and the run at the entry. Change: one function makes the records of an acceptance, for both paths. Test: a_key_that_did_not_run_starts_anew_without_its_owner failed before (NotRun after a run) and passes now.

--- a/crates/decide/src/hosts.rs
+++ b/crates/decide/src/hosts.rs
@@ -1,7 +1,8 @@
 //! The hosts that take part, replayed from the `hosts` stream.
 //!
 //! A host is live from its join until it leaves or two neighbours report it silent within a few seconds of
-//! each other on the log's clock; one is enough where only two hosts are live. A host that was taken to be lost and is not joins again. A join of a higher
+//! each other on the log's clock; one is enough where only two hosts are live. A host that was taken to be
+//! lost and is not joins again. A join of a higher
 //! incarnation replaces the older run. The order on the stream decides, so all hosts come to the same
 //! list; how far each has read is the only difference.
 
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -228,11 +228,12 @@
         {
             return None;
         }
-        let outcome = RecordBody::Outcome(KeyOutcome { key, outcome });
-        let acceptance = accepted
-            .is_none()
-            .then(|| RecordBody::Accept(request.clone()));
-        Some(acceptance.into_iter().chain([outcome]).collect())
+        let mut bodies = match accepted {
+            Some(_) => Vec::new(),
+            None => self.acceptance_of(shard, request),
+        };
+        bodies.push(RecordBody::Outcome(KeyOutcome { key, outcome }));
+        Some(bodies)
     }
 
     /// Records an outcome through the owner of its key, here or at another host; tells whether that is done.
--- a/crates/trials/tests/takeover.rs
+++ b/crates/trials/tests/takeover.rs
@@ -1,6 +1,7 @@
 //! The others take over from a host that falls silent, whatever it held.
 
-use fulmarswitch_trials::callers::{make_request, read_key, submit_request_with};
+use fulmarswitch_caller::wire::OutcomeReply;
+use fulmarswitch_trials::callers::{make_request, read_key, submit_request, submit_request_with};
 use fulmarswitch_trials::ledger::AttemptNote;
 use fulmarswitch_trials::run::start_fleet;
 use fulmarswitch_trials::switch::HostMode;
@@ -90,3 +91,37 @@
     }
     fleet.network.close();
 }
+
+/// A key that was refused as not run is sent again while its owner has just been lost.
+#[tokio::test(start_paused = true)]
+async fn a_key_that_did_not_run_starts_anew_without_its_owner() {
+    let fleet = start_fleet(1, 4).await;
+    let lost = fleet.host(0).expect("the host runs");
+    let entry = fleet.host(1).expect("the host runs");
+    let owned = lost.node.shards().owned();
+    let view = entry.node.fleet().view();
+    let request = (0..400)
+        .map(|number| make_request(&format!("key-{number}"), 3, true))
+        .find(|request| owned.contains(&view.shard_of(&request.full_key())))
+        .expect("the host owns a key");
+    let set_refusing = |refuse| {
+        for engine in &fleet.engines {
+            engine.set_faults(|faults| faults.refuse = refuse);
+        }
+    };
+    set_refusing(true);
+    let refused = submit_request(&entry, &request).await;
+    let seen = read_key(&entry, &request.key).await;
+    assert!(
+        matches!(seen, Some(OutcomeReply::NotRun { .. })),
+        "{refused:?}, {seen:?}"
+    );
+    set_refusing(false);
+    fleet.kill(0);
+    let AttemptNote::Done { outcome, .. } = submit_request(&entry, &request).await else {
+        panic!("the request is answered");
+    };
+    assert!(matches!(outcome, OutcomeReply::Done { .. }), "{outcome:?}");
+    assert_eq!(read_key(&entry, &request.key).await, Some(outcome));
+    fleet.network.close();
+}
