Hand an announced item out once only

Cause: a gate repeats a report whose reply is late. Ruled out: the announcement and the replay (it stood once, and first); the gate (it ran what it was given). Telling the copies apart needs a number for each handing out, in the items and the reports. Conclusion: kept until reports carry such a number.

--- a/crates/decide/src/handout.rs
+++ b/crates/decide/src/handout.rs
@@ -21,8 +21,6 @@
 pub struct ItemHandout {
     cursor: u32,
     returned: Vec<u32>,
-    /// Announced items that came back without having run; only the owner that announced them knows.
-    unrun: Vec<u32>,
     out: SortedIndex<u32, HandedItem>,
 }
 
@@ -87,13 +85,6 @@
         }
     }
 
-    /// Notes that an announced item has come back without having run, to be handed out once more.
-    pub fn give_back_unrun(&mut self, item: u32) {
-        if self.out.remove(&item).is_some() {
-            self.unrun.push(item);
-        }
-    }
-
     /// Notes that an item needs no more attention.
     pub fn settle(&mut self, item: u32) {
         self.out.remove(&item);
@@ -118,20 +109,14 @@
         lost
     }
 
-    /// Tells whether the item is handed out, or came back and waits to be.
+    /// Tells whether the item is handed out.
     #[must_use]
     pub fn is_out(&self, item: u32) -> bool {
-        self.out.contains(&item) || self.unrun.contains(&item)
+        self.out.contains(&item)
     }
 
     fn next_open(&mut self, job: &JobEntry) -> Option<u32> {
-        let state = |item: u32| job.states().get(item as usize).copied();
-        let open = |item: u32| state(item) == Some(ItemState::Open);
-        while let Some(item) = self.unrun.pop() {
-            if state(item) == Some(ItemState::Announced) {
-                return Some(item);
-            }
-        }
+        let open = |item: u32| job.states().get(item as usize) == Some(&ItemState::Open);
         while let Some(item) = self.returned.pop() {
             if open(item) && !self.out.contains(&item) {
                 return Some(item);
--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -4,7 +4,7 @@
 use crate::parts::lock;
 use fulmarswitch_decide::handout::ItemHandout;
 use fulmarswitch_decide::shard::RecordVerdict;
-use fulmarswitch_decide::shard::jobs::{ItemState, JobEntry};
+use fulmarswitch_decide::shard::jobs::ItemState;
 use fulmarswitch_peer::message::{
     AttemptResult, ItemReport, JobOffer, OfferList, PullRequest, PulledItem, PulledItems,
 };
@@ -72,12 +72,10 @@
             self.give_back(&request.job, &items);
             return PeerReply::NotFound;
         }
-        // Items that came back unrun are announced already.
-        let unannounced = self.open_of(request.shard, &request.job, &items);
-        if !seal.header.idempotent && !unannounced.is_empty() {
+        if !seal.header.idempotent && !items.is_empty() {
             let running = ItemsRunning {
                 job: Arc::clone(&request.job),
-                items: unannounced,
+                items: items.clone(),
             };
             let body = RecordBody::ItemsRunning(running);
             if !self.append_valid(request.shard, body).await {
@@ -141,14 +139,8 @@
         if !counted || !recorded {
             return PeerReply::NotOwner;
         }
+        self.give_back(&job, &failed);
         if let Some(run) = lock(&self.runs).get_mut(&*job) {
-            for item in &failed {
-                if seal.header.idempotent {
-                    run.handout.give_back(*item);
-                } else {
-                    run.handout.give_back_unrun(*item);
-                }
-            }
             for item in &items {
                 run.handout.settle(*item);
             }
@@ -194,12 +186,7 @@
             {
                 None
             }
-            AttemptResult::Failed { .. } | AttemptResult::Returned { .. }
-                if self.is_out(&name, item) =>
-            {
-                None
-            }
-            // Only the owner that handed an announced item out may do so again.
+            // An announced item that did not go out is not announced a second time.
             AttemptResult::Failed { .. } | AttemptResult::Returned { .. } => {
                 Some(ItemOutcome::Failed {
                     reason: "no endpoint took the call; it did not run".into(),
@@ -208,19 +195,6 @@
         }
     }
 
-    fn is_out(&self, job: &str, item: u32) -> bool {
-        let runs = lock(&self.runs);
-        runs.get(job).is_some_and(|run| run.handout.is_out(item))
-    }
-
-    fn open_of(&self, shard: ShardIndex, job: &str, items: &[u32]) -> Vec<u32> {
-        let open = |job: &JobEntry| {
-            let is_open = |item: &u32| job.states().get(*item as usize) == Some(&ItemState::Open);
-            items.iter().copied().filter(is_open).collect()
-        };
-        self.with_job(shard, job, open).unwrap_or_default()
-    }
-
     fn take_items(
         &self,
         gate: &HostIdentity,
@@ -408,7 +382,7 @@
     }
 }
 
-fn announced_items(job: &JobEntry) -> Vec<u32> {
+fn announced_items(job: &fulmarswitch_decide::shard::jobs::JobEntry) -> Vec<u32> {
     let states = (0..).zip(job.states());
     states
         .filter(|(_, state)| **state == ItemState::Announced)
--- a/crates/trials/tests/seeds.rs
+++ b/crates/trials/tests/seeds.rs
@@ -27,6 +27,7 @@
 #[case::parts_of_another_answer_again(360, 25)]
 #[case::cancelled_items_start_late(722, 25)]
 #[case::cancelled_items_start_late_again(1044, 25)]
+#[case::announced_item_handed_out_twice(30388, 20)]
 fn promises_hold_that_once_broke(#[case] seed: u64, #[case] steps: u32) {
     let report = run_plan(&RunPlan::new(seed, steps));
     assert!(report.broken.is_empty(), "{report}");
