Let one table say who is silent, and one function give milliseconds

Cause: the committer and the view of the fleet each kept hosts that gave no answer, with the same code and another time; three modules each turned a duration into milliseconds. Change: SilentHosts serves both, each with its own time as before; parts::millis serves all three.

--- a/crates/fulmarswitch/src/book.rs
+++ b/crates/fulmarswitch/src/book.rs
@@ -6,7 +6,7 @@
 //! is sent again; a second copy of a record is a repeat for every replay.
 
 use crate::commit::RecordCommitter;
-use crate::parts::{HostParts, lock};
+use crate::parts::{HostParts, lock, millis};
 use bytes::Bytes;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_platform::{LogError, LogPage};
@@ -448,10 +448,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn gone(stream: &str, offset: Offset) -> LogError {
     LogError::Unknown {
         cause: format!("{stream}:{offset} has expired").into(),
--- a/crates/fulmarswitch/src/commit.rs
+++ b/crates/fulmarswitch/src/commit.rs
@@ -9,14 +9,14 @@
 use crate::fleet::FleetView;
 use crate::metrics::HostMetrics;
 use crate::parts::{HostParts, lock};
+use crate::silence::SilentHosts;
 use fulmarswitch_peer::message::CommitRequest;
 use fulmarswitch_peer::{PeerError, PeerMessage, PeerReply, PeerTarget};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::{HostIdentity, LogRecord, SortedIndex, decode_frame};
+use fulmarswitch_records::{LogRecord, SortedIndex, decode_frame};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::Instant;
 
 /// Bytes of records appended at once.
 const APPEND_BYTES: usize = 900 << 10;
@@ -42,8 +42,9 @@
     parts: HostParts,
     fleet: watch::Receiver<Arc<FleetView>>,
     queues: Mutex<SortedIndex<Arc<str>, Arc<StreamQueue>>>,
-    /// Appenders that gave no answer, and since when.
-    silent: Mutex<SortedIndex<HostIdentity, Instant>>,
+    /// Appenders that gave no answer. The report that one is lost may have to pass through the very same
+    /// appender, so nobody waits for that.
+    silent: SilentHosts,
 }
 
 impl RecordCommitter {
@@ -54,7 +55,7 @@
             parts: parts.clone(),
             fleet,
             queues: Mutex::default(),
-            silent: Mutex::default(),
+            silent: SilentHosts::new(SILENT_TIME),
         })
     }
 
@@ -70,7 +71,7 @@
         let appender = self.fleet.borrow().appender_of(stream);
         if let Some(target) = appender
             && target.host != self.parts.identity
-            && !self.is_silent(&target.host)
+            && !self.silent.contains(&target.host)
             && let Some(outcome) = self.commit_through(&target, stream, &records).await
         {
             return outcome;
@@ -104,20 +105,12 @@
             Ok(Err(PeerError::NotReached { .. })) => None,
             Ok(Ok(_)) => Some(Err(unknown("the appender does not know"))),
             Ok(Err(PeerError::NoAnswer { .. })) | Err(_) => {
-                lock(&self.silent).insert(target.host.clone(), Instant::now());
+                self.silent.note(&target.host);
                 Some(Err(unknown("the appender gave no answer")))
             }
         }
     }
 
-    /// Tells whether an appender gave no answer lately. The report that it is lost may have to pass through
-    /// the very same appender, so nobody waits for that.
-    fn is_silent(&self, host: &HostIdentity) -> bool {
-        let mut silent = lock(&self.silent);
-        silent.retain(|_, since| since.elapsed() < SILENT_TIME);
-        silent.contains(host)
-    }
-
     /// Answers another host that takes this one for the appender of a stream.
     pub async fn handle(self: &Arc<Self>, request: CommitRequest) -> PeerReply {
         let Ok(records) = decode_frame(&request.frame) else {
--- a/crates/fulmarswitch/src/fleet.rs
+++ b/crates/fulmarswitch/src/fleet.rs
@@ -2,8 +2,9 @@
 
 use crate::book::{LogBook, StreamReplay};
 use crate::commit::RecordCommitter;
-use crate::parts::{HostParts, lock};
+use crate::parts::HostParts;
 use crate::settings::LayoutSettings;
+use crate::silence::SilentHosts;
 use fulmarswitch_decide::config::{ConfigTable, ConfigVerdict};
 use fulmarswitch_decide::hosts::{HostPhase, HostTable};
 use fulmarswitch_decide::placement::{PlacementTable, group_of, holder, shard_of};
@@ -11,13 +12,12 @@
 use fulmarswitch_peer::{FrameStream, PeerError, PeerLink, PeerTarget, StreamRequest};
 use fulmarswitch_records::record::HostJoin;
 use fulmarswitch_records::{
-    GroupIndex, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex, SortedIndex,
+    GroupIndex, HostIdentity, LogRecord, RecordBody, RecordPlace, ShardIndex,
 };
 use futures::StreamExt;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Name of the stream of joins and leaves.
 pub const HOSTS_STREAM: &str = "hosts";
@@ -254,7 +254,7 @@
     /// Configuration.
     pub config: Arc<LogBook<ConfigReplay>>,
     view: watch::Receiver<Arc<FleetView>>,
-    silent: Mutex<SortedIndex<HostIdentity, Instant>>,
+    silent: SilentHosts,
 }
 
 impl FleetBooks {
@@ -276,7 +276,7 @@
                 hosts,
                 config,
                 view,
-                silent: Mutex::default(),
+                silent: SilentHosts::new(SILENT_TIME),
             }),
             committer,
         )
@@ -301,7 +301,7 @@
         request: StreamRequest,
         patience: Duration,
     ) -> Result<FrameStream, PeerError> {
-        if self.is_silent(&target.host) {
+        if self.silent.contains(&target.host) {
             let (host, cause) = (target.host.clone(), "it gave no answer lately".into());
             return Err(PeerError::NotReached { host, cause });
         }
@@ -317,18 +317,11 @@
                 Err(PeerError::NoAnswer { host, cause })
             });
         if let Err(PeerError::NoAnswer { host, .. }) = &opened {
-            lock(&self.silent).insert(host.clone(), Instant::now());
+            self.silent.note(host);
         }
         Ok(self.while_reachable(&target.host, opened?))
     }
 
-    /// Tells whether a host has lately given no answer.
-    fn is_silent(&self, host: &HostIdentity) -> bool {
-        let mut silent = lock(&self.silent);
-        silent.retain(|_, since| since.elapsed() < SILENT_TIME);
-        silent.contains(host)
-    }
-
     /// Ends a stream once its host is taken to be lost.
     fn while_reachable(&self, host: &HostIdentity, frames: FrameStream) -> FrameStream {
         let mut view = self.view.clone();
--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -12,7 +12,7 @@
 use crate::fleet::FleetBooks;
 use crate::gates::GateRole;
 use crate::hold::HoldRole;
-use crate::parts::{HostParts, lock};
+use crate::parts::{HostParts, lock, millis};
 use crate::shards::ShardBooks;
 use fulmarswitch_decide::shard::RecordVerdict;
 use fulmarswitch_peer::message::{KeyName, OutcomeNote, RefusalNote, RunState};
@@ -371,7 +371,3 @@
         retry_after_ms: millis(retry_after),
     })
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/fulmarswitch/src/keys/once.rs
+++ b/crates/fulmarswitch/src/keys/once.rs
@@ -26,7 +26,7 @@
         }
         let mut excluded = Vec::new();
         let mut outcome = ItemOutcome::NotRun {
-            retry_after_ms: super::millis(RETRY_AFTER),
+            retry_after_ms: crate::parts::millis(RETRY_AFTER),
         };
         while !run.left().is_zero() {
             let Some(mut sent) = self.chooser.choose(&run.request, &excluded) else {
--- a/crates/fulmarswitch/src/lib.rs
+++ b/crates/fulmarswitch/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`orders`]: orders to engines to load what their services want.
 //! - [`commit`]: group commit to the log.
 //! - [`retention`]: state written again before the log drops it.
+//! - [`silence`]: hosts that have lately given no answer.
 //! - [`watcher`]: joins, heartbeats and suspicion.
 //! - [`book`]: one stream of the log, replayed and written.
 //! - [`fleet`]: the live hosts and the configuration in force, as seen here.
@@ -36,4 +37,5 @@
 pub mod retention;
 pub mod settings;
 pub mod shards;
+pub mod silence;
 pub mod watcher;
--- a/crates/fulmarswitch/src/parts.rs
+++ b/crates/fulmarswitch/src/parts.rs
@@ -8,6 +8,7 @@
 use fulmarswitch_platform::{HostList, LogService, WeightStore};
 use fulmarswitch_records::HostIdentity;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The borders of one host, and what all its roles share.
@@ -38,7 +39,7 @@
 impl HostParts {
     /// Returns the time since the start of the process.
     #[must_use]
-    pub fn now(&self) -> std::time::Duration {
+    pub fn now(&self) -> Duration {
         self.started.elapsed()
     }
 }
@@ -47,3 +48,9 @@
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Returns a time in whole milliseconds, as records and messages carry it.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fulmarswitch/src/retention.rs
+++ b/crates/fulmarswitch/src/retention.rs
@@ -7,7 +7,7 @@
 
 use crate::book::{LogBook, StreamReplay};
 use crate::fleet::FleetBooks;
-use crate::parts::{HostParts, lock};
+use crate::parts::{HostParts, lock, millis};
 use crate::shards::ShardBooks;
 use crate::watcher::HostWatcher;
 use fulmarswitch_decide::retention::copy::{
@@ -248,7 +248,3 @@
     }
     bodies
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
