--- /dev/null
+++ b/crates/switch/src/events.rs
@@ -0,0 +1,89 @@
+//! Server-sent events: splits a stream of bytes into whole events and reads their numbers.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Most bytes of one event; a longer one is an error of the endpoint.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// One whole event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// All bytes of the event, its blank line included.
+    pub bytes: Bytes,
+    /// Number of the event, when it has one.
+    pub id: Option<u64>,
+}
+
+impl StreamEvent {
+    /// Returns the event's data, lines joined by line feeds.
+    #[must_use]
+    pub fn data(&self) -> Vec<u8> {
+        let lines = self.bytes.split(|byte| *byte == b'\n');
+        let data: Vec<&[u8]> = lines.filter_map(|line| field_value(line, b"data")).collect();
+        data.join(&b'\n')
+    }
+}
+
+/// Splits bytes into events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl EventSplitter {
+    /// Adds bytes. Returns whether the event in progress is still of a sensible size.
+    #[must_use]
+    pub fn push(&mut self, chunk: &[u8]) -> bool {
+        self.buffer.extend_from_slice(chunk);
+        self.buffer.len() - self.scanned <= MAX_EVENT_BYTES
+    }
+
+    /// Takes the next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = self.find_end()?;
+        self.scanned = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = bytes
+            .split(|byte| *byte == b'\n')
+            .find_map(|line| field_value(line, b"id"))
+            .and_then(|value| std::str::from_utf8(value).ok()?.trim().parse().ok());
+        Some(StreamEvent { bytes, id })
+    }
+
+    /// Whether bytes of an unfinished event are held.
+    #[must_use]
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Drops the bytes of an unfinished event.
+    pub fn clear(&mut self) {
+        self.buffer.advance(self.buffer.len());
+        self.scanned = 0;
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let mut index = self.scanned;
+        while let Some(found) = self.buffer[index..].iter().position(|byte| *byte == b'\n') {
+            let after = index + found + 1;
+            match &self.buffer[after..] {
+                [b'\n', ..] => return Some(after + 1),
+                [b'\r', b'\n', ..] => return Some(after + 2),
+                [] | [b'\r'] => {
+                    self.scanned = index + found;
+                    return None;
+                }
+                _ => index = after,
+            }
+        }
+        self.scanned = self.buffer.len();
+        None
+    }
+}
+
+fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let rest = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(rest.strip_prefix(b" ").unwrap_or(rest))
+}
--- /dev/null
+++ b/crates/switch/src/gossip.rs
@@ -0,0 +1,195 @@
+//! Beats: each host tells all others that it lives, whether it takes callers, and its load.
+//!
+//! Beats are datagrams; one that is lost is made good by the next. The log is only needed to find the first
+//! other host: beats carry the cards of hosts in turn.
+
+use crate::load::LoadReport;
+use crate::members::{HostCard, MemberChange};
+use crate::node::{FollowBatch, SwitchNode, millis};
+use crate::link::{AppendError, KeyedRecord};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Least time between beats.
+const BEAT_LEAST: Duration = Duration::from_millis(20);
+/// Time between beats of a small fleet.
+const BEAT_PERIOD: Duration = Duration::from_millis(100);
+/// Time between beats for each host of a large fleet, which bounds the datagrams that a host sends and
+/// receives to 200 a second each.
+const BEAT_PERIOD_PER_HOST: Duration = Duration::from_millis(5);
+/// Most bytes of a beat: what fits a datagram on common links.
+const BEAT_BYTES: usize = 1400;
+/// Pause before the card is written again after a refusal.
+const ANNOUNCE_RETRY: Duration = Duration::from_millis(500);
+/// Version of the beats' encoding.
+const SCHEMA: u8 = 1;
+
+/// One beat.
+#[derive(Debug, Serialize, Deserialize)]
+struct HostBeat {
+    card: HostCard,
+    ready: bool,
+    load: LoadReport,
+    also: Option<HostCard>,
+}
+
+/// Writes this host's card to the log, once the log takes it.
+pub(crate) async fn announce(node: Arc<SwitchNode>) {
+    let card = &node.settings.card;
+    let value = match postcard::to_stdvec(card) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!(node.parts.logger, "card not written"; "cause" => %error);
+            return;
+        }
+    };
+    let record = KeyedRecord {
+        key: card.name.as_bytes().to_vec().into(),
+        value: value.into(),
+    };
+    loop {
+        // The record names its run, so that writing it twice does no harm.
+        let topic = &node.settings.topics.hosts;
+        match node.parts.log.append(topic, std::slice::from_ref(&record)).await {
+            Ok(offset) => {
+                info!(node.parts.logger, "card written"; "offset" => offset);
+                return;
+            }
+            Err(error @ (AppendError::Refused { .. } | AppendError::Unknown { .. })) => {
+                info!(node.parts.logger, "card not written yet"; "cause" => %error);
+                sleep(ANNOUNCE_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Takes hosts' cards from the log.
+pub(crate) fn take_hosts(node: &SwitchNode, batch: FollowBatch<'_>) {
+    let now = Instant::now();
+    for placed in batch.records() {
+        if placed.record.value.is_empty() {
+            continue;
+        }
+        match postcard::from_bytes::<HostCard>(&placed.record.value) {
+            Ok(card) if card.name != node.settings.card.name => {
+                node.lock().members.introduce(card, now);
+            }
+            Ok(_) => {}
+            Err(error) => warn!(node.parts.logger, "card left out";
+                "offset" => placed.offset, "cause" => %error),
+        }
+    }
+}
+
+/// Sends and receives beats.
+pub(crate) async fn exchange_beats(node: Arc<SwitchNode>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::spawn(receive_beats(node.clone(), socket.clone()));
+    let mut turn = 0;
+    loop {
+        let period = send_beat(&node, &socket, turn).await;
+        turn += 1;
+        sleep(BEAT_LEAST).await;
+        let _ = timeout(period - BEAT_LEAST, node.beat_now.notified()).await;
+    }
+}
+
+async fn send_beat(node: &SwitchNode, socket: &UdpSocket, turn: usize) -> Duration {
+    let now = Instant::now();
+    let (beat, targets, period) = {
+        let mut state = node.lock();
+        let known = u32::try_from(state.members.all().count()).unwrap_or(u32::MAX);
+        let period = BEAT_PERIOD.max(BEAT_PERIOD_PER_HOST * known);
+        for name in state.members.sweep(now, period) {
+            info!(node.parts.logger, "host lost"; "host" => &*name);
+            state.load.take_report(&name, Vec::new());
+        }
+        let cards: Vec<_> = state.members.all().map(|entry| &entry.card).collect();
+        let also = (!cards.is_empty()).then(|| cards[turn % cards.len()].clone());
+        let targets: Vec<_> = cards.iter().map(|card| card.peer_address).collect();
+        let beat = HostBeat {
+            card: node.settings.card.clone(),
+            ready: state.routes.is_some() && !state.stopping,
+            load: state.load.own_report(),
+            also,
+        };
+        (beat, targets, period)
+    };
+    match postcard::to_stdvec(&(SCHEMA, beat)) {
+        Ok(bytes) if bytes.len() <= BEAT_BYTES => {
+            for target in targets {
+                if let Err(error) = socket.send_to(&bytes, target).await {
+                    // The next beat follows within the period; silence shows at the receiver.
+                    slog::debug!(node.parts.logger, "beat not sent"; "to" => %target, "cause" => %error);
+                }
+            }
+        }
+        Ok(bytes) => warn!(node.parts.logger, "beat too large"; "bytes" => bytes.len()),
+        Err(error) => warn!(node.parts.logger, "beat not encoded"; "cause" => %error),
+    }
+    period
+}
+
+async fn receive_beats(node: Arc<SwitchNode>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; BEAT_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                Ok((SCHEMA, beat)) => take_beat(&node, beat),
+                Ok((schema, _)) => {
+                    info!(node.parts.logger, "beat left out"; "schema" => schema, "from" => %from);
+                }
+                Err(error) => {
+                    info!(node.parts.logger, "beat left out"; "cause" => %error, "from" => %from);
+                }
+            },
+            Err(error) => {
+                // A refused datagram of an earlier send shows here; receiving goes on.
+                slog::debug!(node.parts.logger, "beat not received"; "cause" => %error);
+                sleep(BEAT_LEAST).await;
+            }
+        }
+    }
+}
+
+fn take_beat(node: &SwitchNode, beat: HostBeat) {
+    let now = Instant::now();
+    let mut state = node.lock();
+    if beat.card.name == node.settings.card.name {
+        return;
+    }
+    if let Some(also) = beat.also
+        && also.name != node.settings.card.name
+    {
+        state.members.introduce(also, now);
+    }
+    let (name, incarnation) = (beat.card.name.clone(), beat.card.incarnation);
+    let change = state.members.heard(beat.card, beat.ready, now);
+    if change != MemberChange::Same {
+        info!(node.parts.logger, "host heard"; "host" => &*name, "incarnation" => incarnation,
+            "ready" => beat.ready, "change" => ?change);
+    }
+    state.load.take_report(&name, beat.load);
+    let gives_way = state.running.iter().any(|running| {
+        let endpoint = state.endpoints.get(&running.endpoint);
+        endpoint.is_some_and(|endpoint| state.load.batch_excess(endpoint) > 0)
+    });
+    if gives_way || change != MemberChange::Same {
+        node.batch_now.notify_one();
+    }
+}
+
+/// Period of beats in a fleet of `hosts` hosts, in milliseconds.
+///
+/// ```
+/// assert_eq!(fulmarswitch_switch::gossip::beat_period_ms(9), 100);
+/// assert_eq!(fulmarswitch_switch::gossip::beat_period_ms(84), 420);
+/// ```
+#[must_use]
+pub fn beat_period_ms(hosts: u32) -> u64 {
+    millis(BEAT_PERIOD.max(BEAT_PERIOD_PER_HOST * hosts))
+}
--- /dev/null
+++ b/crates/switch/src/jobs.rs
@@ -0,0 +1,382 @@
+//! Calls for batch jobs: submit, read results and bodies, end.
+
+use crate::ledger::{ItemState, LedgerJob};
+use crate::link::{AppendError, KeyedRecord, ReadError};
+use crate::node::{SwitchNode, millis, wall_ms};
+use crate::record::{
+    AcceptedItem, AcceptedJob, FrameAssembler, ItemOutcome, JobRecord, TextPlace, text_key,
+};
+use crate::route::ServiceRoute;
+use bytes::Bytes;
+use rand::Rng;
+use slog::{info, warn};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Most bytes of texts in one page of results.
+const PAGE_BYTES: usize = 900_000;
+/// Bytes of texts that a host keeps beside the log: those it wrote or read last.
+const CACHE_BYTES: usize = 512 * 1024;
+/// Longest wait for a read of the jobs that began after a question came.
+const SYNC_LIMIT: Duration = Duration::from_millis(900);
+/// Longest wait until a record of unknown fate shows on the log.
+const FATE_LIMIT: Duration = Duration::from_millis(1200);
+/// Pause named to callers whose job was not accepted since the log does not take it.
+const LOG_RETRY: Duration = Duration::from_millis(700);
+/// Pause named to callers whose job does not fit the quota.
+const QUOTA_RETRY: Duration = Duration::from_millis(1000);
+/// Time between searches for jobs to forget.
+const FORGET_PERIOD: Duration = Duration::from_secs(10);
+
+/// A job as it is handed in.
+#[derive(Clone, Debug)]
+pub struct JobSubmission {
+    /// Identity of the job, the same when it is handed in again.
+    pub job: Arc<str>,
+    /// Its route.
+    pub route: Arc<ServiceRoute>,
+    /// Its items.
+    pub items: Vec<AcceptedItem>,
+}
+
+/// Answer to a submission, or to the end of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitReply {
+    /// It stands on the log.
+    Done,
+    /// It does not fit the quota; nothing of it runs.
+    OverQuota {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// It was not taken; nothing of it runs.
+    Refused {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// Whether it was taken is not known.
+    Unknown,
+    /// There is no such job.
+    Missing,
+}
+
+/// A result as it is given out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemResult {
+    /// Identity of the item.
+    pub id: Arc<str>,
+    /// Output of a completed item; `None` for one that cannot be done.
+    pub text: Option<Bytes>,
+}
+
+/// Answer to a question about a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobReply<T> {
+    /// The answer.
+    Found(T),
+    /// There is no such job or item.
+    Missing,
+    /// The log does not answer, so this host cannot be sure.
+    Unsure,
+}
+
+/// Some results of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResultPage {
+    /// Number of items of the job.
+    pub total: usize,
+    /// The results from the position asked for.
+    pub results: Vec<ItemResult>,
+}
+
+/// Texts that were written or read last.
+#[derive(Debug, Default)]
+pub struct TextCache {
+    texts: VecDeque<(u64, Bytes)>,
+    bytes: usize,
+}
+
+impl TextCache {
+    /// Keeps a text, and drops the oldest ones beyond the bound.
+    pub fn put(&mut self, number: u64, text: Bytes) {
+        self.bytes += text.len();
+        self.texts.push_back((number, text));
+        while self.bytes > CACHE_BYTES {
+            let Some((_, oldest)) = self.texts.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.len();
+        }
+    }
+
+    /// Returns a text.
+    #[must_use]
+    pub fn get(&self, number: u64) -> Option<Bytes> {
+        let found = self.texts.iter().rev().find(|(key, _)| *key == number);
+        found.map(|(_, text)| text.clone())
+    }
+}
+
+enum Lookup {
+    Page(usize, Vec<(Arc<str>, ItemOutcome)>),
+    Empty(usize),
+    Missing,
+}
+
+impl SwitchNode {
+    /// Accepts a job, once for each identity.
+    pub async fn submit_job(&self, submission: JobSubmission) -> SubmitReply {
+        let begun = Instant::now();
+        let job = submission.job.clone();
+        let (items, reply) = (submission.items.len(), self.accept_job(submission).await);
+        info!(self.parts.logger, "job submitted"; "job" => &*job, "items" => items,
+            "outcome" => ?reply, "after_ms" => millis(begun.elapsed()));
+        reply
+    }
+
+    async fn accept_job(&self, submission: JobSubmission) -> SubmitReply {
+        if self.synced.borrow().is_none() {
+            return refused();
+        }
+        let number = {
+            let mut state = self.lock();
+            if state.ledger.get(&submission.job).is_some() {
+                return SubmitReply::Done;
+            }
+            if state.stopping {
+                return refused();
+            }
+            let route = &submission.route;
+            let waiting = state.ledger.waiting_tokens(&route.host, &route.path_prefix);
+            let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
+            if route.token_quota.is_some_and(|quota| waiting + tokens > quota) {
+                return SubmitReply::OverQuota {
+                    retry_after: QUOTA_RETRY,
+                };
+            }
+            state.rng.random()
+        };
+        let record = JobRecord::Accepted(AcceptedJob {
+            job: submission.job.clone(),
+            host: submission.route.host.clone(),
+            path_prefix: submission.route.path_prefix.clone(),
+            accepted_by: self.settings.card.name.clone(),
+            accepted_ms: wall_ms(),
+            items: submission.items,
+        });
+        match self.append_record(&record, number).await {
+            Ok(_) => SubmitReply::Done,
+            Err(AppendError::Refused { .. }) => refused(),
+            Err(AppendError::Unknown { .. }) => {
+                self.await_fate(|ledger| ledger.get(&submission.job).is_some())
+                    .await
+            }
+        }
+    }
+
+    /// Ends a job: items that have not ended no longer run.
+    pub async fn end_job(&self, job: &Arc<str>) -> SubmitReply {
+        let reply = match self.find_job(job, |found| found.ended).await {
+            JobReply::Found(true) => SubmitReply::Done,
+            JobReply::Found(false) => self.append_end(job).await,
+            JobReply::Missing => SubmitReply::Missing,
+            JobReply::Unsure => refused(),
+        };
+        info!(self.parts.logger, "job end asked"; "job" => &**job, "outcome" => ?reply);
+        reply
+    }
+
+    async fn append_end(&self, job: &Arc<str>) -> SubmitReply {
+        let number = self.lock().rng.random();
+        let record = JobRecord::Ended { job: job.clone() };
+        match self.append_record(&record, number).await {
+            Ok(_) => SubmitReply::Done,
+            Err(AppendError::Refused { .. }) => refused(),
+            Err(AppendError::Unknown { .. }) => {
+                self.await_fate(|ledger| ledger.get(job).is_some_and(|found| found.ended))
+                    .await
+            }
+        }
+    }
+
+    /// Returns the body of an item that has no result yet.
+    pub async fn item_body(&self, job: &str, item: &str) -> JobReply<Bytes> {
+        let found = self.find_job(job, |found| {
+            let mut items = found.items.iter();
+            let item = items.find(|entry| &*entry.accepted.id == item)?;
+            let is_held = item.state == ItemState::Open && !found.ended;
+            is_held.then(|| item.accepted.body.clone())
+        });
+        match found.await {
+            JobReply::Found(Some(body)) => JobReply::Found(body),
+            JobReply::Found(None) | JobReply::Missing => JobReply::Missing,
+            JobReply::Unsure => JobReply::Unsure,
+        }
+    }
+
+    /// Returns the results of a job from a position, waiting up to `wait` for the first.
+    pub async fn job_results(&self, job: &str, after: usize, wait: Duration) -> JobReply<ResultPage> {
+        let deadline = Instant::now() + wait;
+        let mut changes = self.results.subscribe();
+        let mut synced = false;
+        loop {
+            changes.borrow_and_update();
+            match self.look_up(job, after) {
+                Lookup::Page(total, outcomes) => return self.fetch_page(total, outcomes).await,
+                Lookup::Empty(total) => {
+                    if timeout_at(deadline, changes.changed()).await.is_err() {
+                        let results = Vec::new();
+                        return JobReply::Found(ResultPage { total, results });
+                    }
+                }
+                Lookup::Missing if synced => return JobReply::Missing,
+                Lookup::Missing => {
+                    if !self.sync().await {
+                        return JobReply::Unsure;
+                    }
+                    synced = true;
+                }
+            }
+        }
+    }
+
+    fn look_up(&self, job: &str, after: usize) -> Lookup {
+        let state = self.lock();
+        let Some(job) = state.ledger.get(job) else {
+            return Lookup::Missing;
+        };
+        let rest = job.results.get(after..).unwrap_or_default();
+        if rest.is_empty() {
+            return Lookup::Empty(job.items.len());
+        }
+        let mut bytes = 0;
+        let mut page = Vec::new();
+        for result in rest {
+            if let ItemOutcome::Completed(place) = &result.outcome {
+                bytes += place.bytes as usize;
+            }
+            if bytes > PAGE_BYTES && !page.is_empty() {
+                break;
+            }
+            let item = &job.items[result.item as usize];
+            page.push((item.accepted.id.clone(), result.outcome.clone()));
+        }
+        Lookup::Page(job.items.len(), page)
+    }
+
+    async fn fetch_page(
+        &self,
+        total: usize,
+        outcomes: Vec<(Arc<str>, ItemOutcome)>,
+    ) -> JobReply<ResultPage> {
+        let mut results = Vec::new();
+        for (id, outcome) in outcomes {
+            let text = match outcome {
+                ItemOutcome::Dead => None,
+                ItemOutcome::Completed(place) => match self.fetch_text(&place).await {
+                    Ok(text) => Some(text),
+                    Err(_) if results.is_empty() => return JobReply::Unsure,
+                    // What was read so far is a page; the next question comes back to this position.
+                    Err(_) => break,
+                },
+            };
+            results.push(ItemResult { id, text });
+        }
+        JobReply::Found(ResultPage { total, results })
+    }
+
+    async fn fetch_text(&self, place: &TextPlace) -> Result<Bytes, ReadError> {
+        if let Some(text) = self.lock().texts.get(place.number) {
+            return Ok(text);
+        }
+        let part = &self.settings.topics.texts;
+        let key = text_key(place.number);
+        let fetched = self.parts.log.fetch(part, place.offset, place.frames, &key);
+        let records = fetched.await.inspect_err(|error| {
+            warn!(self.parts.logger, "text not read"; "offset" => place.offset, "cause" => %error);
+        })?;
+        let mut frames = FrameAssembler::default();
+        let text = records.iter().find_map(|placed| frames.push(&placed.record));
+        let Some(text) = text else {
+            let cause = "the text's frames are not all there".into();
+            warn!(self.parts.logger, "text not whole"; "offset" => place.offset);
+            return Err(ReadError::Unavailable { cause });
+        };
+        self.lock().texts.put(place.number, text.clone());
+        Ok(text)
+    }
+
+    /// Finds a job, after a fresh read of the log when it is not known.
+    async fn find_job<T>(&self, job: &str, read: impl Fn(&LedgerJob) -> T) -> JobReply<T> {
+        if let Some(found) = self.lock().ledger.get(job).map(&read) {
+            return JobReply::Found(found);
+        }
+        if !self.sync().await {
+            return JobReply::Unsure;
+        }
+        match self.lock().ledger.get(job).map(&read) {
+            Some(found) => JobReply::Found(found),
+            None => JobReply::Missing,
+        }
+    }
+
+    /// Waits until a read of the jobs that began after this call has been applied. Returns whether it was.
+    async fn sync(&self) -> bool {
+        let asked = Instant::now();
+        let mut synced = self.synced.subscribe();
+        self.tail_now.notify_one();
+        let fresh = synced.wait_for(|began| began.is_some_and(|began| began >= asked));
+        timeout(SYNC_LIMIT, fresh).await.is_ok_and(|waited| waited.is_ok())
+    }
+
+    async fn await_fate(&self, shows: impl Fn(&crate::ledger::JobLedger) -> bool) -> SubmitReply {
+        let deadline = Instant::now() + FATE_LIMIT;
+        while Instant::now() < deadline {
+            if self.sync().await && shows(&self.lock().ledger) {
+                return SubmitReply::Done;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        SubmitReply::Unknown
+    }
+
+    pub(crate) async fn append_record(
+        &self,
+        record: &JobRecord,
+        number: u64,
+    ) -> Result<u64, AppendError> {
+        let frames = record.encode(number).map_err(|error| AppendError::Refused {
+            cause: error.to_string().into(),
+        })?;
+        self.append_frames(&frames).await
+    }
+
+    pub(crate) async fn append_frames(&self, frames: &[KeyedRecord]) -> Result<u64, AppendError> {
+        let topic = &self.settings.topics.jobs;
+        let appended = self.parts.log.append(topic, frames).await;
+        self.tail_now.notify_one();
+        appended.inspect_err(|error| {
+            warn!(self.parts.logger, "append failed"; "topic" => &*topic.topic, "cause" => %error);
+        })
+    }
+}
+
+/// Forgets jobs that no longer have to be readable.
+pub(crate) async fn forget_jobs(node: Arc<SwitchNode>) {
+    loop {
+        sleep(FORGET_PERIOD).await;
+        let keep = node.settings.job_keep;
+        let count = node.lock().ledger.forget(wall_ms(), keep);
+        if count > 0 {
+            info!(node.parts.logger, "jobs forgotten"; "count" => count);
+        }
+    }
+}
+
+fn refused() -> SubmitReply {
+    SubmitReply::Refused {
+        retry_after: LOG_RETRY,
+    }
+}
--- /dev/null
+++ b/crates/switch/src/ledger.rs
@@ -0,0 +1,252 @@
+//! Jobs, as the records on the log make them.
+//!
+//! All hosts apply the same records in the same order, so they agree on which items have ended and at which
+//! position each result stands.
+
+use crate::record::{AcceptedItem, AcceptedJob, ItemOutcome, JobRecord};
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where an item stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemState {
+    /// It has not ended.
+    Open,
+    /// It has a result.
+    Settled,
+}
+
+/// A part of an item's output.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ItemProgress {
+    /// Number of the last event; `None` before the first.
+    pub last_event: Option<u64>,
+    /// Data of the events so far.
+    pub text: Vec<u8>,
+}
+
+/// An item of a job.
+#[derive(Clone, Debug)]
+pub struct LedgerItem {
+    /// What the caller handed in; the body is dropped once the item has ended.
+    pub accepted: AcceptedItem,
+    /// Where it stands.
+    pub state: ItemState,
+    /// Output that a stopped host left.
+    pub progress: Option<ItemProgress>,
+}
+
+/// A result at its position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedResult {
+    /// Index of the item.
+    pub item: u32,
+    /// How it ended.
+    pub outcome: ItemOutcome,
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub struct LedgerJob {
+    /// Identity of the job.
+    pub id: Arc<str>,
+    /// Host name of its route.
+    pub host: Arc<str>,
+    /// Path prefix of its route.
+    pub path_prefix: Arc<str>,
+    /// Host that accepted it.
+    pub accepted_by: Arc<str>,
+    /// When, in milliseconds since the Unix epoch.
+    pub accepted_ms: u64,
+    /// Its items.
+    pub items: Vec<LedgerItem>,
+    /// Its results by position.
+    pub results: Vec<PlacedResult>,
+    /// Whether its caller ended it.
+    pub ended: bool,
+}
+
+impl LedgerJob {
+    fn new(accepted: AcceptedJob) -> Self {
+        let items = accepted.items.into_iter().map(|item| LedgerItem {
+            accepted: item,
+            state: ItemState::Open,
+            progress: None,
+        });
+        Self {
+            id: accepted.job,
+            host: accepted.host,
+            path_prefix: accepted.path_prefix,
+            accepted_by: accepted.accepted_by,
+            accepted_ms: accepted.accepted_ms,
+            items: items.collect(),
+            results: Vec::new(),
+            ended: false,
+        }
+    }
+
+    /// Whether items are to be run.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.ended && self.results.len() < self.items.len()
+    }
+
+    /// Tokens of the items that have not ended.
+    #[must_use]
+    pub fn open_tokens(&self) -> u64 {
+        if self.ended {
+            return 0;
+        }
+        let open = self
+            .items
+            .iter()
+            .filter(|item| item.state == ItemState::Open);
+        open.map(|item| item.accepted.tokens).sum()
+    }
+}
+
+/// What a record changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LedgerChange {
+    /// Nothing: the job or the result was there before, or the job is not known.
+    Repeated,
+    /// A job is new.
+    Accepted,
+    /// An item has a result, at this position.
+    Settled {
+        /// Position of the result.
+        position: usize,
+    },
+    /// An item's output so far is known.
+    Progressed,
+    /// A job was ended.
+    Ended,
+}
+
+/// All jobs.
+#[derive(Clone, Debug, Default)]
+pub struct JobLedger {
+    jobs: Vec<LedgerJob>,
+}
+
+impl JobLedger {
+    /// Applies the next record of the log.
+    pub fn apply(&mut self, record: JobRecord) -> LedgerChange {
+        match record {
+            JobRecord::Accepted(accepted) => self.accept(accepted),
+            JobRecord::Settled { job, item, outcome } => self.settle(&job, item, outcome),
+            JobRecord::Progress {
+                job,
+                item,
+                last_event,
+                text,
+            } => self.progress(&job, item, last_event, &text),
+            JobRecord::Ended { job } => match self.get_mut(&job) {
+                Some(job) if !job.ended => {
+                    job.ended = true;
+                    LedgerChange::Ended
+                }
+                _ => LedgerChange::Repeated,
+            },
+        }
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&LedgerJob> {
+        let index = self.search(id).ok()?;
+        Some(&self.jobs[index])
+    }
+
+    /// Jobs with items that are to be run.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &LedgerJob> {
+        self.jobs.iter().filter(|job| job.is_open())
+    }
+
+    /// Tokens of all items on a route that have not ended.
+    #[must_use]
+    pub fn waiting_tokens(&self, host: &str, path_prefix: &str) -> u64 {
+        self.open_jobs()
+            .filter(|job| &*job.host == host && &*job.path_prefix == path_prefix)
+            .map(LedgerJob::open_tokens)
+            .sum()
+    }
+
+    /// Forgets jobs without open items that were accepted longer than `keep` before `now_ms`, and returns how
+    /// many.
+    pub fn forget(&mut self, now_ms: u64, keep: Duration) -> usize {
+        let before = self.jobs.len();
+        let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
+        self.jobs
+            .retain(|job| job.is_open() || now_ms < job.accepted_ms.saturating_add(keep_ms));
+        before - self.jobs.len()
+    }
+
+    /// Number of jobs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether there are no jobs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn accept(&mut self, accepted: AcceptedJob) -> LedgerChange {
+        match self.search(&accepted.job) {
+            Ok(_) => LedgerChange::Repeated,
+            Err(index) => {
+                self.jobs.insert(index, LedgerJob::new(accepted));
+                LedgerChange::Accepted
+            }
+        }
+    }
+
+    fn settle(&mut self, job: &str, item: u32, outcome: ItemOutcome) -> LedgerChange {
+        let Some(job) = self.get_mut(job) else {
+            return LedgerChange::Repeated;
+        };
+        let Some(entry) = job.items.get_mut(item as usize) else {
+            return LedgerChange::Repeated;
+        };
+        if entry.state == ItemState::Settled {
+            return LedgerChange::Repeated;
+        }
+        entry.state = ItemState::Settled;
+        entry.accepted.body = Bytes::new();
+        entry.accepted.headers = Vec::new();
+        entry.progress = None;
+        job.results.push(PlacedResult { item, outcome });
+        LedgerChange::Settled {
+            position: job.results.len() - 1,
+        }
+    }
+
+    fn progress(&mut self, job: &str, item: u32, last_event: u64, text: &[u8]) -> LedgerChange {
+        let entry = self
+            .get_mut(job)
+            .and_then(|job| job.items.get_mut(item as usize));
+        match entry {
+            Some(entry) if entry.state == ItemState::Open => {
+                entry.progress = Some(ItemProgress {
+                    last_event: Some(last_event),
+                    text: text.to_vec(),
+                });
+                LedgerChange::Progressed
+            }
+            _ => LedgerChange::Repeated,
+        }
+    }
+
+    fn get_mut(&mut self, id: &str) -> Option<&mut LedgerJob> {
+        let index = self.search(id).ok()?;
+        Some(&mut self.jobs[index])
+    }
+
+    fn search(&self, id: &str) -> Result<usize, usize> {
+        self.jobs.binary_search_by(|job| (*job.id).cmp(id))
+    }
+}
--- /dev/null
+++ b/crates/switch/src/load.rs
@@ -0,0 +1,383 @@
+//! Load of the endpoints, and which one gets the next request.
+//!
+//! A host knows exactly what it has sent itself, and learns of the other hosts' requests from their beats.
+//! Nothing is asked of the endpoints.
+
+use crate::endpoint::{EndpointTable, ListedEndpoint};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// First time for which an endpoint that failed is avoided; doubles with each further failure.
+const AVOID_FIRST: Duration = Duration::from_millis(500);
+/// Longest time for which an endpoint is avoided.
+const AVOID_LONGEST: Duration = Duration::from_secs(4);
+/// Time for which an endpoint that said it was full is taken as full.
+const FULL_TIME: Duration = Duration::from_millis(150);
+/// Run time of a request before any has been measured.
+const INITIAL_RUN: Duration = Duration::from_millis(700);
+/// Weight of a new measurement in the mean run time.
+const RUN_WEIGHT: f64 = 0.05;
+
+/// Number that stands for an endpoint in beats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointKey(u32);
+
+impl EndpointKey {
+    /// Returns the key of an endpoint.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::load::EndpointKey;
+    /// assert_eq!(EndpointKey::of("i-1"), EndpointKey::of("i-1"));
+    /// ```
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        let [a, b, c, d, ..] = xxh3_64(id.as_bytes()).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
+/// Requests in progress at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// Online requests.
+    pub online: u16,
+    /// Batch items.
+    pub batch: u16,
+}
+
+impl RunCounts {
+    /// All requests.
+    #[must_use]
+    pub fn total(self) -> u32 {
+        u32::from(self.online) + u32::from(self.batch)
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            online: self.online.saturating_add(other.online),
+            batch: self.batch.saturating_add(other.batch),
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            online: self.online.saturating_sub(other.online),
+            batch: self.batch.saturating_sub(other.batch),
+        }
+    }
+
+    fn is_zero(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// Whether a request is online or an item of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunClass {
+    /// An online request.
+    Online,
+    /// A batch item.
+    Batch,
+}
+
+/// What a host sends of its own requests in progress.
+pub type LoadReport = Vec<(EndpointKey, RunCounts)>;
+
+#[derive(Clone, Debug, Default)]
+struct LoadEntry {
+    own: RunCounts,
+    peers: RunCounts,
+    failures: u32,
+    avoid_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+/// The load of all endpoints as this host knows it.
+#[derive(Clone, Debug)]
+pub struct LoadView {
+    entries: Vec<(EndpointKey, LoadEntry)>,
+    reports: Vec<(Arc<str>, LoadReport)>,
+    mean_run: Duration,
+}
+
+/// Outcome of a choice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EndpointPick {
+    /// The endpoint to use.
+    Use(Arc<ListedEndpoint>),
+    /// All endpoints have queues too long for the time allowed.
+    Full {
+        /// When a place is expected.
+        retry_after: Duration,
+    },
+    /// No endpoint is left.
+    Missing,
+}
+
+impl Default for LoadView {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            reports: Vec::new(),
+            mean_run: INITIAL_RUN,
+        }
+    }
+}
+
+impl LoadView {
+    /// Notes that a request goes to an endpoint.
+    pub fn begin(&mut self, id: &str, class: RunClass) {
+        let counts = &mut self.entry(EndpointKey::of(id)).own;
+        *class_count(counts, class) += 1;
+    }
+
+    /// Notes that a request has ended.
+    pub fn finish(&mut self, id: &str, class: RunClass) {
+        let counts = &mut self.entry(EndpointKey::of(id)).own;
+        let count = class_count(counts, class);
+        *count = count.saturating_sub(1);
+    }
+
+    /// Notes how long an online request took.
+    pub fn note_run(&mut self, run: Duration) {
+        let mean = self.mean_run.as_secs_f64();
+        let moved = mean + (run.as_secs_f64() - mean) * RUN_WEIGHT;
+        self.mean_run = Duration::from_secs_f64(moved);
+    }
+
+    /// Notes that an endpoint answered well.
+    pub fn note_success(&mut self, id: &str) {
+        let entry = self.entry(EndpointKey::of(id));
+        entry.failures = 0;
+        entry.avoid_until = None;
+    }
+
+    /// Notes that an endpoint failed or could not be reached. Returns for how long it is avoided.
+    pub fn note_failure(&mut self, id: &str, now: Instant) -> Duration {
+        let entry = self.entry(EndpointKey::of(id));
+        let time = (AVOID_FIRST * 2_u32.pow(entry.failures.min(6))).min(AVOID_LONGEST);
+        entry.failures += 1;
+        entry.avoid_until = Some(now + time);
+        time
+    }
+
+    /// Notes that an endpoint said it was full.
+    pub fn note_full(&mut self, id: &str, now: Instant) {
+        self.entry(EndpointKey::of(id)).full_until = Some(now + FULL_TIME);
+    }
+
+    /// Forgets endpoints that are gone.
+    pub fn forget(&mut self, id: &str) {
+        let key = EndpointKey::of(id);
+        if let Ok(index) = self.search(key)
+            && self.entries[index].1.own.is_zero()
+        {
+            self.entries.remove(index);
+        }
+    }
+
+    /// Takes a host's report in place of its last one.
+    pub fn take_report(&mut self, host: &Arc<str>, report: LoadReport) {
+        let old = match self.reports.binary_search_by(|(name, _)| name.cmp(host)) {
+            Ok(index) => std::mem::replace(&mut self.reports[index].1, report.clone()),
+            Err(index) => {
+                self.reports.insert(index, (host.clone(), report.clone()));
+                Vec::new()
+            }
+        };
+        for (key, counts) in old {
+            let entry = self.entry(key);
+            entry.peers = entry.peers.minus(counts);
+        }
+        for (key, counts) in report {
+            let entry = self.entry(key);
+            entry.peers = entry.peers.plus(counts);
+        }
+    }
+
+    /// Returns what this host has in progress, for its beat.
+    #[must_use]
+    pub fn own_report(&self) -> LoadReport {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| !entry.own.is_zero())
+            .map(|(key, entry)| (*key, entry.own))
+            .collect()
+    }
+
+    /// Requests of all hosts in progress at an endpoint.
+    #[must_use]
+    pub fn total(&self, id: &str) -> RunCounts {
+        self.find(id)
+            .map(|entry| entry.own.plus(entry.peers))
+            .unwrap_or_default()
+    }
+
+    /// Requests of this host in progress at an endpoint.
+    #[must_use]
+    pub fn own(&self, id: &str) -> RunCounts {
+        self.find(id).map(|entry| entry.own).unwrap_or_default()
+    }
+
+    /// Mean run time of online requests.
+    #[must_use]
+    pub fn mean_run(&self) -> Duration {
+        self.mean_run
+    }
+
+    /// Whether an endpoint is left out for now, since it failed.
+    #[must_use]
+    pub fn is_avoided(&self, id: &str, now: Instant) -> bool {
+        self.find(id)
+            .and_then(|entry| entry.avoid_until)
+            .is_some_and(|until| until > now)
+    }
+
+    /// Picks the endpoint for an online request that may wait `patience` for its first token.
+    ///
+    /// Endpoints with a free slot come first, then those where batch items have to give way, then those
+    /// with the shortest queue. A draw of less than one request spreads the choices of hosts that see the
+    /// same load.
+    pub fn pick_online(
+        &self,
+        table: &EndpointTable,
+        service: &str,
+        excluded: &[Arc<str>],
+        patience: Duration,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> EndpointPick {
+        let usable: Vec<_> = table
+            .serving(service)
+            .filter(|endpoint| !excluded.contains(&endpoint.id))
+            .collect();
+        let trusted = usable
+            .iter()
+            .any(|endpoint| !self.is_avoided(&endpoint.id, now));
+        let best = usable
+            .into_iter()
+            .filter(|endpoint| !trusted || !self.is_avoided(&endpoint.id, now))
+            .map(|endpoint| (self.online_cost(endpoint, now, rng.random::<f64>()), endpoint))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let Some((_, endpoint)) = best else {
+            return EndpointPick::Missing;
+        };
+        let wait = self.expected_wait(endpoint);
+        if wait > patience {
+            return EndpointPick::Full {
+                retry_after: wait - patience / 2,
+            };
+        }
+        EndpointPick::Use(endpoint.clone())
+    }
+
+    /// Picks the endpoint for a batch item: one that keeps `reserve` slots free for online requests.
+    pub fn pick_batch(
+        &self,
+        table: &EndpointTable,
+        service: &str,
+        reserve: u32,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Arc<ListedEndpoint>> {
+        table
+            .serving(service)
+            .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
+            .filter(|endpoint| !self.is_full(&endpoint.id, now))
+            .filter(|endpoint| self.total(&endpoint.id).total() + reserve < endpoint.slots)
+            .map(|endpoint| {
+                let total = f64::from(self.total(&endpoint.id).total());
+                (total + 2.0 * rng.random::<f64>(), endpoint)
+            })
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, endpoint)| endpoint.clone())
+    }
+
+    /// Slots of a service that batch items may take.
+    #[must_use]
+    pub fn free_slots(&self, table: &EndpointTable, service: &str, reserve: u32) -> u32 {
+        table
+            .serving(service)
+            .map(|endpoint| {
+                let used = self.total(&endpoint.id).total() + reserve;
+                endpoint.slots.saturating_sub(used)
+            })
+            .sum()
+    }
+
+    /// How many of this host's batch items have to leave an endpoint.
+    ///
+    /// Each host takes its part of the excess, rounded up, so that hosts which see the same load do not all
+    /// cancel for the same request.
+    #[must_use]
+    pub fn batch_excess(&self, endpoint: &ListedEndpoint) -> u32 {
+        let total = self.total(&endpoint.id);
+        let own = u32::from(self.own(&endpoint.id).batch);
+        let excess = total.total().saturating_sub(endpoint.slots);
+        if excess == 0 || own == 0 {
+            return 0;
+        }
+        let batch = u32::from(total.batch).max(1);
+        (excess.min(batch) * own).div_ceil(batch).min(own)
+    }
+
+    fn online_cost(&self, endpoint: &ListedEndpoint, now: Instant, draw: f64) -> f64 {
+        let counts = self.total(&endpoint.id);
+        let slots = endpoint.slots;
+        let full = if self.is_full(&endpoint.id, now) {
+            f64::from(slots)
+        } else {
+            0.0
+        };
+        let base = if counts.total() < slots {
+            f64::from(counts.total())
+        } else {
+            // All places are taken: the fewer online requests, the more batch items can give way.
+            f64::from(slots) + f64::from(counts.online)
+        };
+        base + full + draw
+    }
+
+    fn expected_wait(&self, endpoint: &ListedEndpoint) -> Duration {
+        let online = u32::from(self.total(&endpoint.id).online);
+        let behind = (online + 1).saturating_sub(endpoint.slots);
+        self.mean_run * behind / endpoint.slots.max(1)
+    }
+
+    fn is_full(&self, id: &str, now: Instant) -> bool {
+        self.find(id)
+            .and_then(|entry| entry.full_until)
+            .is_some_and(|until| until > now)
+    }
+
+    fn find(&self, id: &str) -> Option<&LoadEntry> {
+        let index = self.search(EndpointKey::of(id)).ok()?;
+        Some(&self.entries[index].1)
+    }
+
+    fn entry(&mut self, key: EndpointKey) -> &mut LoadEntry {
+        let index = match self.search(key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, (key, LoadEntry::default()));
+                index
+            }
+        };
+        &mut self.entries[index].1
+    }
+
+    fn search(&self, key: EndpointKey) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&key, |(key, _)| *key)
+    }
+}
+
+fn class_count(counts: &mut RunCounts, class: RunClass) -> &mut u16 {
+    match class {
+        RunClass::Online => &mut counts.online,
+        RunClass::Batch => &mut counts.batch,
+    }
+}
--- /dev/null
+++ b/crates/switch/src/members.rs
@@ -0,0 +1,192 @@
+//! Hosts of the fleet, as their beats show them.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Silence after which a host counts as lost: ten beats, so that lost datagrams do not matter.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
+/// Silence after which a host is forgotten.
+const FORGET_LIMIT: Duration = Duration::from_secs(30);
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostCard {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Number of its run: the time of its start in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Where it takes beats.
+    pub peer_address: SocketAddr,
+    /// Where it takes callers.
+    pub caller_address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub domain: Arc<str>,
+}
+
+/// A known host.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    /// What it says of itself.
+    pub card: HostCard,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// When it was last heard; `None` when it is only known from a list.
+    pub heard: Option<Instant>,
+    /// When it became known.
+    pub known: Instant,
+}
+
+/// What a notice about a host changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberChange {
+    /// Nothing.
+    Same,
+    /// The host is new, or was lost before.
+    Joined,
+    /// The host runs anew.
+    Restarted,
+    /// The host takes callers now, or no longer does.
+    Readiness,
+}
+
+/// All known hosts but this one.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    entries: Vec<MemberEntry>,
+}
+
+impl MemberTable {
+    /// Notes a beat.
+    pub fn heard(&mut self, card: HostCard, ready: bool, now: Instant) -> MemberChange {
+        let index = match self.search(&card.name) {
+            Ok(index) => index,
+            Err(index) => {
+                let entry = MemberEntry {
+                    card,
+                    ready,
+                    heard: Some(now),
+                    known: now,
+                };
+                self.entries.insert(index, entry);
+                return MemberChange::Joined;
+            }
+        };
+        let entry = &mut self.entries[index];
+        if card.incarnation < entry.card.incarnation {
+            return MemberChange::Same;
+        }
+        let change = if card.incarnation > entry.card.incarnation {
+            MemberChange::Restarted
+        } else if !is_heard(entry, now) {
+            MemberChange::Joined
+        } else if entry.ready != ready {
+            MemberChange::Readiness
+        } else {
+            MemberChange::Same
+        };
+        entry.card = card;
+        entry.ready = ready;
+        entry.heard = Some(now);
+        change
+    }
+
+    /// Notes a host that a list or another host names.
+    pub fn introduce(&mut self, card: HostCard, now: Instant) {
+        match self.search(&card.name) {
+            Ok(index) => {
+                let entry = &mut self.entries[index];
+                if card.incarnation > entry.card.incarnation {
+                    entry.card = card;
+                    entry.heard = None;
+                    entry.known = now;
+                }
+            }
+            Err(index) => {
+                let entry = MemberEntry {
+                    card,
+                    ready: false,
+                    heard: None,
+                    known: now,
+                };
+                self.entries.insert(index, entry);
+            }
+        }
+    }
+
+    /// Forgets hosts that have been silent for long, and returns those that were lost just now.
+    pub fn sweep(&mut self, now: Instant, period: Duration) -> Vec<Arc<str>> {
+        let lost = self
+            .entries
+            .iter()
+            .filter(|entry| {
+                entry.heard.is_some_and(|heard| {
+                    let silence = now.duration_since(heard);
+                    silence > SILENCE_LIMIT && silence <= SILENCE_LIMIT + period
+                })
+            })
+            .map(|entry| entry.card.name.clone())
+            .collect();
+        self.entries.retain(|entry| {
+            now.duration_since(entry.heard.unwrap_or(entry.known)) < FORGET_LIMIT
+        });
+        lost
+    }
+
+    /// All known hosts.
+    pub fn all(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.iter()
+    }
+
+    /// Hosts that were heard lately.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &MemberEntry> {
+        self.entries
+            .iter()
+            .filter(move |entry| is_heard(entry, now))
+    }
+
+    /// Whether a host was heard lately and takes work.
+    #[must_use]
+    pub fn takes_work(&self, name: &str, now: Instant) -> bool {
+        self.search(name).is_ok_and(|index| {
+            let entry = &self.entries[index];
+            entry.ready && is_heard(entry, now)
+        })
+    }
+
+    /// Returns the host that runs a job: the one that accepted it while it takes work, else the one with the
+    /// highest hash over the hosts that do.
+    #[must_use]
+    pub fn runner<'a>(
+        &'a self,
+        job: &str,
+        accepted_by: &'a str,
+        own: Option<&'a str>,
+        now: Instant,
+    ) -> Option<&'a str> {
+        if own == Some(accepted_by) || self.takes_work(accepted_by, now) {
+            return Some(accepted_by);
+        }
+        let others = self
+            .alive(now)
+            .filter(|entry| entry.ready)
+            .map(|entry| &*entry.card.name);
+        others
+            .chain(own)
+            .max_by_key(|name| xxh3_64_with_seed(job.as_bytes(), xxh3_64_with_seed(name.as_bytes(), 0)))
+    }
+
+    fn search(&self, name: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| (*entry.card.name).cmp(name))
+    }
+}
+
+fn is_heard(entry: &MemberEntry, now: Instant) -> bool {
+    entry
+        .heard
+        .is_some_and(|heard| now.duration_since(heard) <= SILENCE_LIMIT)
+}
--- /dev/null
+++ b/crates/switch/src/node.rs
@@ -0,0 +1,520 @@
+//! One host: its settings, its state and the tasks that keep it true.
+
+use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::gossip;
+use crate::jobs::TextCache;
+use crate::ledger::{ItemProgress, JobLedger};
+use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord, ReadError};
+use crate::load::{LoadView, RunClass};
+use crate::members::{HostCard, MemberTable};
+use crate::record::{JobRecord, RecordReader};
+use crate::route::RouteTable;
+use crate::schedule::{ItemHistories, ItemName};
+use crate::{batch, jobs};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use slog::{Logger, info, warn};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Longest wait of a read for the next configuration; short, so that a connection that went silent is noticed
+/// well within the two seconds in which a configuration has to be in force.
+const CONFIG_WAIT: Duration = Duration::from_millis(1000);
+/// Pause between reads of the list of endpoints: a leaving endpoint may get no request after two seconds.
+const ENDPOINT_PERIOD: Duration = Duration::from_millis(500);
+/// Pause between reads of the jobs: a job is readable at all hosts one second after it was accepted.
+const JOB_PERIOD: Duration = Duration::from_millis(400);
+/// Pause between reads of the list of hosts, which beats make nearly needless.
+const HOST_PERIOD: Duration = Duration::from_secs(2);
+/// First pause after a read that failed; doubles.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause after a read that failed.
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Time after which a host that stops gives up what is still in progress, less the grace time's end.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Where the switch keeps and finds records.
+#[derive(Clone, Debug)]
+pub struct LogTopics {
+    /// The operator's configuration.
+    pub config: LogPart,
+    /// The endpoints' listings.
+    pub endpoints: LogPart,
+    /// The hosts' cards.
+    pub hosts: LogPart,
+    /// Records of jobs.
+    pub jobs: LogPart,
+    /// Texts of completed items.
+    pub texts: LogPart,
+}
+
+/// Settings of a host.
+#[derive(Clone, Debug)]
+pub struct SwitchSettings {
+    /// What the host says of itself.
+    pub card: HostCard,
+    /// Where records stand.
+    pub topics: LogTopics,
+    /// Time for which a job without open items stays readable.
+    pub job_keep: Duration,
+    /// Time that a host has to stop.
+    pub grace: Duration,
+}
+
+/// Reads what the operator and the endpoints write.
+pub trait FleetDecoder: Send + Sync {
+    /// Decodes a configuration; `None` for a key that is none.
+    ///
+    /// # Errors
+    /// Says what is wrong.
+    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, String>>;
+
+    /// Decodes a listing.
+    ///
+    /// # Errors
+    /// Says what is wrong.
+    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, String>;
+}
+
+/// What a host works with.
+pub struct SwitchParts {
+    /// The log.
+    pub log: Arc<dyn KeyedLog>,
+    /// The way to endpoints.
+    pub link: Arc<dyn EndpointLink>,
+    /// The decoder of others' records.
+    pub decoder: Arc<dyn FleetDecoder>,
+    /// Where lines go.
+    pub logger: Logger,
+}
+
+/// A batch item in progress here.
+pub(crate) struct RunningItem {
+    pub(crate) name: ItemName,
+    pub(crate) endpoint: Arc<str>,
+    pub(crate) bytes: usize,
+    pub(crate) cancel: Option<oneshot::Sender<()>>,
+}
+
+/// Everything that a host knows.
+pub(crate) struct SwitchState {
+    pub(crate) routes: Option<Arc<RouteTable>>,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) load: LoadView,
+    pub(crate) members: MemberTable,
+    pub(crate) ledger: JobLedger,
+    pub(crate) histories: ItemHistories,
+    pub(crate) running: Vec<RunningItem>,
+    pub(crate) progress: Vec<(ItemName, ItemProgress)>,
+    pub(crate) settling: Vec<ItemName>,
+    pub(crate) texts: TextCache,
+    pub(crate) stopping: bool,
+    pub(crate) online: usize,
+    pub(crate) rng: SmallRng,
+}
+
+/// One host of the switch.
+pub struct SwitchNode {
+    /// Its settings.
+    pub settings: SwitchSettings,
+    pub(crate) parts: SwitchParts,
+    state: Mutex<SwitchState>,
+    pub(crate) batch_now: Notify,
+    pub(crate) beat_now: Notify,
+    pub(crate) tail_now: Notify,
+    pub(crate) results: watch::Sender<u64>,
+    pub(crate) synced: watch::Sender<Option<Instant>>,
+}
+
+impl SwitchNode {
+    /// Makes a host.
+    #[must_use]
+    pub fn new(settings: SwitchSettings, parts: SwitchParts) -> Arc<Self> {
+        let state = SwitchState {
+            routes: None,
+            endpoints: EndpointTable::default(),
+            load: LoadView::default(),
+            members: MemberTable::default(),
+            ledger: JobLedger::default(),
+            histories: ItemHistories::default(),
+            running: Vec::new(),
+            progress: Vec::new(),
+            settling: Vec::new(),
+            texts: TextCache::default(),
+            stopping: false,
+            online: 0,
+            rng: SmallRng::from_os_rng(),
+        };
+        Arc::new(Self {
+            settings,
+            parts,
+            state: Mutex::new(state),
+            batch_now: Notify::new(),
+            beat_now: Notify::new(),
+            tail_now: Notify::new(),
+            results: watch::Sender::new(0),
+            synced: watch::Sender::new(None),
+        })
+    }
+
+    /// Starts the tasks that follow the log, exchange beats on `socket` and run items.
+    pub fn start(self: &Arc<Self>, socket: UdpSocket) {
+        let topics = &self.settings.topics;
+        let config = FollowTerms {
+            part: topics.config.clone(),
+            wait: CONFIG_WAIT,
+            period: Duration::ZERO,
+        };
+        let endpoints = FollowTerms {
+            part: topics.endpoints.clone(),
+            wait: Duration::ZERO,
+            period: ENDPOINT_PERIOD,
+        };
+        let hosts = FollowTerms {
+            part: topics.hosts.clone(),
+            wait: Duration::ZERO,
+            period: HOST_PERIOD,
+        };
+        tokio::spawn(follow(self.clone(), config, Self::take_config));
+        tokio::spawn(follow(self.clone(), endpoints, Self::take_endpoints));
+        tokio::spawn(follow(self.clone(), hosts, gossip::take_hosts));
+        tokio::spawn(self.clone().follow_jobs());
+        tokio::spawn(gossip::announce(self.clone()));
+        tokio::spawn(gossip::exchange_beats(self.clone(), socket));
+        tokio::spawn(batch::run_items(self.clone()));
+        tokio::spawn(jobs::forget_jobs(self.clone()));
+    }
+
+    /// Returns where lines go.
+    #[must_use]
+    pub fn logger(&self) -> &Logger {
+        &self.parts.logger
+    }
+
+    /// Whether the host can serve callers: it knows a configuration and does not stop.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.lock();
+        state.routes.is_some() && !state.stopping
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.lock().routes.clone()
+    }
+
+    /// Addresses of hosts that take callers, this one included.
+    #[must_use]
+    pub fn caller_addresses(&self, most: usize) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let mut addresses: Vec<SocketAddr> = state
+            .members
+            .alive(now)
+            .filter(|entry| entry.ready)
+            .map(|entry| entry.card.caller_address)
+            .collect();
+        if state.routes.is_some() && !state.stopping {
+            addresses.push(self.settings.card.caller_address);
+        }
+        while addresses.len() > most {
+            let index = state.rng.random_range(..addresses.len());
+            addresses.swap_remove(index);
+        }
+        addresses
+    }
+
+    /// Stops: takes no new work, hands items on and waits until requests in progress have ended or the grace
+    /// time is nearly over.
+    pub async fn stop(self: &Arc<Self>) {
+        let begun = Instant::now();
+        let online = {
+            let mut state = self.lock();
+            state.stopping = true;
+            state.online
+        };
+        info!(self.parts.logger, "stopping"; "online" => online);
+        self.beat_now.notify_one();
+        batch::hand_on(self).await;
+        let limit = self.settings.grace.saturating_sub(STOP_MARGIN);
+        while self.lock().online > 0 && begun.elapsed() < limit {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let left = self.lock().online;
+        info!(self.parts.logger, "stopped"; "left" => left, "took_ms" => millis(begun.elapsed()));
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, SwitchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_config(&self, batch: FollowBatch<'_>) {
+        for placed in batch.records() {
+            let record = &placed.record;
+            let Some(decoded) = self.parts.decoder.routes(&record.key, &record.value) else {
+                continue;
+            };
+            match decoded {
+                Ok(table) => self.apply_routes(table, placed.offset),
+                Err(cause) => {
+                    warn!(self.parts.logger, "configuration left out";
+                        "offset" => placed.offset, "cause" => cause);
+                }
+            }
+        }
+    }
+
+    fn apply_routes(&self, table: RouteTable, offset: u64) {
+        let mut state = self.lock();
+        let old = state.routes.as_ref().map(|routes| routes.version);
+        if old.is_some_and(|old| old >= table.version) {
+            return;
+        }
+        info!(self.parts.logger, "configuration in force"; "version" => table.version,
+            "old" => old, "offset" => offset, "routes" => table.route_count());
+        state.routes = Some(Arc::new(table));
+    }
+
+    fn take_endpoints(&self, batch: FollowBatch<'_>) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        match batch {
+            FollowBatch::Lost => state.endpoints.store_lost(),
+            FollowBatch::Whole(records) => {
+                state.endpoints.store_answered(now);
+                let listed = records.iter().filter_map(|placed| self.decode_endpoint(placed));
+                state.endpoints.replace(listed.collect(), now);
+            }
+            FollowBatch::Next(records) => {
+                state.endpoints.store_answered(now);
+                for placed in records {
+                    self.take_endpoint(&mut state, placed, now);
+                }
+            }
+        }
+        for id in state.endpoints.expire(now) {
+            info!(self.parts.logger, "endpoint gone"; "endpoint" => &*id, "held_back" => true);
+            state.load.forget(&id);
+        }
+    }
+
+    fn take_endpoint(&self, state: &mut SwitchState, placed: &PlacedRecord, now: Instant) {
+        if placed.record.value.is_empty() {
+            let id = String::from_utf8_lossy(&placed.record.key);
+            if state.endpoints.remove(&id, now) {
+                info!(self.parts.logger, "endpoint unlisted";
+                    "endpoint" => &*id, "offset" => placed.offset);
+            }
+            return;
+        }
+        let Some(endpoint) = self.decode_endpoint(placed) else {
+            return;
+        };
+        let (id, draining) = (endpoint.id.clone(), endpoint.draining);
+        let restarted = state.endpoints.get(&id).is_some_and(|old| {
+            old.started_ms != endpoint.started_ms && endpoint.started_ms != 0
+        });
+        if state.endpoints.set(endpoint) {
+            if restarted {
+                state.load.note_success(&id);
+            }
+            info!(self.parts.logger, "endpoint listed"; "endpoint" => &*id,
+                "draining" => draining, "restarted" => restarted, "offset" => placed.offset);
+        }
+    }
+
+    fn decode_endpoint(&self, placed: &PlacedRecord) -> Option<ListedEndpoint> {
+        let record = &placed.record;
+        match self.parts.decoder.endpoint(&record.key, &record.value) {
+            Ok(endpoint) => Some(endpoint),
+            Err(cause) => {
+                warn!(self.parts.logger, "listing left out";
+                    "key" => &*String::from_utf8_lossy(&record.key),
+                    "offset" => placed.offset, "cause" => cause);
+                None
+            }
+        }
+    }
+
+    async fn follow_jobs(self: Arc<Self>) {
+        let terms = FollowTerms {
+            part: self.settings.topics.jobs.clone(),
+            wait: Duration::ZERO,
+            period: JOB_PERIOD,
+        };
+        let mut reader = RecordReader::default();
+        let take = move |node: &Self, batch: FollowBatch<'_>| {
+            if let FollowBatch::Whole(_) = batch {
+                reader = RecordReader::default();
+            }
+            for placed in batch.records() {
+                match reader.push(placed) {
+                    None => {}
+                    Some(Ok(record)) => node.apply_record(record, placed.offset),
+                    Some(Err(error)) => {
+                        warn!(node.parts.logger, "record left out";
+                            "offset" => placed.offset, "cause" => %error);
+                    }
+                }
+            }
+            if !batch.records().is_empty() {
+                node.batch_now.notify_one();
+                node.results.send_modify(|count| *count += 1);
+            }
+        };
+        follow(self, terms, take).await;
+    }
+
+    fn apply_record(&self, record: JobRecord, offset: u64) {
+        let job = record.job().clone();
+        let kind = match &record {
+            JobRecord::Accepted(_) => "accepted",
+            JobRecord::Settled { .. } => "settled",
+            JobRecord::Progress { .. } => "progress",
+            JobRecord::Ended { .. } => "ended",
+        };
+        let change = self.lock().ledger.apply(record);
+        slog::debug!(self.parts.logger, "job record"; "job" => &*job, "kind" => kind,
+            "offset" => offset, "change" => ?change);
+    }
+}
+
+/// Counts one request in progress at an endpoint until dropped.
+pub(crate) struct RunGuard {
+    node: Arc<SwitchNode>,
+    endpoint: Arc<str>,
+    class: RunClass,
+}
+
+impl RunGuard {
+    /// Counts a request at `endpoint` in `state`, which belongs to `node`.
+    pub(crate) fn begin(
+        node: &Arc<SwitchNode>,
+        state: &mut SwitchState,
+        endpoint: &ListedEndpoint,
+        class: RunClass,
+    ) -> Self {
+        state.load.begin(&endpoint.id, class);
+        if class == RunClass::Online && state.load.total(&endpoint.id).total() > endpoint.slots {
+            // Batch items have to give way: the hosts that run them learn of it at once.
+            node.beat_now.notify_one();
+            node.batch_now.notify_one();
+        }
+        Self {
+            node: node.clone(),
+            endpoint: endpoint.id.clone(),
+            class,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.node.lock().load.finish(&self.endpoint, self.class);
+    }
+}
+
+/// How a partition is followed.
+pub(crate) struct FollowTerms {
+    part: LogPart,
+    wait: Duration,
+    period: Duration,
+}
+
+/// What following a partition brought.
+#[derive(Clone, Copy)]
+pub(crate) enum FollowBatch<'a> {
+    /// The log does not answer.
+    Lost,
+    /// The newest record of every key.
+    Whole(&'a [PlacedRecord]),
+    /// The next records.
+    Next(&'a [PlacedRecord]),
+}
+
+impl<'a> FollowBatch<'a> {
+    /// The records.
+    pub(crate) fn records(self) -> &'a [PlacedRecord] {
+        match self {
+            Self::Lost => &[],
+            Self::Whole(records) | Self::Next(records) => records,
+        }
+    }
+}
+
+/// Follows a partition: the newest record of each key first, then its tail. Starts again with the newest
+/// records where the tail has expired.
+async fn follow<F>(node: Arc<SwitchNode>, terms: FollowTerms, mut take: F)
+where
+    F: FnMut(&SwitchNode, FollowBatch<'_>) + Send,
+{
+    let is_jobs = terms.part == node.settings.topics.jobs;
+    let mut next = None;
+    let mut pause = RETRY_FIRST;
+    let mut lost = false;
+    loop {
+        let begun = Instant::now();
+        let page = match next {
+            None => node.parts.log.newest(&terms.part).await,
+            Some(from) => node.parts.log.read(&terms.part, from, terms.wait).await,
+        };
+        match page {
+            Ok(page) => {
+                if lost {
+                    info!(node.parts.logger, "log regained"; "topic" => &*terms.part.topic);
+                }
+                (lost, pause) = (false, RETRY_FIRST);
+                match next {
+                    None => take(&node, FollowBatch::Whole(&page.records)),
+                    Some(_) => take(&node, FollowBatch::Next(&page.records)),
+                }
+                next = Some(page.next);
+                if page.next < page.end {
+                    continue;
+                }
+                if is_jobs {
+                    node.synced.send_replace(Some(begun));
+                    // A reader that waits for a newer state asks for the next read.
+                    let _ = timeout(terms.period, node.tail_now.notified()).await;
+                } else if !terms.period.is_zero() {
+                    sleep(terms.period).await;
+                }
+            }
+            Err(ReadError::Expired { first }) => {
+                info!(node.parts.logger, "tail expired"; "topic" => &*terms.part.topic,
+                    "from" => next, "first" => first);
+                next = None;
+            }
+            Err(ReadError::Unavailable { cause }) => {
+                if !lost {
+                    warn!(node.parts.logger, "log lost"; "topic" => &*terms.part.topic,
+                        "cause" => &*cause);
+                }
+                lost = true;
+                take(&node, FollowBatch::Lost);
+                let jitter = node.lock().rng.random_range(0.5..1.0);
+                sleep(pause.mul_f64(jitter)).await;
+                pause = (pause * 2).min(RETRY_LONGEST);
+            }
+        }
+    }
+}
+
+/// The host's clock in milliseconds since the Unix epoch; takes part in due times only.
+#[must_use]
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    // A clock before 1970 counts as 1970: due times are then all in the future.
+    since.map_or(0, millis)
+}
+
+/// A time span in whole milliseconds.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/switch/src/online.rs
@@ -0,0 +1,476 @@
+//! Online requests: picks an endpoint, sends, tries another where that is allowed, and passes the answer on.
+
+use crate::endpoint::ListedEndpoint;
+use crate::events::EventSplitter;
+use crate::link::{CallError, CallTerms, EndpointAnswer, EndpointCall};
+use crate::load::{EndpointPick, RunClass};
+use crate::node::{RunGuard, SwitchNode, millis};
+use crate::route::{RouteKind, ServiceRoute};
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::{self, BoxStream};
+use rand::Rng;
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Most endpoints that are asked for one request, those that refused it included.
+const MOST_SENDS: u32 = 4;
+/// Silence of an endpoint after which an idempotent request is sent to another one: well under the two
+/// seconds after which callers abandon a stream.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Pause named to callers when no endpoint is known.
+const MISSING_RETRY: Duration = Duration::from_millis(500);
+/// Least time left in which a request is still sent.
+const LEAST_REMAINING: Duration = Duration::from_millis(20);
+
+/// An online request.
+pub struct OnlineRequest {
+    /// What the endpoint is asked.
+    pub call: EndpointCall,
+    /// Its route.
+    pub route: Arc<ServiceRoute>,
+    /// Number of the last event that the caller has.
+    pub resume_after: Option<u64>,
+    /// When the caller or the route gives up.
+    pub deadline: Instant,
+}
+
+/// How an online request ended, or goes on.
+pub enum OnlineReply {
+    /// An endpoint answers.
+    Answer(EndpointAnswer),
+    /// It did not run and never will.
+    Rejected {
+        /// When to try again.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    Failed,
+    /// The time was over; it may have run.
+    TimedOut,
+}
+
+impl SwitchNode {
+    /// Serves an online request.
+    pub async fn serve_online(self: &Arc<Self>, request: OnlineRequest) -> OnlineReply {
+        let count = OnlineCount::begin(self);
+        let mut attempt = OnlineAttempt {
+            node: self.clone(),
+            request,
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+            begun: Instant::now(),
+            _count: count,
+        };
+        match attempt.first_answer().await {
+            Ok((answer, guard, endpoint)) => {
+                OnlineReply::Answer(attempt.pass_on(answer, guard, endpoint))
+            }
+            Err(reply) => {
+                attempt.log_end(&reply);
+                reply
+            }
+        }
+    }
+}
+
+/// Counts requests in progress, so that a host that stops can wait for them.
+struct OnlineCount(Arc<SwitchNode>);
+
+impl OnlineCount {
+    fn begin(node: &Arc<SwitchNode>) -> Self {
+        node.lock().online += 1;
+        Self(node.clone())
+    }
+}
+
+impl Drop for OnlineCount {
+    fn drop(&mut self) {
+        self.0.lock().online -= 1;
+    }
+}
+
+type Opened = (EndpointAnswer, RunGuard, Arc<ListedEndpoint>);
+
+struct OnlineAttempt {
+    node: Arc<SwitchNode>,
+    request: OnlineRequest,
+    tried: Vec<Arc<str>>,
+    sends: u32,
+    runs: u32,
+    begun: Instant,
+    _count: OnlineCount,
+}
+
+impl OnlineAttempt {
+    async fn first_answer(&mut self) -> Result<Opened, OnlineReply> {
+        loop {
+            let (endpoint, guard) = self.pick()?;
+            let opened = self.open(&endpoint, self.request.resume_after).await;
+            match opened {
+                Ok(answer) => {
+                    let status = answer.status;
+                    let may_repeat = status.is_server_error() && self.may_run_again();
+                    if !may_repeat {
+                        return Ok((answer, guard, endpoint));
+                    }
+                    self.note_failure(&endpoint, "answered with a failure");
+                }
+                Err(error) => self.note_error(&endpoint, &error)?,
+            }
+        }
+    }
+
+    /// Picks an endpoint and counts the request there.
+    fn pick(&mut self) -> Result<(Arc<ListedEndpoint>, RunGuard), OnlineReply> {
+        let now = Instant::now();
+        let left = self.request.deadline.saturating_duration_since(now);
+        if left < LEAST_REMAINING {
+            return Err(self.out_of_time());
+        }
+        if self.sends >= MOST_SENDS {
+            return Err(self.give_up(MISSING_RETRY));
+        }
+        let mut state = self.node.lock();
+        let state = &mut *state;
+        let draw = state.rng.random::<f64>();
+        let Some(service) = self.request.route.pick_service(draw) else {
+            return Err(self.give_up(MISSING_RETRY));
+        };
+        let patience = self.patience(now);
+        let pick = state.load.pick_online(
+            &state.endpoints,
+            service,
+            &self.tried,
+            patience,
+            now,
+            &mut state.rng,
+        );
+        match pick {
+            EndpointPick::Use(endpoint) => {
+                let guard = RunGuard::begin(&self.node, state, &endpoint, RunClass::Online);
+                self.sends += 1;
+                Ok((endpoint, guard))
+            }
+            EndpointPick::Full { retry_after } => Err(self.give_up(retry_after)),
+            EndpointPick::Missing => Err(self.give_up(MISSING_RETRY)),
+        }
+    }
+
+    /// Time that the request may wait at an endpoint for its first token.
+    fn patience(&self, now: Instant) -> Duration {
+        let target = self.request.route.latency_target;
+        let left = self.request.deadline.saturating_duration_since(now);
+        if target.is_zero() { left } else { target.min(left) }
+    }
+
+    async fn open(
+        &self,
+        endpoint: &ListedEndpoint,
+        resume_after: Option<u64>,
+    ) -> Result<EndpointAnswer, CallError> {
+        let now = Instant::now();
+        let deadline = self.request.deadline;
+        let terms = CallTerms {
+            remaining: deadline.saturating_duration_since(now),
+            resume_after,
+        };
+        let limit = if self.may_run_again_after_this() {
+            deadline.min(now + SILENCE_LIMIT)
+        } else {
+            deadline
+        };
+        let call = self.node.parts.link.call(endpoint, &self.request.call, terms);
+        match timeout_at(limit, call).await {
+            Ok(opened) => opened,
+            Err(_) => Err(CallError::Broken {
+                cause: "no answer in time".into(),
+            }),
+        }
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.request.route.is_idempotent()
+            && self.runs + 1 < self.request.route.attempts
+            && self.sends < MOST_SENDS
+    }
+
+    fn may_run_again_after_this(&self) -> bool {
+        self.may_run_again()
+    }
+
+    fn note_error(&mut self, endpoint: &ListedEndpoint, error: &CallError) -> Result<(), OnlineReply> {
+        let now = Instant::now();
+        info!(self.node.parts.logger, "attempt failed"; "request" => &*self.request.call.id,
+            "endpoint" => &*endpoint.id, "send" => self.sends, "cause" => %error,
+            "after_ms" => millis(self.begun.elapsed()));
+        self.tried.push(endpoint.id.clone());
+        match error {
+            CallError::NotSent { .. } => {
+                self.node.lock().load.note_failure(&endpoint.id, now);
+                Ok(())
+            }
+            CallError::NotRun { misdirected, .. } => {
+                let mut state = self.node.lock();
+                if *misdirected {
+                    state.load.note_failure(&endpoint.id, now);
+                } else {
+                    state.load.note_full(&endpoint.id, now);
+                }
+                Ok(())
+            }
+            CallError::Broken { .. } => {
+                self.node.lock().load.note_failure(&endpoint.id, now);
+                let again = self.may_run_again();
+                self.runs += 1;
+                if again {
+                    Ok(())
+                } else if self.request.deadline <= now + LEAST_REMAINING {
+                    Err(OnlineReply::TimedOut)
+                } else {
+                    Err(OnlineReply::Failed)
+                }
+            }
+        }
+    }
+
+    fn note_failure(&mut self, endpoint: &ListedEndpoint, cause: &str) {
+        info!(self.node.parts.logger, "attempt failed"; "request" => &*self.request.call.id,
+            "endpoint" => &*endpoint.id, "send" => self.sends, "cause" => cause);
+        self.runs += 1;
+        self.tried.push(endpoint.id.clone());
+    }
+
+    fn give_up(&self, retry_after: Duration) -> OnlineReply {
+        if self.runs == 0 {
+            OnlineReply::Rejected { retry_after }
+        } else {
+            OnlineReply::Failed
+        }
+    }
+
+    fn out_of_time(&self) -> OnlineReply {
+        if self.runs == 0 {
+            OnlineReply::Rejected {
+                retry_after: MISSING_RETRY,
+            }
+        } else {
+            OnlineReply::TimedOut
+        }
+    }
+
+    fn log_end(&self, reply: &OnlineReply) {
+        let (outcome, retry_ms) = match reply {
+            OnlineReply::Answer(_) => ("answered", None),
+            OnlineReply::Rejected { retry_after } => ("rejected", Some(millis(*retry_after))),
+            OnlineReply::Failed => ("failed", None),
+            OnlineReply::TimedOut => ("timed out", None),
+        };
+        info!(self.node.parts.logger, "request ended"; "request" => &*self.request.call.id,
+            "outcome" => outcome, "retry_ms" => retry_ms, "sends" => self.sends, "runs" => self.runs,
+            "after_ms" => millis(self.begun.elapsed()));
+    }
+
+    fn pass_on(
+        self,
+        answer: EndpointAnswer,
+        guard: RunGuard,
+        endpoint: Arc<ListedEndpoint>,
+    ) -> EndpointAnswer {
+        let resumable = self.request.route.kind == RouteKind::Stream
+            && self.request.route.resumable
+            && answer.status.is_success();
+        let pass = PassedAnswer {
+            last_event: self.request.resume_after,
+            attempt: self,
+            endpoint,
+            body: Some(answer.body),
+            guard: Some(guard),
+            splitter: EventSplitter::default(),
+            resumable,
+            ended: false,
+            first: None,
+        };
+        let body = stream::unfold(pass, |mut pass| async move {
+            let item = pass.next_chunk().await?;
+            Some((item, pass))
+        });
+        EndpointAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: body.boxed(),
+        }
+    }
+}
+
+/// The body of an answer on its way to the caller.
+struct PassedAnswer {
+    attempt: OnlineAttempt,
+    endpoint: Arc<ListedEndpoint>,
+    body: Option<BoxStream<'static, Result<Bytes, CallError>>>,
+    guard: Option<RunGuard>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    resumable: bool,
+    ended: bool,
+    first: Option<Duration>,
+}
+
+impl PassedAnswer {
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, CallError>> {
+        if self.ended {
+            return None;
+        }
+        if !self.resumable {
+            let deadline = self.attempt.request.deadline;
+            return self.next_raw(deadline).await;
+        }
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                if let (Some(id), Some(last)) = (event.id, self.last_event)
+                    && id != last + 1
+                {
+                    self.splitter.clear();
+                    if let Err(error) = self.resume("events are missing").await {
+                        return Some(self.broken(error));
+                    }
+                    continue;
+                }
+                self.last_event = event.id.or(self.last_event);
+                return Some(Ok(event.bytes));
+            }
+            let limit = self.silence_limit();
+            match self.next_raw(limit).await {
+                Some(Ok(chunk)) => {
+                    if !self.splitter.push(&chunk) {
+                        let error = broken("an event is over 1 MiB");
+                        return Some(self.broken(error));
+                    }
+                }
+                None if !self.splitter.has_rest() => return None,
+                other => {
+                    self.ended = false;
+                    let cause = match other {
+                        Some(Err(error)) => error.to_string(),
+                        _ => "the last event is not whole".to_owned(),
+                    };
+                    self.splitter.clear();
+                    if let Err(error) = self.resume(&cause).await {
+                        return Some(self.broken(error));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Silence after which the answer goes on at another endpoint.
+    fn silence_limit(&self) -> Instant {
+        let deadline = self.attempt.request.deadline;
+        if self.attempt.may_run_again() {
+            deadline.min(Instant::now() + SILENCE_LIMIT)
+        } else {
+            deadline
+        }
+    }
+
+    async fn next_raw(&mut self, limit: Instant) -> Option<Result<Bytes, CallError>> {
+        let body = self.body.as_mut()?;
+        let next = timeout_at(limit, body.next()).await;
+        let chunk = match next {
+            Ok(Some(Ok(chunk))) => {
+                if self.first.is_none() {
+                    self.first = Some(self.attempt.begun.elapsed());
+                }
+                return Some(Ok(chunk));
+            }
+            Ok(None) => {
+                if !(self.resumable && self.splitter.has_rest()) {
+                    self.finish("answered");
+                }
+                None
+            }
+            Ok(Some(Err(error))) => Some(Err(error)),
+            Err(_) => Some(Err(broken("the endpoint fell silent"))),
+        };
+        if let Some(Err(error)) = &chunk
+            && !self.resumable
+        {
+            let error = error.clone();
+            return Some(self.broken(error));
+        }
+        chunk
+    }
+
+    /// Goes on at another endpoint behind the last whole event.
+    async fn resume(&mut self, cause: &str) -> Result<(), CallError> {
+        self.body = None;
+        self.guard = None;
+        let error = broken(cause);
+        let mut noted = self.attempt.note_error(&self.endpoint, &error);
+        loop {
+            if noted.is_err() {
+                return Err(error);
+            }
+            let Ok((endpoint, guard)) = self.attempt.pick() else {
+                return Err(error);
+            };
+            match self.attempt.open(&endpoint, self.last_event).await {
+                Ok(answer) if answer.status.is_success() => {
+                    info!(self.attempt.node.parts.logger, "answer resumed";
+                        "request" => &*self.attempt.request.call.id,
+                        "endpoint" => &*endpoint.id, "after_event" => self.last_event);
+                    self.body = Some(answer.body);
+                    self.guard = Some(guard);
+                    self.endpoint = endpoint;
+                    return Ok(());
+                }
+                Ok(answer) => {
+                    let error = broken(&format!("resuming was answered {}", answer.status));
+                    noted = self.attempt.note_error(&endpoint, &error);
+                }
+                Err(error) => noted = self.attempt.note_error(&endpoint, &error),
+            }
+        }
+    }
+
+    fn finish(&mut self, outcome: &'static str) {
+        self.ended = true;
+        self.body = None;
+        self.guard = None;
+        let attempt = &self.attempt;
+        let took = attempt.begun.elapsed();
+        if outcome == "answered" {
+            let mut state = attempt.node.lock();
+            state.load.note_run(took);
+            state.load.note_success(&self.endpoint.id);
+        }
+        info!(attempt.node.parts.logger, "request ended"; "request" => &*attempt.request.call.id,
+            "outcome" => outcome, "endpoint" => &*self.endpoint.id, "sends" => attempt.sends,
+            "first_ms" => self.first.map(millis), "after_ms" => millis(took));
+    }
+
+    fn broken(&mut self, error: CallError) -> Result<Bytes, CallError> {
+        if !self.ended {
+            let now = Instant::now();
+            let late = self.attempt.request.deadline <= now + LEAST_REMAINING;
+            if !late {
+                let mut state = self.attempt.node.lock();
+                state.load.note_failure(&self.endpoint.id, now);
+            }
+            info!(self.attempt.node.parts.logger, "answer broke off";
+                "request" => &*self.attempt.request.call.id, "cause" => %error,
+                "at_deadline" => late);
+            self.finish("broken off");
+        }
+        Err(error)
+    }
+}
+
+fn broken(cause: &str) -> CallError {
+    CallError::Broken {
+        cause: cause.into(),
+    }
+}
--- /dev/null
+++ b/crates/switch/src/record.rs
@@ -0,0 +1,218 @@
+//! Records of jobs on the log.
+//!
+//! A record is split into frames that fit the log's records. Every frame has a key of its own that is never
+//! used again, so that the log keeps all of them, and readers that start from the newest record of each key
+//! see the same records in the same order as those that follow the tail.
+
+use crate::link::{KeyedRecord, PlacedRecord};
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Version of the records' encoding.
+const SCHEMA: u8 = 1;
+/// Most bytes of a frame; the log takes records of 256 KiB.
+const FRAME_BYTES: usize = 200_000;
+
+/// One item of an accepted job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedItem {
+    /// Identity of the item, under which it runs.
+    pub id: Arc<str>,
+    /// Path of the request.
+    pub path: Arc<str>,
+    /// Headers of the request.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Tokens of the prompt and the answer.
+    pub tokens: u64,
+}
+
+/// A job that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedJob {
+    /// Identity of the job.
+    pub job: Arc<str>,
+    /// Host name of its route.
+    pub host: Arc<str>,
+    /// Path prefix of its route.
+    pub path_prefix: Arc<str>,
+    /// Host that accepted it.
+    pub accepted_by: Arc<str>,
+    /// When, in milliseconds since the Unix epoch.
+    pub accepted_ms: u64,
+    /// Its items.
+    pub items: Vec<AcceptedItem>,
+}
+
+/// Where the text of a completed item stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextPlace {
+    /// Offset of the first frame.
+    pub offset: u64,
+    /// Number that makes the keys of its frames.
+    pub number: u64,
+    /// How many frames it has.
+    pub frames: u32,
+    /// Bytes of the text.
+    pub bytes: u32,
+}
+
+/// How an item ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemOutcome {
+    /// Its whole output stands at a place.
+    Completed(TextPlace),
+    /// It cannot be done.
+    Dead,
+}
+
+/// One fact about a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobRecord {
+    /// A job was accepted.
+    Accepted(AcceptedJob),
+    /// An item ended.
+    Settled {
+        /// Identity of the job.
+        job: Arc<str>,
+        /// Index of the item in the job.
+        item: u32,
+        /// How it ended.
+        outcome: ItemOutcome,
+    },
+    /// A part of an item's output, left by a host that stops.
+    Progress {
+        /// Identity of the job.
+        job: Arc<str>,
+        /// Index of the item in the job.
+        item: u32,
+        /// Number of the last event in the text.
+        last_event: u64,
+        /// The text so far.
+        text: Bytes,
+    },
+    /// The job was ended by its caller.
+    Ended {
+        /// Identity of the job.
+        job: Arc<str>,
+    },
+}
+
+/// Errors of a record that stands on the log.
+#[derive(Debug, Snafu)]
+pub enum RecordError {
+    /// The record has another schema.
+    #[snafu(display("record of schema {schema}; run a host that knows it"))]
+    Schema {
+        /// Schema of the record.
+        schema: u8,
+    },
+    /// The bytes cannot be read.
+    #[snafu(display("record cannot be decoded ({source}); it is left out"))]
+    Decode {
+        /// What the codec says.
+        source: postcard::Error,
+    },
+}
+
+impl JobRecord {
+    /// Identity of the job.
+    #[must_use]
+    pub fn job(&self) -> &Arc<str> {
+        match self {
+            Self::Accepted(accepted) => &accepted.job,
+            Self::Settled { job, .. } | Self::Progress { job, .. } | Self::Ended { job } => job,
+        }
+    }
+
+    /// Encodes the record into frames under keys made of `number`, which must be unique.
+    ///
+    /// # Errors
+    /// Returns the codec's error.
+    pub fn encode(&self, number: u64) -> Result<Vec<KeyedRecord>, postcard::Error> {
+        let mut bytes = vec![SCHEMA];
+        bytes.extend(postcard::to_stdvec(self)?);
+        let hash = xxh3_64(self.job().as_bytes());
+        Ok(split_frames(&format!("j/{hash:016x}/{number:016x}"), &bytes))
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        match bytes.split_first() {
+            Some((&SCHEMA, rest)) => {
+                postcard::from_bytes(rest).map_err(|source| RecordError::Decode { source })
+            }
+            first => Err(RecordError::Schema {
+                schema: first.map_or(0, |(schema, _)| *schema),
+            }),
+        }
+    }
+}
+
+/// Key prefix of a text's frames.
+#[must_use]
+pub fn text_key(number: u64) -> String {
+    format!("t/{number:016x}")
+}
+
+/// Splits bytes into frames under keys that begin with `prefix`.
+#[must_use]
+pub fn split_frames(prefix: &str, bytes: &[u8]) -> Vec<KeyedRecord> {
+    let count = bytes.len().div_ceil(FRAME_BYTES).max(1);
+    (0..count)
+        .map(|index| {
+            let end = bytes.len().min((index + 1) * FRAME_BYTES);
+            let mut value = BytesMut::with_capacity(1 + end - index * FRAME_BYTES);
+            value.put_u8(u8::from(index + 1 == count));
+            value.put_slice(&bytes[index * FRAME_BYTES..end]);
+            KeyedRecord {
+                key: format!("{prefix}/{index:04}").into(),
+                value: value.freeze(),
+            }
+        })
+        .collect()
+}
+
+/// Puts frames together.
+#[derive(Debug, Default)]
+pub struct FrameAssembler {
+    parts: Vec<(Bytes, BytesMut)>,
+}
+
+impl FrameAssembler {
+    /// Adds a frame; returns the whole bytes with the last one.
+    pub fn push(&mut self, record: &KeyedRecord) -> Option<Bytes> {
+        let (&last, payload) = record.value.split_first()?;
+        let cut = record.key.iter().rposition(|byte| *byte == b'/')?;
+        let prefix = record.key.slice(..cut);
+        let index = match self.parts.binary_search_by(|(key, _)| key.cmp(&prefix)) {
+            Ok(index) => index,
+            Err(_) if last == 1 && record.key.ends_with(b"/0000") => {
+                return Some(record.value.slice(1..));
+            }
+            Err(index) => {
+                self.parts.insert(index, (prefix, BytesMut::new()));
+                index
+            }
+        };
+        self.parts[index].1.extend_from_slice(payload);
+        (last == 1).then(|| self.parts.remove(index).1.freeze())
+    }
+}
+
+/// Reads records of jobs from placed records.
+#[derive(Debug, Default)]
+pub struct RecordReader {
+    frames: FrameAssembler,
+}
+
+impl RecordReader {
+    /// Adds a placed record; returns a whole one, with the error of one that cannot be read.
+    pub fn push(&mut self, placed: &PlacedRecord) -> Option<Result<JobRecord, RecordError>> {
+        let bytes = self.frames.push(&placed.record)?;
+        Some(JobRecord::decode(&bytes))
+    }
+}
--- /dev/null
+++ b/crates/switch/src/schedule.rs
@@ -0,0 +1,121 @@
+//! Which batch items run next, and how many may start.
+
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before an item that failed runs again; doubles with each failure.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause before an item runs again.
+const RETRY_LONGEST: Duration = Duration::from_secs(2);
+
+/// Names an item.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ItemName {
+    /// Identity of the job.
+    pub job: Arc<str>,
+    /// Index of the item.
+    pub item: u32,
+}
+
+/// An item that could run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingItem {
+    /// The item.
+    pub name: ItemName,
+    /// When it is due, in milliseconds since the Unix epoch.
+    pub due_ms: u64,
+    /// Whether a part of its output is there.
+    pub begun: bool,
+}
+
+/// What this host knows of an item beyond the log.
+#[derive(Clone, Debug)]
+struct ItemHistory {
+    name: ItemName,
+    failures: u32,
+    breaks: u32,
+    not_before: Option<Instant>,
+}
+
+/// Failures of items at this host.
+#[derive(Clone, Debug, Default)]
+pub struct ItemHistories {
+    entries: Vec<ItemHistory>,
+}
+
+impl ItemHistories {
+    /// Notes that an item's run ended with a failure of the item. Returns the number of failures.
+    pub fn note_failure(&mut self, name: &ItemName, now: Instant) -> u32 {
+        let entry = self.entry(name);
+        entry.failures += 1;
+        entry.not_before = Some(now + pause(entry.failures));
+        entry.failures
+    }
+
+    /// Notes that an item's run broke off, which is not the item's fault.
+    pub fn note_break(&mut self, name: &ItemName, now: Instant) {
+        let entry = self.entry(name);
+        entry.breaks += 1;
+        entry.not_before = Some(now + pause(entry.breaks));
+    }
+
+    /// Whether an item may run.
+    #[must_use]
+    pub fn may_run(&self, name: &ItemName, now: Instant) -> bool {
+        match self.entries.binary_search_by(|entry| entry.name.cmp(name)) {
+            Ok(index) => self.entries[index]
+                .not_before
+                .is_none_or(|instant| instant <= now),
+            Err(_) => true,
+        }
+    }
+
+    /// Forgets an item.
+    pub fn forget(&mut self, name: &ItemName) {
+        if let Ok(index) = self.entries.binary_search_by(|entry| entry.name.cmp(name)) {
+            self.entries.remove(index);
+        }
+    }
+
+    fn entry(&mut self, name: &ItemName) -> &mut ItemHistory {
+        let index = match self.entries.binary_search_by(|entry| entry.name.cmp(name)) {
+            Ok(index) => index,
+            Err(index) => {
+                let entry = ItemHistory {
+                    name: name.clone(),
+                    failures: 0,
+                    breaks: 0,
+                    not_before: None,
+                };
+                self.entries.insert(index, entry);
+                index
+            }
+        };
+        &mut self.entries[index]
+    }
+}
+
+fn pause(count: u32) -> Duration {
+    (RETRY_FIRST * 2_u32.pow(count.min(6) - 1)).min(RETRY_LONGEST)
+}
+
+/// Puts items in the order in which they run: by due time, begun ones first.
+pub fn order_items(items: &mut [WaitingItem]) {
+    items.sort_by(|a, b| {
+        (a.due_ms, !a.begun, &a.name).cmp(&(b.due_ms, !b.begun, &b.name))
+    });
+}
+
+/// How many items one of `hosts` hosts may start at once into `free` slots, so that hosts which see the same
+/// free slots do not all fill them.
+///
+/// ```
+/// assert_eq!(fulmarswitch_switch::schedule::start_share(18, 9), 2);
+/// assert_eq!(fulmarswitch_switch::schedule::start_share(1, 9), 1);
+/// assert_eq!(fulmarswitch_switch::schedule::start_share(0, 9), 0);
+/// ```
+#[must_use]
+pub fn start_share(free: u32, hosts: u32) -> u32 {
+    free.div_ceil(hosts.max(1))
+}
