--- a/crates/switch/src/batch.rs
+++ b/crates/switch/src/batch.rs
@@ -122,6 +122,7 @@
         if excess == 0 {
             continue;
         }
+        state.load.note_gave_way(&id, Instant::now());
         let here = |running: &&mut RunningItem| running.endpoint == id;
         let cancelled = state
             .running
@@ -171,7 +172,7 @@
         let index = match shares.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let free = state.load.free_slots(&state.endpoints, service, RESERVE);
+                let free = state.load.free_slots(&state.endpoints, service, RESERVE, now);
                 shares.insert(index, (service.clone(), start_share(free, hosts)));
                 index
             }
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -142,6 +142,13 @@
             .filter(move |endpoint| &*endpoint.service == service && !endpoint.draining)
     }
 
+    /// Returns all endpoints that take new work, of any service.
+    #[must_use]
+    pub fn all_serving(&self) -> Vec<Arc<ListedEndpoint>> {
+        let endpoints = self.entries.iter().map(|entry| entry.endpoint.clone());
+        endpoints.filter(|endpoint| !endpoint.draining).collect()
+    }
+
     /// Number of endpoints.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -3,10 +3,11 @@
 //! Beats are datagrams; one that is lost is made good by the next. The log is only needed to find the first
 //! other host: beats carry the cards of hosts in turn.
 
+use crate::homes::pick_homes;
+use crate::link::{AppendError, KeyedRecord};
 use crate::load::LoadReport;
 use crate::members::{HostCard, MemberChange};
-use crate::node::{FollowBatch, SwitchNode, millis};
-use crate::link::{AppendError, KeyedRecord};
+use crate::node::{FollowBatch, SwitchNode, SwitchState, millis};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::sync::Arc;
@@ -108,6 +109,7 @@
             info!(node.parts.logger, "host lost"; "host" => &*name);
             state.load.take_report(&name, Vec::new());
         }
+        choose_homes(node, &mut state, now);
         let cards: Vec<_> = state.members.all().map(|entry| &entry.card).collect();
         let also = (!cards.is_empty()).then(|| cards[turn % cards.len()].clone());
         let targets: Vec<_> = cards.iter().map(|card| card.peer_address).collect();
@@ -134,6 +136,15 @@
     period
 }
 
+fn choose_homes(node: &SwitchNode, state: &mut SwitchState, now: Instant) {
+    let own = &node.settings.card;
+    let mut hosts = vec![(own.name.clone(), own.domain.clone())];
+    let others = state.members.alive(now).filter(|entry| entry.ready);
+    hosts.extend(others.map(|entry| (entry.card.name.clone(), entry.card.domain.clone())));
+    let homes = pick_homes(&own.name, &hosts, &state.endpoints.all_serving());
+    state.load.set_homes(homes);
+}
+
 async fn receive_beats(node: Arc<SwitchNode>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; BEAT_BYTES];
     loop {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,13 +6,14 @@
 //! owner has to be asked and no lock is held. Hosts tell each other their load by datagrams.
 //!
 //! The traits in [`link`] are the borders: what speaks to a concrete store or endpoint implements them.
-//! The modules [`route`], [`endpoint`], [`load`], [`ledger`], [`schedule`], [`members`] and [`events`] are
+//! The modules [`route`], [`endpoint`], [`load`], [`homes`], [`ledger`], [`schedule`], [`members`] and [`events`] are
 //! pure: input and time in, decisions out.
 
 pub mod batch;
 pub mod endpoint;
 pub mod events;
 pub mod gossip;
+pub mod homes;
 pub mod jobs;
 pub mod ledger;
 pub mod link;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -19,6 +19,10 @@
 const FULL_TIME: Duration = Duration::from_millis(150);
 /// Run time of a request before any has been measured.
 const INITIAL_RUN: Duration = Duration::from_millis(700);
+/// Cost, in requests, of an endpoint that is not a home: what another host's choice between two beats may add.
+const AWAY_COST: f64 = 1.5;
+/// Time for which no batch item starts at an endpoint where one has just given way.
+const GAVE_WAY_TIME: Duration = Duration::from_millis(300);
 /// Weight of a new measurement in the mean run time.
 const RUN_WEIGHT: f64 = 0.05;
 
@@ -94,6 +98,7 @@
     failures: u32,
     avoid_until: Option<Instant>,
     full_until: Option<Instant>,
+    gave_way_until: Option<Instant>,
 }
 
 /// The load of all endpoints as this host knows it.
@@ -102,6 +107,7 @@
     entries: Vec<(EndpointKey, LoadEntry)>,
     reports: Vec<(Arc<str>, LoadReport)>,
     mean_run: Duration,
+    homes: Vec<Arc<str>>,
 }
 
 /// Outcome of a choice.
@@ -124,6 +130,7 @@
             entries: Vec::new(),
             reports: Vec::new(),
             mean_run: INITIAL_RUN,
+            homes: Vec::new(),
         }
     }
 }
@@ -170,6 +177,16 @@
         self.entry(EndpointKey::of(id)).full_until = Some(now + FULL_TIME);
     }
 
+    /// Notes that a batch item gave way at an endpoint.
+    pub fn note_gave_way(&mut self, id: &str, now: Instant) {
+        self.entry(EndpointKey::of(id)).gave_way_until = Some(now + GAVE_WAY_TIME);
+    }
+
+    /// Takes the endpoints that this host uses first, sorted.
+    pub fn set_homes(&mut self, homes: Vec<Arc<str>>) {
+        self.homes = homes;
+    }
+
     /// Forgets endpoints that are gone.
     pub fn forget(&mut self, id: &str) {
         let key = EndpointKey::of(id);
@@ -288,10 +305,12 @@
             .serving(service)
             .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
             .filter(|endpoint| !self.is_full(&endpoint.id, now))
+            .filter(|endpoint| !self.gave_way(&endpoint.id, now))
             .filter(|endpoint| self.total(&endpoint.id).total() + reserve < endpoint.slots)
             .map(|endpoint| {
                 let total = f64::from(self.total(&endpoint.id).total());
-                (total + 2.0 * rng.random::<f64>(), endpoint)
+                let away = self.away_cost(&endpoint.id);
+                (total + away + rng.random::<f64>(), endpoint)
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, endpoint)| endpoint.clone())
@@ -299,9 +318,16 @@
 
     /// Slots of a service that batch items may take.
     #[must_use]
-    pub fn free_slots(&self, table: &EndpointTable, service: &str, reserve: u32) -> u32 {
+    pub fn free_slots(
+        &self,
+        table: &EndpointTable,
+        service: &str,
+        reserve: u32,
+        now: Instant,
+    ) -> u32 {
         table
             .serving(service)
+            .filter(|endpoint| !self.gave_way(&endpoint.id, now))
             .map(|endpoint| {
                 let used = self.total(&endpoint.id).total() + reserve;
                 endpoint.slots.saturating_sub(used)
@@ -339,7 +365,18 @@
             // All places are taken: the fewer online requests, the more batch items can give way.
             f64::from(slots) + f64::from(counts.online)
         };
-        base + full + draw
+        base + full + draw + self.away_cost(&endpoint.id)
+    }
+
+    fn away_cost(&self, id: &str) -> f64 {
+        let is_home = self.homes.binary_search_by(|home| (**home).cmp(id)).is_ok();
+        if is_home { 0.0 } else { AWAY_COST }
+    }
+
+    fn gave_way(&self, id: &str, now: Instant) -> bool {
+        self.find(id)
+            .and_then(|entry| entry.gave_way_until)
+            .is_some_and(|until| until > now)
     }
 
     fn expected_wait(&self, endpoint: &ListedEndpoint) -> Duration {
