--- a/crates/switch/src/batch.rs
+++ b/crates/switch/src/batch.rs
@@ -3,7 +3,7 @@
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventSplitter;
 use crate::ledger::{ItemProgress, ItemState, LedgerJob};
-use crate::link::{AppendError, CallError, CallTerms, EndpointCall, KeyedRecord};
+use crate::link::{AppendError, CallError, CallTerms, EndpointCall, KeyedRecord, LogPart};
 use crate::load::RunClass;
 use crate::node::{RunGuard, RunningItem, SwitchNode, SwitchState, millis, wall_ms};
 use crate::record::{ItemOutcome, JobRecord, TextPlace, split_frames, text_key};
@@ -21,8 +21,6 @@
 
 /// Time between looks at what may start and what has to give way.
 const PLAN_PERIOD: Duration = Duration::from_millis(50);
-/// Slots of each endpoint that batch items leave free for online requests.
-const RESERVE: u32 = 1;
 /// Longest run of an item in one go.
 const RUN_LIMIT: Duration = Duration::from_secs(30);
 /// Silence of an endpoint after which an item goes on elsewhere.
@@ -45,8 +43,17 @@
 /// An outcome to be recorded.
 struct ItemEnd {
     name: ItemName,
-    /// Whole output of a completed item.
-    text: Option<Bytes>,
+    fact: ItemFact,
+}
+
+/// What is recorded of an item.
+enum ItemFact {
+    /// Its whole output.
+    Completed(Bytes),
+    /// It cannot be done.
+    Dead,
+    /// A run of it failed; it may run again.
+    Failed,
 }
 
 /// How a run ended.
@@ -172,7 +179,7 @@
         let index = match shares.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let free = state.load.free_slots(&state.endpoints, service, RESERVE, now);
+                let free = state.load.free_slots(&state.endpoints, service, now);
                 shares.insert(index, (service.clone(), start_share(free, hosts)));
                 index
             }
@@ -180,10 +187,8 @@
         if shares[index].1 == 0 {
             continue;
         }
-        let picked =
-            state
-                .load
-                .pick_batch(&state.endpoints, service, RESERVE, now, &mut state.rng);
+        let endpoints = &state.endpoints;
+        let picked = state.load.pick_batch(endpoints, service, now, &mut state.rng);
         let Some(endpoint) = picked else {
             continue;
         };
@@ -204,8 +209,14 @@
     let wall = wall_ms();
     let mut waiting = Vec::new();
     let mut dead = Vec::new();
+    // A host that has just started has not heard the others yet, and must not take their jobs over.
+    let knows_hosts = now.duration_since(node.started) > state.members.silence_limit() * 2;
     for job in state.ledger.open_jobs() {
-        let runner = state.members.runner(&job.id, &job.accepted_by, Some(own), now);
+        let accepted_here = &*job.accepted_by == own;
+        if !accepted_here && !knows_hosts {
+            continue;
+        }
+        let runner = state.members.runner(&job.id, &job.accepted_by, own, now);
         if runner != Some(own) {
             continue;
         }
@@ -236,7 +247,8 @@
         info!(node.parts.logger, "item given up"; "job" => &*name.job, "item" => name.item,
             "cause" => "its time or its route is over");
         state.settling.push(name.clone());
-        send_end(ends, ItemEnd { name, text: None });
+        let fact = ItemFact::Dead;
+        send_end(ends, ItemEnd { name, fact });
     }
     waiting
 }
@@ -375,8 +387,8 @@
                 state.load.note_success(&endpoint.id);
                 state.histories.forget(&name);
                 state.settling.push(name.clone());
-                let text = Some(progress.text.into());
-                send_end(&ends, ItemEnd { name, text });
+                let fact = ItemFact::Completed(progress.text.into());
+                send_end(&ends, ItemEnd { name, fact });
                 return;
             }
             RunEnd::Cancelled => false,
@@ -390,15 +402,18 @@
                 false
             }
             RunEnd::Failed => {
+                let fact = ItemFact::Failed;
+                send_end(&ends, ItemEnd { name: name.clone(), fact });
                 let failures = state.histories.note_failure(&name, now);
-                failures >= item_attempts(state, &name)
+                failures.max(recorded_failures(state, &name) + 1) >= item_attempts(state, &name)
             }
             RunEnd::Impossible => true,
         };
         if is_dead {
             state.histories.forget(&name);
             state.settling.push(name.clone());
-            send_end(&ends, ItemEnd { name, text: None });
+            let fact = ItemFact::Dead;
+            send_end(&ends, ItemEnd { name, fact });
         } else if progress.last_event.is_some() {
             state.progress.push((name, progress));
         }
@@ -461,6 +476,12 @@
     })
 }
 
+/// Failed runs of an item at all hosts, as far as the log tells.
+fn recorded_failures(state: &SwitchState, name: &ItemName) -> u32 {
+    let job = state.ledger.get(&name.job);
+    job.map_or(0, |job| job.items[name.item as usize].failures)
+}
+
 fn item_attempts(state: &SwitchState, name: &ItemName) -> u32 {
     let job = state.ledger.get(&name.job);
     let route = job.and_then(|job| state.routes.as_ref()?.find(&job.host, &job.path_prefix));
@@ -493,7 +514,10 @@
 }
 
 fn end_bytes(end: &ItemEnd) -> usize {
-    end.text.as_ref().map_or(0, Bytes::len)
+    match &end.fact {
+        ItemFact::Completed(text) => text.len(),
+        ItemFact::Dead | ItemFact::Failed => 0,
+    }
 }
 
 /// Writes the texts of completed items until the log takes them, and returns the records of their outcomes.
@@ -501,10 +525,15 @@
     let mut frames: Vec<KeyedRecord> = Vec::new();
     let mut records = Vec::new();
     for end in ends {
-        let outcome = match &end.text {
-            None => ItemOutcome::Dead,
-            Some(text) => {
-                let number = node.lock().rng.random();
+        let (job, item) = (end.name.job.clone(), end.name.item);
+        let outcome = match &end.fact {
+            ItemFact::Failed => {
+                records.push(JobRecord::Failed { job, item });
+                continue;
+            }
+            ItemFact::Dead => ItemOutcome::Dead,
+            ItemFact::Completed(text) => {
+                let number = node.lock().numbers.next_number();
                 let parts = split_frames(&text_key(number), text);
                 let place = TextPlace {
                     offset: frames.len() as u64,
@@ -517,14 +546,11 @@
                 ItemOutcome::Completed(place)
             }
         };
-        records.push(JobRecord::Settled {
-            job: end.name.job.clone(),
-            item: end.name.item,
-            outcome,
-        });
+        records.push(JobRecord::Settled { job, item, outcome });
     }
     if !frames.is_empty() {
-        let first = append_until_taken(node, false, &frames).await;
+        let topic = &node.settings.topics.texts;
+        let first = append_until_taken(node, topic, || frames.clone()).await;
         for record in &mut records {
             if let JobRecord::Settled {
                 outcome: ItemOutcome::Completed(place),
@@ -538,15 +564,18 @@
     records
 }
 
+/// Writes outcomes until the log takes them. Each try has keys of its own: a repeated key would move the
+/// outcome to another place for readers that start from the newest records.
 async fn write_outcomes(node: &SwitchNode, records: &[JobRecord]) {
-    let frames = encode_all(node, records);
-    append_until_taken(node, true, &frames).await;
+    let topic = &node.settings.topics.jobs;
+    append_until_taken(node, topic, || encode_all(node, records)).await;
+    node.tail_now.notify_one();
 }
 
 fn encode_all(node: &SwitchNode, records: &[JobRecord]) -> Vec<KeyedRecord> {
     let mut frames = Vec::new();
     for record in records {
-        let number = node.lock().rng.random();
+        let number = node.lock().numbers.next_number();
         match record.encode(number) {
             Ok(parts) => frames.extend(parts),
             Err(error) => warn!(node.parts.logger, "record not encoded";
@@ -556,16 +585,15 @@
     frames
 }
 
-/// Appends until the log says that it took the records. Records may stand there twice; readers take the first.
-async fn append_until_taken(node: &SwitchNode, to_jobs: bool, frames: &[KeyedRecord]) -> u64 {
+/// Appends until the log says that it took the records. They may stand there twice; readers take the first.
+async fn append_until_taken(
+    node: &SwitchNode,
+    part: &LogPart,
+    frames: impl Fn() -> Vec<KeyedRecord>,
+) -> u64 {
     let mut pause = RETRY_FIRST;
     loop {
-        let appended = if to_jobs {
-            node.append_frames(frames).await
-        } else {
-            node.parts.log.append(&node.settings.topics.texts, frames).await
-        };
-        match appended {
+        match node.parts.log.append(part, &frames()).await {
             Ok(first) => return first,
             Err(error) => {
                 warn!(node.parts.logger, "outcome not recorded yet"; "cause" => %error);
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -10,12 +10,13 @@
 use crate::node::{FollowBatch, SwitchNode, SwitchState, millis};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
-/// Least time between beats.
+/// Least time between two beats.
 const BEAT_LEAST: Duration = Duration::from_millis(20);
 /// Time between beats of a small fleet.
 const BEAT_PERIOD: Duration = Duration::from_millis(100);
@@ -91,28 +92,44 @@
     let socket = Arc::new(socket);
     tokio::spawn(receive_beats(node.clone(), socket.clone()));
     let mut turn = 0;
+    let mut next = Instant::now();
     loop {
-        let period = send_beat(&node, &socket, turn).await;
-        turn += 1;
+        let near = tokio::select! {
+            () = sleep_until(next) => false,
+            () = node.beat_now.notified() => false,
+            () = node.near_now.notified() => true,
+        };
+        let period = send_beat(&node, &socket, turn, near).await;
+        if !near {
+            turn += 1;
+            next = Instant::now() + period;
+        }
         sleep(BEAT_LEAST).await;
-        let _ = timeout(period - BEAT_LEAST, node.beat_now.notified()).await;
     }
 }
 
-async fn send_beat(node: &SwitchNode, socket: &UdpSocket, turn: usize) -> Duration {
+/// Sends a beat to all hosts, or to those near this one. Returns the time between beats to all.
+async fn send_beat(node: &SwitchNode, socket: &UdpSocket, turn: usize, near: bool) -> Duration {
     let now = Instant::now();
     let (beat, targets, period) = {
         let mut state = node.lock();
         let known = u32::try_from(state.members.all().count()).unwrap_or(u32::MAX);
         let period = BEAT_PERIOD.max(BEAT_PERIOD_PER_HOST * known);
-        for name in state.members.sweep(now, period) {
-            info!(node.parts.logger, "host lost"; "host" => &*name);
-            state.load.take_report(&name, Vec::new());
+        if !near {
+            for name in state.members.sweep(now, period) {
+                info!(node.parts.logger, "host lost"; "host" => &*name);
+                state.load.take_report(&name, Vec::new());
+            }
+            choose_homes(node, &mut state, now);
         }
-        choose_homes(node, &mut state, now);
+        let neighbours = &state.load.homes().neighbours;
         let cards: Vec<_> = state.members.all().map(|entry| &entry.card).collect();
-        let also = (!cards.is_empty()).then(|| cards[turn % cards.len()].clone());
-        let targets: Vec<_> = cards.iter().map(|card| card.peer_address).collect();
+        let also = (!near && !cards.is_empty()).then(|| cards[turn % cards.len()].clone());
+        let targets: Vec<_> = cards
+            .iter()
+            .filter(|card| !near || neighbours.contains(&card.name))
+            .map(|card| card.peer_address)
+            .collect();
         let beat = HostBeat {
             card: node.settings.card.clone(),
             ready: state.routes.is_some() && !state.stopping,
@@ -121,19 +138,33 @@
         };
         (beat, targets, period)
     };
-    match postcard::to_stdvec(&(SCHEMA, beat)) {
-        Ok(bytes) if bytes.len() <= BEAT_BYTES => {
-            for target in targets {
-                if let Err(error) = socket.send_to(&bytes, target).await {
-                    // The next beat follows within the period; silence shows at the receiver.
-                    slog::debug!(node.parts.logger, "beat not sent"; "to" => %target, "cause" => %error);
-                }
-            }
+    send_to_all(node, socket, &beat, &targets).await;
+    period
+}
+
+async fn send_to_all(
+    node: &SwitchNode,
+    socket: &UdpSocket,
+    beat: &HostBeat,
+    targets: &[SocketAddr],
+) {
+    let bytes = match postcard::to_stdvec(&(SCHEMA, beat)) {
+        Ok(bytes) if bytes.len() <= BEAT_BYTES => bytes,
+        Ok(bytes) => {
+            warn!(node.parts.logger, "beat too large"; "bytes" => bytes.len());
+            return;
+        }
+        Err(error) => {
+            warn!(node.parts.logger, "beat not encoded"; "cause" => %error);
+            return;
+        }
+    };
+    for target in targets {
+        if let Err(error) = socket.send_to(&bytes, target).await {
+            // The next beat follows within the period; silence shows at the receiver.
+            slog::debug!(node.parts.logger, "beat not sent"; "to" => %target, "cause" => %error);
         }
-        Ok(bytes) => warn!(node.parts.logger, "beat too large"; "bytes" => bytes.len()),
-        Err(error) => warn!(node.parts.logger, "beat not encoded"; "cause" => %error),
     }
-    period
 }
 
 fn choose_homes(node: &SwitchNode, state: &mut SwitchState, now: Instant) {
--- a/crates/switch/src/homes.rs
+++ b/crates/switch/src/homes.rs
@@ -8,7 +8,19 @@
 use crate::endpoint::ListedEndpoint;
 use std::sync::Arc;
 
-/// Returns the identities of the endpoints that are homes of `own`, sorted.
+/// Most hosts on each side that are neighbours.
+const NEIGHBOURS: usize = 3;
+
+/// What a host uses first, and with whom it shares it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostHomes {
+    /// Identities of the endpoints, sorted.
+    pub endpoints: Vec<Arc<str>>,
+    /// Names of the hosts beside this one, whose homes overlap with its own.
+    pub neighbours: Vec<Arc<str>>,
+}
+
+/// Returns the homes of `own`.
 ///
 /// `hosts` are the names and failure domains of the hosts that take work, `own` among them.
 #[must_use]
@@ -16,12 +28,17 @@
     own: &str,
     hosts: &[(Arc<str>, Arc<str>)],
     endpoints: &[Arc<ListedEndpoint>],
-) -> Vec<Arc<str>> {
+) -> HostHomes {
     let mut hosts: Vec<_> = hosts.iter().map(|(name, domain)| (domain, name)).collect();
     hosts.sort_unstable();
     let Some(place) = hosts.iter().position(|(_, name)| &***name == own) else {
-        return Vec::new();
+        return HostHomes::default();
     };
+    let near = place.saturating_sub(NEIGHBOURS)..(place + NEIGHBOURS + 1).min(hosts.len());
+    let neighbours = near
+        .filter(|index| *index != place)
+        .map(|index| hosts[index].1.clone())
+        .collect();
     let mut endpoints: Vec<&ListedEndpoint> = endpoints.iter().map(|endpoint| &**endpoint).collect();
     endpoints.sort_unstable_by_key(|endpoint| (&endpoint.service, &endpoint.domain, &endpoint.id));
     let mut homes: Vec<_> = endpoints
@@ -30,7 +47,10 @@
         .map(|endpoint| endpoint.id.clone())
         .collect();
     homes.sort_unstable();
-    homes
+    HostHomes {
+        endpoints: homes,
+        neighbours,
+    }
 }
 
 /// Host number `place` of `hosts` covers the part from `place / hosts` to `(place + 1) / hosts`; endpoints cover
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -8,7 +8,6 @@
 };
 use crate::route::ServiceRoute;
 use bytes::Bytes;
-use rand::Rng;
 use slog::{info, warn};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -156,7 +155,7 @@
                     retry_after: QUOTA_RETRY,
                 };
             }
-            state.rng.random()
+            state.numbers.next_number()
         };
         let record = JobRecord::Accepted(AcceptedJob {
             job: submission.job.clone(),
@@ -189,7 +188,7 @@
     }
 
     async fn append_end(&self, job: &Arc<str>) -> SubmitReply {
-        let number = self.lock().rng.random();
+        let number = self.lock().numbers.next_number();
         let record = JobRecord::Ended { job: job.clone() };
         match self.append_record(&record, number).await {
             Ok(_) => SubmitReply::Done,
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -33,6 +33,8 @@
     pub accepted: AcceptedItem,
     /// Where it stands.
     pub state: ItemState,
+    /// Runs that failed.
+    pub failures: u32,
     /// Output that a stopped host left.
     pub progress: Option<ItemProgress>,
 }
@@ -72,6 +74,7 @@
         let items = accepted.items.into_iter().map(|item| LedgerItem {
             accepted: item,
             state: ItemState::Open,
+            failures: 0,
             progress: None,
         });
         Self {
@@ -118,6 +121,8 @@
         /// Position of the result.
         position: usize,
     },
+    /// An item's run failed.
+    Failed,
     /// An item's output so far is known.
     Progressed,
     /// A job was ended.
@@ -136,6 +141,13 @@
         match record {
             JobRecord::Accepted(accepted) => self.accept(accepted),
             JobRecord::Settled { job, item, outcome } => self.settle(&job, item, outcome),
+            JobRecord::Failed { job, item } => match self.open_item(&job, item) {
+                Some(item) => {
+                    item.failures += 1;
+                    LedgerChange::Failed
+                }
+                None => LedgerChange::Repeated,
+            },
             JobRecord::Progress {
                 job,
                 item,
@@ -226,21 +238,23 @@
     }
 
     fn progress(&mut self, job: &str, item: u32, last_event: u64, text: &[u8]) -> LedgerChange {
-        let entry = self
-            .get_mut(job)
-            .and_then(|job| job.items.get_mut(item as usize));
-        match entry {
-            Some(entry) if entry.state == ItemState::Open => {
+        match self.open_item(job, item) {
+            Some(entry) => {
                 entry.progress = Some(ItemProgress {
                     last_event: Some(last_event),
                     text: text.to_vec(),
                 });
                 LedgerChange::Progressed
             }
-            _ => LedgerChange::Repeated,
+            None => LedgerChange::Repeated,
         }
     }
 
+    fn open_item(&mut self, job: &str, item: u32) -> Option<&mut LedgerItem> {
+        let item = self.get_mut(job)?.items.get_mut(item as usize)?;
+        (item.state == ItemState::Open).then_some(item)
+    }
+
     fn get_mut(&mut self, id: &str) -> Option<&mut LedgerJob> {
         let index = self.search(id).ok()?;
         Some(&mut self.jobs[index])
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -4,6 +4,7 @@
 //! Nothing is asked of the endpoints.
 
 use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::homes::HostHomes;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -21,6 +22,10 @@
 const INITIAL_RUN: Duration = Duration::from_millis(700);
 /// Cost, in requests, of an endpoint that is not a home: what another host's choice between two beats may add.
 const AWAY_COST: f64 = 1.5;
+/// Slots of a home that batch items leave free for online requests.
+const HOME_RESERVE: u32 = 1;
+/// Slots of another endpoint that batch items leave free: other hosts may fill it between two beats.
+const AWAY_RESERVE: u32 = 3;
 /// Time for which no batch item starts at an endpoint where one has just given way.
 const GAVE_WAY_TIME: Duration = Duration::from_millis(300);
 /// Weight of a new measurement in the mean run time.
@@ -88,6 +93,15 @@
     Batch,
 }
 
+/// Slots that batch items may take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FreeSlots {
+    /// At the host's homes.
+    pub home: u32,
+    /// At other endpoints.
+    pub away: u32,
+}
+
 /// What a host sends of its own requests in progress.
 pub type LoadReport = Vec<(EndpointKey, RunCounts)>;
 
@@ -107,7 +121,7 @@
     entries: Vec<(EndpointKey, LoadEntry)>,
     reports: Vec<(Arc<str>, LoadReport)>,
     mean_run: Duration,
-    homes: Vec<Arc<str>>,
+    homes: HostHomes,
 }
 
 /// Outcome of a choice.
@@ -130,7 +144,7 @@
             entries: Vec::new(),
             reports: Vec::new(),
             mean_run: INITIAL_RUN,
-            homes: Vec::new(),
+            homes: HostHomes::default(),
         }
     }
 }
@@ -182,11 +196,17 @@
         self.entry(EndpointKey::of(id)).gave_way_until = Some(now + GAVE_WAY_TIME);
     }
 
-    /// Takes the endpoints that this host uses first, sorted.
-    pub fn set_homes(&mut self, homes: Vec<Arc<str>>) {
+    /// Takes what this host uses first.
+    pub fn set_homes(&mut self, homes: HostHomes) {
         self.homes = homes;
     }
 
+    /// What this host uses first.
+    #[must_use]
+    pub fn homes(&self) -> &HostHomes {
+        &self.homes
+    }
+
     /// Forgets endpoints that are gone.
     pub fn forget(&mut self, id: &str) {
         let key = EndpointKey::of(id);
@@ -292,12 +312,11 @@
         EndpointPick::Use(endpoint.clone())
     }
 
-    /// Picks the endpoint for a batch item: one that keeps `reserve` slots free for online requests.
+    /// Picks the endpoint for a batch item: one where slots stay free for online requests.
     pub fn pick_batch(
         &self,
         table: &EndpointTable,
         service: &str,
-        reserve: u32,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
@@ -306,7 +325,7 @@
             .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
             .filter(|endpoint| !self.is_full(&endpoint.id, now))
             .filter(|endpoint| !self.gave_way(&endpoint.id, now))
-            .filter(|endpoint| self.total(&endpoint.id).total() + reserve < endpoint.slots)
+            .filter(|endpoint| self.batch_room(endpoint) > 0)
             .map(|endpoint| {
                 let total = f64::from(self.total(&endpoint.id).total());
                 let away = self.away_cost(&endpoint.id);
@@ -316,23 +335,22 @@
             .map(|(_, endpoint)| endpoint.clone())
     }
 
-    /// Slots of a service that batch items may take.
+    /// Slots of a service that batch items may take: those of this host's homes, and of the other endpoints.
     #[must_use]
-    pub fn free_slots(
-        &self,
-        table: &EndpointTable,
-        service: &str,
-        reserve: u32,
-        now: Instant,
-    ) -> u32 {
-        table
+    pub fn free_slots(&self, table: &EndpointTable, service: &str, now: Instant) -> FreeSlots {
+        let mut free = FreeSlots::default();
+        let usable = table
             .serving(service)
-            .filter(|endpoint| !self.gave_way(&endpoint.id, now))
-            .map(|endpoint| {
-                let used = self.total(&endpoint.id).total() + reserve;
-                endpoint.slots.saturating_sub(used)
-            })
-            .sum()
+            .filter(|endpoint| !self.gave_way(&endpoint.id, now));
+        for endpoint in usable {
+            let room = self.batch_room(endpoint);
+            if self.is_home(&endpoint.id) {
+                free.home += room;
+            } else {
+                free.away += room;
+            }
+        }
+        free
     }
 
     /// How many of this host's batch items have to leave an endpoint.
@@ -369,8 +387,26 @@
     }
 
     fn away_cost(&self, id: &str) -> f64 {
-        let is_home = self.homes.binary_search_by(|home| (**home).cmp(id)).is_ok();
-        if is_home { 0.0 } else { AWAY_COST }
+        if self.is_home(id) { 0.0 } else { AWAY_COST }
+    }
+
+    fn is_home(&self, id: &str) -> bool {
+        let homes = &self.homes.endpoints;
+        homes.binary_search_by(|home| (**home).cmp(id)).is_ok()
+    }
+
+    /// Slots that batch items leave free at an endpoint.
+    fn reserve(&self, id: &str) -> u32 {
+        if self.is_home(id) {
+            HOME_RESERVE
+        } else {
+            AWAY_RESERVE
+        }
+    }
+
+    fn batch_room(&self, endpoint: &ListedEndpoint) -> u32 {
+        let used = self.total(&endpoint.id).total() + self.reserve(&endpoint.id);
+        endpoint.slots.saturating_sub(used)
     }
 
     fn gave_way(&self, id: &str, now: Instant) -> bool {
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -7,8 +7,11 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Silence after which a host counts as lost: ten beats, so that lost datagrams do not matter.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
+/// Least silence after which a host counts as lost: ten beats of a small fleet, so that lost datagrams do not
+/// matter.
+const SILENCE_LEAST: Duration = Duration::from_millis(1000);
+/// Beats of a large fleet that may be lost before a host counts as lost.
+const SILENCE_BEATS: u32 = 4;
 /// Silence after which a host is forgotten.
 const FORGET_LIMIT: Duration = Duration::from_secs(30);
 
@@ -54,12 +57,28 @@
 }
 
 /// All known hosts but this one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct MemberTable {
     entries: Vec<MemberEntry>,
+    silence_limit: Duration,
+}
+
+impl Default for MemberTable {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            silence_limit: SILENCE_LEAST,
+        }
+    }
 }
 
 impl MemberTable {
+    /// Silence after which a host counts as lost.
+    #[must_use]
+    pub fn silence_limit(&self) -> Duration {
+        self.silence_limit
+    }
+
     /// Notes a beat.
     pub fn heard(&mut self, card: HostCard, ready: bool, now: Instant) -> MemberChange {
         let index = match self.search(&card.name) {
@@ -81,7 +100,7 @@
         }
         let change = if card.incarnation > entry.card.incarnation {
             MemberChange::Restarted
-        } else if !is_heard(entry, now) {
+        } else if !is_heard(entry, self.silence_limit, now) {
             MemberChange::Joined
         } else if entry.ready != ready {
             MemberChange::Readiness
@@ -119,13 +138,15 @@
 
     /// Forgets hosts that have been silent for long, and returns those that were lost just now.
     pub fn sweep(&mut self, now: Instant, period: Duration) -> Vec<Arc<str>> {
+        self.silence_limit = SILENCE_LEAST.max(period * SILENCE_BEATS);
+        let limit = self.silence_limit;
         let lost = self
             .entries
             .iter()
             .filter(|entry| {
                 entry.heard.is_some_and(|heard| {
                     let silence = now.duration_since(heard);
-                    silence > SILENCE_LIMIT && silence <= SILENCE_LIMIT + period
+                    silence > limit && silence <= limit + period
                 })
             })
             .map(|entry| entry.card.name.clone())
@@ -145,7 +166,7 @@
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &MemberEntry> {
         self.entries
             .iter()
-            .filter(move |entry| is_heard(entry, now))
+            .filter(move |entry| is_heard(entry, self.silence_limit, now))
     }
 
     /// Whether a host was heard lately and takes work.
@@ -153,21 +174,21 @@
     pub fn takes_work(&self, name: &str, now: Instant) -> bool {
         self.search(name).is_ok_and(|index| {
             let entry = &self.entries[index];
-            entry.ready && is_heard(entry, now)
+            entry.ready && is_heard(entry, self.silence_limit, now)
         })
     }
 
     /// Returns the host that runs a job: the one that accepted it while it takes work, else the one with the
-    /// highest hash over the hosts that do.
+    /// highest hash over the hosts that do, `own` among them.
     #[must_use]
     pub fn runner<'a>(
         &'a self,
         job: &str,
         accepted_by: &'a str,
-        own: Option<&'a str>,
+        own: &'a str,
         now: Instant,
     ) -> Option<&'a str> {
-        if own == Some(accepted_by) || self.takes_work(accepted_by, now) {
+        if own == accepted_by || self.takes_work(accepted_by, now) {
             return Some(accepted_by);
         }
         let others = self
@@ -175,7 +196,7 @@
             .filter(|entry| entry.ready)
             .map(|entry| &*entry.card.name);
         others
-            .chain(own)
+            .chain([own])
             .max_by_key(|name| xxh3_64_with_seed(job.as_bytes(), xxh3_64_with_seed(name.as_bytes(), 0)))
     }
 
@@ -185,8 +206,8 @@
     }
 }
 
-fn is_heard(entry: &MemberEntry, now: Instant) -> bool {
+fn is_heard(entry: &MemberEntry, limit: Duration, now: Instant) -> bool {
     entry
         .heard
-        .is_some_and(|heard| now.duration_since(heard) <= SILENCE_LIMIT)
+        .is_some_and(|heard| now.duration_since(heard) <= limit)
 }
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -7,7 +7,7 @@
 use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord, ReadError};
 use crate::load::{LoadView, RunClass};
 use crate::members::{HostCard, MemberTable};
-use crate::record::{JobRecord, RecordReader};
+use crate::record::{JobRecord, RecordNumbers, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemName};
 use crate::{batch, jobs};
@@ -115,6 +115,7 @@
     pub(crate) stopping: bool,
     pub(crate) online: usize,
     pub(crate) rng: SmallRng,
+    pub(crate) numbers: RecordNumbers,
 }
 
 /// One host of the switch.
@@ -125,6 +126,8 @@
     state: Mutex<SwitchState>,
     pub(crate) batch_now: Notify,
     pub(crate) beat_now: Notify,
+    pub(crate) near_now: Notify,
+    pub(crate) started: Instant,
     pub(crate) tail_now: Notify,
     pub(crate) results: watch::Sender<u64>,
     pub(crate) synced: watch::Sender<Option<Instant>>,
@@ -148,6 +151,7 @@
             stopping: false,
             online: 0,
             rng: SmallRng::from_os_rng(),
+            numbers: RecordNumbers::new(&settings.card.name, settings.card.incarnation),
         };
         Arc::new(Self {
             settings,
@@ -155,6 +159,8 @@
             state: Mutex::new(state),
             batch_now: Notify::new(),
             beat_now: Notify::new(),
+            near_now: Notify::new(),
+            started: Instant::now(),
             tail_now: Notify::new(),
             results: watch::Sender::new(0),
             synced: watch::Sender::new(None),
@@ -375,6 +381,7 @@
         let kind = match &record {
             JobRecord::Accepted(_) => "accepted",
             JobRecord::Settled { .. } => "settled",
+            JobRecord::Failed { .. } => "failed",
             JobRecord::Progress { .. } => "progress",
             JobRecord::Ended { .. } => "ended",
         };
@@ -400,6 +407,7 @@
         class: RunClass,
     ) -> Self {
         state.load.begin(&endpoint.id, class);
+        node.near_now.notify_one();
         if class == RunClass::Online && state.load.total(&endpoint.id).total() > endpoint.slots {
             // Batch items have to give way: the hosts that run them learn of it at once.
             node.beat_now.notify_one();
@@ -416,6 +424,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         self.node.lock().load.finish(&self.endpoint, self.class);
+        self.node.near_now.notify_one();
     }
 }
 
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Version of the records' encoding.
 const SCHEMA: u8 = 1;
@@ -84,6 +84,13 @@
         /// How it ended.
         outcome: ItemOutcome,
     },
+    /// A run of an item failed.
+    Failed {
+        /// Identity of the job.
+        job: Arc<str>,
+        /// Index of the item in the job.
+        item: u32,
+    },
     /// A part of an item's output, left by a host that stops.
     Progress {
         /// Identity of the job.
@@ -125,7 +132,10 @@
     pub fn job(&self) -> &Arc<str> {
         match self {
             Self::Accepted(accepted) => &accepted.job,
-            Self::Settled { job, .. } | Self::Progress { job, .. } | Self::Ended { job } => job,
+            Self::Settled { job, .. }
+            | Self::Failed { job, .. }
+            | Self::Progress { job, .. }
+            | Self::Ended { job } => job,
         }
     }
 
@@ -152,6 +162,31 @@
     }
 }
 
+/// Numbers for keys, unique over all hosts and their runs.
+#[derive(Clone, Debug)]
+pub struct RecordNumbers {
+    base: u64,
+    count: u64,
+}
+
+/// Bits of a number that count within a run: a host writes fewer records than that in its life.
+const COUNT_BITS: u32 = 28;
+
+impl RecordNumbers {
+    /// Makes the numbers of a run.
+    #[must_use]
+    pub fn new(host: &str, incarnation: u64) -> Self {
+        let base = xxh3_64_with_seed(host.as_bytes(), incarnation) << COUNT_BITS;
+        Self { base, count: 0 }
+    }
+
+    /// Returns a number that was not used before.
+    pub fn next_number(&mut self) -> u64 {
+        self.count += 1;
+        self.base | (self.count & ((1 << COUNT_BITS) - 1))
+    }
+}
+
 /// Key prefix of a text's frames.
 #[must_use]
 pub fn text_key(number: u64) -> String {
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -1,5 +1,6 @@
 //! Which batch items run next, and how many may start.
 
+use crate::load::FreeSlots;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -107,15 +108,17 @@
     });
 }
 
-/// How many items one of `hosts` hosts may start at once into `free` slots, so that hosts which see the same
-/// free slots do not all fill them.
+/// How many items one of `hosts` hosts may start at once, so that hosts which see the same free slots do not
+/// all fill them. A home is shared with one neighbour.
 ///
 /// ```
-/// assert_eq!(fulmarswitch_switch::schedule::start_share(18, 9), 2);
-/// assert_eq!(fulmarswitch_switch::schedule::start_share(1, 9), 1);
-/// assert_eq!(fulmarswitch_switch::schedule::start_share(0, 9), 0);
+/// use fulmarswitch_switch::load::FreeSlots;
+/// use fulmarswitch_switch::schedule::start_share;
+/// assert_eq!(start_share(FreeSlots { home: 4, away: 18 }, 9), 4);
+/// assert_eq!(start_share(FreeSlots { home: 1, away: 0 }, 9), 1);
+/// assert_eq!(start_share(FreeSlots { home: 0, away: 0 }, 9), 0);
 /// ```
 #[must_use]
-pub fn start_share(free: u32, hosts: u32) -> u32 {
-    free.div_ceil(hosts.max(1))
+pub fn start_share(free: FreeSlots, hosts: u32) -> u32 {
+    free.home.div_ceil(2) + free.away.div_ceil(hosts.max(1))
 }
