Pick endpoints by their online requests, since batch items give way

Cause: at the start of a burst on the grown site online requests kept off endpoints that were full of batch items and queued at the few that were not; 300 items took a second to give way.

--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -22,12 +22,16 @@
 const INITIAL_RUN: Duration = Duration::from_millis(700);
 /// Cost, in requests, of an endpoint that is not a home: what another host's choice between two beats may add.
 const AWAY_COST: f64 = 1.5;
+/// Endpoints other than homes that are weighed for one request.
+const AWAY_SAMPLE: usize = 4;
 /// Slots of a home that batch items leave free for online requests.
 const HOME_RESERVE: u32 = 1;
 /// Slots of another endpoint that batch items leave free: other hosts may fill it between two beats.
 const AWAY_RESERVE: u32 = 3;
-/// Time for which no batch item starts at an endpoint where one has just given way.
-const GAVE_WAY_TIME: Duration = Duration::from_millis(300);
+/// Cost, in requests, of waiting until a batch item has given way.
+const TAKEN_COST: f64 = 0.5;
+/// Time for which no batch item starts at an endpoint where one has just given way: a part of a burst's length.
+const GAVE_WAY_TIME: Duration = Duration::from_millis(600);
 /// Weight of a new measurement in the mean run time.
 const RUN_WEIGHT: f64 = 0.05;
 
@@ -276,9 +280,8 @@
 
     /// Picks the endpoint for an online request that may wait `patience` for its first token.
     ///
-    /// Endpoints with a free slot come first, then those where batch items have to give way, then those
-    /// with the shortest queue. A draw of less than one request spreads the choices of hosts that see the
-    /// same load.
+    /// The endpoint with the fewest online requests comes first; batch items give way. A draw of less than one
+    /// request spreads the choices of hosts that see the same load.
     pub fn pick_online(
         &self,
         table: &EndpointTable,
@@ -295,9 +298,13 @@
         let trusted = usable
             .iter()
             .any(|endpoint| !self.is_avoided(&endpoint.id, now));
-        let best = usable
+        let mut candidates: Vec<_> = usable
             .into_iter()
             .filter(|endpoint| !trusted || !self.is_avoided(&endpoint.id, now))
+            .collect();
+        self.sample_away(&mut candidates, rng);
+        let best = candidates
+            .into_iter()
             .map(|endpoint| (self.online_cost(endpoint, now, rng.random::<f64>()), endpoint))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let Some((_, endpoint)) = best else {
@@ -369,6 +376,19 @@
         (excess.min(batch) * own).div_ceil(batch).min(own)
     }
 
+    /// Leaves the homes and a few of the other endpoints, drawn at random: the load of these is known with a
+    /// delay, and hosts that all took the least loaded one would fill it together.
+    fn sample_away(&self, candidates: &mut Vec<&Arc<ListedEndpoint>>, rng: &mut impl Rng) {
+        let (mut kept, mut away): (Vec<_>, Vec<_>) = candidates
+            .drain(..)
+            .partition(|endpoint| self.is_home(&endpoint.id));
+        for _ in 0..AWAY_SAMPLE.min(away.len()) {
+            let index = rng.random_range(..away.len());
+            kept.push(away.swap_remove(index));
+        }
+        *candidates = kept;
+    }
+
     fn online_cost(&self, endpoint: &ListedEndpoint, now: Instant, draw: f64) -> f64 {
         let counts = self.total(&endpoint.id);
         let slots = endpoint.slots;
@@ -377,13 +397,10 @@
         } else {
             0.0
         };
-        let base = if counts.total() < slots {
-            f64::from(counts.total())
-        } else {
-            // All places are taken: the fewer online requests, the more batch items can give way.
-            f64::from(slots) + f64::from(counts.online)
-        };
-        base + full + draw + self.away_cost(&endpoint.id)
+        // Batch items give way, so only online requests stand in the way of another one.
+        let base = f64::from(counts.online);
+        let taken = if counts.total() < slots { 0.0 } else { TAKEN_COST };
+        base + taken + full + draw + self.away_cost(&endpoint.id)
     }
 
     fn away_cost(&self, id: &str) -> f64 {
