--- /dev/null
+++ b/crates/switch/tests/fleet.rs
@@ -0,0 +1,60 @@
+//! Several hosts: takeover, handing on, and hosts that have not heard each other yet.
+//!
+//! Beats are real datagrams on loopback, so these tests run on the machine's clock.
+
+mod support;
+
+use fulmarswitch_switch::jobs::SubmitReply;
+use std::time::Duration;
+use support::{CallScript, TestFleet, results, submission, whole_text};
+use tokio::time::{Instant, sleep};
+
+/// Longest time for what takes about two seconds.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < PATIENCE, "{what} not within {PATIENCE:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_host_that_stops_hands_its_items_on_with_their_text() {
+    let fleet = TestFleet::new(2);
+    let (first, second) = (fleet.start("a").await, fleet.start("b").await);
+    fleet.link.otherwise(CallScript::Stream { events: 100 });
+    assert_eq!(first.submit_job(submission("j", 1)).await, SubmitReply::Done);
+    until("a run", async || fleet.link.running() == 1).await;
+    sleep(Duration::from_millis(500)).await;
+    first.stop().await;
+    until("the result", async || !results(&second, "j").await.results.is_empty()).await;
+    assert_eq!(results(&second, "j").await.results[0].text, Some(whole_text(100)));
+    let resumed = fleet.link.seen().last().unwrap().resume_after;
+    assert!(resumed.is_some_and(|event| event > 5), "{resumed:?}");
+}
+
+/// Hosts that start together have heard nobody; each must not take the others' jobs for its own.
+#[tokio::test]
+async fn a_host_that_has_just_started_leaves_others_jobs_alone() {
+    let fleet = TestFleet::new(2);
+    let first = fleet.start("a").await;
+    fleet.link.otherwise(CallScript::Stream { events: 1000 });
+    first.submit_job(submission("j", 1)).await;
+    until("a run", async || fleet.link.running() == 1).await;
+    for name in ["b", "c", "d"] {
+        fleet.start(name).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.link.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn addresses_name_the_hosts_that_take_callers() {
+    let fleet = TestFleet::new(1);
+    let (first, second) = (fleet.start("a").await, fleet.start("b").await);
+    until("both", async || first.caller_addresses(64).len() == 2).await;
+    second.stop().await;
+    until("one", async || first.caller_addresses(64).len() == 1).await;
+}
--- /dev/null
+++ b/crates/switch/tests/jobs.rs
@@ -0,0 +1,184 @@
+//! Jobs on a log that fails, with hosts that start, stop and are lost.
+
+mod support;
+
+use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
+use rstest::rstest;
+use std::time::Duration;
+use support::{
+    AppendFault, CallScript, TestFleet, results, submission, whole_text,
+};
+use tokio::time::sleep;
+
+const DONE: Duration = Duration::from_secs(3);
+
+#[tokio::test(start_paused = true)]
+async fn items_are_run_and_their_texts_are_whole() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    assert_eq!(node.submit_job(submission("j", 3)).await, SubmitReply::Done);
+    sleep(DONE).await;
+    let page = results(&node, "j").await;
+    assert_eq!((page.total, page.results.len()), (3, 3));
+    for result in page.results {
+        assert_eq!(result.text, Some(whole_text(3)));
+    }
+}
+
+#[rstest]
+#[case::answer_lost(AppendFault::LoseAnswer, SubmitReply::Done)]
+#[case::appended_late(AppendFault::AppendLate(Duration::from_millis(500)), SubmitReply::Done)]
+#[case::not_in_time(AppendFault::AppendLate(Duration::from_secs(4)), SubmitReply::Unknown)]
+#[case::refused(
+    AppendFault::Refuse,
+    SubmitReply::Refused { retry_after: Duration::from_millis(700) }
+)]
+#[tokio::test(start_paused = true)]
+async fn a_job_is_accepted_only_when_it_stands_on_the_log(
+    #[case] fault: AppendFault,
+    #[case] expected: SubmitReply,
+) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.log.fail_next("jobs", fault);
+    assert_eq!(node.submit_job(submission("j", 1)).await, expected);
+    if matches!(expected, SubmitReply::Refused { .. }) {
+        sleep(DONE).await;
+        assert!(fleet.link.seen().is_empty(), "a refused job ran");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_handed_in_again_runs_once() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    node.submit_job(submission("j", 2)).await;
+    sleep(DONE).await;
+    assert_eq!(node.submit_job(submission("j", 2)).await, SubmitReply::Done);
+    sleep(DONE).await;
+    assert_eq!(fleet.link.seen().len(), 2);
+}
+
+/// An outcome whose append was not answered stands twice. The positions must be the same for hosts that followed
+/// the tail and for those that start from the newest record of each key.
+#[rstest]
+#[case::answer_lost(AppendFault::LoseAnswer)]
+#[case::appended_late(AppendFault::AppendLate(Duration::from_secs(2)))]
+#[tokio::test(start_paused = true)]
+async fn positions_are_the_same_for_a_host_that_starts_later(#[case] fault: AppendFault) {
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[
+        CallScript::Stream { events: 2 },
+        CallScript::Stream { events: 9 },
+        CallScript::Stream { events: 30 },
+    ]);
+    node.submit_job(submission("j", 3)).await;
+    sleep(Duration::from_millis(20)).await;
+    fleet.log.fail_next("jobs", fault);
+    sleep(DONE).await;
+    let before = results(&node, "j").await;
+    assert_eq!(before.results.len(), 3);
+    fleet.log.expire("jobs");
+    let late = fleet.start("b").await;
+    assert_eq!(results(&late, "j").await, before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_item_that_fails_is_given_up_after_its_attempts() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.otherwise(CallScript::Status(500));
+    node.submit_job(submission("j", 1)).await;
+    sleep(DONE).await;
+    assert_eq!(fleet.link.seen().len(), 3);
+    assert_eq!(results(&node, "j").await.results[0].text, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_impossible_item_is_given_up_at_once() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.otherwise(CallScript::Status(422));
+    node.submit_job(submission("j", 1)).await;
+    sleep(DONE).await;
+    assert_eq!(fleet.link.seen().len(), 1);
+    assert_eq!(results(&node, "j").await.results[0].text, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_item_that_broke_off_goes_on_where_it_was() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[CallScript::BreakBehind { event: 2 }]);
+    fleet.link.otherwise(CallScript::Stream { events: 5 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(DONE).await;
+    let resumed: Vec<_> = fleet.link.seen().iter().map(|call| call.resume_after).collect();
+    assert_eq!(resumed, [None, Some(2)]);
+    assert_eq!(results(&node, "j").await.results[0].text, Some(whole_text(5)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_was_ended_no_longer_runs() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.otherwise(CallScript::Stream { events: 1000 });
+    node.submit_job(submission("j", 2)).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.link.running(), 2);
+    assert_eq!(node.end_job(&"j".into()).await, SubmitReply::Done);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.link.running(), 0);
+    let calls = fleet.link.seen().len();
+    sleep(DONE).await;
+    assert_eq!(fleet.link.seen().len(), calls);
+}
+
+#[tokio::test(start_paused = true)]
+async fn bodies_are_given_until_the_item_has_a_result() {
+    let fleet = TestFleet::new(0);
+    let node = fleet.start("a").await;
+    node.submit_job(submission("j", 1)).await;
+    let body = node.item_body("j", "j-0").await;
+    assert_eq!(body, JobReply::Found("input".into()));
+    assert_eq!(node.item_body("j", "j-7").await, JobReply::Missing);
+    fleet.log.put("endpoints", "e0", "ready");
+    sleep(DONE).await;
+    assert_eq!(node.item_body("j", "j-0").await, JobReply::Missing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_does_not_fit_the_quota_is_refused() {
+    let fleet = TestFleet::new(0);
+    let node = fleet.start("a").await;
+    assert_eq!(node.submit_job(submission("j", 60)).await, SubmitReply::Done);
+    sleep(Duration::from_secs(1)).await;
+    let second = node.submit_job(submission("k", 60)).await;
+    assert!(matches!(second, SubmitReply::OverQuota { .. }), "{second:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_host_that_cannot_read_the_log_is_not_sure() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    let found = node.job_results("j", 0, Duration::ZERO).await;
+    assert_eq!(found, JobReply::Missing);
+    fleet.log.set_down(true);
+    sleep(Duration::from_secs(1)).await;
+    let found = node.job_results("j", 0, Duration::ZERO).await;
+    assert_eq!(found, JobReply::Unsure);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outcomes_wait_for_the_log_to_come_back() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    node.submit_job(submission("j", 2)).await;
+    fleet.log.set_down(true);
+    sleep(Duration::from_secs(5)).await;
+    fleet.log.set_down(false);
+    sleep(DONE).await;
+    assert_eq!(results(&node, "j").await.results.len(), 2);
+    assert_eq!(fleet.link.seen().len(), 2, "a finished item ran again");
+}
--- /dev/null
+++ b/crates/switch/tests/online.rs
@@ -0,0 +1,132 @@
+//! Online requests: which endpoint, how often, and what the caller gets.
+
+mod support;
+
+use bytes::Bytes;
+use fulmarswitch_switch::link::EndpointCall;
+use fulmarswitch_switch::node::SwitchNode;
+use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
+use futures::StreamExt;
+use http::{HeaderMap, Method};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use support::CallScript::{
+    BreakBehind, Full, Lost, Silent, SilentBehind, Status, Stream, Unreachable,
+};
+use support::{CallScript, TestFleet, event};
+use tokio::time::Instant;
+
+/// What a caller sees.
+#[derive(Debug, PartialEq, Eq)]
+enum Seen {
+    Whole(Bytes),
+    Torn(Bytes),
+    Status(u16),
+    Rejected,
+    Failed,
+    TimedOut,
+}
+
+async fn ask(node: &Arc<SwitchNode>, path: &str) -> Seen {
+    let routes = node.routes().unwrap();
+    let request = OnlineRequest {
+        call: EndpointCall {
+            id: "r".into(),
+            method: Method::POST,
+            host: "host".into(),
+            target: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        },
+        route: routes.find("host", path).unwrap().clone(),
+        resume_after: None,
+        deadline: Instant::now() + Duration::from_secs(5),
+    };
+    let mut answer = match node.serve_online(request).await {
+        OnlineReply::Answer(answer) => answer,
+        OnlineReply::Rejected { .. } => return Seen::Rejected,
+        OnlineReply::Failed => return Seen::Failed,
+        OnlineReply::TimedOut => return Seen::TimedOut,
+    };
+    if !answer.status.is_success() {
+        return Seen::Status(answer.status.as_u16());
+    }
+    let mut body = Vec::new();
+    while let Some(chunk) = answer.body.next().await {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => return Seen::Torn(body.into()),
+        }
+    }
+    Seen::Whole(body.into())
+}
+
+fn events(last: u64) -> Bytes {
+    let all: Vec<u8> = (1..=last).flat_map(|id| event(id).to_vec()).collect();
+    all.into()
+}
+
+#[rstest]
+#[case::at_once("/once/x", &[Stream { events: 3 }], Seen::Whole(events(3)), 1)]
+#[case::another_when_unreachable("/once/x", &[Unreachable, Unreachable], Seen::Whole(events(3)), 1)]
+#[case::another_when_full("/once/x", &[Full, Full], Seen::Whole(events(3)), 1)]
+#[case::rejected_when_all_are_full("/once/x", &[Full, Full, Full, Full], Seen::Rejected, 0)]
+#[case::once_may_have_run("/once/x", &[Lost], Seen::Failed, 1)]
+#[case::once_is_torn("/once/x", &[BreakBehind { event: 1 }], Seen::Torn(events(1)), 1)]
+#[case::once_keeps_a_failure("/once/x", &[Status(500)], Seen::Status(500), 1)]
+#[case::safe_runs_again("/safe/x", &[Lost, Status(500)], Seen::Whole(events(3)), 3)]
+#[case::safe_keeps_to_its_attempts("/safe/x", &[Lost, Lost, Lost], Seen::Failed, 3)]
+#[case::safe_leaves_a_silent_one("/safe/x", &[Silent], Seen::Whole(events(3)), 2)]
+#[case::a_stream_may_have_run("/stream/x", &[Lost], Seen::Failed, 1)]
+#[case::a_silent_stream_is_waited_for("/stream/x", &[Silent], Seen::TimedOut, 1)]
+#[case::a_stream_is_torn("/stream/x", &[BreakBehind { event: 2 }], Seen::Torn(events(2)), 1)]
+#[case::a_stream_goes_on("/resume/x", &[BreakBehind { event: 2 }], Seen::Whole(events(3)), 2)]
+#[case::behind_silence("/resume/x", &[SilentBehind { event: 2 }], Seen::Whole(events(3)), 2)]
+#[case::within_its_attempts(
+    "/resume/x",
+    &[BreakBehind { event: 1 }, Lost, BreakBehind { event: 2 }],
+    Seen::Torn(events(2)),
+    3
+)]
+#[tokio::test(start_paused = true)]
+async fn what_a_caller_sees(
+    #[case] path: &str,
+    #[case] scripts: &[CallScript],
+    #[case] expected: Seen,
+    #[case] runs: usize,
+) {
+    let fleet = TestFleet::new(5);
+    let node = fleet.start("a").await;
+    fleet.link.script(scripts);
+    assert_eq!(ask(&node, path).await, expected);
+    let seen = fleet.link.seen();
+    assert_eq!(seen.iter().filter(|call| call.ran).count(), runs);
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.link.running(), 0, "a call goes on without a caller");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_run_ends_when_its_caller_leaves() {
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[Stream { events: 1000 }]);
+    let asked = tokio::spawn({
+        let node = node.clone();
+        async move { ask(&node, "/stream/x").await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(fleet.link.running(), 1);
+    asked.abort();
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.link.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rejection_comes_at_once_when_no_endpoint_is_known() {
+    let fleet = TestFleet::new(0);
+    let node = fleet.start("a").await;
+    let begun = Instant::now();
+    assert_eq!(ask(&node, "/safe/x").await, Seen::Rejected);
+    assert!(begun.elapsed() < Duration::from_millis(10));
+}
--- /dev/null
+++ b/crates/switch/tests/support/mod.rs
@@ -0,0 +1,538 @@
+//! A log and endpoints in memory, and hosts on them, for tests on a paused clock.
+
+#![allow(dead_code, reason = "each test program uses its part")]
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use fulmarswitch_switch::endpoint::ListedEndpoint;
+use fulmarswitch_switch::jobs::{JobReply, JobSubmission, ResultPage};
+use fulmarswitch_switch::link::{
+    AppendError, CallError, CallTerms, EndpointAnswer, EndpointCall, EndpointLink, KeyedLog,
+    KeyedRecord, LogPart, PlacedRecord, ReadError, TailPage,
+};
+use fulmarswitch_switch::members::HostCard;
+use fulmarswitch_switch::node::{
+    FleetDecoder, LogTopics, SwitchNode, SwitchParts, SwitchSettings,
+};
+use fulmarswitch_switch::record::AcceptedItem;
+use fulmarswitch_switch::route::{
+    CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare,
+};
+use futures::{StreamExt, stream};
+use http::{HeaderMap, StatusCode};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// What the log does with the next appends to a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendFault {
+    /// Nothing is appended.
+    Refuse,
+    /// The records are appended, and the answer is lost.
+    LoseAnswer,
+    /// The answer is lost, and the records are appended after this time.
+    AppendLate(Duration),
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<KeyedRecord>,
+    first: usize,
+}
+
+#[derive(Debug, Default)]
+struct LogState {
+    topics: Vec<(Arc<str>, Topic)>,
+    faults: VecDeque<(Arc<str>, AppendFault)>,
+    down: bool,
+}
+
+impl LogState {
+    fn topic(&mut self, name: &str) -> &mut Topic {
+        if let Some(index) = self.topics.iter().position(|(topic, _)| &**topic == name) {
+            return &mut self.topics[index].1;
+        }
+        self.topics.push((name.into(), Topic::default()));
+        &mut self.topics.last_mut().expect("pushed just now").1
+    }
+}
+
+/// A log in memory that keeps the newest record of each key.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryLog(Arc<Mutex<LogState>>);
+
+impl MemoryLog {
+    /// Sets what happens to the next append to a topic.
+    pub fn fail_next(&self, topic: &str, fault: AppendFault) {
+        let mut state = self.0.lock().unwrap();
+        state.faults.push_back((topic.into(), fault));
+    }
+
+    /// Makes all calls fail, or serves them again.
+    pub fn set_down(&self, down: bool) {
+        self.0.lock().unwrap().down = down;
+    }
+
+    /// Drops the history of a topic; the newest record of each key stays.
+    pub fn expire(&self, topic: &str) {
+        let mut state = self.0.lock().unwrap();
+        let topic = state.topic(topic);
+        topic.first = topic.records.len();
+    }
+
+    /// Writes a record as another writer.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let record = KeyedRecord {
+            key: key.as_bytes().to_vec().into(),
+            value: value.as_bytes().to_vec().into(),
+        };
+        self.0.lock().unwrap().topic(topic).records.push(record);
+    }
+
+    /// Number of records that a topic has had.
+    pub fn count(&self, topic: &str) -> usize {
+        self.0.lock().unwrap().topic(topic).records.len()
+    }
+
+    fn push(&self, topic: &str, records: &[KeyedRecord]) -> u64 {
+        let mut state = self.0.lock().unwrap();
+        let topic = state.topic(topic);
+        let first = topic.records.len() as u64;
+        topic.records.extend_from_slice(records);
+        first
+    }
+}
+
+fn newest_of(topic: &Topic) -> Vec<PlacedRecord> {
+    let placed = topic.records.iter().enumerate().filter(|(index, record)| {
+        let later = &topic.records[index + 1..];
+        !record.value.is_empty() && later.iter().all(|other| other.key != record.key)
+    });
+    placed
+        .map(|(index, record)| PlacedRecord {
+            offset: index as u64,
+            record: record.clone(),
+        })
+        .collect()
+}
+
+fn unavailable() -> ReadError {
+    ReadError::Unavailable {
+        cause: "down".into(),
+    }
+}
+
+#[async_trait]
+impl KeyedLog for MemoryLog {
+    async fn append(&self, part: &LogPart, records: &[KeyedRecord]) -> Result<u64, AppendError> {
+        sleep(Duration::from_millis(4)).await;
+        let fault = {
+            let mut state = self.0.lock().unwrap();
+            if state.down {
+                let cause = "down".into();
+                return Err(AppendError::Refused { cause });
+            }
+            let found = state.faults.iter().position(|(topic, _)| *topic == part.topic);
+            found.and_then(|index| state.faults.remove(index))
+        };
+        match fault.map(|(_, fault)| fault) {
+            None => Ok(self.push(&part.topic, records)),
+            Some(AppendFault::Refuse) => Err(AppendError::Refused {
+                cause: "refused".into(),
+            }),
+            Some(AppendFault::LoseAnswer) => {
+                self.push(&part.topic, records);
+                Err(AppendError::Unknown {
+                    cause: "lost".into(),
+                })
+            }
+            Some(AppendFault::AppendLate(delay)) => {
+                let (log, topic, records) = (self.clone(), part.topic.clone(), records.to_vec());
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    log.push(&topic, &records);
+                });
+                Err(AppendError::Unknown {
+                    cause: "late".into(),
+                })
+            }
+        }
+    }
+
+    async fn read(&self, part: &LogPart, from: u64, wait: Duration) -> Result<TailPage, ReadError> {
+        sleep(Duration::from_millis(1)).await;
+        if !wait.is_zero() {
+            sleep(wait / 10).await;
+        }
+        let mut state = self.0.lock().unwrap();
+        if state.down {
+            return Err(unavailable());
+        }
+        let topic = state.topic(&part.topic);
+        let start = usize::try_from(from).unwrap();
+        if start < topic.first {
+            let first = topic.first as u64;
+            return Err(ReadError::Expired { first });
+        }
+        let end = topic.records.len() as u64;
+        let records = topic.records[start..].iter().enumerate();
+        let records = records
+            .map(|(index, record)| PlacedRecord {
+                offset: from + index as u64,
+                record: record.clone(),
+            })
+            .collect();
+        Ok(TailPage {
+            next: end,
+            end,
+            records,
+        })
+    }
+
+    async fn newest(&self, part: &LogPart) -> Result<TailPage, ReadError> {
+        sleep(Duration::from_millis(1)).await;
+        let mut state = self.0.lock().unwrap();
+        if state.down {
+            return Err(unavailable());
+        }
+        let topic = state.topic(&part.topic);
+        let end = topic.records.len() as u64;
+        Ok(TailPage {
+            next: end,
+            end,
+            records: newest_of(topic),
+        })
+    }
+
+    async fn fetch(
+        &self,
+        part: &LogPart,
+        _offset: u64,
+        _count: u32,
+        key: &str,
+    ) -> Result<Vec<PlacedRecord>, ReadError> {
+        let mut state = self.0.lock().unwrap();
+        if state.down {
+            return Err(unavailable());
+        }
+        let mut records = newest_of(state.topic(&part.topic));
+        records.retain(|placed| placed.record.key.starts_with(key.as_bytes()));
+        Ok(records)
+    }
+}
+
+/// What an endpoint does with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallScript {
+    /// Streams this many events, one each step.
+    Stream { events: u64 },
+    /// Streams events and breaks off behind this one.
+    BreakBehind { event: u64 },
+    /// Streams events and falls silent behind this one.
+    SilentBehind { event: u64 },
+    /// Cannot be reached.
+    Unreachable,
+    /// Does not run the call.
+    Full,
+    /// Breaks off before an answer.
+    Lost,
+    /// Does not answer.
+    Silent,
+    /// Answers with a status.
+    Status(u16),
+}
+
+/// One call that an endpoint got.
+#[derive(Clone, Debug)]
+pub struct SeenCall {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// Identity of the request.
+    pub id: Arc<str>,
+    /// Number of the event to go on behind.
+    pub resume_after: Option<u64>,
+    /// Whether the endpoint ran it.
+    pub ran: bool,
+}
+
+#[derive(Default)]
+struct LinkState {
+    scripts: VecDeque<CallScript>,
+    otherwise: Option<CallScript>,
+    seen: Vec<SeenCall>,
+    running: i64,
+}
+
+/// Endpoints in memory.
+#[derive(Clone, Default)]
+pub struct MemoryLink(Arc<Mutex<LinkState>>);
+
+/// Time between two events.
+pub const STEP: Duration = Duration::from_millis(20);
+
+impl MemoryLink {
+    /// Sets what the next calls do, in order.
+    pub fn script(&self, scripts: &[CallScript]) {
+        self.0.lock().unwrap().scripts.extend(scripts);
+    }
+
+    /// Sets what calls do for which nothing is set.
+    pub fn otherwise(&self, script: CallScript) {
+        self.0.lock().unwrap().otherwise = Some(script);
+    }
+
+    /// All calls so far.
+    pub fn seen(&self) -> Vec<SeenCall> {
+        self.0.lock().unwrap().seen.clone()
+    }
+
+    /// Calls in progress.
+    pub fn running(&self) -> i64 {
+        self.0.lock().unwrap().running
+    }
+}
+
+struct Running(MemoryLink);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.0.lock().unwrap().running -= 1;
+    }
+}
+
+/// Bytes of one event.
+pub fn event(id: u64) -> Bytes {
+    format!("id: {id}\ndata: word{id}\n\n").into()
+}
+
+#[async_trait]
+impl EndpointLink for MemoryLink {
+    async fn call(
+        &self,
+        endpoint: &ListedEndpoint,
+        call: &EndpointCall,
+        terms: CallTerms,
+    ) -> Result<EndpointAnswer, CallError> {
+        let script = {
+            let mut state = self.0.lock().unwrap();
+            let next = state.scripts.pop_front();
+            let script = next.or(state.otherwise).unwrap_or(CallScript::Stream { events: 3 });
+            let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
+            state.seen.push(SeenCall {
+                endpoint: endpoint.id.clone(),
+                id: call.id.clone(),
+                resume_after: terms.resume_after,
+                ran,
+            });
+            state.running += 1;
+            script
+        };
+        let running = Running(self.clone());
+        sleep(Duration::from_millis(5)).await;
+        let lost = || CallError::Broken {
+            cause: "lost".into(),
+        };
+        let (last, then_break, then_hang, status) = match script {
+            CallScript::Unreachable => {
+                return Err(CallError::NotSent {
+                    cause: "unreachable".into(),
+                });
+            }
+            CallScript::Full => {
+                return Err(CallError::NotRun {
+                    status: StatusCode::SERVICE_UNAVAILABLE,
+                    misdirected: false,
+                });
+            }
+            CallScript::Lost => return Err(lost()),
+            CallScript::Silent => std::future::pending().await,
+            CallScript::Status(status) => (0, false, false, status),
+            CallScript::Stream { events } => (events, false, false, 200),
+            CallScript::BreakBehind { event } => (event, true, false, 200),
+            CallScript::SilentBehind { event } => (event, false, true, 200),
+        };
+        let first = terms.resume_after.map_or(1, |last| last + 1);
+        let events = stream::iter(first..=last).then(|id| async move {
+            sleep(STEP).await;
+            Ok(event(id))
+        });
+        let tail = async move {
+            let _running = running;
+            if then_hang {
+                std::future::pending::<()>().await;
+            }
+            then_break.then(|| Err(lost()))
+        };
+        let body = events.chain(stream::once(tail).filter_map(std::future::ready));
+        Ok(EndpointAnswer {
+            status: StatusCode::from_u16(status).unwrap(),
+            headers: HeaderMap::new(),
+            body: body.boxed(),
+        })
+    }
+}
+
+/// Decodes `HOST PREFIX KIND` lines as routes and `SERVICE SLOTS STATE` as listings.
+struct TextDecoder;
+
+impl FleetDecoder for TextDecoder {
+    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, String>> {
+        let version = std::str::from_utf8(value).ok()?.parse().ok()?;
+        (key == b"config").then(|| Ok(routes(version)))
+    }
+
+    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, String> {
+        let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
+        let id = std::str::from_utf8(key).map_err(|error| error.to_string())?;
+        match text {
+            "ready" => Ok(listed(id, 4, false)),
+            "draining" => Ok(listed(id, 4, true)),
+            _ => Err(format!("unknown state {text}")),
+        }
+    }
+}
+
+/// A listing.
+pub fn listed(id: &str, slots: u32, draining: bool) -> ListedEndpoint {
+    ListedEndpoint {
+        id: id.into(),
+        started_ms: 1,
+        service: "service".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "domain".into(),
+        slots,
+        draining,
+    }
+}
+
+/// Makes a route of the test configuration.
+pub fn route(prefix: &str, kind: RouteKind, resumable: bool) -> ServiceRoute {
+    ServiceRoute {
+        host: "host".into(),
+        path_prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(5),
+        latency_target: Duration::from_millis(300),
+        completion_target: Duration::from_secs(18),
+        retention: Duration::from_secs(60),
+        attempts: 3,
+        resumable,
+        token_quota: (kind == RouteKind::Batch).then_some(1000),
+        shares: vec![ServiceShare {
+            service: "service".into(),
+            weight: 1,
+        }],
+    }
+}
+
+/// The test configuration.
+pub fn routes(version: u64) -> RouteTable {
+    let limits = CallerLimits {
+        header_bytes: 8192,
+        body_bytes: 65_536,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let list = vec![
+        route("/once/", RouteKind::Unsafe, false),
+        route("/safe/", RouteKind::Safe, false),
+        route("/stream/", RouteKind::Stream, false),
+        route("/resume/", RouteKind::Stream, true),
+        route("/jobs/", RouteKind::Batch, true),
+    ];
+    RouteTable::new(version, limits, list)
+}
+
+/// A log, endpoints and hosts on them.
+#[derive(Clone, Default)]
+pub struct TestFleet {
+    pub log: MemoryLog,
+    pub link: MemoryLink,
+}
+
+static INCARNATION: AtomicU16 = AtomicU16::new(1);
+
+impl TestFleet {
+    /// Makes a fleet of `endpoints` endpoints without hosts.
+    pub fn new(endpoints: usize) -> Self {
+        let fleet = Self::default();
+        fleet.log.put("config", "config", "1");
+        for index in 0..endpoints {
+            fleet.log.put("endpoints", &format!("e{index}"), "ready");
+        }
+        fleet
+    }
+
+    /// Starts a host and waits until it is ready.
+    pub async fn start(&self, name: &str) -> Arc<SwitchNode> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let topic = |topic: &str| LogPart {
+            topic: topic.into(),
+            part: 0,
+        };
+        let settings = SwitchSettings {
+            card: HostCard {
+                name: name.into(),
+                incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed).into(),
+                peer_address: socket.local_addr().unwrap(),
+                caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: "domain".into(),
+            },
+            topics: LogTopics {
+                config: topic("config"),
+                endpoints: topic("endpoints"),
+                hosts: topic("hosts"),
+                jobs: topic("jobs"),
+                texts: topic("texts"),
+            },
+            job_keep: Duration::from_secs(120),
+            grace: Duration::from_secs(8),
+        };
+        let parts = SwitchParts {
+            log: Arc::new(self.log.clone()),
+            link: Arc::new(self.link.clone()),
+            decoder: Arc::new(TextDecoder),
+            logger: slog::Logger::root(slog::Discard, slog::o!()),
+        };
+        let node = SwitchNode::new(settings, parts);
+        node.start(socket);
+        sleep(Duration::from_secs(1)).await;
+        assert!(node.is_ready());
+        node
+    }
+}
+
+/// A job of some items of ten tokens.
+pub fn submission(job: &str, items: u32) -> JobSubmission {
+    let item = |index: u32| AcceptedItem {
+        id: format!("{job}-{index}").into(),
+        path: "/jobs/run".into(),
+        headers: vec![("model".into(), "m".into())],
+        body: Bytes::from_static(b"input"),
+        tokens: 10,
+    };
+    JobSubmission {
+        job: job.into(),
+        route: Arc::new(route("/jobs/", RouteKind::Batch, true)),
+        items: (0..items).map(item).collect(),
+    }
+}
+
+/// Reads all results of a job that are there.
+pub async fn results(node: &SwitchNode, job: &str) -> ResultPage {
+    match node.job_results(job, 0, Duration::ZERO).await {
+        JobReply::Found(page) => page,
+        other => panic!("{job}: {other:?}"),
+    }
+}
+
+/// Text of a whole output.
+pub fn whole_text(events: u64) -> Bytes {
+    let words: Vec<String> = (1..=events).map(|id| format!("word{id}")).collect();
+    words.join("\n").into()
+}
