--- a/crates/switch/src/batch.rs
+++ b/crates/switch/src/batch.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{ItemProgress, ItemState, LedgerJob};
 use crate::link::{AppendError, CallError, CallTerms, EndpointCall, KeyedRecord, LogPart};
 use crate::load::RunClass;
-use crate::node::{RunGuard, RunningItem, SwitchNode, SwitchState, millis, wall_ms};
+use crate::node::{JOB_PERIOD, RunGuard, RunningItem, SwitchNode, SwitchState, millis, wall_ms};
 use crate::record::{ItemOutcome, JobRecord, TextPlace, split_frames, text_key};
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemName, WaitingItem, order_items, start_share};
@@ -21,6 +21,8 @@
 
 /// Time between looks at what may start and what has to give way.
 const PLAN_PERIOD: Duration = Duration::from_millis(50);
+/// Time beyond the silence after which a host counts as lost until a started host has heard the others.
+const HEAR_MARGIN: Duration = Duration::from_millis(300);
 /// Longest run of an item in one go.
 const RUN_LIMIT: Duration = Duration::from_secs(30);
 /// Silence of an endpoint after which an item goes on elsewhere.
@@ -211,22 +213,23 @@
     let wall = wall_ms();
     let mut waiting = Vec::new();
     let mut dead = Vec::new();
-    // A host that has just started has not heard the others yet, and must not take their jobs over.
-    let knows_hosts = now.duration_since(node.started) > state.members.silence_limit() * 2;
+    // A host that has just started has not heard the others yet, and must not take all items for its own.
+    if now.duration_since(node.started) < state.members.silence_limit() + HEAR_MARGIN {
+        return waiting;
+    }
+    let own_claims = state.own_claims(usize::MAX);
+    let claimed = state.members.claimed(own, &own_claims, now);
     for job in state.ledger.open_jobs() {
-        let accepted_here = &*job.accepted_by == own;
-        if !accepted_here && !knows_hosts {
-            continue;
-        }
-        let runner = state.members.runner(&job.id, &job.accepted_by, own, now);
-        if runner != Some(own) {
-            continue;
-        }
         let route = routes.find(&job.host, &job.path_prefix);
         let is_over = route.is_none_or(|route| wall > job.accepted_ms + millis(route.retention));
         for (index, item) in job.items.iter().enumerate() {
+            if item.state != ItemState::Open {
+                continue;
+            }
             let name = item_name(job, index);
-            if item.state != ItemState::Open
+            let begun = state.progress.iter().any(|(begun, _)| *begun == name);
+            if claimed.binary_search(&name.key()).is_ok()
+                || !(begun || state.members.runner(&name, own, now) == own)
                 || state.settling.contains(&name)
                 || state.running.iter().any(|running| running.name == name)
             {
@@ -239,7 +242,7 @@
             {
                 waiting.push(WaitingItem {
                     due_ms: job.accepted_ms + millis(route.completion_target),
-                    begun: state.progress.iter().any(|(begun, _)| *begun == name),
+                    begun,
                     name,
                 });
             }
@@ -627,6 +630,12 @@
     }
     let records: Vec<JobRecord> = {
         let mut state = node.lock();
+        let state = &mut *state;
+        state.handing = state
+            .progress
+            .iter()
+            .map(|(name, _)| name.clone())
+            .collect();
         state
             .progress
             .drain(..)
@@ -652,5 +661,8 @@
     while !node.lock().settling.is_empty() && begun.elapsed() < HAND_ON_LIMIT {
         sleep(Duration::from_millis(20)).await;
     }
+    // Other hosts leave the items alone until they have read what was handed on.
+    sleep(JOB_PERIOD + HEAR_MARGIN).await;
+    node.lock().handing.clear();
     info!(node.parts.logger, "items handed on"; "count" => records.len(), "outcome" => outcome);
 }
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::load::LoadReport;
 use crate::members::{HostCard, MemberChange};
 use crate::node::{FollowBatch, SwitchNode, SwitchState, millis};
+use crate::schedule::ItemKey;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -25,10 +26,12 @@
 const BEAT_PERIOD_PER_HOST: Duration = Duration::from_millis(5);
 /// Most bytes of a beat: what fits a datagram on common links.
 const BEAT_BYTES: usize = 1400;
+/// Most items that a beat names as begun, by the bytes that a beat may have.
+const MOST_CLAIMS: usize = 120;
 /// Pause before the card is written again after a refusal.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(500);
 /// Version of the beats' encoding.
-const SCHEMA: u8 = 1;
+const SCHEMA: u8 = 2;
 
 /// One beat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -36,6 +39,7 @@
     card: HostCard,
     ready: bool,
     load: LoadReport,
+    claims: Vec<ItemKey>,
     also: Option<HostCard>,
 }
 
@@ -139,6 +143,7 @@
             card: node.settings.card.clone(),
             ready: state.routes.is_some() && !state.stopping,
             load: state.load.own_report(),
+            claims: state.own_claims(MOST_CLAIMS),
             also,
         };
         (beat, targets, period)
@@ -221,6 +226,7 @@
             "ready" => beat.ready, "change" => ?change);
     }
     state.load.take_report(&name, beat.load);
+    state.members.set_claims(&name, beat.claims);
     let gives_way = state.running.iter().any(|running| {
         let endpoint = state.endpoints.get(&running.endpoint);
         endpoint.is_some_and(|endpoint| state.load.batch_excess(endpoint) > 0)
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -1,5 +1,6 @@
 //! Hosts of the fleet, as their beats show them.
 
+use crate::schedule::{ItemKey, ItemName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,6 +42,8 @@
     pub heard: Option<Instant>,
     /// When it became known.
     pub known: Instant,
+    /// Items that it has begun.
+    pub claims: Vec<ItemKey>,
 }
 
 /// What a notice about a host changed.
@@ -89,6 +92,7 @@
                     ready,
                     heard: Some(now),
                     known: now,
+                    claims: Vec::new(),
                 };
                 self.entries.insert(index, entry);
                 return MemberChange::Joined;
@@ -130,6 +134,7 @@
                     ready: false,
                     heard: None,
                     known: now,
+                    claims: Vec::new(),
                 };
                 self.entries.insert(index, entry);
             }
@@ -177,26 +182,42 @@
         })
     }
 
-    /// Returns the host that runs a job: the one that accepted it while it takes work, else the one with the
-    /// highest hash over the hosts that do, `own` among them.
-    #[must_use]
-    pub fn runner<'a>(
-        &'a self,
-        job: &str,
-        accepted_by: &'a str,
-        own: &'a str,
-        now: Instant,
-    ) -> Option<&'a str> {
-        if own == accepted_by || self.takes_work(accepted_by, now) {
-            return Some(accepted_by);
+    /// Notes which items a host has begun.
+    pub fn set_claims(&mut self, name: &str, claims: Vec<ItemKey>) {
+        if let Ok(index) = self.search(name) {
+            self.entries[index].claims = claims;
         }
+    }
+
+    /// Items that other hosts have begun and this one leaves to them, sorted. Of two hosts that have begun the
+    /// same item, the one whose name comes first goes on.
+    #[must_use]
+    pub fn claimed(&self, own: &str, own_claims: &[ItemKey], now: Instant) -> Vec<ItemKey> {
+        let mut claimed: Vec<ItemKey> = self
+            .alive(now)
+            .flat_map(|entry| {
+                let goes_first = &*entry.card.name < own;
+                let claims = entry.claims.iter().copied();
+                claims.filter(move |key| goes_first || !own_claims.contains(key))
+            })
+            .collect();
+        claimed.sort_unstable();
+        claimed
+    }
+
+    /// Returns the host that runs an item: the one with the highest hash over the hosts that take work, `own`
+    /// among them.
+    #[must_use]
+    pub fn runner<'a>(&'a self, item: &ItemName, own: &'a str, now: Instant) -> &'a str {
+        let hash = item.hash();
         let others = self
             .alive(now)
             .filter(|entry| entry.ready)
             .map(|entry| &*entry.card.name);
-        others.chain([own]).max_by_key(|name| {
-            xxh3_64_with_seed(job.as_bytes(), xxh3_64_with_seed(name.as_bytes(), 0))
-        })
+        others
+            .chain([own])
+            .max_by_key(|name| xxh3_64_with_seed(name.as_bytes(), hash))
+            .unwrap_or(own)
     }
 
     fn search(&self, name: &str) -> Result<usize, usize> {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -10,7 +10,7 @@
 use crate::metrics::SwitchMetrics;
 use crate::record::{JobRecord, RecordNumbers, RecordReader};
 use crate::route::RouteTable;
-use crate::schedule::{ItemHistories, ItemName};
+use crate::schedule::{ItemHistories, ItemKey, ItemName};
 use crate::{batch, jobs};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -28,7 +28,7 @@
 /// Pause between reads of the list of endpoints: a leaving endpoint may get no request after two seconds.
 const ENDPOINT_PERIOD: Duration = Duration::from_millis(500);
 /// Pause between reads of the jobs: a job is readable at all hosts one second after it was accepted.
-const JOB_PERIOD: Duration = Duration::from_millis(400);
+pub(crate) const JOB_PERIOD: Duration = Duration::from_millis(400);
 /// Pause between reads of the list of hosts, which beats make nearly needless.
 const HOST_PERIOD: Duration = Duration::from_secs(2);
 /// First pause after a read that failed; doubles.
@@ -112,6 +112,7 @@
     pub(crate) running: Vec<RunningItem>,
     pub(crate) progress: Vec<(ItemName, ItemProgress)>,
     pub(crate) settling: Vec<ItemName>,
+    pub(crate) handing: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
     pub(crate) online: usize,
@@ -119,6 +120,18 @@
     pub(crate) numbers: RecordNumbers,
 }
 
+impl SwitchState {
+    /// Items that this host has begun: they run here, have output here, have ended here and are not recorded
+    /// yet, or are being handed on.
+    pub(crate) fn own_claims(&self, most: usize) -> Vec<ItemKey> {
+        let running = self.running.iter().map(|running| &running.name);
+        let begun = self.progress.iter().map(|(name, _)| name);
+        let left = self.settling.iter().chain(&self.handing);
+        let names = running.chain(begun).chain(left);
+        names.take(most).map(ItemName::key).collect()
+    }
+}
+
 /// One host of the switch.
 pub struct SwitchNode {
     /// Its settings.
@@ -149,6 +162,7 @@
             running: Vec::new(),
             progress: Vec::new(),
             settling: Vec::new(),
+            handing: Vec::new(),
             texts: TextCache::default(),
             stopping: false,
             online: 0,
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -1,9 +1,11 @@
 //! Which batch items run next, and how many may start.
 
 use crate::load::FreeSlots;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Pause before an item that failed runs again; doubles with each failure.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -19,6 +21,25 @@
     pub item: u32,
 }
 
+/// Number that stands for an item in beats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ItemKey(u32);
+
+impl ItemName {
+    /// Returns the item's key.
+    #[must_use]
+    pub fn key(&self) -> ItemKey {
+        let [a, b, c, d, ..] = self.hash().to_le_bytes();
+        ItemKey(u32::from_le_bytes([a, b, c, d]))
+    }
+
+    /// Hash by which items are spread over hosts.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxh3_64_with_seed(self.job.as_bytes(), self.item.into())
+    }
+}
+
 /// An item that could run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WaitingItem {
