Record the output of items so far every two seconds

Change: pieces of output are texts on the log that small records name; a taker puts the pieces of one run together and goes on behind them.

--- /dev/null
+++ b/crates/switch/src/batch/mod.rs
@@ -0,0 +1,288 @@
+//! Runs the items of jobs in the capacity that online requests leave, and gives way to these at once.
+
+mod outcomes;
+mod run;
+
+pub(crate) use outcomes::hand_on;
+
+use crate::endpoint::ListedEndpoint;
+use crate::ledger::{ItemState, LedgerJob};
+use crate::link::EndpointCall;
+use crate::load::RunClass;
+use crate::node::{RunGuard, RunningItem, SwitchNode, SwitchState, millis, wall_ms};
+use crate::route::{RouteKind, RouteTable, ServiceRoute};
+use crate::schedule::{ItemName, WaitingItem, order_items, start_share};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use outcomes::{ItemEnd, ItemFact, keep_checkpoints, record_ends, send_end};
+use rand::Rng;
+use run::ItemRun;
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+
+/// Time between looks at what may start and what has to give way.
+const PLAN_PERIOD: Duration = Duration::from_millis(50);
+/// Time beyond the silence after which a host counts as lost until a started host has heard the others.
+const HEAR_MARGIN: Duration = Duration::from_millis(300);
+
+/// Starts and cancels items for as long as the host runs.
+pub(crate) async fn run_items(node: Arc<SwitchNode>) {
+    let (ends, queue) = mpsc::unbounded_channel();
+    tokio::spawn(record_ends(node.clone(), queue));
+    tokio::spawn(keep_checkpoints(node.clone()));
+    loop {
+        // The end of the wait matters, not whether it was asked for.
+        let _ = timeout(PLAN_PERIOD, node.batch_now.notified()).await;
+        let mut state = node.lock();
+        let state = &mut *state;
+        cancel_ended(state);
+        give_way(&node, state);
+        if !state.stopping {
+            start_items(&node, state, &ends);
+        }
+    }
+}
+
+/// Cancels the runs of items that have ended.
+fn cancel_ended(state: &mut SwitchState) {
+    let ledger = &state.ledger;
+    for running in &mut state.running {
+        let job = ledger.get(&running.name.job);
+        let is_open = job.is_some_and(|job| {
+            !job.ended && job.items[running.name.item as usize].state == ItemState::Open
+        });
+        if !is_open && let Some(cancel) = running.cancel.take() {
+            // A run that has just ended by itself no longer listens.
+            let _ = cancel.send(());
+        }
+    }
+    state.settling.retain(|name| {
+        ledger
+            .get(&name.job)
+            .is_some_and(|job| !job.ended && job.items[name.item as usize].state == ItemState::Open)
+    });
+    state.progress.retain(|(name, _)| {
+        ledger
+            .get(&name.job)
+            .is_some_and(|job| !job.ended && job.items[name.item as usize].state == ItemState::Open)
+    });
+}
+
+/// Cancels items at endpoints whose slots do not suffice; those with the least output first.
+fn give_way(node: &SwitchNode, state: &mut SwitchState) {
+    let mut endpoints: Vec<Arc<str>> = state
+        .running
+        .iter()
+        .map(|running| running.endpoint.clone())
+        .collect();
+    endpoints.sort_unstable();
+    endpoints.dedup();
+    for id in endpoints {
+        let Some(endpoint) = state.endpoints.get(&id).cloned() else {
+            continue;
+        };
+        let excess = state.load.batch_excess(&endpoint) as usize;
+        if excess == 0 {
+            continue;
+        }
+        state.load.note_gave_way(&id, Instant::now());
+        let here = |running: &&mut RunningItem| running.endpoint == id;
+        let cancelled = state
+            .running
+            .iter_mut()
+            .filter(here)
+            .filter(|running| running.cancel.is_none())
+            .count();
+        let mut runs: Vec<_> = state
+            .running
+            .iter_mut()
+            .filter(here)
+            .filter(|running| running.cancel.is_some())
+            .collect();
+        runs.sort_by_key(|running| running.progress.lock().len());
+        for running in runs.into_iter().take(excess.saturating_sub(cancelled)) {
+            info!(node.parts.logger, "item gives way"; "job" => &*running.name.job,
+                "item" => running.name.item, "endpoint" => &*id, "excess" => excess);
+            if let Some(cancel) = running.cancel.take() {
+                let _ = cancel.send(());
+            }
+        }
+    }
+}
+
+/// Starts items where slots are free.
+fn start_items(
+    node: &Arc<SwitchNode>,
+    state: &mut SwitchState,
+    ends: &mpsc::UnboundedSender<ItemEnd>,
+) {
+    let Some(routes) = state.routes.clone() else {
+        return;
+    };
+    let now = Instant::now();
+    let mut waiting = waiting_items(node, state, &routes, now, ends);
+    order_items(&mut waiting);
+    let hosts = u32::try_from(state.members.alive(now).count() + 1).unwrap_or(u32::MAX);
+    let mut shares: Vec<(Arc<str>, u32)> = Vec::new();
+    for item in waiting {
+        let Some((call, route)) = prepare(state, &routes, &item.name) else {
+            continue;
+        };
+        let draw = state.rng.random::<f64>();
+        let Some(service) = route.pick_service(draw) else {
+            continue;
+        };
+        let index = match shares.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                let free = state.load.free_slots(&state.endpoints, service, now);
+                shares.insert(index, (service.clone(), start_share(free, hosts)));
+                index
+            }
+        };
+        if shares[index].1 == 0 {
+            continue;
+        }
+        let endpoints = &state.endpoints;
+        let picked = state
+            .load
+            .pick_batch(endpoints, service, now, &mut state.rng);
+        let Some(endpoint) = picked else {
+            continue;
+        };
+        shares[index].1 -= 1;
+        start_item(node, state, item.name, &endpoint, call, ends);
+    }
+}
+
+/// Items that this host is to run and that do not run yet.
+fn waiting_items(
+    node: &SwitchNode,
+    state: &mut SwitchState,
+    routes: &RouteTable,
+    now: Instant,
+    ends: &mpsc::UnboundedSender<ItemEnd>,
+) -> Vec<WaitingItem> {
+    let own = &*node.settings.card.name;
+    let wall = wall_ms();
+    let mut waiting = Vec::new();
+    let mut dead = Vec::new();
+    // A host that has just started has not heard the others yet, and must not take all items for its own.
+    if now.duration_since(node.started) < state.members.silence_limit() + HEAR_MARGIN {
+        return waiting;
+    }
+    let own_claims = state.own_claims(usize::MAX);
+    let claimed = state.members.claimed(own, &own_claims, now);
+    for job in state.ledger.open_jobs() {
+        let route = routes.find(&job.host, &job.path_prefix);
+        let is_over = route.is_none_or(|route| wall > job.accepted_ms + millis(route.retention));
+        for (index, item) in job.items.iter().enumerate() {
+            if item.state != ItemState::Open {
+                continue;
+            }
+            let name = item_name(job, index);
+            let begun = state.progress.iter().any(|(begun, _)| *begun == name);
+            if claimed.binary_search(&name.key()).is_ok()
+                || !(begun || state.members.runner(&name, own, now) == own)
+                || state.settling.contains(&name)
+                || state.running.iter().any(|running| running.name == name)
+            {
+                continue;
+            }
+            if is_over {
+                dead.push(name);
+            } else if let Some(route) = route
+                && state.histories.may_run(&name, now)
+            {
+                waiting.push(WaitingItem {
+                    due_ms: job.accepted_ms + millis(route.completion_target),
+                    begun,
+                    name,
+                });
+            }
+        }
+    }
+    for name in dead {
+        info!(node.parts.logger, "item given up"; "job" => &*name.job, "item" => name.item,
+            "cause" => "its time or its route is over");
+        state.settling.push(name.clone());
+        let fact = ItemFact::Dead;
+        send_end(ends, ItemEnd { name, fact });
+    }
+    waiting
+}
+
+fn item_name(job: &LedgerJob, index: usize) -> ItemName {
+    ItemName {
+        job: job.id.clone(),
+        item: u32::try_from(index).unwrap_or(u32::MAX),
+    }
+}
+
+/// Makes the call of an item.
+fn prepare(
+    state: &SwitchState,
+    routes: &RouteTable,
+    name: &ItemName,
+) -> Option<(EndpointCall, Arc<ServiceRoute>)> {
+    let job = state.ledger.get(&name.job)?;
+    let item = &job.items[name.item as usize].accepted;
+    let route = routes.find(&job.host, &item.path)?;
+    if route.kind != RouteKind::Batch {
+        return None;
+    }
+    let mut headers = HeaderMap::new();
+    for (header, value) in &item.headers {
+        let parsed = (
+            HeaderName::from_bytes(header.as_bytes()),
+            HeaderValue::from_str(value),
+        );
+        if let (Ok(header), Ok(value)) = parsed {
+            headers.append(header, value);
+        }
+    }
+    let call = EndpointCall {
+        id: item.id.clone(),
+        method: Method::POST,
+        host: job.host.clone(),
+        target: item.path.clone(),
+        headers,
+        body: item.body.clone(),
+    };
+    Some((call, route.clone()))
+}
+
+fn start_item(
+    node: &Arc<SwitchNode>,
+    state: &mut SwitchState,
+    name: ItemName,
+    endpoint: &Arc<ListedEndpoint>,
+    call: EndpointCall,
+    ends: &mpsc::UnboundedSender<ItemEnd>,
+) {
+    let progress = state.begin_progress(&name);
+    let job = state.ledger.get(&name.job);
+    let pieces = job.map(|job| job.items[name.item as usize].pieces.clone());
+    let (cancel, cancelled) = oneshot::channel();
+    info!(node.parts.logger, "item started"; "job" => &*name.job, "item" => name.item,
+        "id" => &*call.id, "endpoint" => &*endpoint.id, "after_event" => progress.lock().last_event(),
+        "load" => state.load.total(&endpoint.id).total());
+    state.running.push(RunningItem {
+        name: name.clone(),
+        endpoint: endpoint.id.clone(),
+        progress: progress.clone(),
+        cancel: Some(cancel),
+    });
+    let run = ItemRun {
+        guard: RunGuard::begin(node, state, endpoint, RunClass::Batch),
+        node: node.clone(),
+        name,
+        endpoint: endpoint.clone(),
+        call,
+        progress,
+        pieces: pieces.unwrap_or_default(),
+    };
+    tokio::spawn(run.run(cancelled, ends.clone()));
+}
--- /dev/null
+++ b/crates/switch/src/batch/outcomes.rs
@@ -0,0 +1,262 @@
+//! Records outcomes and output so far on the log.
+
+use crate::link::{AppendError, KeyedRecord, LogPart};
+use crate::node::{JOB_PERIOD, SwitchNode};
+use crate::progress::{ProgressDelta, SharedProgress};
+use crate::record::{ItemOutcome, JobRecord, TextPlace, split_frames, text_key};
+use crate::schedule::ItemName;
+use bytes::Bytes;
+use rand::Rng;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time in which outcomes are gathered for one append.
+const LINGER: Duration = Duration::from_millis(30);
+/// Most outcomes of one append.
+const MOST_OUTCOMES: usize = 32;
+/// Most bytes of texts in one append; the log takes 2 MiB.
+const MOST_TEXT_BYTES: usize = 1_500_000;
+/// First pause after an append failed; doubles.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause after an append failed.
+const RETRY_LONGEST: Duration = Duration::from_secs(1);
+/// Time between records of the output so far: what a lost host costs an item at most, against two appends.
+const CHECKPOINT_PERIOD: Duration = Duration::from_secs(2);
+/// Longest time that a host which stops spends on handing items on.
+const HAND_ON_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time until cancelled runs have ended.
+const CANCEL_LIMIT: Duration = Duration::from_millis(300);
+/// Time beyond a reader's period until it has surely read what was handed on.
+const READ_MARGIN: Duration = Duration::from_millis(200);
+
+/// Something to be recorded of an item.
+pub(super) struct ItemEnd {
+    pub(super) name: ItemName,
+    pub(super) fact: ItemFact,
+}
+
+/// What is recorded of an item.
+pub(super) enum ItemFact {
+    /// Its whole output.
+    Completed(Bytes),
+    /// It cannot be done.
+    Dead,
+    /// A run of it failed; it may run again.
+    Failed,
+}
+
+pub(super) fn send_end(ends: &mpsc::UnboundedSender<ItemEnd>, end: ItemEnd) {
+    // The receiver lives as long as the host.
+    let _ = ends.send(end);
+}
+
+/// Records outcomes, several with one append.
+pub(super) async fn record_ends(
+    node: Arc<SwitchNode>,
+    mut queue: mpsc::UnboundedReceiver<ItemEnd>,
+) {
+    let mut ends = Vec::new();
+    while queue.recv_many(&mut ends, 1).await > 0 {
+        sleep(LINGER).await;
+        let mut bytes: usize = ends.iter().map(end_bytes).sum();
+        while ends.len() < MOST_OUTCOMES && bytes < MOST_TEXT_BYTES {
+            let Ok(end) = queue.try_recv() else {
+                break;
+            };
+            bytes += end_bytes(&end);
+            ends.push(end);
+        }
+        let outcomes = write_texts(&node, &ends).await;
+        write_outcomes(&node, &outcomes).await;
+        ends.clear();
+    }
+}
+
+fn end_bytes(end: &ItemEnd) -> usize {
+    match &end.fact {
+        ItemFact::Completed(text) => text.len(),
+        ItemFact::Dead | ItemFact::Failed => 0,
+    }
+}
+
+/// Texts that are written with one append.
+#[derive(Default)]
+struct TextBatch {
+    frames: Vec<KeyedRecord>,
+}
+
+impl TextBatch {
+    /// Adds a text; its place counts from the batch's first frame.
+    fn add(&mut self, node: &SwitchNode, text: &Bytes) -> TextPlace {
+        let number = node.lock().numbers.next_number();
+        let parts = split_frames(&text_key(number), text);
+        let place = TextPlace {
+            offset: self.frames.len() as u64,
+            number,
+            frames: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+            bytes: u32::try_from(text.len()).unwrap_or(u32::MAX),
+        };
+        self.frames.extend(parts);
+        node.lock().texts.put(number, text.clone());
+        place
+    }
+}
+
+/// Writes the texts of completed items until the log takes them, and returns the records of their outcomes.
+async fn write_texts(node: &SwitchNode, ends: &[ItemEnd]) -> Vec<JobRecord> {
+    let mut texts = TextBatch::default();
+    let mut records = Vec::new();
+    for end in ends {
+        let (job, item) = (end.name.job.clone(), end.name.item);
+        let outcome = match &end.fact {
+            ItemFact::Failed => {
+                records.push(JobRecord::Failed { job, item });
+                continue;
+            }
+            ItemFact::Dead => ItemOutcome::Dead,
+            ItemFact::Completed(text) => ItemOutcome::Completed(texts.add(node, text)),
+        };
+        records.push(JobRecord::Settled { job, item, outcome });
+    }
+    if !texts.frames.is_empty() {
+        let topic = &node.settings.topics.texts;
+        let first = append_until_taken(node, topic, || texts.frames.clone()).await;
+        for record in &mut records {
+            if let JobRecord::Settled {
+                outcome: ItemOutcome::Completed(place),
+                ..
+            } = record
+            {
+                place.offset += first;
+            }
+        }
+    }
+    records
+}
+
+/// Writes outcomes until the log takes them. Each try has keys of its own: a repeated key would move the
+/// outcome to another place for readers that start from the newest records.
+async fn write_outcomes(node: &SwitchNode, records: &[JobRecord]) {
+    let topic = &node.settings.topics.jobs;
+    append_until_taken(node, topic, || encode_all(node, records)).await;
+    node.tail_now.notify_one();
+}
+
+fn encode_all(node: &SwitchNode, records: &[JobRecord]) -> Vec<KeyedRecord> {
+    let mut frames = Vec::new();
+    for record in records {
+        let number = node.lock().numbers.next_number();
+        match record.encode(number) {
+            Ok(parts) => frames.extend(parts),
+            Err(error) => warn!(node.parts.logger, "record not encoded";
+                "job" => &**record.job(), "cause" => %error),
+        }
+    }
+    frames
+}
+
+/// Appends until the log says that it took the records. They may stand there twice; readers take the first.
+async fn append_until_taken(
+    node: &SwitchNode,
+    part: &LogPart,
+    frames: impl Fn() -> Vec<KeyedRecord>,
+) -> u64 {
+    let mut pause = RETRY_FIRST;
+    loop {
+        match node.append_to(part, &frames()).await {
+            Ok(first) => return first,
+            Err(error) => {
+                warn!(node.parts.logger, "outcome not recorded yet"; "cause" => %error);
+                let jitter = node.lock().rng.random_range(0.5..1.0);
+                sleep(pause.mul_f64(jitter)).await;
+                pause = (pause * 2).min(RETRY_LONGEST);
+            }
+        }
+    }
+}
+
+/// Records the output so far now and then, so that a lost host's items need not run from their start.
+pub(super) async fn keep_checkpoints(node: Arc<SwitchNode>) {
+    loop {
+        sleep(CHECKPOINT_PERIOD).await;
+        write_checkpoint(&node).await;
+    }
+}
+
+/// Records the output that is not on the log. Returns for how many items.
+async fn write_checkpoint(node: &SwitchNode) -> usize {
+    let begun: Vec<(ItemName, SharedProgress)> = node.lock().progress.clone();
+    let mut texts = TextBatch::default();
+    let mut deltas: Vec<(ItemName, SharedProgress, ProgressDelta, TextPlace)> = Vec::new();
+    let mut bytes = 0;
+    for (name, progress) in begun {
+        let Some(delta) = progress.lock().delta() else {
+            continue;
+        };
+        bytes += delta.text.len();
+        if bytes > MOST_TEXT_BYTES {
+            break;
+        }
+        let place = texts.add(node, &Bytes::from(delta.text.clone()));
+        deltas.push((name, progress, delta, place));
+    }
+    if deltas.is_empty() {
+        return 0;
+    }
+    let topic = &node.settings.topics.texts;
+    let Ok(first) = node.append_to(topic, &texts.frames).await else {
+        // Nothing names the texts, so they do no harm; the next checkpoint writes them again.
+        return 0;
+    };
+    let records: Vec<JobRecord> = deltas
+        .iter()
+        .map(|(name, _, delta, place)| JobRecord::Progress {
+            job: name.job.clone(),
+            item: name.item,
+            after: delta.after,
+            last_event: delta.last_event,
+            place: TextPlace {
+                offset: place.offset + first,
+                ..place.clone()
+            },
+        })
+        .collect();
+    let frames = encode_all(node, &records);
+    let appended = node.append_to(&node.settings.topics.jobs, &frames).await;
+    for (_, progress, delta, _) in &deltas {
+        match &appended {
+            Ok(_) => progress.lock().note_recorded(delta),
+            Err(AppendError::Refused { .. }) => {}
+            Err(AppendError::Unknown { .. }) => progress.lock().note_unknown(),
+        }
+    }
+    if appended.is_ok() { deltas.len() } else { 0 }
+}
+
+/// Cancels all runs and leaves their output so far on the log for the hosts that go on with them.
+pub(crate) async fn hand_on(node: &Arc<SwitchNode>) {
+    let begun = Instant::now();
+    for running in &mut node.lock().running {
+        if let Some(cancel) = running.cancel.take() {
+            // A run that has just ended by itself no longer listens.
+            let _ = cancel.send(());
+        }
+    }
+    while !node.lock().running.is_empty() && begun.elapsed() < CANCEL_LIMIT {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let count = node.lock().progress.len();
+    // Without an answer in time the items go on from their last checkpoint.
+    let recorded = timeout(HAND_ON_LIMIT, write_checkpoint(node)).await;
+    while !node.lock().settling.is_empty() && begun.elapsed() < HAND_ON_LIMIT {
+        sleep(Duration::from_millis(20)).await;
+    }
+    // Other hosts leave the items alone until they have read what was handed on.
+    sleep(JOB_PERIOD + READ_MARGIN).await;
+    node.lock().progress.clear();
+    info!(node.parts.logger, "items handed on"; "items" => count,
+        "recorded" => recorded.unwrap_or(0));
+}
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Calls for batch jobs: submit, read results and bodies, end.
 
 use crate::ledger::{ItemState, LedgerJob};
-use crate::link::{AppendError, KeyedRecord, ReadError};
+use crate::link::{AppendError, KeyedRecord, LogPart, ReadError};
 use crate::node::{SwitchNode, millis, wall_ms};
 use crate::record::{
     AcceptedItem, AcceptedJob, FrameAssembler, ItemOutcome, JobRecord, TextPlace, text_key,
@@ -309,7 +309,7 @@
         JobReply::Found(ResultPage { total, results })
     }
 
-    async fn fetch_text(&self, place: &TextPlace) -> Result<Bytes, ReadError> {
+    pub(crate) async fn fetch_text(&self, place: &TextPlace) -> Result<Bytes, ReadError> {
         if let Some(text) = self.lock().texts.get(place.number) {
             return Ok(text);
         }
@@ -368,23 +368,23 @@
         SubmitReply::Unknown
     }
 
-    pub(crate) async fn append_record(
-        &self,
-        record: &JobRecord,
-        number: u64,
-    ) -> Result<u64, AppendError> {
+    async fn append_record(&self, record: &JobRecord, number: u64) -> Result<u64, AppendError> {
         let frames = record
             .encode(number)
             .map_err(|error| AppendError::Refused {
                 cause: error.to_string().into(),
             })?;
-        self.append_frames(&frames).await
+        let appended = self.append_to(&self.settings.topics.jobs, &frames).await;
+        self.tail_now.notify_one();
+        appended
     }
 
-    pub(crate) async fn append_frames(&self, frames: &[KeyedRecord]) -> Result<u64, AppendError> {
-        let topic = &self.settings.topics.jobs;
+    pub(crate) async fn append_to(
+        &self,
+        topic: &LogPart,
+        frames: &[KeyedRecord],
+    ) -> Result<u64, AppendError> {
         let appended = self.parts.log.append(topic, frames).await;
-        self.tail_now.notify_one();
         let outcome = if appended.is_ok() {
             "appended"
         } else {
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -3,6 +3,7 @@
 //! All hosts apply the same records in the same order, so they agree on which items have ended and at which
 //! position each result stands.
 
+use crate::progress::{ProgressPiece, add_piece};
 use crate::record::{AcceptedItem, AcceptedJob, ItemOutcome, JobRecord};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -17,15 +18,6 @@
     Settled,
 }
 
-/// A part of an item's output.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ItemProgress {
-    /// Number of the last event; `None` before the first.
-    pub last_event: Option<u64>,
-    /// Data of the events so far.
-    pub text: Vec<u8>,
-}
-
 /// An item of a job.
 #[derive(Clone, Debug)]
 pub struct LedgerItem {
@@ -35,8 +27,8 @@
     pub state: ItemState,
     /// Runs that failed.
     pub failures: u32,
-    /// Output that a stopped host left.
-    pub progress: Option<ItemProgress>,
+    /// Output so far that stands on the log.
+    pub pieces: Vec<ProgressPiece>,
 }
 
 /// A result at its position.
@@ -75,7 +67,7 @@
             accepted: item,
             state: ItemState::Open,
             failures: 0,
-            progress: None,
+            pieces: Vec::new(),
         });
         Self {
             id: accepted.job,
@@ -151,9 +143,22 @@
             JobRecord::Progress {
                 job,
                 item,
+                after,
                 last_event,
-                text,
-            } => self.progress(&job, item, last_event, &text),
+                place,
+            } => {
+                let piece = ProgressPiece {
+                    after,
+                    last_event,
+                    place,
+                };
+                let item = self.open_item(&job, item);
+                if item.is_some_and(|item| add_piece(&mut item.pieces, piece)) {
+                    LedgerChange::Progressed
+                } else {
+                    LedgerChange::Repeated
+                }
+            }
             JobRecord::Ended { job } => match self.get_mut(&job) {
                 Some(job) if !job.ended => {
                     job.ended = true;
@@ -230,26 +235,13 @@
         entry.state = ItemState::Settled;
         entry.accepted.body = Bytes::new();
         entry.accepted.headers = Vec::new();
-        entry.progress = None;
+        entry.pieces = Vec::new();
         job.results.push(PlacedResult { item, outcome });
         LedgerChange::Settled {
             position: job.results.len() - 1,
         }
     }
 
-    fn progress(&mut self, job: &str, item: u32, last_event: u64, text: &[u8]) -> LedgerChange {
-        match self.open_item(job, item) {
-            Some(entry) => {
-                entry.progress = Some(ItemProgress {
-                    last_event: Some(last_event),
-                    text: text.to_vec(),
-                });
-                LedgerChange::Progressed
-            }
-            None => LedgerChange::Repeated,
-        }
-    }
-
     fn open_item(&mut self, job: &str, item: u32) -> Option<&mut LedgerItem> {
         let item = self.get_mut(job)?.items.get_mut(item as usize)?;
         (item.state == ItemState::Open).then_some(item)
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod node;
 pub mod online;
+pub mod progress;
 pub mod record;
 pub mod route;
 pub mod schedule;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -3,11 +3,12 @@
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::gossip;
 use crate::jobs::TextCache;
-use crate::ledger::{ItemProgress, JobLedger};
+use crate::ledger::JobLedger;
 use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord, ReadError};
 use crate::load::{LoadView, RunClass};
 use crate::members::{HostCard, MemberTable};
 use crate::metrics::SwitchMetrics;
+use crate::progress::SharedProgress;
 use crate::record::{JobRecord, RecordNumbers, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName};
@@ -97,7 +98,7 @@
 pub(crate) struct RunningItem {
     pub(crate) name: ItemName,
     pub(crate) endpoint: Arc<str>,
-    pub(crate) bytes: usize,
+    pub(crate) progress: SharedProgress,
     pub(crate) cancel: Option<oneshot::Sender<()>>,
 }
 
@@ -110,9 +111,8 @@
     pub(crate) ledger: JobLedger,
     pub(crate) histories: ItemHistories,
     pub(crate) running: Vec<RunningItem>,
-    pub(crate) progress: Vec<(ItemName, ItemProgress)>,
+    pub(crate) progress: Vec<(ItemName, SharedProgress)>,
     pub(crate) settling: Vec<ItemName>,
-    pub(crate) handing: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
     pub(crate) online: usize,
@@ -121,15 +121,28 @@
 }
 
 impl SwitchState {
-    /// Items that this host has begun: they run here, have output here, have ended here and are not recorded
-    /// yet, or are being handed on.
+    /// Items that this host has begun: they run or have output here, or have ended here and are not recorded
+    /// yet.
     pub(crate) fn own_claims(&self, most: usize) -> Vec<ItemKey> {
-        let running = self.running.iter().map(|running| &running.name);
         let begun = self.progress.iter().map(|(name, _)| name);
-        let left = self.settling.iter().chain(&self.handing);
-        let names = running.chain(begun).chain(left);
+        let names = begun.chain(&self.settling);
         names.take(most).map(ItemName::key).collect()
     }
+
+    /// Returns the output of an item so far, which counts the item as begun.
+    pub(crate) fn begin_progress(&mut self, name: &ItemName) -> SharedProgress {
+        if let Some((_, progress)) = self.progress.iter().find(|(begun, _)| begun == name) {
+            return progress.clone();
+        }
+        let progress = SharedProgress::default();
+        self.progress.push((name.clone(), progress.clone()));
+        progress
+    }
+
+    /// Forgets the output of an item.
+    pub(crate) fn forget_progress(&mut self, name: &ItemName) {
+        self.progress.retain(|(begun, _)| begun != name);
+    }
 }
 
 /// One host of the switch.
@@ -162,7 +175,6 @@
             running: Vec::new(),
             progress: Vec::new(),
             settling: Vec::new(),
-            handing: Vec::new(),
             texts: TextCache::default(),
             stopping: false,
             online: 0,
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Version of the records' encoding.
-const SCHEMA: u8 = 1;
+const SCHEMA: u8 = 2;
 /// Most bytes of a frame; the log takes records of 256 KiB.
 const FRAME_BYTES: usize = 200_000;
 
@@ -91,16 +91,18 @@
         /// Index of the item in the job.
         item: u32,
     },
-    /// A part of an item's output, left by a host that stops.
+    /// A part of the output of an item that has not ended.
     Progress {
         /// Identity of the job.
         job: Arc<str>,
         /// Index of the item in the job.
         item: u32,
-        /// Number of the last event in the text.
+        /// Number of the last event before the part; `None` at the start.
+        after: Option<u64>,
+        /// Number of the last event in the part.
         last_event: u64,
-        /// The text so far.
-        text: Bytes,
+        /// Where its text stands.
+        place: TextPlace,
     },
     /// The job was ended by its caller.
     Ended {
--- a/crates/switch/tests/fleet.rs
+++ b/crates/switch/tests/fleet.rs
@@ -7,6 +7,7 @@
 use fulmarswitch_switch::jobs::SubmitReply;
 use std::time::Duration;
 use support::{CallScript, TestFleet, results, submission, whole_text};
+use tokio::runtime::Builder;
 use tokio::time::{Instant, sleep};
 
 /// Longest time for what takes about two seconds.
@@ -44,6 +45,39 @@
     assert!(resumed.is_some_and(|event| event > 5), "{resumed:?}");
 }
 
+/// All hosts are lost at once: the items go on behind their last checkpoint.
+#[tokio::test]
+async fn items_of_lost_hosts_go_on_behind_their_checkpoint() {
+    let fleet = TestFleet::new(2);
+    fleet.link.otherwise(CallScript::Stream { events: 250 });
+    // A host with a runtime of its own ends with it.
+    let host = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let starting = fleet.clone();
+    let first = host
+        .spawn(async move { starting.start("a").await })
+        .await
+        .unwrap();
+    first.submit_job(submission("j", 1)).await;
+    until("a run", async || fleet.link.running() == 1).await;
+    sleep(Duration::from_millis(2500)).await;
+    host.shutdown_background();
+    let second = fleet.start("b").await;
+    until("the result", async || {
+        !results(&second, "j").await.results.is_empty()
+    })
+    .await;
+    assert_eq!(
+        results(&second, "j").await.results[0].text,
+        Some(whole_text(250))
+    );
+    let resumed = fleet.link.seen().last().unwrap().resume_after;
+    assert!(resumed.is_some_and(|event| event > 20), "{resumed:?}");
+}
+
 /// Hosts that start together have heard nobody; each must not take the others' jobs for its own.
 #[tokio::test]
 async fn a_host_that_has_just_started_leaves_others_jobs_alone() {
--- a/crates/switch/tests/pure.rs
+++ b/crates/switch/tests/pure.rs
@@ -8,8 +8,9 @@
 use fulmarswitch_switch::ledger::{JobLedger, LedgerChange};
 use fulmarswitch_switch::link::PlacedRecord;
 use fulmarswitch_switch::members::{HostCard, MemberChange, MemberTable};
+use fulmarswitch_switch::progress::{ItemProgress, ProgressPiece, add_piece};
 use fulmarswitch_switch::record::{
-    AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumbers, RecordReader,
+    AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumbers, RecordReader, TextPlace,
 };
 use fulmarswitch_switch::route::{RouteKind, RouteTable};
 use fulmarswitch_switch::schedule::{ItemHistories, ItemName, WaitingItem, order_items};
@@ -289,6 +290,54 @@
     assert_eq!(whole.pop().unwrap().unwrap(), record);
 }
 
+/// Output is recorded piece by piece; a piece of another run, which ends elsewhere, is left out.
+#[test]
+fn pieces_of_one_run_make_its_output() {
+    let place = |number| TextPlace {
+        offset: 0,
+        number,
+        frames: 1,
+        bytes: 1,
+    };
+    let mut progress = ItemProgress::default();
+    assert_eq!(progress.delta(), None);
+    let mut pieces = Vec::new();
+    let mut texts = Vec::new();
+    for (number, events) in [(1, 1..=3), (2, 4..=4)] {
+        for id in events {
+            assert!(progress.push_event(id, format!("w{id}").as_bytes()));
+        }
+        let delta = progress.delta().unwrap();
+        progress.note_recorded(&delta);
+        assert_eq!(progress.delta(), None);
+        let piece = ProgressPiece {
+            after: delta.after,
+            last_event: delta.last_event,
+            place: place(number),
+        };
+        assert!(add_piece(&mut pieces, piece));
+        texts.push(delta.text);
+    }
+    let other_run = ProgressPiece {
+        after: Some(3),
+        last_event: 9,
+        place: place(3),
+    };
+    assert!(!add_piece(&mut pieces, other_run));
+    assert!(!progress.push_event(6, b"w6"), "an event is missing");
+    let mut taken = ItemProgress::from_pieces(&pieces, &texts);
+    assert_eq!(taken.text(), progress.text());
+    assert_eq!((taken.last_event(), taken.delta()), (Some(4), None));
+    assert!(taken.push_event(5, b"w5"));
+    assert_eq!(taken.delta().unwrap().text, b"w5");
+    taken.note_unknown();
+    assert_eq!(
+        taken.delta(),
+        None,
+        "what may stand there is not written again"
+    );
+}
+
 #[test]
 fn numbers_differ_between_runs_and_hosts() {
     let mut all = Vec::new();
