Log each decision with its inputs and their age, bound the lines a second, and explain one request

Lines for routing (load seen, age of the oldest report, version), refusals, avoided endpoints and submissions; a bound of 400 lines a second with a count of what was left out; 'fulmarswitch explain ID' over the hosts' logs.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands; each prints its answer to standard output.
 
 pub mod config;
+pub mod explain;
 pub mod fleet;
 pub mod job;
 pub mod load;
@@ -28,6 +29,9 @@
 /// # Errors
 /// [`CommandError`] names the remedy and gives the exit code.
 pub async fn run(options: CommandOptions) -> Result<(), CommandError> {
+    if let Command::Explain { json, id, files } = &options.command {
+        return explain::print(id, files, *json);
+    }
     let seeds: Vec<Arc<str>> = options
         .host
         .iter()
@@ -57,6 +61,8 @@
             timeline::print(&clients, entity.as_deref(), json).await
         }
         Command::Load(options) => load::run(&clients, options).await,
+        // Handled above, before a host is needed.
+        Command::Explain { json, id, files } => explain::print(&id, &files, json),
     }
 }
 
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -72,6 +72,21 @@
         /// Print one JSON object a line
         json: bool,
     },
+    /// Puts the log lines of one request, job or host in order of time
+    ///
+    ///
+    /// Reads the hosts' logs; needs no host. Lines that are torn are counted and left out.
+    #[bpaf(command)]
+    Explain {
+        /// Print the lines as they stand in the logs
+        json: bool,
+        /// Identity of the request, job or item, or name of a host or endpoint
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files; standard input when none is named
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Drives online requests at a fixed rate beside a batch job, and reports percentiles
     #[bpaf(command)]
     Load(#[bpaf(external(load_options))] LoadOptions),
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -143,14 +143,25 @@
     pub async fn submit_job(&self, submission: JobSubmission) -> SubmitReply {
         let begun = Instant::now();
         let job = submission.job.clone();
-        let (items, reply) = (submission.items.len(), self.accept_job(submission).await);
+        let items = submission.items.len();
+        let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
+        let quota = submission.route.token_quota;
+        let waiting = {
+            let route = &submission.route;
+            let ledger = &self.lock().ledger;
+            ledger.waiting_tokens(&route.host, &route.path_prefix)
+        };
+        let read_at = *self.synced.borrow();
+        let reply = self.accept_job(submission, waiting + tokens).await;
         self.metrics.count_job(reply.outcome());
         info!(self.parts.logger, "job submitted"; "job" => &*job, "items" => items,
+            "tokens" => tokens, "waiting_tokens" => waiting, "quota" => quota,
+            "log_age_ms" => read_at.map(|read_at| millis(begun.duration_since(read_at))),
             "outcome" => ?reply, "after_ms" => millis(begun.elapsed()));
         reply
     }
 
-    async fn accept_job(&self, submission: JobSubmission) -> SubmitReply {
+    async fn accept_job(&self, submission: JobSubmission, tokens: u64) -> SubmitReply {
         if self.synced.borrow().is_none() {
             return refused();
         }
@@ -162,13 +173,8 @@
             if state.stopping {
                 return refused();
             }
-            let route = &submission.route;
-            let waiting = state.ledger.waiting_tokens(&route.host, &route.path_prefix);
-            let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
-            if route
-                .token_quota
-                .is_some_and(|quota| waiting + tokens > quota)
-            {
+            let quota = submission.route.token_quota;
+            if quota.is_some_and(|quota| tokens > quota) {
                 return SubmitReply::OverQuota {
                     retry_after: QUOTA_RETRY,
                 };
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod link;
 pub mod load;
+pub mod logging;
 pub mod members;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/crates/switch/src/logging.rs
@@ -0,0 +1,103 @@
+//! Log lines that never hold up the host: a bound on lines a second, and a writer of its own.
+
+use slog::{Drain, Level, Logger, OwnedKVList, Record, info, o};
+use std::io::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Most lines a second: a host that serves 60 requests a second writes under 300.
+pub const LINES_PER_SECOND: u32 = 400;
+/// Lines that wait for the writer; further ones are counted and left out.
+const WAITING_LINES: usize = 1024;
+/// Span over which lines are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct LineCount {
+    since: Instant,
+    lines: u32,
+    left_out: u32,
+}
+
+/// Passes on a bounded number of lines a second. Warnings and errors always pass.
+#[derive(Debug)]
+pub struct BoundedDrain<D> {
+    inner: D,
+    most: u32,
+    count: Mutex<LineCount>,
+}
+
+impl<D> BoundedDrain<D> {
+    /// Passes on at most `most` lines a second to `inner`.
+    pub fn new(inner: D, most: u32) -> Self {
+        let count = LineCount {
+            since: Instant::now(),
+            lines: 0,
+            left_out: 0,
+        };
+        Self {
+            inner,
+            most,
+            count: Mutex::new(count),
+        }
+    }
+
+    /// Counts a line. Returns whether it passes, and how many were left out in the span that just ended.
+    fn admit(&self, level: Level) -> (bool, u32) {
+        let mut count = self.count.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut left_out = 0;
+        if count.since.elapsed() >= SPAN {
+            left_out = count.left_out;
+            *count = LineCount {
+                since: Instant::now(),
+                lines: 0,
+                left_out: 0,
+            };
+        }
+        let passes = count.lines < self.most || level.is_at_least(Level::Warning);
+        if passes {
+            count.lines += 1;
+        } else {
+            count.left_out += 1;
+        }
+        (passes, left_out)
+    }
+}
+
+impl<D: Drain> Drain for BoundedDrain<D> {
+    type Ok = ();
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), D::Err> {
+        let (passes, left_out) = self.admit(record.level());
+        if left_out > 0 {
+            let args = format_args!("lines left out");
+            let location = slog::record_static!(Level::Warning, "");
+            let pairs = slog::b!("count" => left_out);
+            self.inner
+                .log(&Record::new(&location, &args, pairs), values)?;
+        }
+        if passes {
+            self.inner.log(record, values)?;
+        }
+        Ok(())
+    }
+}
+
+/// Makes the logger of a host, which writes JSON lines to `output` from a thread of its own. The guard writes
+/// what waits when it is dropped.
+pub fn host_logger(
+    host: &str,
+    output: impl Write + Send + 'static,
+) -> (Logger, slog_async::AsyncGuard) {
+    let json = slog_json::Json::default(output).fuse();
+    let (writer, guard) = slog_async::Async::new(json)
+        .chan_size(WAITING_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let bounded = BoundedDrain::new(writer, LINES_PER_SECOND);
+    let drain = bounded.filter_level(Level::Info).fuse();
+    let logger = Logger::root(drain, o!("host" => host.to_owned()));
+    info!(logger, "log begins"; "lines_per_second" => LINES_PER_SECOND);
+    (logger, guard)
+}
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -182,6 +182,15 @@
         })
     }
 
+    /// Age of the oldest report of a host that was heard lately.
+    #[must_use]
+    pub fn oldest_report(&self, now: Instant) -> Duration {
+        let ages = self.alive(now).filter_map(|entry| entry.heard);
+        ages.map(|heard| now.duration_since(heard))
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Notes which items a host has begun.
     pub fn set_claims(&mut self, name: &str, claims: Vec<ItemKey>) {
         if let Ok(index) = self.search(name) {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -299,6 +299,12 @@
         info!(self.parts.logger, "idle"; "left" => left, "took_ms" => millis(begun.elapsed()));
     }
 
+    /// Keeps new work off an endpoint that failed, for a while.
+    pub(crate) fn avoid_endpoint(&self, id: &str, now: Instant) {
+        let time = self.lock().load.note_failure(id, now);
+        info!(self.parts.logger, "endpoint avoided"; "endpoint" => id, "for_ms" => millis(time));
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, SwitchState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -155,12 +155,30 @@
         }
         match pick {
             EndpointPick::Use(endpoint) => {
+                let load = state.load.total(&endpoint.id);
+                info!(self.node.parts.logger, "request routed"; "request" => &*self.request.call.id,
+                    "service" => &**service, "endpoint" => &*endpoint.id, "send" => self.sends + 1,
+                    "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
+                    "report_age_ms" => millis(state.members.oldest_report(now)),
+                    "config" => state.routes.as_ref().map(|routes| routes.version),
+                    "left_ms" => millis(left));
                 let guard = RunGuard::begin(&self.node, state, &endpoint, RunClass::Online);
                 self.sends += 1;
                 Ok((endpoint, guard))
             }
-            EndpointPick::Full { retry_after } => Err(self.give_up(retry_after)),
-            EndpointPick::Missing => Err(self.give_up(MISSING_RETRY)),
+            EndpointPick::Full { retry_after } => {
+                info!(self.node.parts.logger, "request not routed"; "request" => &*self.request.call.id,
+                    "service" => &**service, "cause" => "all endpoints have queues",
+                    "report_age_ms" => millis(state.members.oldest_report(now)),
+                    "mean_run_ms" => millis(state.load.mean_run()));
+                Err(self.give_up(retry_after))
+            }
+            EndpointPick::Missing => {
+                info!(self.node.parts.logger, "request not routed"; "request" => &*self.request.call.id,
+                    "service" => &**service, "cause" => "no endpoint is left",
+                    "tried" => self.tried.len(), "listed" => state.endpoints.len());
+                Err(self.give_up(MISSING_RETRY))
+            }
         }
     }
 
@@ -223,20 +241,19 @@
         self.node.metrics.count_attempt(error.outcome());
         match error {
             CallError::NotSent { .. } => {
-                self.node.lock().load.note_failure(&endpoint.id, now);
+                self.node.avoid_endpoint(&endpoint.id, now);
                 Ok(())
             }
             CallError::NotRun { misdirected, .. } => {
-                let mut state = self.node.lock();
                 if *misdirected {
-                    state.load.note_failure(&endpoint.id, now);
+                    self.node.avoid_endpoint(&endpoint.id, now);
                 } else {
-                    state.load.note_full(&endpoint.id, now);
+                    self.node.lock().load.note_full(&endpoint.id, now);
                 }
                 Ok(())
             }
             CallError::Broken { .. } => {
-                self.node.lock().load.note_failure(&endpoint.id, now);
+                self.node.avoid_endpoint(&endpoint.id, now);
                 let again = self.may_run_again();
                 self.runs += 1;
                 if again {
@@ -477,8 +494,7 @@
             let now = Instant::now();
             let late = self.attempt.request.deadline <= now + LEAST_REMAINING;
             if !late {
-                let mut state = self.attempt.node.lock();
-                state.load.note_failure(&self.endpoint.id, now);
+                self.attempt.node.avoid_endpoint(&self.endpoint.id, now);
             }
             info!(self.attempt.node.parts.logger, "answer broke off";
                 "request" => &*self.attempt.request.call.id, "cause" => %error,
