--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -20,6 +20,9 @@
 /// Silence of an endpoint after which an idempotent request is sent to another one: well under the two
 /// seconds after which callers abandon a stream.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
+/// Part of the latency target that may pass in an endpoint's queue; the rest is for the way, the prompt and what
+/// other hosts send meanwhile.
+const QUEUE_PART: f64 = 0.75;
 /// Pause named to callers when no endpoint is known.
 const MISSING_RETRY: Duration = Duration::from_millis(500);
 /// Least time left in which a request is still sent.
@@ -189,7 +192,7 @@
         if target.is_zero() {
             left
         } else {
-            target.min(left)
+            target.mul_f64(QUEUE_PART).min(left)
         }
     }
 
@@ -480,7 +483,9 @@
         let took = attempt.begun.elapsed();
         if outcome == "answered" {
             let mut state = attempt.node.lock();
-            state.load.note_run(took);
+            // The time after the first byte: what a slot is held for.
+            let waited = self.first.unwrap_or_default();
+            state.load.note_run(took.saturating_sub(waited));
             state.load.note_success(&self.endpoint.id);
         }
         attempt.node.metrics.count_request(outcome, took);
