--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -31,13 +31,14 @@
 /// Pause before the card is written again after a refusal.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(500);
 /// Version of the beats' encoding.
-const SCHEMA: u8 = 2;
+const SCHEMA: u8 = 3;
 
 /// One beat.
 #[derive(Debug, Serialize, Deserialize)]
 struct HostBeat {
     card: HostCard,
     ready: bool,
+    has_log: bool,
     load: LoadReport,
     claims: Vec<ItemKey>,
     also: Option<HostCard>,
@@ -142,6 +143,7 @@
         let beat = HostBeat {
             card: node.settings.card.clone(),
             ready: state.routes.is_some() && !state.stopping,
+            has_log: node.has_log(now),
             load: state.load.own_report(),
             claims: state.own_claims(MOST_CLAIMS),
             also,
@@ -227,6 +229,7 @@
     }
     state.load.take_report(&name, beat.load);
     state.members.set_claims(&name, beat.claims);
+    state.members.set_log(&name, beat.has_log);
     let gives_way = state.running.iter().any(|running| {
         let endpoint = state.endpoints.get(&running.endpoint);
         endpoint.is_some_and(|endpoint| state.load.batch_excess(endpoint) > 0)
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -22,8 +22,10 @@
 const SYNC_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait until a record of unknown fate shows on the log.
 const FATE_LIMIT: Duration = Duration::from_millis(1200);
-/// Pause named to callers whose job was not accepted since the log does not take it.
-const LOG_RETRY: Duration = Duration::from_millis(700);
+/// Pause named to callers whose job was not accepted since the log takes nothing from any host.
+const LOG_RETRY: Duration = Duration::from_millis(1500);
+/// Pause named to callers whose job was not accepted here, while other hosts have the log.
+const OTHER_RETRY: Duration = Duration::from_millis(100);
 /// Pause named to callers whose job does not fit the quota.
 const QUOTA_RETRY: Duration = Duration::from_secs(1);
 /// Time between searches for jobs to forget.
@@ -163,7 +165,7 @@
 
     async fn accept_job(&self, submission: JobSubmission, tokens: u64) -> SubmitReply {
         if self.synced.borrow().is_none() {
-            return refused();
+            return self.refused();
         }
         let number = {
             let mut state = self.lock();
@@ -171,7 +173,7 @@
                 return SubmitReply::Done;
             }
             if state.stopping {
-                return refused();
+                return self.refused();
             }
             let quota = submission.route.token_quota;
             if quota.is_some_and(|quota| tokens > quota) {
@@ -191,7 +193,7 @@
         });
         match self.append_record(&record, number).await {
             Ok(_) => SubmitReply::Done,
-            Err(AppendError::Refused { .. }) => refused(),
+            Err(AppendError::Refused { .. }) => self.refused(),
             Err(AppendError::Unknown { .. }) => {
                 self.await_fate(|ledger| ledger.get(&submission.job).is_some())
                     .await
@@ -205,7 +207,7 @@
             JobReply::Found(true) => SubmitReply::Done,
             JobReply::Found(false) => self.append_end(job).await,
             JobReply::Missing => SubmitReply::Missing,
-            JobReply::Unsure => refused(),
+            JobReply::Unsure => self.refused(),
         };
         info!(self.parts.logger, "job end asked"; "job" => &**job, "outcome" => ?reply);
         reply
@@ -216,7 +218,7 @@
         let record = JobRecord::Ended { job: job.clone() };
         match self.append_record(&record, number).await {
             Ok(_) => SubmitReply::Done,
-            Err(AppendError::Refused { .. }) => refused(),
+            Err(AppendError::Refused { .. }) => self.refused(),
             Err(AppendError::Unknown { .. }) => {
                 self.await_fate(|ledger| ledger.get(job).is_some_and(|found| found.ended))
                     .await
@@ -315,6 +317,17 @@
         JobReply::Found(ResultPage { total, results })
     }
 
+    /// Refuses what the log does not take here; another host may have it taken.
+    fn refused(&self) -> SubmitReply {
+        let others_have_log = self.lock().members.others_have_log(Instant::now());
+        let retry_after = if others_have_log {
+            OTHER_RETRY
+        } else {
+            LOG_RETRY
+        };
+        SubmitReply::Refused { retry_after }
+    }
+
     pub(crate) async fn fetch_text(&self, place: &TextPlace) -> Result<Bytes, ReadError> {
         if let Some(text) = self.lock().texts.get(place.number) {
             return Ok(text);
@@ -414,9 +427,3 @@
         }
     }
 }
-
-fn refused() -> SubmitReply {
-    SubmitReply::Refused {
-        retry_after: LOG_RETRY,
-    }
-}
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -44,6 +44,8 @@
     pub known: Instant,
     /// Items that it has begun.
     pub claims: Vec<ItemKey>,
+    /// Whether it reads the log.
+    pub has_log: bool,
 }
 
 /// What a notice about a host changed.
@@ -93,6 +95,7 @@
                     heard: Some(now),
                     known: now,
                     claims: Vec::new(),
+                    has_log: false,
                 };
                 self.entries.insert(index, entry);
                 return MemberChange::Joined;
@@ -135,6 +138,7 @@
                     heard: None,
                     known: now,
                     claims: Vec::new(),
+                    has_log: false,
                 };
                 self.entries.insert(index, entry);
             }
@@ -198,6 +202,19 @@
         }
     }
 
+    /// Notes whether a host reads the log.
+    pub fn set_log(&mut self, name: &str, has_log: bool) {
+        if let Ok(index) = self.search(name) {
+            self.entries[index].has_log = has_log;
+        }
+    }
+
+    /// Whether another host that takes callers reads the log.
+    #[must_use]
+    pub fn others_have_log(&self, now: Instant) -> bool {
+        self.alive(now).any(|entry| entry.ready && entry.has_log)
+    }
+
     /// Items that other hosts have begun and this one leaves to them, sorted. Of two hosts that have begun the
     /// same item, the one whose name comes first goes on.
     #[must_use]
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -32,6 +32,8 @@
 pub(crate) const JOB_PERIOD: Duration = Duration::from_millis(400);
 /// Pause between reads of the list of hosts, which beats make nearly needless.
 const HOST_PERIOD: Duration = Duration::from_secs(2);
+/// Age of the jobs' last read beyond which the log counts as lost: a few periods.
+const LOG_LOST: Duration = Duration::from_millis(1500);
 /// First pause after a read that failed; doubles.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause after a read that failed.
@@ -275,6 +277,11 @@
         addresses
     }
 
+    /// Makes another host known, which gets beats from now on.
+    pub fn meet(&self, card: &HostCard) {
+        self.lock().members.introduce(card.clone(), Instant::now());
+    }
+
     /// Stops: takes no new work, hands items on and waits until requests in progress have ended or the grace
     /// time that began at `begun` is nearly over.
     pub async fn stop(self: &Arc<Self>, begun: Instant) {
@@ -299,6 +306,12 @@
         info!(self.parts.logger, "idle"; "left" => left, "took_ms" => millis(begun.elapsed()));
     }
 
+    /// Whether this host has read the log lately.
+    pub(crate) fn has_log(&self, now: Instant) -> bool {
+        let read_at = *self.synced.borrow();
+        read_at.is_some_and(|read_at| now.duration_since(read_at) < LOG_LOST)
+    }
+
     /// Keeps new work off an endpoint that failed, for a while.
     pub(crate) fn avoid_endpoint(&self, id: &str, now: Instant) {
         let time = self.lock().load.note_failure(id, now);
--- a/crates/switch/tests/fleet.rs
+++ b/crates/switch/tests/fleet.rs
@@ -45,6 +45,25 @@
     assert!(resumed.is_some_and(|event| event > 5), "{resumed:?}");
 }
 
+/// A host that is cut off from the log sends callers to the others at once; without those they come back later.
+#[tokio::test]
+async fn a_host_without_the_log_sends_callers_to_the_others() {
+    let (fleet, cut) = (TestFleet::new(1), TestFleet::new(1));
+    let first = cut.start("a").await;
+    cut.log.set_down(true);
+    let refused = async |job: &str| match first.submit_job(submission(job, 1)).await {
+        SubmitReply::Refused { retry_after } => retry_after,
+        other => panic!("{other:?}"),
+    };
+    assert!(refused("j").await > Duration::from_secs(1));
+    let second = fleet.start("b").await;
+    second.meet(&first.settings.card);
+    until("a beat", async || {
+        refused("k").await < Duration::from_millis(200)
+    })
+    .await;
+}
+
 /// All hosts are lost at once: the items go on behind their last checkpoint.
 #[tokio::test]
 async fn items_of_lost_hosts_go_on_behind_their_checkpoint() {
