Tell refused callers to come back after the overload

Change: the pause follows the length of the overloads seen so far, spread over 0.4 s, at most 1.5 s.

--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod node;
 pub mod online;
+pub mod overload;
 pub mod progress;
 pub mod record;
 pub mod route;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -135,8 +135,8 @@
     Use(Arc<ListedEndpoint>),
     /// All endpoints have queues too long for the time allowed.
     Full {
-        /// When a place is expected.
-        retry_after: Duration,
+        /// Expected wait at the one with the shortest queue.
+        wait: Duration,
     },
     /// No endpoint is left.
     Missing,
@@ -317,9 +317,7 @@
         };
         let wait = self.expected_wait(endpoint);
         if wait > patience {
-            return EndpointPick::Full {
-                retry_after: wait.saturating_sub(patience / 2),
-            };
+            return EndpointPick::Full { wait };
         }
         EndpointPick::Use(endpoint.clone())
     }
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -8,6 +8,7 @@
 use crate::load::{LoadView, RunClass};
 use crate::members::{HostCard, MemberTable};
 use crate::metrics::SwitchMetrics;
+use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
 use crate::record::{JobRecord, RecordNumbers, RecordReader};
 use crate::route::RouteTable;
@@ -109,6 +110,7 @@
     pub(crate) routes: Option<Arc<RouteTable>>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) load: LoadView,
+    pub(crate) overload: OverloadTracker,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
     pub(crate) histories: ItemHistories,
@@ -171,6 +173,7 @@
             routes: None,
             endpoints: EndpointTable::default(),
             load: LoadView::default(),
+            overload: OverloadTracker::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
             histories: ItemHistories::default(),
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -169,11 +169,13 @@
                 self.sends += 1;
                 Ok((endpoint, guard))
             }
-            EndpointPick::Full { retry_after } => {
+            EndpointPick::Full { wait } => {
+                let draw = state.rng.random::<f64>();
+                let retry_after = state.overload.refuse(wait, now, draw);
                 info!(self.node.parts.logger, "request not routed"; "request" => &*self.request.call.id,
                     "service" => &**service, "cause" => "all endpoints have queues",
                     "report_age_ms" => millis(state.members.oldest_report(now)),
-                    "mean_run_ms" => millis(state.load.mean_run()));
+                    "wait_ms" => millis(wait), "mean_run_ms" => millis(state.load.mean_run()));
                 Err(self.give_up(retry_after))
             }
             EndpointPick::Missing => {
