--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -167,22 +167,23 @@
         if self.synced.borrow().is_none() {
             return self.refused();
         }
+        let quota = submission.route.token_quota;
         let number = {
             let mut state = self.lock();
             if state.ledger.get(&submission.job).is_some() {
                 return SubmitReply::Done;
             }
-            if state.stopping {
-                return self.refused();
-            }
-            let quota = submission.route.token_quota;
-            if quota.is_some_and(|quota| tokens > quota) {
-                return SubmitReply::OverQuota {
-                    retry_after: QUOTA_RETRY,
-                };
-            }
-            state.numbers.next_number()
+            // What refuses locks the state again, so the lock ends first.
+            (!state.stopping).then(|| state.numbers.next_number())
         };
+        let Some(number) = number else {
+            return self.refused();
+        };
+        if quota.is_some_and(|quota| tokens > quota) {
+            return SubmitReply::OverQuota {
+                retry_after: QUOTA_RETRY,
+            };
+        }
         let record = JobRecord::Accepted(AcceptedJob {
             job: submission.job.clone(),
             host: submission.route.host.clone(),
--- a/crates/switch/tests/fleet.rs
+++ b/crates/switch/tests/fleet.rs
@@ -64,6 +64,31 @@
     .await;
 }
 
+/// A host that stops refuses a job and stays alive for the requests that it still has.
+#[tokio::test]
+async fn a_host_that_stops_refuses_jobs() {
+    let fleet = TestFleet::new(1);
+    let first = fleet.start("a").await;
+    let stopping = first.clone();
+    let stop = tokio::spawn(async move { stopping.stop(Instant::now()).await });
+    sleep(Duration::from_millis(20)).await;
+    // On a thread of its own, since a host that holds its state for ever would hold up this one.
+    let asked = first.clone();
+    let (reply, replied) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let refused = runtime.block_on(asked.submit_job(submission("j", 1)));
+        reply.send(refused).unwrap();
+    });
+    let replied = tokio::task::spawn_blocking(move || replied.recv_timeout(PATIENCE));
+    let refused = replied.await.unwrap().expect("an answer");
+    assert!(
+        matches!(refused, SubmitReply::Refused { .. }),
+        "{refused:?}"
+    );
+    stop.await.unwrap();
+}
+
 /// All hosts are lost at once: the items go on behind their last checkpoint.
 #[tokio::test]
 async fn items_of_lost_hosts_go_on_behind_their_checkpoint() {
