--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -3,11 +3,12 @@
 //! Beats are datagrams; one that is lost is made good by the next. The log is only needed to find the first
 //! other host: beats carry the cards of hosts in turn.
 
+use crate::follow::FollowBatch;
 use crate::homes::pick_homes;
 use crate::link::{AppendError, KeyedRecord};
 use crate::load::LoadReport;
 use crate::members::{HostCard, MemberChange};
-use crate::node::{FollowBatch, SwitchNode, SwitchState, millis};
+use crate::node::{SwitchNode, SwitchState, millis};
 use crate::schedule::ItemKey;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod batch;
 pub mod endpoint;
 pub mod events;
+mod follow;
 pub mod gossip;
 pub mod homes;
 pub mod jobs;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,10 +1,11 @@
 //! One host: its settings, its state and the tasks that keep it true.
 
 use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::follow::{FollowBatch, FollowTerms, follow};
 use crate::gossip;
 use crate::jobs::TextCache;
 use crate::ledger::JobLedger;
-use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord, ReadError};
+use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord};
 use crate::load::{LoadView, RunClass};
 use crate::members::{HostCard, MemberTable};
 use crate::metrics::SwitchMetrics;
@@ -22,7 +23,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Longest wait of a read for the next configuration; short, so that a connection that went silent is noticed
 /// well within the two seconds in which a configuration has to be in force.
@@ -35,10 +36,6 @@
 const HOST_PERIOD: Duration = Duration::from_secs(2);
 /// Age of the jobs' last read beyond which the log counts as lost: a few periods.
 const LOG_LOST: Duration = Duration::from_millis(1500);
-/// First pause after a read that failed; doubles.
-const RETRY_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause after a read that failed.
-const RETRY_LONGEST: Duration = Duration::from_millis(800);
 /// Time after which a host that stops gives up what is still in progress, less the grace time's end.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
@@ -497,95 +494,6 @@
     }
 }
 
-/// How a partition is followed.
-pub(crate) struct FollowTerms {
-    part: LogPart,
-    wait: Duration,
-    period: Duration,
-}
-
-/// What following a partition brought.
-#[derive(Clone, Copy)]
-pub(crate) enum FollowBatch<'a> {
-    /// The log does not answer.
-    Lost,
-    /// The newest record of every key.
-    Whole(&'a [PlacedRecord]),
-    /// The next records.
-    Next(&'a [PlacedRecord]),
-}
-
-impl<'a> FollowBatch<'a> {
-    /// The records.
-    pub(crate) fn records(self) -> &'a [PlacedRecord] {
-        match self {
-            Self::Lost => &[],
-            Self::Whole(records) | Self::Next(records) => records,
-        }
-    }
-}
-
-/// Follows a partition: the newest record of each key first, then its tail. Starts again with the newest
-/// records where the tail has expired.
-async fn follow<F>(node: Arc<SwitchNode>, terms: FollowTerms, mut take: F)
-where
-    F: FnMut(&SwitchNode, FollowBatch<'_>) + Send,
-{
-    let is_jobs = terms.part == node.settings.topics.jobs;
-    let mut next = None;
-    let mut pause = RETRY_FIRST;
-    let mut lost = false;
-    loop {
-        let begun = Instant::now();
-        let page = match next {
-            None => node.parts.log.newest(&terms.part).await,
-            Some(from) => node.parts.log.read(&terms.part, from, terms.wait).await,
-        };
-        match page {
-            Ok(page) => {
-                node.metrics.count_log_call("read");
-                if lost {
-                    info!(node.parts.logger, "log regained"; "topic" => &*terms.part.topic);
-                }
-                (lost, pause) = (false, RETRY_FIRST);
-                match next {
-                    None => take(&node, FollowBatch::Whole(&page.records)),
-                    Some(_) => take(&node, FollowBatch::Next(&page.records)),
-                }
-                next = Some(page.next);
-                if page.next < page.end {
-                    continue;
-                }
-                if is_jobs {
-                    node.synced.send_replace(Some(begun));
-                    // A reader that waits for a newer state asks for the next read.
-                    let _ = timeout(terms.period, node.tail_now.notified()).await;
-                } else if !terms.period.is_zero() {
-                    sleep(terms.period).await;
-                }
-            }
-            Err(ReadError::Expired { first }) => {
-                node.metrics.count_log_call("expired");
-                info!(node.parts.logger, "tail expired"; "topic" => &*terms.part.topic,
-                    "from" => next, "first" => first);
-                next = None;
-            }
-            Err(ReadError::Unavailable { cause }) => {
-                node.metrics.count_log_call("not read");
-                if !lost {
-                    warn!(node.parts.logger, "log lost"; "topic" => &*terms.part.topic,
-                        "cause" => &*cause);
-                }
-                lost = true;
-                take(&node, FollowBatch::Lost);
-                let jitter = node.lock().rng.random_range(0.5..1.0);
-                sleep(pause.mul_f64(jitter)).await;
-                pause = (pause * 2).min(RETRY_LONGEST);
-            }
-        }
-    }
-}
-
 /// The host's clock in milliseconds since the Unix epoch; takes part in due times only.
 #[must_use]
 pub fn wall_ms() -> u64 {
