--- a/crates/switch/src/events.rs
+++ b/crates/switch/src/events.rs
@@ -42,6 +42,14 @@
     }
 
     /// Takes the next whole event.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::events::EventSplitter;
+    /// let mut splitter = EventSplitter::default();
+    /// assert!(splitter.push(b"id: 4\ndata: a\n\nid: 5\n"));
+    /// assert_eq!(splitter.next_event().and_then(|event| event.id), Some(4));
+    /// assert_eq!(splitter.next_event(), None);
+    /// ```
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
         self.scanned = 0;
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -127,6 +127,12 @@
     }
 
     /// Returns a text.
+    ///
+    /// ```
+    /// let mut texts = fulmarswitch_switch::jobs::TextCache::default();
+    /// texts.put(7, "whole output".into());
+    /// assert_eq!(texts.get(7), Some("whole output".into()));
+    /// ```
     #[must_use]
     pub fn get(&self, number: u64) -> Option<Bytes> {
         let found = self.texts.iter().rev().find(|(key, _)| *key == number);
--- a/crates/switch/src/link.rs
+++ b/crates/switch/src/link.rs
@@ -83,6 +83,25 @@
     },
 }
 
+/// Errors of a record that another writer left.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum DecodeError {
+    /// The bytes are not of the agreed form.
+    #[snafu(display("the record cannot be read ({cause}); correct its writer"))]
+    Unreadable {
+        /// What the codec says.
+        cause: Arc<str>,
+    },
+    /// A field has a value that it cannot have.
+    #[snafu(display("{field} = {value} is impossible; correct its writer"))]
+    Impossible {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: Arc<str>,
+    },
+}
+
 /// The log that keeps all that lasts.
 #[async_trait]
 pub trait KeyedLog: Send + Sync {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -5,7 +5,7 @@
 use crate::gossip;
 use crate::jobs::TextCache;
 use crate::ledger::JobLedger;
-use crate::link::{EndpointLink, KeyedLog, LogPart, PlacedRecord};
+use crate::link::{DecodeError, EndpointLink, KeyedLog, LogPart, PlacedRecord};
 use crate::load::{LoadView, RunClass};
 use crate::members::{HostCard, MemberTable};
 use crate::metrics::SwitchMetrics;
@@ -72,14 +72,14 @@
     /// Decodes a configuration; `None` for a key that is none.
     ///
     /// # Errors
-    /// Says what is wrong.
-    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, String>>;
+    /// [`DecodeError`] says what is wrong.
+    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>>;
 
     /// Decodes a listing.
     ///
     /// # Errors
-    /// Says what is wrong.
-    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, String>;
+    /// [`DecodeError`] says what is wrong.
+    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError>;
 }
 
 /// What a host works with.
@@ -332,7 +332,7 @@
                 Ok(table) => self.apply_routes(table, placed.offset),
                 Err(cause) => {
                     warn!(self.parts.logger, "configuration left out";
-                        "offset" => placed.offset, "cause" => cause);
+                        "offset" => placed.offset, "cause" => %cause);
                 }
             }
         }
@@ -407,7 +407,7 @@
             Err(cause) => {
                 warn!(self.parts.logger, "listing left out";
                     "key" => &*String::from_utf8_lossy(&record.key),
-                    "offset" => placed.offset, "cause" => cause);
+                    "offset" => placed.offset, "cause" => %cause);
                 None
             }
         }
--- a/crates/switch/src/overload.rs
+++ b/crates/switch/src/overload.rs
@@ -33,6 +33,15 @@
 impl OverloadTracker {
     /// Notes a refusal at `now` of a request that would have waited `wait`, and returns when the caller should come
     /// back: when the overload is expected to be over, spread by `draw` between 0 and 1.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::overload::OverloadTracker;
+    /// use std::time::Duration;
+    /// let mut tracker = OverloadTracker::default();
+    /// let now = tokio::time::Instant::now();
+    /// let pause = tracker.refuse(Duration::from_millis(250), now, 0.0);
+    /// assert_eq!(pause, Duration::from_secs(1));
+    /// ```
     pub fn refuse(&mut self, wait: Duration, now: Instant, draw: f64) -> Duration {
         let began = match self.current {
             Some((began, last)) if now.duration_since(last) <= CALM_TIME => began,
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -77,6 +77,13 @@
     }
 
     /// Adds an event's data. Returns whether the event follows the last one.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::progress::ItemProgress;
+    /// let mut progress = ItemProgress::default();
+    /// assert!(progress.push_event(1, b"a"));
+    /// assert!(!progress.push_event(3, b"c"));
+    /// ```
     #[must_use]
     pub fn push_event(&mut self, id: u64, data: &[u8]) -> bool {
         if self.last_event.is_some_and(|last| id != last + 1) {
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -186,6 +186,12 @@
     }
 
     /// Returns a number that was not used before.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::record::RecordNumbers;
+    /// let mut numbers = RecordNumbers::new("host-1", 1_700_000_000_000);
+    /// assert_ne!(numbers.next_number(), numbers.next_number());
+    /// ```
     pub fn next_number(&mut self) -> u64 {
         self.count += 1;
         self.base | (self.count & ((1 << COUNT_BITS) - 1))
@@ -199,6 +205,14 @@
 }
 
 /// Splits bytes into frames under keys that begin with `prefix`.
+///
+/// ```
+/// use fulmarswitch_switch::record::{FrameAssembler, split_frames};
+/// let mut assembler = FrameAssembler::default();
+/// let frames = split_frames("t/1", &[7; 300_000]);
+/// let whole: Vec<_> = frames.iter().filter_map(|frame| assembler.push(frame)).collect();
+/// assert_eq!((frames.len(), whole[0].len()), (2, 300_000));
+/// ```
 #[must_use]
 pub fn split_frames(prefix: &str, bytes: &[u8]) -> Vec<KeyedRecord> {
     let count = bytes.len().div_ceil(FRAME_BYTES).max(1);
--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Returns the service for a draw between 0 and 1.
+    /// Returns the service for a draw between 0 and 1, in proportion to the weights.
     ///
     /// Returns `None` for a route without a service.
     #[must_use]
--- a/crates/switch/tests/support/mod.rs
+++ b/crates/switch/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use fulmarswitch_switch::endpoint::ListedEndpoint;
 use fulmarswitch_switch::jobs::{JobReply, JobSubmission, ResultPage};
 use fulmarswitch_switch::link::{
-    AppendError, CallError, CallTerms, EndpointAnswer, EndpointCall, EndpointLink, KeyedLog,
-    KeyedRecord, LogPart, PlacedRecord, ReadError, TailPage,
+    AppendError, CallError, CallTerms, DecodeError, EndpointAnswer, EndpointCall, EndpointLink,
+    KeyedLog, KeyedRecord, LogPart, PlacedRecord, ReadError, TailPage,
 };
 use fulmarswitch_switch::members::HostCard;
 use fulmarswitch_switch::node::{FleetDecoder, LogTopics, SwitchNode, SwitchParts, SwitchSettings};
@@ -382,18 +382,21 @@
 struct TextDecoder;
 
 impl FleetDecoder for TextDecoder {
-    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, String>> {
+    fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>> {
         let version = std::str::from_utf8(value).ok()?.parse().ok()?;
         (key == b"config").then(|| Ok(routes(version)))
     }
 
-    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, String> {
-        let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
-        let id = std::str::from_utf8(key).map_err(|error| error.to_string())?;
+    fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
+        let unreadable = |cause: &str| DecodeError::Unreadable {
+            cause: cause.into(),
+        };
+        let text = std::str::from_utf8(value).map_err(|_| unreadable("no text"))?;
+        let id = std::str::from_utf8(key).map_err(|_| unreadable("no text"))?;
         match text {
             "ready" => Ok(listed(id, 4, false)),
             "draining" => Ok(listed(id, 4, true)),
-            _ => Err(format!("unknown state {text}")),
+            _ => Err(unreadable(text)),
         }
     }
 }
