--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
+use http::HeaderMap;
+use http::header::CONTENT_LENGTH;
 use rand::Rng;
 use slog::info;
 use std::sync::Arc;
@@ -66,6 +68,9 @@
             sends: 0,
             runs: 0,
             begun: Instant::now(),
+            first: None,
+            endpoint: None,
+            ended: false,
             _count: count,
         };
         match attempt.first_answer().await {
@@ -73,7 +78,7 @@
                 OnlineReply::Answer(attempt.pass_on(answer, guard, endpoint))
             }
             Err(reply) => {
-                attempt.log_end(&reply);
+                attempt.log_reply(&reply);
                 reply
             }
         }
@@ -105,9 +110,20 @@
     sends: u32,
     runs: u32,
     begun: Instant,
+    first: Option<Duration>,
+    endpoint: Option<Arc<str>>,
+    ended: bool,
     _count: OnlineCount,
 }
 
+impl Drop for OnlineAttempt {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_end("caller left", None);
+        }
+    }
+}
+
 impl OnlineAttempt {
     async fn first_answer(&mut self) -> Result<Opened, OnlineReply> {
         loop {
@@ -167,6 +183,7 @@
                     "left_ms" => millis(left));
                 let guard = RunGuard::begin(&self.node, state, &endpoint, RunClass::Online);
                 self.sends += 1;
+                self.endpoint = Some(endpoint.id.clone());
                 Ok((endpoint, guard))
             }
             EndpointPick::Full { wait } => {
@@ -298,19 +315,24 @@
         }
     }
 
-    fn log_end(&self, reply: &OnlineReply) {
-        let (outcome, retry_ms) = match reply {
-            OnlineReply::Answer(_) => ("answered", None),
-            OnlineReply::Rejected { retry_after } => ("rejected", Some(millis(*retry_after))),
-            OnlineReply::Failed => ("failed", None),
-            OnlineReply::TimedOut => ("timed out", None),
-        };
-        self.node
-            .metrics
-            .count_request(outcome, self.begun.elapsed());
+    fn log_reply(&mut self, reply: &OnlineReply) {
+        match reply {
+            OnlineReply::Answer(_) => self.log_end("answered", None),
+            OnlineReply::Rejected { retry_after } => self.log_end("rejected", Some(*retry_after)),
+            OnlineReply::Failed => self.log_end("failed", None),
+            OnlineReply::TimedOut => self.log_end("timed out", None),
+        }
+    }
+
+    /// Notes how the request ended, once.
+    fn log_end(&mut self, outcome: &'static str, retry_after: Option<Duration>) {
+        self.ended = true;
+        let took = self.begun.elapsed();
+        self.node.metrics.count_request(outcome, took);
         info!(self.node.parts.logger, "request ended"; "request" => &*self.request.call.id,
-            "outcome" => outcome, "retry_ms" => retry_ms, "sends" => self.sends, "runs" => self.runs,
-            "after_ms" => millis(self.begun.elapsed()));
+            "outcome" => outcome, "retry_ms" => retry_after.map(millis), "sends" => self.sends,
+            "runs" => self.runs, "first_ms" => self.first.map(millis),
+            "endpoint" => self.endpoint.as_deref(), "after_ms" => millis(took));
     }
 
     fn pass_on(
@@ -330,8 +352,8 @@
             guard: Some(guard),
             splitter: EventSplitter::default(),
             resumable,
+            length_left: content_length(&answer.headers),
             ended: false,
-            first: None,
         };
         let body = stream::unfold(pass, |mut pass| async move {
             let item = pass.next_chunk().await?;
@@ -354,8 +376,9 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     resumable: bool,
+    /// Bytes that are to come of an answer of known length.
+    length_left: Option<u64>,
     ended: bool,
-    first: Option<Duration>,
 }
 
 impl PassedAnswer {
@@ -391,7 +414,6 @@
                 }
                 None if !self.splitter.has_rest() => return None,
                 other => {
-                    self.ended = false;
                     let cause = match other {
                         Some(Err(error)) => error.to_string(),
                         _ => "the last event is not whole".to_owned(),
@@ -420,11 +442,7 @@
         let next = timeout_at(limit, body.next()).await;
         let chunk = match next {
             Ok(Some(Ok(chunk))) => {
-                if self.first.is_none() {
-                    let took = self.attempt.begun.elapsed();
-                    self.first = Some(took);
-                    self.attempt.node.metrics.note_first_byte(took);
-                }
+                self.note_chunk(chunk.len());
                 return Some(Ok(chunk));
             }
             Ok(None) => {
@@ -481,19 +499,31 @@
         self.ended = true;
         self.body = None;
         self.guard = None;
-        let attempt = &self.attempt;
-        let took = attempt.begun.elapsed();
+        let attempt = &mut self.attempt;
         if outcome == "answered" {
             let mut state = attempt.node.lock();
             // The time after the first byte: what a slot is held for.
-            let waited = self.first.unwrap_or_default();
-            state.load.note_run(took.saturating_sub(waited));
+            let waited = attempt.first.unwrap_or_default();
+            let run = attempt.begun.elapsed().saturating_sub(waited);
+            state.load.note_run(run);
             state.load.note_success(&self.endpoint.id);
         }
-        attempt.node.metrics.count_request(outcome, took);
-        info!(attempt.node.parts.logger, "request ended"; "request" => &*attempt.request.call.id,
-            "outcome" => outcome, "endpoint" => &*self.endpoint.id, "sends" => attempt.sends,
-            "first_ms" => self.first.map(millis), "after_ms" => millis(took));
+        attempt.log_end(outcome, None);
+    }
+
+    /// Notes the first byte, and the end of an answer whose length is known.
+    fn note_chunk(&mut self, bytes: usize) {
+        if self.attempt.first.is_none() {
+            let took = self.attempt.begun.elapsed();
+            self.attempt.first = Some(took);
+            self.attempt.node.metrics.note_first_byte(took);
+        }
+        if let Some(left) = &mut self.length_left {
+            *left = left.saturating_sub(bytes as u64);
+            if *left == 0 {
+                self.finish("answered");
+            }
+        }
     }
 
     fn broken(&mut self, error: CallError) -> Result<Bytes, CallError> {
@@ -512,6 +542,10 @@
     }
 }
 
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn broken(cause: &str) -> CallError {
     CallError::Broken {
         cause: cause.into(),
--- a/crates/switch/tests/online.rs
+++ b/crates/switch/tests/online.rs
@@ -120,6 +120,11 @@
     asked.abort();
     tokio::time::sleep(Duration::from_millis(1)).await;
     assert_eq!(fleet.link.running(), 0);
+    let metrics = node.write_metrics().unwrap();
+    assert!(
+        metrics.contains("fulmarswitch_requests_total{outcome=\"caller left\"} 1"),
+        "{metrics}"
+    );
 }
 
 #[tokio::test(start_paused = true)]
