Drop the records of forgotten jobs from the log, and allow for clocks that differ

Each host notes which frames are a job's; the runner of its first item drops them when the job is forgotten. An item is given up, and a job forgotten, 10 s later than the route says, since hosts' clocks may differ.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) use outcomes::hand_on;
 
 use crate::endpoint::ListedEndpoint;
+use crate::jobs::CLOCK_MARGIN;
 use crate::ledger::{ItemState, LedgerJob};
 use crate::link::EndpointCall;
 use crate::load::RunClass;
@@ -177,7 +178,8 @@
     let claimed = state.members.claimed(own, &own_claims, now);
     for job in state.ledger.open_jobs() {
         let route = routes.find(&job.host, &job.path_prefix);
-        let is_over = route.is_none_or(|route| wall > job.accepted_ms + millis(route.retention));
+        let is_over = route
+            .is_none_or(|route| wall > job.accepted_ms + millis(route.retention + CLOCK_MARGIN));
         for (index, item) in job.items.iter().enumerate() {
             if item.state != ItemState::Open {
                 continue;
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -7,6 +7,7 @@
     AcceptedItem, AcceptedJob, FrameAssembler, ItemOutcome, JobRecord, TextPlace, text_key,
 };
 use crate::route::ServiceRoute;
+use crate::schedule::ItemName;
 use bytes::Bytes;
 use slog::{info, warn};
 use std::collections::VecDeque;
@@ -28,6 +29,10 @@
 const OTHER_RETRY: Duration = Duration::from_millis(100);
 /// Pause named to callers whose job does not fit the quota.
 const QUOTA_RETRY: Duration = Duration::from_secs(1);
+/// Time beyond which hosts' clocks do not differ.
+pub(crate) const CLOCK_MARGIN: Duration = Duration::from_secs(10);
+/// Most keys that are dropped with one append.
+const MOST_DROPS: usize = 500;
 /// Time between searches for jobs to forget.
 const FORGET_PERIOD: Duration = Duration::from_secs(10);
 
@@ -423,14 +428,61 @@
     }
 }
 
-/// Forgets jobs that no longer have to be readable.
+/// Forgets jobs for as long as the host runs.
 pub(crate) async fn forget_jobs(node: Arc<SwitchNode>) {
     loop {
         sleep(FORGET_PERIOD).await;
-        let keep = node.settings.job_keep;
-        let count = node.lock().ledger.forget(wall_ms(), keep);
-        if count > 0 {
-            info!(node.parts.logger, "jobs forgotten"; "count" => count);
+        let margin = u64::try_from(CLOCK_MARGIN.as_millis()).unwrap_or(u64::MAX);
+        node.forget_until(wall_ms().saturating_sub(margin)).await;
+    }
+}
+
+impl SwitchNode {
+    /// Forgets jobs that no longer have to be readable at `now_ms` since the Unix epoch, and drops their records
+    /// from the log.
+    pub async fn forget_until(&self, now_ms: u64) {
+        let own = &*self.settings.card.name;
+        let forgotten: Vec<(LedgerJob, bool)> = {
+            let mut state = self.lock();
+            let jobs = state.ledger.forget(now_ms, self.settings.job_keep);
+            let (members, now) = (&state.members, Instant::now());
+            let is_own = |job: &LedgerJob| members.runner(&first_item(job), own, now) == own;
+            jobs.into_iter()
+                .map(|job| {
+                    let is_own = is_own(&job);
+                    (job, is_own)
+                })
+                .collect()
+        };
+        for (job, is_own) in forgotten {
+            info!(self.parts.logger, "job forgotten"; "job" => &*job.id, "drops" => is_own);
+            if is_own {
+                drop_records(self, &job).await;
+            }
+        }
+    }
+}
+
+/// Names the item by whose runner a job's records are dropped.
+fn first_item(job: &LedgerJob) -> ItemName {
+    ItemName {
+        job: job.id.clone(),
+        item: 0,
+    }
+}
+
+/// Drops a job's records and texts, so that the log does not fill up. What fails here is left to a host that
+/// starts later: it reads the job, forgets it and drops it.
+async fn drop_records(node: &SwitchNode, job: &LedgerJob) {
+    let topics = &node.settings.topics;
+    for (topic, is_text) in [(&topics.texts, true), (&topics.jobs, false)] {
+        let frames = job.kept.iter().filter(|frames| frames.is_text == is_text);
+        let drops: Vec<KeyedRecord> = frames.flat_map(|frames| frames.drops(&job.id)).collect();
+        for part in drops.chunks(MOST_DROPS) {
+            // The failure is logged where it is met.
+            if node.append_to(topic, part).await.is_err() {
+                return;
+            }
         }
     }
 }
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -4,7 +4,7 @@
 //! position each result stands.
 
 use crate::progress::{ProgressPiece, add_piece};
-use crate::record::{AcceptedItem, AcceptedJob, ItemOutcome, JobRecord};
+use crate::record::{AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, KeptFrames};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +59,8 @@
     pub results: Vec<PlacedResult>,
     /// Whether its caller ended it.
     pub ended: bool,
+    /// Frames on the log that are its own.
+    pub kept: Vec<KeptFrames>,
 }
 
 impl LedgerJob {
@@ -78,6 +80,7 @@
             items: items.collect(),
             results: Vec::new(),
             ended: false,
+            kept: Vec::new(),
         }
     }
 
@@ -128,7 +131,26 @@
 }
 
 impl JobLedger {
-    /// Applies the next record of the log.
+    /// Applies the next record of the log, whose last frame has the key `last_key`.
+    pub fn apply_placed(&mut self, record: JobRecord, last_key: &[u8]) -> LedgerChange {
+        let job = record.job().clone();
+        let text = match &record {
+            JobRecord::Settled {
+                outcome: ItemOutcome::Completed(place),
+                ..
+            }
+            | JobRecord::Progress { place, .. } => Some(KeptFrames::of_text(place)),
+            _ => None,
+        };
+        let change = self.apply(record);
+        if let Some(job) = self.get_mut(&job) {
+            let frames = KeptFrames::of_record(last_key);
+            job.kept.extend(text.into_iter().chain(frames));
+        }
+        change
+    }
+
+    /// Applies a record.
     pub fn apply(&mut self, record: JobRecord) -> LedgerChange {
         match record {
             JobRecord::Accepted(accepted) => self.accept(accepted),
@@ -190,14 +212,15 @@
             .sum()
     }
 
-    /// Forgets jobs without open items that were accepted longer than `keep` before `now_ms`, and returns how
-    /// many.
-    pub fn forget(&mut self, now_ms: u64, keep: Duration) -> usize {
-        let before = self.jobs.len();
+    /// Forgets jobs without open items that were accepted longer than `keep` before `now_ms`, and returns them.
+    pub fn forget(&mut self, now_ms: u64, keep: Duration) -> Vec<LedgerJob> {
         let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
-        self.jobs
-            .retain(|job| job.is_open() || now_ms < job.accepted_ms.saturating_add(keep_ms));
-        before - self.jobs.len()
+        let is_kept =
+            |job: &LedgerJob| job.is_open() || now_ms < job.accepted_ms.saturating_add(keep_ms);
+        let jobs = std::mem::take(&mut self.jobs);
+        let (kept, forgotten) = jobs.into_iter().partition(is_kept);
+        self.jobs = kept;
+        forgotten
     }
 
     /// Number of jobs.
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -427,7 +427,7 @@
             for placed in batch.records() {
                 match reader.push(placed) {
                     None => {}
-                    Some(Ok(record)) => node.apply_record(record, placed.offset),
+                    Some(Ok(record)) => node.apply_record(record, placed),
                     Some(Err(error)) => {
                         warn!(node.parts.logger, "record left out";
                             "offset" => placed.offset, "cause" => %error);
@@ -442,7 +442,7 @@
         follow(self, terms, take).await;
     }
 
-    fn apply_record(&self, record: JobRecord, offset: u64) {
+    fn apply_record(&self, record: JobRecord, last: &PlacedRecord) {
         let job = record.job().clone();
         let kind = match &record {
             JobRecord::Accepted(_) => "accepted",
@@ -451,9 +451,10 @@
             JobRecord::Progress { .. } => "progress",
             JobRecord::Ended { .. } => "ended",
         };
-        let change = self.lock().ledger.apply(record);
+        let last_key = &last.record.key;
+        let change = self.lock().ledger.apply_placed(record, last_key);
         slog::debug!(self.parts.logger, "job record"; "job" => &*job, "kind" => kind,
-            "offset" => offset, "change" => ?change);
+            "offset" => last.offset, "change" => ?change);
     }
 }
 
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -148,11 +148,7 @@
     pub fn encode(&self, number: u64) -> Result<Vec<KeyedRecord>, postcard::Error> {
         let mut bytes = vec![SCHEMA];
         bytes.extend(postcard::to_stdvec(self)?);
-        let hash = xxh3_64(self.job().as_bytes());
-        Ok(split_frames(
-            &format!("j/{hash:016x}/{number:016x}"),
-            &bytes,
-        ))
+        Ok(split_frames(&record_key(self.job(), number), &bytes))
     }
 
     fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
@@ -198,6 +194,65 @@
     }
 }
 
+/// Which frames belong to a job, so that they can be dropped with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptFrames {
+    /// Number in the frames' keys.
+    pub number: u64,
+    /// How many frames there are.
+    pub count: u32,
+    /// Whether they are of a text, or of a record.
+    pub is_text: bool,
+}
+
+impl KeptFrames {
+    /// Frames of a text.
+    #[must_use]
+    pub fn of_text(place: &TextPlace) -> Self {
+        Self {
+            number: place.number,
+            count: place.frames,
+            is_text: true,
+        }
+    }
+
+    /// Frames of the record whose last frame has this key; `None` for a key of another form.
+    #[must_use]
+    pub fn of_record(last_key: &[u8]) -> Option<Self> {
+        let mut parts = std::str::from_utf8(last_key).ok()?.rsplit('/');
+        let last: u32 = parts.next()?.parse().ok()?;
+        let number = u64::from_str_radix(parts.next()?, 16).ok()?;
+        Some(Self {
+            number,
+            count: last + 1,
+            is_text: false,
+        })
+    }
+
+    /// Records that drop the frames' keys, for those of `job`.
+    #[must_use]
+    pub fn drops(self, job: &str) -> Vec<KeyedRecord> {
+        let prefix = if self.is_text {
+            text_key(self.number)
+        } else {
+            record_key(job, self.number)
+        };
+        let drop = |index| KeyedRecord {
+            key: frame_key(&prefix, index).into(),
+            value: Bytes::new(),
+        };
+        (0..self.count).map(drop).collect()
+    }
+}
+
+fn record_key(job: &str, number: u64) -> String {
+    format!("j/{:016x}/{number:016x}", xxh3_64(job.as_bytes()))
+}
+
+fn frame_key(prefix: &str, index: u32) -> String {
+    format!("{prefix}/{index:04}")
+}
+
 /// Key prefix of a text's frames.
 #[must_use]
 pub fn text_key(number: u64) -> String {
@@ -223,7 +278,7 @@
             value.put_u8(u8::from(index + 1 == count));
             value.put_slice(&bytes[index * FRAME_BYTES..end]);
             KeyedRecord {
-                key: format!("{prefix}/{index:04}").into(),
+                key: frame_key(prefix, u32::try_from(index).unwrap_or(u32::MAX)).into(),
                 value: value.freeze(),
             }
         })
--- a/crates/switch/tests/jobs.rs
+++ b/crates/switch/tests/jobs.rs
@@ -194,3 +194,21 @@
     assert_eq!(results(&node, "j").await.results.len(), 2);
     assert_eq!(fleet.link.seen().len(), 2, "a finished item ran again");
 }
+
+/// The store takes 400 MB in all: what is forgotten is dropped, output so far and repeated records included.
+#[tokio::test(start_paused = true)]
+async fn records_of_forgotten_jobs_are_dropped_from_the_log() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[CallScript::Stream { events: 200 }]);
+    node.submit_job(submission("j", 2)).await;
+    sleep(Duration::from_millis(100)).await;
+    fleet.log.fail_next("jobs", AppendFault::LoseAnswer);
+    sleep(Duration::from_secs(6)).await;
+    assert_eq!(results(&node, "j").await.results.len(), 2);
+    assert!(fleet.log.kept("jobs") > 3 && fleet.log.kept("texts") > 2);
+    node.forget_until(u64::MAX).await;
+    let found = node.job_results("j", 0, Duration::ZERO).await;
+    assert_eq!(found, JobReply::Missing);
+    assert_eq!((fleet.log.kept("jobs"), fleet.log.kept("texts")), (0, 0));
+}
--- a/crates/switch/tests/pure.rs
+++ b/crates/switch/tests/pure.rs
@@ -258,15 +258,15 @@
     assert_eq!(ledger.apply(ended.clone()), LedgerChange::Ended);
     assert_eq!(ledger.apply(ended), LedgerChange::Repeated);
     assert_eq!(ledger.open_jobs().count(), 0);
-    assert_eq!(ledger.forget(1500, Duration::from_secs(1)), 0);
-    assert_eq!(ledger.forget(2500, Duration::from_secs(1)), 1);
+    assert!(ledger.forget(1500, Duration::from_secs(1)).is_empty());
+    assert_eq!(ledger.forget(2500, Duration::from_secs(1)).len(), 1);
 }
 
 #[test]
 fn an_open_job_is_not_forgotten() {
     let mut ledger = JobLedger::default();
     ledger.apply(accepted("j", 1));
-    assert_eq!(ledger.forget(u64::MAX, Duration::ZERO), 0);
+    assert!(ledger.forget(u64::MAX, Duration::ZERO).is_empty());
     assert!(ledger.get("j").is_some());
 }
 
--- a/crates/switch/tests/support/mod.rs
+++ b/crates/switch/tests/support/mod.rs
@@ -90,6 +90,11 @@
         self.0.lock().unwrap().topic(topic).records.push(record);
     }
 
+    /// Number of keys that a topic keeps for good.
+    pub fn kept(&self, topic: &str) -> usize {
+        newest_of(self.0.lock().unwrap().topic(topic)).len()
+    }
+
     /// Number of records that a topic has had.
     pub fn count(&self, topic: &str) -> usize {
         self.0.lock().unwrap().topic(topic).records.len()
