Offer a job's waiting items although a late note names items with an outcome

Cause: a new owner subtracts the items that gates hold from the open ones. Such items stayed in the list until their lease of 120 s ended and hid as many items that nobody held; a job whose last items were hidden was not offered, and had no end within 20 s. Now only open items that are out count. The test of the pattern failed (0 offered of 2) and passes.

--- a/crates/decide/src/handout.rs
+++ b/crates/decide/src/handout.rs
@@ -32,14 +32,21 @@
     }
 
     /// Returns the number of items that could be handed out.
+    ///
+    /// An item that is out may have its outcome already: a note of the owner before may come after the gate's
+    /// report, and the report may be of another host's writing. Such items do not count.
     #[must_use]
     pub fn waiting(&self, job: &JobEntry) -> u32 {
-        let out = u32::try_from(self.out.len()).unwrap_or(u32::MAX);
-        if job.accepted().is_some() {
-            job.counts().open.saturating_sub(out)
-        } else {
-            0
+        if job.accepted().is_none() {
+            return 0;
         }
+        let is_open = |item: u32| {
+            let state = job.states().get(item as usize);
+            state.is_some_and(|state| !state.is_final())
+        };
+        let out = self.out.iter().filter(|(item, _)| is_open(**item)).count();
+        let out = u32::try_from(out).unwrap_or(u32::MAX);
+        job.counts().open.saturating_sub(out)
     }
 
     /// Picks up to `count` open items and notes that `gate` holds them.
