Announced items that come back unrun are handed out again, once a handing out

The place of the announcing record now numbers the handing out: gates send it back with their report, and a record that takes items back counts only against the announcement it names. The test of an endpoint that turns calls away failed first (40 items, item 0 ended as failed) and passes. A copy of an announced item stands for its announcement from then on; a report of before it changes nothing, and the item ends as may have run.

--- a/crates/decide/src/handout.rs
+++ b/crates/decide/src/handout.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Notes that an announced item is open again, also when it was handed out by the owner before this one.
+    pub fn reopen(&mut self, item: u32) {
+        self.out.remove(&item);
+        self.returned.push(item);
+    }
+
     /// Notes that an item needs no more attention.
     pub fn settle(&mut self, item: u32) {
         self.out.remove(&item);
--- a/crates/decide/src/shard.rs
+++ b/crates/decide/src/shard.rs
@@ -265,6 +265,7 @@
             RecordBody::JobChunk(chunk) => self.apply_chunk(place, at_ms, chunk),
             RecordBody::JobCancel(cancel) => self.apply_cancel(place, at_ms, cancel),
             RecordBody::ItemsRunning(running) => self.apply_items_running(place, running),
+            RecordBody::ItemsReturned(returned) => self.apply_items_returned(place, returned),
             RecordBody::ItemAttempts(attempts) => self.apply_attempts(place, attempts),
             RecordBody::JobSeal(seal) => self.apply_seal(place, at_ms, seal),
             RecordBody::ItemOutcomes(outcomes) => self.apply_outcomes(place, at_ms, outcomes),
--- a/crates/decide/src/shard/carry.rs
+++ b/crates/decide/src/shard/carry.rs
@@ -94,7 +94,7 @@
             NO_RESULT
         };
         for (at, item) in (carried.first..).zip(&carried.items) {
-            self.carry_item(at, item, number);
+            self.carry_item(place, at, item, number);
         }
         if carried.items.is_empty() {
             self.first_place = place;
@@ -125,17 +125,17 @@
         }
     }
 
-    fn carry_item(&mut self, at: u32, item: &CarriedItem, number: u32) {
+    fn carry_item(&mut self, place: RecordPlace, at: u32, item: &CarriedItem, number: u32) {
         let index = at as usize;
         if index >= self.states.len() {
             return;
         }
-        let (state, result) = match &item.outcome {
-            Some(outcome) => (outcome.into(), number),
-            None if item.running => (ItemState::Announced, NO_RESULT),
-            None => (ItemState::Open, NO_RESULT),
-        };
-        self.set_state(index, state, result);
+        match &item.outcome {
+            Some(outcome) => self.set_state(index, outcome.into(), number),
+            // The copy stands for the announcement from now on.
+            None if item.running => self.announce(at, place),
+            None => self.set_state(index, ItemState::Open, NO_RESULT),
+        }
         if item.attempts > 0 {
             self.attempts.insert(at, item.attempts);
         } else {
--- a/crates/decide/src/shard/job_records.rs
+++ b/crates/decide/src/shard/job_records.rs
@@ -5,7 +5,8 @@
 use super::{RecordVerdict, ShardState, VoidReason, is_late};
 use fulmarswitch_records::RecordPlace;
 use fulmarswitch_records::record::{
-    CarriedItems, ItemAttempts, ItemOutcomes, ItemsRunning, JobCancel, JobChunk, JobSeal,
+    CarriedItems, ItemAttempts, ItemOutcomes, ItemsReturned, ItemsRunning, JobCancel, JobChunk,
+    JobSeal,
 };
 
 impl ShardState {
@@ -96,6 +97,17 @@
         }
     }
 
+    pub(super) fn apply_items_returned(
+        &mut self,
+        place: RecordPlace,
+        returned: &ItemsReturned,
+    ) -> RecordVerdict {
+        match self.jobs.get_mut(&*returned.job) {
+            Some(job) => job.take_back(place, &returned.items, returned.announced),
+            None => self.unknown_items(place, &returned.job, returned.items.iter()),
+        }
+    }
+
     pub(super) fn apply_attempts(
         &mut self,
         place: RecordPlace,
--- a/crates/decide/src/shard/jobs.rs
+++ b/crates/decide/src/shard/jobs.rs
@@ -100,6 +100,8 @@
     result_places: Vec<RecordPlace>,
     compact_at: usize,
     pub(super) attempts: SortedIndex<u32, u8>,
+    /// Places of the records that announced the items which are announced now.
+    announced: SortedIndex<u32, RecordPlace>,
     counts: JobCounts,
     started_ms: u64,
     pub(super) completed_ms: u64,
@@ -119,6 +121,7 @@
             result_places: Vec::new(),
             compact_at: COMPACT_FLOOR,
             attempts: SortedIndex::new(),
+            announced: SortedIndex::new(),
             counts: JobCounts::default(),
             started_ms: at_ms,
             completed_ms: 0,
@@ -182,6 +185,13 @@
         self.attempts.get(&item).copied().unwrap_or(0)
     }
 
+    /// Returns the place of the record that announced `item`, while it is announced. It tells this handing out
+    /// of the item from all others.
+    #[must_use]
+    pub fn announced_at(&self, item: u32) -> Option<RecordPlace> {
+        self.announced.get(&item).copied()
+    }
+
     /// Returns the time of the first record on the log's clock, in milliseconds.
     #[must_use]
     pub fn started_ms(&self) -> u64 {
@@ -296,7 +306,26 @@
             }
         }
         for item in items {
-            self.states[*item as usize] = ItemState::Announced;
+            self.announce(*item, place);
+        }
+        RecordVerdict::Valid
+    }
+
+    /// Opens announced items again that did not run. All or none: a repeated report, or one of an earlier
+    /// handing out, changes nothing.
+    pub(super) fn take_back(
+        &mut self,
+        place: RecordPlace,
+        items: &[u32],
+        announced: RecordPlace,
+    ) -> RecordVerdict {
+        self.touch_items(place, items.iter().copied());
+        let current = |item: &u32| self.announced_at(*item) == Some(announced);
+        if !items.iter().all(current) {
+            return RecordVerdict::Repeat;
+        }
+        for item in items {
+            self.set_state(*item as usize, ItemState::Open, NO_RESULT);
         }
         RecordVerdict::Valid
     }
@@ -346,6 +375,7 @@
     }
 
     pub(super) fn open_items(&mut self, seal: &JobSeal) {
+        self.announced = SortedIndex::new();
         self.states = vec![ItemState::Open; seal.total as usize];
         self.results = vec![NO_RESULT; seal.total as usize];
         self.counts = JobCounts {
@@ -386,8 +416,18 @@
         self.compact_at = COMPACT_FLOOR.max(2 * self.result_places.len());
     }
 
+    /// Marks an item as announced by the record at `place`.
+    pub(super) fn announce(&mut self, item: u32, place: RecordPlace) {
+        self.set_state(item as usize, ItemState::Announced, NO_RESULT);
+        self.announced.insert(item, place);
+    }
+
     /// Sets the state of an item whatever it was before.
     pub(super) fn set_state(&mut self, item: usize, state: ItemState, result: u32) {
+        if self.states[item] == ItemState::Announced {
+            self.announced
+                .remove(&u32::try_from(item).unwrap_or(u32::MAX));
+        }
         self.count(self.states[item], -1);
         self.count(state, 1);
         self.states[item] = state;
--- a/crates/decide/src/shard/verify.rs
+++ b/crates/decide/src/shard/verify.rs
@@ -106,6 +106,11 @@
         let answered = matches!(state, ItemState::Done | ItemState::Failed);
         let has_result = job.result_of(index).is_some();
         let entity = || format!("{name} item {item}").into();
+        check(
+            (*state == ItemState::Announced) == job.announced_at(index).is_some(),
+            entity(),
+            "exactly the announced items have the place of an announcement",
+        );
         check(
             !answered || has_result,
             entity(),
--- a/crates/decide/tests/handout.rs
+++ b/crates/decide/tests/handout.rs
@@ -1,9 +1,11 @@
 //! What an owner offers of a job, beside what gates hold.
 
 use fulmarswitch_decide::handout::ItemHandout;
-use fulmarswitch_decide::shard::ShardState;
-use fulmarswitch_decide::shard::jobs::{chunk_digest, job_digest};
-use fulmarswitch_records::record::{ItemOutcomes, JobChunk, JobSeal, ShardClaim};
+use fulmarswitch_decide::shard::jobs::{ItemState, JobEntry, chunk_digest, job_digest};
+use fulmarswitch_decide::shard::{RecordVerdict, ShardState};
+use fulmarswitch_records::record::{
+    ItemOutcomes, ItemsReturned, ItemsRunning, JobChunk, JobSeal, ShardClaim,
+};
 use fulmarswitch_records::{
     Epoch, HostIdentity, ItemOutcome, JobHeader, LogRecord, Offset, RecordBody, RecordId,
     RecordPlace, ShardIndex,
@@ -21,8 +23,61 @@
     }
 }
 
+/// A shard and the records that it was made of.
+#[derive(Default)]
+struct ShardLog {
+    state: ShardState,
+    next: u64,
+}
+
+impl ShardLog {
+    /// Writes a record; returns its place and what became of it.
+    fn push(&mut self, body: RecordBody) -> (RecordPlace, RecordVerdict) {
+        let offset = self.next;
+        self.next += 1;
+        let place = RecordPlace {
+            offset: Offset(offset),
+            position: 0,
+        };
+        let id = RecordId {
+            writer: host("a"),
+            sequence: offset,
+        };
+        let record = LogRecord {
+            id,
+            shard: ShardIndex(0),
+            epoch: Epoch(1),
+            stamp: 0,
+            body,
+        };
+        (place, self.state.apply(place, offset, &record))
+    }
+
+    fn job(&self) -> &JobEntry {
+        self.state.job(JOB).expect("the job is accepted")
+    }
+
+    fn announce(&mut self, items: &[u32]) -> RecordPlace {
+        let (place, verdict) = self.push(RecordBody::ItemsRunning(ItemsRunning {
+            job: JOB.into(),
+            items: items.into(),
+        }));
+        assert_eq!(verdict, RecordVerdict::Valid);
+        place
+    }
+
+    fn take_back(&mut self, items: &[u32], announced: RecordPlace) -> RecordVerdict {
+        let body = RecordBody::ItemsReturned(ItemsReturned {
+            job: JOB.into(),
+            items: items.into(),
+            announced,
+        });
+        self.push(body).1
+    }
+}
+
 /// Returns a shard with one job of `count` items, of which those of `done` have their outcome.
-fn shard_with_job(count: usize, done: &[u32]) -> ShardState {
+fn shard_with_job(count: usize, done: &[u32]) -> ShardLog {
     let inputs: Vec<Arc<str>> = (0..count).map(|item| format!("i{item}").into()).collect();
     let digest = job_digest(std::iter::once(chunk_digest(&inputs)));
     let header = JobHeader {
@@ -54,32 +109,18 @@
             outcomes: done.iter().map(|item| (*item, outcome.clone())).collect(),
         }),
     ];
-    let mut state = ShardState::new(ShardIndex(0));
-    for (offset, body) in (0..).zip(bodies) {
-        let place = RecordPlace {
-            offset: Offset(offset),
-            position: 0,
-        };
-        let record = LogRecord {
-            id: RecordId {
-                writer: host("a"),
-                sequence: offset,
-            },
-            shard: ShardIndex(0),
-            epoch: Epoch(1),
-            stamp: 0,
-            body,
-        };
-        state.apply(place, offset, &record);
+    let mut log = ShardLog::default();
+    for body in bodies {
+        log.push(body);
     }
-    state
+    log
 }
 
 /// Pattern: a planned stop under load. The old owner's note reaches the new one after the gates' reports.
 #[test]
 fn items_with_an_outcome_hide_no_others() {
-    let state = shard_with_job(4, &[0, 1]);
-    let job = state.job(JOB).expect("the job is accepted");
+    let log = shard_with_job(4, &[0, 1]);
+    let job = log.job();
     let mut handout = ItemHandout::new();
     for item in [0, 1] {
         handout.note_out(item, &host("b"), LEASE);
@@ -92,3 +133,37 @@
     );
     assert_eq!(handout.waiting(job), 0);
 }
+
+/// Pattern: an endpoint leaves with announced items in its queue, and its gate's report is sent twice.
+#[test]
+fn a_repeated_report_opens_an_item_once() {
+    let mut log = shard_with_job(3, &[]);
+    let mut handout = ItemHandout::new();
+    handout.take(log.job(), &host("b"), LEASE, 3);
+    let first = log.announce(&[0, 1, 2]);
+    assert_eq!(log.take_back(&[0, 2], first), RecordVerdict::Valid);
+    for item in [0, 2] {
+        handout.reopen(item);
+    }
+    let mut again = handout.take(log.job(), &host("c"), LEASE, 3);
+    again.sort_unstable();
+    assert_eq!(again, [0, 2], "what did not run is handed out again");
+    let second = log.announce(&[0, 2]);
+    assert_ne!(first, second, "each handing out has its own number");
+    assert_eq!(log.take_back(&[0, 2], first), RecordVerdict::Repeat);
+    assert_eq!(log.job().states(), [ItemState::Announced; 3]);
+    assert_eq!(log.take_back(&[2, 1], second), RecordVerdict::Repeat);
+    assert_eq!(log.job().states(), [ItemState::Announced; 3]);
+}
+
+/// Pattern: a planned stop. The new owner's list has passed the announced items when they come back.
+#[test]
+fn an_item_that_another_owner_handed_out_is_offered_again() {
+    let mut log = shard_with_job(2, &[]);
+    let announced = log.announce(&[0]);
+    let mut handout = ItemHandout::new();
+    assert_eq!(handout.take(log.job(), &host("c"), LEASE, 2), [1]);
+    assert_eq!(log.take_back(&[0], announced), RecordVerdict::Valid);
+    handout.reopen(0);
+    assert_eq!(handout.take(log.job(), &host("c"), LEASE, 2), [0]);
+}
--- a/crates/decide/tests/retention/main.rs
+++ b/crates/decide/tests/retention/main.rs
@@ -221,7 +221,7 @@
                 let forget = forget_refused(&state, step);
                 for body in forget.into_iter().chain(bodies_of(step)) {
                     originals.push(log.entries.len());
-                    let body = open_only(&state, body);
+                    let body = fit_to(&state, body);
                     log.push(&mut state, epoch, body);
                 }
             }
@@ -257,8 +257,17 @@
     refused.then_some(RecordBody::Forget(ForgetName { as_of, name, job }))
 }
 
-/// Announces only items that are open, as owners do.
-fn open_only(state: &ShardState, body: RecordBody) -> RecordBody {
+/// Fits a body to what is known, as owners do: they announce only items that are open, and take back only
+/// items of one announcement, which they name.
+fn fit_to(state: &ShardState, body: RecordBody) -> RecordBody {
+    if let RecordBody::ItemsReturned(mut returned) = body {
+        let job = state.job(&returned.job);
+        let place_of = |item: &u32| job.and_then(|job| job.announced_at(*item));
+        returned.announced = returned.items.iter().find_map(place_of).unwrap_or_default();
+        let same = |item: &u32| place_of(item) == Some(returned.announced);
+        returned.items.retain(same);
+        return RecordBody::ItemsReturned(returned);
+    }
     let RecordBody::ItemsRunning(mut running) = body else {
         return body;
     };
--- a/crates/decide/tests/retention/steps.rs
+++ b/crates/decide/tests/retention/steps.rs
@@ -2,11 +2,11 @@
 
 use fulmarswitch_decide::shard::jobs::{chunk_digest, job_digest};
 use fulmarswitch_records::record::{
-    ItemAttempts, ItemOutcomes, ItemsRunning, JobCancel, JobChunk, JobSeal, KeyOutcome, KeyRunning,
-    ShardClaim,
+    ItemAttempts, ItemOutcomes, ItemsReturned, ItemsRunning, JobCancel, JobChunk, JobSeal,
+    KeyOutcome, KeyRunning, ShardClaim,
 };
 use fulmarswitch_records::{
-    HostIdentity, ItemOutcome, JobHeader, Offset, OnlineRequest, RecordBody,
+    HostIdentity, ItemOutcome, JobHeader, Offset, OnlineRequest, RecordBody, RecordPlace,
 };
 use proptest::prelude::*;
 use std::sync::Arc;
@@ -43,6 +43,11 @@
         job: u8,
         items: Vec<u32>,
     },
+    /// Takes back those of the items that share one announcement.
+    ReturnItems {
+        job: u8,
+        items: Vec<u32>,
+    },
     CountAttempts {
         job: u8,
         items: Vec<u32>,
@@ -80,6 +85,7 @@
         4 => (0..2u8, items(), any::<u8>(), any::<bool>())
             .prop_map(|(job, items, text, failed)| LogStep::CompleteItems { job, items, text, failed }),
         2 => (0..2u8, items()).prop_map(|(job, items)| LogStep::StartItems { job, items }),
+        2 => (0..2u8, items()).prop_map(|(job, items)| LogStep::ReturnItems { job, items }),
         2 => (0..2u8, items()).prop_map(|(job, items)| LogStep::CountAttempts { job, items }),
         1 => (0..2u8).prop_map(|job| LogStep::Cancel { job }),
         4 => (0..12u64).prop_map(|age| LogStep::Plan { age }),
@@ -212,6 +218,13 @@
                 items,
             })]
         }
+        LogStep::ReturnItems { job, items } => {
+            vec![RecordBody::ItemsReturned(ItemsReturned {
+                job: job_name(job),
+                items,
+                announced: RecordPlace::default(),
+            })]
+        }
         LogStep::CountAttempts { job, items } => {
             vec![RecordBody::ItemAttempts(ItemAttempts {
                 job: job_name(job),
--- a/crates/fulmarswitch/src/gates/batch.rs
+++ b/crates/fulmarswitch/src/gates/batch.rs
@@ -8,7 +8,7 @@
 use fulmarswitch_decide::shard::jobs::JobEntry;
 use fulmarswitch_endpoint::EndpointCall;
 use fulmarswitch_peer::message::{
-    AttemptResult, ItemReport, JobOffer, PullRequest, PulledItem, PulledItems,
+    AttemptResult, ItemReport, ItemResult, JobOffer, PullRequest, PulledItem, PulledItems,
 };
 use fulmarswitch_peer::{PeerMessage, PeerReply};
 use fulmarswitch_records::{HostIdentity, JobHeader, ShardIndex};
@@ -30,9 +30,6 @@
 /// Times that a report is sent before the item is left to its lease.
 const REPORT_TRIES: u32 = 50;
 
-/// Index of an item in its job, and what it came to.
-type ItemResult = (u32, AttemptResult);
-
 impl GateRole {
     /// Pulls items if the gate has room and no pull is under way.
     pub(super) fn pull_batch(self: &Arc<Self>, unit: &Arc<GateUnit>) {
@@ -131,7 +128,7 @@
     ) {
         let job = header.full_name();
         let (stop, stopped) = oneshot::channel();
-        let index = item.index;
+        let (index, announced) = (item.index, item.announced);
         let run = self.run_item(&unit, &header, item, (Arc::clone(&job), stop));
         let result = tokio::select! {
             result = run => Some(result),
@@ -139,7 +136,12 @@
             _ = stopped => None,
         };
         if let Some(result) = result {
-            self.add_result(&job, shard, (index, result));
+            let result = ItemResult {
+                item: index,
+                announced,
+                result,
+            };
+            self.add_result(&job, shard, result);
         }
         // The item that ended leaves room, which is filled at once.
         self.pull_batch(&unit);
--- a/crates/fulmarswitch/src/jobs/hand.rs
+++ b/crates/fulmarswitch/src/jobs/hand.rs
@@ -1,6 +1,7 @@
 //! Handing items out to gates, and recording what became of them.
 
 use super::{CHUNK_CACHE, CachedChunk, JobOwner, JobRun};
+use crate::book::AppendedRecord;
 use crate::parts::lock;
 use fulmarswitch_decide::handout::ItemHandout;
 use fulmarswitch_decide::shard::RecordVerdict;
@@ -10,7 +11,9 @@
 };
 use fulmarswitch_peer::{PeerMessage, PeerReply, PeerTarget};
 use fulmarswitch_platform::LogError;
-use fulmarswitch_records::record::{ItemAttempts, ItemOutcomes, ItemsRunning, JobChunk, JobSeal};
+use fulmarswitch_records::record::{
+    ItemAttempts, ItemOutcomes, ItemsReturned, ItemsRunning, JobChunk, JobSeal,
+};
 use fulmarswitch_records::{
     HostIdentity, ItemOutcome, RecordBody, RecordPlace, ShardIndex, SortedIndex,
 };
@@ -27,6 +30,16 @@
 /// Most items handed out in one reply.
 const HAND_LIMIT: u32 = 64;
 
+/// What one attempt at an item means for the item.
+enum ItemVerdict {
+    /// It has its outcome.
+    Ended(ItemOutcome),
+    /// It is tried again, and the attempt counts.
+    Again,
+    /// It was announced and did not run, so that it may be announced again.
+    Unrun,
+}
+
 impl JobOwner {
     /// Offers jobs to gates and takes back lost items, for as long as the runtime lives.
     pub async fn run_offers(self: Arc<Self>) {
@@ -72,15 +85,21 @@
             self.give_back(&request.job, &items);
             return PeerReply::NotFound;
         }
+        let mut announced = None;
         if !seal.header.idempotent && !items.is_empty() {
             let running = ItemsRunning {
                 job: Arc::clone(&request.job),
                 items: items.clone(),
             };
             let body = RecordBody::ItemsRunning(running);
-            if !self.append_valid(request.shard, body).await {
-                self.give_back(&request.job, &items);
-                return PeerReply::NotFound;
+            match self.append(request.shard, body).await {
+                Some(appended) if appended.verdict == RecordVerdict::Valid => {
+                    announced = Some(appended.place);
+                }
+                _ => {
+                    self.give_back(&request.job, &items);
+                    return PeerReply::NotFound;
+                }
             }
         }
         let mut pulled = Vec::with_capacity(items.len());
@@ -89,8 +108,9 @@
                 Some(input) => pulled.push(PulledItem {
                     index: *index,
                     input,
+                    announced,
                 }),
-                None => self.give_back(&request.job, &[*index]),
+                None => self.take_back(&request, *index, announced).await,
             }
         }
         PeerReply::Items(PulledItems {
@@ -110,10 +130,13 @@
         };
         let mut outcomes = Vec::new();
         let mut failed = Vec::new();
-        for (item, result) in report.results {
-            match self.judge(report.shard, &seal, item, result) {
-                Some(outcome) => outcomes.push((item, outcome)),
-                None => failed.push(item),
+        let mut unrun = Vec::new();
+        for result in report.results {
+            let item = result.item;
+            match self.judge(report.shard, &seal, item, result.result) {
+                ItemVerdict::Ended(outcome) => outcomes.push((item, outcome)),
+                ItemVerdict::Again => failed.push(item),
+                ItemVerdict::Unrun => unrun.push((item, result.announced)),
             }
         }
         let job = Arc::clone(&report.job);
@@ -136,7 +159,8 @@
                     }),
                 )
                 .await;
-        if !counted || !recorded {
+        let reopened = self.reopen(report.shard, &job, &unrun).await;
+        if !counted || !recorded || !reopened {
             return PeerReply::NotOwner;
         }
         self.give_back(&job, &failed);
@@ -148,14 +172,75 @@
         PeerReply::Accepted
     }
 
-    /// Returns the outcome that a result means, or `None` when the item is to be tried again.
+    /// Takes back announced items that did not run. Returns false when their record could not be written.
+    ///
+    /// The place of the announcement tells the report of this handing out from a repeat: only the first one
+    /// opens the item.
+    async fn reopen(
+        &self,
+        shard: ShardIndex,
+        job: &Arc<str>,
+        unrun: &[(u32, Option<RecordPlace>)],
+    ) -> bool {
+        let mut groups: SortedIndex<RecordPlace, Vec<u32>> = SortedIndex::new();
+        for (item, announced) in unrun {
+            let current = self
+                .with_job(shard, job, |job| job.announced_at(*item))
+                .flatten();
+            // A report of an earlier handing out says nothing of this one.
+            if let Some(place) = announced.filter(|place| Some(*place) == current) {
+                let mut items = groups.remove(&place).unwrap_or_default();
+                items.push(*item);
+                groups.insert(place, items);
+            }
+        }
+        for (announced, items) in groups.iter() {
+            let returned = ItemsReturned {
+                job: Arc::clone(job),
+                items: items.clone(),
+                announced: *announced,
+            };
+            let body = RecordBody::ItemsReturned(returned);
+            let Some(appended) = self.append(shard, body).await else {
+                return false;
+            };
+            if appended.verdict != RecordVerdict::Valid {
+                continue;
+            }
+            if let Some(run) = lock(&self.runs).get_mut(&**job) {
+                for item in items {
+                    run.handout.reopen(*item);
+                }
+            }
+        }
+        true
+    }
+
+    /// Takes back an item whose input could not be read, so that it was not handed out.
+    async fn take_back(&self, request: &PullRequest, item: u32, announced: Option<RecordPlace>) {
+        if announced.is_none() {
+            self.give_back(&request.job, &[item]);
+        } else if !self
+            .reopen(request.shard, &request.job, &[(item, announced)])
+            .await
+        {
+            // Another owner goes on; there the item ends as one that may have run.
+            self.parts.events.note(
+                "item-lost",
+                &request.job,
+                &format!("item {item} was announced, its input was not read, and its record was not written"),
+            );
+        }
+    }
+
+    /// Returns what a result means.
     fn judge(
         &self,
         shard: ShardIndex,
         seal: &JobSeal,
         item: u32,
         result: AttemptResult,
-    ) -> Option<ItemOutcome> {
+    ) -> ItemVerdict {
         let name = seal.header.full_name();
         let tried = self
             .with_job(shard, &name, |job| job.attempts_of(item))
@@ -169,29 +254,24 @@
             .map_or(1, |s| s.max_attempts);
         let last = u32::from(tried) + 1 >= limit;
         match result {
-            AttemptResult::Done { text } => Some(ItemOutcome::Done { text }),
+            AttemptResult::Done { text } => ItemVerdict::Ended(ItemOutcome::Done { text }),
             AttemptResult::Failed {
                 may_have_run: true, ..
             }
             | AttemptResult::Returned { may_have_run: true }
                 if !seal.header.idempotent =>
             {
-                Some(ItemOutcome::MayHaveRun)
+                ItemVerdict::Ended(ItemOutcome::MayHaveRun)
             }
             AttemptResult::Failed { cause, .. } if last => {
-                Some(ItemOutcome::Failed { reason: cause })
+                ItemVerdict::Ended(ItemOutcome::Failed { reason: cause })
             }
             AttemptResult::Failed { .. } | AttemptResult::Returned { .. }
                 if seal.header.idempotent =>
             {
-                None
-            }
-            // An announced item that did not go out is not announced a second time.
-            AttemptResult::Failed { .. } | AttemptResult::Returned { .. } => {
-                Some(ItemOutcome::Failed {
-                    reason: "no endpoint took the call; it did not run".into(),
-                })
+                ItemVerdict::Again
             }
+            AttemptResult::Failed { .. } | AttemptResult::Returned { .. } => ItemVerdict::Unrun,
         }
     }
 
@@ -327,15 +407,18 @@
     }
 
     async fn append_valid(&self, shard: ShardIndex, body: RecordBody) -> bool {
-        let Ok(receiver) = self.shards.append(shard, body) else {
-            return false;
-        };
+        let appended = self.append(shard, body).await;
         matches!(
-            receiver.await.map(|appended| appended.verdict),
-            Ok(RecordVerdict::Valid | RecordVerdict::Repeat)
+            appended.map(|appended| appended.verdict),
+            Some(RecordVerdict::Valid | RecordVerdict::Repeat)
         )
     }
 
+    /// Writes a record; returns nothing when the shard has another owner by now.
+    async fn append(&self, shard: ShardIndex, body: RecordBody) -> Option<AppendedRecord> {
+        self.shards.append(shard, body).ok()?.await.ok()
+    }
+
     async fn input_of(&self, shard: ShardIndex, job: &str, item: u32) -> Option<Arc<str>> {
         let chunk = self.with_job(shard, job, |job| job.chunk_of(item).copied())??;
         let inputs = self.read_chunk(shard, job, chunk.place).await.ok()?;
--- a/crates/fulmarswitch/tests/hosts/handover.rs
+++ b/crates/fulmarswitch/tests/hosts/handover.rs
@@ -1,4 +1,4 @@
-//! Planned moves of jobs whose items are at gates.
+//! Items at gates: jobs that move to another owner, and endpoints that take no calls.
 
 use crate::support::{
     TestFleet, job_header, owner_of, publish_service, read_results, submit_job, wait_for,
@@ -15,6 +15,8 @@
 const JOB_ITEMS: u32 = 40;
 /// Tokens of each item; one takes longer than a new owner waits for announced calls.
 const ITEM_TOKENS: u32 = 3_000;
+/// Tokens of an item that ends at once.
+const SHORT_TOKENS: u32 = 20;
 
 #[rstest]
 #[case::repeatable(true)]
@@ -59,3 +61,34 @@
     let needed = u64::from(JOB_ITEMS * ITEM_TOKENS);
     assert_eq!(fleet.tokens(), needed, "tokens generated in vain");
 }
+
+/// Pattern: an endpoint turns calls away for a while, and announced items come back without having run.
+#[tokio::test(start_paused = true)]
+async fn announced_items_that_did_not_run_run_elsewhere() {
+    let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), 2);
+    let mut hosts = Vec::new();
+    for (name, domain) in [("a", "d0"), ("b", "d1"), ("c", "d2")] {
+        hosts.push(fleet.add_host(name, domain).await);
+    }
+    let first = Arc::clone(&hosts[0].1);
+    publish_service(&first, 2).await;
+    wait_for(Duration::from_secs(20), "shards are owned", || {
+        (0..4).all(|shard| first.shards().owner(ShardIndex(shard)).is_some())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.engine(0).set_faults(|faults| faults.refuse = true);
+    let header = job_header("s", SHORT_TOKENS, false);
+    submit_job(&fleet, &first, header, JOB_ITEMS, JOB_ITEMS).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    fleet.engine(0).set_faults(|faults| faults.refuse = false);
+    tokio::time::sleep(Duration::from_mins(2)).await;
+    let results = read_results(&fleet, &first, "w/j", JOB_ITEMS).await;
+    assert_eq!(results.len(), JOB_ITEMS as usize);
+    for (item, outcome) in results {
+        let text = whole_answer(&format!("item {item}"), SHORT_TOKENS).into();
+        assert_eq!(outcome, ItemOutcome::Done { text }, "item {item}");
+    }
+    let needed = u64::from(JOB_ITEMS * SHORT_TOKENS);
+    assert_eq!(fleet.tokens(), needed, "an item ran twice");
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,7 +2,7 @@
 
 use fulmarswitch_records::record::JobSeal;
 use fulmarswitch_records::{
-    HostIdentity, ItemOutcome, JobHeader, Offset, OnlineRequest, ShardIndex,
+    HostIdentity, ItemOutcome, JobHeader, Offset, OnlineRequest, RecordPlace, ShardIndex,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -99,6 +99,8 @@
     pub index: u32,
     /// The input.
     pub input: Arc<str>,
+    /// Place of the record that announced the item; none where it may be repeated.
+    pub announced: Option<RecordPlace>,
 }
 
 /// Items that are handed out.
@@ -117,8 +119,19 @@
     pub job: Arc<str>,
     /// Shard of the job.
     pub shard: ShardIndex,
-    /// Results by item index.
-    pub results: Vec<(u32, AttemptResult)>,
+    /// What became of each item.
+    pub results: Vec<ItemResult>,
+}
+
+/// What became of one item at a gate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// Index in the job.
+    pub item: u32,
+    /// Place of the record that announced the item, as it was handed out.
+    pub announced: Option<RecordPlace>,
+    /// What became of it.
+    pub result: AttemptResult,
 }
 
 /// What became of one attempt at an item.
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -43,6 +43,8 @@
     JobCancel(JobCancel),
     /// Items that may not be repeated are about to go out.
     ItemsRunning(ItemsRunning),
+    /// Announced items came back without having run.
+    ItemsReturned(ItemsReturned),
     /// Items of a job have their outcome.
     ItemOutcomes(ItemOutcomes),
     /// State that is written again before the records it came from expire.
@@ -134,6 +136,17 @@
     pub items: Vec<u32>,
 }
 
+/// Body of [`RecordBody::ItemsReturned`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemsReturned {
+    /// Workspace and job.
+    pub job: Arc<str>,
+    /// Indexes of the items.
+    pub items: Vec<u32>,
+    /// Place of the record that announced them, which tells this handing out from others.
+    pub announced: RecordPlace,
+}
+
 /// Body of [`RecordBody::ItemOutcomes`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemOutcomes {
--- a/crates/records/src/wire.rs
+++ b/crates/records/src/wire.rs
@@ -98,6 +98,7 @@
     Config = 17,
     CarriedConfig = 18,
     ItemAttempts = 19,
+    ItemsReturned = 20,
 );
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
