Leave out endpoints that answer with failures, and tell the other hosts

Change: an answered failure avoids the endpoint like a broken connection does (a batch item's second in a row, as one may be the item's fault); a request that began before the failure no longer clears it; beats name the endpoints that a host leaves out for what they answered, so that not each of 60 hosts has to learn it. Ruled out: telling of endpoints that are not reached, which may be one host's own trouble.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -273,7 +273,7 @@
         cancel: Some(cancel),
     });
     let run = ItemRun {
-        guard: RunGuard::begin(node, state, endpoint, RunClass::Batch),
+        guard: Some(RunGuard::begin(node, state, endpoint, RunClass::Batch)),
         node: node.clone(),
         name,
         endpoint: endpoint.clone(),
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventSplitter;
 use crate::link::{CallError, CallTerms, EndpointCall};
+use crate::load::RunClass;
 use crate::node::{RunGuard, SwitchNode, SwitchState, millis};
 use crate::progress::{ItemProgress, ProgressPiece, SharedProgress};
 use crate::schedule::ItemName;
@@ -52,7 +53,8 @@
     pub(super) node: Arc<SwitchNode>,
     pub(super) name: ItemName,
     pub(super) endpoint: Arc<ListedEndpoint>,
-    pub(super) guard: RunGuard,
+    /// Counts the run at its endpoint; none once it has ended.
+    pub(super) guard: Option<RunGuard>,
     pub(super) call: EndpointCall,
     pub(super) progress: SharedProgress,
     /// Output that other hosts left on the log.
@@ -82,18 +84,10 @@
             "last_event" => self.progress.lock().last_event(),
             "after_ms" => millis(begun.elapsed()));
         self.node.metrics.count_item(end.outcome());
-        drop(self.guard);
+        self.guard = None;
         let mut state = self.node.lock();
         state.running.retain(|running| running.name != self.name);
-        let fact = judge(
-            &self.node,
-            &mut state,
-            &self.name,
-            &self.endpoint.id,
-            &end,
-            &self.progress,
-            &ends,
-        );
+        let fact = self.judge(&mut state, &end, begun, &ends);
         match fact {
             Some(fact) => {
                 state.histories.forget(&self.name);
@@ -171,44 +165,45 @@
         let read = &self.pieces[..texts.len()];
         *self.progress.lock() = ItemProgress::from_pieces(read, &texts);
     }
-}
 
-/// Notes what a run's end says of its endpoint and its item; returns what is final of the item.
-fn judge(
-    node: &SwitchNode,
-    state: &mut SwitchState,
-    name: &ItemName,
-    endpoint: &str,
-    end: &RunEnd,
-    progress: &SharedProgress,
-    ends: &mpsc::UnboundedSender<ItemEnd>,
-) -> Option<ItemFact> {
-    let now = Instant::now();
-    match end {
-        RunEnd::Completed => {
-            state.load.note_success(endpoint);
-            let text = progress.lock().text().to_vec();
-            Some(ItemFact::Completed(text.into()))
-        }
-        RunEnd::Cancelled => None,
-        RunEnd::NotRun => {
-            state.load.note_full(endpoint, now);
-            None
-        }
-        RunEnd::Broken(_) => {
-            node.avoid_endpoint(state, endpoint, now);
-            state.histories.note_break(name, now);
-            None
-        }
-        RunEnd::Failed => {
-            let (name, fact) = (name.clone(), ItemFact::Failed);
-            let failures = state.histories.note_failure(&name, now);
-            let known = failures.max(recorded_failures(state, &name) + 1);
-            let is_dead = known >= item_attempts(state, &name);
-            send_end(ends, ItemEnd { name, fact });
-            is_dead.then_some(ItemFact::Dead)
+    /// Notes what the end of a run that began at `begun` says of its endpoint and its item; returns what is
+    /// final of the item.
+    fn judge(
+        &self,
+        state: &mut SwitchState,
+        end: &RunEnd,
+        begun: Instant,
+        ends: &mpsc::UnboundedSender<ItemEnd>,
+    ) -> Option<ItemFact> {
+        let now = Instant::now();
+        let (node, name, endpoint) = (&self.node, &self.name, &*self.endpoint.id);
+        match end {
+            RunEnd::Completed => {
+                state.load.health(endpoint).note_success(begun);
+                let text = self.progress.lock().text().to_vec();
+                Some(ItemFact::Completed(text.into()))
+            }
+            RunEnd::Cancelled => None,
+            RunEnd::NotRun => {
+                state.load.note_full(endpoint, now);
+                None
+            }
+            RunEnd::Broken(_) => {
+                node.avoid_endpoint(state, endpoint, now);
+                state.histories.note_break(name, now);
+                None
+            }
+            RunEnd::Failed => {
+                node.note_failed_answer(state, endpoint, RunClass::Batch);
+                let failures = state.histories.note_failure(name, now);
+                let known = failures.max(recorded_failures(state, name) + 1);
+                let is_dead = known >= item_attempts(state, name);
+                let (name, fact) = (name.clone(), ItemFact::Failed);
+                send_end(ends, ItemEnd { name, fact });
+                is_dead.then_some(ItemFact::Dead)
+            }
+            RunEnd::Impossible => Some(ItemFact::Dead),
         }
-        RunEnd::Impossible => Some(ItemFact::Dead),
     }
 }
 
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -6,7 +6,7 @@
 use crate::follow::FollowBatch;
 use crate::homes::pick_homes;
 use crate::link::{AppendError, KeyedRecord};
-use crate::load::LoadReport;
+use crate::load::{EndpointKey, LoadReport};
 use crate::members::{HostCard, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
 use crate::schedule::ItemKey;
@@ -29,10 +29,12 @@
 const BEAT_BYTES: usize = 1400;
 /// Most items that a beat names as begun, by the bytes that a beat may have.
 const MOST_CLAIMS: usize = 120;
+/// Most endpoints that a beat names as failing, by the bytes that a beat may have.
+const MOST_FAILING: usize = 24;
 /// Pause before the card is written again after a refusal.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(500);
 /// Version of the beats' encoding.
-const SCHEMA: u8 = 3;
+const SCHEMA: u8 = 4;
 
 /// One beat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -42,6 +44,8 @@
     has_log: bool,
     load: LoadReport,
     claims: Vec<ItemKey>,
+    /// Endpoints that the sender leaves out for what they answered.
+    failing: Vec<EndpointKey>,
     also: Option<HostCard>,
 }
 
@@ -129,7 +133,7 @@
         if !near {
             for name in state.members.sweep(now, period) {
                 info!(node.parts.logger, "host lost"; "host" => &*name);
-                state.load.take_report(&name, Vec::new());
+                state.load.forget_host(&name);
             }
             choose_homes(node, &mut state, now);
         }
@@ -147,6 +151,7 @@
             has_log: node.has_log(now),
             load: state.load.own_report(),
             claims: state.own_claims(MOST_CLAIMS),
+            failing: state.load.own_failing(MOST_FAILING, now),
             also,
         };
         (beat, targets, period)
@@ -229,6 +234,7 @@
             "ready" => beat.ready, "change" => ?change);
     }
     state.load.take_report(&name, beat.load);
+    state.load.take_failing(&name, beat.failing);
     state.members.set_claims(&name, beat.claims);
     state.members.set_log(&name, beat.has_log);
     let gives_way = state.running.iter().any(|running| {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod follow;
 pub mod gossip;
+pub mod health;
 pub mod homes;
 pub mod jobs;
 pub mod ledger;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -4,6 +4,7 @@
 //! Nothing is asked of the endpoints.
 
 use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::health::{EndpointHealth, FailingReports};
 use crate::homes::HostHomes;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -12,10 +13,6 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// First time for which an endpoint that failed is avoided; doubles with each further failure.
-const AVOID_FIRST: Duration = Duration::from_millis(500);
-/// Longest time for which an endpoint is avoided.
-const AVOID_LONGEST: Duration = Duration::from_secs(4);
 /// Time for which an endpoint that said it was full is taken as full.
 const FULL_TIME: Duration = Duration::from_millis(150);
 /// Run time of a request before any has been measured.
@@ -113,8 +110,7 @@
 struct LoadEntry {
     own: RunCounts,
     peers: RunCounts,
-    failures: u32,
-    avoid_until: Option<Instant>,
+    health: EndpointHealth,
     full_until: Option<Instant>,
     gave_way_until: Option<Instant>,
 }
@@ -124,6 +120,7 @@
 pub struct LoadView {
     entries: Vec<(EndpointKey, LoadEntry)>,
     reports: Vec<(Arc<str>, LoadReport)>,
+    failing: FailingReports,
     mean_run: Duration,
     homes: HostHomes,
 }
@@ -147,6 +144,7 @@
         Self {
             entries: Vec::new(),
             reports: Vec::new(),
+            failing: FailingReports::default(),
             mean_run: INITIAL_RUN,
             homes: HostHomes::default(),
         }
@@ -174,20 +172,30 @@
         self.mean_run = Duration::from_secs_f64(moved);
     }
 
-    /// Notes that an endpoint answered well.
-    pub fn note_success(&mut self, id: &str) {
-        let entry = self.entry(EndpointKey::of(id));
-        entry.failures = 0;
-        entry.avoid_until = None;
+    /// How requests of this host ended at an endpoint.
+    pub fn health(&mut self, id: &str) -> &mut EndpointHealth {
+        &mut self.entry(EndpointKey::of(id)).health
     }
 
-    /// Notes that an endpoint failed or could not be reached. Returns for how long it is avoided.
-    pub fn note_failure(&mut self, id: &str, now: Instant) -> Duration {
-        let entry = self.entry(EndpointKey::of(id));
-        let time = (AVOID_FIRST * 2_u32.pow(entry.failures.min(6))).min(AVOID_LONGEST);
-        entry.failures += 1;
-        entry.avoid_until = Some(now + time);
-        time
+    /// Takes the endpoints that another host leaves out for what they answered.
+    pub fn take_failing(&mut self, host: &Arc<str>, keys: Vec<EndpointKey>) {
+        self.failing.take(host, keys);
+    }
+
+    /// Returns at most `most` endpoints that this host leaves out for what they answered, for its beat.
+    #[must_use]
+    pub fn own_failing(&self, most: usize, now: Instant) -> Vec<EndpointKey> {
+        let failing = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.health.is_failing(now));
+        failing.map(|(key, _)| *key).take(most).collect()
+    }
+
+    /// Forgets what a lost host told.
+    pub fn forget_host(&mut self, host: &Arc<str>) {
+        self.take_report(host, Vec::new());
+        self.take_failing(host, Vec::new());
     }
 
     /// Notes that an endpoint said it was full.
@@ -270,12 +278,12 @@
         self.mean_run
     }
 
-    /// Whether an endpoint is left out for now, since it failed.
+    /// Whether an endpoint is left out for now, since it failed here or answered another host with a failure.
     #[must_use]
     pub fn is_avoided(&self, id: &str, now: Instant) -> bool {
-        self.find(id)
-            .and_then(|entry| entry.avoid_until)
-            .is_some_and(|until| until > now)
+        let own = self.find(id);
+        own.is_some_and(|entry| entry.health.is_avoided(now))
+            || self.failing.names(EndpointKey::of(id))
     }
 
     /// Picks the endpoint for an online request that may wait `patience` for its first token.
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -320,10 +320,20 @@
 
     /// Keeps new work off an endpoint that failed, for a while. `state` belongs to this host.
     pub(crate) fn avoid_endpoint(&self, state: &mut SwitchState, id: &str, now: Instant) {
-        let time = state.load.note_failure(id, now);
+        let time = state.load.health(id).note_break(now);
         info!(self.parts.logger, "endpoint avoided"; "endpoint" => id, "for_ms" => millis(time));
     }
 
+    /// Notes that an endpoint answered with a failure, and tells the other hosts if that speaks against it.
+    pub(crate) fn note_failed_answer(&self, state: &mut SwitchState, id: &str, class: RunClass) {
+        let now = Instant::now();
+        if let Some(time) = state.load.health(id).note_failed_answer(class, now) {
+            info!(self.parts.logger, "endpoint avoided"; "endpoint" => id, "for_ms" => millis(time),
+                "cause" => "it answers with failures");
+            self.beat_now.notify_one();
+        }
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, SwitchState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -399,7 +409,7 @@
             .is_some_and(|old| old.started_ms != endpoint.started_ms && endpoint.started_ms != 0);
         if state.endpoints.set(endpoint) {
             if restarted {
-                state.load.note_success(&id);
+                state.load.health(&id).note_success(now);
             }
             info!(self.parts.logger, "endpoint listed"; "endpoint" => &*id,
                 "draining" => draining, "restarted" => restarted, "offset" => placed.offset);
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
-use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, StatusCode};
 use rand::Rng;
 use slog::info;
 use std::fmt::Display;
@@ -139,6 +139,11 @@
                     }
                     self.note_attempt(&endpoint, "answered with a failure", "failed");
                     self.runs += 1;
+                    if is_own_failure(status) {
+                        let state = &mut self.node.lock();
+                        self.node
+                            .note_failed_answer(state, &endpoint.id, RunClass::Online);
+                    }
                 }
                 Err(error) => self.note_error(&endpoint, &error)?,
             }
@@ -352,6 +357,7 @@
             && self.request.route.resumable
             && answer.status.is_success();
         let pass = PassedAnswer {
+            status: answer.status,
             last_event: self.request.resume_after,
             attempt: self,
             endpoint,
@@ -377,6 +383,7 @@
 /// The body of an answer on its way to the caller.
 struct PassedAnswer {
     attempt: OnlineAttempt,
+    status: StatusCode,
     endpoint: Arc<ListedEndpoint>,
     body: Option<BoxStream<'static, Result<Bytes, CallError>>>,
     guard: Option<RunGuard>,
@@ -502,18 +509,26 @@
         }
     }
 
-    fn finish(&mut self, outcome: &'static str) {
+    /// Notes the end of the answer. `outcome` is what became of passing it on.
+    fn finish(&mut self, mut outcome: &'static str) {
         self.ended = true;
         self.body = None;
         self.guard = None;
         let attempt = &mut self.attempt;
         if outcome == "answered" {
             let mut state = attempt.node.lock();
-            // The time after the first byte: what a slot is held for.
-            let waited = attempt.first.unwrap_or_default();
-            let run = attempt.begun.elapsed().saturating_sub(waited);
-            state.load.note_run(run);
-            state.load.note_success(&self.endpoint.id);
+            if is_own_failure(self.status) {
+                let node = &attempt.node;
+                node.note_failed_answer(&mut state, &self.endpoint.id, RunClass::Online);
+                outcome = "answered with a failure";
+            } else {
+                // The time after the first byte: what a slot is held for.
+                let waited = attempt.first.unwrap_or_default();
+                let run = attempt.begun.elapsed().saturating_sub(waited);
+                state.load.note_run(run);
+                let health = state.load.health(&self.endpoint.id);
+                health.note_success(attempt.begun);
+            }
         }
         attempt.log_end(outcome, None);
     }
@@ -550,6 +565,11 @@
     }
 }
 
+/// Whether a status tells of a failure of the endpoint itself: not of a request whose time was over.
+fn is_own_failure(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/crates/switch/tests/load.rs
+++ b/crates/switch/tests/load.rs
@@ -79,20 +79,122 @@
 async fn an_endpoint_that_failed_is_avoided_for_a_while() {
     let (table, now) = (table(2), Instant::now());
     let mut view = view(&[(0, 0), (3, 0)]);
-    let time = view.note_failure("e0", now);
+    let time = view.health("e0").note_break(now);
     assert_eq!(picked(&pick(&view, &table)), "e1");
-    assert!(view.note_failure("e0", now) > time);
+    assert!(view.health("e0").note_break(now) > time);
     assert!(view.is_avoided("e0", now) && !view.is_avoided("e0", now + Duration::from_secs(5)));
-    view.note_failure("e1", now);
+    view.health("e1").note_break(now);
     assert_eq!(
         picked(&pick(&view, &table)),
         "e0",
         "all failed: the least loaded"
     );
-    view.note_success("e0");
+    view.health("e0").note_success(now);
     assert!(!view.is_avoided("e0", now));
 }
 
+/// Requests that a run of hosts sends while `e0` answers each with a failure at once; returns how many fail.
+fn failures_at_a_quick_failure(hosts: usize, endpoints: usize) -> usize {
+    let table = table(endpoints);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut views: Vec<LoadView> = (0..hosts).map(|_| LoadView::default()).collect();
+    let names: Vec<Arc<str>> = (0..hosts).map(|at| format!("h{at}").into()).collect();
+    let start = Instant::now();
+    let mut ends: BinaryHeap<Reverse<(Duration, usize, String)>> = BinaryHeap::new();
+    let mut failed = 0;
+    for step in 0..2_000_u32 {
+        let at = Duration::from_millis(2) * step;
+        let now = start + at;
+        while ends.peek().is_some_and(|Reverse((end, ..))| *end <= at) {
+            let Some(Reverse((_, host, id))) = ends.pop() else {
+                break;
+            };
+            views[host].finish(&id, RunClass::Online);
+        }
+        if step % 50 == 0 {
+            // A round of beats.
+            for from in 0..hosts {
+                let report = views[from].own_report();
+                let failing = views[from].own_failing(8, now);
+                for to in (0..hosts).filter(|to| *to != from) {
+                    views[to].take_report(&names[from], report.clone());
+                    views[to].take_failing(&names[from], failing.clone());
+                }
+            }
+        }
+        let host = step as usize % hosts;
+        let pick = views[host].pick_online(&table, "service", &[], PATIENCE, now, &mut rng);
+        let EndpointPick::Use(endpoint) = pick else {
+            continue;
+        };
+        if &*endpoint.id == "e0" {
+            failed += 1;
+            views[host]
+                .health("e0")
+                .note_failed_answer(RunClass::Online, now);
+        } else {
+            views[host].begin(&endpoint.id, RunClass::Online);
+            let end = at + Duration::from_millis(60);
+            ends.push(Reverse((end, host, endpoint.id.to_string())));
+        }
+    }
+    failed
+}
+
+/// Pattern: servers that answer all requests with failures and look idle, in a fleet of many hosts.
+#[tokio::test(start_paused = true)]
+async fn a_quick_failure_draws_no_more_requests() {
+    let failed = failures_at_a_quick_failure(20, 12);
+    // Fewer than one a host: hosts tell each other what the endpoint answers.
+    assert!(failed <= 20, "{failed} of 2000 failed");
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_hosts_leave_out_what_answers_with_failures() {
+    let (table, now) = (table(2), Instant::now());
+    let other: Arc<str> = "other".into();
+    let mut view = view(&[(0, 0), (3, 0)]);
+    view.take_failing(&other, vec![EndpointKey::of("e0")]);
+    assert_eq!(picked(&pick(&view, &table)), "e1");
+    assert!(
+        view.own_failing(8, now).is_empty(),
+        "hearsay is not passed on"
+    );
+    view.forget_host(&other);
+    assert_eq!(picked(&pick(&view, &table)), "e0");
+}
+
+/// One failed item may be the item's own fault; two behind each other are the endpoint's.
+#[tokio::test(start_paused = true)]
+async fn batch_items_that_fail_in_a_row_speak_against_an_endpoint() {
+    let now = Instant::now();
+    let mut view = LoadView::default();
+    assert_eq!(
+        view.health("e0").note_failed_answer(RunClass::Batch, now),
+        None
+    );
+    view.health("e0").note_success(now);
+    assert_eq!(
+        view.health("e0").note_failed_answer(RunClass::Batch, now),
+        None
+    );
+    // A success that began before the failure says nothing.
+    view.health("e0")
+        .note_success(now - Duration::from_millis(1));
+    let time = view.health("e0").note_failed_answer(RunClass::Batch, now);
+    assert!(time.is_some() && view.is_avoided("e0", now));
+    assert_eq!(view.own_failing(8, now), [EndpointKey::of("e0")]);
+}
+
+/// An endpoint that this host does not reach may be well; others are not told.
+#[tokio::test(start_paused = true)]
+async fn what_is_not_reached_is_not_told() {
+    let now = Instant::now();
+    let mut view = LoadView::default();
+    view.health("e0").note_break(now);
+    assert!(view.is_avoided("e0", now) && view.own_failing(8, now).is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn reports_replace_each_other() {
     let mut view = view(&[(3, 1)]);
