--- a/crates/switch/tests/fleet.rs
+++ b/crates/switch/tests/switch/fleet.rs
@@ -2,11 +2,9 @@
 //!
 //! Beats are real datagrams on loopback, so these tests run on the machine's clock.
 
-mod support;
-
+use crate::support::{CallScript, TestFleet, results, submission, whole_text};
 use fulmarswitch_switch::jobs::SubmitReply;
 use std::time::Duration;
-use support::{CallScript, TestFleet, results, submission, whole_text};
 use tokio::runtime::Builder;
 use tokio::time::{Instant, sleep};
 
--- a/crates/switch/tests/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -1,11 +1,9 @@
 //! Jobs on a log that fails, with hosts that start, stop and are lost.
 
-mod support;
-
+use crate::support::{AppendFault, CallScript, TestFleet, results, submission, whole_text};
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
 use rstest::rstest;
 use std::time::Duration;
-use support::{AppendFault, CallScript, TestFleet, results, submission, whole_text};
 use tokio::time::sleep;
 
 const DONE: Duration = Duration::from_secs(3);
--- a/crates/switch/tests/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -1,7 +1,6 @@
 //! Which endpoint a request goes to, when requests are refused, and when batch items give way.
 
-mod support;
-
+use crate::support::listed;
 use fulmarswitch_switch::endpoint::EndpointTable;
 use fulmarswitch_switch::homes::pick_homes;
 use fulmarswitch_switch::load::{
@@ -15,7 +14,6 @@
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
-use support::listed;
 use tokio::time::Instant;
 
 const PATIENCE: Duration = Duration::from_millis(300);
--- a/crates/switch/tests/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,7 +1,9 @@
 //! Online requests: which endpoint, how often, and what the caller gets.
 
-mod support;
-
+use crate::support::CallScript::{
+    BreakBehind, Full, Lost, Silent, SilentBehind, Status, Stream, Unreachable,
+};
+use crate::support::{CallScript, TestFleet, event};
 use bytes::Bytes;
 use fulmarswitch_switch::link::EndpointCall;
 use fulmarswitch_switch::node::SwitchNode;
@@ -11,10 +13,6 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use support::CallScript::{
-    BreakBehind, Full, Lost, Silent, SilentBehind, Status, Stream, Unreachable,
-};
-use support::{CallScript, TestFleet, event};
 use tokio::time::{Instant, sleep};
 
 /// What a caller sees.
--- a/crates/switch/tests/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -1,7 +1,6 @@
 //! Decisions that need no runtime: routes, endpoints, members, homes, the ledger, events and records.
 
-mod support;
-
+use crate::support::{listed, route, routes};
 use fulmarswitch_switch::endpoint::{EndpointTable, ListedEndpoint};
 use fulmarswitch_switch::events::EventSplitter;
 use fulmarswitch_switch::homes::pick_homes;
@@ -17,7 +16,6 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{listed, route, routes};
 use tokio::time::Instant;
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/switch/tests/support/mod.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1,7 +1,5 @@
 //! A log and endpoints in memory, and hosts on them, for tests on a paused clock.
 
-#![allow(dead_code, reason = "each test program uses its part")]
-
 use async_trait::async_trait;
 use bytes::Bytes;
 use fulmarswitch_switch::endpoint::ListedEndpoint;
@@ -95,11 +93,6 @@
         newest_of(self.0.lock().unwrap().topic(topic)).len()
     }
 
-    /// Number of records that a topic has had.
-    pub fn count(&self, topic: &str) -> usize {
-        self.0.lock().unwrap().topic(topic).records.len()
-    }
-
     fn push(&self, topic: &str, records: &[KeyedRecord]) -> u64 {
         let mut state = self.0.lock().unwrap();
         let topic = state.topic(topic);
@@ -254,10 +247,6 @@
 /// One call that an endpoint got.
 #[derive(Clone, Debug)]
 pub struct SeenCall {
-    /// The endpoint.
-    pub endpoint: Arc<str>,
-    /// Identity of the request.
-    pub id: Arc<str>,
     /// Number of the event to go on behind.
     pub resume_after: Option<u64>,
     /// Whether the endpoint ran it.
@@ -330,8 +319,6 @@
                 .unwrap_or(CallScript::Stream { events: 3 });
             let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
             state.seen.push(SeenCall {
-                endpoint: endpoint.id.clone(),
-                id: call.id.clone(),
                 resume_after: terms.resume_after,
                 ran,
             });
