--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -307,8 +307,8 @@
 impl EndpointLink for MemoryLink {
     async fn call(
         &self,
-        endpoint: &ListedEndpoint,
-        call: &EndpointCall,
+        _endpoint: &ListedEndpoint,
+        _call: &EndpointCall,
         terms: CallTerms,
     ) -> Result<EndpointAnswer, CallError> {
         let script = {
