--- a/crates/fulmarswitch/tests/hosts/handover.rs
+++ b/crates/fulmarswitch/tests/hosts/handover.rs
@@ -3,6 +3,7 @@
 use crate::support::{
     TestFleet, job_header, owner_of, publish_service, read_results, submit_job, wait_for,
 };
+use fulmarswitch::host::HostNode;
 use fulmarswitch::settings::TuningSettings;
 use fulmarswitch_records::{ItemOutcome, ShardIndex};
 use fulmarswitch_standins::engine::whole_answer;
@@ -18,23 +19,29 @@
 /// Tokens of an item that ends at once.
 const SHORT_TOKENS: u32 = 20;
 
-#[rstest]
-#[case::repeatable(true)]
-#[case::at_most_once(false)]
-#[tokio::test(start_paused = true)]
-async fn items_at_gates_go_on_when_their_job_moves(#[case] idempotent: bool) {
-    let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), 3);
-    let mut hosts = Vec::new();
+/// Starts four hosts over a service of `engines` engines, and waits until all shards have an owner.
+async fn start_hosts(fleet: &mut TestFleet, engines: usize) -> Vec<Arc<HostNode>> {
+    let mut nodes = Vec::new();
     for (name, domain) in [("a", "d0"), ("b", "d1"), ("c", "d2"), ("d", "d0")] {
-        hosts.push(fleet.add_host(name, domain).await);
+        nodes.push(fleet.add_host(name, domain).await.1);
     }
-    let first = Arc::clone(&hosts[0].1);
-    publish_service(&first, 3).await;
+    publish_service(&nodes[0], engines).await;
     wait_for(Duration::from_secs(20), "shards are owned", || {
-        (0..4).all(|shard| first.shards().owner(ShardIndex(shard)).is_some())
+        (0..4).all(|shard| nodes[0].shards().owner(ShardIndex(shard)).is_some())
     })
     .await;
     tokio::time::sleep(Duration::from_secs(3)).await;
+    nodes
+}
+
+#[rstest]
+#[case::repeatable(true)]
+#[case::at_most_once(false)]
+#[tokio::test(start_paused = true)]
+async fn items_at_gates_go_on_when_their_job_moves(#[case] idempotent: bool) {
+    let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), 3);
+    let nodes = start_hosts(&mut fleet, 3).await;
+    let first = Arc::clone(&nodes[0]);
     let header = job_header("s", ITEM_TOKENS, idempotent);
     submit_job(&fleet, &first, header, JOB_ITEMS, JOB_ITEMS).await;
     tokio::time::sleep(Duration::from_secs(10)).await;
@@ -47,8 +54,7 @@
         let owner = Arc::clone(&owner);
         async move { owner.leave().await }
     });
-    let mut nodes = hosts.iter().map(|(_, node)| node);
-    let reader = nodes.rfind(|node| !Arc::ptr_eq(node, &owner));
+    let reader = nodes.iter().rfind(|node| !Arc::ptr_eq(node, &owner));
     let reader = reader.expect("another host");
     tokio::time::sleep(Duration::from_mins(5)).await;
     leaving.await.expect("it leaves");
@@ -66,17 +72,7 @@
 #[tokio::test(start_paused = true)]
 async fn announced_items_that_did_not_run_run_elsewhere() {
     let mut fleet = TestFleet::new(LogFaults::default(), TuningSettings::default(), 2);
-    let mut hosts = Vec::new();
-    for (name, domain) in [("a", "d0"), ("b", "d1"), ("c", "d2")] {
-        hosts.push(fleet.add_host(name, domain).await);
-    }
-    let first = Arc::clone(&hosts[0].1);
-    publish_service(&first, 2).await;
-    wait_for(Duration::from_secs(20), "shards are owned", || {
-        (0..4).all(|shard| first.shards().owner(ShardIndex(shard)).is_some())
-    })
-    .await;
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    let first = Arc::clone(&start_hosts(&mut fleet, 2).await[0]);
     fleet.engine(0).set_faults(|faults| faults.refuse = true);
     let header = job_header("s", SHORT_TOKENS, false);
     submit_job(&fleet, &first, header, JOB_ITEMS, JOB_ITEMS).await;
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -234,7 +234,13 @@
             "ready" => beat.ready, "change" => ?change);
     }
     state.load.take_report(&name, beat.load);
-    state.load.take_failing(&name, beat.failing);
+    for key in state.load.take_failing(&name, beat.failing) {
+        let mut listed = state.endpoints.all_serving().into_iter();
+        let endpoint = listed.find(|endpoint| EndpointKey::of(&endpoint.id) == key);
+        info!(node.parts.logger, "endpoint avoided"; "host" => &*name,
+            "endpoint" => endpoint.map(|endpoint| endpoint.id.to_string()),
+            "cause" => "a host says that it answers with failures");
+    }
     state.members.set_claims(&name, beat.claims);
     state.members.set_log(&name, beat.has_log);
     let gives_way = state.running.iter().any(|running| {
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -74,9 +74,11 @@
 }
 
 impl FailingReports {
-    /// Takes a host's report in place of its last one.
-    pub fn take(&mut self, host: &Arc<str>, mut keys: Vec<EndpointKey>) {
+    /// Takes a host's report in place of its last one. Returns the endpoints that no host named before.
+    pub fn take(&mut self, host: &Arc<str>, mut keys: Vec<EndpointKey>) -> Vec<EndpointKey> {
         keys.sort_unstable();
+        let new = keys.iter().copied().filter(|key| !self.names(*key));
+        let new = new.collect();
         match self.reports.binary_search_by(|(name, _)| name.cmp(host)) {
             Ok(index) if keys.is_empty() => {
                 self.reports.remove(index);
@@ -85,6 +87,7 @@
             Err(_) if keys.is_empty() => {}
             Err(index) => self.reports.insert(index, (host.clone(), keys)),
         }
+        new
     }
 
     /// Whether some host names the endpoint.
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -177,9 +177,10 @@
         &mut self.entry(EndpointKey::of(id)).health
     }
 
-    /// Takes the endpoints that another host leaves out for what they answered.
-    pub fn take_failing(&mut self, host: &Arc<str>, keys: Vec<EndpointKey>) {
-        self.failing.take(host, keys);
+    /// Takes the endpoints that another host leaves out for what they answered. Returns those that no other host
+    /// named before.
+    pub fn take_failing(&mut self, host: &Arc<str>, keys: Vec<EndpointKey>) -> Vec<EndpointKey> {
+        self.failing.take(host, keys)
     }
 
     /// Returns at most `most` endpoints that this host leaves out for what they answered, for its beat.
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -152,7 +152,13 @@
     let (table, now) = (table(2), Instant::now());
     let other: Arc<str> = "other".into();
     let mut view = view(&[(0, 0), (3, 0)]);
-    view.take_failing(&other, vec![EndpointKey::of("e0")]);
+    let failing = vec![EndpointKey::of("e0")];
+    assert_eq!(view.take_failing(&other, failing.clone()), failing, "news");
+    assert!(
+        view.take_failing(&"third".into(), failing).is_empty(),
+        "no news"
+    );
+    view.forget_host(&"third".into());
     assert_eq!(picked(&pick(&view, &table)), "e1");
     assert!(
         view.own_failing(8, now).is_empty(),
