Fewer calls to the store: outcomes are gathered for 80 ms, hosts' cards are read each 4 s

Two appends went out for nearly each outcome, and the list of hosts was read twice as often as beats need.

--- a/crates/switch/src/batch/outcomes.rs
+++ b/crates/switch/src/batch/outcomes.rs
@@ -13,8 +13,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Time in which outcomes are gathered for one append.
-const LINGER: Duration = Duration::from_millis(30);
+/// Time in which outcomes are gathered for one append: little against the seconds that an item takes, and it
+/// saves two calls of the log for each outcome that comes along.
+const LINGER: Duration = Duration::from_millis(80);
 /// Most outcomes of one append.
 const MOST_OUTCOMES: usize = 32;
 /// Most bytes of texts in one append; the log takes 2 MiB.
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -33,7 +33,7 @@
 /// Pause between reads of the jobs: a job is readable at all hosts one second after it was accepted.
 pub(crate) const JOB_PERIOD: Duration = Duration::from_millis(400);
 /// Pause between reads of the list of hosts, which beats make nearly needless.
-const HOST_PERIOD: Duration = Duration::from_secs(2);
+const HOST_PERIOD: Duration = Duration::from_secs(4);
 /// Age of the jobs' last read beyond which the log counts as lost: a few periods.
 const LOG_LOST: Duration = Duration::from_millis(1500);
 /// Time after which a host that stops gives up what is still in progress, less the grace time's end.
