--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -17,8 +17,9 @@
 const FULL_TIME: Duration = Duration::from_millis(150);
 /// Run time of a request before any has been measured.
 const INITIAL_RUN: Duration = Duration::from_millis(700);
-/// Cost, in requests, of an endpoint that is not a home: what another host's choice between two beats may add.
-const AWAY_COST: f64 = 1.5;
+/// Cost, in requests, of an endpoint that is not a home: what the other hosts' choices between two beats add in a
+/// burst of the grown fleets (three arrivals an endpoint).
+const AWAY_COST: f64 = 3.0;
 /// Endpoints other than homes that are weighed for one request.
 const AWAY_SAMPLE: usize = 4;
 /// Slots of a home that batch items leave free for online requests.
