--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -132,7 +132,7 @@
         let period = beat_period(known);
         if !near {
             for name in state.members.sweep(now, period) {
-                info!(node.parts.logger, "host lost"; "host" => &*name);
+                info!(node.parts.logger, "host lost"; "peer" => &*name);
                 state.load.forget_host(&name);
             }
             choose_homes(node, &mut state, now);
@@ -230,14 +230,14 @@
     let (name, incarnation) = (beat.card.name.clone(), beat.card.incarnation);
     let change = state.members.heard(beat.card, beat.ready, now);
     if change != MemberChange::Same {
-        info!(node.parts.logger, "host heard"; "host" => &*name, "incarnation" => incarnation,
+        info!(node.parts.logger, "host heard"; "peer" => &*name, "incarnation" => incarnation,
             "ready" => beat.ready, "change" => ?change);
     }
     state.load.take_report(&name, beat.load);
     for key in state.load.take_failing(&name, beat.failing) {
         let mut listed = state.endpoints.all_serving().into_iter();
         let endpoint = listed.find(|endpoint| EndpointKey::of(&endpoint.id) == key);
-        info!(node.parts.logger, "endpoint avoided"; "host" => &*name,
+        info!(node.parts.logger, "endpoint avoided"; "peer" => &*name,
             "endpoint" => endpoint.map(|endpoint| endpoint.id.to_string()),
             "cause" => "a host says that it answers with failures");
     }
