Leave endpoints that take requests and do not answer

Cause: a request that may run once waits for its answer until its deadline, and only then was its endpoint avoided; an item waited up to 30 s. Change: silence of 0.9 s before an answer avoids the endpoint for others while the request waits on; an item leaves after 4 s. Both tests of the pattern failed first (the silent endpoint drew 2 to 4 of the later requests; the item had no result after 8 s).

--- a/crates/decide/tests/handout.rs
+++ b/crates/decide/tests/handout.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 const JOB: &str = "w/night";
-const LEASE: Duration = Duration::from_secs(120);
+const LEASE: Duration = Duration::from_mins(2);
 
 fn host(name: &str) -> HostIdentity {
     HostIdentity {
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -18,6 +18,9 @@
 
 /// Longest run of an item in one go.
 const RUN_LIMIT: Duration = Duration::from_secs(30);
+/// Time for the head of an answer after which an item goes on elsewhere: more than the silence, as the item may
+/// wait in the endpoint's queue.
+const FIRST_LIMIT: Duration = Duration::from_secs(4);
 /// Silence of an endpoint after which an item goes on elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -109,7 +112,8 @@
             resume_after: self.progress.lock().last_event(),
         };
         let call = self.node.parts.link.call(&self.endpoint, &self.call, terms);
-        let mut answer = match timeout_at(deadline, call).await {
+        let first = Instant::now() + FIRST_LIMIT;
+        let mut answer = match timeout_at(first, call).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(CallError::NotRun { .. })) => return RunEnd::NotRun,
             Ok(Err(error)) => return RunEnd::Broken(error),
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -20,8 +20,8 @@
 
 /// Most endpoints that are asked for one request, those that refused it included.
 const MOST_SENDS: u32 = 4;
-/// Silence of an endpoint after which an idempotent request is sent to another one: well under the two
-/// seconds after which callers abandon a stream.
+/// Silence of an endpoint after which it is avoided, and an idempotent request is sent to another one: well under
+/// the two seconds after which callers abandon a stream.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 /// Part of the latency target that may pass in an endpoint's queue; the rest is for the way, the prompt and what
 /// other hosts send meanwhile.
@@ -233,21 +233,24 @@
             remaining: deadline.saturating_duration_since(now),
             resume_after,
         };
-        let limit = if self.may_run_again() {
-            deadline.min(now + SILENCE_LIMIT)
-        } else {
-            deadline
-        };
-        let call = self
+        let mut call = self
             .node
             .parts
             .link
             .call(endpoint, &self.request.call, terms);
-        match timeout_at(limit, call).await {
+        let silent = deadline.min(now + SILENCE_LIMIT);
+        if let Ok(opened) = timeout_at(silent, &mut call).await {
+            return opened;
+        }
+        if self.may_run_again() || silent == deadline {
+            return Err(broken("no answer in time"));
+        }
+        // It may run once only, so this endpoint has to answer; new requests go elsewhere meanwhile.
+        self.node
+            .avoid_endpoint(&mut self.node.lock(), &endpoint.id, Instant::now());
+        match timeout_at(deadline, call).await {
             Ok(opened) => opened,
-            Err(_) => Err(CallError::Broken {
-                cause: "no answer in time".into(),
-            }),
+            Err(_) => Err(broken("no answer in time")),
         }
     }
 
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -210,3 +210,16 @@
     assert_eq!(found, JobReply::Missing);
     assert_eq!((fleet.log.kept("jobs"), fleet.log.kept("texts")), (0, 0));
 }
+
+/// Pattern: an endpoint takes items and answers none. They go on elsewhere well within their due time.
+#[tokio::test(start_paused = true)]
+async fn an_item_leaves_an_endpoint_that_does_not_answer() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[CallScript::Silent]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(8)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(whole_text(3)));
+}
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -156,3 +156,28 @@
         assert_eq!(ask(&node, "/once/x").await, Seen::Whole(events(3)));
     }
 }
+
+/// Pattern: endpoints that take requests and answer none, on a route whose requests may run once only. The first
+/// requests wait for their answers; later ones go elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_silent_endpoint_draws_no_more_requests() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.link.script(&[Silent]);
+    fleet.link.otherwise(Stream { events: 20 });
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { ask(&node, "/stream/x").await }
+    });
+    sleep(Duration::from_millis(950)).await;
+    let silent = fleet.link.seen()[0].endpoint.clone();
+    // Enough at once that the silent endpoint would be the least loaded.
+    let later = (0..4).map(|_| ask(&node, "/stream/x"));
+    for seen in futures::future::join_all(later).await {
+        assert_eq!(seen, Seen::Whole(events(20)));
+    }
+    let seen = fleet.link.seen();
+    let drawn = seen.iter().filter(|call| call.endpoint == silent).count();
+    assert_eq!(drawn, 1, "only the first request met the silent endpoint");
+    assert_eq!(waiting.await.unwrap(), Seen::TimedOut);
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -247,6 +247,8 @@
 /// One call that an endpoint got.
 #[derive(Clone, Debug)]
 pub struct SeenCall {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
     /// Number of the event to go on behind.
     pub resume_after: Option<u64>,
     /// Whether the endpoint ran it.
@@ -307,7 +309,7 @@
 impl EndpointLink for MemoryLink {
     async fn call(
         &self,
-        _endpoint: &ListedEndpoint,
+        endpoint: &ListedEndpoint,
         _call: &EndpointCall,
         terms: CallTerms,
     ) -> Result<EndpointAnswer, CallError> {
@@ -319,6 +321,7 @@
                 .unwrap_or(CallScript::Stream { events: 3 });
             let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
             state.seen.push(SeenCall {
+                endpoint: endpoint.id.clone(),
                 resume_after: terms.resume_after,
                 ran,
             });
