--- a/crates/trials/tests/seeds.rs
+++ b/crates/trials/tests/seeds.rs
@@ -2,6 +2,7 @@
 
 use fulmarswitch_trials::run::{RunPlan, run_plan};
 use rstest::rstest;
+use std::time::Duration;
 
 /// Steps of each run.
 const STEPS: u32 = 15;
@@ -32,3 +33,19 @@
     let report = run_plan(&RunPlan::new(seed, steps));
     assert!(report.broken.is_empty(), "{report}");
 }
+
+/// Seeds that have failed once while the log kept records for a short time, in seconds.
+#[rstest]
+#[case::a_job_expires_before_its_copy(16, 25, 20)]
+fn promises_hold_while_records_expire(
+    #[case] seed: u64,
+    #[case] steps: u32,
+    #[case] retention_s: u64,
+) {
+    let plan = RunPlan {
+        retention: Some(Duration::from_secs(retention_s)),
+        ..RunPlan::new(seed, steps)
+    };
+    let report = run_plan(&plan);
+    assert!(report.broken.is_empty(), "{report}");
+}
