Refuse an event over 1 MiB also when it arrives in several chunks

Now it counts the whole next event.

Tests first: event_over_one_mebibyte_is_refused failed in both cases, and the request to an endpoint that sends one endless event (endless_event_is_interrupted) did not end within 60 s.

--- a/crates/switch/src/events.rs
+++ b/crates/switch/src/events.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// Maximum size of one event, as far as [`EventParser::push`] detects it; a larger one is an error of the endpoint.
+/// Maximum size of one event; a larger one is an error of the endpoint.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// One complete event.
@@ -35,12 +35,12 @@
 }
 
 impl EventParser {
-    /// Appends bytes. Returns `false` if more than 1 MiB has not been scanned by [`EventParser::next_event`] yet.
-    /// Bytes already scanned are not counted, so an event that grows beyond 1 MiB in several chunks is not detected.
+    /// Appends bytes. Returns `false` if the next event, as far as it has arrived, exceeds 1 MiB.
     #[must_use]
     pub fn push(&mut self, chunk: &[u8]) -> bool {
         self.buffer.extend_from_slice(chunk);
-        self.buffer.len() - self.scanned <= MAX_EVENT_BYTES
+        let next_event = self.find_end().unwrap_or(self.buffer.len());
+        next_event <= MAX_EVENT_BYTES
     }
 
     /// Returns the next complete event; `None` if the buffer holds none.
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,7 +1,7 @@
 //! Online requests: selection of endpoints, retries, and the result for the caller.
 
 use crate::support::CallScript::{
-    BreakAfter, Disconnect, Full, Silent, StallAfter, Status, Stream, Unreachable,
+    BreakAfter, Disconnect, EndlessEvent, Full, Silent, StallAfter, Status, Stream, Unreachable,
 };
 use crate::support::{CallScript, TestFleet, event};
 use bytes::Bytes;
@@ -81,6 +81,7 @@
 #[case::stream_is_truncated("/stream/x", &[BreakAfter { event: 2 }], CallerOutcome::Truncated(events(2)), 1)]
 #[case::stream_is_resumed("/resume/x", &[BreakAfter { event: 2 }], CallerOutcome::Complete(events(3)), 2)]
 #[case::stream_is_resumed_after_a_stall("/resume/x", &[StallAfter { event: 2 }], CallerOutcome::Complete(events(3)), 2)]
+#[case::endless_event_is_interrupted("/resume/x", &[EndlessEvent], CallerOutcome::Truncated(Bytes::new()), 1)]
 #[case::stream_stops_after_its_attempts(
     "/resume/x",
     &[BreakAfter { event: 1 }, Disconnect, BreakAfter { event: 2 }],
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -422,6 +422,33 @@
     assert!(!parser.has_partial_event());
 }
 
+/// An endpoint that never ends its event must not fill the memory of the host.
+#[rstest]
+#[case::without_end_of_line(b"x")]
+#[case::of_many_lines(b"data: x\n")]
+fn event_over_one_mebibyte_is_refused(#[case] line: &[u8]) {
+    let mut parser = EventParser::default();
+    let chunk = line.repeat(600_000 / line.len());
+    assert!(parser.push(&chunk));
+    assert!(parser.next_event().is_none());
+    assert!(!parser.push(&chunk), "1.2 MB belong to the same event");
+}
+
+/// The bound applies to one event, not to the bytes of several events that arrive together.
+#[test]
+fn events_under_one_mebibyte_may_arrive_together() {
+    let mut parser = EventParser::default();
+    let event = [b"data: ", &*vec![b'x'; 700_000], b"\n\n"].concat();
+    let (first, rest) = event.split_at(400_000);
+    assert!(parser.push(first));
+    assert!(parser.next_event().is_none());
+    assert!(parser.push(&[rest, first].concat()));
+    assert!(parser.next_event().is_some());
+    assert!(parser.push(rest));
+    assert!(parser.next_event().is_some());
+    assert!(!parser.has_partial_event());
+}
+
 fn name(job: &str, item: u32) -> ItemName {
     ItemName {
         job: job.into(),
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -252,6 +252,8 @@
     Disconnect,
     /// Never responds.
     Silent,
+    /// Sends one event that never ends.
+    EndlessEvent,
     /// Responds with this status.
     Status(u16),
 }
@@ -361,6 +363,7 @@
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status) => (0, false, false, status),
             CallScript::Stream { events } => (events, false, false, 200),
+            CallScript::EndlessEvent => return Ok(endless_event(running)),
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
@@ -385,6 +388,19 @@
     }
 }
 
+/// A response whose only event has no end.
+fn endless_event(running: RunningCall) -> EndpointResponse {
+    let chunks = stream::repeat_with(move || {
+        let _ = &running;
+        Ok(Bytes::from(vec![b'x'; 600_000]))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: chunks.boxed(),
+    }
+}
+
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing.
 struct TextDecoder;
 
