Start each process of a local fleet in a process group of its own

Now each process has its own group. Since Ctrl-C no longer reaches the fleet through the group, the demo listens for SIGINT, SIGTERM and SIGHUP before it starts the first process, and ends the fleet by id.

--- a/crates/demo/src/bin/fulmarswitch-demo.rs
+++ b/crates/demo/src/bin/fulmarswitch-demo.rs
@@ -11,9 +11,11 @@
 use rustix::process::Signal;
 use serde_json::json;
 use std::error::Error;
+use std::io;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// Hosts with their failure domains.
 const HOSTS: [(&str, &str); 5] = [
@@ -57,8 +59,16 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = demo_options().run();
+    // The processes of the fleet are in groups of their own, so an interrupt must end them from the start.
+    let interrupts = match Interrupts::listen() {
+        Ok(interrupts) => interrupts,
+        Err(error) => {
+            eprintln!("fulmarswitch-demo: signals cannot be received ({error})");
+            return ExitCode::FAILURE;
+        }
+    };
     if options.stay {
-        return match run_until_interrupted().await {
+        return match run_until_interrupted(interrupts).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!("fulmarswitch-demo: {error}");
@@ -67,9 +77,10 @@
         };
     }
     let started = Instant::now();
+    // Dropping the run drops the fleet, which kills its processes.
     let result = tokio::select! {
         result = run(&options) => result,
-        () = wait_for_interrupt() => Err("interrupted".into()),
+        () = interrupts.wait() => Err("interrupted".into()),
     };
     match result {
         Ok(report) => {
@@ -127,11 +138,11 @@
 }
 
 /// Starts the fleet and keeps it running until interrupted, for `--stay`.
-async fn run_until_interrupted() -> Result<(), Box<dyn Error>> {
-    let mut fleet = LocalFleet::start()?;
-    start_all(&mut fleet).await?;
-    publish_all(&fleet).await?;
-    fleet.wait_converged().await?;
+async fn run_until_interrupted(interrupts: Interrupts) -> Result<(), Box<dyn Error>> {
+    let fleet = tokio::select! {
+        result = start_idle_fleet() => result?,
+        () = interrupts.wait() => return Ok(()),
+    };
     println!("settings and logs are in {}", fleet.folder().display());
     for host in &fleet.hosts {
         println!("host {} serves callers at {}", host.name, host.address);
@@ -139,11 +150,19 @@
     println!("workspace {WORKSPACE}, services {ENGINE_SERVICE} and {PLAIN_SERVICE}");
     println!("export FULMARSWITCH_HOST={}", fleet.hosts[0].address);
     println!("press Ctrl-C to stop the fleet");
-    wait_for_interrupt().await;
+    interrupts.wait().await;
     fleet.remove_folder();
     Ok(())
 }
 
+async fn start_idle_fleet() -> Result<LocalFleet, Box<dyn Error>> {
+    let mut fleet = LocalFleet::start()?;
+    start_all(&mut fleet).await?;
+    publish_all(&fleet).await?;
+    fleet.wait_converged().await?;
+    Ok(fleet)
+}
+
 async fn start_all(fleet: &mut LocalFleet) -> Result<(), Box<dyn Error>> {
     for engine in ENGINES {
         fleet.add_engine(engine, "m1")?;
@@ -187,15 +206,30 @@
     }
 }
 
-async fn wait_for_interrupt() {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Receives the signals that end the demo: Ctrl-C, SIGTERM, and SIGHUP of a closed terminal.
+struct Interrupts(watch::Receiver<bool>);
+
+impl Interrupts {
+    fn listen() -> io::Result<Self> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let (sender, receiver) = watch::channel(false);
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+                _ = hangup.recv() => {}
+            }
+            sender.send_replace(true);
+        });
+        Ok(Self(receiver))
+    }
+
+    /// Returns once a signal has been received.
+    async fn wait(&self) {
+        // An error means that the listening task has ended, which it does after a signal.
+        let _ = self.0.clone().wait_for(|received| *received).await;
     }
 }
 
--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -4,6 +4,7 @@
 use snafu::Snafu;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -68,6 +69,9 @@
     /// Starts a program from the build folder of the current executable, and appends its standard error to the file
     /// `NAME.log` in `folder`.
     ///
+    /// The process gets a process group of its own, so that signals to the group of this process do not reach it: the
+    /// kernel sends SIGHUP to an orphaned group that has a stopped member.
+    ///
     /// # Errors
     /// [`ProcessError::StartFailed`] when the log file or the program cannot be opened.
     pub fn start(
@@ -92,6 +96,7 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(file)
+            .process_group(0)
             .spawn()
             .map_err(start_failed)?;
         Ok(Self {
@@ -120,6 +125,12 @@
             })
     }
 
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
