--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -8,10 +8,11 @@
 
 use crate::backend::EndpointCall;
 use crate::endpoint::ListedEndpoint;
+use crate::in_flight::InFlightGuard;
 use crate::jobs::MAX_CLOCK_SKEW;
 use crate::ledger::{ItemState, LedgerJob};
 use crate::load::RequestClass;
-use crate::node::{InFlightGuard, RunningItem, SwitchNode, SwitchState, millis, unix_time_ms};
+use crate::node::{RunningItem, SwitchNode, SwitchState, millis, unix_time_ms};
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_by_due_time, start_quota};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -34,7 +34,7 @@
 /// Delay before the descriptor is published again after a failed append.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Version of the heartbeat encoding.
-const SCHEMA: u8 = 4;
+const SCHEMA: u8 = 5;
 
 /// Wire format of a heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -159,7 +159,7 @@
             descriptor: node.settings.descriptor.clone(),
             ready: state.routes.is_some() && !state.stopping,
             has_log: node.has_log(now),
-            load: state.load.own_report(),
+            load: state.load.own_report(now),
             claims: state.own_claims(MAX_CLAIMS),
             failing: state.load.failing_endpoints(MAX_FAILING, now),
             introduced,
@@ -253,7 +253,7 @@
         info!(node.deps.logger, "host heard"; "peer" => &*name, "incarnation" => incarnation,
             "ready" => heartbeat.ready, "change" => ?change);
     }
-    state.load.update_report(&name, heartbeat.load);
+    state.load.update_report(&name, heartbeat.load, now);
     for key in state.load.update_failing(&name, heartbeat.failing) {
         let mut listed = state.endpoints.all_serving().into_iter();
         let endpoint = listed.find(|endpoint| EndpointKey::of(&endpoint.id) == key);
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,7 +6,7 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`load`], [`affinity`], [`ledger`], [`schedule`], [`members`]
+//! implement them. The modules [`route`], [`endpoint`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`]
 //! and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
@@ -17,6 +17,7 @@
 mod follow;
 pub mod gossip;
 pub mod health;
+mod in_flight;
 pub mod jobs;
 pub mod ledger;
 pub mod load;
@@ -30,3 +31,4 @@
 pub mod record;
 pub mod route;
 pub mod schedule;
+pub mod wait;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -6,6 +6,7 @@
 use crate::affinity::HostAffinity;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
+use crate::wait::{ResponseTimes, RunAges, RunStarts};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -15,8 +16,6 @@
 
 /// Time for which an endpoint that refused a request as full is treated as full.
 const FULL_DURATION: Duration = Duration::from_millis(150);
-/// Assumed mean duration of a request before one has been measured.
-const INITIAL_MEAN_DURATION: Duration = Duration::from_millis(700);
 /// Cost, in requests, of an endpoint outside the preferred ones: the requests that other hosts may send there between
 /// two heartbeats in a burst on a large fleet, three arrivals per endpoint.
 const NON_PREFERRED_COST: f64 = 3.0;
@@ -30,8 +29,6 @@
 const PREEMPTION_COST: f64 = 0.5;
 /// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
 const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
-/// Weight of a new measurement in the moving average of request durations.
-const DURATION_WEIGHT: f64 = 0.05;
 
 /// Hash of an endpoint ID that identifies the endpoint in heartbeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -104,15 +101,28 @@
     pub other: u32,
 }
 
-/// In-flight requests of one host by endpoint, as sent in its heartbeats.
-pub type LoadReport = Vec<(EndpointKey, RequestCounts)>;
+/// Load of one host at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointReport {
+    /// Requests in flight.
+    pub counts: RequestCounts,
+    /// Ages of the online requests among them that hold a slot.
+    pub ages: RunAges,
+}
+
+/// Load of one host by endpoint, as sent in its heartbeats.
+pub type LoadReport = Vec<(EndpointKey, EndpointReport)>;
 
 #[derive(Clone, Debug, Default)]
 struct LoadEntry {
     /// Requests of this host.
     own: RequestCounts,
+    /// Online requests of this host that hold a slot.
+    own_runs: RunStarts,
     /// Requests of all other hosts, from their latest reports.
     peers: RequestCounts,
+    /// Online requests of all other hosts that hold a slot.
+    peer_runs: RunStarts,
     health: EndpointHealth,
     full_until: Option<Instant>,
     no_batch_until: Option<Instant>,
@@ -122,10 +132,21 @@
 #[derive(Clone, Debug)]
 pub struct LoadView {
     entries: Vec<(EndpointKey, LoadEntry)>,
-    reports: Vec<(Arc<str>, LoadReport)>,
+    /// Latest reports of the other hosts, sorted by host.
+    reports: Vec<(Arc<str>, Vec<PeerLoad>)>,
     failing: FailingReports,
-    mean_duration: Duration,
+    response_times: ResponseTimes,
     affinity: HostAffinity,
+    /// Origin of the start times of runs.
+    origin: Instant,
+}
+
+/// Load of another host at one endpoint.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    key: EndpointKey,
+    counts: RequestCounts,
+    runs: RunStarts,
 }
 
 /// Result of [`LoadView::pick_online`].
@@ -148,8 +169,9 @@
             entries: Vec::new(),
             reports: Vec::new(),
             failing: FailingReports::default(),
-            mean_duration: INITIAL_MEAN_DURATION,
+            response_times: ResponseTimes::default(),
             affinity: HostAffinity::default(),
+            origin: Instant::now(),
         }
     }
 }
@@ -168,11 +190,21 @@
         *count = count.saturating_sub(1);
     }
 
-    /// Records for how long an online request held its slot.
-    pub fn record_duration(&mut self, duration: Duration) {
-        let mean = self.mean_duration.as_secs_f64();
-        let updated = mean + (duration.as_secs_f64() - mean) * DURATION_WEIGHT;
-        self.mean_duration = Duration::from_secs_f64(updated);
+    /// Records that an online request of this host has got a slot of its endpoint.
+    pub fn begin_run(&mut self, id: &str, now: Instant) {
+        let start = self.since_origin(now);
+        self.entry(EndpointKey::of(id)).own_runs.add(start);
+    }
+
+    /// Records that an online request of this host that got its slot at `started` has freed it.
+    pub fn finish_run(&mut self, id: &str, started: Instant) {
+        let start = self.since_origin(started);
+        self.entry(EndpointKey::of(id)).own_runs.remove(start);
+    }
+
+    /// Records a complete response to an online request; see [`ResponseTimes::record`].
+    pub fn record_response(&mut self, first_byte: Option<Duration>, run: Duration) {
+        self.response_times.record(first_byte, run);
     }
 
     /// Returns the health of an endpoint as seen by this host.
@@ -198,7 +230,7 @@
 
     /// Removes all reports of a lost host.
     pub fn remove_host(&mut self, host: &Arc<str>) {
-        self.update_report(host, Vec::new());
+        self.replace_report(host, Vec::new());
         self.update_failing(host, Vec::new());
     }
 
@@ -233,8 +265,18 @@
         }
     }
 
-    /// Replaces the load report of another host.
-    pub fn update_report(&mut self, host: &Arc<str>, report: LoadReport) {
+    /// Replaces the load report of another host by one that was received at `now`.
+    pub fn update_report(&mut self, host: &Arc<str>, report: LoadReport, now: Instant) {
+        let now = self.since_origin(now);
+        let loads = report.into_iter().map(|(key, report)| PeerLoad {
+            key,
+            counts: report.counts,
+            runs: report.ages.starts(now),
+        });
+        self.replace_report(host, loads.collect());
+    }
+
+    fn replace_report(&mut self, host: &Arc<str>, report: Vec<PeerLoad>) {
         let old = match self.reports.binary_search_by(|(name, _)| name.cmp(host)) {
             Ok(index) => std::mem::replace(&mut self.reports[index].1, report.clone()),
             Err(index) => {
@@ -242,23 +284,34 @@
                 Vec::new()
             }
         };
-        for (key, counts) in old {
-            let entry = self.entry(key);
-            entry.peers = entry.peers.minus(counts);
+        for load in old {
+            let entry = self.entry(load.key);
+            entry.peers = entry.peers.minus(load.counts);
+            entry.peer_runs = entry.peer_runs.minus(load.runs);
         }
-        for (key, counts) in report {
-            let entry = self.entry(key);
-            entry.peers = entry.peers.plus(counts);
+        for load in report {
+            let entry = self.entry(load.key);
+            entry.peers = entry.peers.plus(load.counts);
+            entry.peer_runs = entry.peer_runs.plus(load.runs);
         }
     }
 
-    /// Returns the in-flight requests of this host, for its heartbeat.
+    /// Returns the load of this host, for its heartbeat.
     #[must_use]
-    pub fn own_report(&self) -> LoadReport {
-        self.entries
+    pub fn own_report(&self, now: Instant) -> LoadReport {
+        let now = self.since_origin(now);
+        let in_use = self
+            .entries
             .iter()
-            .filter(|(_, entry)| !entry.own.is_zero())
-            .map(|(key, entry)| (*key, entry.own))
+            .filter(|(_, entry)| !entry.own.is_zero());
+        in_use
+            .map(|(key, entry)| {
+                let report = EndpointReport {
+                    counts: entry.own,
+                    ages: entry.own_runs.ages(now),
+                };
+                (*key, report)
+            })
             .collect()
     }
 
@@ -276,10 +329,10 @@
         self.find(id).map(|entry| entry.own).unwrap_or_default()
     }
 
-    /// Moving average of the time for which online requests hold a slot.
+    /// How long responses to online requests take.
     #[must_use]
-    pub fn mean_duration(&self) -> Duration {
-        self.mean_duration
+    pub fn response_times(&self) -> ResponseTimes {
+        self.response_times
     }
 
     /// Whether an endpoint is avoided for now: it failed here, or another host reports error responses from it.
@@ -327,7 +380,7 @@
         let Some((_, endpoint)) = best else {
             return EndpointPick::Missing;
         };
-        let wait = self.expected_wait(endpoint);
+        let wait = self.expected_wait(endpoint, now);
         if wait > max_wait {
             return EndpointPick::Full { wait };
         }
@@ -412,8 +465,11 @@
         } else {
             0.0
         };
-        // Batch items are preempted, so only online requests delay this one.
-        let base = f64::from(counts.online);
+        // Batch items are preempted, so only online requests delay this one. A wait counts as the requests that an
+        // endpoint completes meanwhile.
+        let wait = self.expected_wait(endpoint, now).as_secs_f64();
+        let queued = wait / self.response_times.run().as_secs_f64().max(0.001) * f64::from(slots);
+        let base = f64::from(u32::from(counts.online).min(slots)) + queued;
         let preemption_cost = if counts.total() < slots {
             0.0
         } else {
@@ -457,10 +513,19 @@
             .is_some_and(|until| until > now)
     }
 
-    fn expected_wait(&self, endpoint: &ListedEndpoint) -> Duration {
-        let online = u32::from(self.total(&endpoint.id).online);
-        let queued = (online + 1).saturating_sub(endpoint.slots);
-        self.mean_duration * queued / endpoint.slots.max(1)
+    fn expected_wait(&self, endpoint: &ListedEndpoint, now: Instant) -> Duration {
+        let Some(entry) = self.find(&endpoint.id) else {
+            return Duration::ZERO;
+        };
+        let online = u32::from(entry.own.plus(entry.peers).online);
+        let position = (online + 1).saturating_sub(endpoint.slots);
+        let runs = entry.own_runs.plus(entry.peer_runs);
+        let ages = runs.ages(self.since_origin(now));
+        self.response_times.wait(position, endpoint.slots, ages)
+    }
+
+    fn since_origin(&self, time: Instant) -> Duration {
+        time.saturating_duration_since(self.origin)
     }
 
     fn is_full(&self, id: &str, now: Instant) -> bool {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -496,44 +496,6 @@
     }
 }
 
-/// Counts one request as in flight at an endpoint until dropped.
-pub(crate) struct InFlightGuard {
-    node: Arc<SwitchNode>,
-    endpoint: Arc<str>,
-    class: RequestClass,
-}
-
-impl InFlightGuard {
-    /// Counts a request at `endpoint` in `state`, the state of `node`.
-    pub(crate) fn begin(
-        node: &Arc<SwitchNode>,
-        state: &mut SwitchState,
-        endpoint: &ListedEndpoint,
-        class: RequestClass,
-    ) -> Self {
-        state.load.begin(&endpoint.id, class);
-        node.neighbour_heartbeat_requested.notify_one();
-        if class == RequestClass::Online && state.load.total(&endpoint.id).total() > endpoint.slots
-        {
-            // Batch items must be preempted, so the hosts that run them are notified immediately.
-            node.heartbeat_requested.notify_one();
-            node.schedule_requested.notify_one();
-        }
-        Self {
-            node: node.clone(),
-            endpoint: endpoint.id.clone(),
-            class,
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.node.lock().load.finish(&self.endpoint, self.class);
-        self.node.neighbour_heartbeat_requested.notify_one();
-    }
-}
-
 /// Wall-clock time in milliseconds since the Unix epoch. Used for incarnations and for times that hosts share over the
 /// log: acceptance, due times and retention. Timeouts use the monotonic clock.
 #[must_use]
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -3,8 +3,9 @@
 use crate::backend::{CallError, CallOptions, EndpointCall, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventParser;
+use crate::in_flight::InFlightGuard;
 use crate::load::{EndpointPick, RequestClass};
-use crate::node::{InFlightGuard, SwitchNode, millis};
+use crate::node::{SwitchNode, millis};
 use crate::route::{RouteKind, ServiceRoute};
 use bytes::Bytes;
 use futures::StreamExt;
@@ -23,8 +24,8 @@
 /// Time without data from an endpoint after which it is avoided and an idempotent request is retried elsewhere. Well
 /// under the 2 s after which callers abandon a stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Fraction of the latency target that a request may spend in an endpoint's queue. The rest is for the network, the
-/// prompt, and requests that other hosts send meanwhile.
+/// Fraction of the latency target, less the time to the first byte without a queue, that a request may be expected to
+/// wait in an endpoint's queue. The rest is for requests that other hosts send meanwhile.
 const MAX_QUEUE_FRACTION: f64 = 0.75;
 /// Retry-after value sent to callers when no endpoint is available.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -70,6 +71,7 @@
             runs: 0,
             started: Instant::now(),
             time_to_first_byte: None,
+            had_free_slot: false,
             endpoint: None,
             ended: false,
             _in_flight: in_flight,
@@ -117,6 +119,8 @@
     runs: u32,
     started: Instant,
     time_to_first_byte: Option<Duration>,
+    /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
+    had_free_slot: bool,
     /// Endpoint of the last attempt.
     endpoint: Option<Arc<str>>,
     /// Whether the end of the request has been logged.
@@ -174,7 +178,7 @@
         let Some(service) = self.request.route.pick_service(draw) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
-        let max_wait = self.max_wait(now);
+        let max_wait = self.max_wait(now, state.load.response_times().first_byte());
         let mut pick_from = |tried: &[Arc<str>]| {
             let endpoints = &state.endpoints;
             let rng = &mut state.rng;
@@ -199,6 +203,7 @@
                 let guard =
                     InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
                 self.sends += 1;
+                self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
                 self.endpoint = Some(endpoint.id.clone());
                 Ok((endpoint, guard))
             }
@@ -208,7 +213,7 @@
                 info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
                     "service" => &**service, "cause" => "all endpoints have queues",
                     "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
-                    "wait_ms" => millis(wait), "mean_run_ms" => millis(state.load.mean_duration()));
+                    "wait_ms" => millis(wait), "mean_run_ms" => millis(state.load.response_times().run()));
                 Err(self.failure_reply(retry_after))
             }
             EndpointPick::Missing => {
@@ -220,14 +225,16 @@
         }
     }
 
-    /// Maximum time that the request may wait in an endpoint's queue.
-    fn max_wait(&self, now: Instant) -> Duration {
+    /// Maximum time that the request may wait in an endpoint's queue, if the first byte takes `first_byte` without a
+    /// queue.
+    fn max_wait(&self, now: Instant, first_byte: Duration) -> Duration {
         let target = self.request.route.latency_target;
         let remaining = self.request.deadline.saturating_duration_since(now);
         if target.is_zero() {
             remaining
         } else {
-            target.mul_f64(MAX_QUEUE_FRACTION).min(remaining)
+            let left = target.saturating_sub(first_byte);
+            left.mul_f64(MAX_QUEUE_FRACTION).min(remaining)
         }
     }
 
@@ -536,10 +543,11 @@
                 node.record_error_response(&mut state, &self.endpoint.id, RequestClass::Online);
                 outcome = "answered with a failure";
             } else {
-                // Time after the first byte, for which the request holds a slot.
-                let waited = exchange.time_to_first_byte.unwrap_or_default();
+                let first_byte = exchange.time_to_first_byte;
+                let waited = first_byte.unwrap_or_default();
                 let run = exchange.started.elapsed().saturating_sub(waited);
-                state.load.record_duration(run);
+                let unqueued = first_byte.filter(|_| exchange.had_free_slot);
+                state.load.record_response(unqueued, run);
                 let health = state.load.health(&self.endpoint.id);
                 health.record_success(exchange.started);
             }
@@ -551,6 +559,9 @@
     fn record_chunk(&mut self, bytes: usize) {
         if self.exchange.time_to_first_byte.is_none() {
             let elapsed = self.exchange.started.elapsed();
+            if let Some(guard) = &mut self.guard {
+                guard.begin_run();
+            }
             self.exchange.time_to_first_byte = Some(elapsed);
             self.exchange.node.metrics.record_first_byte(elapsed);
         }
--- /dev/null
+++ b/crates/switch/src/wait.rs
@@ -0,0 +1,158 @@
+//! Expected wait for a slot of an endpoint, from the ages of the runs that hold its slots.
+//!
+//! In a steady load the ages of the runs are spread evenly, and a slot frees after a fraction of a run. After a sudden
+//! burst all runs are young, and no slot frees for almost a whole run. A count of requests does not tell these apart.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Assumed run time before one has been measured.
+const INITIAL_RUN_TIME: Duration = Duration::from_millis(700);
+/// Weight of a new measurement of average length in the moving averages.
+const MEASUREMENT_WEIGHT: f64 = 0.05;
+
+/// Runs that hold slots, as their number and the sum of their start times.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunStarts {
+    runs: u32,
+    /// Sum of the start times in milliseconds since an origin that the caller chooses.
+    sum_ms: u64,
+}
+
+impl RunStarts {
+    /// Adds a run that started at `start`, measured from the origin.
+    pub fn add(&mut self, start: Duration) {
+        *self = self.plus(Self::of(1, start));
+    }
+
+    /// Removes a run that was added with the same `start`.
+    pub fn remove(&mut self, start: Duration) {
+        *self = self.minus(Self::of(1, start));
+    }
+
+    /// Runs of both sets.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            runs: self.runs + other.runs,
+            sum_ms: self.sum_ms + other.sum_ms,
+        }
+    }
+
+    /// Runs of this set without those of `other`.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            runs: self.runs.saturating_sub(other.runs),
+            sum_ms: self.sum_ms.saturating_sub(other.sum_ms),
+        }
+    }
+
+    /// Ages of the runs at `now`, measured from the origin.
+    #[must_use]
+    pub fn ages(self, now: Duration) -> RunAges {
+        let mean_start = self.sum_ms.checked_div(self.runs.into()).unwrap_or(0);
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        RunAges {
+            runs: u16::try_from(self.runs).unwrap_or(u16::MAX),
+            mean_ms: u16::try_from(now.saturating_sub(mean_start)).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn of(runs: u32, start: Duration) -> Self {
+        let start = u64::try_from(start.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            runs,
+            sum_ms: start.saturating_mul(runs.into()),
+        }
+    }
+}
+
+/// Number and mean age of the runs that hold slots, as sent in heartbeats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunAges {
+    /// Number of runs.
+    pub runs: u16,
+    /// Mean time since the start of the runs in milliseconds.
+    pub mean_ms: u16,
+}
+
+impl RunAges {
+    /// Start times, measured from an origin, of runs that have these ages at `now`.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::wait::RunAges;
+    /// use std::time::Duration;
+    /// let ages = RunAges { runs: 2, mean_ms: 300 };
+    /// let starts = ages.starts(Duration::from_secs(5));
+    /// assert_eq!(starts.ages(Duration::from_secs(6)).mean_ms, 1_300);
+    /// ```
+    #[must_use]
+    pub fn starts(self, now: Duration) -> RunStarts {
+        let age = Duration::from_millis(self.mean_ms.into());
+        RunStarts::of(self.runs.into(), now.saturating_sub(age))
+    }
+}
+
+/// Moving averages of how long responses take.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseTimes {
+    run: Duration,
+    first_byte: Duration,
+}
+
+impl Default for ResponseTimes {
+    fn default() -> Self {
+        Self {
+            run: INITIAL_RUN_TIME,
+            first_byte: Duration::ZERO,
+        }
+    }
+}
+
+impl ResponseTimes {
+    /// Records a response that took `run` after its first byte. `first_byte` is the time until then, if the request did
+    /// not wait for a slot.
+    ///
+    /// Measurements are weighted by their length, as slots are mostly held by long runs.
+    pub fn record(&mut self, first_byte: Option<Duration>, run: Duration) {
+        let length = run.as_secs_f64() / self.run.as_secs_f64().max(0.001);
+        let weight = (MEASUREMENT_WEIGHT * length).min(1.0);
+        self.run = moved(self.run, run, weight);
+        if let Some(first_byte) = first_byte {
+            self.first_byte = moved(self.first_byte, first_byte, weight);
+        }
+    }
+
+    /// Time for which a request holds a slot.
+    #[must_use]
+    pub fn run(&self) -> Duration {
+        self.run
+    }
+
+    /// Time until the first byte of a response to a request that gets a slot at once.
+    #[must_use]
+    pub fn first_byte(&self) -> Duration {
+        self.first_byte
+    }
+
+    /// Expected wait of the request at `position` in the queue, counted from 1, of an endpoint with `slots` slots that
+    /// are held by runs of the given ages. A request at position 0 has a slot.
+    #[must_use]
+    pub fn wait(&self, position: u32, slots: u32, ages: RunAges) -> Duration {
+        if position == 0 {
+            return Duration::ZERO;
+        }
+        // Ages are taken to be spread evenly between zero and twice their mean.
+        let oldest = match ages.runs {
+            0 => self.run,
+            _ => self.run.min(Duration::from_millis(ages.mean_ms.into()) * 2),
+        };
+        self.run.saturating_sub(oldest) + oldest * position / slots.max(1)
+    }
+}
+
+fn moved(mean: Duration, sample: Duration, weight: f64) -> Duration {
+    let mean = mean.as_secs_f64();
+    Duration::from_secs_f64(mean + (sample.as_secs_f64() - mean) * weight)
+}
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -4,7 +4,7 @@
 use fulmarswitch_switch::affinity::compute_affinity;
 use fulmarswitch_switch::endpoint::EndpointTable;
 use fulmarswitch_switch::load::{
-    EndpointKey, EndpointPick, FreeSlots, LoadView, RequestClass, RequestCounts,
+    EndpointKey, EndpointPick, EndpointReport, FreeSlots, LoadView, RequestClass, RequestCounts,
 };
 use fulmarswitch_switch::overload::OverloadTracker;
 use rand::rngs::SmallRng;
@@ -27,17 +27,25 @@
     table
 }
 
+/// Report of requests in flight that have not got a slot yet, or whose ages are unknown.
+fn report(counts: RequestCounts) -> EndpointReport {
+    EndpointReport {
+        counts,
+        ..EndpointReport::default()
+    }
+}
+
 /// A view in which another host has these requests in flight at `e0`, `e1` and so on, as (online, batch).
 fn view(load: &[(u16, u16)]) -> LoadView {
     let mut view = LoadView::default();
-    let report = load.iter().enumerate().map(|(index, (online, batch))| {
+    let loads = load.iter().enumerate().map(|(index, (online, batch))| {
         let counts = RequestCounts {
             online: *online,
             batch: *batch,
         };
-        (EndpointKey::of(&format!("e{index}")), counts)
+        (EndpointKey::of(&format!("e{index}")), report(counts))
     });
-    view.update_report(&"peer".into(), report.collect());
+    view.update_report(&"peer".into(), loads.collect(), Instant::now());
     view
 }
 
@@ -118,10 +126,10 @@
         if step % 50 == 0 {
             // One round of heartbeats.
             for from in 0..hosts {
-                let report = views[from].own_report();
+                let report = views[from].own_report(Instant::now());
                 let failing = views[from].failing_endpoints(8, now);
                 for to in (0..hosts).filter(|to| *to != from) {
-                    views[to].update_report(&names[from], report.clone());
+                    views[to].update_report(&names[from], report.clone(), now);
                     views[to].update_failing(&names[from], failing.clone());
                 }
             }
@@ -221,19 +229,20 @@
         &"peer".into(),
         vec![(
             EndpointKey::of("e0"),
-            RequestCounts {
+            report(RequestCounts {
                 online: 1,
                 batch: 0,
-            },
+            }),
         )],
+        Instant::now(),
     );
     assert_eq!(view.total("e0").total(), 1);
-    view.update_report(&"peer".into(), Vec::new());
+    view.update_report(&"peer".into(), Vec::new(), Instant::now());
     assert_eq!(view.total("e0").total(), 0);
     view.begin("e0", RequestClass::Online);
-    assert_eq!(view.own_report().len(), 1);
+    assert_eq!(view.own_report(Instant::now()).len(), 1);
     view.finish("e0", RequestClass::Online);
-    assert!(view.own_report().is_empty());
+    assert!(view.own_report(Instant::now()).is_empty());
 }
 
 #[rstest]
@@ -251,7 +260,8 @@
         online: report.0,
         batch: report.1,
     };
-    view.update_report(&"peer".into(), vec![(EndpointKey::of("e0"), counts)]);
+    let peer_load = vec![(EndpointKey::of("e0"), self::report(counts))];
+    view.update_report(&"peer".into(), peer_load, Instant::now());
     if load[0].1 > 0 {
         view.begin("e0", RequestClass::Batch);
     }
@@ -359,7 +369,7 @@
             }
             for host in 0..HOSTS {
                 if (ms + host as u64 * 5).is_multiple_of(HEARTBEAT_MS) {
-                    let report = self.views[host].own_report();
+                    let report = self.views[host].own_report(Instant::now());
                     let name = self.names[host].clone();
                     for view in self
                         .views
@@ -367,7 +377,7 @@
                         .enumerate()
                         .filter(|(index, _)| *index != host)
                     {
-                        view.1.update_report(&name, report.clone());
+                        view.1.update_report(&name, report.clone(), Instant::now());
                     }
                 }
             }
@@ -420,11 +430,11 @@
     }
 
     fn notify_neighbours(&mut self, host: usize) {
-        let report = self.views[host].own_report();
+        let report = self.views[host].own_report(Instant::now());
         for neighbour in self.views[host].affinity().neighbours.clone() {
             let neighbour_index: usize = neighbour[1..].parse().unwrap();
             let name = self.names[host].clone();
-            self.views[neighbour_index].update_report(&name, report.clone());
+            self.views[neighbour_index].update_report(&name, report.clone(), Instant::now());
         }
     }
 }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -5,5 +5,6 @@
 mod load;
 mod logging;
 mod online;
+mod overload;
 mod pure;
 mod support;
