--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -335,6 +335,13 @@
         self.response_times
     }
 
+    /// Mean time between two responses that the endpoints of a service complete while all their slots are in use.
+    #[must_use]
+    pub fn service_interval(&self, table: &EndpointTable, service: &str) -> Duration {
+        let slots: u32 = table.serving(service).map(|endpoint| endpoint.slots).sum();
+        self.response_times.run() / slots.max(1)
+    }
+
     /// Whether an endpoint is avoided for now: it failed here, or another host reports error responses from it.
     #[must_use]
     pub fn is_avoided(&self, id: &str, now: Instant) -> bool {
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -6,6 +6,7 @@
 use crate::in_flight::InFlightGuard;
 use crate::load::{EndpointPick, RequestClass};
 use crate::node::{SwitchNode, millis};
+use crate::overload::Rejection;
 use crate::route::{RouteKind, ServiceRoute};
 use bytes::Bytes;
 use futures::StreamExt;
@@ -27,6 +28,8 @@
 /// Fraction of the latency target, less the time to the first byte without a queue, that a request may be expected to
 /// wait in an endpoint's queue. The rest is for requests that other hosts send meanwhile.
 const MAX_QUEUE_FRACTION: f64 = 0.75;
+/// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
+const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Retry-after value sent to callers when no endpoint is available.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Minimum time to the deadline for a request to be sent at all.
@@ -209,7 +212,14 @@
             }
             EndpointPick::Full { wait } => {
                 let draw = state.rng.random::<f64>();
-                let retry_after = state.overload.record_rejection(wait, now, draw);
+                let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
+                let rejection = Rejection {
+                    wait,
+                    limit: remaining.mul_f64(MAX_RETRY_FRACTION),
+                    service_interval: state.load.service_interval(&state.endpoints, service)
+                        * hosts,
+                };
+                let retry_after = state.overload.record_rejection(rejection, now, draw);
                 info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
                     "service" => &**service, "cause" => "all endpoints have queues",
                     "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -6,7 +6,7 @@
 use fulmarswitch_switch::load::{
     EndpointKey, EndpointPick, EndpointReport, FreeSlots, LoadView, RequestClass, RequestCounts,
 };
-use fulmarswitch_switch::overload::OverloadTracker;
+use fulmarswitch_switch::overload::{OverloadTracker, Rejection};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -462,8 +462,12 @@
     for burst in 0..20_u32 {
         for step in 0..44_u32 {
             let now = started + Duration::from_secs(5) * burst + Duration::from_millis(50) * step;
-            let retry_after =
-                tracker.record_rejection(Duration::from_millis(250), now, rng.random());
+            let rejection = Rejection {
+                wait: Duration::from_millis(250),
+                limit: Duration::from_millis(1500),
+                service_interval: Duration::from_millis(100),
+            };
+            let retry_after = tracker.record_rejection(rejection, now, rng.random());
             let remaining = Duration::from_millis(50) * (44 - step);
             // A caller that cannot be sent past the burst, because retry-after values are bounded, should get the
             // maximum.
--- a/crates/switch/tests/switch/overload.rs
+++ b/crates/switch/tests/switch/overload.rs
@@ -3,6 +3,7 @@
 use crate::support::listed;
 use fulmarswitch_switch::endpoint::EndpointTable;
 use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
+use fulmarswitch_switch::overload::{OverloadTracker, Rejection};
 use fulmarswitch_switch::wait::{ResponseTimes, RunAges, RunStarts};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -188,3 +189,49 @@
     starts.remove(seconds(3));
     assert_eq!(starts, RunStarts::default());
 }
+
+/// A burst that rejects callers faster than the endpoints can serve them on their return: they must not all return
+/// at once. The endpoints serve one caller each 100 ms, so of 20 callers at most eight may return within 0.4 s, twice
+/// what is served meanwhile.
+#[tokio::test(start_paused = true)]
+async fn rejected_callers_return_at_the_rate_of_service() {
+    let mut tracker = OverloadTracker::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = Instant::now();
+    let rejection = Rejection {
+        wait: Duration::from_millis(250),
+        limit: Duration::from_secs(5),
+        service_interval: Duration::from_millis(100),
+    };
+    let mut returns: Vec<Duration> = (0..20)
+        .map(|_| tracker.record_rejection(rejection, now, rng.random()))
+        .collect();
+    returns.sort_unstable();
+    let most = returns.iter().map(|first| {
+        let window = *first..*first + Duration::from_millis(400);
+        returns.iter().filter(|time| window.contains(*time)).count()
+    });
+    assert!(most.max() <= Some(8), "{returns:?}");
+}
+
+/// An overload that lasts longer than any before is not expected to be over at once.
+#[tokio::test(start_paused = true)]
+async fn long_overload_is_expected_to_go_on() {
+    let mut tracker = OverloadTracker::default();
+    let started = Instant::now();
+    let rejection = Rejection {
+        wait: Duration::from_millis(250),
+        limit: Duration::from_millis(1500),
+        service_interval: Duration::from_millis(100),
+    };
+    // Overloads are assumed to last for 1 s before one has been observed.
+    for step in 0..50_u32 {
+        let elapsed = Duration::from_millis(50) * step;
+        let retry_after = tracker.record_rejection(rejection, started + elapsed, 0.0);
+        let is_longer = elapsed > Duration::from_secs(1);
+        assert!(
+            !is_longer || retry_after >= elapsed / 2,
+            "{retry_after:?} after {elapsed:?}"
+        );
+    }
+}
