--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -41,6 +41,10 @@
         let mut state = node.lock();
         let state = &mut *state;
         cancel_closed_items(state);
+        if state.load.update_overdue(Instant::now()) {
+            // Other hosts may run batch items at the endpoint.
+            node.heartbeat_requested.notify_one();
+        }
         preempt_items(&node, state);
         if !state.stopping {
             start_items(&node, state, &updates);
@@ -73,15 +77,16 @@
         .collect();
     endpoints.sort_unstable();
     endpoints.dedup();
+    let now = Instant::now();
     for id in endpoints {
         let Some(endpoint) = state.endpoints.get(&id).cloned() else {
             continue;
         };
-        let excess = state.load.batch_preemptions(&endpoint) as usize;
+        let excess = state.load.batch_preemptions(&endpoint, now) as usize;
         if excess == 0 {
             continue;
         }
-        state.load.record_preemption(&id, Instant::now());
+        state.load.record_preemption(&id, now);
         let on_endpoint = |running: &&mut RunningItem| running.endpoint == id;
         let cancelled = state
             .running
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -34,7 +34,7 @@
 /// Delay before the descriptor is published again after a failed append.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Version of the heartbeat encoding.
-const SCHEMA: u8 = 5;
+const SCHEMA: u8 = 6;
 
 /// Wire format of a heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -265,7 +265,7 @@
     state.members.set_has_log(&name, heartbeat.has_log);
     let must_preempt = state.running.iter().any(|running| {
         let endpoint = state.endpoints.get(&running.endpoint);
-        endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint) > 0)
+        endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint, now) > 0)
     });
     if must_preempt || change != MemberChange::Same {
         node.schedule_requested.notify_one();
--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -11,6 +11,7 @@
     node: Arc<SwitchNode>,
     endpoint: Arc<str>,
     class: RequestClass,
+    sent: Instant,
     run_started: Option<Instant>,
 }
 
@@ -22,7 +23,11 @@
         endpoint: &ListedEndpoint,
         class: RequestClass,
     ) -> Self {
+        let now = Instant::now();
         state.load.begin(&endpoint.id, class);
+        if class == RequestClass::Online {
+            state.load.begin_wait(&endpoint.id, now);
+        }
         node.neighbour_heartbeat_requested.notify_one();
         if class == RequestClass::Online && state.load.total(&endpoint.id).total() > endpoint.slots
         {
@@ -34,15 +39,19 @@
             node: node.clone(),
             endpoint: endpoint.id.clone(),
             class,
+            sent: now,
             run_started: None,
         }
     }
 
     /// Records that the endpoint has begun to respond, so the request holds a slot.
     pub(crate) fn begin_run(&mut self) {
-        let now = Instant::now();
-        if self.run_started.replace(now).is_none() {
-            self.node.lock().load.begin_run(&self.endpoint, now);
+        if self.run_started.is_none() {
+            let now = Instant::now();
+            self.run_started = Some(now);
+            let load = &mut self.node.lock().load;
+            load.finish_wait(&self.endpoint, self.sent);
+            load.begin_run(&self.endpoint, now);
         }
     }
 }
@@ -51,8 +60,9 @@
     fn drop(&mut self) {
         let load = &mut self.node.lock().load;
         load.finish(&self.endpoint, self.class);
-        if let Some(started) = self.run_started {
-            load.finish_run(&self.endpoint, started);
+        match self.run_started {
+            Some(started) => load.finish_run(&self.endpoint, started),
+            None => load.finish_wait(&self.endpoint, self.sent),
         }
         self.node.neighbour_heartbeat_requested.notify_one();
     }
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -6,7 +6,7 @@
 use crate::affinity::HostAffinity;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
-use crate::wait::{ResponseTimes, RunAges, RunStarts};
+use crate::wait::{ResponseTimes, RunAges, RunStarts, WaitingRequests};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -108,6 +108,8 @@
     pub counts: RequestCounts,
     /// Ages of the online requests among them that hold a slot.
     pub ages: RunAges,
+    /// Number of online requests that wait for a slot, going by the time for which they have had no response.
+    pub overdue: u16,
 }
 
 /// Load of one host by endpoint, as sent in its heartbeats.
@@ -119,13 +121,28 @@
     own: RequestCounts,
     /// Online requests of this host that hold a slot.
     own_runs: RunStarts,
+    /// Online requests of this host without a first byte.
+    own_waiting: WaitingRequests,
+    /// Number of them that are overdue.
+    own_overdue: u16,
     /// Requests of all other hosts, from their latest reports.
     peers: RequestCounts,
     /// Online requests of all other hosts that hold a slot.
     peer_runs: RunStarts,
+    /// Number of overdue online requests of all other hosts.
+    peers_overdue: u16,
     health: EndpointHealth,
     full_until: Option<Instant>,
-    no_batch_until: Option<Instant>,
+    /// When this host last preempted a batch item.
+    preempted_at: Option<Instant>,
+}
+
+impl LoadEntry {
+    /// Online requests of all hosts that wait for a slot, whatever the counts say: requests of hosts that cannot be
+    /// heard are in no count.
+    fn overdue(&self) -> u16 {
+        self.own_overdue.saturating_add(self.peers_overdue)
+    }
 }
 
 /// Load and health of all endpoints from the view of this host.
@@ -147,6 +164,7 @@
     key: EndpointKey,
     counts: RequestCounts,
     runs: RunStarts,
+    overdue: u16,
 }
 
 /// Result of [`LoadView::pick_online`].
@@ -190,6 +208,30 @@
         *count = count.saturating_sub(1);
     }
 
+    /// Records that an online request of this host has been sent and waits for its first byte.
+    pub fn begin_wait(&mut self, id: &str, now: Instant) {
+        self.entry(EndpointKey::of(id)).own_waiting.add(now);
+    }
+
+    /// Records that an online request of this host that was sent at `sent` no longer waits for its first byte.
+    pub fn finish_wait(&mut self, id: &str, sent: Instant) {
+        self.entry(EndpointKey::of(id)).own_waiting.remove(sent);
+    }
+
+    /// Counts the overdue requests of this host. Returns whether there are more than before at any endpoint.
+    pub fn update_overdue(&mut self, now: Instant) -> bool {
+        let Some(limit) = self.response_times.overdue_after() else {
+            return false;
+        };
+        let mut has_more = false;
+        for (_, entry) in &mut self.entries {
+            let overdue = entry.own_waiting.overdue(limit, now);
+            has_more |= overdue > entry.own_overdue;
+            entry.own_overdue = overdue;
+        }
+        has_more
+    }
+
     /// Records that an online request of this host has got a slot of its endpoint.
     pub fn begin_run(&mut self, id: &str, now: Instant) {
         let start = self.since_origin(now);
@@ -241,7 +283,7 @@
 
     /// Records that a batch item was preempted at an endpoint.
     pub fn record_preemption(&mut self, id: &str, now: Instant) {
-        self.entry(EndpointKey::of(id)).no_batch_until = Some(now + PREEMPTION_COOLDOWN);
+        self.entry(EndpointKey::of(id)).preempted_at = Some(now);
     }
 
     /// Sets the preferred endpoints and neighbours of this host.
@@ -272,6 +314,7 @@
             key,
             counts: report.counts,
             runs: report.ages.starts(now),
+            overdue: report.overdue,
         });
         self.replace_report(host, loads.collect());
     }
@@ -288,11 +331,13 @@
             let entry = self.entry(load.key);
             entry.peers = entry.peers.minus(load.counts);
             entry.peer_runs = entry.peer_runs.minus(load.runs);
+            entry.peers_overdue = entry.peers_overdue.saturating_sub(load.overdue);
         }
         for load in report {
             let entry = self.entry(load.key);
             entry.peers = entry.peers.plus(load.counts);
             entry.peer_runs = entry.peer_runs.plus(load.runs);
+            entry.peers_overdue = entry.peers_overdue.saturating_add(load.overdue);
         }
     }
 
@@ -309,6 +354,7 @@
                 let report = EndpointReport {
                     counts: entry.own,
                     ages: entry.own_runs.ages(now),
+                    overdue: entry.own_overdue,
                 };
                 (*key, report)
             })
@@ -440,10 +486,22 @@
     /// Each host preempts its share of the excess, rounded up, so that hosts with the same view of the load do not each
     /// preempt an item for the same request.
     #[must_use]
-    pub fn batch_preemptions(&self, endpoint: &ListedEndpoint) -> u32 {
-        let total = self.total(&endpoint.id);
-        let own = u32::from(self.own(&endpoint.id).batch);
-        let excess = total.total().saturating_sub(endpoint.slots);
+    pub fn batch_preemptions(&self, endpoint: &ListedEndpoint, now: Instant) -> u32 {
+        let Some(entry) = self.find(&endpoint.id) else {
+            return 0;
+        };
+        let total = entry.own.plus(entry.peers);
+        let own = u32::from(entry.own.batch);
+        // A request that has just got the slot of a preempted item is overdue until its first byte.
+        let limit = self.response_times.overdue_after().unwrap_or_default();
+        let settled = entry
+            .preempted_at
+            .is_none_or(|preempted_at| now >= preempted_at + limit);
+        let overdue = if settled { entry.overdue() } else { 0 };
+        let excess = total
+            .total()
+            .saturating_sub(endpoint.slots)
+            .max(overdue.into());
         if excess == 0 || own == 0 {
             return 0;
         }
@@ -510,14 +568,20 @@
     }
 
     fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
+        if self
+            .find(&endpoint.id)
+            .is_some_and(|entry| entry.overdue() > 0)
+        {
+            return 0;
+        }
         let used = self.total(&endpoint.id).total() + self.reserved_slots(&endpoint.id);
         endpoint.slots.saturating_sub(used)
     }
 
     fn recently_preempted(&self, id: &str, now: Instant) -> bool {
         self.find(id)
-            .and_then(|entry| entry.no_batch_until)
-            .is_some_and(|until| until > now)
+            .and_then(|entry| entry.preempted_at)
+            .is_some_and(|preempted_at| now < preempted_at + PREEMPTION_COOLDOWN)
     }
 
     fn expected_wait(&self, endpoint: &ListedEndpoint, now: Instant) -> Duration {
@@ -525,7 +589,13 @@
             return Duration::ZERO;
         };
         let online = u32::from(entry.own.plus(entry.peers).online);
-        let position = (online + 1).saturating_sub(endpoint.slots);
+        let queued = online
+            .saturating_sub(endpoint.slots)
+            .max(entry.overdue().into());
+        let position = match queued {
+            0 => u32::from(online >= endpoint.slots),
+            queued => queued + 1,
+        };
         let runs = entry.own_runs.plus(entry.peer_runs);
         let ages = runs.ages(self.since_origin(now));
         self.response_times.wait(position, endpoint.slots, ages)
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -567,11 +567,11 @@
 
     /// Records the first byte, and the end of a response with a content length.
     fn record_chunk(&mut self, bytes: usize) {
+        if let Some(guard) = &mut self.guard {
+            guard.begin_run();
+        }
         if self.exchange.time_to_first_byte.is_none() {
             let elapsed = self.exchange.started.elapsed();
-            if let Some(guard) = &mut self.guard {
-                guard.begin_run();
-            }
             self.exchange.time_to_first_byte = Some(elapsed);
             self.exchange.node.metrics.record_first_byte(elapsed);
         }
--- a/crates/switch/src/wait.rs
+++ b/crates/switch/src/wait.rs
@@ -5,11 +5,17 @@
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Assumed run time before one has been measured.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(700);
 /// Weight of a new measurement of average length in the moving averages.
 const MEASUREMENT_WEIGHT: f64 = 0.05;
+/// Length of a run, as a fraction of the mean, from which its first byte is taken as the first measurement.
+const MIN_FIRST_LENGTH: f64 = 0.5;
+/// Time without a first byte after which a request waits for a slot, as a multiple of the time that the first byte takes
+/// with a free slot.
+const OVERDUE_FACTOR: f64 = 1.5;
 
 /// Runs that hold slots, as their number and the sum of their start times.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -94,18 +100,48 @@
     }
 }
 
+/// Requests that have been sent and have not received a first byte.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingRequests {
+    /// Times at which they were sent, in ascending order.
+    sent: Vec<Instant>,
+}
+
+impl WaitingRequests {
+    /// Adds a request sent at `sent`.
+    pub fn add(&mut self, sent: Instant) {
+        let index = self.sent.partition_point(|time| *time <= sent);
+        self.sent.insert(index, sent);
+    }
+
+    /// Removes a request that was added with the same `sent`.
+    pub fn remove(&mut self, sent: Instant) {
+        if let Ok(index) = self.sent.binary_search(&sent) {
+            self.sent.remove(index);
+        }
+    }
+
+    /// Number of requests that have waited for `limit` or longer.
+    #[must_use]
+    pub fn overdue(&self, limit: Duration, now: Instant) -> u16 {
+        let is_overdue = |sent: &Instant| now.saturating_duration_since(*sent) >= limit;
+        u16::try_from(self.sent.partition_point(is_overdue)).unwrap_or(u16::MAX)
+    }
+}
+
 /// Moving averages of how long responses take.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseTimes {
     run: Duration,
-    first_byte: Duration,
+    /// `None` before the first measurement.
+    first_byte: Option<Duration>,
 }
 
 impl Default for ResponseTimes {
     fn default() -> Self {
         Self {
             run: INITIAL_RUN_TIME,
-            first_byte: Duration::ZERO,
+            first_byte: None,
         }
     }
 }
@@ -120,7 +156,11 @@
         let weight = (MEASUREMENT_WEIGHT * length).min(1.0);
         self.run = moved(self.run, run, weight);
         if let Some(first_byte) = first_byte {
-            self.first_byte = moved(self.first_byte, first_byte, weight);
+            self.first_byte = match self.first_byte {
+                Some(mean) => Some(moved(mean, first_byte, weight)),
+                // A response that takes no time says little about the others.
+                None => (length >= MIN_FIRST_LENGTH).then_some(first_byte),
+            };
         }
     }
 
@@ -130,10 +170,16 @@
         self.run
     }
 
-    /// Time until the first byte of a response to a request that gets a slot at once.
+    /// Time until the first byte of a response to a request that gets a slot at once; zero if not measured yet.
     #[must_use]
     pub fn first_byte(&self) -> Duration {
-        self.first_byte
+        self.first_byte.unwrap_or_default()
+    }
+
+    /// Time without a first byte after which a request must be waiting for a slot; `None` if not measured yet.
+    #[must_use]
+    pub fn overdue_after(&self) -> Option<Duration> {
+        Some(self.first_byte?.mul_f64(OVERDUE_FACTOR))
     }
 
     /// Expected wait of the request at `position` in the queue, counted from 1, of an endpoint with `slots` slots that
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -266,7 +266,7 @@
         view.begin("e0", RequestClass::Batch);
     }
     assert_eq!(
-        view.batch_preemptions(&listed("e0", SLOTS, false)),
+        view.batch_preemptions(&listed("e0", SLOTS, false), Instant::now()),
         expected
     );
 }
--- a/crates/switch/tests/switch/overload.rs
+++ b/crates/switch/tests/switch/overload.rs
@@ -2,7 +2,9 @@
 
 use crate::support::listed;
 use fulmarswitch_switch::endpoint::EndpointTable;
-use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
+use fulmarswitch_switch::load::{
+    EndpointKey, EndpointPick, EndpointReport, LoadView, RequestClass, RequestCounts,
+};
 use fulmarswitch_switch::overload::{OverloadTracker, Rejection};
 use fulmarswitch_switch::wait::{ResponseTimes, RunAges, RunStarts};
 use rand::rngs::SmallRng;
@@ -235,3 +237,65 @@
         );
     }
 }
+
+/// The view of a host that has one online request and two batch items at `e0`, and has measured the usual first byte.
+fn view_with_batch(sent: Instant) -> LoadView {
+    let mut view = LoadView::default();
+    view.record_response(Some(FIRST_BYTE), Duration::from_millis(700));
+    view.begin("e0", RequestClass::Online);
+    view.begin_wait("e0", sent);
+    for _ in 0..2 {
+        view.begin("e0", RequestClass::Batch);
+    }
+    view
+}
+
+/// Hosts that are cut off from each other fill the slots of an endpoint without knowing it. A request that gets no first
+/// byte shows it: batch items give way to it, no item starts, and later requests expect a wait.
+#[tokio::test(start_paused = true)]
+async fn batch_gives_way_to_a_request_that_waits_without_a_reason() {
+    let sent = Instant::now();
+    let mut view = view_with_batch(sent);
+    let mut table = EndpointTable::default();
+    table.set(listed("e0", SLOTS, false));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let endpoint = listed("e0", SLOTS, false);
+    assert!(!view.update_overdue(sent + FIRST_BYTE));
+    assert_eq!(view.batch_preemptions(&endpoint, sent + FIRST_BYTE), 0);
+
+    let later = sent + FIRST_BYTE * 2;
+    assert!(view.update_overdue(later), "one more request is overdue");
+    assert!(!view.update_overdue(later));
+    assert_eq!(view.batch_preemptions(&endpoint, later), 1);
+    assert_eq!(view.pick_batch(&table, "service", later, &mut rng), None);
+    let pick = view.pick_online(&table, "service", &[], Duration::ZERO, later, &mut rng);
+    assert!(matches!(pick, EndpointPick::Full { .. }), "{pick:?}");
+
+    view.record_preemption("e0", later);
+    assert_eq!(view.batch_preemptions(&endpoint, later), 0, "one is enough");
+    view.finish_wait("e0", sent);
+    view.update_overdue(later);
+    let next = later + Duration::from_secs(1);
+    assert_eq!(view.batch_preemptions(&endpoint, next), 0);
+}
+
+/// A host preempts its batch items for an overdue request of another host.
+#[tokio::test(start_paused = true)]
+async fn batch_gives_way_to_an_overdue_request_of_another_host() {
+    let now = Instant::now();
+    let mut view = view_with_batch(now);
+    let report = EndpointReport {
+        counts: RequestCounts {
+            online: 1,
+            batch: 0,
+        },
+        overdue: 1,
+        ..EndpointReport::default()
+    };
+    let load = vec![(EndpointKey::of("e0"), report)];
+    view.update_report(&"peer".into(), load, now);
+    let endpoint = listed("e0", SLOTS, false);
+    assert_eq!(view.batch_preemptions(&endpoint, now), 1);
+    view.remove_host(&"peer".into());
+    assert_eq!(view.batch_preemptions(&endpoint, now), 0);
+}
