--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -27,8 +27,6 @@
 
 /// Maximum time between two scheduling passes.
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time beyond the failure timeout that a starting host waits for heartbeats of the other hosts before it runs items.
-const DISCOVERY_MARGIN: Duration = Duration::from_millis(300);
 
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
@@ -168,8 +166,10 @@
     let now_ms = unix_time_ms();
     let mut runnable = Vec::new();
     let mut abandoned = Vec::new();
-    // A host that has just started has received no heartbeats yet, so all items would be assigned to it.
-    if now.duration_since(node.started) < state.members.failure_timeout() + DISCOVERY_MARGIN {
+    if !state
+        .members
+        .knows_live_hosts(now.duration_since(node.started))
+    {
         return runnable;
     }
     let mut own_claims = state.own_claims(usize::MAX);
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -12,6 +12,8 @@
 const MIN_FAILURE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Failure timeout of a large fleet, in heartbeat intervals.
 const MISSED_HEARTBEATS: u32 = 4;
+/// Time beyond the failure timeout that a starting host waits for heartbeats of the other hosts before it runs items.
+const DISCOVERY_MARGIN: Duration = Duration::from_millis(300);
 /// Time without a heartbeat after which a host is removed from the table.
 const EVICTION_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -178,6 +180,16 @@
         self.entries.iter()
     }
 
+    /// Whether a host that started `uptime` ago knows which other hosts run items: it has heard all those in the log, or
+    /// they would count as lost by now. Until then it would take all items to be its own.
+    #[must_use]
+    pub fn knows_live_hosts(&self, uptime: Duration) -> bool {
+        let mut entries = self.entries.iter();
+        let all_heard =
+            !self.entries.is_empty() && entries.all(|entry| entry.last_heartbeat.is_some());
+        all_heard || uptime >= self.failure_timeout + DISCOVERY_MARGIN
+    }
+
     /// Hosts whose last heartbeat is within the failure timeout.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &MemberEntry> {
         self.entries
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -144,6 +144,32 @@
     assert_eq!(members.all().count(), 0);
 }
 
+/// After all hosts have lost power together, batch items must not wait for hosts that have already been heard.
+#[tokio::test(start_paused = true)]
+async fn starting_host_waits_only_for_hosts_that_it_has_not_heard() {
+    let now = Instant::now();
+    let mut members = MemberTable::default();
+    assert!(
+        !members.knows_live_hosts(MS * 100),
+        "the log is not read yet"
+    );
+    members.add_host(descriptor("b", 1), now);
+    members.add_host(descriptor("c", 1), now);
+    members.record_heartbeat(descriptor("b", 1), true, now);
+    assert!(
+        !members.knows_live_hosts(MS * 200),
+        "c may be running items"
+    );
+    assert!(
+        members.knows_live_hosts(MS * 1300),
+        "c would be lost by now"
+    );
+    members.record_heartbeat(descriptor("c", 1), true, now);
+    assert!(members.knows_live_hosts(MS * 200));
+    members.add_host(descriptor("c", 2), now);
+    assert!(!members.knows_live_hosts(MS * 200), "c has restarted");
+}
+
 #[tokio::test(start_paused = true)]
 async fn every_item_is_assigned_to_one_host() {
     let now = Instant::now();
