Move load reports, in-flight counts and the maximum wait to modules of their own; log what was believed

The log line of a rejection names the longest accepted wait, the time to the first byte without a queue and the overdue requests, which are also gauges.

--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -6,9 +6,9 @@
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
 use crate::follow::FollowBatch;
-use crate::load::{EndpointKey, LoadReport};
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
+use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -4,7 +4,8 @@
 //! Error responses are the same for all hosts, so hosts report them to each other; connection failures may be local
 //! to one host and are not reported.
 
-use crate::load::{EndpointKey, RequestClass};
+use crate::load::RequestClass;
+use crate::report::EndpointKey;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -1,4 +1,5 @@
-//! Requests in flight at endpoints, counted in the load that hosts report to each other.
+//! Counts of requests in flight: at this host, for its shutdown, and at endpoints, for the load that hosts report to each
+//! other.
 
 use crate::endpoint::ListedEndpoint;
 use crate::load::RequestClass;
@@ -6,6 +7,22 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Counts an online request as in flight, so that a stopping host can wait for it.
+pub(crate) struct InFlightRequest(Arc<SwitchNode>);
+
+impl InFlightRequest {
+    pub(crate) fn begin(node: &Arc<SwitchNode>) -> Self {
+        node.lock().online_in_flight += 1;
+        Self(node.clone())
+    }
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        self.0.lock().online_in_flight -= 1;
+    }
+}
+
 /// Counts one request as in flight at an endpoint until dropped.
 pub(crate) struct InFlightGuard {
     node: Arc<SwitchNode>,
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod overload;
 pub mod progress;
 pub mod record;
+pub mod report;
 pub mod route;
 pub mod schedule;
 pub mod wait;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -6,13 +6,12 @@
 use crate::affinity::HostAffinity;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
-use crate::wait::{ResponseTimes, RunAges, RunStarts, WaitingRequests};
+use crate::report::{EndpointKey, EndpointReport, LoadReport, RequestCounts};
+use crate::wait::{ResponseTimes, RunStarts, WaitingRequests};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which an endpoint that refused a request as full is treated as full.
 const FULL_DURATION: Duration = Duration::from_millis(150);
@@ -30,59 +29,6 @@
 /// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
 const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
 
-/// Hash of an endpoint ID that identifies the endpoint in heartbeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EndpointKey(u32);
-
-impl EndpointKey {
-    /// Returns the key of the endpoint with this ID.
-    ///
-    /// ```
-    /// use fulmarswitch_switch::load::EndpointKey;
-    /// assert_eq!(EndpointKey::of("i-1"), EndpointKey::of("i-1"));
-    /// ```
-    #[must_use]
-    pub fn of(id: &str) -> Self {
-        let [a, b, c, d, ..] = xxh3_64(id.as_bytes()).to_le_bytes();
-        Self(u32::from_le_bytes([a, b, c, d]))
-    }
-}
-
-/// Number of requests in flight at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestCounts {
-    /// Online requests.
-    pub online: u16,
-    /// Batch items.
-    pub batch: u16,
-}
-
-impl RequestCounts {
-    /// Sum of both classes.
-    #[must_use]
-    pub fn total(self) -> u32 {
-        u32::from(self.online) + u32::from(self.batch)
-    }
-
-    fn plus(self, other: Self) -> Self {
-        Self {
-            online: self.online.saturating_add(other.online),
-            batch: self.batch.saturating_add(other.batch),
-        }
-    }
-
-    fn minus(self, other: Self) -> Self {
-        Self {
-            online: self.online.saturating_sub(other.online),
-            batch: self.batch.saturating_sub(other.batch),
-        }
-    }
-
-    fn is_zero(self) -> bool {
-        self == Self::default()
-    }
-}
-
 /// Class of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestClass {
@@ -101,20 +47,6 @@
     pub other: u32,
 }
 
-/// Load of one host at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointReport {
-    /// Requests in flight.
-    pub counts: RequestCounts,
-    /// Ages of the online requests among them that hold a slot.
-    pub ages: RunAges,
-    /// Number of online requests that wait for a slot, going by the time for which they have had no response.
-    pub overdue: u16,
-}
-
-/// Load of one host by endpoint, as sent in its heartbeats.
-pub type LoadReport = Vec<(EndpointKey, EndpointReport)>;
-
 #[derive(Clone, Debug, Default)]
 struct LoadEntry {
     /// Requests of this host.
@@ -232,6 +164,13 @@
         has_more
     }
 
+    /// Number of overdue online requests of this host and of those that it hears.
+    #[must_use]
+    pub fn overdue(&self) -> u32 {
+        let counts = self.entries.iter().map(|(_, entry)| entry.overdue());
+        counts.map(u32::from).sum()
+    }
+
     /// Records that an online request of this host has got a slot of its endpoint.
     pub fn begin_run(&mut self, id: &str, now: Instant) {
         let start = self.since_origin(now);
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -46,6 +46,9 @@
     items_running: Gauge,
     online_running: Gauge,
     log_silence: Gauge,
+    overdue: Gauge,
+    usual_first_byte: Gauge,
+    mean_run: Gauge,
 }
 
 impl fmt::Debug for SwitchMetrics {
@@ -139,6 +142,21 @@
                 "Age of the jobs' last read",
                 &state_gauges.log_silence,
             ),
+            (
+                "online_overdue",
+                "Online requests that wait for a slot, here and at hosts that are heard",
+                &state_gauges.overdue,
+            ),
+            (
+                "usual_first_byte_ms",
+                "Time to the first byte of a request that gets a slot at once",
+                &state_gauges.usual_first_byte,
+            ),
+            (
+                "mean_run_ms",
+                "Time for which an online request holds a slot",
+                &state_gauges.mean_run,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -189,6 +207,15 @@
         let now = Instant::now();
         let state_gauges = &self.metrics.state_gauges;
         let state = self.lock();
+        let times = state.load.response_times();
+        let times = [
+            (&state_gauges.usual_first_byte, times.first_byte()),
+            (&state_gauges.mean_run, times.run()),
+        ];
+        for (gauge, time) in times {
+            gauge.set(i64::try_from(time.as_millis()).unwrap_or(i64::MAX));
+        }
+        state_gauges.overdue.set(state.load.overdue().into());
         let counts = [
             (&state_gauges.members, state.members.live(now).count()),
             (&state_gauges.endpoints, state.endpoints.len()),
--- a/crates/switch/src/online.rs
+++ b/crates/switch/src/online.rs
@@ -3,11 +3,12 @@
 use crate::backend::{CallError, CallOptions, EndpointCall, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventParser;
-use crate::in_flight::InFlightGuard;
+use crate::in_flight::{InFlightGuard, InFlightRequest};
 use crate::load::{EndpointPick, RequestClass};
-use crate::node::{SwitchNode, millis};
+use crate::node::{SwitchNode, SwitchState, millis};
 use crate::overload::Rejection;
 use crate::route::{RouteKind, ServiceRoute};
+use crate::wait::max_wait;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
@@ -25,9 +26,6 @@
 /// Time without data from an endpoint after which it is avoided and an idempotent request is retried elsewhere. Well
 /// under the 2 s after which callers abandon a stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Fraction of the latency target, less the time to the first byte without a queue, that a request may be expected to
-/// wait in an endpoint's queue. The rest is for requests that other hosts send meanwhile.
-const MAX_QUEUE_FRACTION: f64 = 0.75;
 /// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
 const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Retry-after value sent to callers when no endpoint is available.
@@ -91,25 +89,16 @@
     }
 }
 
-/// Counts an online request as in flight, so that a stopping host can wait for it.
-struct InFlightRequest(Arc<SwitchNode>);
-
-impl InFlightRequest {
-    fn begin(node: &Arc<SwitchNode>) -> Self {
-        node.lock().online_in_flight += 1;
-        Self(node.clone())
-    }
-}
-
-impl Drop for InFlightRequest {
-    fn drop(&mut self) {
-        self.0.lock().online_in_flight -= 1;
-    }
-}
-
 /// A response with its in-flight guard and endpoint.
 type Opened = (EndpointResponse, InFlightGuard, Arc<ListedEndpoint>);
 
+/// Expected wait of a request, and the longest with which it is sent.
+#[derive(Clone, Copy)]
+struct ExpectedWait {
+    wait: Duration,
+    max_wait: Duration,
+}
+
 /// An online request and its attempts so far.
 struct OnlineExchange {
     node: Arc<SwitchNode>,
@@ -181,7 +170,9 @@
         let Some(service) = self.request.route.pick_service(draw) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
-        let max_wait = self.max_wait(now, state.load.response_times().first_byte());
+        let times = state.load.response_times();
+        let target = self.request.route.latency_target;
+        let max_wait = max_wait(target, times.first_byte(), remaining);
         let mut pick_from = |tried: &[Arc<str>]| {
             let endpoints = &state.endpoints;
             let rng = &mut state.rng;
@@ -211,19 +202,8 @@
                 Ok((endpoint, guard))
             }
             EndpointPick::Full { wait } => {
-                let draw = state.rng.random::<f64>();
-                let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
-                let rejection = Rejection {
-                    wait,
-                    limit: remaining.mul_f64(MAX_RETRY_FRACTION),
-                    service_interval: state.load.service_interval(&state.endpoints, service)
-                        * hosts,
-                };
-                let retry_after = state.overload.record_rejection(rejection, now, draw);
-                info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-                    "service" => &**service, "cause" => "all endpoints have queues",
-                    "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
-                    "wait_ms" => millis(wait), "mean_run_ms" => millis(state.load.response_times().run()));
+                let expected = ExpectedWait { wait, max_wait };
+                let retry_after = self.reject_full(state, service, expected, remaining);
                 Err(self.failure_reply(retry_after))
             }
             EndpointPick::Missing => {
@@ -235,17 +215,30 @@
         }
     }
 
-    /// Maximum time that the request may wait in an endpoint's queue, if the first byte takes `first_byte` without a
-    /// queue.
-    fn max_wait(&self, now: Instant, first_byte: Duration) -> Duration {
-        let target = self.request.route.latency_target;
-        let remaining = self.request.deadline.saturating_duration_since(now);
-        if target.is_zero() {
-            remaining
-        } else {
-            let left = target.saturating_sub(first_byte);
-            left.mul_f64(MAX_QUEUE_FRACTION).min(remaining)
-        }
+    /// Records that the request is rejected since it would wait too long, and returns the retry-after value.
+    fn reject_full(
+        &self,
+        state: &mut SwitchState,
+        service: &str,
+        expected: ExpectedWait,
+        remaining: Duration,
+    ) -> Duration {
+        let now = Instant::now();
+        let times = state.load.response_times();
+        info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
+            "service" => service, "cause" => "all endpoints have queues",
+            "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
+            "wait_ms" => millis(expected.wait), "max_wait_ms" => millis(expected.max_wait),
+            "first_byte_ms" => millis(times.first_byte()), "mean_run_ms" => millis(times.run()),
+            "overdue" => state.load.overdue());
+        let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
+        let rejection = Rejection {
+            wait: expected.wait,
+            limit: remaining.mul_f64(MAX_RETRY_FRACTION),
+            service_interval: state.load.service_interval(&state.endpoints, service) * hosts,
+        };
+        let draw = state.rng.random::<f64>();
+        state.overload.record_rejection(rejection, now, draw)
     }
 
     /// Sends the request to an endpoint and waits for the head of the response.
--- a/crates/switch/src/wait.rs
+++ b/crates/switch/src/wait.rs
@@ -17,6 +17,29 @@
 /// with a free slot.
 const OVERDUE_FACTOR: f64 = 1.5;
 
+/// Fraction of the time that a request has left for a queue that it may be expected to wait. The rest is for requests
+/// that other hosts send meanwhile.
+const MAX_QUEUE_FRACTION: f64 = 0.75;
+
+/// Maximum expected wait of a request that is sent to an endpoint, from its latency target (zero for none), the time to
+/// the first byte without a queue, and the time left until its deadline.
+///
+/// ```
+/// use fulmarswitch_switch::wait::max_wait;
+/// use std::time::Duration;
+/// let millis = Duration::from_millis;
+/// assert_eq!(max_wait(millis(300), millis(100), millis(5000)), millis(150));
+/// assert_eq!(max_wait(millis(0), millis(100), millis(5000)), millis(5000));
+/// ```
+#[must_use]
+pub fn max_wait(target: Duration, first_byte: Duration, remaining: Duration) -> Duration {
+    if target.is_zero() {
+        return remaining;
+    }
+    let left = target.saturating_sub(first_byte);
+    left.mul_f64(MAX_QUEUE_FRACTION).min(remaining)
+}
+
 /// Runs that hold slots, as their number and the sum of their start times.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RunStarts {
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -3,10 +3,9 @@
 use crate::support::listed;
 use fulmarswitch_switch::affinity::compute_affinity;
 use fulmarswitch_switch::endpoint::EndpointTable;
-use fulmarswitch_switch::load::{
-    EndpointKey, EndpointPick, EndpointReport, FreeSlots, LoadView, RequestClass, RequestCounts,
-};
+use fulmarswitch_switch::load::{EndpointPick, FreeSlots, LoadView, RequestClass};
 use fulmarswitch_switch::overload::{OverloadTracker, Rejection};
+use fulmarswitch_switch::report::{EndpointKey, EndpointReport, RequestCounts};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
--- a/crates/switch/tests/switch/overload.rs
+++ b/crates/switch/tests/switch/overload.rs
@@ -2,10 +2,9 @@
 
 use crate::support::listed;
 use fulmarswitch_switch::endpoint::EndpointTable;
-use fulmarswitch_switch::load::{
-    EndpointKey, EndpointPick, EndpointReport, LoadView, RequestClass, RequestCounts,
-};
+use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
 use fulmarswitch_switch::overload::{OverloadTracker, Rejection};
+use fulmarswitch_switch::report::{EndpointKey, EndpointReport, RequestCounts};
 use fulmarswitch_switch::wait::{ResponseTimes, RunAges, RunStarts};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
