Do not join checkpoints of two runs of an item

Cause, by reading: two hosts run the same item from its start and record checkpoints. The second host's first segment is ignored, since the first one's is in the log. Its next segment was accepted if it began after the event with which the first host's segment ended. A host that resumes from the log then continues a text of two runs.

Change: once a segment of a writer is not part of the chain, its later ones are not either. Records in the log stay as they are. Test first: segments_of_two_runs_are_not_joined failed without the change.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -228,7 +228,8 @@
 fn events_so_far(state: &SwitchState, name: &ItemName, item: &LedgerItem) -> u64 {
     let local = state.progress.iter().find(|(known, _)| known == name);
     let local = local.and_then(|(_, progress)| progress.lock().last_event());
-    let logged = item.segments.last().map(|segment| segment.last_event);
+    let logged = item.checkpoints.segments().last();
+    let logged = logged.map(|segment| segment.last_event);
     local.or(logged).unwrap_or(0)
 }
 
@@ -282,7 +283,12 @@
 ) {
     let progress = state.start_progress(&name);
     let job = state.ledger.get(&name.job);
-    let segments = job.map(|job| job.items[name.item as usize].segments.clone());
+    let segments = job.map(|job| {
+        job.items[name.item as usize]
+            .checkpoints
+            .segments()
+            .to_vec()
+    });
     let (cancel, cancelled) = oneshot::channel();
     info!(node.deps.logger, "item started"; "job" => &*name.job, "item" => name.item,
         "id" => &*call.id, "endpoint" => &*endpoint.id, "after_event" => progress.lock().last_event(),
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -3,7 +3,7 @@
 //! All hosts apply the same records in the same order, so they agree on which items have an outcome and on the
 //! position of each result.
 
-use crate::progress::{ProgressSegment, append_segment};
+use crate::progress::{ProgressSegment, SegmentChain};
 use crate::record::{AcceptedItem, AcceptedJob, FrameRange, ItemOutcome, JobRecord};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -27,8 +27,8 @@
     pub state: ItemState,
     /// Number of failed runs at all hosts.
     pub failures: u32,
-    /// Checkpointed output, in order.
-    pub segments: Vec<ProgressSegment>,
+    /// Checkpointed output.
+    pub checkpoints: SegmentChain,
 }
 
 /// A settled item in the list of results.
@@ -69,7 +69,7 @@
             accepted: item,
             state: ItemState::Open,
             failures: 0,
-            segments: Vec::new(),
+            checkpoints: SegmentChain::default(),
         });
         Self {
             id: accepted.job,
@@ -178,7 +178,7 @@
                     location,
                 };
                 let item = self.open_item_mut(&job, item);
-                if item.is_some_and(|item| append_segment(&mut item.segments, segment)) {
+                if item.is_some_and(|item| item.checkpoints.push(segment)) {
                     LedgerChange::Progressed
                 } else {
                     LedgerChange::Repeated
@@ -270,7 +270,7 @@
         entry.state = ItemState::Settled;
         entry.accepted.body = Bytes::new();
         entry.accepted.headers = Vec::new();
-        entry.segments = Vec::new();
+        entry.checkpoints = SegmentChain::default();
         job.results.push(SettledItem { item, outcome });
         LedgerChange::Settled {
             position: job.results.len() - 1,
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -14,15 +14,35 @@
     pub location: TextLocation,
 }
 
-/// Appends a segment if it continues the last one. Other segments were written by a different run and are ignored.
-/// Returns whether it was appended.
-pub fn append_segment(segments: &mut Vec<ProgressSegment>, segment: ProgressSegment) -> bool {
-    let last = segments.last().map(|segment| segment.last_event);
-    let follows = segment.after == last;
-    if follows {
-        segments.push(segment);
+/// Segments of an item in the log that together are the output of one sequence of runs, each of which resumed after the
+/// last segment of the run before.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SegmentChain {
+    segments: Vec<ProgressSegment>,
+    /// Writers with a segment that is not part of the chain. Later segments of theirs belong to the same other run, even
+    /// if one begins after the event with which the chain happens to end.
+    other_writers: Vec<u64>,
+}
+
+impl SegmentChain {
+    /// Appends a segment if it continues the chain. Segments of other runs are ignored. Returns whether it was appended.
+    pub fn push(&mut self, segment: ProgressSegment) -> bool {
+        let writer = segment.location.writer();
+        let last = self.segments.last().map(|segment| segment.last_event);
+        let follows = segment.after == last && !self.other_writers.contains(&writer);
+        if follows {
+            self.segments.push(segment);
+        } else if !self.other_writers.contains(&writer) {
+            self.other_writers.push(writer);
+        }
+        follows
+    }
+
+    /// Segments in order.
+    #[must_use]
+    pub fn segments(&self) -> &[ProgressSegment] {
+        &self.segments
     }
-    follows
 }
 
 /// Output that is not in the log yet.
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -61,6 +61,14 @@
     pub bytes: u32,
 }
 
+impl TextLocation {
+    /// Identifies the incarnation of the host that wrote the text.
+    #[must_use]
+    pub fn writer(&self) -> u64 {
+        self.number >> COUNT_BITS
+    }
+}
+
 /// Final outcome of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -7,7 +7,7 @@
 use fulmarswitch_switch::events::EventParser;
 use fulmarswitch_switch::ledger::{JobLedger, LedgerChange};
 use fulmarswitch_switch::members::{HostDescriptor, MemberChange, MemberTable};
-use fulmarswitch_switch::progress::{ItemProgress, ProgressSegment, append_segment};
+use fulmarswitch_switch::progress::{ItemProgress, ProgressSegment, SegmentChain};
 use fulmarswitch_switch::record::{
     AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumberGenerator, RecordReader,
     TextLocation,
@@ -351,6 +351,31 @@
     assert_eq!(records.pop().unwrap().unwrap(), record);
 }
 
+/// Two hosts that do not hear each other run the same item from its start, and both record a checkpoint at event 100. The
+/// second host's next segment begins after event 100 as well, but its run was not resumed there.
+#[test]
+fn segments_of_two_runs_are_not_joined() {
+    let numbers = |host| RecordNumberGenerator::new(host, 1);
+    let (mut first, mut second) = (numbers("a"), numbers("b"));
+    let segment = |writer: &mut RecordNumberGenerator, after, last_event| ProgressSegment {
+        after,
+        last_event,
+        location: TextLocation {
+            offset: 0,
+            number: writer.next_number(),
+            frames: 1,
+            bytes: 1,
+        },
+    };
+    let mut chain = SegmentChain::default();
+    assert!(chain.push(segment(&mut first, None, 100)));
+    assert!(!chain.push(segment(&mut second, None, 100)));
+    assert!(!chain.push(segment(&mut second, Some(100), 150)));
+    // A third host resumes after the first one's segment.
+    assert!(chain.push(segment(&mut numbers("c"), Some(100), 140)));
+    assert_eq!(chain.segments().len(), 2);
+}
+
 /// Output is recorded in segments. A segment of another run has different boundaries and is ignored.
 #[test]
 fn segments_of_one_run_make_its_output() {
@@ -362,7 +387,7 @@
     };
     let mut progress = ItemProgress::default();
     assert_eq!(progress.delta(), None);
-    let mut segments = Vec::new();
+    let mut chain = SegmentChain::default();
     let mut texts = Vec::new();
     for (number, events) in [(1, 1..=3), (2, 4..=4)] {
         for id in events {
@@ -376,7 +401,7 @@
             last_event: delta.last_event,
             location: location(number),
         };
-        assert!(append_segment(&mut segments, segment));
+        assert!(chain.push(segment));
         texts.push(delta.text);
     }
     let other_run = ProgressSegment {
@@ -384,9 +409,9 @@
         last_event: 9,
         location: location(3),
     };
-    assert!(!append_segment(&mut segments, other_run));
+    assert!(!chain.push(other_run));
     assert!(!progress.push_event(6, b"w6"), "an event ID is skipped");
-    let mut continued = ItemProgress::from_segments(&segments, &texts);
+    let mut continued = ItemProgress::from_segments(chain.segments(), &texts);
     assert_eq!(continued.text(), progress.text());
     assert_eq!((continued.last_event(), continued.delta()), (Some(4), None));
     assert!(continued.push_event(5, b"w5"));
@@ -483,7 +508,7 @@
 }
 
 #[test]
-fn items_sort_items_then_partial_output() {
+fn items_sort_by_due_time_then_partial_output() {
     let item = |job: &str, due_ms, in_time, started| RunnableItem {
         name: name(job, 0),
         due_ms,
