--- a/crates/switch/src/wait.rs
+++ b/crates/switch/src/wait.rs
@@ -9,14 +9,13 @@
 
 /// Assumed run time before one has been measured.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(700);
-/// Weight of a new measurement of average length in the moving averages.
+/// Weight in the moving averages of a response whose run has the mean length.
 const MEASUREMENT_WEIGHT: f64 = 0.05;
 /// Length of a run, as a fraction of the mean, from which its first byte is taken as the first measurement.
 const MIN_FIRST_LENGTH: f64 = 0.5;
 /// Time without a first byte after which a request waits for a slot, as a multiple of the time that the first byte takes
 /// with a free slot.
 const OVERDUE_FACTOR: f64 = 1.5;
-
 /// Fraction of the time that a request has left for a queue that it may be expected to wait. The rest is for requests
 /// that other hosts send meanwhile.
 const MAX_QUEUE_FRACTION: f64 = 0.75;
