--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -20,6 +20,7 @@
 mod in_flight;
 pub mod jobs;
 pub mod ledger;
+mod listings;
 pub mod load;
 pub mod logging;
 pub mod members;
--- /dev/null
+++ b/crates/switch/src/listings.rs
@@ -0,0 +1,74 @@
+//! Endpoint listings: applies what is read from the log to the endpoint table of this host.
+
+use crate::backend::LogEntry;
+use crate::endpoint::ListedEndpoint;
+use crate::follow::FollowBatch;
+use crate::node::{SwitchNode, SwitchState};
+use slog::{info, warn};
+use tokio::time::Instant;
+
+/// Applies a read of the listings.
+pub(crate) fn apply_listings(node: &SwitchNode, batch: FollowBatch<'_>) {
+    let now = Instant::now();
+    let mut state = node.lock();
+    match batch {
+        FollowBatch::Unavailable => state.endpoints.mark_log_unavailable(),
+        FollowBatch::Snapshot(records) => {
+            state.endpoints.mark_log_available(now);
+            let listed = records
+                .iter()
+                .filter_map(|entry| decode_listing(node, entry));
+            state.endpoints.replace(listed.collect(), now);
+        }
+        FollowBatch::Tail(records) => {
+            state.endpoints.mark_log_available(now);
+            for entry in records {
+                apply_listing(node, &mut state, entry, now);
+            }
+        }
+    }
+    for id in state.endpoints.expire(now) {
+        info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id, "held_back" => true);
+        state.load.remove(&id);
+    }
+}
+
+fn apply_listing(node: &SwitchNode, state: &mut SwitchState, entry: &LogEntry, now: Instant) {
+    if entry.record.value.is_empty() {
+        let id = String::from_utf8_lossy(&entry.record.key);
+        if state.endpoints.remove(&id, now) {
+            info!(node.deps.logger, "endpoint unlisted";
+                "endpoint" => &*id, "offset" => entry.offset);
+        }
+        return;
+    }
+    let Some(endpoint) = decode_listing(node, entry) else {
+        return;
+    };
+    let (id, draining) = (endpoint.id.clone(), endpoint.draining);
+    let restarted = state
+        .endpoints
+        .get(&id)
+        .is_some_and(|old| old.started_ms != endpoint.started_ms && endpoint.started_ms != 0);
+    if state.endpoints.set(endpoint) {
+        if restarted {
+            // Failures of the previous process do not count against the new one.
+            state.load.health(&id).record_success(now);
+        }
+        info!(node.deps.logger, "endpoint listed"; "endpoint" => &*id,
+            "draining" => draining, "restarted" => restarted, "offset" => entry.offset);
+    }
+}
+
+fn decode_listing(node: &SwitchNode, entry: &LogEntry) -> Option<ListedEndpoint> {
+    let record = &entry.record;
+    match node.deps.decoder.endpoint(&record.key, &record.value) {
+        Ok(endpoint) => Some(endpoint),
+        Err(cause) => {
+            warn!(node.deps.logger, "listing left out";
+                "key" => &*String::from_utf8_lossy(&record.key),
+                "offset" => entry.offset, "cause" => %cause);
+            None
+        }
+    }
+}
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -14,7 +14,7 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::{batch, jobs};
+use crate::{batch, jobs, listings};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -238,7 +238,7 @@
             poll_interval: HOST_POLL_INTERVAL,
         };
         tokio::spawn(follow(self.clone(), config, Self::apply_config));
-        tokio::spawn(follow(self.clone(), endpoints, Self::apply_endpoints));
+        tokio::spawn(follow(self.clone(), endpoints, listings::apply_listings));
         tokio::spawn(follow(self.clone(), hosts, gossip::apply_host_descriptors));
         tokio::spawn(self.clone().follow_jobs());
         tokio::spawn(gossip::publish_descriptor(self.clone()));
@@ -388,71 +388,6 @@
         state.routes = Some(Arc::new(table));
     }
 
-    fn apply_endpoints(&self, batch: FollowBatch<'_>) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        match batch {
-            FollowBatch::Unavailable => state.endpoints.mark_log_unavailable(),
-            FollowBatch::Snapshot(records) => {
-                state.endpoints.mark_log_available(now);
-                let listed = records
-                    .iter()
-                    .filter_map(|entry| self.decode_endpoint(entry));
-                state.endpoints.replace(listed.collect(), now);
-            }
-            FollowBatch::Tail(records) => {
-                state.endpoints.mark_log_available(now);
-                for entry in records {
-                    self.apply_endpoint(&mut state, entry, now);
-                }
-            }
-        }
-        for id in state.endpoints.expire(now) {
-            info!(self.deps.logger, "endpoint gone"; "endpoint" => &*id, "held_back" => true);
-            state.load.remove(&id);
-        }
-    }
-
-    fn apply_endpoint(&self, state: &mut SwitchState, entry: &LogEntry, now: Instant) {
-        if entry.record.value.is_empty() {
-            let id = String::from_utf8_lossy(&entry.record.key);
-            if state.endpoints.remove(&id, now) {
-                info!(self.deps.logger, "endpoint unlisted";
-                    "endpoint" => &*id, "offset" => entry.offset);
-            }
-            return;
-        }
-        let Some(endpoint) = self.decode_endpoint(entry) else {
-            return;
-        };
-        let (id, draining) = (endpoint.id.clone(), endpoint.draining);
-        let restarted = state
-            .endpoints
-            .get(&id)
-            .is_some_and(|old| old.started_ms != endpoint.started_ms && endpoint.started_ms != 0);
-        if state.endpoints.set(endpoint) {
-            if restarted {
-                // Failures of the previous process do not count against the new one.
-                state.load.health(&id).record_success(now);
-            }
-            info!(self.deps.logger, "endpoint listed"; "endpoint" => &*id,
-                "draining" => draining, "restarted" => restarted, "offset" => entry.offset);
-        }
-    }
-
-    fn decode_endpoint(&self, entry: &LogEntry) -> Option<ListedEndpoint> {
-        let record = &entry.record;
-        match self.deps.decoder.endpoint(&record.key, &record.value) {
-            Ok(endpoint) => Some(endpoint),
-            Err(cause) => {
-                warn!(self.deps.logger, "listing left out";
-                    "key" => &*String::from_utf8_lossy(&record.key),
-                    "offset" => entry.offset, "cause" => %cause);
-                None
-            }
-        }
-    }
-
     async fn follow_jobs(self: Arc<Self>) {
         let options = FollowOptions {
             partition: self.settings.topics.jobs.clone(),
