Log which listings a send relied on, and how long an unlisted endpoint stays in use

With these a late listing (old listing_age_ms), a held back removal (held_back=true) and a late send (an old line) differ.

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -41,6 +41,10 @@
     /// End of the last outage of the log.
     available_since: Option<Instant>,
     log_unavailable: bool,
+    /// Time of the last read of the listings; `None` before the first one.
+    read_at: Option<Instant>,
+    /// Offset up to which the listings have been read.
+    read_until: u64,
 }
 
 impl EndpointTable {
@@ -83,20 +87,21 @@
         true
     }
 
-    /// Replaces the whole list; endpoints missing from it are removed as in [`EndpointTable::remove`].
-    pub fn replace(&mut self, endpoints: Vec<ListedEndpoint>, now: Instant) {
+    /// Replaces the whole list; endpoints missing from it are removed as in [`EndpointTable::remove`]. Returns their IDs.
+    pub fn replace(&mut self, endpoints: Vec<ListedEndpoint>, now: Instant) -> Vec<Arc<str>> {
         let removed: Vec<Arc<str>> = self
             .entries
             .iter()
             .map(|entry| entry.endpoint.id.clone())
             .filter(|id| !endpoints.iter().any(|endpoint| endpoint.id == *id))
             .collect();
-        for id in removed {
-            self.remove(&id, now);
+        for id in &removed {
+            self.remove(id, now);
         }
         for endpoint in endpoints {
             self.set(endpoint);
         }
+        removed
     }
 
     /// Records that the log is unavailable.
@@ -106,12 +111,43 @@
 
     /// Records a response of the log.
     pub fn mark_log_available(&mut self, now: Instant) {
+        self.read_at = Some(now);
         if self.log_unavailable {
             self.log_unavailable = false;
             self.available_since = Some(now);
         }
     }
 
+    /// Records the offset up to which the listings have been read.
+    pub fn set_read_until(&mut self, offset: u64) {
+        self.read_until = offset;
+    }
+
+    /// Offset up to which the listings have been read.
+    #[must_use]
+    pub fn read_until(&self) -> u64 {
+        self.read_until
+    }
+
+    /// Age of the last read of the listings; `None` before the first one.
+    #[must_use]
+    pub fn read_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.read_at?))
+    }
+
+    /// When the deferred removal of an endpoint is due; `None` if its removal is not deferred.
+    #[must_use]
+    pub fn removal_due(&self, id: &str) -> Option<Instant> {
+        self.entries[self.search(id).ok()?].remove_at
+    }
+
+    /// Number of endpoints whose removal is deferred.
+    #[must_use]
+    pub fn deferred_removals(&self) -> usize {
+        let entries = self.entries.iter();
+        entries.filter(|entry| entry.remove_at.is_some()).count()
+    }
+
     /// Removes the endpoints whose deferred removal is due, and returns their IDs.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
         if self.log_unavailable {
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -1,6 +1,6 @@
 //! Tasks that follow a partition of the log.
 
-use crate::backend::{LogEntry, LogPartition, ReadError};
+use crate::backend::{LogEntry, LogPage, LogPartition, ReadError};
 use crate::node::SwitchNode;
 use rand::Rng;
 use slog::{info, warn};
@@ -31,16 +31,16 @@
     /// The log is unavailable.
     Unavailable,
     /// The latest record of every key.
-    Snapshot(&'a [LogEntry]),
+    Snapshot(&'a LogPage),
     /// Records that follow those of the previous read.
-    Tail(&'a [LogEntry]),
+    Tail(&'a LogPage),
 }
 
 impl<'a> FollowBatch<'a> {
     pub(crate) fn records(self) -> &'a [LogEntry] {
         match self {
             Self::Unavailable => &[],
-            Self::Snapshot(records) | Self::Tail(records) => records,
+            Self::Snapshot(page) | Self::Tail(page) => &page.records,
         }
     }
 }
@@ -74,8 +74,8 @@
                 }
                 (unavailable, delay) = (false, MIN_RETRY_DELAY);
                 match next {
-                    None => apply(&node, FollowBatch::Snapshot(&page.records)),
-                    Some(_) => apply(&node, FollowBatch::Tail(&page.records)),
+                    None => apply(&node, FollowBatch::Snapshot(&page)),
+                    Some(_) => apply(&node, FollowBatch::Tail(&page)),
                 }
                 next = Some(page.next);
                 if page.next < page.end {
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -3,7 +3,7 @@
 use crate::backend::LogEntry;
 use crate::endpoint::ListedEndpoint;
 use crate::follow::FollowBatch;
-use crate::node::{SwitchNode, SwitchState};
+use crate::node::{SwitchNode, SwitchState, millis};
 use slog::{info, warn};
 use tokio::time::Instant;
 
@@ -13,16 +13,19 @@
     let mut state = node.lock();
     match batch {
         FollowBatch::Unavailable => state.endpoints.mark_log_unavailable(),
-        FollowBatch::Snapshot(records) => {
+        FollowBatch::Snapshot(page) => {
             state.endpoints.mark_log_available(now);
-            let listed = records
-                .iter()
-                .filter_map(|entry| decode_listing(node, entry));
-            state.endpoints.replace(listed.collect(), now);
+            state.endpoints.set_read_until(page.next);
+            let entries = page.records.iter();
+            let listed = entries.filter_map(|entry| decode_listing(node, entry));
+            for id in state.endpoints.replace(listed.collect(), now) {
+                log_removal(node, &state, &id, page.next, now);
+            }
         }
-        FollowBatch::Tail(records) => {
+        FollowBatch::Tail(page) => {
             state.endpoints.mark_log_available(now);
-            for entry in records {
+            state.endpoints.set_read_until(page.next);
+            for entry in &page.records {
                 apply_listing(node, &mut state, entry, now);
             }
         }
@@ -37,8 +40,7 @@
     if entry.record.value.is_empty() {
         let id = String::from_utf8_lossy(&entry.record.key);
         if state.endpoints.remove(&id, now) {
-            info!(node.deps.logger, "endpoint unlisted";
-                "endpoint" => &*id, "offset" => entry.offset);
+            log_removal(node, state, &id, entry.offset, now);
         }
         return;
     }
@@ -60,6 +62,13 @@
     }
 }
 
+/// Logs that the listing of an endpoint was removed, and for how long the endpoint remains in use.
+fn log_removal(node: &SwitchNode, state: &SwitchState, id: &str, offset: u64, now: Instant) {
+    let due_at = state.endpoints.removal_due(id);
+    info!(node.deps.logger, "endpoint unlisted"; "endpoint" => id, "offset" => offset,
+        "held_back_ms" => due_at.map(|due_at| millis(due_at.saturating_duration_since(now))));
+}
+
 fn decode_listing(node: &SwitchNode, entry: &LogEntry) -> Option<ListedEndpoint> {
     let record = &entry.record;
     match node.deps.decoder.endpoint(&record.key, &record.value) {
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -41,6 +41,8 @@
 struct StateGauges {
     members: Gauge,
     endpoints: Gauge,
+    deferred_removals: Gauge,
+    listing_silence: Gauge,
     config_version: Gauge,
     jobs_open: Gauge,
     items_running: Gauge,
@@ -117,6 +119,16 @@
         let gauges = [
             ("members", "Other hosts heard lately", &state_gauges.members),
             ("endpoints", "Endpoints listed", &state_gauges.endpoints),
+            (
+                "endpoints_held_back",
+                "Endpoints in use whose listing was removed",
+                &state_gauges.deferred_removals,
+            ),
+            (
+                "listing_silence_ms",
+                "Age of the endpoint listings' last read",
+                &state_gauges.listing_silence,
+            ),
             (
                 "config_version",
                 "Version of the configuration in force",
@@ -208,9 +220,14 @@
         let state_gauges = &self.metrics.state_gauges;
         let state = self.lock();
         let times = state.load.response_times();
+        let listing_silence = state.endpoints.read_age(now);
         let times = [
             (&state_gauges.usual_first_byte, times.first_byte()),
             (&state_gauges.mean_run, times.run()),
+            (
+                &state_gauges.listing_silence,
+                listing_silence.unwrap_or_else(|| now.duration_since(self.started)),
+            ),
         ];
         for (gauge, time) in times {
             gauge.set(i64::try_from(time.as_millis()).unwrap_or(i64::MAX));
@@ -219,6 +236,10 @@
         let counts = [
             (&state_gauges.members, state.members.live(now).count()),
             (&state_gauges.endpoints, state.endpoints.len()),
+            (
+                &state_gauges.deferred_removals,
+                state.endpoints.deferred_removals(),
+            ),
             (&state_gauges.jobs_open, state.ledger.open_jobs().count()),
             (&state_gauges.items_running, state.running.len()),
             (&state_gauges.online_running, state.online_in_flight),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -191,6 +191,9 @@
                     "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
                     "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
                     "config" => state.routes.as_ref().map(|routes| routes.version),
+                    "listing" => state.endpoints.read_until(),
+                    "listing_age_ms" => state.endpoints.read_age(now).map(millis),
+                    "held_back" => state.endpoints.removal_due(&endpoint.id).is_some(),
                     "left_ms" => millis(remaining));
                 let guard =
                     InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
