--- /dev/null
+++ b/crates/switch/tests/switch/departures.rs
@@ -0,0 +1,76 @@
+//! Endpoints that leave while a host cannot read the listings.
+//!
+//! Heartbeats are real datagrams on loopback, so these tests run in real time.
+
+use crate::support::{CallerOutcome, TestFleet, send_request, wait_until};
+use fulmarswitch_switch::node::SwitchNode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time after its departure from which an endpoint must get no requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time for which requests are sent after that.
+const SEND_TIME: Duration = Duration::from_millis(1500);
+
+/// Sends requests for [`SEND_TIME`], one at a time, and returns their outcomes.
+async fn send_requests(node: &Arc<SwitchNode>) -> Vec<CallerOutcome> {
+    let until = Instant::now() + SEND_TIME;
+    let mut outcomes = Vec::new();
+    while Instant::now() < until {
+        outcomes.push(send_request(node, "/once/x").await);
+    }
+    outcomes
+}
+
+/// Guards against requests to an endpoint that left more than 2 s ago, from a host that alone had lost the log.
+#[tokio::test]
+async fn host_that_alone_lost_the_log_stops_using_removed_endpoints() {
+    let fleet = TestFleet::new(2);
+    let cut_off = fleet.with_other_log_access();
+    let first = cut_off.start("a").await;
+    let second = fleet.start("b").await;
+    wait_until("both hosts", async || {
+        first.caller_addresses(64).len() == 2 && second.caller_addresses(64).len() == 2
+    })
+    .await;
+    cut_off.log.set_cut(true);
+    sleep(Duration::from_secs(3)).await;
+    fleet.log.put("endpoints", "e0", "");
+    let departed = Instant::now();
+    cut_off.log.set_cut(false);
+
+    sleep_until(departed + DRAIN_TIME).await;
+    let before = fleet.client.calls().len();
+    let outcomes = send_requests(&first).await;
+    assert!(outcomes.len() > 10, "{}", outcomes.len());
+    let calls = fleet.client.calls().split_off(before);
+    let late = calls.iter().filter(|call| &*call.endpoint == "e0").count();
+    assert_eq!(late, 0, "of {} calls", calls.len());
+}
+
+/// Guards against dropping live endpoints whose listings expired while no host could reach the log.
+#[tokio::test]
+async fn endpoints_that_expire_in_an_outage_for_all_hosts_stay_in_use() {
+    let fleet = TestFleet::new(1);
+    let hosts = [fleet.start("a").await, fleet.start("b").await];
+    wait_until("both hosts", async || {
+        hosts
+            .iter()
+            .all(|host| host.caller_addresses(64).len() == 2)
+    })
+    .await;
+    fleet.log.set_down(true);
+    sleep(Duration::from_secs(3)).await;
+    fleet.log.put("endpoints", "e0", "");
+    fleet.log.set_down(false);
+    for host in &hosts {
+        let outcomes = send_requests(host).await;
+        let refused = outcomes
+            .iter()
+            .filter(|outcome| matches!(outcome, CallerOutcome::Rejected))
+            .count();
+        assert_eq!(refused, 0, "of {} requests", outcomes.len());
+        fleet.log.put("endpoints", "e0", "ready");
+    }
+}
--- a/crates/switch/tests/switch/fleet.rs
+++ b/crates/switch/tests/switch/fleet.rs
@@ -2,26 +2,14 @@
 //!
 //! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
-use crate::support::{CallScript, TestFleet, full_text, results, submission};
+use crate::support::{
+    CallScript, TestFleet, WAIT_TIMEOUT, full_text, results, submission, wait_until,
+};
 use fulmarswitch_switch::jobs::SubmitReply;
 use std::time::Duration;
 use tokio::runtime::Builder;
 use tokio::time::{Instant, sleep};
 
-/// Upper bound for conditions that take about 2 s to become true.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-
-async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let started = Instant::now();
-    while !holds().await {
-        assert!(
-            started.elapsed() < WAIT_TIMEOUT,
-            "timed out after {WAIT_TIMEOUT:?} waiting for {what}"
-        );
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[tokio::test]
 async fn stopping_host_hands_over_items_with_their_output() {
     let fleet = TestFleet::new(2);
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -3,63 +3,12 @@
 use crate::support::CallScript::{
     BreakAfter, Disconnect, EndlessEvent, Full, Silent, StallAfter, Status, Stream, Unreachable,
 };
-use crate::support::{CallScript, TestFleet, event};
+use crate::support::{CallScript, CallerOutcome, TestFleet, event, send_request};
 use bytes::Bytes;
-use fulmarswitch_switch::backend::EndpointCall;
-use fulmarswitch_switch::node::SwitchNode;
-use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
-use futures::StreamExt;
-use http::{HeaderMap, Method};
 use rstest::rstest;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Result of a request as seen by the caller.
-#[derive(Debug, PartialEq, Eq)]
-enum CallerOutcome {
-    Complete(Bytes),
-    Truncated(Bytes),
-    Status(u16),
-    Rejected,
-    Failed,
-    TimedOut,
-}
-
-async fn send_request(node: &Arc<SwitchNode>, path: &str) -> CallerOutcome {
-    let routes = node.routes().unwrap();
-    let request = OnlineRequest {
-        call: EndpointCall {
-            id: "r".into(),
-            method: Method::POST,
-            host: "host".into(),
-            target: path.into(),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-        },
-        route: routes.find("host", path).unwrap().clone(),
-        resume_after: None,
-        deadline: Instant::now() + Duration::from_secs(5),
-    };
-    let mut response = match node.serve_online(request).await {
-        OnlineReply::Response(response) => response,
-        OnlineReply::Rejected { .. } => return CallerOutcome::Rejected,
-        OnlineReply::Failed => return CallerOutcome::Failed,
-        OnlineReply::TimedOut => return CallerOutcome::TimedOut,
-    };
-    if !response.status.is_success() {
-        return CallerOutcome::Status(response.status.as_u16());
-    }
-    let mut body = Vec::new();
-    while let Some(chunk) = response.body.next().await {
-        match chunk {
-            Ok(chunk) => body.extend_from_slice(&chunk),
-            Err(_) => return CallerOutcome::Truncated(body.into()),
-        }
-    }
-    CallerOutcome::Complete(body.into())
-}
-
 fn events(last: u64) -> Bytes {
     let all: Vec<u8> = (1..=last).flat_map(|id| event(id).to_vec()).collect();
     all.into()
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -12,17 +12,18 @@
 use fulmarswitch_switch::node::{
     ConfigDecoder, LogTopics, SwitchDependencies, SwitchNode, SwitchSettings,
 };
+use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use fulmarswitch_switch::record::AcceptedItem;
 use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare};
 use futures::{StreamExt, stream};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Fault of one append to a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,25 +59,48 @@
     }
 }
 
-/// An in-memory log with compaction.
+/// An in-memory log with compaction. Clones share its records and its access.
 #[derive(Clone, Debug, Default)]
-pub struct MemoryLog(Arc<Mutex<LogState>>);
+pub struct MemoryLog {
+    state: Arc<Mutex<LogState>>,
+    /// Whether calls over this access fail.
+    cut: Arc<AtomicBool>,
+}
 
 impl MemoryLog {
     /// Queues a fault for the next append to a topic. Queued faults apply in order.
     pub fn inject_fault(&self, topic: &str, fault: AppendFault) {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         state.faults.push_back((topic.into(), fault));
     }
 
     /// Makes all calls fail, or succeed again.
     pub fn set_down(&self, down: bool) {
-        self.0.lock().unwrap().down = down;
+        self.state.lock().unwrap().down = down;
+    }
+
+    /// Returns a second access to the same records.
+    pub fn other_access(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Makes all calls over this access fail, or succeed again.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    /// Locks the state, unless the log cannot be reached.
+    fn reach(&self) -> Option<MutexGuard<'_, LogState>> {
+        let state = self.state.lock().unwrap();
+        (!state.down && !self.cut.load(Ordering::Relaxed)).then_some(state)
     }
 
     /// Removes the history of a topic except for the latest record of each key.
     pub fn expire(&self, topic: &str) {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         let topic = state.topic(topic);
         topic.first = topic.records.len();
     }
@@ -87,16 +111,16 @@
             key: key.as_bytes().to_vec().into(),
             value: value.as_bytes().to_vec().into(),
         };
-        self.0.lock().unwrap().topic(topic).records.push(record);
+        self.state.lock().unwrap().topic(topic).records.push(record);
     }
 
     /// Number of keys that compaction retains in a topic.
     pub fn live_keys(&self, topic: &str) -> usize {
-        latest_records(self.0.lock().unwrap().topic(topic)).len()
+        latest_records(self.state.lock().unwrap().topic(topic)).len()
     }
 
     fn push(&self, topic: &str, records: &[KeyedRecord]) -> u64 {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         let topic = state.topic(topic);
         let first = topic.records.len() as u64;
         topic.records.extend_from_slice(records);
@@ -132,11 +156,10 @@
     ) -> Result<u64, AppendError> {
         sleep(Duration::from_millis(4)).await;
         let fault = {
-            let mut state = self.0.lock().unwrap();
-            if state.down {
+            let Some(mut state) = self.reach() else {
                 let cause = "down".into();
                 return Err(AppendError::Refused { cause });
-            }
+            };
             let found = state
                 .faults
                 .iter()
@@ -178,10 +201,7 @@
         if !wait.is_zero() {
             sleep(wait / 10).await;
         }
-        let mut state = self.0.lock().unwrap();
-        if state.down {
-            return Err(unavailable());
-        }
+        let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let start = usize::try_from(from).unwrap();
         if start < topic.first {
@@ -205,10 +225,7 @@
 
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError> {
         sleep(Duration::from_millis(1)).await;
-        let mut state = self.0.lock().unwrap();
-        if state.down {
-            return Err(unavailable());
-        }
+        let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let end = topic.records.len() as u64;
         Ok(LogPage {
@@ -225,10 +242,7 @@
         _count: u32,
         key: &str,
     ) -> Result<Vec<LogEntry>, ReadError> {
-        let mut state = self.0.lock().unwrap();
-        if state.down {
-            return Err(unavailable());
-        }
+        let mut state = self.reach().ok_or_else(unavailable)?;
         let mut records = latest_records(state.topic(&partition.topic));
         records.retain(|entry| entry.record.key.starts_with(key.as_bytes()));
         Ok(records)
@@ -494,6 +508,14 @@
         fleet
     }
 
+    /// Returns the same fleet with another access to the log, for hosts that are cut off from it alone.
+    pub fn with_other_log_access(&self) -> Self {
+        Self {
+            log: self.log.other_access(),
+            client: self.client.clone(),
+        }
+    }
+
     /// Starts a host and waits until it is ready.
     pub async fn start(&self, name: &str) -> Arc<SwitchNode> {
         let node = self.spawn(name).await;
@@ -568,3 +590,64 @@
     let words: Vec<String> = (1..=events).map(|id| format!("word{id}")).collect();
     words.join("\n").into()
 }
+
+/// Result of a request as seen by the caller.
+#[derive(Debug, PartialEq, Eq)]
+pub enum CallerOutcome {
+    Complete(Bytes),
+    Truncated(Bytes),
+    Status(u16),
+    Rejected,
+    Failed,
+    TimedOut,
+}
+
+/// Sends a request and reads its response.
+pub async fn send_request(node: &Arc<SwitchNode>, path: &str) -> CallerOutcome {
+    let routes = node.routes().unwrap();
+    let request = OnlineRequest {
+        call: EndpointCall {
+            id: "r".into(),
+            method: Method::POST,
+            host: "host".into(),
+            target: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        },
+        route: routes.find("host", path).unwrap().clone(),
+        resume_after: None,
+        deadline: Instant::now() + Duration::from_secs(5),
+    };
+    let mut response = match node.serve_online(request).await {
+        OnlineReply::Response(response) => response,
+        OnlineReply::Rejected { .. } => return CallerOutcome::Rejected,
+        OnlineReply::Failed => return CallerOutcome::Failed,
+        OnlineReply::TimedOut => return CallerOutcome::TimedOut,
+    };
+    if !response.status.is_success() {
+        return CallerOutcome::Status(response.status.as_u16());
+    }
+    let mut body = Vec::new();
+    while let Some(chunk) = response.body.next().await {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => return CallerOutcome::Truncated(body.into()),
+        }
+    }
+    CallerOutcome::Complete(body.into())
+}
+
+/// Upper bound for conditions that take about 2 s to become true.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Polls a condition until it holds.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !holds().await {
+        assert!(
+            started.elapsed() < WAIT_TIMEOUT,
+            "timed out after {WAIT_TIMEOUT:?} waiting for {what}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
