Confirm removals of endpoints in heartbeats, so that a host cut off alone obeys them

Cause: a removed listing means that its endpoint left, or that the listing expired in an outage of the log, in which no endpoint can renew it. A host that had lost the log held all removals back that it read within 2.3 s of regaining it, taking its own lost contact for an outage of the log. The removals were carried out only with the next read of the listings, up to 0.5 s later.

Change: a host that has read the listings for 2.3 s without an interruption knows whether a removal was an expiry in an outage. It confirms removals by their offset in its heartbeats, and the others carry confirmed removals out at once. A pause of a host counts as an interruption. A removal that is due no longer waits for the next read of the listings.

Ruled out: late listings (the hosts had read the removals 2.5 and 1.8 s before the sends) and late sends (`request routed` is 1 ms older than the arrival).

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -1,4 +1,9 @@
 //! Table of the endpoints that are listed in the log.
+//!
+//! A listing is removed when its endpoint leaves, but also when it expires because the endpoint could not renew it in an
+//! outage of the log. The two look the same. A host that lost the log therefore defers the removals that it reads
+//! afterwards. A host that alone was cut off would defer removals of endpoints that have left, so it no longer does so
+//! once another host, which read them without an interruption, has confirmed them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +13,9 @@
 /// Time for which removals are deferred after an outage of the log: endpoints renew their listings within 2 s of its
 /// return.
 const RELIST_GRACE_PERIOD: Duration = Duration::from_millis(2300);
+/// Time without a read after which listings may have expired in an outage that this host did not notice, for example
+/// since it was paused. Shorter than the time in which a listing expires.
+const MAX_READ_GAP: Duration = Duration::from_secs(2);
 
 /// Listing of one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,10 +36,19 @@
     pub draining: bool,
 }
 
+/// Removal of a listing that is not in force yet.
+#[derive(Clone, Copy, Debug)]
+struct DeferredRemoval {
+    /// Offset of the removal in the log.
+    offset: u64,
+    /// When the removal comes into force if it is not confirmed before.
+    due_at: Instant,
+}
+
 #[derive(Clone, Debug)]
 struct TableEntry {
     endpoint: Arc<ListedEndpoint>,
-    remove_at: Option<Instant>,
+    removal: Option<DeferredRemoval>,
 }
 
 /// All listed endpoints, sorted by ID.
@@ -41,10 +58,14 @@
     /// End of the last outage of the log.
     available_since: Option<Instant>,
     log_unavailable: bool,
+    /// Start of the reads without an interruption; `None` before the first one and during an outage.
+    uninterrupted_since: Option<Instant>,
     /// Time of the last read of the listings; `None` before the first one.
     read_at: Option<Instant>,
     /// Offset up to which the listings have been read.
     read_until: u64,
+    /// Offset before which another host has confirmed all removals.
+    confirmed_until: u64,
 }
 
 impl EndpointTable {
@@ -53,7 +74,7 @@
         match self.search(&endpoint.id) {
             Ok(index) => {
                 let entry = &mut self.entries[index];
-                entry.remove_at = None;
+                entry.removal = None;
                 let changed = *entry.endpoint != endpoint;
                 if changed {
                     entry.endpoint = Arc::new(endpoint);
@@ -64,7 +85,7 @@
                 let endpoint = Arc::new(endpoint);
                 let entry = TableEntry {
                     endpoint,
-                    remove_at: None,
+                    removal: None,
                 };
                 self.entries.insert(index, entry);
                 true
@@ -72,23 +93,34 @@
         }
     }
 
-    /// Removes a listing. During an outage of the log and shortly after it the removal is deferred, since live
-    /// endpoints cannot renew their listings, which expire. Returns whether the endpoint was listed.
-    pub fn remove(&mut self, id: &str, now: Instant) -> bool {
+    /// Removes a listing, of which the log has the removal at `offset`. Shortly after an outage of the log the removal is
+    /// deferred, unless another host has confirmed it. Returns whether the endpoint was listed.
+    pub fn remove(&mut self, id: &str, offset: u64, now: Instant) -> bool {
         let Ok(index) = self.search(id) else {
             return false;
         };
-        match self.removal_time(now) {
-            Some(due_at) => self.entries[index].remove_at = Some(due_at),
-            None => {
+        let deferred_until = self
+            .available_since
+            .map(|since| since + RELIST_GRACE_PERIOD);
+        match deferred_until {
+            Some(due_at) if now < due_at && offset >= self.confirmed_until => {
+                self.entries[index].removal = Some(DeferredRemoval { offset, due_at });
+            }
+            _ => {
                 self.entries.remove(index);
             }
         }
         true
     }
 
-    /// Replaces the whole list; endpoints missing from it are removed as in [`EndpointTable::remove`]. Returns their IDs.
-    pub fn replace(&mut self, endpoints: Vec<ListedEndpoint>, now: Instant) -> Vec<Arc<str>> {
+    /// Replaces the whole list by a snapshot that was read up to the offset `end`. Endpoints missing from it are removed
+    /// as in [`EndpointTable::remove`]. Returns their IDs.
+    pub fn replace(
+        &mut self,
+        endpoints: Vec<ListedEndpoint>,
+        end: u64,
+        now: Instant,
+    ) -> Vec<Arc<str>> {
         let removed: Vec<Arc<str>> = self
             .entries
             .iter()
@@ -96,7 +128,7 @@
             .filter(|id| !endpoints.iter().any(|endpoint| endpoint.id == *id))
             .collect();
         for id in &removed {
-            self.remove(id, now);
+            self.remove(id, end.saturating_sub(1), now);
         }
         for endpoint in endpoints {
             self.set(endpoint);
@@ -107,20 +139,38 @@
     /// Records that the log is unavailable.
     pub fn mark_log_unavailable(&mut self) {
         self.log_unavailable = true;
+        self.uninterrupted_since = None;
     }
 
-    /// Records a response of the log.
-    pub fn mark_log_available(&mut self, now: Instant) {
-        self.read_at = Some(now);
+    /// Records a read of the listings up to the offset `end`. The removals that it returned are applied after it.
+    pub fn record_read(&mut self, end: u64, now: Instant) {
+        let has_gap = self.read_age(now).is_none_or(|age| age > MAX_READ_GAP);
+        if has_gap || self.uninterrupted_since.is_none() {
+            self.uninterrupted_since = Some(now);
+        }
+        (self.read_at, self.read_until) = (Some(now), end);
         if self.log_unavailable {
             self.log_unavailable = false;
             self.available_since = Some(now);
         }
     }
 
-    /// Records the offset up to which the listings have been read.
-    pub fn set_read_until(&mut self, offset: u64) {
-        self.read_until = offset;
+    /// Offset before which this host can confirm all removals to other hosts: it has read them without an interruption
+    /// in which listings could have expired. 0 if it can confirm none.
+    #[must_use]
+    pub fn confirmable_until(&self, now: Instant) -> u64 {
+        match self.uninterrupted_since {
+            Some(since) if now >= since + RELIST_GRACE_PERIOD => self.read_until,
+            _ => 0,
+        }
+    }
+
+    /// Records that another host confirms all removals before `offset`. Returns the endpoints whose deferred removal came
+    /// into force by that.
+    pub fn confirm_removals(&mut self, offset: u64) -> Vec<Arc<str>> {
+        self.confirmed_until = self.confirmed_until.max(offset);
+        let confirmed_until = self.confirmed_until;
+        self.take_removals(|removal| removal.offset < confirmed_until)
     }
 
     /// Offset up to which the listings have been read.
@@ -138,14 +188,15 @@
     /// When the deferred removal of an endpoint is due; `None` if its removal is not deferred.
     #[must_use]
     pub fn removal_due(&self, id: &str) -> Option<Instant> {
-        self.entries[self.search(id).ok()?].remove_at
+        let removal = self.entries[self.search(id).ok()?].removal?;
+        Some(removal.due_at)
     }
 
     /// Number of endpoints whose removal is deferred.
     #[must_use]
     pub fn deferred_removals(&self) -> usize {
         let entries = self.entries.iter();
-        entries.filter(|entry| entry.remove_at.is_some()).count()
+        entries.filter(|entry| entry.removal.is_some()).count()
     }
 
     /// Removes the endpoints whose deferred removal is due, and returns their IDs.
@@ -153,10 +204,19 @@
         if self.log_unavailable {
             return Vec::new();
         }
-        let is_due = |entry: &TableEntry| entry.remove_at.is_some_and(|due_at| due_at <= now);
-        let due = self.entries.iter().filter(|entry| is_due(entry));
-        let removed = due.map(|entry| entry.endpoint.id.clone()).collect();
-        self.entries.retain(|entry| !is_due(entry));
+        self.take_removals(|removal| removal.due_at <= now)
+    }
+
+    /// Removes the endpoints with a deferred removal that is selected, and returns their IDs.
+    fn take_removals(&mut self, is_selected: impl Fn(&DeferredRemoval) -> bool) -> Vec<Arc<str>> {
+        let mut removed = Vec::new();
+        self.entries.retain(|entry| {
+            let is_removed = entry.removal.as_ref().is_some_and(&is_selected);
+            if is_removed {
+                removed.push(entry.endpoint.id.clone());
+            }
+            !is_removed
+        });
         removed
     }
 
@@ -171,18 +231,19 @@
     pub fn serving<'a>(
         &'a self,
         service: &'a str,
+        now: Instant,
     ) -> impl Iterator<Item = &'a Arc<ListedEndpoint>> + 'a {
         self.entries
             .iter()
+            .filter(move |entry| &*entry.endpoint.service == service && self.serves(entry, now))
             .map(|entry| &entry.endpoint)
-            .filter(move |endpoint| &*endpoint.service == service && !endpoint.draining)
     }
 
     /// Endpoints of all services that accept new work.
     #[must_use]
-    pub fn all_serving(&self) -> Vec<Arc<ListedEndpoint>> {
-        let endpoints = self.entries.iter().map(|entry| entry.endpoint.clone());
-        endpoints.filter(|endpoint| !endpoint.draining).collect()
+    pub fn all_serving(&self, now: Instant) -> Vec<Arc<ListedEndpoint>> {
+        let entries = self.entries.iter().filter(|entry| self.serves(entry, now));
+        entries.map(|entry| entry.endpoint.clone()).collect()
     }
 
     /// Number of listed endpoints, including draining ones.
@@ -197,13 +258,10 @@
         self.entries.is_empty()
     }
 
-    /// When a removal takes effect; `None` for immediately.
-    fn removal_time(&self, now: Instant) -> Option<Instant> {
-        if self.log_unavailable {
-            return Some(now + RELIST_GRACE_PERIOD);
-        }
-        let until = self.available_since? + RELIST_GRACE_PERIOD;
-        (now < until).then_some(until)
+    /// Whether an endpoint accepts new work. A removal that is due counts before [`EndpointTable::expire`] is called.
+    fn serves(&self, entry: &TableEntry, now: Instant) -> bool {
+        let is_removed = entry.removal.is_some_and(|removal| removal.due_at <= now);
+        !entry.endpoint.draining && (self.log_unavailable || !is_removed)
     }
 
     fn search(&self, id: &str) -> Result<usize, usize> {
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -6,6 +6,7 @@
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
 use crate::follow::FollowBatch;
+use crate::listings;
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
 use crate::report::{EndpointKey, LoadReport};
@@ -34,7 +35,7 @@
 /// Delay before the descriptor is published again after a failed append.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Version of the heartbeat encoding.
-const SCHEMA: u8 = 6;
+const SCHEMA: u8 = 7;
 
 /// Wire format of a heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -49,6 +50,8 @@
     claims: Vec<ItemKey>,
     /// Endpoints that the sender avoids because of error responses.
     failing: Vec<EndpointKey>,
+    /// Offset of the listings before which the sender confirms all removals.
+    confirmed_listings: u64,
     /// Descriptor of another host, so that the receiver can send heartbeats to it.
     introduced: Option<HostDescriptor>,
 }
@@ -162,6 +165,7 @@
             load: state.load.own_report(now),
             claims: state.own_claims(MAX_CLAIMS),
             failing: state.load.failing_endpoints(MAX_FAILING, now),
+            confirmed_listings: state.endpoints.confirmable_until(now),
             introduced,
         };
         (heartbeat, targets, interval)
@@ -205,7 +209,7 @@
             entry.descriptor.domain.clone(),
         )
     }));
-    let affinity = compute_affinity(&own.name, &hosts, &state.endpoints.all_serving());
+    let affinity = compute_affinity(&own.name, &hosts, &state.endpoints.all_serving(now));
     state.load.set_affinity(affinity);
 }
 
@@ -255,12 +259,13 @@
     }
     state.load.update_report(&name, heartbeat.load, now);
     for key in state.load.update_failing(&name, heartbeat.failing) {
-        let mut listed = state.endpoints.all_serving().into_iter();
+        let mut listed = state.endpoints.all_serving(now).into_iter();
         let endpoint = listed.find(|endpoint| EndpointKey::of(&endpoint.id) == key);
         info!(node.deps.logger, "endpoint avoided"; "peer" => &*name,
             "endpoint" => endpoint.map(|endpoint| endpoint.id.to_string()),
             "cause" => "a host says that it answers with failures");
     }
+    listings::confirm_removals(node, &mut state, &name, heartbeat.confirmed_listings);
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
     let must_preempt = state.running.iter().any(|running| {
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -14,24 +14,37 @@
     match batch {
         FollowBatch::Unavailable => state.endpoints.mark_log_unavailable(),
         FollowBatch::Snapshot(page) => {
-            state.endpoints.mark_log_available(now);
-            state.endpoints.set_read_until(page.next);
+            state.endpoints.record_read(page.next, now);
             let entries = page.records.iter();
             let listed = entries.filter_map(|entry| decode_listing(node, entry));
-            for id in state.endpoints.replace(listed.collect(), now) {
+            for id in state.endpoints.replace(listed.collect(), page.next, now) {
                 log_removal(node, &state, &id, page.next, now);
             }
         }
         FollowBatch::Tail(page) => {
-            state.endpoints.mark_log_available(now);
-            state.endpoints.set_read_until(page.next);
+            state.endpoints.record_read(page.next, now);
             for entry in &page.records {
                 apply_listing(node, &mut state, entry, now);
             }
         }
     }
     for id in state.endpoints.expire(now) {
-        info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id, "held_back" => true);
+        info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id,
+            "cause" => "its listing was removed and not renewed after the outage of the log");
+        state.load.remove(&id);
+    }
+}
+
+/// Applies a heartbeat of a host that confirms all removals of listings before `offset`.
+pub(crate) fn confirm_removals(
+    node: &SwitchNode,
+    state: &mut SwitchState,
+    host: &str,
+    offset: u64,
+) {
+    for id in state.endpoints.confirm_removals(offset) {
+        info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id, "peer" => host,
+            "offset" => offset, "cause" => "a host without an outage of the log confirms its removal");
         state.load.remove(&id);
     }
 }
@@ -39,7 +52,7 @@
 fn apply_listing(node: &SwitchNode, state: &mut SwitchState, entry: &LogEntry, now: Instant) {
     if entry.record.value.is_empty() {
         let id = String::from_utf8_lossy(&entry.record.key);
-        if state.endpoints.remove(&id, now) {
+        if state.endpoints.remove(&id, entry.offset, now) {
             log_removal(node, state, &id, entry.offset, now);
         }
         return;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -322,8 +322,11 @@
 
     /// Mean time between two responses that the endpoints of a service complete while all their slots are in use.
     #[must_use]
-    pub fn service_interval(&self, table: &EndpointTable, service: &str) -> Duration {
-        let slots: u32 = table.serving(service).map(|endpoint| endpoint.slots).sum();
+    pub fn service_interval(&self, table: &EndpointTable, service: &str, now: Instant) -> Duration {
+        let slots: u32 = table
+            .serving(service, now)
+            .map(|endpoint| endpoint.slots)
+            .sum();
         self.response_times.run() / slots.max(1)
     }
 
@@ -349,7 +352,7 @@
         rng: &mut impl Rng,
     ) -> EndpointPick {
         let usable: Vec<_> = table
-            .serving(service)
+            .serving(service, now)
             .filter(|endpoint| !excluded.contains(&endpoint.id))
             .collect();
         let any_healthy = usable
@@ -388,7 +391,7 @@
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
         table
-            .serving(service)
+            .serving(service, now)
             .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
             .filter(|endpoint| !self.is_full(&endpoint.id, now))
             .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
@@ -407,7 +410,7 @@
     pub fn free_slots(&self, table: &EndpointTable, service: &str, now: Instant) -> FreeSlots {
         let mut free = FreeSlots::default();
         let usable = table
-            .serving(service)
+            .serving(service, now)
             .filter(|endpoint| !self.recently_preempted(&endpoint.id, now));
         for endpoint in usable {
             let slots = self.free_batch_slots(endpoint);
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -236,7 +236,7 @@
         let rejection = Rejection {
             wait: expected.wait,
             limit: remaining.mul_f64(MAX_RETRY_FRACTION),
-            service_interval: state.load.service_interval(&state.endpoints, service) * hosts,
+            service_interval: state.load.service_interval(&state.endpoints, service, now) * hosts,
         };
         let draw = state.rng.random::<f64>();
         state.overload.record_rejection(rejection, now, draw)
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -276,7 +276,11 @@
     let mut view = view(&[]);
     let hosts: Vec<(Arc<str>, Arc<str>)> =
         vec![("a".into(), "domain".into()), ("b".into(), "domain".into())];
-    view.set_affinity(compute_affinity("a", &hosts, &table.all_serving()));
+    view.set_affinity(compute_affinity(
+        "a",
+        &hosts,
+        &table.all_serving(Instant::now()),
+    ));
     // Its own half of the endpoints, and one on each side that it shares with the adjacent host.
     let preferred = ["e0", "e1", "e2", "e3", "e5"].map(Arc::from);
     assert_eq!(view.affinity().endpoints, preferred);
@@ -338,7 +342,11 @@
             .collect();
         let views = names.iter().map(|name| {
             let mut view = LoadView::default();
-            view.set_affinity(compute_affinity(name, &hosts, &table.all_serving()));
+            view.set_affinity(compute_affinity(
+                name,
+                &hosts,
+                &table.all_serving(Instant::now()),
+            ));
             view
         });
         Self {
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -66,11 +66,65 @@
     table.set(listed("e", 4, false));
     if outage {
         table.mark_log_unavailable();
-        table.mark_log_available(now);
+        table.record_read(1, now);
     }
-    table.remove("e", now);
-    table.expire(now + MS * later_ms);
-    assert_eq!(table.serving("service").count(), expected);
+    table.remove("e", 0, now);
+    let later = now + MS * later_ms;
+    assert_eq!(table.serving("service", later).count(), expected);
+    table.expire(later);
+    assert_eq!(table.len(), expected);
+}
+
+/// A host that lost the log reads the removal of an endpoint at offset 4.
+#[rstest]
+#[case::not_confirmed(&[], 1)]
+#[case::confirmed_up_to_an_earlier_offset(&[4], 1)]
+#[case::confirmed(&[5], 0)]
+#[case::confirmed_by_one_of_two(&[0, 5, 3], 0)]
+#[tokio::test(start_paused = true)]
+async fn removal_read_after_an_outage(
+    #[case] confirmed: &[u64],
+    #[case] expected: usize,
+    #[values(true, false)] confirmed_before_the_read: bool,
+) {
+    let now = Instant::now();
+    let mut table = EndpointTable::default();
+    table.set(listed("e", 4, false));
+    let confirm = |table: &mut EndpointTable| {
+        for offset in confirmed {
+            table.confirm_removals(*offset);
+        }
+    };
+    table.mark_log_unavailable();
+    if confirmed_before_the_read {
+        confirm(&mut table);
+    }
+    table.record_read(5, now);
+    table.remove("e", 4, now);
+    if !confirmed_before_the_read {
+        confirm(&mut table);
+    }
+    assert_eq!(table.serving("service", now).count(), expected);
+}
+
+/// A host confirms removals only if it would have noticed an outage of the log in which the listings expired.
+#[rstest]
+#[case::before_the_first_read(&[], 0)]
+#[case::shortly_after_its_start(&[0, 500, 1000], 0)]
+#[case::with_regular_reads(&[0, 500, 1000, 1500, 2000, 2500], 7)]
+#[case::shortly_after_a_pause(&[0, 500, 4500, 5000], 0)]
+#[case::some_time_after_a_pause(&[0, 500, 4500, 5000, 6000, 7000], 7)]
+#[tokio::test(start_paused = true)]
+async fn removals_that_a_host_confirms(#[case] reads_ms: &[u32], #[case] expected: u64) {
+    let start = Instant::now();
+    let mut table = EndpointTable::default();
+    for read_ms in reads_ms {
+        table.record_read(7, start + MS * *read_ms);
+    }
+    let last_ms = reads_ms.last().copied().unwrap_or_default();
+    assert_eq!(table.confirmable_until(start + MS * last_ms), expected);
+    table.mark_log_unavailable();
+    assert_eq!(table.confirmable_until(start + MS * last_ms), 0);
 }
 
 #[tokio::test(start_paused = true)]
@@ -79,8 +133,8 @@
     let mut table = EndpointTable::default();
     table.set(listed("e", 4, false));
     table.mark_log_unavailable();
-    table.mark_log_available(now);
-    table.replace(Vec::new(), now);
+    table.record_read(1, now);
+    table.replace(Vec::new(), 1, now);
     table.set(listed("e", 4, false));
     table.expire(now + MS * 5000);
     assert_eq!(table.len(), 1);
@@ -90,7 +144,7 @@
 fn draining_endpoint_is_not_serving() {
     let mut table = EndpointTable::default();
     table.set(listed("e", 4, true));
-    assert_eq!(table.serving("service").count(), 0);
+    assert_eq!(table.serving("service", Instant::now()).count(), 0);
     assert!(!table.is_empty());
 }
 
