Check that an endpoint still serves after an item's output was read from the log

What callers could see: an item of a job reaches an endpoint that left seconds before (DRAIN), and its run is lost with the endpoint.

Cause: an item that continues after a checkpoint is assigned to an endpoint, then reads its output from the log, segment by segment, with up to 1.2 s each, and is sent to that endpoint whatever happened meanwhile.

Evidence: item_is_not_sent_to_an_endpoint_that_left_during_a_slow_read failed on the code before (sent to e0, draining for 2.7 s) and passes now. The run ends as `not sent`; the output is then in memory, so the next start sends at once.

Other places: online requests are sent as soon as an endpoint is picked, after at most 0.3 s for a connection. Resumed responses pick anew.

--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -29,6 +29,8 @@
 enum RunOutcome {
     Completed,
     Cancelled,
+    /// The endpoint left before the item was sent to it.
+    NotSent,
     /// The endpoint did not run the item.
     NotRun,
     /// The endpoint or the connection to it failed.
@@ -44,6 +46,7 @@
         match self {
             Self::Completed => "completed",
             Self::Cancelled => "cancelled",
+            Self::NotSent => "not sent",
             Self::NotRun => "not run",
             Self::Interrupted(_) => "broken off",
             Self::Failed => "failed",
@@ -109,6 +112,9 @@
 
     async fn read_response(&mut self) -> RunOutcome {
         self.load_segments().await;
+        if !self.endpoint_serves() {
+            return RunOutcome::NotSent;
+        }
         let deadline = Instant::now() + RUN_TIMEOUT;
         self.resumed_after = self.progress.lock().last_event();
         let options = CallOptions {
@@ -162,6 +168,14 @@
         }
     }
 
+    /// Whether the endpoint still accepts work, since it may have left while the output was loaded.
+    fn endpoint_serves(&self) -> bool {
+        let state = self.node.lock();
+        state
+            .endpoints
+            .is_serving(&self.endpoint.id, Instant::now())
+    }
+
     /// Loads checkpointed output of earlier runs, as far as it can be read, unless this host has output of the item.
     /// Without any output the item runs from the beginning.
     async fn load_segments(&mut self) {
@@ -207,7 +221,7 @@
                     .record(events, run_events, started.elapsed());
                 Some(UpdateKind::Completed(text.into()))
             }
-            RunOutcome::Cancelled => None,
+            RunOutcome::Cancelled | RunOutcome::NotSent => None,
             RunOutcome::NotRun => {
                 state.load.mark_full(endpoint, now);
                 None
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -227,6 +227,13 @@
         Some(&self.entries[index].endpoint)
     }
 
+    /// Whether an endpoint is listed and accepts new work.
+    #[must_use]
+    pub fn is_serving(&self, id: &str, now: Instant) -> bool {
+        let index = self.search(id);
+        index.is_ok_and(|index| self.serves(&self.entries[index], now))
+    }
+
     /// Endpoints of a service that accept new work.
     pub fn serving<'a>(
         &'a self,
--- a/crates/switch/tests/switch/departures.rs
+++ b/crates/switch/tests/switch/departures.rs
@@ -1,8 +1,10 @@
-//! Endpoints that leave while a host cannot read the listings.
+//! Endpoints that leave while a host cannot read the listings, or while it prepares a send.
 //!
-//! Heartbeats are real datagrams on loopback, so these tests run in real time.
+//! Heartbeats are real datagrams on loopback, so tests with several hosts run in real time.
 
-use crate::support::{CallerOutcome, TestFleet, send_request, wait_until};
+use crate::support::{
+    CallScript, CallerOutcome, TestFleet, full_text, results, send_request, submission, wait_until,
+};
 use fulmarswitch_switch::node::SwitchNode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,3 +76,33 @@
         fleet.log.put("endpoints", "e0", "ready");
     }
 }
+
+/// Guards against sending an item to an endpoint that left while the item's output was read from the log.
+#[tokio::test(start_paused = true)]
+async fn item_is_not_sent_to_an_endpoint_that_left_during_a_slow_read() {
+    let fleet = TestFleet::new(2);
+    fleet.client.set_default(CallScript::Stream { events: 250 });
+    let first = fleet.start("a").await;
+    first.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(3)).await;
+    first.stop(Instant::now()).await;
+    let before = fleet.client.calls().len();
+    fleet
+        .log
+        .set_fetch_delay(DRAIN_TIME + Duration::from_secs(1));
+    let second = fleet.start("b").await;
+    // The item starts after the time in which its host listens for other hosts.
+    sleep(Duration::from_millis(500)).await;
+    fleet.log.put("endpoints", "e0", "draining");
+    fleet.log.put("endpoints", "e1", "");
+    fleet.log.put("endpoints", "e2", "ready");
+    assert_eq!(fleet.client.calls().len(), before, "the item was not read");
+
+    sleep(Duration::from_secs(15)).await;
+    let calls = fleet.client.calls().split_off(before);
+    let endpoints: Vec<&str> = calls.iter().map(|call| &*call.endpoint).collect();
+    assert_eq!(endpoints, ["e2"]);
+    assert!(calls[0].resume_after.is_some(), "the output was lost");
+    let page = results(&second, "j").await;
+    assert_eq!(page.results[0].text, Some(full_text(250)));
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -47,6 +47,7 @@
     topics: Vec<(Arc<str>, Topic)>,
     faults: VecDeque<(Arc<str>, AppendFault)>,
     down: bool,
+    fetch_delay: Duration,
 }
 
 impl LogState {
@@ -98,6 +99,11 @@
         (!state.down && !self.cut.load(Ordering::Relaxed)).then_some(state)
     }
 
+    /// Delays fetches by offset.
+    pub fn set_fetch_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().fetch_delay = delay;
+    }
+
     /// Removes the history of a topic except for the latest record of each key.
     pub fn expire(&self, topic: &str) {
         let mut state = self.state.lock().unwrap();
@@ -242,6 +248,8 @@
         _count: u32,
         key: &str,
     ) -> Result<Vec<LogEntry>, ReadError> {
+        let delay = self.state.lock().unwrap().fetch_delay;
+        sleep(delay).await;
         let mut state = self.reach().ok_or_else(unavailable)?;
         let mut records = latest_records(state.topic(&partition.topic));
         records.retain(|entry| entry.record.key.starts_with(key.as_bytes()));
