Report departures of endpoints in heartbeats

What callers could see: a host that has lost the log goes on sending requests and items to endpoints that have left, for as long as it is cut off; their connections are refused, or break when the endpoint exits. Such hosts are not in touch with the log, so that DRAIN does not count them until it is back.

Cause: what a host believes of an endpoint comes from its own reads of the listings only.

A host that has not read that far removes the endpoint until its own reads reach the offset. Removals are only reported by hosts that can confirm them.

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -5,6 +5,8 @@
 //! afterwards. A host that alone was cut off would defer removals of endpoints that have left, so it no longer does so
 //! once another host, which read them without an interruption, has confirmed them.
 
+use crate::departures::EndpointDeparture;
+use crate::report::EndpointKey;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,6 +50,7 @@
 #[derive(Clone, Debug)]
 struct TableEntry {
     endpoint: Arc<ListedEndpoint>,
+    key: EndpointKey,
     removal: Option<DeferredRemoval>,
 }
 
@@ -82,9 +85,9 @@
                 changed
             }
             Err(index) => {
-                let endpoint = Arc::new(endpoint);
                 let entry = TableEntry {
-                    endpoint,
+                    key: EndpointKey::of(&endpoint.id),
+                    endpoint: Arc::new(endpoint),
                     removal: None,
                 };
                 self.entries.insert(index, entry);
@@ -170,7 +173,26 @@
     pub fn confirm_removals(&mut self, offset: u64) -> Vec<Arc<str>> {
         self.confirmed_until = self.confirmed_until.max(offset);
         let confirmed_until = self.confirmed_until;
-        self.take_removals(|removal| removal.offset < confirmed_until)
+        self.take_entries(|entry| {
+            entry
+                .removal
+                .is_some_and(|removal| removal.offset < confirmed_until)
+        })
+    }
+
+    /// Removes endpoints that have left by the report of another host, unless this host has read the listings beyond the
+    /// departure. Returns their IDs.
+    pub fn apply_departures(&mut self, departures: &[EndpointDeparture]) -> Vec<Arc<str>> {
+        let read_until = self.read_until;
+        let unread = departures
+            .iter()
+            .filter(|departure| departure.offset >= read_until);
+        let mut keys: Vec<EndpointKey> = unread.map(|departure| departure.key).collect();
+        if keys.is_empty() {
+            return Vec::new();
+        }
+        keys.sort_unstable();
+        self.take_entries(|entry| keys.binary_search(&entry.key).is_ok())
     }
 
     /// Offset up to which the listings have been read.
@@ -204,20 +226,13 @@
         if self.log_unavailable {
             return Vec::new();
         }
-        self.take_removals(|removal| removal.due_at <= now)
+        self.take_entries(|entry| entry.removal.is_some_and(|removal| removal.due_at <= now))
     }
 
-    /// Removes the endpoints with a deferred removal that is selected, and returns their IDs.
-    fn take_removals(&mut self, is_selected: impl Fn(&DeferredRemoval) -> bool) -> Vec<Arc<str>> {
-        let mut removed = Vec::new();
-        self.entries.retain(|entry| {
-            let is_removed = entry.removal.as_ref().is_some_and(&is_selected);
-            if is_removed {
-                removed.push(entry.endpoint.id.clone());
-            }
-            !is_removed
-        });
-        removed
+    /// Removes the selected entries, and returns the IDs of their endpoints.
+    fn take_entries(&mut self, is_selected: impl Fn(&TableEntry) -> bool) -> Vec<Arc<str>> {
+        let removed = self.entries.extract_if(.., |entry| is_selected(entry));
+        removed.map(|entry| entry.endpoint.id.clone()).collect()
     }
 
     /// Looks up an endpoint by ID.
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -6,7 +6,7 @@
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
 use crate::follow::FollowBatch;
-use crate::listings;
+use crate::listings::{self, ListingReport, listing_report};
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
 use crate::report::{EndpointKey, LoadReport};
@@ -50,8 +50,7 @@
     claims: Vec<ItemKey>,
     /// Endpoints that the sender avoids because of error responses.
     failing: Vec<EndpointKey>,
-    /// Offset of the listings before which the sender confirms all removals.
-    confirmed_listings: u64,
+    listings: ListingReport,
     /// Descriptor of another host, so that the receiver can send heartbeats to it.
     introduced: Option<HostDescriptor>,
 }
@@ -165,7 +164,7 @@
             load: state.load.own_report(now),
             claims: state.own_claims(MAX_CLAIMS),
             failing: state.load.failing_endpoints(MAX_FAILING, now),
-            confirmed_listings: state.endpoints.confirmable_until(now),
+            listings: listing_report(&state, now),
             introduced,
         };
         (heartbeat, targets, interval)
@@ -265,7 +264,7 @@
             "endpoint" => endpoint.map(|endpoint| endpoint.id.to_string()),
             "cause" => "a host says that it answers with failures");
     }
-    listings::confirm_removals(node, &mut state, &name, heartbeat.confirmed_listings);
+    listings::apply_report(node, &mut state, &name, &heartbeat.listings);
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
     let must_preempt = state.running.iter().any(|running| {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,12 +6,13 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`]
+//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`]
 //! and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
 pub mod batch;
+pub mod departures;
 pub mod endpoint;
 pub mod events;
 mod follow;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -1,12 +1,23 @@
 //! Endpoint listings: applies what is read from the log to the endpoint table of this host.
 
 use crate::backend::LogEntry;
+use crate::departures::EndpointDeparture;
 use crate::endpoint::ListedEndpoint;
 use crate::follow::FollowBatch;
 use crate::node::{SwitchNode, SwitchState, millis};
+use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::time::Instant;
 
+/// What a host knows of the listings, as sent in its heartbeats.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ListingReport {
+    /// Offset before which the sender confirms all removals.
+    confirmed_until: u64,
+    /// Departures that the sender has read lately.
+    departures: Vec<EndpointDeparture>,
+}
+
 /// Applies a read of the listings.
 pub(crate) fn apply_listings(node: &SwitchNode, batch: FollowBatch<'_>) {
     let now = Instant::now();
@@ -18,7 +29,7 @@
             let entries = page.records.iter();
             let listed = entries.filter_map(|entry| decode_listing(node, entry));
             for id in state.endpoints.replace(listed.collect(), page.next, now) {
-                log_removal(node, &state, &id, page.next, now);
+                record_removal(node, &mut state, &id, page.next.saturating_sub(1), now);
             }
         }
         FollowBatch::Tail(page) => {
@@ -35,17 +46,40 @@
     }
 }
 
-/// Applies a heartbeat of a host that confirms all removals of listings before `offset`.
-pub(crate) fn confirm_removals(
+/// Returns what this host knows of the listings, for its heartbeat.
+pub(crate) fn listing_report(state: &SwitchState, now: Instant) -> ListingReport {
+    let confirmed_until = state.endpoints.confirmable_until(now);
+    ListingReport {
+        confirmed_until,
+        departures: state.departures.report(confirmed_until, now),
+    }
+}
+
+/// Applies what another host knows of the listings.
+pub(crate) fn apply_report(
     node: &SwitchNode,
     state: &mut SwitchState,
     host: &str,
-    offset: u64,
+    report: &ListingReport,
 ) {
-    for id in state.endpoints.confirm_removals(offset) {
-        info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id, "peer" => host,
-            "offset" => offset, "cause" => "a host without an outage of the log confirms its removal");
-        state.load.remove(&id);
+    let confirmed = state.endpoints.confirm_removals(report.confirmed_until);
+    let departed = state.endpoints.apply_departures(&report.departures);
+    let causes = [
+        (
+            confirmed,
+            "a host without an outage of the log confirms its removal",
+        ),
+        (
+            departed,
+            "a host that has read the listings further reports that it left",
+        ),
+    ];
+    for (ids, cause) in causes {
+        for id in ids {
+            info!(node.deps.logger, "endpoint gone"; "endpoint" => &*id, "peer" => host,
+                "cause" => cause);
+            state.load.remove(&id);
+        }
     }
 }
 
@@ -53,7 +87,7 @@
     if entry.record.value.is_empty() {
         let id = String::from_utf8_lossy(&entry.record.key);
         if state.endpoints.remove(&id, entry.offset, now) {
-            log_removal(node, state, &id, entry.offset, now);
+            record_removal(node, state, &id, entry.offset, now);
         }
         return;
     }
@@ -70,14 +104,22 @@
             // Failures of the previous process do not count against the new one.
             state.load.health(&id).record_success(now);
         }
+        if draining {
+            let departure = EndpointDeparture::new(&id, entry.offset);
+            state.departures.record(departure, true, now);
+        }
         info!(node.deps.logger, "endpoint listed"; "endpoint" => &*id,
             "draining" => draining, "restarted" => restarted, "offset" => entry.offset);
     }
 }
 
-/// Logs that the listing of an endpoint was removed, and for how long the endpoint remains in use.
-fn log_removal(node: &SwitchNode, state: &SwitchState, id: &str, offset: u64, now: Instant) {
+/// Records that the listing of an endpoint was removed, and logs for how long the endpoint remains in use.
+fn record_removal(node: &SwitchNode, state: &mut SwitchState, id: &str, offset: u64, now: Instant) {
     let due_at = state.endpoints.removal_due(id);
+    if due_at.is_none() {
+        let departure = EndpointDeparture::new(id, offset);
+        state.departures.record(departure, false, now);
+    }
     info!(node.deps.logger, "endpoint unlisted"; "endpoint" => id, "offset" => offset,
         "held_back_ms" => due_at.map(|due_at| millis(due_at.saturating_duration_since(now))));
 }
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,6 +1,7 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
 use crate::backend::{DecodeError, EndpointClient, KeyedLog, LogEntry, LogPartition};
+use crate::departures::RecentDepartures;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::follow::{FollowBatch, FollowOptions, follow};
 use crate::gossip;
@@ -109,6 +110,7 @@
 pub(crate) struct SwitchState {
     pub(crate) routes: Option<Arc<RouteTable>>,
     pub(crate) endpoints: EndpointTable,
+    pub(crate) departures: RecentDepartures,
     pub(crate) load: LoadView,
     pub(crate) overload: OverloadTracker,
     pub(crate) members: MemberTable,
@@ -186,6 +188,7 @@
         let state = SwitchState {
             routes: None,
             endpoints: EndpointTable::default(),
+            departures: RecentDepartures::default(),
             load: LoadView::default(),
             overload: OverloadTracker::default(),
             members: MemberTable::default(),
--- a/crates/switch/tests/switch/departures.rs
+++ b/crates/switch/tests/switch/departures.rs
@@ -6,6 +6,7 @@
     CallScript, CallerOutcome, TestFleet, full_text, results, send_request, submission, wait_until,
 };
 use fulmarswitch_switch::node::SwitchNode;
+use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -106,3 +107,41 @@
     let page = results(&second, "j").await;
     assert_eq!(page.results[0].text, Some(full_text(250)));
 }
+
+/// Guards against requests to an endpoint that left more than 2 s ago, from a host that has lost the log but hears others.
+#[rstest]
+#[case::announced("draining")]
+#[case::removed("")]
+#[tokio::test]
+async fn host_without_the_log_learns_of_departures_from_others(#[case] listing: &str) {
+    let fleet = TestFleet::new(2);
+    let cut_off = fleet.with_other_log_access();
+    let first = cut_off.start("a").await;
+    let second = fleet.start("b").await;
+    wait_until("both hosts", async || {
+        first.caller_addresses(64).len() == 2 && second.caller_addresses(64).len() == 2
+    })
+    .await;
+    sleep(Duration::from_secs(2)).await;
+    cut_off.log.set_cut(true);
+    fleet.log.put("endpoints", "e0", listing);
+    let departed = Instant::now();
+
+    sleep_until(departed + DRAIN_TIME).await;
+    let before = fleet.client.calls().len();
+    let outcomes = send_requests(&first).await;
+    assert!(outcomes.len() > 10, "{}", outcomes.len());
+    let calls = fleet.client.calls().split_off(before);
+    let late = calls.iter().filter(|call| &*call.endpoint == "e0").count();
+    assert_eq!(late, 0, "of {} calls", calls.len());
+
+    // A listing that is renewed after the departure counts again once the host reads it.
+    fleet.log.put("endpoints", "e0", "ready");
+    cut_off.log.set_cut(false);
+    wait_until("a call to the renewed endpoint", async || {
+        send_request(&first, "/once/x").await;
+        let calls = fleet.client.calls();
+        calls.last().is_some_and(|call| &*call.endpoint == "e0")
+    })
+    .await;
+}
