Log the software version of endpoints, and which stream a caller takes up

Listings have a version, which is now decoded; `endpoint listed`, `request routed`, `answer resumed` and `item started` log it, and `request routed` also the event after which and the request whose stream a caller takes up (resume_after, resumes). Nothing depends on them yet.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -291,7 +291,8 @@
     });
     let (cancel, cancelled) = oneshot::channel();
     info!(node.deps.logger, "item started"; "job" => &*name.job, "item" => name.item,
-        "id" => &*call.id, "endpoint" => &*endpoint.id, "after_event" => progress.lock().last_event(),
+        "id" => &*call.id, "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
+        "after_event" => progress.lock().last_event(),
         "load" => state.load.total(&endpoint.id).total(),
         "listing" => state.endpoints.read_until(),
         "listing_age_ms" => state.endpoints.read_age(Instant::now()).map(millis),
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -32,6 +32,8 @@
     pub address: SocketAddr,
     /// Failure domain of the endpoint.
     pub domain: Arc<str>,
+    /// Version of the endpoint's software; empty if unknown.
+    pub version: Arc<str>,
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
     /// Whether the endpoint is draining and takes no new work.
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -94,7 +94,11 @@
     let Some(endpoint) = decode_listing(node, entry) else {
         return;
     };
-    let (id, draining) = (endpoint.id.clone(), endpoint.draining);
+    let (id, version, draining) = (
+        endpoint.id.clone(),
+        endpoint.version.clone(),
+        endpoint.draining,
+    );
     let restarted = state
         .endpoints
         .get(&id)
@@ -109,7 +113,8 @@
             state.departures.record(departure, true, now);
         }
         info!(node.deps.logger, "endpoint listed"; "endpoint" => &*id,
-            "draining" => draining, "restarted" => restarted, "offset" => entry.offset);
+            "version" => &*version, "draining" => draining, "restarted" => restarted,
+            "offset" => entry.offset);
     }
 }
 
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -163,7 +163,8 @@
                 Ok(response) if response.status.is_success() => {
                     info!(self.exchange.node.deps.logger, "answer resumed";
                         "request" => &*self.exchange.request.call.id,
-                        "endpoint" => &*endpoint.id, "after_event" => self.last_event);
+                        "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
+                        "after_event" => self.last_event);
                     self.body = Some(response.body);
                     self.guard = Some(guard);
                     self.endpoint = endpoint;
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -39,6 +39,8 @@
     pub route: Arc<ServiceRoute>,
     /// ID of the last event that the caller has received; `None` to start from the beginning.
     pub resume_after: Option<u64>,
+    /// ID of the caller's request that brought the first event of a resumed stream.
+    pub resumes: Option<Arc<str>>,
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
 }
@@ -187,7 +189,10 @@
             EndpointPick::Use(endpoint) => {
                 let load = state.load.total(&endpoint.id);
                 info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-                    "service" => &**service, "endpoint" => &*endpoint.id, "send" => self.sends + 1,
+                    "service" => &**service, "endpoint" => &*endpoint.id,
+                    "version" => &*endpoint.version, "send" => self.sends + 1,
+                    "resumes" => self.request.resumes.as_deref(),
+                    "resume_after" => self.request.resume_after,
                     "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
                     "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
                     "config" => state.routes.as_ref().map(|routes| routes.version),
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -454,6 +454,7 @@
         service: "service".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "domain".into(),
+        version: "1".into(),
         slots,
         draining,
     }
@@ -624,6 +625,7 @@
         },
         route: routes.find("host", path).unwrap().clone(),
         resume_after: None,
+        resumes: None,
         deadline: Instant::now() + Duration::from_secs(5),
     };
     let mut response = match node.serve_online(request).await {
