--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -9,3 +9,4 @@
 mod overload;
 mod pure;
 mod support;
+mod versions;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -423,7 +423,8 @@
     }
 }
 
-/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing.
+/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
+/// follow.
 struct TextDecoder;
 
 impl ConfigDecoder for TextDecoder {
@@ -438,11 +439,16 @@
         };
         let text = std::str::from_utf8(value).map_err(|_| malformed("no text"))?;
         let id = std::str::from_utf8(key).map_err(|_| malformed("no text"))?;
-        match text {
-            "ready" => Ok(listed(id, 4, false)),
-            "draining" => Ok(listed(id, 4, true)),
-            _ => Err(malformed(text)),
-        }
+        let (state, version) = text.split_once(' ').unwrap_or((text, "1"));
+        let draining = match state {
+            "ready" => false,
+            "draining" => true,
+            _ => return Err(malformed(text)),
+        };
+        Ok(ListedEndpoint {
+            version: version.into(),
+            ..listed(id, 4, draining)
+        })
     }
 }
 
@@ -611,12 +617,12 @@
     TimedOut,
 }
 
-/// Sends a request and reads its response.
-pub async fn send_request(node: &Arc<SwitchNode>, path: &str) -> CallerOutcome {
+/// A request with this ID.
+pub fn request(node: &SwitchNode, path: &str, id: &str) -> OnlineRequest {
     let routes = node.routes().unwrap();
-    let request = OnlineRequest {
+    OnlineRequest {
         call: EndpointCall {
-            id: "r".into(),
+            id: id.into(),
             method: Method::POST,
             host: "host".into(),
             target: path.into(),
@@ -627,7 +633,16 @@
         resume_after: None,
         resumes: None,
         deadline: Instant::now() + Duration::from_secs(5),
-    };
+    }
+}
+
+/// Sends a request and reads its response.
+pub async fn send_request(node: &Arc<SwitchNode>, path: &str) -> CallerOutcome {
+    read_response(node, request(node, path, "r")).await
+}
+
+/// Sends a request and reads its response.
+pub async fn read_response(node: &Arc<SwitchNode>, request: OnlineRequest) -> CallerOutcome {
     let mut response = match node.serve_online(request).await {
         OnlineReply::Response(response) => response,
         OnlineReply::Rejected { .. } => return CallerOutcome::Rejected,
--- /dev/null
+++ b/crates/switch/tests/switch/versions.rs
@@ -0,0 +1,169 @@
+//! Streams and items while endpoints of several software versions serve side by side.
+
+use crate::support::CallScript::{BreakAfter, Stream};
+use crate::support::{
+    CallerOutcome, TestFleet, full_text, read_response, request, results, submission, wait_until,
+};
+use fulmarswitch_switch::node::SwitchNode;
+use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
+use futures::StreamExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Number of streams in a test. A wrong version is picked for about half of them by chance.
+const STREAMS: usize = 20;
+
+/// A fleet with two endpoints of each of two software versions. The IDs of endpoints begin with their version.
+fn mixed_fleet() -> TestFleet {
+    let fleet = TestFleet::new(0);
+    for id in ["v1-a", "v1-b", "v2-a", "v2-b"] {
+        let listing = format!("ready {}", version_of(id));
+        fleet.log.put("endpoints", id, &listing);
+    }
+    fleet
+}
+
+fn version_of(endpoint: &str) -> &str {
+    &endpoint[..2]
+}
+
+/// Software versions of the endpoints that were called, from call number `first` on.
+fn called_versions(fleet: &TestFleet, first: usize) -> Vec<String> {
+    let calls = fleet.client.calls().split_off(first);
+    let versions = calls.iter().map(|call| version_of(&call.endpoint));
+    versions.map(str::to_owned).collect()
+}
+
+/// Starts hosts and waits until they hear each other.
+async fn start_hosts<const N: usize>(fleet: &TestFleet, names: [&str; N]) -> [Arc<SwitchNode>; N] {
+    let mut hosts = Vec::new();
+    for name in names {
+        hosts.push(fleet.start(name).await);
+    }
+    wait_until("all hosts", async || {
+        hosts
+            .iter()
+            .all(|host| host.caller_addresses(64).len() == N)
+    })
+    .await;
+    hosts.try_into().ok().unwrap()
+}
+
+/// Sends a request for a stream, and disconnects after its second event.
+async fn begin_stream(node: &Arc<SwitchNode>, id: &str) {
+    let reply = node.serve_online(request(node, "/resume/x", id)).await;
+    let OnlineReply::Response(mut response) = reply else {
+        panic!("{id} was not served");
+    };
+    for _ in 0..2 {
+        response.body.next().await.unwrap().unwrap();
+    }
+}
+
+/// A request that takes up the stream that `resumes` began, after its second event.
+fn resumption(node: &SwitchNode, id: &str, resumes: &str) -> OnlineRequest {
+    OnlineRequest {
+        resumes: Some(resumes.into()),
+        resume_after: Some(2),
+        ..request(node, "/resume/x", id)
+    }
+}
+
+/// Guards against a response with events of two software versions after its endpoint broke off.
+#[tokio::test(start_paused = true)]
+async fn broken_stream_is_resumed_at_its_own_version() {
+    let fleet = mixed_fleet();
+    let node = fleet.start("a").await;
+    for index in 0..STREAMS {
+        let first = fleet.client.calls().len();
+        fleet.client.script(&[BreakAfter { event: 2 }]);
+        let outcome = read_response(&node, request(&node, "/resume/x", "r")).await;
+        assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+        let versions = called_versions(&fleet, first);
+        assert_eq!(versions[0], versions[1], "stream {index}");
+        // The endpoint that broke off is avoided for a while.
+        sleep(Duration::from_secs(5)).await;
+    }
+}
+
+/// Guards against events of two software versions over two tries of a caller, at one host or at two.
+#[tokio::test]
+async fn stream_is_taken_up_at_the_version_that_began_it() {
+    let fleet = mixed_fleet();
+    let hosts = start_hosts(&fleet, ["a", "b", "c"]).await;
+    fleet.client.set_default(Stream { events: 5 });
+    for index in 0..STREAMS {
+        let first = fleet.client.calls().len();
+        let began = format!("r{index}");
+        begin_stream(&hosts[0], &began).await;
+        let node = &hosts[index % hosts.len()];
+        let outcome = read_response(node, resumption(node, "s", &began)).await;
+        assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+        let versions = called_versions(&fleet, first);
+        assert_eq!(versions[0], versions[1], "stream {index}");
+    }
+}
+
+/// Guards against the output of an item with events of two software versions after its endpoint broke off.
+#[tokio::test(start_paused = true)]
+async fn interrupted_item_continues_at_its_own_version() {
+    let fleet = mixed_fleet();
+    let node = fleet.start("a").await;
+    fleet.client.set_default(Stream { events: 20 });
+    for index in 0..STREAMS {
+        let first = fleet.client.calls().len();
+        fleet.client.script(&[BreakAfter { event: 10 }]);
+        node.submit_job(submission(&format!("j{index}"), 1)).await;
+        sleep(Duration::from_secs(5)).await;
+        let versions = called_versions(&fleet, first);
+        assert_eq!(versions.len(), 2, "item {index}");
+        assert_eq!(versions[0], versions[1], "item {index}");
+    }
+}
+
+/// Guards against the output of an item with events of two software versions after another host took it over.
+#[tokio::test(start_paused = true)]
+async fn checkpointed_item_continues_at_its_own_version() {
+    for index in 0..STREAMS {
+        let fleet = mixed_fleet();
+        fleet.client.set_default(Stream { events: 250 });
+        let first = fleet.start("a").await;
+        first.submit_job(submission("j", 1)).await;
+        sleep(Duration::from_secs(3)).await;
+        first.stop(Instant::now()).await;
+        let second = fleet.start("b").await;
+        sleep(Duration::from_secs(10)).await;
+        let calls = fleet.client.calls();
+        assert!(calls[1].resume_after.is_some(), "run {index}");
+        let versions = called_versions(&fleet, 0);
+        assert_eq!(versions[0], versions[1], "run {index}");
+        assert_eq!(
+            results(&second, "j").await.results[0].text,
+            Some(full_text(250))
+        );
+    }
+}
+
+/// Guards against an item that waits for a software version which no endpoint has any more.
+#[tokio::test(start_paused = true)]
+async fn item_starts_again_when_no_endpoint_has_its_version() {
+    let fleet = mixed_fleet();
+    let node = fleet.start("a").await;
+    fleet.client.script(&[BreakAfter { event: 50 }]);
+    fleet.client.set_default(Stream { events: 100 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_millis(500)).await;
+    let left = called_versions(&fleet, 0).remove(0);
+    for id in ["a", "b"] {
+        fleet.log.put("endpoints", &format!("{left}-{id}"), "");
+    }
+    sleep(Duration::from_secs(10)).await;
+    let calls = fleet.client.calls();
+    assert_ne!(version_of(&calls[1].endpoint), left);
+    assert_eq!(calls[1].resume_after, None);
+    assert_eq!(
+        results(&node, "j").await.results[0].text,
+        Some(full_text(100))
+    );
+}
