Let a stream go on only at the software version that began it

Cause: the version of an endpoint was not known to the switch. A response that broke off was resumed at any endpoint, and a caller that takes a stream up, in most cases at another host, was sent to any.

Change: picks can be limited to a version. A stream has the version of the endpoint that sent its first event; with that event, its origin (request and version) is copied to six live hosts, chosen by rendezvous hashing. A host that is asked to take a stream up looks it up by `Resumes`, and asks 16 hosts if it does not know it. A stream of unknown origin goes on only if its services have had one version for the last 30 s, and is rejected at once otherwise, as is one whose version no endpoint has any more. A resumed stream may wait up to 1 s for a slot: the latency target concerns the first event.

Ruled out: an endpoint replaced under its ID (Expect-Instance refuses, and the versions in the operator's log agree with the listings).

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -6,6 +6,7 @@
 //! once another host, which read them without an interruption, has confirmed them.
 
 use crate::departures::EndpointDeparture;
+use crate::origins::{RETENTION as ORIGIN_RETENTION, VersionKey};
 use crate::report::EndpointKey;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,6 +41,32 @@
     pub draining: bool,
 }
 
+impl ListedEndpoint {
+    /// Key of the endpoint's service and software version.
+    #[must_use]
+    pub fn version_key(&self) -> VersionKey {
+        VersionKey::of(&self.service, &self.version)
+    }
+}
+
+/// Selects endpoints by service and software version.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointFilter<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Software version; `None` for any.
+    pub version: Option<VersionKey>,
+}
+
+impl<'a> From<&'a str> for EndpointFilter<'a> {
+    fn from(service: &'a str) -> Self {
+        Self {
+            service,
+            version: None,
+        }
+    }
+}
+
 /// Removal of a listing that is not in force yet.
 #[derive(Clone, Copy, Debug)]
 struct DeferredRemoval {
@@ -53,9 +80,18 @@
 struct TableEntry {
     endpoint: Arc<ListedEndpoint>,
     key: EndpointKey,
+    version: VersionKey,
     removal: Option<DeferredRemoval>,
 }
 
+/// Software version of an endpoint that was removed.
+#[derive(Clone, Debug)]
+struct PastVersion {
+    service: Arc<str>,
+    version: VersionKey,
+    removed_at: Instant,
+}
+
 /// All listed endpoints, sorted by ID.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
@@ -71,6 +107,8 @@
     read_until: u64,
     /// Offset before which another host has confirmed all removals.
     confirmed_until: u64,
+    /// Versions of removed endpoints, as long as streams that they began may be taken up.
+    past_versions: Vec<PastVersion>,
 }
 
 impl EndpointTable {
@@ -82,6 +120,7 @@
                 entry.removal = None;
                 let changed = *entry.endpoint != endpoint;
                 if changed {
+                    entry.version = endpoint.version_key();
                     entry.endpoint = Arc::new(endpoint);
                 }
                 changed
@@ -89,6 +128,7 @@
             Err(index) => {
                 let entry = TableEntry {
                     key: EndpointKey::of(&endpoint.id),
+                    version: endpoint.version_key(),
                     endpoint: Arc::new(endpoint),
                     removal: None,
                 };
@@ -112,7 +152,8 @@
                 self.entries[index].removal = Some(DeferredRemoval { offset, due_at });
             }
             _ => {
-                self.entries.remove(index);
+                let entry = self.entries.remove(index);
+                self.record_past_version(&entry, now);
             }
         }
         true
@@ -172,10 +213,10 @@
 
     /// Records that another host confirms all removals before `offset`. Returns the endpoints whose deferred removal came
     /// into force by that.
-    pub fn confirm_removals(&mut self, offset: u64) -> Vec<Arc<str>> {
+    pub fn confirm_removals(&mut self, offset: u64, now: Instant) -> Vec<Arc<str>> {
         self.confirmed_until = self.confirmed_until.max(offset);
         let confirmed_until = self.confirmed_until;
-        self.take_entries(|entry| {
+        self.take_entries(now, |entry| {
             entry
                 .removal
                 .is_some_and(|removal| removal.offset < confirmed_until)
@@ -184,7 +225,11 @@
 
     /// Removes endpoints that have left by the report of another host, unless this host has read the listings beyond the
     /// departure. Returns their IDs.
-    pub fn apply_departures(&mut self, departures: &[EndpointDeparture]) -> Vec<Arc<str>> {
+    pub fn apply_departures(
+        &mut self,
+        departures: &[EndpointDeparture],
+        now: Instant,
+    ) -> Vec<Arc<str>> {
         let read_until = self.read_until;
         let unread = departures
             .iter()
@@ -194,7 +239,7 @@
             return Vec::new();
         }
         keys.sort_unstable();
-        self.take_entries(|entry| keys.binary_search(&entry.key).is_ok())
+        self.take_entries(now, |entry| keys.binary_search(&entry.key).is_ok())
     }
 
     /// Offset up to which the listings have been read.
@@ -228,13 +273,63 @@
         if self.log_unavailable {
             return Vec::new();
         }
-        self.take_entries(|entry| entry.removal.is_some_and(|removal| removal.due_at <= now))
+        self.take_entries(now, |entry| {
+            entry.removal.is_some_and(|removal| removal.due_at <= now)
+        })
     }
 
     /// Removes the selected entries, and returns the IDs of their endpoints.
-    fn take_entries(&mut self, is_selected: impl Fn(&TableEntry) -> bool) -> Vec<Arc<str>> {
-        let removed = self.entries.extract_if(.., |entry| is_selected(entry));
-        removed.map(|entry| entry.endpoint.id.clone()).collect()
+    fn take_entries(
+        &mut self,
+        now: Instant,
+        is_selected: impl Fn(&TableEntry) -> bool,
+    ) -> Vec<Arc<str>> {
+        let removed: Vec<TableEntry> = self
+            .entries
+            .extract_if(.., |entry| is_selected(entry))
+            .collect();
+        for entry in &removed {
+            self.record_past_version(entry, now);
+        }
+        removed
+            .iter()
+            .map(|entry| entry.endpoint.id.clone())
+            .collect()
+    }
+
+    fn record_past_version(&mut self, entry: &TableEntry, now: Instant) {
+        let expired = |past: &PastVersion| now >= past.removed_at + ORIGIN_RETENTION;
+        self.past_versions
+            .retain(|past| past.version != entry.version && !expired(past));
+        self.past_versions.push(PastVersion {
+            service: entry.endpoint.service.clone(),
+            version: entry.version,
+            removed_at: now,
+        });
+    }
+
+    /// The version of all endpoints of these services, including those that left lately; `None` if there are several or
+    /// none.
+    #[must_use]
+    pub fn sole_version(&self, services: &[&str], now: Instant) -> Option<VersionKey> {
+        let listed = self.entries.iter();
+        let listed = listed.map(|entry| (&*entry.endpoint.service, entry.version));
+        let past = self.past_versions.iter();
+        let past = past
+            .filter(|past| now < past.removed_at + ORIGIN_RETENTION)
+            .map(|past| (&*past.service, past.version));
+        let mut versions = listed
+            .chain(past)
+            .filter(|(service, _)| services.contains(service))
+            .map(|(_, version)| version);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
+    /// Whether the listings were read so lately that no version can be missing.
+    #[must_use]
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.read_age(now).is_some_and(|age| age <= MAX_READ_GAP)
     }
 
     /// Looks up an endpoint by ID.
@@ -254,11 +349,13 @@
     /// Endpoints of a service that accept new work.
     pub fn serving<'a>(
         &'a self,
-        service: &'a str,
+        filter: impl Into<EndpointFilter<'a>>,
         now: Instant,
     ) -> impl Iterator<Item = &'a Arc<ListedEndpoint>> + 'a {
+        let EndpointFilter { service, version } = filter.into();
         self.entries
             .iter()
+            .filter(move |entry| version.is_none_or(|version| entry.version == version))
             .filter(move |entry| &*entry.endpoint.service == service && self.serves(entry, now))
             .map(|entry| &entry.endpoint)
     }
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -9,6 +9,7 @@
 use crate::listings::{self, ListingReport, listing_report};
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
+use crate::origin_exchange::OriginMessage;
 use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
 use serde::{Deserialize, Serialize};
@@ -35,7 +36,14 @@
 /// Delay before the descriptor is published again after a failed append.
 const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Version of the heartbeat encoding.
-const SCHEMA: u8 = 7;
+const SCHEMA: u8 = 8;
+
+/// A datagram between hosts.
+#[derive(Debug, Serialize, Deserialize)]
+enum PeerMessage {
+    Heartbeat(Box<Heartbeat>),
+    Origin(OriginMessage),
+}
 
 /// Wire format of a heartbeat.
 #[derive(Debug, Serialize, Deserialize)]
@@ -110,8 +118,8 @@
 
 /// Sends and receives heartbeats.
 pub(crate) async fn exchange_heartbeats(node: Arc<SwitchNode>, socket: UdpSocket) {
-    let socket = Arc::new(socket);
-    tokio::spawn(receive_heartbeats(node.clone(), socket.clone()));
+    let socket = node.socket.get_or_init(|| socket);
+    tokio::spawn(receive_messages(node.clone()));
     let mut round = 0;
     let mut next = Instant::now();
     loop {
@@ -120,7 +128,7 @@
             () = node.heartbeat_requested.notified() => false,
             () = node.neighbour_heartbeat_requested.notified() => true,
         };
-        let interval = send_heartbeat(&node, &socket, round, neighbours_only).await;
+        let interval = send_heartbeat(&node, socket, round, neighbours_only).await;
         if !neighbours_only {
             round += 1;
             next = Instant::now() + interval;
@@ -147,6 +155,7 @@
                 state.load.remove_host(&name);
             }
             update_affinity(node, &mut state, now);
+            state.origins.expire(now);
         }
         let neighbours = &state.load.affinity().neighbours;
         let descriptors: Vec<_> = state.members.all().map(|entry| &entry.descriptor).collect();
@@ -169,29 +178,53 @@
         };
         (heartbeat, targets, interval)
     };
-    send_to_targets(node, socket, &heartbeat, &targets).await;
+    let message = PeerMessage::Heartbeat(Box::new(heartbeat));
+    if let Some(bytes) = encode(node, &message) {
+        send_to_targets(node, socket, &bytes, &targets).await;
+    }
     interval
 }
 
-async fn send_to_targets(
-    node: &SwitchNode,
-    socket: &UdpSocket,
-    heartbeat: &Heartbeat,
-    targets: &[SocketAddr],
-) {
-    let bytes = match postcard::to_stdvec(&(SCHEMA, heartbeat)) {
-        Ok(bytes) if bytes.len() <= MAX_HEARTBEAT_BYTES => bytes,
+fn encode(node: &SwitchNode, message: &PeerMessage) -> Option<Vec<u8>> {
+    match postcard::to_stdvec(&(SCHEMA, message)) {
+        Ok(bytes) if bytes.len() <= MAX_HEARTBEAT_BYTES => Some(bytes),
         Ok(bytes) => {
             warn!(node.deps.logger, "heartbeat too large"; "bytes" => bytes.len());
-            return;
+            None
         }
         Err(error) => {
             warn!(node.deps.logger, "heartbeat not encoded"; "cause" => %error);
-            return;
+            None
         }
+    }
+}
+
+/// Sends a message about the origin of a stream, without waiting. A host that is not started sends nothing.
+pub(crate) fn send_origin_message(
+    node: &SwitchNode,
+    message: OriginMessage,
+    targets: &[SocketAddr],
+) {
+    let bytes = encode(node, &PeerMessage::Origin(message));
+    let (Some(bytes), Some(socket)) = (bytes, node.socket.get()) else {
+        return;
     };
     for target in targets {
-        if let Err(error) = socket.send_to(&bytes, target).await {
+        if let Err(error) = socket.try_send_to(&bytes, *target) {
+            // The other hosts that are sent the message suffice.
+            slog::debug!(node.deps.logger, "message not sent"; "to" => %target, "cause" => %error);
+        }
+    }
+}
+
+async fn send_to_targets(
+    node: &SwitchNode,
+    socket: &UdpSocket,
+    bytes: &[u8],
+    targets: &[SocketAddr],
+) {
+    for target in targets {
+        if let Err(error) = socket.send_to(bytes, target).await {
             // The next heartbeat follows within the interval. If all fail, the receivers time this host out.
             slog::debug!(node.deps.logger, "heartbeat not sent"; "to" => %target, "cause" => %error);
         }
@@ -212,12 +245,20 @@
     state.load.set_affinity(affinity);
 }
 
-async fn receive_heartbeats(node: Arc<SwitchNode>, socket: Arc<UdpSocket>) {
+async fn receive_messages(node: Arc<SwitchNode>) {
+    let Some(socket) = node.socket.get() else {
+        return;
+    };
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok((SCHEMA, heartbeat)) => handle_heartbeat(&node, heartbeat),
+                Ok((SCHEMA, PeerMessage::Heartbeat(heartbeat))) => {
+                    handle_heartbeat(&node, *heartbeat);
+                }
+                Ok((SCHEMA, PeerMessage::Origin(message))) => {
+                    node.handle_origin_message(message, from);
+                }
                 Ok((schema, _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
@@ -264,7 +305,7 @@
             "endpoint" => endpoint.map(|endpoint| endpoint.id.to_string()),
             "cause" => "a host says that it answers with failures");
     }
-    listings::apply_report(node, &mut state, &name, &heartbeat.listings);
+    listings::apply_report(node, &mut state, &name, &heartbeat.listings, now);
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
     let must_preempt = state.running.iter().any(|running| {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,8 +6,8 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`]
-//! and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`],
+//! [`origins`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
@@ -28,6 +28,8 @@
 pub mod metrics;
 pub mod node;
 pub mod online;
+mod origin_exchange;
+pub mod origins;
 pub mod overload;
 pub mod progress;
 pub mod record;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -61,9 +61,12 @@
     state: &mut SwitchState,
     host: &str,
     report: &ListingReport,
+    now: Instant,
 ) {
-    let confirmed = state.endpoints.confirm_removals(report.confirmed_until);
-    let departed = state.endpoints.apply_departures(&report.departures);
+    let confirmed = state
+        .endpoints
+        .confirm_removals(report.confirmed_until, now);
+    let departed = state.endpoints.apply_departures(&report.departures, now);
     let causes = [
         (
             confirmed,
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -4,7 +4,7 @@
 //! Endpoints are not polled.
 
 use crate::affinity::HostAffinity;
-use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
 use crate::report::{EndpointKey, EndpointReport, LoadReport, RequestCounts};
 use crate::wait::{ResponseTimes, RunStarts, WaitingRequests};
@@ -342,17 +342,17 @@
     ///
     /// Prefers the endpoint with the fewest online requests, since batch items are preempted. A random addend of less
     /// than one request spreads the choices of hosts with the same view of the load.
-    pub fn pick_online(
+    pub fn pick_online<'a>(
         &self,
-        table: &EndpointTable,
-        service: &str,
+        table: &'a EndpointTable,
+        filter: impl Into<EndpointFilter<'a>>,
         excluded: &[Arc<str>],
         max_wait: Duration,
         now: Instant,
         rng: &mut impl Rng,
     ) -> EndpointPick {
         let usable: Vec<_> = table
-            .serving(service, now)
+            .serving(filter, now)
             .filter(|endpoint| !excluded.contains(&endpoint.id))
             .collect();
         let any_healthy = usable
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -2,6 +2,7 @@
 
 use crate::schedule::{ItemKey, ItemName};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -281,3 +282,18 @@
         .last_heartbeat
         .is_some_and(|received_at| now.duration_since(received_at) <= timeout)
 }
+
+/// Returns the `count` hosts with the highest rank for `hash` by rendezvous hashing.
+pub fn highest_ranked<'a>(
+    hosts: impl Iterator<Item = &'a MemberEntry>,
+    hash: u64,
+    count: usize,
+) -> Vec<&'a HostDescriptor> {
+    let mut ranked: Vec<_> = hosts
+        .map(|entry| &entry.descriptor)
+        .map(|host| (xxh3_64_with_seed(host.name.as_bytes(), hash), host))
+        .collect();
+    ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, host)| host).collect()
+}
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -10,6 +10,7 @@
 use crate::load::{LoadView, RequestClass};
 use crate::members::{HostDescriptor, MemberTable};
 use crate::metrics::SwitchMetrics;
+use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
@@ -20,7 +21,7 @@
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
@@ -112,6 +113,7 @@
     pub(crate) endpoints: EndpointTable,
     pub(crate) departures: RecentDepartures,
     pub(crate) load: LoadView,
+    pub(crate) origins: OriginTable,
     pub(crate) overload: OverloadTracker,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
@@ -168,6 +170,10 @@
     pub(crate) metrics: SwitchMetrics,
     /// Requests a scheduling pass before the next interval.
     pub(crate) schedule_requested: Notify,
+    /// Socket for messages to and from other hosts; set when the host is started.
+    pub(crate) socket: OnceLock<UdpSocket>,
+    /// Notifies the tasks that wait for the origin of a stream.
+    pub(crate) origin_received: Notify,
     /// Requests an immediate heartbeat to all hosts.
     pub(crate) heartbeat_requested: Notify,
     /// Requests an immediate heartbeat to the neighbours.
@@ -190,6 +196,7 @@
             endpoints: EndpointTable::default(),
             departures: RecentDepartures::default(),
             load: LoadView::default(),
+            origins: OriginTable::default(),
             overload: OverloadTracker::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
@@ -213,6 +220,8 @@
             state: Mutex::new(state),
             metrics: SwitchMetrics::default(),
             schedule_requested: Notify::new(),
+            socket: OnceLock::new(),
+            origin_received: Notify::new(),
             heartbeat_requested: Notify::new(),
             neighbour_heartbeat_requested: Notify::new(),
             started: Instant::now(),
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -85,6 +85,7 @@
                     continue;
                 }
                 self.last_event = event.id.or(self.last_event);
+                self.exchange.record_event(&self.endpoint);
                 return Some(Ok(event.bytes));
             }
             let deadline = self.stall_deadline();
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -3,10 +3,11 @@
 mod forward;
 
 use crate::backend::{CallError, CallOptions, EndpointCall, EndpointResponse};
-use crate::endpoint::ListedEndpoint;
+use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::{InFlightGuard, InFlightRequest};
 use crate::load::{EndpointPick, RequestClass};
 use crate::node::{SwitchNode, SwitchState, millis};
+use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::overload::Rejection;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
@@ -24,6 +25,8 @@
 /// Time without data from an endpoint after which it is avoided and an idempotent request is retried elsewhere. Well
 /// under the 2 s after which callers abandon a stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum expected wait with which a stream is resumed. Well under the 2 s after which callers abandon a stream.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 /// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
 const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Retry-after value sent to callers when no endpoint is available.
@@ -68,6 +71,7 @@
             node: self.clone(),
             request,
             tried: Vec::new(),
+            version: None,
             sends: 0,
             runs: 0,
             started: Instant::now(),
@@ -105,6 +109,8 @@
     request: OnlineRequest,
     /// Endpoints at which an attempt has failed.
     tried: Vec<Arc<str>>,
+    /// Software version that began the stream and at which it goes on; `None` before the first event.
+    version: Option<VersionKey>,
     /// Number of attempts.
     sends: u32,
     /// Number of failed attempts that may have run.
@@ -131,6 +137,9 @@
 impl OnlineExchange {
     /// Sends the request, with retries, until an endpoint responds.
     async fn first_response(&mut self) -> Result<Opened, OnlineReply> {
+        if self.request.resume_after.is_some() {
+            self.version = Some(self.find_version().await?);
+        }
         loop {
             let (endpoint, guard) = self.pick()?;
             let opened = self.open(&endpoint, self.request.resume_after).await;
@@ -154,6 +163,47 @@
         }
     }
 
+    /// Finds the software version that began the stream which the request takes up.
+    async fn find_version(&self) -> Result<VersionKey, OnlineReply> {
+        let (request, route) = (&self.request, &self.request.route);
+        let found = self.node.find_origin(request.resumes.as_deref(), route);
+        found.await.ok_or_else(|| {
+            info!(self.node.deps.logger, "request not routed"; "request" => &*request.call.id,
+                "resumes" => request.resumes.as_deref(), "resume_after" => request.resume_after,
+                "cause" => "no host knows which software version began the stream");
+            self.failure_reply(NO_ENDPOINT_RETRY_AFTER)
+        })
+    }
+
+    /// Records that the caller has got an event from an endpoint.
+    fn record_event(&mut self, endpoint: &ListedEndpoint) {
+        if self.version.is_none() {
+            let version = endpoint.version_key();
+            self.version = Some(version);
+            let stream = StreamKey::of(&self.request.call.id);
+            self.node.record_origin(StreamOrigin { stream, version });
+        }
+    }
+
+    /// Selects the service of the next attempt. A stream goes on at the service that began it.
+    fn pick_service(&self, state: &mut SwitchState, now: Instant) -> Option<Arc<str>> {
+        let route = &self.request.route;
+        let draw = state.rng.random::<f64>();
+        let drawn = route.pick_service(draw);
+        let Some(version) = self.version else {
+            return drawn.cloned();
+        };
+        let services = route.shares.iter().map(|share| &share.service);
+        let mut with_version = services.filter(|service| {
+            let filter = EndpointFilter {
+                service,
+                version: Some(version),
+            };
+            state.endpoints.serving(filter, now).next().is_some()
+        });
+        with_version.next().or(drawn).cloned()
+    }
+
     /// Selects an endpoint and counts the request there.
     fn pick(&mut self) -> Result<(Arc<ListedEndpoint>, InFlightGuard), OnlineReply> {
         let now = Instant::now();
@@ -166,19 +216,20 @@
         }
         let mut state = self.node.lock();
         let state = &mut *state;
-        let draw = state.rng.random::<f64>();
-        let Some(service) = self.request.route.pick_service(draw) else {
+        let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
-        let times = state.load.response_times();
-        let target = self.request.route.latency_target;
-        let max_wait = max_wait(target, times.first_byte(), remaining);
+        let max_wait = self.max_wait(state, remaining);
+        let filter = EndpointFilter {
+            service: &service,
+            version: self.version,
+        };
         let mut pick_from = |tried: &[Arc<str>]| {
             let endpoints = &state.endpoints;
             let rng = &mut state.rng;
             state
                 .load
-                .pick_online(endpoints, service, tried, max_wait, now, rng)
+                .pick_online(endpoints, filter, tried, max_wait, now, rng)
         };
         let mut pick = pick_from(&self.tried);
         if pick == EndpointPick::Missing && self.runs > 0 {
@@ -189,7 +240,7 @@
             EndpointPick::Use(endpoint) => {
                 let load = state.load.total(&endpoint.id);
                 info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-                    "service" => &**service, "endpoint" => &*endpoint.id,
+                    "service" => &*service, "endpoint" => &*endpoint.id,
                     "version" => &*endpoint.version, "send" => self.sends + 1,
                     "resumes" => self.request.resumes.as_deref(),
                     "resume_after" => self.request.resume_after,
@@ -209,18 +260,29 @@
             }
             EndpointPick::Full { wait } => {
                 let expected = ExpectedWait { wait, max_wait };
-                let retry_after = self.reject_full(state, service, expected, remaining);
+                let retry_after = self.reject_full(state, &service, expected, remaining);
                 Err(self.failure_reply(retry_after))
             }
             EndpointPick::Missing => {
                 info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-                    "service" => &**service, "cause" => "no endpoint is left",
+                    "service" => &*service, "cause" => "no endpoint is left",
+                    "resumes" => self.request.resumes.as_deref(),
                     "tried" => self.tried.len(), "listed" => state.endpoints.len());
                 Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER))
             }
         }
     }
 
+    /// Longest expected wait with which the request is sent.
+    fn max_wait(&self, state: &SwitchState, remaining: Duration) -> Duration {
+        if self.version.is_some() {
+            // The latency target concerns the first event, which the caller has.
+            return MAX_RESUME_WAIT.min(remaining);
+        }
+        let first_byte = state.load.response_times().first_byte();
+        max_wait(self.request.route.latency_target, first_byte, remaining)
+    }
+
     /// Records that the request is rejected since it would wait too long, and returns the retry-after value.
     fn reject_full(
         &self,
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -92,7 +92,7 @@
     table.set(listed("e", 4, false));
     let confirm = |table: &mut EndpointTable| {
         for offset in confirmed {
-            table.confirm_removals(*offset);
+            table.confirm_removals(*offset, now);
         }
     };
     table.mark_log_unavailable();
--- a/crates/switch/tests/switch/versions.rs
+++ b/crates/switch/tests/switch/versions.rs
@@ -2,13 +2,17 @@
 
 use crate::support::CallScript::{BreakAfter, Stream};
 use crate::support::{
-    CallerOutcome, TestFleet, full_text, read_response, request, results, submission, wait_until,
+    CallerOutcome, TestFleet, event, full_text, read_response, request, results, submission,
+    wait_until,
 };
 use fulmarswitch_switch::node::SwitchNode;
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use futures::StreamExt;
+use futures::future::join_all;
+use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Builder;
 use tokio::time::{Instant, sleep};
 
 /// Number of streams in a test. A wrong version is picked for about half of them by chance.
@@ -36,18 +40,24 @@
 }
 
 /// Starts hosts and waits until they hear each other.
-async fn start_hosts<const N: usize>(fleet: &TestFleet, names: [&str; N]) -> [Arc<SwitchNode>; N] {
-    let mut hosts = Vec::new();
-    for name in names {
-        hosts.push(fleet.start(name).await);
-    }
+async fn start_hosts(fleet: &TestFleet, names: &[&str]) -> Vec<Arc<SwitchNode>> {
+    start_hosts_beside(fleet, names, 0).await
+}
+
+/// Starts hosts beside `others` that run already, and waits until they hear each other and these.
+async fn start_hosts_beside(
+    fleet: &TestFleet,
+    names: &[&str],
+    others: usize,
+) -> Vec<Arc<SwitchNode>> {
+    let hosts = join_all(names.iter().map(|name| fleet.start(name))).await;
     wait_until("all hosts", async || {
         hosts
             .iter()
-            .all(|host| host.caller_addresses(64).len() == N)
+            .all(|host| host.caller_addresses(64).len() == hosts.len() + others)
     })
     .await;
-    hosts.try_into().ok().unwrap()
+    hosts
 }
 
 /// Sends a request for a stream, and disconnects after its second event.
@@ -91,7 +101,7 @@
 #[tokio::test]
 async fn stream_is_taken_up_at_the_version_that_began_it() {
     let fleet = mixed_fleet();
-    let hosts = start_hosts(&fleet, ["a", "b", "c"]).await;
+    let hosts = start_hosts(&fleet, &["a", "b", "c"]).await;
     fleet.client.set_default(Stream { events: 5 });
     for index in 0..STREAMS {
         let first = fleet.client.calls().len();
@@ -105,6 +115,85 @@
     }
 }
 
+/// Guards against a stream that goes on at another version since the host that began it is lost, and its origin with it.
+#[tokio::test]
+async fn stream_is_taken_up_at_its_version_after_its_host_is_lost() {
+    let fleet = mixed_fleet();
+    fleet.client.set_default(Stream { events: 5 });
+    // Dropping the runtime of this host stops the host.
+    let lost_host = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let starting = fleet.clone();
+    let lost = lost_host.spawn(async move { starting.start("lost").await });
+    let lost = lost.await.unwrap();
+    // More hosts than an origin is copied to, so that some have to ask others.
+    let hosts = start_hosts_beside(&fleet, &["a", "b", "c", "d", "e", "f", "g", "h"], 1).await;
+    wait_until("the other hosts", async || {
+        lost.caller_addresses(64).len() == 9
+    })
+    .await;
+    let began = fleet.client.calls().len();
+    for index in 0..hosts.len() {
+        let (node, id) = (lost.clone(), format!("r{index}"));
+        let stream = lost_host.spawn(async move { begin_stream(&node, &id).await });
+        stream.await.unwrap();
+    }
+    lost_host.shutdown_background();
+    let taken_up = fleet.client.calls().len();
+    for (index, node) in hosts.iter().enumerate() {
+        let request = resumption(node, "s", &format!("r{index}"));
+        let outcome = read_response(node, request).await;
+        assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+    }
+    let versions = called_versions(&fleet, began);
+    assert_eq!(versions[..hosts.len()], versions[taken_up - began..]);
+}
+
+/// Guards against a stream that goes on at a version which may not have begun it.
+#[rstest]
+#[case::with_two_versions(&[], false)]
+#[case::with_one_version(&["v1-a", "v1-b"], true)]
+#[case::with_one_version_and_one_that_left(&["v1-a", "v1-b", "v2-a"], false)]
+#[tokio::test(start_paused = true)]
+async fn stream_of_unknown_origin(#[case] listed: &[&str], #[case] is_served: bool) {
+    let fleet = mixed_fleet();
+    for id in ["v1-a", "v1-b", "v2-a", "v2-b"] {
+        if !listed.is_empty() && !listed.contains(&id) {
+            fleet.log.put("endpoints", id, "");
+        }
+    }
+    let node = fleet.start("a").await;
+    if listed.contains(&"v2-a") {
+        fleet.log.put("endpoints", "v2-a", "");
+        sleep(Duration::from_secs(1)).await;
+    }
+    let outcome = read_response(&node, resumption(&node, "s", "unknown")).await;
+    let expected = [CallerOutcome::Rejected, CallerOutcome::Complete(event(3))];
+    assert_eq!(outcome, expected[usize::from(is_served)]);
+    assert_eq!(fleet.client.calls().len(), usize::from(is_served));
+}
+
+/// Guards against a stream that goes on at another version since its own is gone.
+#[tokio::test(start_paused = true)]
+async fn stream_is_rejected_when_no_endpoint_has_its_version() {
+    let fleet = mixed_fleet();
+    let node = fleet.start("a").await;
+    begin_stream(&node, "r").await;
+    let left = called_versions(&fleet, 0).remove(0);
+    for id in ["a", "b"] {
+        fleet
+            .log
+            .put("endpoints", &format!("{left}-{id}"), "draining");
+    }
+    sleep(Duration::from_secs(1)).await;
+    let outcome = read_response(&node, resumption(&node, "s", "r")).await;
+    assert_eq!(outcome, CallerOutcome::Rejected);
+    assert_eq!(fleet.client.calls().len(), 1);
+}
+
 /// Guards against the output of an item with events of two software versions after its endpoint broke off.
 #[tokio::test(start_paused = true)]
 async fn interrupted_item_continues_at_its_own_version() {
