Continue items of jobs only at the software version that wrote their output

What callers saw: the text of an item could have events of two software versions of a service; what two versions write does not fit together.

Cause: as for streams, the version of an endpoint was not known, and neither the output of an item nor its checkpoints named the version that wrote them.

Change: the output of an item and its segments in the log have a version; an item runs at that version while any endpoint has it, and starts again from the beginning otherwise. Segments of another version are not joined (segments_of_two_versions_are_not_joined). Checkpoints of earlier releases have no version and are not continued; their jobs and results stay readable.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -7,12 +7,14 @@
 pub(crate) use outcomes::hand_over;
 
 use crate::backend::EndpointCall;
-use crate::endpoint::ListedEndpoint;
+use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::InFlightGuard;
 use crate::jobs::MAX_CLOCK_SKEW;
 use crate::ledger::{ItemState, LedgerItem, LedgerJob};
 use crate::load::RequestClass;
 use crate::node::{RunningItem, SwitchNode, SwitchState, millis, unix_time_ms};
+use crate::origins::VersionKey;
+use crate::progress::{ProgressSegment, SegmentChain};
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -127,10 +129,10 @@
         let Some((call, route)) = build_call(state, &routes, &item.name) else {
             continue;
         };
-        let draw = state.rng.random::<f64>();
-        let Some(service) = route.pick_service(draw) else {
+        let Some(target) = pick_target(state, &item.name, &route, now) else {
             continue;
         };
+        let service = target.service;
         let index = match quotas.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
@@ -143,17 +145,75 @@
             continue;
         }
         let endpoints = &state.endpoints;
+        let filter = EndpointFilter {
+            service,
+            version: target.version,
+        };
         let picked = state
             .load
-            .pick_batch(endpoints, service, now, &mut state.rng);
+            .pick_batch(endpoints, filter, now, &mut state.rng);
         let Some(endpoint) = picked else {
             continue;
         };
         quotas[index].1 -= 1;
-        start_item(node, state, item.name, &endpoint, call, updates);
+        let segments = if target.starts_again {
+            state.remove_progress(&item.name);
+            Vec::new()
+        } else {
+            checkpoints(state, &item.name).map_or_else(Vec::new, |chain| chain.segments().to_vec())
+        };
+        start_item(node, state, item.name, &endpoint, call, segments, updates);
     }
 }
 
+/// Where an item may run.
+struct ItemTarget<'a> {
+    service: &'a Arc<str>,
+    /// Software version that has written the item's output so far; `None` if it starts from the beginning.
+    version: Option<VersionKey>,
+    /// Whether the output so far is discarded, since no endpoint has the version that wrote it.
+    starts_again: bool,
+}
+
+/// Selects where an item runs: at the software version that has written its output so far, if any endpoint has it.
+fn pick_target<'a>(
+    state: &mut SwitchState,
+    name: &ItemName,
+    route: &'a ServiceRoute,
+    now: Instant,
+) -> Option<ItemTarget<'a>> {
+    let version = output_version(state, name);
+    let table = &state.endpoints;
+    let found = version.and_then(|version| {
+        let service = table.service_with_version(route.services(), version, now)?;
+        Some(ItemTarget {
+            service,
+            version: Some(version),
+            starts_again: false,
+        })
+    });
+    found.or_else(|| {
+        Some(ItemTarget {
+            service: route.pick_service(state.rng.random::<f64>())?,
+            version: None,
+            starts_again: version.is_some(),
+        })
+    })
+}
+
+/// Software version that has written the output of an item so far, which this host has or which is in the log.
+fn output_version(state: &SwitchState, name: &ItemName) -> Option<VersionKey> {
+    let local = state.progress.iter().find(|(known, _)| known == name);
+    let local = local.and_then(|(_, progress)| progress.lock().version());
+    local.or_else(|| checkpoints(state, name)?.version())
+}
+
+/// Checkpoints of an item in the log.
+fn checkpoints<'a>(state: &'a SwitchState, name: &ItemName) -> Option<&'a SegmentChain> {
+    let job = state.ledger.get(&name.job)?;
+    Some(&job.items[name.item as usize].checkpoints)
+}
+
 /// Items that this host should run and is not running yet. Abandons items that have expired or have no route.
 fn runnable_items(
     node: &SwitchNode,
@@ -279,16 +339,10 @@
     name: ItemName,
     endpoint: &Arc<ListedEndpoint>,
     call: EndpointCall,
+    segments: Vec<ProgressSegment>,
     updates: &mpsc::UnboundedSender<ItemUpdate>,
 ) {
     let progress = state.start_progress(&name);
-    let job = state.ledger.get(&name.job);
-    let segments = job.map(|job| {
-        job.items[name.item as usize]
-            .checkpoints
-            .segments()
-            .to_vec()
-    });
     let (cancel, cancelled) = oneshot::channel();
     info!(node.deps.logger, "item started"; "job" => &*name.job, "item" => name.item,
         "id" => &*call.id, "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
@@ -315,7 +369,7 @@
         endpoint: endpoint.clone(),
         call,
         progress,
-        segments: segments.unwrap_or_default(),
+        segments,
         resumed_after: None,
     };
     tokio::spawn(run.run(cancelled, updates.clone()));
--- a/crates/switch/src/batch/outcomes.rs
+++ b/crates/switch/src/batch/outcomes.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{AppendError, KeyedRecord, LogPartition};
 use crate::node::{JOB_POLL_INTERVAL, SwitchNode};
-use crate::progress::{ProgressDelta, SharedProgress};
+use crate::progress::{ProgressDelta, ProgressSegment, SharedProgress};
 use crate::record::{ItemOutcome, JobRecord, TextLocation, split_frames, text_key};
 use crate::schedule::ItemName;
 use bytes::Bytes;
@@ -215,14 +215,17 @@
     };
     let records: Vec<JobRecord> = deltas
         .iter()
-        .map(|(name, _, delta, location)| JobRecord::Progress {
+        .map(|(name, _, delta, location)| JobRecord::Checkpoint {
             job: name.job.clone(),
             item: name.item,
-            after: delta.after,
-            last_event: delta.last_event,
-            location: TextLocation {
-                offset: location.offset + first,
-                ..location.clone()
+            segment: ProgressSegment {
+                version: delta.version,
+                after: delta.after,
+                last_event: delta.last_event,
+                location: TextLocation {
+                    offset: location.offset + first,
+                    ..location.clone()
+                },
             },
         })
         .collect();
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -115,6 +115,9 @@
         if !self.endpoint_serves() {
             return RunOutcome::NotSent;
         }
+        if self.progress.lock().is_empty() {
+            *self.progress.lock() = ItemProgress::new(self.endpoint.version_key());
+        }
         let deadline = Instant::now() + RUN_TIMEOUT;
         self.resumed_after = self.progress.lock().last_event();
         let options = CallOptions {
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -326,6 +326,20 @@
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// The first of some services that has an endpoint of a software version which accepts new work.
+    pub fn service_with_version<'a>(
+        &self,
+        services: impl IntoIterator<Item = &'a Arc<str>>,
+        version: VersionKey,
+        now: Instant,
+    ) -> Option<&'a Arc<str>> {
+        let version = Some(version);
+        services.into_iter().find(|service| {
+            let filter = EndpointFilter { service, version };
+            self.serving(filter, now).next().is_some()
+        })
+    }
+
     /// Whether the listings were read so lately that no version can be missing.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -141,7 +141,11 @@
                 outcome: ItemOutcome::Completed(location),
                 ..
             }
-            | JobRecord::Progress { location, .. } => Some(FrameRange::from_text(location)),
+            | JobRecord::Progress { location, .. }
+            | JobRecord::Checkpoint {
+                segment: ProgressSegment { location, .. },
+                ..
+            } => Some(FrameRange::from_text(location)),
             _ => None,
         };
         let change = self.apply(record);
@@ -165,18 +169,8 @@
                 }
                 None => LedgerChange::Repeated,
             },
-            JobRecord::Progress {
-                job,
-                item,
-                after,
-                last_event,
-                location,
-            } => {
-                let segment = ProgressSegment {
-                    after,
-                    last_event,
-                    location,
-                };
+            JobRecord::Progress { .. } => LedgerChange::Repeated,
+            JobRecord::Checkpoint { job, item, segment } => {
                 let item = self.open_item_mut(&job, item);
                 if item.is_some_and(|item| item.checkpoints.push(segment)) {
                     LedgerChange::Progressed
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -383,15 +383,15 @@
     }
 
     /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free qualify.
-    pub fn pick_batch(
+    pub fn pick_batch<'a>(
         &self,
-        table: &EndpointTable,
-        service: &str,
+        table: &'a EndpointTable,
+        filter: impl Into<EndpointFilter<'a>>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
         table
-            .serving(service, now)
+            .serving(filter, now)
             .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
             .filter(|endpoint| !self.is_full(&endpoint.id, now))
             .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -435,7 +435,7 @@
             JobRecord::Accepted(_) => "accepted",
             JobRecord::Settled { .. } => "settled",
             JobRecord::Failed { .. } => "failed",
-            JobRecord::Progress { .. } => "progress",
+            JobRecord::Progress { .. } | JobRecord::Checkpoint { .. } => "progress",
             JobRecord::Cancelled { .. } => "ended",
         };
         let last_key = &last_frame.record.key;
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -193,15 +193,9 @@
         let Some(version) = self.version else {
             return drawn.cloned();
         };
-        let services = route.shares.iter().map(|share| &share.service);
-        let mut with_version = services.filter(|service| {
-            let filter = EndpointFilter {
-                service,
-                version: Some(version),
-            };
-            state.endpoints.serving(filter, now).next().is_some()
-        });
-        with_version.next().or(drawn).cloned()
+        let table = &state.endpoints;
+        let serving = table.service_with_version(route.services(), version, now);
+        serving.or(drawn).cloned()
     }
 
     /// Selects an endpoint and counts the request there.
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -49,7 +49,7 @@
         resumes: Option<&str>,
         route: &ServiceRoute,
     ) -> Option<VersionKey> {
-        let services: Vec<&str> = route.shares.iter().map(|share| &*share.service).collect();
+        let services: Vec<&str> = route.services().map(|service| &**service).collect();
         let stream = resumes.map(StreamKey::of);
         if let Some(known) = stream.and_then(|stream| self.lock().origins.version_of(stream)) {
             return Some(known);
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -1,11 +1,15 @@
 //! Output of an item so far, and its segments in the log.
 
+use crate::origins::VersionKey;
 use crate::record::TextLocation;
+use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A segment of an item's output in the log, written by one checkpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressSegment {
+    /// Software version of the endpoints that wrote the output up to here.
+    pub version: VersionKey,
     /// ID of the last event before the segment; `None` at the start of the output.
     pub after: Option<u64>,
     /// ID of the last event in the segment.
@@ -25,11 +29,24 @@
 }
 
 impl SegmentChain {
-    /// Appends a segment if it continues the chain. Segments of other runs are ignored. Returns whether it was appended.
+    /// Appends a segment if it continues the chain, or begins a new chain at another software version. Segments of other
+    /// runs are ignored. Returns whether it was appended.
     pub fn push(&mut self, segment: ProgressSegment) -> bool {
         let writer = segment.location.writer();
+        let has_other_version = self
+            .version()
+            .is_some_and(|version| version != segment.version);
+        if has_other_version && segment.after.is_none() {
+            // The item started again since no endpoint had the version of the chain.
+            self.segments.clear();
+            self.other_writers.retain(|other| *other != writer);
+        }
         let last = self.segments.last().map(|segment| segment.last_event);
-        let follows = segment.after == last && !self.other_writers.contains(&writer);
+        let same_version = self
+            .version()
+            .is_none_or(|version| version == segment.version);
+        let follows =
+            segment.after == last && same_version && !self.other_writers.contains(&writer);
         if follows {
             self.segments.push(segment);
         } else if !self.other_writers.contains(&writer) {
@@ -38,6 +55,12 @@
         follows
     }
 
+    /// Software version that wrote the segments; `None` if there are none.
+    #[must_use]
+    pub fn version(&self) -> Option<VersionKey> {
+        self.segments.first().map(|segment| segment.version)
+    }
+
     /// Segments in order.
     #[must_use]
     pub fn segments(&self) -> &[ProgressSegment] {
@@ -48,6 +71,8 @@
 /// Output that is not in the log yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProgressDelta {
+    /// Software version that wrote the output.
+    pub version: VersionKey,
     /// ID of the last event in the log; `None` if there is none.
     pub after: Option<u64>,
     /// ID of the last event.
@@ -71,6 +96,8 @@
 /// Output of an item so far.
 #[derive(Clone, Debug, Default)]
 pub struct ItemProgress {
+    /// Software version that wrote the output; `None` before the first run.
+    version: Option<VersionKey>,
     last_event: Option<u64>,
     text: Vec<u8>,
     recorded: RecordedState,
@@ -90,12 +117,28 @@
             bytes: text.len(),
         };
         Self {
+            version: Some(last.version),
             last_event: Some(last.last_event),
             text,
             recorded,
         }
     }
 
+    /// Returns the progress of an item that no endpoint has run yet, about to run at a software version.
+    #[must_use]
+    pub fn new(version: VersionKey) -> Self {
+        Self {
+            version: Some(version),
+            ..Self::default()
+        }
+    }
+
+    /// Software version that wrote the output; `None` if there is no output.
+    #[must_use]
+    pub fn version(&self) -> Option<VersionKey> {
+        self.version.filter(|_| !self.is_empty())
+    }
+
     /// Appends an event's data. Returns `false`, without a change, if its ID is not the last one plus 1. The first
     /// event may have any ID.
     ///
@@ -145,7 +188,7 @@
     /// Returns the output that is not in the log; `None` if there is none or if it must not be written.
     #[must_use]
     pub fn delta(&self) -> Option<ProgressDelta> {
-        let last_event = self.last_event?;
+        let (version, last_event) = (self.version?, self.last_event?);
         let (after, start) = match self.recorded {
             RecordedState::Unknown => return None,
             RecordedState::Nothing => (None, 0),
@@ -154,6 +197,7 @@
         };
         let text = self.text.get(start..)?.to_vec();
         (after != Some(last_event)).then_some(ProgressDelta {
+            version,
             after,
             last_event,
             text,
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -5,6 +5,7 @@
 //! see the same records in the same order as those that follow the tail.
 
 use crate::backend::{KeyedRecord, LogEntry};
+use crate::progress::ProgressSegment;
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -99,7 +100,7 @@
         /// Index of the item in the job.
         item: u32,
     },
-    /// A checkpoint: a segment of the output of an item without a final outcome.
+    /// A checkpoint without the software version that wrote it, by a host of an earlier release. It is not continued.
     Progress {
         /// Job ID.
         job: Arc<str>,
@@ -117,6 +118,15 @@
         /// Job ID.
         job: Arc<str>,
     },
+    /// A checkpoint: a segment of the output of an item without a final outcome.
+    Checkpoint {
+        /// Job ID.
+        job: Arc<str>,
+        /// Index of the item in the job.
+        item: u32,
+        /// The segment.
+        segment: ProgressSegment,
+    },
 }
 
 /// Errors in decoding a record from the log.
@@ -145,6 +155,7 @@
             Self::Settled { job, .. }
             | Self::Failed { job, .. }
             | Self::Progress { job, .. }
+            | Self::Checkpoint { job, .. }
             | Self::Cancelled { job } => job,
         }
     }
--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Services that handle the requests.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.shares.iter().map(|share| &share.service)
+    }
+
     /// Selects a service in proportion to the weights by `draw`, a random number between 0 and 1.
     ///
     /// Returns `None` if the route has no service.
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -7,6 +7,7 @@
 use fulmarswitch_switch::events::EventParser;
 use fulmarswitch_switch::ledger::{JobLedger, LedgerChange};
 use fulmarswitch_switch::members::{HostDescriptor, MemberChange, MemberTable};
+use fulmarswitch_switch::origins::VersionKey;
 use fulmarswitch_switch::progress::{ItemProgress, ProgressSegment, SegmentChain};
 use fulmarswitch_switch::record::{
     AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumberGenerator, RecordReader,
@@ -412,6 +413,7 @@
     let numbers = |host| RecordNumberGenerator::new(host, 1);
     let (mut first, mut second) = (numbers("a"), numbers("b"));
     let segment = |writer: &mut RecordNumberGenerator, after, last_event| ProgressSegment {
+        version: version_key("1"),
         after,
         last_event,
         location: TextLocation {
@@ -430,6 +432,38 @@
     assert_eq!(chain.segments().len(), 2);
 }
 
+/// An item that started again at another software version, at another host: the segments of the two versions are not
+/// joined.
+#[test]
+fn segments_of_two_versions_are_not_joined() {
+    let segment = |version, after, last_event| ProgressSegment {
+        version: version_key(version),
+        after,
+        last_event,
+        location: TextLocation {
+            offset: 0,
+            number: RecordNumberGenerator::new(version, 1).next_number(),
+            frames: 1,
+            bytes: 1,
+        },
+    };
+    let mut chain = SegmentChain::default();
+    assert!(chain.push(segment("1", None, 100)));
+    assert!(!chain.push(segment("2", Some(100), 150)));
+    assert_eq!(chain.version(), Some(version_key("1")));
+    assert!(chain.push(segment("2", None, 50)));
+    assert!(!chain.push(segment("1", Some(50), 80)));
+    let second = segment("2", Some(50), 90);
+    assert!(chain.push(second.clone()));
+    assert_eq!(chain.version(), Some(version_key("2")));
+    assert_eq!(chain.segments().len(), 2);
+    assert_eq!(chain.segments()[1], second);
+}
+
+fn version_key(version: &str) -> VersionKey {
+    VersionKey::of("service", version)
+}
+
 /// Output is recorded in segments. A segment of another run has different boundaries and is ignored.
 #[test]
 fn segments_of_one_run_make_its_output() {
@@ -439,7 +473,7 @@
         frames: 1,
         bytes: 1,
     };
-    let mut progress = ItemProgress::default();
+    let mut progress = ItemProgress::new(version_key("1"));
     assert_eq!(progress.delta(), None);
     let mut chain = SegmentChain::default();
     let mut texts = Vec::new();
@@ -451,6 +485,7 @@
         progress.mark_recorded(&delta);
         assert_eq!(progress.delta(), None);
         let segment = ProgressSegment {
+            version: delta.version,
             after: delta.after,
             last_event: delta.last_event,
             location: location(number),
@@ -459,6 +494,7 @@
         texts.push(delta.text);
     }
     let other_run = ProgressSegment {
+        version: version_key("1"),
         after: Some(3),
         last_event: 9,
         location: location(3),
