--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -30,6 +30,7 @@
     attempts: OutcomeCounts,
     jobs: OutcomeCounts,
     items: OutcomeCounts,
+    resumed_streams: OutcomeCounts,
     log_calls: OutcomeCounts,
     first_byte: Histogram,
     request_time: Histogram,
@@ -44,6 +45,7 @@
     deferred_removals: Gauge,
     listing_silence: Gauge,
     config_version: Gauge,
+    stream_origins: Gauge,
     jobs_open: Gauge,
     items_running: Gauge,
     online_running: Gauge,
@@ -53,6 +55,69 @@
     mean_run: Gauge,
 }
 
+impl StateGauges {
+    fn register(&self, registry: &mut Registry) {
+        let gauges = [
+            ("members", "Other hosts heard lately", &self.members),
+            ("endpoints", "Endpoints listed", &self.endpoints),
+            (
+                "endpoints_held_back",
+                "Endpoints in use whose listing was removed",
+                &self.deferred_removals,
+            ),
+            (
+                "listing_silence_ms",
+                "Age of the endpoint listings' last read",
+                &self.listing_silence,
+            ),
+            (
+                "config_version",
+                "Version of the configuration in force",
+                &self.config_version,
+            ),
+            (
+                "stream_origins",
+                "Streams of which this host knows the software version that began them",
+                &self.stream_origins,
+            ),
+            ("jobs_open", "Jobs with items to run", &self.jobs_open),
+            (
+                "items_running",
+                "Batch items in progress here",
+                &self.items_running,
+            ),
+            (
+                "online_running",
+                "Online requests in progress here",
+                &self.online_running,
+            ),
+            (
+                "log_silence_ms",
+                "Age of the jobs' last read",
+                &self.log_silence,
+            ),
+            (
+                "online_overdue",
+                "Online requests that wait for a slot, here and at hosts that are heard",
+                &self.overdue,
+            ),
+            (
+                "usual_first_byte_ms",
+                "Time to the first byte of a request that gets a slot at once",
+                &self.usual_first_byte,
+            ),
+            (
+                "mean_run_ms",
+                "Time for which an online request holds a slot",
+                &self.mean_run,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+}
+
 impl fmt::Debug for SwitchMetrics {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
@@ -69,6 +134,7 @@
             attempts: Family::default(),
             jobs: Family::default(),
             items: Family::default(),
+            resumed_streams: Family::default(),
             log_calls: Family::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
@@ -91,6 +157,11 @@
             ),
             ("jobs", "Submissions of jobs by outcome", &self.jobs),
             ("items", "Runs of batch items by outcome", &self.items),
+            (
+                "resumed_streams",
+                "Streams to be resumed, by whether their software version was found",
+                &self.resumed_streams,
+            ),
             (
                 "log_calls",
                 "Appends and reads of the log by outcome",
@@ -115,64 +186,7 @@
         for (name, help, times) in times {
             registry.register_with_unit(name, help, Unit::Seconds, times.clone());
         }
-        let state_gauges = &self.state_gauges;
-        let gauges = [
-            ("members", "Other hosts heard lately", &state_gauges.members),
-            ("endpoints", "Endpoints listed", &state_gauges.endpoints),
-            (
-                "endpoints_held_back",
-                "Endpoints in use whose listing was removed",
-                &state_gauges.deferred_removals,
-            ),
-            (
-                "listing_silence_ms",
-                "Age of the endpoint listings' last read",
-                &state_gauges.listing_silence,
-            ),
-            (
-                "config_version",
-                "Version of the configuration in force",
-                &state_gauges.config_version,
-            ),
-            (
-                "jobs_open",
-                "Jobs with items to run",
-                &state_gauges.jobs_open,
-            ),
-            (
-                "items_running",
-                "Batch items in progress here",
-                &state_gauges.items_running,
-            ),
-            (
-                "online_running",
-                "Online requests in progress here",
-                &state_gauges.online_running,
-            ),
-            (
-                "log_silence_ms",
-                "Age of the jobs' last read",
-                &state_gauges.log_silence,
-            ),
-            (
-                "online_overdue",
-                "Online requests that wait for a slot, here and at hosts that are heard",
-                &state_gauges.overdue,
-            ),
-            (
-                "usual_first_byte_ms",
-                "Time to the first byte of a request that gets a slot at once",
-                &state_gauges.usual_first_byte,
-            ),
-            (
-                "mean_run_ms",
-                "Time for which an online request holds a slot",
-                &state_gauges.mean_run,
-            ),
-        ];
-        for (name, help, gauge) in gauges {
-            registry.register(name, help, gauge.clone());
-        }
+        self.state_gauges.register(registry);
     }
 
     pub(crate) fn count_request(&self, outcome: &'static str, elapsed: Duration) {
@@ -196,6 +210,12 @@
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub(crate) fn count_resumed_stream(&self, outcome: &'static str) {
+        self.resumed_streams
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
     pub(crate) fn count_log_call(&self, outcome: &'static str) {
         self.log_calls
             .get_or_create(&OutcomeLabel { outcome })
@@ -240,6 +260,7 @@
                 &state_gauges.deferred_removals,
                 state.endpoints.deferred_removals(),
             ),
+            (&state_gauges.stream_origins, state.origins.len()),
             (&state_gauges.jobs_open, state.ledger.open_jobs().count()),
             (&state_gauges.items_running, state.running.len()),
             (&state_gauges.online_running, state.online_in_flight),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -167,7 +167,14 @@
     async fn find_version(&self) -> Result<VersionKey, OnlineReply> {
         let (request, route) = (&self.request, &self.request.route);
         let found = self.node.find_origin(request.resumes.as_deref(), route);
-        found.await.ok_or_else(|| {
+        let version = found.await;
+        let is_known = if version.is_some() {
+            "known"
+        } else {
+            "unknown"
+        };
+        self.node.metrics.count_resumed_stream(is_known);
+        version.ok_or_else(|| {
             info!(self.node.deps.logger, "request not routed"; "request" => &*request.call.id,
                 "resumes" => request.resumes.as_deref(), "resume_after" => request.resume_after,
                 "cause" => "no host knows which software version began the stream");
--- a/crates/switch/src/origins.rs
+++ b/crates/switch/src/origins.rs
@@ -99,6 +99,18 @@
         Some(self.entries[index].0.version)
     }
 
+    /// Number of origins.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no origin is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Removes the origins that are kept no longer.
     pub fn expire(&mut self, now: Instant) {
         self.entries
