Read the descriptors of hosts once more after publishing one's own

Cause: each host reads the descriptors at its start and then every 4 s. Hosts that start within some milliseconds all read before any has published, and hear each other after the next read only. Later starts are not concerned: the topic still has the descriptors of earlier incarnations.

The test hosts_that_start_together_hear_each_other_at_once failed on the code before (each host knew one address after 1 s) and passes now.

Change: one more read after the own descriptor was published; the last host to publish finds all others, and heartbeats do the rest.

--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -88,6 +88,7 @@
         {
             Ok(offset) => {
                 info!(node.deps.logger, "host descriptor published"; "offset" => offset);
+                read_host_descriptors(&node).await;
                 return;
             }
             Err(error @ (AppendError::Refused { .. } | AppendError::Unknown { .. })) => {
@@ -98,6 +99,17 @@
     }
 }
 
+/// Reads the descriptors of all hosts once. Of hosts that start together, the last one to publish its descriptor finds
+/// those of the others, which may have read the log before.
+async fn read_host_descriptors(node: &SwitchNode) {
+    let partition = &node.settings.topics.hosts;
+    match node.deps.log.read_snapshot(partition).await {
+        Ok(page) => apply_host_descriptors(node, FollowBatch::Snapshot(&page)),
+        // The descriptors are read again at an interval.
+        Err(error) => info!(node.deps.logger, "host descriptors not read"; "cause" => %error),
+    }
+}
+
 /// Adds the hosts whose descriptors were read from the log.
 pub(crate) fn apply_host_descriptors(node: &SwitchNode, batch: FollowBatch<'_>) {
     let now = Instant::now();
--- a/crates/switch/tests/switch/fleet.rs
+++ b/crates/switch/tests/switch/fleet.rs
@@ -138,3 +138,16 @@
     second.stop(Instant::now()).await;
     wait_until("one host", async || first.caller_addresses(64).len() == 1).await;
 }
+
+/// Guards against hosts that start at the same moment and do not hear each other for seconds.
+#[tokio::test]
+async fn hosts_that_start_together_hear_each_other_at_once() {
+    let fleet = TestFleet::new(1);
+    let mut hosts = Vec::new();
+    for name in ["a", "b", "c"] {
+        hosts.push(fleet.spawn(name).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let known = hosts.iter().map(|host| host.caller_addresses(64).len());
+    assert_eq!(known.collect::<Vec<_>>(), [3, 3, 3]);
+}
