Read through: names and comments of the fixes; keep the origin of a stream that was told otherwise

A host that goes on with a stream whose origin it asked for, or that has one version only, records the origin, so that a third try finds it. Test that a checkpoint without a version is not continued.

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -1,9 +1,9 @@
 //! Table of the endpoints that are listed in the log.
 //!
 //! A listing is removed when its endpoint leaves, but also when it expires because the endpoint could not renew it in an
-//! outage of the log. The two look the same. A host that lost the log therefore defers the removals that it reads
-//! afterwards. A host that alone was cut off would defer removals of endpoints that have left, so it no longer does so
-//! once another host, which read them without an interruption, has confirmed them.
+//! outage of the log. The two look the same in the log. A host that lost the log therefore defers the removals that it
+//! reads afterwards, until they are due or until another host confirms them. A host that read the log without an
+//! interruption can do so: it would have noticed an outage.
 
 use crate::departures::EndpointDeparture;
 use crate::origins::{RETENTION as ORIGIN_RETENTION, VersionKey};
@@ -97,7 +97,7 @@
 pub struct EndpointTable {
     entries: Vec<TableEntry>,
     /// End of the last outage of the log.
-    available_since: Option<Instant>,
+    regained_at: Option<Instant>,
     log_unavailable: bool,
     /// Start of the reads without an interruption; `None` before the first one and during an outage.
     uninterrupted_since: Option<Instant>,
@@ -144,9 +144,7 @@
         let Ok(index) = self.search(id) else {
             return false;
         };
-        let deferred_until = self
-            .available_since
-            .map(|since| since + RELIST_GRACE_PERIOD);
+        let deferred_until = self.regained_at.map(|since| since + RELIST_GRACE_PERIOD);
         match deferred_until {
             Some(due_at) if now < due_at && offset >= self.confirmed_until => {
                 self.entries[index].removal = Some(DeferredRemoval { offset, due_at });
@@ -197,7 +195,7 @@
         (self.read_at, self.read_until) = (Some(now), end);
         if self.log_unavailable {
             self.log_unavailable = false;
-            self.available_since = Some(now);
+            self.regained_at = Some(now);
         }
     }
 
@@ -340,7 +338,7 @@
         })
     }
 
-    /// Whether the listings were read so lately that no version can be missing.
+    /// Whether the listings were read lately.
     #[must_use]
     pub fn is_current(&self, now: Instant) -> bool {
         self.read_age(now).is_some_and(|age| age <= MAX_READ_GAP)
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -1,5 +1,7 @@
 //! Heartbeats: each host reports to all others that it is alive, whether it is ready, and its load.
 //!
+//! Messages about the origins of streams use the same socket.
+//!
 //! Heartbeats are UDP datagrams. A lost one is not sent again, since the next replaces it. The log is only needed to
 //! find a first peer: each heartbeat to all hosts also carries the descriptor of one other host, in rotation.
 
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -12,8 +12,8 @@
 
 /// Number of hosts that an origin is copied to. With half of all hosts lost at once, one in a hundred is lost.
 const COPIES: usize = 6;
-/// Number of hosts that are asked for an origin. It exceeds the number of copies, since a host that was lost when the
-/// copies were made may be known again, or the other way round.
+/// Number of hosts that are asked for an origin. It exceeds the number of copies, which went to the hosts that were live
+/// when the stream began; another host does not know which these were.
 const ASKED_HOSTS: usize = 16;
 /// Number of times that hosts are asked, as datagrams may be lost.
 const ASK_ROUNDS: u32 = 2;
@@ -62,13 +62,19 @@
                 endpoints.is_current(now),
             )
         };
-        if sole_version.is_some() && is_current {
+        let Some(stream) = stream else {
             return sole_version;
+        };
+        let found = if sole_version.is_some() && is_current {
+            sole_version
+        } else {
+            self.ask_origin(stream).await.or(sole_version)
+        };
+        // The caller may take the stream up once more, after another version has appeared.
+        if let Some(version) = found {
+            self.record_origin(StreamOrigin { stream, version });
         }
-        match stream {
-            Some(stream) => self.ask_origin(stream).await.or(sole_version),
-            None => sole_version,
-        }
+        found
     }
 
     /// Asks other hosts for the origin of a stream.
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -432,6 +432,28 @@
     assert_eq!(chain.segments().len(), 2);
 }
 
+/// Guards against continuing output of which no software version is known.
+#[test]
+fn checkpoint_without_a_version_is_not_continued() {
+    let mut ledger = JobLedger::default();
+    ledger.apply(accepted("j", 1));
+    let progress = JobRecord::Progress {
+        job: "j".into(),
+        item: 0,
+        after: None,
+        last_event: 10,
+        location: TextLocation {
+            offset: 0,
+            number: 1,
+            frames: 1,
+            bytes: 1,
+        },
+    };
+    assert_eq!(ledger.apply(progress), LedgerChange::Repeated);
+    let item = &ledger.get("j").unwrap().items[0];
+    assert_eq!(item.checkpoints, SegmentChain::default());
+}
+
 /// An item that started again at another software version, at another host: the segments of the two versions are not
 /// joined.
 #[test]
