--- a/crates/switch/tests/switch/departures.rs
+++ b/crates/switch/tests/switch/departures.rs
@@ -3,7 +3,8 @@
 //! Heartbeats are real datagrams on loopback, so tests with several hosts run in real time.
 
 use crate::support::{
-    CallScript, CallerOutcome, TestFleet, full_text, results, send_request, submission, wait_until,
+    CallScript, CallerOutcome, MemoryLog, TestFleet, full_text, results, send_request, submission,
+    wait_until,
 };
 use fulmarswitch_switch::node::SwitchNode;
 use rstest::rstest;
@@ -26,32 +27,42 @@
     outcomes
 }
 
-/// Guards against requests to an endpoint that left more than 2 s ago, from a host that alone had lost the log.
-#[tokio::test]
-async fn host_that_alone_lost_the_log_stops_using_removed_endpoints() {
-    let fleet = TestFleet::new(2);
-    let cut_off = fleet.with_other_log_access();
-    let first = cut_off.start("a").await;
+/// Starts a host with its own access to the log, and one beside it that it hears. Returns the access and the first host.
+async fn start_beside_another(fleet: &TestFleet) -> (MemoryLog, Arc<SwitchNode>) {
+    let own_access = fleet.with_other_log_access();
+    let first = own_access.start("a").await;
     let second = fleet.start("b").await;
     wait_until("both hosts", async || {
         first.caller_addresses(64).len() == 2 && second.caller_addresses(64).len() == 2
     })
     .await;
-    cut_off.log.set_cut(true);
-    sleep(Duration::from_secs(3)).await;
-    fleet.log.put("endpoints", "e0", "");
-    let departed = Instant::now();
-    cut_off.log.set_cut(false);
+    (own_access.log, first)
+}
 
+/// Sends requests at `node` from [`DRAIN_TIME`] after `departed` on, and checks that none reaches the endpoint `e0`.
+async fn assert_unused_after(departed: Instant, fleet: &TestFleet, node: &Arc<SwitchNode>) {
     sleep_until(departed + DRAIN_TIME).await;
     let before = fleet.client.calls().len();
-    let outcomes = send_requests(&first).await;
+    let outcomes = send_requests(node).await;
     assert!(outcomes.len() > 10, "{}", outcomes.len());
     let calls = fleet.client.calls().split_off(before);
     let late = calls.iter().filter(|call| &*call.endpoint == "e0").count();
     assert_eq!(late, 0, "of {} calls", calls.len());
 }
 
+/// Guards against requests to an endpoint that left more than 2 s ago, from a host that alone had lost the log.
+#[tokio::test]
+async fn host_that_alone_lost_the_log_stops_using_removed_endpoints() {
+    let fleet = TestFleet::new(2);
+    let (log, first) = start_beside_another(&fleet).await;
+    log.set_cut(true);
+    sleep(Duration::from_secs(3)).await;
+    fleet.log.put("endpoints", "e0", "");
+    let departed = Instant::now();
+    log.set_cut(false);
+    assert_unused_after(departed, &fleet, &first).await;
+}
+
 /// Guards against dropping live endpoints whose listings expired while no host could reach the log.
 #[tokio::test]
 async fn endpoints_that_expire_in_an_outage_for_all_hosts_stay_in_use() {
@@ -115,29 +126,16 @@
 #[tokio::test]
 async fn host_without_the_log_learns_of_departures_from_others(#[case] listing: &str) {
     let fleet = TestFleet::new(2);
-    let cut_off = fleet.with_other_log_access();
-    let first = cut_off.start("a").await;
-    let second = fleet.start("b").await;
-    wait_until("both hosts", async || {
-        first.caller_addresses(64).len() == 2 && second.caller_addresses(64).len() == 2
-    })
-    .await;
+    let (log, first) = start_beside_another(&fleet).await;
+    // The other host reports removals once it has read the log for a while.
     sleep(Duration::from_secs(2)).await;
-    cut_off.log.set_cut(true);
+    log.set_cut(true);
     fleet.log.put("endpoints", "e0", listing);
-    let departed = Instant::now();
-
-    sleep_until(departed + DRAIN_TIME).await;
-    let before = fleet.client.calls().len();
-    let outcomes = send_requests(&first).await;
-    assert!(outcomes.len() > 10, "{}", outcomes.len());
-    let calls = fleet.client.calls().split_off(before);
-    let late = calls.iter().filter(|call| &*call.endpoint == "e0").count();
-    assert_eq!(late, 0, "of {} calls", calls.len());
+    assert_unused_after(Instant::now(), &fleet, &first).await;
 
     // A listing that is renewed after the departure counts again once the host reads it.
     fleet.log.put("endpoints", "e0", "ready");
-    cut_off.log.set_cut(false);
+    log.set_cut(false);
     wait_until("a call to the renewed endpoint", async || {
         send_request(&first, "/once/x").await;
         let calls = fleet.client.calls();
