Record the origin of a stream again while it runs

What callers could see: a stream that had run for more than 30 s and broke was rejected when its caller took it up, while several software versions served.

Cause: the origin was sent to other hosts with the first event only, and each host, the one that serves the stream too, keeps an origin for 30 s.

Evidence: stream_is_taken_up_after_a_long_run failed on the code before (rejected after 45 s) and passes now.

Change: the origin is recorded every 10 s while events arrive. That also gives copies to live hosts again after the first ones were lost, and covers a stream that a caller has taken up, so that the lookup no longer records anything. Three tests say in their first line which failure they guard against.

--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -27,6 +27,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum expected wait with which a stream is resumed. Well under the 2 s after which callers abandon a stream.
 const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which the origin of a running stream is recorded.
+const ORIGIN_INTERVAL: Duration = Duration::from_secs(10);
 /// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
 const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Retry-after value sent to callers when no endpoint is available.
@@ -72,6 +74,7 @@
             request,
             tried: Vec::new(),
             version: None,
+            origin_recorded_at: None,
             sends: 0,
             runs: 0,
             started: Instant::now(),
@@ -111,6 +114,8 @@
     tried: Vec<Arc<str>>,
     /// Software version that began the stream and at which it goes on; `None` before the first event.
     version: Option<VersionKey>,
+    /// When the origin of the stream was last recorded.
+    origin_recorded_at: Option<Instant>,
     /// Number of attempts.
     sends: u32,
     /// Number of failed attempts that may have run.
@@ -182,13 +187,26 @@
         })
     }
 
-    /// Records that the caller has got an event from an endpoint.
+    /// Records that the caller has got an event from an endpoint. The origin of the stream is recorded with the first
+    /// event, and again while the stream runs: hosts keep an origin for a limited time, and those that have it may be lost.
     fn record_event(&mut self, endpoint: &ListedEndpoint) {
-        if self.version.is_none() {
-            let version = endpoint.version_key();
-            self.version = Some(version);
-            let stream = StreamKey::of(&self.request.call.id);
+        let now = Instant::now();
+        let version = *self.version.get_or_insert_with(|| endpoint.version_key());
+        let is_due = self
+            .origin_recorded_at
+            .is_none_or(|recorded_at| now >= recorded_at + ORIGIN_INTERVAL);
+        if is_due && let Some(began_by) = self.began_by() {
+            let stream = StreamKey::of(began_by);
             self.node.record_origin(StreamOrigin { stream, version });
+            self.origin_recorded_at = Some(now);
+        }
+    }
+
+    /// ID of the request that began the stream; `None` if the caller takes one up without naming it.
+    fn began_by(&self) -> Option<&str> {
+        match self.request.resume_after {
+            None => Some(&self.request.call.id),
+            Some(_) => self.request.resumes.as_deref(),
         }
     }
 
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -65,16 +65,10 @@
         let Some(stream) = stream else {
             return sole_version;
         };
-        let found = if sole_version.is_some() && is_current {
-            sole_version
-        } else {
-            self.ask_origin(stream).await.or(sole_version)
-        };
-        // The caller may take the stream up once more, after another version has appeared.
-        if let Some(version) = found {
-            self.record_origin(StreamOrigin { stream, version });
+        if sole_version.is_some() && is_current {
+            return sole_version;
         }
-        found
+        self.ask_origin(stream).await.or(sole_version)
     }
 
     /// Asks other hosts for the origin of a stream.
--- a/crates/switch/src/origins.rs
+++ b/crates/switch/src/origins.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Time for which an origin is kept; callers take a stream up within the timeout of its route.
+/// Time for which an origin is kept: several times the interval at which that of a running stream is recorded.
 pub(crate) const RETENTION: Duration = Duration::from_secs(30);
 /// Maximum number of origins in a table. It bounds their memory.
 const MAX_ORIGINS: usize = 16_384;
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -76,7 +76,7 @@
     assert_eq!(table.len(), expected);
 }
 
-/// A host that lost the log reads the removal of an endpoint at offset 4.
+/// Guards against holding a removal back that another host confirms. A host that lost the log reads one at offset 4.
 #[rstest]
 #[case::not_confirmed(&[], 1)]
 #[case::confirmed_up_to_an_earlier_offset(&[4], 1)]
@@ -108,7 +108,7 @@
     assert_eq!(table.serving("service", now).count(), expected);
 }
 
-/// A host confirms removals only if it would have noticed an outage of the log in which the listings expired.
+/// Guards against confirming an expiry: only a host that would have noticed an outage of the log confirms removals.
 #[rstest]
 #[case::before_the_first_read(&[], 0)]
 #[case::shortly_after_its_start(&[0, 500, 1000], 0)]
@@ -454,8 +454,7 @@
     assert_eq!(item.checkpoints, SegmentChain::default());
 }
 
-/// An item that started again at another software version, at another host: the segments of the two versions are not
-/// joined.
+/// Guards against joining segments of two software versions after an item started again at another host.
 #[test]
 fn segments_of_two_versions_are_not_joined() {
     let segment = |version, after, last_event| ProgressSegment {
--- a/crates/switch/tests/switch/versions.rs
+++ b/crates/switch/tests/switch/versions.rs
@@ -176,6 +176,29 @@
     assert_eq!(fleet.client.calls().len(), usize::from(is_served));
 }
 
+/// Guards against rejecting a stream that ran for longer than hosts keep the origin of one.
+#[tokio::test(start_paused = true)]
+async fn stream_is_taken_up_after_a_long_run() {
+    let fleet = mixed_fleet();
+    let node = fleet.start("a").await;
+    fleet.client.set_default(Stream { events: 3000 });
+    let mut long_request = request(&node, "/resume/x", "r");
+    long_request.deadline = Instant::now() + Duration::from_mins(2);
+    let OnlineReply::Response(mut response) = node.serve_online(long_request).await else {
+        panic!("the stream was not served");
+    };
+    let until = Instant::now() + Duration::from_secs(45);
+    while Instant::now() < until {
+        response.body.next().await.unwrap().unwrap();
+    }
+    drop(response);
+    fleet.client.set_default(Stream { events: 5 });
+    let outcome = read_response(&node, resumption(&node, "s", "r")).await;
+    assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+    let versions = called_versions(&fleet, 0);
+    assert_eq!(versions[0], versions[1]);
+}
+
 /// Guards against a stream that goes on at another version since its own is gone.
 #[tokio::test(start_paused = true)]
 async fn stream_is_rejected_when_no_endpoint_has_its_version() {
