--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,7 +1,8 @@
 //! Online requests: selection of endpoints, retries, and the result for the caller.
 
 use crate::support::CallScript::{
-    BreakAfter, Disconnect, EndlessEvent, Full, Silent, StallAfter, Status, Stream, Unreachable,
+    BreakAfter, Disconnect, EndlessEvent, Full, Pause, Silent, StallAfter, Status, Stream,
+    Unreachable,
 };
 use crate::support::{CallScript, CallerOutcome, TestFleet, event, send_request};
 use bytes::Bytes;
@@ -140,3 +141,44 @@
     );
     assert_eq!(waiting.await.unwrap(), CallerOutcome::TimedOut);
 }
+
+/// An endpoint that is silent for this long goes on afterwards.
+const SILENCE: Duration = Duration::from_millis(1600);
+
+fn pause(after: u64) -> CallScript {
+    Pause {
+        after,
+        silence: SILENCE,
+        events: 5,
+    }
+}
+
+/// Guards against an answer that ends although its endpoint, silent for a while, would have gone on: no other endpoint
+/// takes the request over.
+#[rstest]
+#[case::of_a_stream_without_another_endpoint("/resume/x", 1, &[pause(2)])]
+#[case::of_a_stream_while_all_others_are_full("/resume/x", 5, &[pause(2), Full, Full, Full, Full])]
+#[case::of_a_stream_while_others_are_unreachable("/resume/x", 3, &[pause(2), Unreachable, Unreachable])]
+#[case::of_a_stream_while_another_breaks_off("/resume/x", 3, &[pause(2), Disconnect, Disconnect])]
+#[case::before_the_head_of_a_stream("/resume/x", 1, &[pause(0)])]
+#[case::before_the_head_of_a_stream_while_others_are_full("/resume/x", 5, &[pause(0), Full, Full, Full, Full])]
+#[case::before_the_head_without_another_endpoint("/safe/x", 1, &[pause(0)])]
+#[case::before_the_head_while_others_are_full("/safe/x", 5, &[pause(0), Full, Full, Full, Full])]
+#[case::before_the_head_while_others_break_off("/safe/x", 3, &[pause(0), Disconnect, Disconnect])]
+#[case::before_the_head_while_others_fail("/safe/x", 3, &[pause(0), Status(500), Status(500)])]
+#[tokio::test(start_paused = true)]
+async fn answer_outlasts_a_silence_of_its_endpoint(
+    #[case] path: &str,
+    #[case] endpoints: usize,
+    #[case] scripts: &[CallScript],
+) {
+    let fleet = TestFleet::new(endpoints);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    // Endpoints beyond the scripted calls are of no help either.
+    fleet.client.set_default(Full);
+    let outcome = send_request(&node, path).await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.client.running(), 0, "a call runs without a caller");
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -266,6 +266,12 @@
     BreakAfter { event: u64 },
     /// Streams events and stops sending after this one.
     StallAfter { event: u64 },
+    /// Streams this many events and is silent for this time after one of them, or before the head if `after` is zero.
+    Pause {
+        after: u64,
+        silence: Duration,
+        events: u64,
+    },
     /// Cannot be reached.
     Unreachable,
     /// Refuses the call as full.
@@ -388,9 +394,18 @@
             CallScript::EndlessEvent => return Ok(endless_event(running)),
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
+            CallScript::Pause { events, .. } => (events, false, false, 200),
         };
+        let pause_at = move |position: u64| match script {
+            CallScript::Pause { after, silence, .. } if after == position => silence,
+            _ => Duration::ZERO,
+        };
+        sleep(pause_at(0)).await;
         let first = options.resume_after.map_or(1, |last| last + 1);
-        let sent = stream::iter(first..=events).then(|id| async move {
+        let sent = stream::iter(first..=events).then(move |id| async move {
+            if id > 1 {
+                sleep(pause_at(id - 1)).await;
+            }
             sleep(EVENT_INTERVAL).await;
             Ok(event(id))
         });
