Keep a silent endpoint until another one has taken the request over

Callers saw a stream that ended in the middle, or a 502, although the endpoint that had the request was sound: it was silent for a second and would have gone on.

Cause: after 0.9 s without data the host dropped the running call before another endpoint had been selected, let alone had accepted the request. If all others were full, refused, were of another software version or broke off, or the attempts were used up, nothing was left to answer from.

Now the silent endpoint keeps the request while another is asked. The first one that sends anything has it. The silent one is given up when the other has kept the request for 0.35 s without refusing it, so that two endpoints do not run a request for longer than 0.4 s; two further tests guard that and the case in which the silent endpoint goes on first.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards the body of a response to the caller.
 
-use super::{MIN_REMAINING, OnlineExchange, STALL_TIMEOUT, interrupted, is_endpoint_failure};
+use super::attempts::{AttemptHead, EndpointSilence, SilenceStep};
+use super::{MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{CallError, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventParser;
@@ -14,7 +15,7 @@
 use http::{HeaderMap, StatusCode};
 use slog::info;
 use std::sync::Arc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Forwards a response to the caller, and resumes it at another endpoint where that is allowed.
 pub(super) fn forward(
@@ -36,6 +37,7 @@
         parser: EventParser::default(),
         resumable,
         remaining_bytes: content_length(&response.headers),
+        silence: EndpointSilence::begin(),
         ended: false,
     };
     let body = stream::unfold(forwarded, |mut forwarded| async move {
@@ -53,17 +55,33 @@
 struct ForwardedResponse {
     exchange: OnlineExchange,
     status: StatusCode,
+    /// Endpoint of the body, or of the last one.
     endpoint: Arc<ListedEndpoint>,
-    body: Option<BoxStream<'static, Result<Bytes, CallError>>>,
+    /// `None` after it has broken off, while the response is resumed at another endpoint.
+    body: Option<ResponseChunks>,
     guard: Option<InFlightGuard>,
     parser: EventParser,
     last_event: Option<u64>,
     resumable: bool,
     /// Bytes not received yet of a response with a content length.
     remaining_bytes: Option<u64>,
+    /// Time without an event, for responses that may be resumed.
+    silence: EndpointSilence,
     ended: bool,
 }
 
+type ResponseChunks = BoxStream<'static, Result<Bytes, CallError>>;
+
+/// What a response that may be resumed waits for.
+enum ResponseInput {
+    /// A chunk of the body; `None` at its end.
+    Chunk(Option<Result<Bytes, CallError>>),
+    /// The head of a response of another endpoint.
+    Head(AttemptHead),
+    /// No endpoint has sent anything.
+    Silence(SilenceStep),
+}
+
 impl ForwardedResponse {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, CallError>> {
         if self.ended {
@@ -74,111 +92,167 @@
             return self.read_chunk(deadline).await;
         }
         loop {
-            if let Some(event) = self.parser.next_event() {
-                if let (Some(id), Some(last)) = (event.id, self.last_event)
-                    && id != last + 1
-                {
-                    self.parser.clear();
-                    if let Err(error) = self.resume("event IDs are not consecutive").await {
-                        return Some(self.interrupt(error));
-                    }
-                    continue;
-                }
-                self.last_event = event.id.or(self.last_event);
-                self.exchange.record_event(&self.endpoint);
-                return Some(Ok(event.bytes));
+            match self.next_event() {
+                Ok(None) => {}
+                Ok(Some(event)) => return Some(Ok(event)),
+                Err(error) => return Some(self.interrupt(error)),
             }
-            let deadline = self.stall_deadline();
-            match self.read_chunk(deadline).await {
-                Some(Ok(chunk)) => {
-                    if !self.parser.push(&chunk) {
-                        let error = interrupted("an event exceeds 1 MiB");
-                        return Some(self.interrupt(error));
-                    }
+            let handled = match self.next_input().await {
+                ResponseInput::Chunk(Some(Ok(chunk))) => self.apply_chunk(&chunk),
+                ResponseInput::Chunk(Some(Err(error))) => self.resume(&error),
+                ResponseInput::Chunk(None) if self.parser.has_partial_event() => {
+                    self.resume(&interrupted("the last event is incomplete"))
+                }
+                ResponseInput::Chunk(None) => {
+                    self.finish("answered");
+                    return None;
                 }
-                None if !self.parser.has_partial_event() => return None,
-                other => {
-                    let cause = match other {
-                        Some(Err(error)) => error.to_string(),
-                        _ => "the last event is incomplete".to_owned(),
-                    };
-                    self.parser.clear();
-                    if let Err(error) = self.resume(&cause).await {
-                        return Some(self.interrupt(error));
-                    }
+                ResponseInput::Head(head) => self.apply_head(head),
+                ResponseInput::Silence(step) => self.apply_silence(step),
+            };
+            if let Err(error) = handled {
+                return Some(self.interrupt(error));
+            }
+        }
+    }
+
+    /// Takes the next complete event, unless it does not follow the last one, after which the response is resumed.
+    fn next_event(&mut self) -> Result<Option<Bytes>, CallError> {
+        let Some(event) = self.parser.next_event() else {
+            return Ok(None);
+        };
+        if let (Some(id), Some(last)) = (event.id, self.last_event)
+            && id != last + 1
+        {
+            self.resume(&interrupted("event IDs are not consecutive"))?;
+            return Ok(None);
+        }
+        self.last_event = event.id.or(self.last_event);
+        self.exchange.record_event(&self.endpoint);
+        // The endpoint goes on, so no other one is needed.
+        self.exchange.attempts.clear();
+        self.silence = EndpointSilence::begin();
+        Ok(Some(event.bytes))
+    }
+
+    /// Waits for the current endpoint and for the one that may replace it.
+    async fn next_input(&mut self) -> ResponseInput {
+        let exchange = &mut self.exchange;
+        let (step_at, step) = exchange.silence_step(&self.silence, self.body.is_some());
+        let input = {
+            let body = &mut self.body;
+            let next_chunk = async {
+                match body {
+                    Some(body) => body.next().await,
+                    None => std::future::pending().await,
                 }
+            };
+            tokio::select! {
+                biased;
+                chunk = next_chunk => ResponseInput::Chunk(chunk),
+                head = exchange.attempts.next_head() => ResponseInput::Head(head),
+                () = sleep_until(step_at) => ResponseInput::Silence(step),
             }
+        };
+        if let ResponseInput::Chunk(Some(Ok(chunk))) = &input {
+            self.record_chunk(chunk.len());
         }
+        input
     }
 
-    /// Time at which the current endpoint counts as stalled if it sends no data until then.
-    fn stall_deadline(&self) -> Instant {
-        let deadline = self.exchange.request.deadline;
-        if self.exchange.may_retry() {
-            deadline.min(Instant::now() + STALL_TIMEOUT)
+    fn apply_chunk(&mut self, chunk: &[u8]) -> Result<(), CallError> {
+        if self.parser.push(chunk) {
+            Ok(())
         } else {
-            deadline
+            Err(interrupted("an event exceeds 1 MiB"))
         }
     }
 
+    /// Goes on at the endpoint that has responded, unless it refuses the request or fails.
+    fn apply_head(&mut self, (attempt, head): AttemptHead) -> Result<(), CallError> {
+        let error = match head {
+            Ok(response) if response.status.is_success() => {
+                if self.body.take().is_some() {
+                    self.exchange.give_up(&self.endpoint);
+                }
+                info!(self.exchange.node.deps.logger, "answer resumed";
+                    "request" => &*self.exchange.request.call.id,
+                    "endpoint" => &*attempt.endpoint.id, "version" => &*attempt.endpoint.version,
+                    "after_event" => self.last_event);
+                self.parser.clear();
+                self.exchange.attempts.clear();
+                self.body = Some(response.body);
+                self.guard = Some(attempt.guard);
+                self.endpoint = attempt.endpoint;
+                self.silence = EndpointSilence::begin();
+                return Ok(());
+            }
+            Ok(response) => interrupted(&format!("resuming returned status {}", response.status)),
+            Err(error) => error,
+        };
+        let handled = self.exchange.handle_error(&attempt.endpoint, &error);
+        if self.body.is_some() || !self.exchange.attempts.is_empty() {
+            // Another endpoint has the request.
+            return Ok(());
+        }
+        handled.map_err(|_| error.clone())?;
+        self.begin_resumption(&error)
+    }
+
+    fn apply_silence(&mut self, step: SilenceStep) -> Result<(), CallError> {
+        if step == SilenceStep::Deadline {
+            return Err(interrupted("no further data before the deadline"));
+        }
+        let current = self.body.is_some().then_some(&self.endpoint);
+        let (exchange, silence) = (&mut self.exchange, &mut self.silence);
+        if exchange.take_step(step, silence, current, self.last_event) {
+            self.drop_current();
+        }
+        Ok(())
+    }
+
     async fn read_chunk(&mut self, deadline: Instant) -> Option<Result<Bytes, CallError>> {
         let body = self.body.as_mut()?;
-        let next = timeout_at(deadline, body.next()).await;
-        let chunk = match next {
-            Ok(Some(Ok(chunk))) => {
+        let next = timeout_at(deadline, body.next()).await.ok();
+        match next {
+            Some(Some(Ok(chunk))) => {
                 self.record_chunk(chunk.len());
-                return Some(Ok(chunk));
+                Some(Ok(chunk))
             }
-            Ok(None) => {
-                if !(self.resumable && self.parser.has_partial_event()) {
-                    self.finish("answered");
-                }
+            Some(None) => {
+                self.finish("answered");
                 None
             }
-            Ok(Some(Err(error))) => Some(Err(error)),
-            Err(_) => Some(Err(interrupted("the endpoint stopped sending data"))),
-        };
-        if let Some(Err(error)) = &chunk
-            && !self.resumable
-        {
-            let error = error.clone();
-            return Some(self.interrupt(error));
+            Some(Some(Err(error))) => Some(self.interrupt(error)),
+            None => {
+                let error = interrupted("no further data before the deadline");
+                Some(self.interrupt(error))
+            }
         }
-        chunk
     }
 
-    /// Resumes the response at another endpoint after the last complete event.
-    async fn resume(&mut self, cause: &str) -> Result<(), CallError> {
+    /// Resumes the response at another endpoint after the last complete event, since the current one has failed.
+    fn resume(&mut self, error: &CallError) -> Result<(), CallError> {
+        self.drop_current();
+        let handled = self.exchange.handle_error(&self.endpoint, error);
+        if !self.exchange.attempts.is_empty() {
+            return Ok(());
+        }
+        handled.map_err(|_| error.clone())?;
+        self.begin_resumption(error)
+    }
+
+    /// Sends the request to another endpoint. Returns `error` if there is none.
+    fn begin_resumption(&mut self, error: &CallError) -> Result<(), CallError> {
+        let begun = self.exchange.begin_attempt(self.last_event);
+        self.silence = EndpointSilence::begin();
+        begun.map_err(|_| error.clone())
+    }
+
+    fn drop_current(&mut self) {
         self.body = None;
         self.guard = None;
-        let error = interrupted(cause);
-        let mut handled = self.exchange.handle_error(&self.endpoint, &error);
-        loop {
-            if handled.is_err() {
-                return Err(error);
-            }
-            let Ok((endpoint, guard)) = self.exchange.pick() else {
-                return Err(error);
-            };
-            match self.exchange.open(&endpoint, self.last_event).await {
-                Ok(response) if response.status.is_success() => {
-                    info!(self.exchange.node.deps.logger, "answer resumed";
-                        "request" => &*self.exchange.request.call.id,
-                        "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
-                        "after_event" => self.last_event);
-                    self.body = Some(response.body);
-                    self.guard = Some(guard);
-                    self.endpoint = endpoint;
-                    return Ok(());
-                }
-                Ok(response) => {
-                    let error =
-                        interrupted(&format!("resuming returned status {}", response.status));
-                    handled = self.exchange.handle_error(&endpoint, &error);
-                }
-                Err(error) => handled = self.exchange.handle_error(&endpoint, &error),
-            }
-        }
+        self.parser.clear();
     }
 
     /// Records the end of the response. `outcome` is the result of forwarding it.
@@ -186,6 +260,7 @@
         self.ended = true;
         self.body = None;
         self.guard = None;
+        self.exchange.attempts.clear();
         let exchange = &mut self.exchange;
         if outcome == "answered" {
             let mut state = exchange.node.lock();
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -1,8 +1,9 @@
 //! Online requests: selects an endpoint, sends the request, retries where that is allowed, and forwards the response.
 
+mod attempts;
 mod forward;
 
-use crate::backend::{CallError, CallOptions, EndpointCall, EndpointResponse};
+use crate::backend::{CallError, EndpointCall, EndpointResponse};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::{InFlightGuard, InFlightRequest};
 use crate::load::{EndpointPick, RequestClass};
@@ -11,6 +12,7 @@
 use crate::overload::Rejection;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
+use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedEndpoint, SilenceStep};
 use forward::forward;
 use http::StatusCode;
 use rand::Rng;
@@ -22,9 +24,6 @@
 
 /// Maximum number of endpoints tried for one request, including those that refused it.
 const MAX_SENDS: u32 = 4;
-/// Time without data from an endpoint after which it is avoided and an idempotent request is retried elsewhere. Well
-/// under the 2 s after which callers abandon a stream.
-const STALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum expected wait with which a stream is resumed. Well under the 2 s after which callers abandon a stream.
 const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 /// Interval at which the origin of a running stream is recorded.
@@ -71,7 +70,8 @@
         let in_flight = InFlightRequest::begin(self);
         let mut exchange = OnlineExchange {
             node: self.clone(),
-            request,
+            request: Arc::new(request),
+            attempts: PendingAttempts::default(),
             tried: Vec::new(),
             version: None,
             origin_recorded_at: None,
@@ -109,7 +109,9 @@
 /// An online request and its attempts so far.
 struct OnlineExchange {
     node: Arc<SwitchNode>,
-    request: OnlineRequest,
+    request: Arc<OnlineRequest>,
+    /// Attempts in progress whose responses have not begun.
+    attempts: PendingAttempts,
     /// Endpoints at which an attempt has failed.
     tried: Vec<Arc<str>>,
     /// Software version that began the stream and at which it goes on; `None` before the first event.
@@ -142,34 +144,81 @@
 impl OnlineExchange {
     /// Sends the request, with retries, until an endpoint responds.
     async fn first_response(&mut self) -> Result<Opened, OnlineReply> {
-        if self.request.resume_after.is_some() {
+        let resume_after = self.request.resume_after;
+        if resume_after.is_some() {
             self.version = Some(self.find_version().await?);
         }
+        let mut silence = EndpointSilence::begin();
         loop {
-            let (endpoint, guard) = self.pick()?;
-            let opened = self.open(&endpoint, self.request.resume_after).await;
-            match opened {
-                Ok(response) => {
-                    let status = response.status;
-                    let retries = status.is_server_error() && self.may_retry();
-                    if !retries {
-                        return Ok((response, guard, endpoint));
+            if self.attempts.is_empty() {
+                self.begin_attempt(resume_after)?;
+                silence = EndpointSilence::begin();
+            }
+            let (step_at, step) = self.silence_step(&silence, false);
+            match timeout_at(step_at, self.attempts.next_head()).await {
+                Ok((attempt, Ok(response))) => {
+                    if let Some(opened) = self.accept_head(attempt, response) {
+                        self.give_up_attempts();
+                        return Ok(opened);
                     }
-                    self.record_failed_attempt(&endpoint, "answered with a failure", "failed");
-                    self.runs += 1;
-                    if is_endpoint_failure(status) {
-                        let state = &mut self.node.lock();
-                        self.node
-                            .record_error_response(state, &endpoint.id, RequestClass::Online);
+                }
+                Ok((attempt, Err(error))) => {
+                    let handled = self.handle_error(&attempt.endpoint, &error);
+                    if self.attempts.is_empty() {
+                        handled?;
                     }
                 }
-                Err(error) => self.handle_error(&endpoint, &error)?,
+                Err(_) if step == SilenceStep::Deadline => return Err(self.time_out()),
+                Err(_) => {
+                    self.take_step(step, &mut silence, None, resume_after);
+                }
             }
         }
     }
 
+    /// Returns the response to forward; `None` if it is a failure after which the request goes on elsewhere.
+    fn accept_head(
+        &mut self,
+        attempt: PendingAttempt,
+        response: EndpointResponse,
+    ) -> Option<Opened> {
+        let PendingAttempt {
+            endpoint, guard, ..
+        } = attempt;
+        let status = response.status;
+        let goes_on = self.may_retry() || !self.attempts.is_empty();
+        if !(status.is_server_error() && goes_on) {
+            return Some((response, guard, endpoint));
+        }
+        self.record_failed_attempt(&endpoint, "answered with a failure", "failed");
+        self.runs += 1;
+        if is_endpoint_failure(status) {
+            let state = &mut self.node.lock();
+            self.node
+                .record_error_response(state, &endpoint.id, RequestClass::Online);
+        }
+        None
+    }
+
+    /// Gives up the attempts beside the one that has responded.
+    fn give_up_attempts(&mut self) {
+        while let Some(attempt) = self.attempts.take_oldest() {
+            self.give_up(&attempt.endpoint);
+        }
+    }
+
+    /// Ends all attempts at the deadline.
+    fn time_out(&mut self) -> OnlineReply {
+        let error = interrupted("no response within the timeout");
+        while let Some(attempt) = self.attempts.take_oldest() {
+            // The reply is the same for all of them.
+            let _ = self.handle_error(&attempt.endpoint, &error);
+        }
+        OnlineReply::TimedOut
+    }
+
     /// Finds the software version that began the stream which the request takes up.
-    async fn find_version(&self) -> Result<VersionKey, OnlineReply> {
+    async fn find_version(&mut self) -> Result<VersionKey, OnlineReply> {
         let (request, route) = (&self.request, &self.request.route);
         let found = self.node.find_origin(request.resumes.as_deref(), route);
         let version = found.await;
@@ -224,7 +273,7 @@
     }
 
     /// Selects an endpoint and counts the request there.
-    fn pick(&mut self) -> Result<(Arc<ListedEndpoint>, InFlightGuard), OnlineReply> {
+    fn pick(&mut self) -> Result<RoutedEndpoint, OnlineReply> {
         let now = Instant::now();
         let remaining = self.request.deadline.saturating_duration_since(now);
         if remaining < MIN_REMAINING {
@@ -233,50 +282,19 @@
         if self.sends >= MAX_SENDS {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         }
-        let mut state = self.node.lock();
-        let state = &mut *state;
+        let node = self.node.clone();
+        let state = &mut *node.lock();
         let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
         let max_wait = self.max_wait(state, remaining);
-        let filter = EndpointFilter {
-            service: &service,
-            version: self.version,
-        };
-        let mut pick_from = |tried: &[Arc<str>]| {
-            let endpoints = &state.endpoints;
-            let rng = &mut state.rng;
-            state
-                .load
-                .pick_online(endpoints, filter, tried, max_wait, now, rng)
-        };
-        let mut pick = pick_from(&self.tried);
+        let mut pick = self.select(state, &service, &self.tried, max_wait);
         if pick == EndpointPick::Missing && self.runs > 0 {
             // An endpoint that has failed this request is better than none.
-            pick = pick_from(&[]);
+            pick = self.select(state, &service, &[], max_wait);
         }
         match pick {
-            EndpointPick::Use(endpoint) => {
-                let load = state.load.total(&endpoint.id);
-                info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-                    "service" => &*service, "endpoint" => &*endpoint.id,
-                    "version" => &*endpoint.version, "send" => self.sends + 1,
-                    "resumes" => self.request.resumes.as_deref(),
-                    "resume_after" => self.request.resume_after,
-                    "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
-                    "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
-                    "config" => state.routes.as_ref().map(|routes| routes.version),
-                    "listing" => state.endpoints.read_until(),
-                    "listing_age_ms" => state.endpoints.read_age(now).map(millis),
-                    "held_back" => state.endpoints.removal_due(&endpoint.id).is_some(),
-                    "left_ms" => millis(remaining));
-                let guard =
-                    InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
-                self.sends += 1;
-                self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
-                self.endpoint = Some(endpoint.id.clone());
-                Ok((endpoint, guard))
-            }
+            EndpointPick::Use(endpoint) => Ok(self.route(state, &service, endpoint)),
             EndpointPick::Full { wait } => {
                 let expected = ExpectedWait { wait, max_wait };
                 let retry_after = self.reject_full(state, &service, expected, remaining);
@@ -292,6 +310,73 @@
         }
     }
 
+    /// Selects an endpoint beside the silent one that has the request, and counts the request there. `None` if none can
+    /// take the request now.
+    fn pick_other(&mut self, silent: &Arc<str>) -> Option<RoutedEndpoint> {
+        let now = Instant::now();
+        let remaining = self.request.deadline.saturating_duration_since(now);
+        if remaining < MIN_REMAINING {
+            return None;
+        }
+        let node = self.node.clone();
+        let state = &mut *node.lock();
+        let service = self.pick_service(state, now)?;
+        let max_wait = self.max_wait(state, remaining);
+        let excluded = [&self.tried[..], std::slice::from_ref(silent)].concat();
+        match self.select(state, &service, &excluded, max_wait) {
+            EndpointPick::Use(endpoint) => Some(self.route(state, &service, endpoint)),
+            EndpointPick::Full { .. } | EndpointPick::Missing => None,
+        }
+    }
+
+    /// Selects an endpoint that is not among the `excluded`.
+    fn select(
+        &self,
+        state: &mut SwitchState,
+        service: &str,
+        excluded: &[Arc<str>],
+        max_wait: Duration,
+    ) -> EndpointPick {
+        let filter = EndpointFilter {
+            service,
+            version: self.version,
+        };
+        let (endpoints, rng) = (&state.endpoints, &mut state.rng);
+        let now = Instant::now();
+        state
+            .load
+            .pick_online(endpoints, filter, excluded, max_wait, now, rng)
+    }
+
+    /// Counts the request at the endpoint that was selected for it.
+    fn route(
+        &mut self,
+        state: &mut SwitchState,
+        service: &str,
+        endpoint: Arc<ListedEndpoint>,
+    ) -> RoutedEndpoint {
+        let now = Instant::now();
+        let remaining = self.request.deadline.saturating_duration_since(now);
+        let load = state.load.total(&endpoint.id);
+        info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
+            "service" => service, "endpoint" => &*endpoint.id,
+            "version" => &*endpoint.version, "send" => self.sends + 1,
+            "resumes" => self.request.resumes.as_deref(),
+            "resume_after" => self.request.resume_after,
+            "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
+            "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
+            "config" => state.routes.as_ref().map(|routes| routes.version),
+            "listing" => state.endpoints.read_until(),
+            "listing_age_ms" => state.endpoints.read_age(now).map(millis),
+            "held_back" => state.endpoints.removal_due(&endpoint.id).is_some(),
+            "left_ms" => millis(remaining));
+        let guard = InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
+        self.sends += 1;
+        self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
+        self.endpoint = Some(endpoint.id.clone());
+        (endpoint, guard)
+    }
+
     /// Longest expected wait with which the request is sent.
     fn max_wait(&self, state: &SwitchState, remaining: Duration) -> Duration {
         if self.version.is_some() {
@@ -328,39 +413,6 @@
         state.overload.record_rejection(rejection, now, draw)
     }
 
-    /// Sends the request to an endpoint and waits for the head of the response.
-    async fn open(
-        &self,
-        endpoint: &ListedEndpoint,
-        resume_after: Option<u64>,
-    ) -> Result<EndpointResponse, CallError> {
-        let now = Instant::now();
-        let deadline = self.request.deadline;
-        let options = CallOptions {
-            remaining: deadline.saturating_duration_since(now),
-            resume_after,
-        };
-        let mut call = self
-            .node
-            .deps
-            .client
-            .call(endpoint, &self.request.call, options);
-        let stall_deadline = deadline.min(now + STALL_TIMEOUT);
-        if let Ok(opened) = timeout_at(stall_deadline, &mut call).await {
-            return opened;
-        }
-        if self.may_retry() || stall_deadline == deadline {
-            return Err(interrupted("no response within the timeout"));
-        }
-        // The request must not run twice, so this endpoint has to respond; new requests avoid it meanwhile.
-        self.node
-            .avoid_endpoint(&mut self.node.lock(), &endpoint.id, Instant::now());
-        match timeout_at(deadline, call).await {
-            Ok(opened) => opened,
-            Err(_) => Err(interrupted("no response within the timeout")),
-        }
-    }
-
     fn may_retry(&self) -> bool {
         self.request.route.is_idempotent()
             && self.runs + 1 < self.request.route.attempts
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -182,3 +182,58 @@
     sleep(Duration::from_millis(1)).await;
     assert_eq!(fleet.client.running(), 0, "a call runs without a caller");
 }
+
+/// Guards against a stream that is given up although its endpoint goes on while another one, asked during the silence,
+/// has not answered yet.
+#[tokio::test(start_paused = true)]
+async fn stream_goes_on_at_its_endpoint_if_that_sends_first() {
+    let fleet = TestFleet::new(3);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[pause(2), Silent]);
+    fleet.client.set_default(Full);
+    let outcome = send_request(&node, "/resume/x").await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.client.running(), 0, "a call runs without a caller");
+}
+
+/// Guards against a request that two endpoints run at the same time for longer than 400 ms, when the second one is asked
+/// during a silence of the first.
+#[rstest]
+#[case::other_answers("/resume/x", &[StallAfter { event: 2 }, Stream { events: 5 }])]
+#[case::other_is_silent("/resume/x", &[StallAfter { event: 2 }, Silent])]
+#[case::other_is_silent_after_an_event("/resume/x", &[StallAfter { event: 2 }, StallAfter { event: 3 }])]
+#[case::other_answers_before_the_head("/safe/x", &[Silent, Stream { events: 5 }])]
+#[case::all_are_silent_before_the_head("/safe/x", &[Silent, Silent, Silent])]
+#[tokio::test(start_paused = true)]
+async fn silent_endpoint_is_given_up_soon_after_another_is_asked(
+    #[case] path: &str,
+    #[case] scripts: &[CallScript],
+) {
+    const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    fleet.client.set_default(Full);
+    let request = send_request(&node, path);
+    let mut overlap = Duration::ZERO;
+    let sampling = async {
+        loop {
+            sleep(SAMPLE_INTERVAL).await;
+            let running = fleet.client.running();
+            assert!(running <= 2, "{running} endpoints have the request");
+            overlap = if running == 2 {
+                overlap + SAMPLE_INTERVAL
+            } else {
+                Duration::ZERO
+            };
+            assert!(overlap <= Duration::from_millis(400));
+        }
+    };
+    tokio::select! {
+        _ = request => {}
+        () = sampling => {}
+    }
+    let calls = fleet.client.calls();
+    assert!(calls.iter().filter(|call| call.ran).count() <= 3);
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -390,11 +390,12 @@
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status) => (0, false, false, status),
-            CallScript::Stream { events } => (events, false, false, 200),
+            CallScript::Stream { events } | CallScript::Pause { events, .. } => {
+                (events, false, false, 200)
+            }
             CallScript::EndlessEvent => return Ok(endless_event(running)),
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
-            CallScript::Pause { events, .. } => (events, false, false, 200),
         };
         let pause_at = move |position: u64| match script {
             CallScript::Pause { after, silence, .. } if after == position => silence,
