End a response at its deadline though its endpoint sends without end

Callers of an endpoint in trouble that sends without end got data beyond the deadline of their request, until they closed; the host kept reading.

Cause: the deadline was a timeout around the read of the next chunk. Such a timeout polls the read first, so it never expires while a chunk is always ready.

The deadline is now compared with the clock before each read. The response then ends as broken off, and the connection to the endpoint is closed.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -139,6 +139,10 @@
     async fn next_input(&mut self) -> ResponseInput {
         let exchange = &mut self.exchange;
         let (step_at, step) = exchange.silence_step(&self.silence, self.body.is_some());
+        if exchange.request.deadline <= Instant::now() {
+            // A body with a chunk always ready must not outlast the deadline.
+            return ResponseInput::Silence(SilenceStep::Deadline);
+        }
         let input = {
             let body = &mut self.body;
             let next_chunk = async {
@@ -213,7 +217,12 @@
 
     async fn read_chunk(&mut self, deadline: Instant) -> Option<Result<Bytes, CallError>> {
         let body = self.body.as_mut()?;
-        let next = timeout_at(deadline, body.next()).await.ok();
+        // The timeout polls the body first, so a body with a chunk always ready would outlast the deadline.
+        let next = if deadline <= Instant::now() {
+            None
+        } else {
+            timeout_at(deadline, body.next()).await.ok()
+        };
         match next {
             Some(Some(Ok(chunk))) => {
                 self.record_chunk(chunk.len());
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,11 +1,13 @@
 //! Online requests: selection of endpoints, retries, and the result for the caller.
 
 use crate::support::CallScript::{
-    BreakAfter, Disconnect, EndlessEvent, Full, Pause, Silent, StallAfter, Status, Stream,
-    Unreachable,
+    BreakAfter, Disconnect, EndlessEvent, EndlessStream, Full, Pause, Silent, StallAfter, Status,
+    Stream, Unreachable,
 };
-use crate::support::{CallScript, CallerOutcome, TestFleet, event, send_request};
+use crate::support::{CallScript, CallerOutcome, TestFleet, event, request, send_request};
 use bytes::Bytes;
+use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
+use futures::StreamExt;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -237,3 +239,34 @@
     let calls = fleet.client.calls();
     assert!(calls.iter().filter(|call| call.ran).count() <= 3);
 }
+
+/// Guards against a response that outlasts its deadline since its endpoint sends without end.
+#[rstest]
+#[case::at_once("/once/x")]
+#[case::of_a_stream_that_may_be_resumed("/resume/x")]
+#[tokio::test]
+async fn endless_response_ends_at_its_deadline(#[case] path: &str) {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[EndlessStream]);
+    let started = Instant::now();
+    let request = OnlineRequest {
+        deadline: started + TIMEOUT,
+        ..request(&node, path, "r")
+    };
+    let OnlineReply::Response(mut response) = node.serve_online(request).await else {
+        panic!("the request was not served");
+    };
+    let mut is_broken_off = false;
+    while let Some(chunk) = response.body.next().await {
+        is_broken_off = chunk.is_err();
+        let elapsed = started.elapsed();
+        assert!(
+            elapsed < TIMEOUT + Duration::from_millis(500),
+            "{elapsed:?}"
+        );
+    }
+    assert!(is_broken_off, "an endless response must not look complete");
+    assert_eq!(fleet.client.running(), 0, "the call still runs");
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -284,6 +284,8 @@
     EndlessEvent,
     /// Responds with this status.
     Status(u16),
+    /// Sends events without end, as fast as they are read.
+    EndlessStream,
 }
 
 /// A call received by an endpoint.
@@ -394,6 +396,7 @@
                 (events, false, false, 200)
             }
             CallScript::EndlessEvent => return Ok(endless_event(running)),
+            CallScript::EndlessStream => return Ok(endless_stream(running)),
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
@@ -439,6 +442,19 @@
     }
 }
 
+/// A response with events without end, each of which is ready at once.
+fn endless_stream(running: RunningCall) -> EndpointResponse {
+    let chunks = stream::iter(1..).map(move |id| {
+        let _ = &running;
+        Ok(event(id))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: chunks.boxed(),
+    }
+}
+
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
