Do not give up items at a host whose configuration is older than their job

Callers of a job that was accepted just after its route had been added got items back as dead that no endpoint had ever run.

Cause: the host that an item is assigned to gives it up if the job's route is not in the configuration in force there. Jobs and configuration are read from two partitions, so a host may know the job before the configuration under which it was accepted, in particular while reads of the configuration fail.

Evidence: items_wait_at_a_host_whose_configuration_lacks_their_route failed on the code before: with two hosts, of which one could not read the newer configuration, the second of eight items had no output.

The route counts as removed only if a read of the configuration that began after the host first missed the route does not bring it. The accepting host had read that configuration before it appended the job, so such a read returns it or a later one. Items of a route that was removed are still given up, which a second test guards.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 mod outcomes;
+pub(crate) mod routeless;
 mod run;
 
 pub(crate) use outcomes::hand_over;
@@ -214,7 +215,7 @@
     Some(&job.items[name.item as usize].checkpoints)
 }
 
-/// Items that this host should run and is not running yet. Abandons items that have expired or have no route.
+/// Items that this host should run and is not running yet. Abandons items that have expired or whose route was removed.
 fn runnable_items(
     node: &SwitchNode,
     state: &mut SwitchState,
@@ -237,11 +238,19 @@
     let mut busy: Vec<ItemKey> = state.busy_items().map(ItemName::key).collect();
     busy.sort_unstable();
     let claimed_items = state.members.claimed_by_others(own, &own_claims, now);
+    let ledger = &state.ledger;
+    state.routeless.retain(|id| {
+        let job = ledger.get(id).filter(|job| job.is_open());
+        job.is_some_and(|job| routes.find(&job.host, &job.path_prefix).is_none())
+    });
     for job in state.ledger.open_jobs() {
         let route = routes.find(&job.host, &job.path_prefix);
-        let is_expired = route.is_none_or(|route| {
-            now_ms > job.accepted_ms + millis(route.retention + MAX_CLOCK_SKEW)
-        });
+        let is_expired = match route {
+            Some(route) => now_ms > job.accepted_ms + millis(route.retention + MAX_CLOCK_SKEW),
+            None => state
+                .routeless
+                .is_removed(&job.id, state.config_read_at, now),
+        };
         for (index, item) in job.items.iter().enumerate() {
             if item.state != ItemState::Open {
                 continue;
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -52,6 +52,7 @@
     F: FnMut(&SwitchNode, FollowBatch<'_>) + Send,
 {
     let is_jobs = options.partition == node.settings.topics.jobs;
+    let is_config = options.partition == node.settings.topics.config;
     let mut next = None;
     let mut delay = MIN_RETRY_DELAY;
     let mut unavailable = false;
@@ -81,6 +82,9 @@
                 if page.next < page.end {
                     continue;
                 }
+                if is_config {
+                    node.lock().config_read_at = Some(started);
+                }
                 if is_jobs {
                     node.jobs_read_at.send_replace(Some(started));
                     // A task that needs newer state requests the next read early.
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,6 +1,7 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
 use crate::backend::{DecodeError, EndpointClient, KeyedLog, LogEntry, LogPartition};
+use crate::batch::routeless::RoutelessJobs;
 use crate::departures::RecentDepartures;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::follow::{FollowBatch, FollowOptions, follow};
@@ -117,6 +118,9 @@
     pub(crate) overload: OverloadTracker,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
+    pub(crate) routeless: RoutelessJobs,
+    /// Start of the last read that reached the end of the configuration's partition.
+    pub(crate) config_read_at: Option<Instant>,
     pub(crate) histories: ItemHistories,
     pub(crate) item_times: ItemTimes,
     pub(crate) running: Vec<RunningItem>,
@@ -200,6 +204,8 @@
             overload: OverloadTracker::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
+            routeless: RoutelessJobs::default(),
+            config_read_at: None,
             histories: ItemHistories::default(),
             item_times: ItemTimes::default(),
             running: Vec::new(),
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -1,6 +1,8 @@
 //! Batch jobs on a log that fails, with hosts that start, stop and are lost.
 
-use crate::support::{AppendFault, CallScript, TestFleet, full_text, results, submission};
+use crate::support::{
+    AppendFault, CallScript, TestFleet, full_text, results, submission, wait_until,
+};
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
 use rstest::rstest;
 use std::time::Duration;
@@ -229,3 +231,42 @@
     assert_eq!(page.results.len(), 1);
     assert_eq!(page.results[0].text, Some(full_text(3)));
 }
+
+/// Guards against items that a host gives up since its configuration is older than the one that has their route.
+#[tokio::test]
+async fn items_wait_at_a_host_whose_configuration_lacks_their_route() {
+    let fleet = TestFleet::new(2);
+    fleet.log.put("config", "config", "1 without jobs");
+    let lagging = fleet.with_other_log_access();
+    let late = lagging.start("b").await;
+    lagging.log.cut_topic(Some("config"));
+    fleet.log.put("config", "config", "2");
+    let node = fleet.start("a").await;
+    wait_until("both hosts", async || {
+        node.caller_addresses(64).len() == 2 && late.caller_addresses(64).len() == 2
+    })
+    .await;
+    assert_eq!(node.submit_job(submission("j", 8)).await, SubmitReply::Done);
+    sleep(COMPLETION_TIME).await;
+    lagging.log.cut_topic(None);
+    wait_until("all results", async || {
+        results(&node, "j").await.results.len() == 8
+    })
+    .await;
+    for result in results(&node, "j").await.results {
+        assert_eq!(result.text, Some(full_text(3)), "item {}", result.id);
+    }
+}
+
+/// Guards against items that stay open for good after a configuration has removed their route.
+#[tokio::test(start_paused = true)]
+async fn items_are_given_up_when_their_route_is_removed() {
+    let fleet = TestFleet::new(0);
+    let node = fleet.start("a").await;
+    assert_eq!(node.submit_job(submission("j", 3)).await, SubmitReply::Done);
+    fleet.log.put("config", "config", "2 without jobs");
+    sleep(COMPLETION_TIME).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 3);
+    assert!(page.results.iter().all(|result| result.text.is_none()));
+}
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -35,7 +35,7 @@
         route("/jobs/", RouteKind::Batch, true),
         route("/jobs/inner/", RouteKind::Safe, false),
     ];
-    let table = RouteTable::new(1, routes(1).limits, list);
+    let table = RouteTable::new(1, routes(1, true).limits, list);
     let found = table.find(host, path).map(|route| &*route.path_prefix);
     assert_eq!(found, expected);
 }
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -66,6 +66,8 @@
     state: Arc<Mutex<LogState>>,
     /// Whether calls over this access fail.
     cut: Arc<AtomicBool>,
+    /// Topic whose reads over this access fail.
+    cut_topic: Arc<Mutex<Option<Arc<str>>>>,
 }
 
 impl MemoryLog {
@@ -85,6 +87,7 @@
         Self {
             state: self.state.clone(),
             cut: Arc::default(),
+            cut_topic: Arc::default(),
         }
     }
 
@@ -93,6 +96,15 @@
         self.cut.store(cut, Ordering::Relaxed);
     }
 
+    /// Makes reads of this topic over this access fail; `None` for no topic.
+    pub fn cut_topic(&self, topic: Option<&str>) {
+        *self.cut_topic.lock().unwrap() = topic.map(Into::into);
+    }
+
+    fn is_cut_topic(&self, partition: &LogPartition) -> bool {
+        self.cut_topic.lock().unwrap().as_ref() == Some(&partition.topic)
+    }
+
     /// Locks the state, unless the log cannot be reached.
     fn reach(&self) -> Option<MutexGuard<'_, LogState>> {
         let state = self.state.lock().unwrap();
@@ -207,6 +219,9 @@
         if !wait.is_zero() {
             sleep(wait / 10).await;
         }
+        if self.is_cut_topic(partition) {
+            return Err(unavailable());
+        }
         let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let start = usize::try_from(from).unwrap();
@@ -455,14 +470,19 @@
     }
 }
 
-/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
+/// Decodes a version number as the test configuration, without the route of jobs if `without jobs` follows, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
 
 impl ConfigDecoder for TextDecoder {
     fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>> {
-        let version = std::str::from_utf8(value).ok()?.parse().ok()?;
-        (key == b"config").then(|| Ok(routes(version)))
+        let text = std::str::from_utf8(value).ok()?;
+        let (version, has_jobs) = match text.strip_suffix(" without jobs") {
+            Some(version) => (version, false),
+            None => (text, true),
+        };
+        let version = version.parse().ok()?;
+        (key == b"config").then(|| Ok(routes(version, has_jobs)))
     }
 
     fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
@@ -518,20 +538,22 @@
     }
 }
 
-/// The test configuration: one route of each kind.
-pub fn routes(version: u64) -> RouteTable {
+/// The test configuration: one route of each kind, that of jobs only on request.
+pub fn routes(version: u64, has_jobs: bool) -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 8192,
         body_bytes: 65_536,
         idle_timeout: Duration::from_secs(15),
     };
-    let list = vec![
+    let mut list = vec![
         route("/once/", RouteKind::Unsafe, false),
         route("/safe/", RouteKind::Safe, false),
         route("/stream/", RouteKind::Stream, false),
         route("/resume/", RouteKind::Stream, true),
-        route("/jobs/", RouteKind::Batch, true),
     ];
+    if has_jobs {
+        list.push(route("/jobs/", RouteKind::Batch, true));
+    }
     RouteTable::new(version, limits, list)
 }
 
