--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -32,6 +32,8 @@
     items: OutcomeCounts,
     resumed_streams: OutcomeCounts,
     log_calls: OutcomeCounts,
+    caller_connections: OutcomeCounts,
+    incomplete_answers: Counter,
     first_byte: Histogram,
     request_time: Histogram,
     state_gauges: StateGauges,
@@ -136,6 +138,8 @@
             items: Family::default(),
             resumed_streams: Family::default(),
             log_calls: Family::default(),
+            caller_connections: Family::default(),
+            incomplete_answers: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
             state_gauges: StateGauges::default(),
@@ -167,10 +171,20 @@
                 "Appends and reads of the log by outcome",
                 &self.log_calls,
             ),
+            (
+                "caller_connections",
+                "Connections of callers that ended, by outcome",
+                &self.caller_connections,
+            ),
         ];
         for (name, help, counts) in counts {
             registry.register(name, help, counts.clone());
         }
+        registry.register(
+            "answers_not_completed",
+            "Requests of callers that ended without a complete answer",
+            self.incomplete_answers.clone(),
+        );
         let times = [
             (
                 "first_byte",
@@ -224,6 +238,17 @@
 }
 
 impl SwitchNode {
+    /// Counts a connection of a caller that ended.
+    pub fn count_caller_connection(&self, outcome: &'static str) {
+        let connections = &self.metrics.caller_connections;
+        connections.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Counts a request of a caller that ended without a complete answer.
+    pub fn count_incomplete_answer(&self) {
+        self.metrics.incomplete_answers.inc();
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
