Enforce the time limits of a run while data arrives

Callers saw a batch item missing from the results beyond its due time while one endpoint kept sending data for it.

Cause: timeout_at polls the body before the timer. A body that always has a chunk ready never reaches the timer, so neither the 30 s limit of a run nor the stall timeout ended the run. The stall timeout also started again with any data, including comments.

Fix: the run compares the clock with the deadline before each chunk, and only an event that is added to the output extends the stall deadline. Events are the only data that an item makes progress by, so an endpoint that sends something else is left as soon as a silent one.

--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -22,7 +22,8 @@
 /// Maximum wait for the head of a response. It is longer than the stall timeout, as the item may wait in the
 /// endpoint's queue.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time without data from an endpoint after which the run ends and the item continues elsewhere.
+/// Time without an event from an endpoint after which the run ends and the item continues elsewhere. Other data does not
+/// extend it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of a run.
@@ -143,8 +144,12 @@
             status => return interrupted(&format!("the endpoint returned status {status}")),
         }
         let mut parser = EventParser::default();
+        let mut stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
         loop {
-            let stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
+            // `timeout_at` alone returns a chunk that is ready, even after the deadline.
+            if Instant::now() >= stall_deadline {
+                return interrupted("the endpoint stopped sending events");
+            }
             match timeout_at(stall_deadline, response.body.next()).await {
                 Ok(Some(Ok(chunk))) => {
                     if !parser.push(&chunk) {
@@ -159,14 +164,16 @@
                 }
                 Ok(None) => return RunOutcome::Completed,
                 Ok(Some(Err(error))) => return RunOutcome::Interrupted(error),
-                Err(_) => return interrupted("the endpoint stopped sending data"),
+                Err(_) => return interrupted("the endpoint stopped sending events"),
             }
             while let Some(event) = parser.next_event() {
-                if let Some(id) = event.id
-                    && !self.progress.lock().push_event(id, &event.data())
-                {
+                let Some(id) = event.id else {
+                    continue;
+                };
+                if !self.progress.lock().push_event(id, &event.data()) {
                     return interrupted("event IDs are not consecutive");
                 }
+                stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
             }
         }
     }
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -229,3 +229,34 @@
     assert_eq!(page.results.len(), 1);
     assert_eq!(page.results[0].text, Some(full_text(3)));
 }
+
+/// An endpoint that always has further data ready must not hold an item beyond the time limits of a run.
+#[tokio::test(start_paused = true)]
+async fn item_moves_away_from_an_endpoint_that_sends_comments_without_end() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet
+        .client
+        .script(&[CallScript::CommentFlood { chunks: 200 }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(8)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(3)));
+}
+
+/// An endpoint that always has a further event ready must not hold an item beyond the time limit of a run.
+#[tokio::test(start_paused = true)]
+async fn item_leaves_an_endpoint_that_sends_events_for_longer_than_a_run_may_take() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet
+        .client
+        .script(&[CallScript::EventFlood { events: 200 }]);
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(35)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(70)));
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -15,15 +15,16 @@
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use fulmarswitch_switch::record::AcceptedItem;
 use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare};
-use futures::{StreamExt, stream};
+use futures::{FutureExt, StreamExt, stream};
 use http::{HeaderMap, Method, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, advance, sleep};
 
 /// Fault of one append to a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -278,6 +279,10 @@
     EndlessEvent,
     /// Responds with this status.
     Status(u16),
+    /// Always has further bytes ready that belong to no event, one chunk in each [`FLOOD_INTERVAL`].
+    CommentFlood { chunks: u64 },
+    /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
+    EventFlood { events: u64 },
 }
 
 /// A call received by an endpoint.
@@ -305,6 +310,8 @@
 
 /// Time between two events of a stream.
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two chunks of a flood.
+pub const FLOOD_INTERVAL: Duration = Duration::from_millis(500);
 
 impl MemoryClient {
     /// Queues the behaviour of the next calls.
@@ -386,6 +393,14 @@
             CallScript::Status(status) => (0, false, false, status),
             CallScript::Stream { events } => (events, false, false, 200),
             CallScript::EndlessEvent => return Ok(endless_event(running)),
+            CallScript::CommentFlood { chunks } => {
+                let comment = |_| Bytes::from_static(b": comment\n\n");
+                return Ok(flood(running, 1..=chunks, comment));
+            }
+            CallScript::EventFlood { events } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(flood(running, first..=events, event));
+            }
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
@@ -423,6 +438,25 @@
     }
 }
 
+/// A response whose chunks are always ready, so that whoever reads it never waits.
+fn flood(
+    running: RunningCall,
+    indexes: RangeInclusive<u64>,
+    chunk: impl Fn(u64) -> Bytes + Send + 'static,
+) -> EndpointResponse {
+    let body = stream::iter(indexes).map(move |index| {
+        let _ = &running;
+        // The first poll moves the clock.
+        let _ = advance(FLOOD_INTERVAL).now_or_never();
+        Ok(chunk(index))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
