Keep appends of outcomes within the log's size limit

Found by reading. Large outputs that complete together would block all later outcomes of a host, and callers would see none of its items done.

Cause: the size of a batch of outcomes was compared with the limit before the next output was added, so an append could hold 1.5 MB and one output more. The log refuses an append of over 2 MiB, and the append is repeated until it succeeds.

Evidence: before, the test fails at assert!(text == Some(..)) for the first position, with four outputs of 740,000 bytes and an in-memory log that has the limit of 2 MiB.

Fix: an update that does not fit is held for the next append.

--- a/crates/switch/src/batch/outcomes.rs
+++ b/crates/switch/src/batch/outcomes.rs
@@ -59,23 +59,42 @@
     node: Arc<SwitchNode>,
     mut queue: mpsc::UnboundedReceiver<ItemUpdate>,
 ) {
-    let mut updates = Vec::new();
-    while queue.recv_many(&mut updates, 1).await > 0 {
+    let mut held = None;
+    loop {
+        let first = match held.take() {
+            Some(update) => update,
+            None => match queue.recv().await {
+                Some(update) => update,
+                None => return,
+            },
+        };
         sleep(LINGER).await;
-        let mut bytes: usize = updates.iter().map(update_bytes).sum();
-        while updates.len() < MAX_OUTCOMES_PER_APPEND && bytes < MAX_TEXT_BYTES_PER_APPEND {
-            let Ok(update) = queue.try_recv() else {
-                break;
-            };
-            bytes += update_bytes(&update);
-            updates.push(update);
-        }
+        let updates;
+        (updates, held) = collect_updates(first, &mut queue);
         let outcomes = write_texts(&node, &updates).await;
         write_outcomes(&node, &outcomes).await;
-        updates.clear();
     }
 }
 
+/// Returns the updates that are recorded together, and one that was received but is too large to be among them.
+fn collect_updates(
+    first: ItemUpdate,
+    queue: &mut mpsc::UnboundedReceiver<ItemUpdate>,
+) -> (Vec<ItemUpdate>, Option<ItemUpdate>) {
+    let mut bytes = update_bytes(&first);
+    let mut updates = vec![first];
+    while updates.len() < MAX_OUTCOMES_PER_APPEND
+        && let Ok(update) = queue.try_recv()
+    {
+        bytes += update_bytes(&update);
+        if bytes > MAX_TEXT_BYTES_PER_APPEND {
+            return (updates, Some(update));
+        }
+        updates.push(update);
+    }
+    (updates, None)
+}
+
 fn update_bytes(update: &ItemUpdate) -> usize {
     match &update.kind {
         UpdateKind::Completed(text) => text.len(),
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -1,6 +1,8 @@
 //! Batch jobs on a log that fails, with hosts that start, stop and are lost.
 
-use crate::support::{AppendFault, CallScript, TestFleet, full_text, results, submission};
+use crate::support::{
+    AppendFault, CallScript, TestFleet, full_text, large_text, results, submission,
+};
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
 use rstest::rstest;
 use std::time::Duration;
@@ -260,3 +262,25 @@
     assert_eq!(page.results.len(), 1);
     assert_eq!(page.results[0].text, Some(full_text(70)));
 }
+
+/// Large outputs that complete together must not make an append that the log refuses for its size, which would block
+/// all later outcomes of the host.
+#[tokio::test(start_paused = true)]
+async fn large_outputs_that_complete_together_are_recorded() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.set_default(CallScript::LargeEvents {
+        events: 1,
+        bytes: 740_000,
+    });
+    node.submit_job(submission("j", 4)).await;
+    sleep(COMPLETION_TIME).await;
+    for position in 0..4 {
+        let found = node.job_results("j", position, Duration::ZERO).await;
+        let JobReply::Found(page) = found else {
+            panic!("{position}: {found:?}");
+        };
+        let text = page.results.first().and_then(|result| result.text.clone());
+        assert!(text == Some(large_text(1, 740_000)), "result {position}");
+    }
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -37,6 +37,9 @@
     AppendLate(Duration),
 }
 
+/// Maximum size of one append; larger ones are refused.
+const MAX_APPEND_BYTES: usize = 2 << 20;
+
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<KeyedRecord>,
@@ -162,6 +165,15 @@
         records: &[KeyedRecord],
     ) -> Result<u64, AppendError> {
         sleep(Duration::from_millis(4)).await;
+        let bytes: usize = records
+            .iter()
+            .map(|record| record.key.len() + record.value.len())
+            .sum();
+        if bytes > MAX_APPEND_BYTES {
+            return Err(AppendError::Refused {
+                cause: "too large".into(),
+            });
+        }
         let fault = {
             let Some(mut state) = self.reach() else {
                 let cause = "down".into();
@@ -283,6 +295,8 @@
     CommentFlood { chunks: u64 },
     /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
     EventFlood { events: u64 },
+    /// Streams this many events with this many bytes of data each, one per [`EVENT_INTERVAL`].
+    LargeEvents { events: u64, bytes: usize },
 }
 
 /// A call received by an endpoint.
@@ -397,6 +411,10 @@
                 let comment = |_| Bytes::from_static(b": comment\n\n");
                 return Ok(flood(running, 1..=chunks, comment));
             }
+            CallScript::LargeEvents { events, bytes } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(large_events(running, first..=events, bytes));
+            }
             CallScript::EventFlood { events } => {
                 let first = options.resume_after.map_or(1, |last| last + 1);
                 return Ok(flood(running, first..=events, event));
@@ -457,6 +475,28 @@
     }
 }
 
+/// Complete output of a run with this many events of this size.
+pub fn large_text(events: usize, bytes: usize) -> Bytes {
+    vec!["x".repeat(bytes); events].join("\n").into()
+}
+
+fn large_events(running: RunningCall, ids: RangeInclusive<u64>, bytes: usize) -> EndpointResponse {
+    let data = "x".repeat(bytes);
+    let body = stream::iter(ids).then(move |id| {
+        let _ = &running;
+        let event = Bytes::from(format!("id: {id}\ndata: {data}\n\n"));
+        async move {
+            sleep(EVENT_INTERVAL).await;
+            Ok(event)
+        }
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
