--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs on a log that fails, with hosts that start, stop and are lost.
 
 use crate::support::{
-    AppendFault, CallScript, TestFleet, full_text, results, submission, wait_until,
+    AppendFault, CallScript, TestFleet, full_text, large_text, results, submission, wait_until,
 };
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
 use rstest::rstest;
@@ -270,3 +270,56 @@
     assert_eq!(page.results.len(), 3);
     assert!(page.results.iter().all(|result| result.text.is_none()));
 }
+
+/// An endpoint that always has further data ready must not hold an item beyond the time limits of a run.
+#[tokio::test(start_paused = true)]
+async fn item_moves_away_from_an_endpoint_that_sends_comments_without_end() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet
+        .client
+        .script(&[CallScript::CommentFlood { chunks: 200 }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(8)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(3)));
+}
+
+/// An endpoint that always has a further event ready must not hold an item beyond the time limit of a run.
+#[tokio::test(start_paused = true)]
+async fn item_leaves_an_endpoint_that_sends_events_for_longer_than_a_run_may_take() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet
+        .client
+        .script(&[CallScript::EventFlood { events: 200 }]);
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(35)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(70)));
+}
+
+/// Large outputs that complete together must not make an append that the log refuses for its size, which would block
+/// all later outcomes of the host.
+#[tokio::test(start_paused = true)]
+async fn large_outputs_that_complete_together_are_recorded() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.set_default(CallScript::LargeEvents {
+        events: 1,
+        bytes: 740_000,
+    });
+    node.submit_job(submission("j", 4)).await;
+    sleep(COMPLETION_TIME).await;
+    for position in 0..4 {
+        let found = node.job_results("j", position, Duration::ZERO).await;
+        let JobReply::Found(page) = found else {
+            panic!("{position}: {found:?}");
+        };
+        let text = page.results.first().and_then(|result| result.text.clone());
+        assert!(text == Some(large_text(1, 740_000)), "result {position}");
+    }
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -15,15 +15,16 @@
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use fulmarswitch_switch::record::AcceptedItem;
 use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare};
-use futures::{StreamExt, stream};
+use futures::{FutureExt, StreamExt, stream};
 use http::{HeaderMap, Method, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, advance, sleep};
 
 /// Fault of one append to a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +37,9 @@
     AppendLate(Duration),
 }
 
+/// Maximum size of one append; larger ones are refused.
+const MAX_APPEND_BYTES: usize = 2 << 20;
+
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<KeyedRecord>,
@@ -173,6 +177,15 @@
         records: &[KeyedRecord],
     ) -> Result<u64, AppendError> {
         sleep(Duration::from_millis(4)).await;
+        let bytes: usize = records
+            .iter()
+            .map(|record| record.key.len() + record.value.len())
+            .sum();
+        if bytes > MAX_APPEND_BYTES {
+            return Err(AppendError::Refused {
+                cause: "too large".into(),
+            });
+        }
         let fault = {
             let Some(mut state) = self.reach() else {
                 let cause = "down".into();
@@ -301,6 +314,12 @@
     Status(u16),
     /// Sends events without end, as fast as they are read.
     EndlessStream,
+    /// Always has further bytes ready that belong to no event, one chunk in each [`FLOOD_INTERVAL`].
+    CommentFlood { chunks: u64 },
+    /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
+    EventFlood { events: u64 },
+    /// Streams this many events with this many bytes of data each, one per [`EVENT_INTERVAL`].
+    LargeEvents { events: u64, bytes: usize },
 }
 
 /// A call received by an endpoint.
@@ -328,6 +347,8 @@
 
 /// Time between two events of a stream.
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two chunks of a flood.
+pub const FLOOD_INTERVAL: Duration = Duration::from_millis(500);
 
 impl MemoryClient {
     /// Queues the behaviour of the next calls.
@@ -412,6 +433,18 @@
             }
             CallScript::EndlessEvent => return Ok(endless_event(running)),
             CallScript::EndlessStream => return Ok(endless_stream(running)),
+            CallScript::CommentFlood { chunks } => {
+                let comment = |_| Bytes::from_static(b": comment\n\n");
+                return Ok(flood(running, 1..=chunks, comment));
+            }
+            CallScript::LargeEvents { events, bytes } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(large_events(running, first..=events, bytes));
+            }
+            CallScript::EventFlood { events } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(flood(running, first..=events, event));
+            }
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
@@ -470,7 +503,48 @@
     }
 }
 
-/// Decodes a version number as the test configuration, without the route of jobs if `without jobs` follows, and `ready` or `draining` as a listing. A software version may
+/// A response whose chunks are always ready, so that whoever reads it never waits.
+fn flood(
+    running: RunningCall,
+    indexes: RangeInclusive<u64>,
+    chunk: impl Fn(u64) -> Bytes + Send + 'static,
+) -> EndpointResponse {
+    let body = stream::iter(indexes).map(move |index| {
+        let _ = &running;
+        // The first poll moves the clock.
+        let _ = advance(FLOOD_INTERVAL).now_or_never();
+        Ok(chunk(index))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
+/// Complete output of a run with this many events of this size.
+pub fn large_text(events: usize, bytes: usize) -> Bytes {
+    vec!["x".repeat(bytes); events].join("\n").into()
+}
+
+fn large_events(running: RunningCall, ids: RangeInclusive<u64>, bytes: usize) -> EndpointResponse {
+    let data = "x".repeat(bytes);
+    let body = stream::iter(ids).then(move |id| {
+        let _ = &running;
+        let event = Bytes::from(format!("id: {id}\ndata: {data}\n\n"));
+        async move {
+            sleep(EVENT_INTERVAL).await;
+            Ok(event)
+        }
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
+/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
 
