Keep accepted jobs readable when their host name leaves the configuration

Callers of an accepted job got 404 for its results, its item bodies and its cancellation after a configuration had removed all routes of the host name that the job was sent to. The job was still there and its items ran.

Cause: a call for a host name without a route was answered with 404 before the job was looked for.

Calls for jobs are now answered by the job alone. A job that does not exist still gets 404 when the log could be read.

--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -128,12 +128,6 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Whether any route has this host name.
-    #[must_use]
-    pub fn knows_host(&self, host: &str) -> bool {
-        !self.routes_of_host(host).is_empty()
-    }
-
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
