Answer with a failure if an endpoint breaks off before the first byte

Callers saw a connection that closed without a byte: neither an answer nor a refusal.

Cause: the head of the response is passed to the HTTP server at once. If the body fails before the server has written anything, it drops the connection together with the head.

The host now waits for the first chunk of the response before it answers, and answers 502, or 504 at the deadline, if there is none.

--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -14,6 +14,7 @@
 use crate::wait::max_wait;
 use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedEndpoint, SilenceStep};
 use forward::forward;
+use futures::stream::{self, StreamExt};
 use http::StatusCode;
 use rand::Rng;
 use slog::info;
@@ -65,7 +66,7 @@
 }
 
 impl SwitchNode {
-    /// Serves an online request, up to the head of the response.
+    /// Serves an online request, up to the first chunk of the response.
     pub async fn serve_online(self: &Arc<Self>, request: OnlineRequest) -> OnlineReply {
         let in_flight = InFlightRequest::begin(self);
         let mut exchange = OnlineExchange {
@@ -86,7 +87,8 @@
         };
         match exchange.first_response().await {
             Ok((response, guard, endpoint)) => {
-                OnlineReply::Response(forward(exchange, response, guard, endpoint))
+                let deadline = exchange.request.deadline;
+                begin_reply(forward(exchange, response, guard, endpoint), deadline).await
             }
             Err(reply) => {
                 exchange.log_reply(&reply);
@@ -96,6 +98,21 @@
     }
 }
 
+/// Waits for the first chunk of a response. If it breaks off before that, the caller has received nothing, and gets a
+/// failure instead of a connection that closes without a response.
+async fn begin_reply(mut response: EndpointResponse, deadline: Instant) -> OnlineReply {
+    match response.body.next().await {
+        Some(Ok(chunk)) => {
+            let rest = response.body;
+            response.body = stream::iter([Ok(chunk)]).chain(rest).boxed();
+            OnlineReply::Response(response)
+        }
+        Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
+        Some(Err(_)) => OnlineReply::Failed,
+        None => OnlineReply::Response(response),
+    }
+}
+
 /// A response with its in-flight guard and endpoint.
 type Opened = (EndpointResponse, InFlightGuard, Arc<ListedEndpoint>);
 
