Cancel the attempt beside a silent endpoint if it sends nothing either

Callers could lose an answer that a silent endpoint would have gone on with, and a request could run on more endpoints than its attempts:

- After 0.35 s of overlap the silent endpoint was given up although the other one had sent nothing.
If that one was silent, too, or all endpoints were slow, the answer ended (silent_endpoint_keeps_the_request_until_ another_sends, six cases).
Now the other one is cancelled.
An endpoint that sends its head and no data has not answered.
- A cancelled attempt was not counted as one that may have run (endpoints_asked_during_silences_count_as_attempts: four runs with three attempts).
- When the silent endpoint broke off, its silence was taken for that of the next one, which was given up early (silence_of_an_endpoint_that_broke_off_is_not_that_of_the_next).
- Time in which the caller did not read counted as a silence (caller_that_does_not_read_is_no_silence_of_the_endpoint), and so did time in which this host did not run.
- Comments without an event counted as progress (stream_moves_away_from_an_endpoint_that_sends_only_comments).

To be of use within the overlap, the other endpoint must have an expected wait of at most 0.15 s.

--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -1,16 +1,17 @@
 //! Attempts at one request: at most one beside the endpoint that has the request, while that endpoint is silent.
 //!
 //! A sound endpoint may be silent for a while and go on, so silence alone does not end an attempt. After
-//! [`STALL_TIMEOUT`] the request is also sent to another endpoint, and the silent one is given up only when the other has
-//! begun to respond, or has kept the request for [`OVERLAP_LIMIT`] without refusing it.
+//! [`STALL_TIMEOUT`] the request is also sent to another endpoint. Whichever sends data first has the request. If the
+//! other sends none within [`OVERLAP_LIMIT`], its attempt is cancelled, since two endpoints must not run a request for
+//! long.
 
-use super::{OnlineExchange, interrupted};
+use super::{OnlineExchange, OnlineReply, interrupted};
 use crate::backend::{CallError, CallOptions, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::in_flight::InFlightGuard;
 use crate::node::millis;
-use futures::FutureExt;
 use futures::future::{BoxFuture, pending, select_all};
+use futures::{FutureExt, StreamExt, stream};
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,24 +22,28 @@
 /// Time without an event after which an idempotent request is also sent to another endpoint. Longer than the second for
 /// which sound endpoints may be silent, and well under the 2 s after which callers abandon a stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1300);
-/// Time for which two endpoints may have a request at once. It covers the timeout of a new connection; beyond it both may
-/// be running the request.
+/// Time for which two endpoints may have a request at once. It covers the timeout of a new connection.
 const OVERLAP_LIMIT: Duration = Duration::from_millis(350);
 /// Interval between two searches for another endpoint during one silence.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum expected wait at another endpoint that is asked during a silence, so that it responds within the overlap.
+pub(super) const MAX_OTHER_WAIT: Duration = Duration::from_millis(150);
+/// Delay of a step beyond which this host itself did not run, so that the silence may have been its own.
+const LATE_STEP: Duration = Duration::from_millis(600);
 
 /// An endpoint that has been selected for a request, with the count of the request there.
 pub(super) type RoutedEndpoint = (Arc<ListedEndpoint>, InFlightGuard);
 
-/// Result of [`PendingAttempts::next_head`].
-pub(super) type AttemptHead = (PendingAttempt, Result<EndpointResponse, CallError>);
+/// Result of [`PendingAttempts::next_response`].
+pub(super) type AttemptResponse = (PendingAttempt, Result<EndpointResponse, CallError>);
 
 /// An attempt whose response has not begun.
 pub(super) struct PendingAttempt {
     pub(super) endpoint: Arc<ListedEndpoint>,
     pub(super) guard: InFlightGuard,
     started: Instant,
-    head: BoxFuture<'static, Result<EndpointResponse, CallError>>,
+    /// The response, complete or with its first chunk.
+    response: BoxFuture<'static, Result<EndpointResponse, CallError>>,
 }
 
 /// Attempts whose responses have not begun, in the order of their start.
@@ -50,25 +55,25 @@
         self.0.is_empty()
     }
 
-    /// Waits for the head of any response and removes its attempt. Waits forever if there is no attempt.
-    pub(super) async fn next_head(&mut self) -> AttemptHead {
+    /// Waits for the start of any response and removes its attempt. Waits forever if there is no attempt.
+    pub(super) async fn next_response(&mut self) -> AttemptResponse {
         if self.0.is_empty() {
             return pending().await;
         }
-        let heads = self.0.iter_mut().map(|attempt| &mut attempt.head);
-        let (head, index, _) = select_all(heads).await;
-        (self.0.remove(index), head)
+        let responses = self.0.iter_mut().map(|attempt| &mut attempt.response);
+        let (response, index, _) = select_all(responses).await;
+        (self.0.remove(index), response)
+    }
+
+    /// When the oldest attempt started.
+    pub(super) fn oldest_started(&self) -> Option<Instant> {
+        self.0.first().map(|attempt| attempt.started)
     }
 
     /// Removes the attempt that started first.
     pub(super) fn take_oldest(&mut self) -> Option<PendingAttempt> {
         (!self.0.is_empty()).then(|| self.0.remove(0))
     }
-
-    /// Ends all attempts.
-    pub(super) fn clear(&mut self) {
-        self.0.clear();
-    }
 }
 
 /// What to do about a silence, and when.
@@ -78,8 +83,8 @@
     Avoid,
     /// The request is sent to another endpoint as well.
     Seek,
-    /// The endpoint that has had the request for longer is given up.
-    GiveUpOldest,
+    /// The attempt at the other endpoint is cancelled.
+    CancelOther,
     /// The request ends.
     Deadline,
 }
@@ -96,20 +101,35 @@
 impl EndpointSilence {
     /// A silence that begins now.
     pub(super) fn begin() -> Self {
+        Self::since(Instant::now())
+    }
+
+    /// A silence that began at `since`.
+    pub(super) fn since(since: Instant) -> Self {
         Self {
-            since: Instant::now(),
+            since,
             avoided: false,
             sought_at: None,
         }
     }
 }
 
+/// Waits for the first chunk of a successful response, so that an endpoint that breaks off or falls silent after the head
+/// has not answered.
+async fn with_first_chunk(mut response: EndpointResponse) -> Result<EndpointResponse, CallError> {
+    if !response.status.is_success() {
+        return Ok(response);
+    }
+    if let Some(chunk) = response.body.next().await {
+        let first = stream::iter([Ok(chunk?)]);
+        response.body = first.chain(response.body).boxed();
+    }
+    Ok(response)
+}
+
 impl OnlineExchange {
     /// Sends the request to the best endpoint.
-    pub(super) fn begin_attempt(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<(), super::OnlineReply> {
+    pub(super) fn begin_attempt(&mut self, resume_after: Option<u64>) -> Result<(), OnlineReply> {
         let routed = self.pick()?;
         self.push_attempt(routed, resume_after);
         Ok(())
@@ -123,15 +143,16 @@
             resume_after,
         };
         let (node, request, target) = (self.node.clone(), self.request.clone(), endpoint.clone());
-        let head = async move {
+        let response = async move {
             let client = &node.deps.client;
-            client.call(&target, &request.call, options).await
+            let response = client.call(&target, &request.call, options).await?;
+            with_first_chunk(response).await
         };
         self.attempts.0.push(PendingAttempt {
             endpoint,
             guard,
             started,
-            head: head.boxed(),
+            response: response.boxed(),
         });
     }
 
@@ -145,7 +166,7 @@
         let endpoints = self.attempts.0.len() + usize::from(has_current);
         let newest = self.attempts.0.last();
         if let Some(newest) = newest.filter(|_| endpoints > 1) {
-            return (newest.started + OVERLAP_LIMIT, SilenceStep::GiveUpOldest).min_time(deadline);
+            return (newest.started + OVERLAP_LIMIT, SilenceStep::CancelOther).min_time(deadline);
         }
         if !silence.avoided {
             return (silence.since + AVOID_TIMEOUT, SilenceStep::Avoid).min_time(deadline);
@@ -160,50 +181,85 @@
         (seek_at, SilenceStep::Seek).min_time(deadline)
     }
 
-    /// Takes a step about a silence of the endpoint that has the request: `current`, or the one of the only attempt.
-    /// Returns whether `current` is given up.
+    /// Takes a step, due at `step_at`, about a silence of the endpoint that has the request: `current`, or the one of the
+    /// oldest attempt.
     pub(super) fn take_step(
         &mut self,
-        step: SilenceStep,
+        (step_at, step): (Instant, SilenceStep),
         silence: &mut EndpointSilence,
         current: Option<&Arc<ListedEndpoint>>,
         resume_after: Option<u64>,
-    ) -> bool {
-        let only_attempt = self.attempts.0.first().map(|attempt| &attempt.endpoint);
-        let silent = current.or(only_attempt).cloned();
-        match (step, silent) {
-            (SilenceStep::Avoid, Some(silent)) => {
+    ) {
+        let now = Instant::now();
+        let oldest = self.attempts.0.first().map(|attempt| &attempt.endpoint);
+        let Some(silent) = current.or(oldest).cloned() else {
+            return;
+        };
+        match step {
+            SilenceStep::CancelOther => {
+                silence.sought_at = Some(now);
+                if let Some(other) = self.attempts.0.pop() {
+                    self.record_cancelled(&other, "silent as well");
+                }
+            }
+            _ if now > step_at + LATE_STEP => *silence = EndpointSilence::begin(),
+            SilenceStep::Avoid => {
                 silence.avoided = true;
-                let now = Instant::now();
                 self.node
                     .avoid_endpoint(&mut self.node.lock(), &silent.id, now);
             }
-            (SilenceStep::Seek, Some(silent)) => {
+            SilenceStep::Seek => {
                 let routed = self.pick_other(&silent.id);
                 if silence.sought_at.is_none() {
                     self.log_silence(&silent, silence, routed.is_some());
                 }
-                silence.sought_at = Some(Instant::now());
+                silence.sought_at = Some(now);
                 if let Some(routed) = routed {
                     self.push_attempt(routed, resume_after);
                 }
             }
-            (SilenceStep::GiveUpOldest, Some(silent)) => {
-                self.give_up(&silent);
-                *silence = EndpointSilence::begin();
-                if current.is_some() {
-                    return true;
-                }
-                self.attempts.take_oldest();
+            SilenceStep::Deadline => {}
+        }
+    }
+
+    /// Cancels all attempts, since another endpoint has answered.
+    pub(super) fn cancel_attempts(&mut self) {
+        while let Some(attempt) = self.attempts.take_oldest() {
+            self.record_cancelled(&attempt, "another endpoint has answered");
+        }
+    }
+
+    /// Ends the attempts beside `answered`. One that is older has been silent for long, so its endpoint counts as failed.
+    pub(super) fn supersede_attempts(&mut self, answered: &PendingAttempt) {
+        while let Some(attempt) = self.attempts.take_oldest() {
+            if attempt.started < answered.started {
+                self.give_up(&attempt.endpoint);
+            } else {
+                self.record_cancelled(&attempt, "another endpoint has answered");
             }
-            _ => {}
         }
-        false
     }
 
-    /// Records that a silent endpoint is given up, since another one has the request.
+    /// The silence of the oldest attempt: `silence`, unless that is of an older attempt that has ended.
+    pub(super) fn oldest_silence(&self, silence: EndpointSilence) -> EndpointSilence {
+        match self.attempts.oldest_started() {
+            Some(started) if started > silence.since => EndpointSilence::since(started),
+            _ => silence,
+        }
+    }
+
+    /// Records an attempt that this host has cancelled. It may have run.
+    fn record_cancelled(&mut self, attempt: &PendingAttempt, cause: &str) {
+        info!(self.node.deps.logger, "attempt cancelled"; "request" => &*self.request.call.id,
+            "endpoint" => &*attempt.endpoint.id, "cause" => cause,
+            "asked_for_ms" => millis(attempt.started.elapsed()));
+        self.node.metrics.count_attempt("cancelled");
+        self.runs += 1;
+    }
+
+    /// Records that a silent endpoint is given up, since another one has answered.
     pub(super) fn give_up(&mut self, silent: &ListedEndpoint) {
-        let error = interrupted("silent, and another endpoint has the request");
+        let error = interrupted("silent, and another endpoint has answered");
         // The reply for the caller is that of the other endpoint.
         let _ = self.handle_error(silent, &error);
     }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards the body of a response to the caller.
 
-use super::attempts::{AttemptHead, EndpointSilence, SilenceStep};
+use super::attempts::{AttemptResponse, EndpointSilence, SilenceStep};
 use super::{MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{CallError, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
@@ -38,6 +38,7 @@
         resumable,
         remaining_bytes: content_length(&response.headers),
         silence: EndpointSilence::begin(),
+        made_progress: false,
         ended: false,
     };
     let body = stream::unfold(forwarded, |mut forwarded| async move {
@@ -67,6 +68,8 @@
     remaining_bytes: Option<u64>,
     /// Time without an event, for responses that may be resumed.
     silence: EndpointSilence,
+    /// Whether the caller has got an event with an ID since the silence began.
+    made_progress: bool,
     ended: bool,
 }
 
@@ -76,10 +79,10 @@
 enum ResponseInput {
     /// A chunk of the body; `None` at its end.
     Chunk(Option<Result<Bytes, CallError>>),
-    /// The head of a response of another endpoint.
-    Head(AttemptHead),
-    /// No endpoint has sent anything.
-    Silence(SilenceStep),
+    /// A response of another endpoint.
+    Response(AttemptResponse),
+    /// No endpoint has sent an event until a step became due.
+    Silence((Instant, SilenceStep)),
 }
 
 impl ForwardedResponse {
@@ -91,6 +94,11 @@
             let deadline = self.exchange.request.deadline;
             return self.read_chunk(deadline).await;
         }
+        if self.made_progress {
+            // Counted from now, since the time in which the caller did not read is no silence of the endpoint.
+            self.silence = EndpointSilence::begin();
+            self.made_progress = false;
+        }
         loop {
             match self.next_event() {
                 Ok(None) => {}
@@ -107,7 +115,7 @@
                     self.finish("answered");
                     return None;
                 }
-                ResponseInput::Head(head) => self.apply_head(head),
+                ResponseInput::Response(response) => self.apply_response(response),
                 ResponseInput::Silence(step) => self.apply_silence(step),
             };
             if let Err(error) = handled {
@@ -129,19 +137,21 @@
         }
         self.last_event = event.id.or(self.last_event);
         self.exchange.record_event(&self.endpoint);
-        // The endpoint goes on, so no other one is needed.
-        self.exchange.attempts.clear();
-        self.silence = EndpointSilence::begin();
+        if event.id.is_some() {
+            // The endpoint goes on, so no other one is needed.
+            self.exchange.cancel_attempts();
+            self.made_progress = true;
+        }
         Ok(Some(event.bytes))
     }
 
     /// Waits for the current endpoint and for the one that may replace it.
     async fn next_input(&mut self) -> ResponseInput {
         let exchange = &mut self.exchange;
-        let (step_at, step) = exchange.silence_step(&self.silence, self.body.is_some());
-        if exchange.request.deadline <= Instant::now() {
-            // A body with a chunk always ready must not outlast the deadline.
-            return ResponseInput::Silence(SilenceStep::Deadline);
+        let step = exchange.silence_step(&self.silence, self.body.is_some());
+        if step.0 <= Instant::now() {
+            // A body with a chunk always ready must not outlast a step.
+            return ResponseInput::Silence(step);
         }
         let input = {
             let body = &mut self.body;
@@ -153,9 +163,9 @@
             };
             tokio::select! {
                 biased;
+                response = exchange.attempts.next_response() => ResponseInput::Response(response),
                 chunk = next_chunk => ResponseInput::Chunk(chunk),
-                head = exchange.attempts.next_head() => ResponseInput::Head(head),
-                () = sleep_until(step_at) => ResponseInput::Silence(step),
+                () = sleep_until(step.0) => ResponseInput::Silence(step),
             }
         };
         if let ResponseInput::Chunk(Some(Ok(chunk))) = &input {
@@ -173,18 +183,18 @@
     }
 
     /// Goes on at the endpoint that has responded, unless it refuses the request or fails.
-    fn apply_head(&mut self, (attempt, head): AttemptHead) -> Result<(), CallError> {
-        let error = match head {
+    fn apply_response(&mut self, (attempt, response): AttemptResponse) -> Result<(), CallError> {
+        let error = match response {
             Ok(response) if response.status.is_success() => {
                 if self.body.take().is_some() {
                     self.exchange.give_up(&self.endpoint);
                 }
+                self.exchange.supersede_attempts(&attempt);
                 info!(self.exchange.node.deps.logger, "answer resumed";
                     "request" => &*self.exchange.request.call.id,
                     "endpoint" => &*attempt.endpoint.id, "version" => &*attempt.endpoint.version,
                     "after_event" => self.last_event);
                 self.parser.clear();
-                self.exchange.attempts.clear();
                 self.body = Some(response.body);
                 self.guard = Some(attempt.guard);
                 self.endpoint = attempt.endpoint;
@@ -195,23 +205,25 @@
             Err(error) => error,
         };
         let handled = self.exchange.handle_error(&attempt.endpoint, &error);
-        if self.body.is_some() || !self.exchange.attempts.is_empty() {
-            // Another endpoint has the request.
+        if self.body.is_some() {
+            // The current endpoint still has the request.
+            return Ok(());
+        }
+        if let Some(started) = self.exchange.attempts.oldest_started() {
+            self.silence = EndpointSilence::since(started);
             return Ok(());
         }
         handled.map_err(|_| error.clone())?;
         self.begin_resumption(&error)
     }
 
-    fn apply_silence(&mut self, step: SilenceStep) -> Result<(), CallError> {
-        if step == SilenceStep::Deadline {
+    fn apply_silence(&mut self, step: (Instant, SilenceStep)) -> Result<(), CallError> {
+        if step.1 == SilenceStep::Deadline {
             return Err(interrupted("no further data before the deadline"));
         }
         let current = self.body.is_some().then_some(&self.endpoint);
         let (exchange, silence) = (&mut self.exchange, &mut self.silence);
-        if exchange.take_step(step, silence, current, self.last_event) {
-            self.drop_current();
-        }
+        exchange.take_step(step, silence, current, self.last_event);
         Ok(())
     }
 
@@ -244,7 +256,8 @@
     fn resume(&mut self, error: &CallError) -> Result<(), CallError> {
         self.drop_current();
         let handled = self.exchange.handle_error(&self.endpoint, error);
-        if !self.exchange.attempts.is_empty() {
+        if let Some(started) = self.exchange.attempts.oldest_started() {
+            self.silence = EndpointSilence::since(started);
             return Ok(());
         }
         handled.map_err(|_| error.clone())?;
@@ -269,7 +282,7 @@
         self.ended = true;
         self.body = None;
         self.guard = None;
-        self.exchange.attempts.clear();
+        self.exchange.cancel_attempts();
         let exchange = &mut self.exchange;
         if outcome == "answered" {
             let mut state = exchange.node.lock();
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -12,7 +12,9 @@
 use crate::overload::Rejection;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
-use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedEndpoint, SilenceStep};
+use attempts::{
+    EndpointSilence, MAX_OTHER_WAIT, PendingAttempt, PendingAttempts, RoutedEndpoint, SilenceStep,
+};
 use forward::forward;
 use futures::stream::{self, StreamExt};
 use http::StatusCode;
@@ -172,10 +174,9 @@
                 silence = EndpointSilence::begin();
             }
             let (step_at, step) = self.silence_step(&silence, false);
-            match timeout_at(step_at, self.attempts.next_head()).await {
+            match timeout_at(step_at, self.attempts.next_response()).await {
                 Ok((attempt, Ok(response))) => {
                     if let Some(opened) = self.accept_head(attempt, response) {
-                        self.give_up_attempts();
                         return Ok(opened);
                     }
                 }
@@ -186,10 +187,9 @@
                     }
                 }
                 Err(_) if step == SilenceStep::Deadline => return Err(self.time_out()),
-                Err(_) => {
-                    self.take_step(step, &mut silence, None, resume_after);
-                }
+                Err(_) => self.take_step((step_at, step), &mut silence, None, resume_after),
             }
+            silence = self.oldest_silence(silence);
         }
     }
 
@@ -199,15 +199,14 @@
         attempt: PendingAttempt,
         response: EndpointResponse,
     ) -> Option<Opened> {
-        let PendingAttempt {
-            endpoint, guard, ..
-        } = attempt;
         let status = response.status;
         let goes_on = self.may_retry() || !self.attempts.is_empty();
         if !(status.is_server_error() && goes_on) {
-            return Some((response, guard, endpoint));
+            self.supersede_attempts(&attempt);
+            return Some((response, attempt.guard, attempt.endpoint));
         }
-        self.record_failed_attempt(&endpoint, "answered with a failure", "failed");
+        let endpoint = &attempt.endpoint;
+        self.record_failed_attempt(endpoint, "answered with a failure", "failed");
         self.runs += 1;
         if is_endpoint_failure(status) {
             let state = &mut self.node.lock();
@@ -217,13 +216,6 @@
         None
     }
 
-    /// Gives up the attempts beside the one that has responded.
-    fn give_up_attempts(&mut self) {
-        while let Some(attempt) = self.attempts.take_oldest() {
-            self.give_up(&attempt.endpoint);
-        }
-    }
-
     /// Ends all attempts at the deadline.
     fn time_out(&mut self) -> OnlineReply {
         let error = interrupted("no response within the timeout");
@@ -338,7 +330,7 @@
         let node = self.node.clone();
         let state = &mut *node.lock();
         let service = self.pick_service(state, now)?;
-        let max_wait = self.max_wait(state, remaining);
+        let max_wait = self.max_wait(state, remaining).min(MAX_OTHER_WAIT);
         let excluded = [&self.tried[..], std::slice::from_ref(silent)].concat();
         match self.select(state, &service, &excluded, max_wait) {
             EndpointPick::Use(endpoint) => Some(self.route(state, &service, endpoint)),
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,10 +1,12 @@
 //! Online requests: selection of endpoints, retries, and the result for the caller.
 
 use crate::support::CallScript::{
-    BreakAfter, Disconnect, EndlessEvent, EndlessStream, Full, Pause, Silent, StallAfter, Status,
-    Stream, Unreachable,
+    BreakAfter, BreakAfterSilence, Disconnect, EndlessComments, EndlessEvent, EndlessStream, Full,
+    Pause, PauseOften, Silent, StallAfter, Status, Stream, Unreachable,
+};
+use crate::support::{
+    CallScript, CallerOutcome, TestFleet, event, read_response, request, send_request,
 };
-use crate::support::{CallScript, CallerOutcome, TestFleet, event, request, send_request};
 use bytes::Bytes;
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use futures::StreamExt;
@@ -148,9 +150,13 @@
 const SILENCE: Duration = Duration::from_millis(1600);
 
 fn pause(after: u64) -> CallScript {
+    pause_for(after, SILENCE)
+}
+
+fn pause_for(after: u64, silence: Duration) -> CallScript {
     Pause {
         after,
-        silence: SILENCE,
+        silence,
         events: 5,
     }
 }
@@ -293,3 +299,104 @@
     fleet.client.script(scripts);
     assert_eq!(send_request(&node, path).await, expected);
 }
+
+/// Guards against an answer that ends since its silent endpoint was given up for another one that sent nothing either.
+#[rstest]
+#[case::other_is_silent_before_its_head("/safe/x", 2, &[pause_for(0, Duration::from_secs(2))], Silent)]
+#[case::other_of_a_stream_is_silent("/resume/x", 2, &[pause_for(2, Duration::from_secs(2))], Silent)]
+#[case::other_is_silent_after_its_head("/resume/x", 2, &[pause(2), StallAfter { event: 2 }], Silent)]
+#[case::both_are_silent_within_a_stream("/resume/x", 2, &[pause(2), pause_for(2, Duration::from_secs(3))], Silent)]
+#[case::all_are_slow("/safe/x", 4, &[], pause_for(0, Duration::from_secs(3)))]
+#[case::all_are_slow_before_a_stream("/resume/x", 4, &[], pause_for(0, Duration::from_secs(3)))]
+#[tokio::test(start_paused = true)]
+async fn silent_endpoint_keeps_the_request_until_another_sends(
+    #[case] path: &str,
+    #[case] endpoints: usize,
+    #[case] scripts: &[CallScript],
+    #[case] default: CallScript,
+) {
+    let fleet = TestFleet::new(endpoints);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    fleet.client.set_default(default);
+    let outcome = send_request(&node, path).await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+}
+
+/// Guards against a request that runs on more endpoints than its attempts, since one that was asked during a silence and
+/// cancelled is not counted.
+#[tokio::test(start_paused = true)]
+async fn endpoints_asked_during_silences_count_as_attempts() {
+    let fleet = TestFleet::new(6);
+    let node = fleet.start("a").await;
+    let silence = Duration::from_millis(1400);
+    fleet.client.script(&[PauseOften { silence, events: 5 }]);
+    fleet.client.set_default(Silent);
+    let request = OnlineRequest {
+        deadline: Instant::now() + Duration::from_secs(20),
+        ..request(&node, "/resume/x", "r")
+    };
+    let outcome = read_response(&node, request).await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    let runs = fleet.client.calls().iter().filter(|call| call.ran).count();
+    assert!(runs <= 3, "{runs} endpoints ran a request with 3 attempts");
+}
+
+/// Guards against an endpoint that is given up early for the silence of the one that had the request before it.
+#[rstest]
+#[case::before_the_head("/safe/x", 0)]
+#[case::of_a_stream("/resume/x", 2)]
+#[tokio::test(start_paused = true)]
+async fn silence_of_an_endpoint_that_broke_off_is_not_that_of_the_next(
+    #[case] path: &str,
+    #[case] after: u64,
+) {
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    let silence = Duration::from_millis(1330);
+    fleet.client.script(&[
+        BreakAfterSilence { after, silence },
+        pause_for(0, Duration::from_millis(700)),
+    ]);
+    fleet.client.set_default(Silent);
+    let outcome = send_request(&node, path).await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    assert_eq!(fleet.client.calls().len(), 2);
+}
+
+/// Guards against a request that is sent to a second endpoint since its caller did not read for a while.
+#[tokio::test(start_paused = true)]
+async fn caller_that_does_not_read_is_no_silence_of_the_endpoint() {
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    fleet.client.set_default(Stream { events: 5 });
+    let reply = node.serve_online(request(&node, "/resume/x", "r")).await;
+    let OnlineReply::Response(mut response) = reply else {
+        panic!("the request was not served");
+    };
+    response.body.next().await.unwrap().unwrap();
+    sleep(Duration::from_secs(2)).await;
+    while let Some(chunk) = response.body.next().await {
+        chunk.unwrap();
+    }
+    assert_eq!(fleet.client.calls().len(), 1);
+}
+
+/// Guards against a stream that stays at an endpoint which sends comments without end and no further event.
+#[tokio::test(start_paused = true)]
+async fn stream_moves_away_from_an_endpoint_that_sends_only_comments() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[EndlessComments]);
+    fleet.client.set_default(Stream { events: 5 });
+    let reply = node.serve_online(request(&node, "/resume/x", "r")).await;
+    let OnlineReply::Response(mut response) = reply else {
+        panic!("the request was not served");
+    };
+    let mut body = Vec::new();
+    while let Some(chunk) = response.body.next().await {
+        body.extend_from_slice(&chunk.unwrap());
+    }
+    let all = events(5);
+    assert!(body.ends_with(&all), "the stream ends without its events");
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -300,6 +300,10 @@
         silence: Duration,
         events: u64,
     },
+    /// Streams this many events and is silent for this time before each of them but the first.
+    PauseOften { silence: Duration, events: u64 },
+    /// Is silent for this time after one of its events, or before the head if `after` is zero, and disconnects.
+    BreakAfterSilence { after: u64, silence: Duration },
     /// Cannot be reached.
     Unreachable,
     /// Refuses the call as full.
@@ -314,6 +318,8 @@
     Status(u16),
     /// Sends events without end, as fast as they are read.
     EndlessStream,
+    /// Sends comments without end, one per [`EVENT_INTERVAL`], and no event.
+    EndlessComments,
     /// Always has further bytes ready that belong to no event, one chunk in each [`FLOOD_INTERVAL`].
     CommentFlood { chunks: u64 },
     /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
@@ -428,11 +434,17 @@
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status) => (0, false, false, status),
-            CallScript::Stream { events } | CallScript::Pause { events, .. } => {
-                (events, false, false, 200)
+            CallScript::Stream { events }
+            | CallScript::Pause { events, .. }
+            | CallScript::PauseOften { events, .. } => (events, false, false, 200),
+            CallScript::BreakAfterSilence { after: 0, silence } => {
+                sleep(silence).await;
+                return Err(lost());
             }
+            CallScript::BreakAfterSilence { after, .. } => (after, true, false, 200),
             CallScript::EndlessEvent => return Ok(endless_event(running)),
             CallScript::EndlessStream => return Ok(endless_stream(running)),
+            CallScript::EndlessComments => return Ok(endless_comments(running)),
             CallScript::CommentFlood { chunks } => {
                 let comment = |_| Bytes::from_static(b": comment\n\n");
                 return Ok(flood(running, 1..=chunks, comment));
@@ -450,6 +462,7 @@
         };
         let pause_at = move |position: u64| match script {
             CallScript::Pause { after, silence, .. } if after == position => silence,
+            CallScript::PauseOften { silence, .. } if position > 0 => silence,
             _ => Duration::ZERO,
         };
         sleep(pause_at(0)).await;
@@ -466,6 +479,9 @@
             if stalls {
                 std::future::pending::<()>().await;
             }
+            if let CallScript::BreakAfterSilence { silence, .. } = script {
+                sleep(silence).await;
+            }
             disconnects.then(|| Err(lost()))
         };
         let body = sent.chain(stream::once(tail).filter_map(std::future::ready));
@@ -503,6 +519,22 @@
     }
 }
 
+/// A response with comments without end.
+fn endless_comments(running: RunningCall) -> EndpointResponse {
+    let chunks = stream::repeat(()).then(move |()| {
+        let _ = &running;
+        async {
+            sleep(EVENT_INTERVAL).await;
+            Ok(Bytes::from_static(b": comment\n\n"))
+        }
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: chunks.boxed(),
+    }
+}
+
 /// A response whose chunks are always ready, so that whoever reads it never waits.
 fn flood(
     running: RunningCall,
