Bound the output of an item and discard output without end

Found by reading. An endpoint that sends valid events without end filled the memory of the host for up to 30 s, and its surplus events became output of the item: the next run continued after them.

Cause: nothing bounded the output of a run, and output that an endpoint sent was kept whatever followed.

Evidence: before, both cases of output_without_end_is_discarded_* fail at assert_eq!(page.results.len(), 1) with 0 results after 8 s, and host_started_later_* fails at the comparison with full_text(3), as the surplus events are part of the result.

Fix: output of 900,000 bytes ends the run as interrupted, since no page of results can hold more. Where the surplus begins is unknown, so all output of the item is discarded. The record Discarded, read by all hosts in the same order, removes its checkpoints; the host that ran the item does not run it again before it has read that record. Segments of that host are ignored afterwards, since an append without a response may still be on its way. Hosts of an earlier release ignore the record and may continue the checkpoints.

--- a/crates/switch/src/batch/outcomes.rs
+++ b/crates/switch/src/batch/outcomes.rs
@@ -47,6 +47,8 @@
     Abandoned,
     /// A run failed; the item may run again.
     Failed,
+    /// The output so far is discarded; the item runs again from the beginning.
+    Discarded,
 }
 
 pub(super) fn send_update(updates: &mpsc::UnboundedSender<ItemUpdate>, update: ItemUpdate) {
@@ -98,7 +100,7 @@
 fn update_bytes(update: &ItemUpdate) -> usize {
     match &update.kind {
         UpdateKind::Completed(text) => text.len(),
-        UpdateKind::Abandoned | UpdateKind::Failed => 0,
+        UpdateKind::Abandoned | UpdateKind::Failed | UpdateKind::Discarded => 0,
     }
 }
 
@@ -136,6 +138,11 @@
                 records.push(JobRecord::Failed { job, item });
                 continue;
             }
+            UpdateKind::Discarded => {
+                let writer = node.lock().numbers.writer();
+                records.push(JobRecord::Discarded { job, item, writer });
+                continue;
+            }
             UpdateKind::Abandoned => ItemOutcome::Abandoned,
             UpdateKind::Completed(text) => ItemOutcome::Completed(texts.add(node, text)),
         };
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -7,7 +7,7 @@
 use crate::in_flight::InFlightGuard;
 use crate::load::RequestClass;
 use crate::node::{SwitchNode, SwitchState, millis};
-use crate::progress::{ItemProgress, ProgressSegment, SharedProgress};
+use crate::progress::{ItemProgress, MAX_OUTPUT_BYTES, ProgressSegment, SharedProgress};
 use crate::schedule::ItemName;
 use futures::StreamExt;
 use http::StatusCode;
@@ -36,6 +36,8 @@
     NotRun,
     /// The endpoint or the connection to it failed.
     Interrupted(CallError),
+    /// The output exceeds its maximum size, so the endpoint does not end it properly.
+    Oversized,
     /// The endpoint reports that the run failed.
     Failed,
     /// The endpoint reports that the item can never complete.
@@ -50,6 +52,7 @@
             Self::NotSent => "not sent",
             Self::NotRun => "not run",
             Self::Interrupted(_) => "broken off",
+            Self::Oversized => "oversized",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
         }
@@ -170,7 +173,12 @@
                 let Some(id) = event.id else {
                     continue;
                 };
-                if !self.progress.lock().push_event(id, &event.data()) {
+                let data = event.data();
+                let mut progress = self.progress.lock();
+                if progress.len() + data.len() >= MAX_OUTPUT_BYTES {
+                    return RunOutcome::Oversized;
+                }
+                if !progress.push_event(id, &data) {
                     return interrupted("event IDs are not consecutive");
                 }
                 stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
@@ -241,6 +249,17 @@
                 state.histories.record_interruption(name, now);
                 None
             }
+            RunOutcome::Oversized => {
+                node.avoid_endpoint(state, endpoint, now);
+                state.histories.record_interruption(name, now);
+                // This host claims the item, and does not run it until the record is read back.
+                state.remove_progress(name);
+                state.start_progress(name);
+                state.unrecorded.push(name.clone());
+                let (name, kind) = (name.clone(), UpdateKind::Discarded);
+                send_update(updates, ItemUpdate { name, kind });
+                None
+            }
             RunOutcome::Failed => {
                 node.record_error_response(state, endpoint, RequestClass::Batch);
                 let failures = state.histories.record_failure(name, now);
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -121,6 +121,8 @@
     Failed,
     /// A segment of output was added to an item.
     Progressed,
+    /// The segments of an item were discarded.
+    Discarded,
     /// A job was cancelled.
     Cancelled,
 }
@@ -178,6 +180,13 @@
                     LedgerChange::Repeated
                 }
             }
+            JobRecord::Discarded { job, item, writer } => match self.open_item_mut(&job, item) {
+                Some(item) => {
+                    item.checkpoints.discard(writer);
+                    LedgerChange::Discarded
+                }
+                None => LedgerChange::Repeated,
+            },
             JobRecord::Cancelled { job } => match self.get_mut(&job) {
                 Some(job) if !job.cancelled => {
                     job.cancelled = true;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -122,7 +122,7 @@
     pub(crate) running: Vec<RunningItem>,
     /// Output so far of started items, whether they run or wait to be continued.
     pub(crate) progress: Vec<(ItemName, SharedProgress)>,
-    /// Items whose final outcome is not recorded in the log yet.
+    /// Items of which the log does not hold yet that they have a final outcome or that their output was discarded.
     pub(crate) unrecorded: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
@@ -139,7 +139,7 @@
         names.take(max).map(ItemName::key).collect()
     }
 
-    /// Items that run here, or whose outcome is not recorded in the log yet.
+    /// Items that run here, or that the log has to record something of first.
     pub(crate) fn busy_items(&self) -> impl Iterator<Item = &ItemName> {
         let running = self.running.iter().map(|running| &running.name);
         running.chain(&self.unrecorded)
@@ -436,10 +436,18 @@
             JobRecord::Settled { .. } => "settled",
             JobRecord::Failed { .. } => "failed",
             JobRecord::Progress { .. } | JobRecord::Checkpoint { .. } => "progress",
+            JobRecord::Discarded { .. } => "discarded",
             JobRecord::Cancelled { .. } => "ended",
         };
         let last_key = &last_frame.record.key;
-        let change = self.lock().ledger.apply_entry(record, last_key);
+        let mut state = self.lock();
+        if let JobRecord::Discarded { job, item, .. } = &record {
+            state
+                .unrecorded
+                .retain(|name| (&name.job, name.item) != (job, *item));
+        }
+        let change = state.ledger.apply_entry(record, last_key);
+        drop(state);
         slog::debug!(self.deps.logger, "job record"; "job" => &*job, "kind" => kind,
             "offset" => last_frame.offset, "change" => ?change);
     }
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -5,6 +5,10 @@
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// Maximum size of the output of an item. Results are returned in pages of at most 1 MB, so a larger output could not
+/// be returned.
+pub const MAX_OUTPUT_BYTES: usize = 900_000;
+
 /// A segment of an item's output in the log, written by one checkpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressSegment {
@@ -55,6 +59,15 @@
         follows
     }
 
+    /// Removes all segments, and ignores those of `writer` from now on: an append without a response may add one that
+    /// belongs to the removed ones.
+    pub fn discard(&mut self, writer: u64) {
+        self.segments.clear();
+        if !self.other_writers.contains(&writer) {
+            self.other_writers.push(writer);
+        }
+    }
+
     /// Software version that wrote the segments; `None` if there are none.
     #[must_use]
     pub fn version(&self) -> Option<VersionKey> {
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -127,6 +127,15 @@
         /// The segment.
         segment: ProgressSegment,
     },
+    /// The output of an item in all checkpoints so far is not continued.
+    Discarded {
+        /// Job ID.
+        job: Arc<str>,
+        /// Index of the item in the job.
+        item: u32,
+        /// Identifies the incarnation of the host that ran the item, see [`TextLocation::writer`].
+        writer: u64,
+    },
 }
 
 /// Errors in decoding a record from the log.
@@ -156,6 +165,7 @@
             | Self::Failed { job, .. }
             | Self::Progress { job, .. }
             | Self::Checkpoint { job, .. }
+            | Self::Discarded { job, .. }
             | Self::Cancelled { job } => job,
         }
     }
@@ -201,6 +211,12 @@
         Self { base, count: 0 }
     }
 
+    /// Identifies the incarnation in all its numbers, see [`TextLocation::writer`].
+    #[must_use]
+    pub fn writer(&self) -> u64 {
+        self.base >> COUNT_BITS
+    }
+
     /// Returns an unused number.
     ///
     /// ```
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -6,7 +6,7 @@
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
 use rstest::rstest;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const COMPLETION_TIME: Duration = Duration::from_secs(3);
 
@@ -284,3 +284,48 @@
         assert!(text == Some(large_text(1, 740_000)), "result {position}");
     }
 }
+
+/// An endpoint that sends valid events without end must not fill the memory, nor may its events become output of the
+/// item, even if they are in a checkpoint.
+#[rstest]
+#[case::before_a_checkpoint(400_000)]
+#[case::after_a_checkpoint(7_000)]
+#[tokio::test(start_paused = true)]
+async fn output_without_end_is_discarded_and_the_item_runs_elsewhere(#[case] bytes: usize) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[CallScript::LargeEvents {
+        events: 5_000,
+        bytes,
+    }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(8)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert!(page.results[0].text == Some(full_text(3)));
+    let calls = fleet.client.calls();
+    assert_eq!(calls.len(), 2);
+    assert_eq!(calls[1].resume_after, None);
+    assert_ne!(calls[0].endpoint, calls[1].endpoint);
+}
+
+/// A host that takes over an item must not continue output that was discarded.
+#[tokio::test(start_paused = true)]
+async fn host_started_later_does_not_continue_discarded_output() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[CallScript::LargeEvents {
+        events: 5_000,
+        bytes: 7_000,
+    }]);
+    fleet.client.set_default(CallScript::Full);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(5)).await;
+    node.stop(Instant::now()).await;
+    fleet.client.set_default(CallScript::Stream { events: 3 });
+    let late = fleet.start("b").await;
+    sleep(COMPLETION_TIME * 2).await;
+    let page = results(&late, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert!(page.results[0].text == Some(full_text(3)));
+}
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -481,6 +481,42 @@
     assert_eq!(chain.segments()[1], second);
 }
 
+/// Guards against continuing discarded output: an append without a response may add its first segment afterwards.
+#[test]
+fn late_segment_of_discarded_output_is_ignored() {
+    let (mut first, mut second) = (
+        RecordNumberGenerator::new("a", 1),
+        RecordNumberGenerator::new("b", 1),
+    );
+    let segment = |writer: &mut RecordNumberGenerator| JobRecord::Checkpoint {
+        job: "j".into(),
+        item: 0,
+        segment: ProgressSegment {
+            version: version_key("1"),
+            after: None,
+            last_event: 100,
+            location: TextLocation {
+                offset: 0,
+                number: writer.next_number(),
+                frames: 1,
+                bytes: 1,
+            },
+        },
+    };
+    let mut ledger = JobLedger::default();
+    ledger.apply(accepted("j", 1));
+    assert_eq!(ledger.apply(segment(&mut first)), LedgerChange::Progressed);
+    let discarded = JobRecord::Discarded {
+        job: "j".into(),
+        item: 0,
+        writer: first.writer(),
+    };
+    assert_eq!(ledger.apply(discarded), LedgerChange::Discarded);
+    assert_eq!(ledger.get("j").unwrap().items[0].checkpoints.segments(), []);
+    assert_eq!(ledger.apply(segment(&mut first)), LedgerChange::Repeated);
+    assert_eq!(ledger.apply(segment(&mut second)), LedgerChange::Progressed);
+}
+
 fn version_key(version: &str) -> VersionKey {
     VersionKey::of("service", version)
 }
