Apply the size limit to every event in the parser

Found by reading. The limit of 1 MiB was applied to the first event in the buffer only, so an event of any size passed if it arrived in one chunk with a shorter one before it. The HTTP client delivers chunks of up to 64 KiB, so no caller is known to have seen this.

Evidence: before, both cases of the test event_over_one_mebibyte_is_refused_after_a_shorter_one fail at assert!(!parser.push(..)). The test with small chunks passed before: the scan was linear already.

Fix: a buffer over the limit is checked event by event. Smaller buffers hold no larger event, so they need no check.

--- a/crates/switch/src/events.rs
+++ b/crates/switch/src/events.rs
@@ -35,12 +35,11 @@
 }
 
 impl EventParser {
-    /// Appends bytes. Returns `false` if the next event, as far as it has arrived, exceeds 1 MiB.
+    /// Appends bytes. Returns `false` if an event in the buffer, as far as it has arrived, exceeds 1 MiB.
     #[must_use]
     pub fn push(&mut self, chunk: &[u8]) -> bool {
         self.buffer.extend_from_slice(chunk);
-        let next_event = self.find_end().unwrap_or(self.buffer.len());
-        next_event <= MAX_EVENT_BYTES
+        self.buffer.len() <= MAX_EVENT_BYTES || !self.has_oversized_event()
     }
 
     /// Returns the next complete event; `None` if the buffer holds none.
@@ -76,22 +75,41 @@
     }
 
     fn find_end(&mut self) -> Option<usize> {
-        let mut index = self.scanned;
-        while let Some(found) = self.buffer[index..].iter().position(|byte| *byte == b'\n') {
-            let after = index + found + 1;
-            match &self.buffer[after..] {
-                [b'\n', ..] => return Some(after + 1),
-                [b'\r', b'\n', ..] => return Some(after + 2),
-                [] | [b'\r'] => {
-                    self.scanned = index + found;
-                    return None;
-                }
-                _ => index = after,
+        match find_event_end(&self.buffer, self.scanned) {
+            Ok(end) => Some(end),
+            Err(scanned) => {
+                self.scanned = scanned;
+                None
             }
         }
-        self.scanned = self.buffer.len();
-        None
     }
+
+    fn has_oversized_event(&self) -> bool {
+        let (mut start, mut scanned) = (0, self.scanned);
+        while let Ok(end) = find_event_end(&self.buffer, scanned) {
+            if end - start > MAX_EVENT_BYTES {
+                return true;
+            }
+            (start, scanned) = (end, end);
+        }
+        self.buffer.len() - start > MAX_EVENT_BYTES
+    }
+}
+
+/// Returns the end of the first event that ends after the first `scanned` bytes. If there is none, returns the number
+/// of leading bytes that need not be scanned again.
+fn find_event_end(bytes: &[u8], scanned: usize) -> Result<usize, usize> {
+    let mut index = scanned;
+    while let Some(found) = bytes[index..].iter().position(|byte| *byte == b'\n') {
+        let after = index + found + 1;
+        match &bytes[after..] {
+            [b'\n', ..] => return Ok(after + 1),
+            [b'\r', b'\n', ..] => return Ok(after + 2),
+            [] | [b'\r'] => return Err(index + found),
+            _ => index = after,
+        }
+    }
+    Err(bytes.len())
 }
 
 fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -632,6 +632,31 @@
     assert!(!parser.push(&chunk), "1.2 MB belong to the same event");
 }
 
+/// An event over the bound must also be refused if it arrives at once with a shorter one before it.
+#[rstest]
+#[case::without_its_end("")]
+#[case::with_its_end("\n\n")]
+fn event_over_one_mebibyte_is_refused_after_a_shorter_one(#[case] end: &str) {
+    let mut parser = EventParser::default();
+    let large = "x".repeat(2 << 20);
+    let chunk = format!("id: 1\ndata: a\n\ndata: {large}{end}");
+    assert!(!parser.push(chunk.as_bytes()));
+}
+
+/// The parser must not scan an event again for each chunk of it, or small chunks take time quadratic in its size.
+#[rstest]
+#[case::without_end_of_line(b"x")]
+#[case::of_comment_lines(b":\n")]
+fn event_over_one_mebibyte_is_refused_in_small_chunks(#[case] chunk: &[u8]) {
+    let mut parser = EventParser::default();
+    let mut bytes = 0;
+    while parser.push(chunk) {
+        assert!(parser.next_event().is_none());
+        bytes += chunk.len();
+    }
+    assert_eq!(bytes, 1 << 20);
+}
+
 /// The bound applies to one event, not to the bytes of several events that arrive together.
 #[test]
 fn events_under_one_mebibyte_may_arrive_together() {
