--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -1,10 +1,13 @@
 //! Online requests: selection of endpoints, retries, and the result for the caller.
 
 use crate::support::CallScript::{
-    BreakAfter, Disconnect, EndlessEvent, Full, Silent, StallAfter, Status, Stream, Unreachable,
+    BreakAfter, Disconnect, EndlessEvent, EndlessStream, Full, Pause, Silent, StallAfter, Status,
+    Stream, Unreachable,
 };
-use crate::support::{CallScript, CallerOutcome, TestFleet, event, send_request};
+use crate::support::{CallScript, CallerOutcome, TestFleet, event, request, send_request};
 use bytes::Bytes;
+use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
+use futures::StreamExt;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -140,3 +143,130 @@
     );
     assert_eq!(waiting.await.unwrap(), CallerOutcome::TimedOut);
 }
+
+/// An endpoint that is silent for this long goes on afterwards.
+const SILENCE: Duration = Duration::from_millis(1600);
+
+fn pause(after: u64) -> CallScript {
+    Pause {
+        after,
+        silence: SILENCE,
+        events: 5,
+    }
+}
+
+/// Guards against an answer that ends although its endpoint, silent for a while, would have gone on: no other endpoint
+/// takes the request over.
+#[rstest]
+#[case::of_a_stream_without_another_endpoint("/resume/x", 1, &[pause(2)])]
+#[case::of_a_stream_while_all_others_are_full("/resume/x", 5, &[pause(2), Full, Full, Full, Full])]
+#[case::of_a_stream_while_others_are_unreachable("/resume/x", 3, &[pause(2), Unreachable, Unreachable])]
+#[case::of_a_stream_while_another_breaks_off("/resume/x", 3, &[pause(2), Disconnect, Disconnect])]
+#[case::before_the_head_of_a_stream("/resume/x", 1, &[pause(0)])]
+#[case::before_the_head_of_a_stream_while_others_are_full("/resume/x", 5, &[pause(0), Full, Full, Full, Full])]
+#[case::before_the_head_without_another_endpoint("/safe/x", 1, &[pause(0)])]
+#[case::before_the_head_while_others_are_full("/safe/x", 5, &[pause(0), Full, Full, Full, Full])]
+#[case::before_the_head_while_others_break_off("/safe/x", 3, &[pause(0), Disconnect, Disconnect])]
+#[case::before_the_head_while_others_fail("/safe/x", 3, &[pause(0), Status(500), Status(500)])]
+#[tokio::test(start_paused = true)]
+async fn answer_outlasts_a_silence_of_its_endpoint(
+    #[case] path: &str,
+    #[case] endpoints: usize,
+    #[case] scripts: &[CallScript],
+) {
+    let fleet = TestFleet::new(endpoints);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    // Endpoints beyond the scripted calls are of no help either.
+    fleet.client.set_default(Full);
+    let outcome = send_request(&node, path).await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.client.running(), 0, "a call runs without a caller");
+}
+
+/// Guards against a stream that is given up although its endpoint goes on while another one, asked during the silence,
+/// has not answered yet.
+#[tokio::test(start_paused = true)]
+async fn stream_goes_on_at_its_endpoint_if_that_sends_first() {
+    let fleet = TestFleet::new(3);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[pause(2), Silent]);
+    fleet.client.set_default(Full);
+    let outcome = send_request(&node, "/resume/x").await;
+    assert_eq!(outcome, CallerOutcome::Complete(events(5)));
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(fleet.client.running(), 0, "a call runs without a caller");
+}
+
+/// Guards against a request that two endpoints run at the same time for longer than 400 ms, when the second one is asked
+/// during a silence of the first.
+#[rstest]
+#[case::other_answers("/resume/x", &[StallAfter { event: 2 }, Stream { events: 5 }])]
+#[case::other_is_silent("/resume/x", &[StallAfter { event: 2 }, Silent])]
+#[case::other_is_silent_after_an_event("/resume/x", &[StallAfter { event: 2 }, StallAfter { event: 3 }])]
+#[case::other_answers_before_the_head("/safe/x", &[Silent, Stream { events: 5 }])]
+#[case::all_are_silent_before_the_head("/safe/x", &[Silent, Silent, Silent])]
+#[tokio::test(start_paused = true)]
+async fn silent_endpoint_is_given_up_soon_after_another_is_asked(
+    #[case] path: &str,
+    #[case] scripts: &[CallScript],
+) {
+    const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    fleet.client.set_default(Full);
+    let request = send_request(&node, path);
+    let mut overlap = Duration::ZERO;
+    let sampling = async {
+        loop {
+            sleep(SAMPLE_INTERVAL).await;
+            let running = fleet.client.running();
+            assert!(running <= 2, "{running} endpoints have the request");
+            overlap = if running == 2 {
+                overlap + SAMPLE_INTERVAL
+            } else {
+                Duration::ZERO
+            };
+            assert!(overlap <= Duration::from_millis(400));
+        }
+    };
+    tokio::select! {
+        _ = request => {}
+        () = sampling => {}
+    }
+    let calls = fleet.client.calls();
+    assert!(calls.iter().filter(|call| call.ran).count() <= 3);
+}
+
+/// Guards against a response that outlasts its deadline since its endpoint sends without end.
+#[rstest]
+#[case::at_once("/once/x")]
+#[case::of_a_stream_that_may_be_resumed("/resume/x")]
+#[tokio::test]
+async fn endless_response_ends_at_its_deadline(#[case] path: &str) {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[EndlessStream]);
+    let started = Instant::now();
+    let request = OnlineRequest {
+        deadline: started + TIMEOUT,
+        ..request(&node, path, "r")
+    };
+    let OnlineReply::Response(mut response) = node.serve_online(request).await else {
+        panic!("the request was not served");
+    };
+    let mut is_broken_off = false;
+    while let Some(chunk) = response.body.next().await {
+        is_broken_off = chunk.is_err();
+        let elapsed = started.elapsed();
+        assert!(
+            elapsed < TIMEOUT + Duration::from_millis(500),
+            "{elapsed:?}"
+        );
+    }
+    assert!(is_broken_off, "an endless response must not look complete");
+    assert_eq!(fleet.client.running(), 0, "the call still runs");
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -70,6 +70,8 @@
     state: Arc<Mutex<LogState>>,
     /// Whether calls over this access fail.
     cut: Arc<AtomicBool>,
+    /// Topic whose reads over this access fail.
+    cut_topic: Arc<Mutex<Option<Arc<str>>>>,
 }
 
 impl MemoryLog {
@@ -89,6 +91,7 @@
         Self {
             state: self.state.clone(),
             cut: Arc::default(),
+            cut_topic: Arc::default(),
         }
     }
 
@@ -97,6 +100,15 @@
         self.cut.store(cut, Ordering::Relaxed);
     }
 
+    /// Makes reads of this topic over this access fail; `None` for no topic.
+    pub fn cut_topic(&self, topic: Option<&str>) {
+        *self.cut_topic.lock().unwrap() = topic.map(Into::into);
+    }
+
+    fn is_cut_topic(&self, partition: &LogPartition) -> bool {
+        self.cut_topic.lock().unwrap().as_ref() == Some(&partition.topic)
+    }
+
     /// Locks the state, unless the log cannot be reached.
     fn reach(&self) -> Option<MutexGuard<'_, LogState>> {
         let state = self.state.lock().unwrap();
@@ -220,6 +232,9 @@
         if !wait.is_zero() {
             sleep(wait / 10).await;
         }
+        if self.is_cut_topic(partition) {
+            return Err(unavailable());
+        }
         let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let start = usize::try_from(from).unwrap();
@@ -279,6 +294,12 @@
     BreakAfter { event: u64 },
     /// Streams events and stops sending after this one.
     StallAfter { event: u64 },
+    /// Streams this many events and is silent for this time after one of them, or before the head if `after` is zero.
+    Pause {
+        after: u64,
+        silence: Duration,
+        events: u64,
+    },
     /// Cannot be reached.
     Unreachable,
     /// Refuses the call as full.
@@ -291,6 +312,8 @@
     EndlessEvent,
     /// Responds with this status.
     Status(u16),
+    /// Sends events without end, as fast as they are read.
+    EndlessStream,
     /// Always has further bytes ready that belong to no event, one chunk in each [`FLOOD_INTERVAL`].
     CommentFlood { chunks: u64 },
     /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
@@ -405,8 +428,11 @@
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status) => (0, false, false, status),
-            CallScript::Stream { events } => (events, false, false, 200),
+            CallScript::Stream { events } | CallScript::Pause { events, .. } => {
+                (events, false, false, 200)
+            }
             CallScript::EndlessEvent => return Ok(endless_event(running)),
+            CallScript::EndlessStream => return Ok(endless_stream(running)),
             CallScript::CommentFlood { chunks } => {
                 let comment = |_| Bytes::from_static(b": comment\n\n");
                 return Ok(flood(running, 1..=chunks, comment));
@@ -422,8 +448,16 @@
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
+        let pause_at = move |position: u64| match script {
+            CallScript::Pause { after, silence, .. } if after == position => silence,
+            _ => Duration::ZERO,
+        };
+        sleep(pause_at(0)).await;
         let first = options.resume_after.map_or(1, |last| last + 1);
-        let sent = stream::iter(first..=events).then(|id| async move {
+        let sent = stream::iter(first..=events).then(move |id| async move {
+            if id > 1 {
+                sleep(pause_at(id - 1)).await;
+            }
             sleep(EVENT_INTERVAL).await;
             Ok(event(id))
         });
@@ -456,6 +490,19 @@
     }
 }
 
+/// A response with events without end, each of which is ready at once.
+fn endless_stream(running: RunningCall) -> EndpointResponse {
+    let chunks = stream::iter(1..).map(move |id| {
+        let _ = &running;
+        Ok(event(id))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: chunks.boxed(),
+    }
+}
+
 /// A response whose chunks are always ready, so that whoever reads it never waits.
 fn flood(
     running: RunningCall,
@@ -503,8 +550,13 @@
 
 impl ConfigDecoder for TextDecoder {
     fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>> {
-        let version = std::str::from_utf8(value).ok()?.parse().ok()?;
-        (key == b"config").then(|| Ok(routes(version)))
+        let text = std::str::from_utf8(value).ok()?;
+        let (version, has_jobs) = match text.strip_suffix(" without jobs") {
+            Some(version) => (version, false),
+            None => (text, true),
+        };
+        let version = version.parse().ok()?;
+        (key == b"config").then(|| Ok(routes(version, has_jobs)))
     }
 
     fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
@@ -560,20 +612,22 @@
     }
 }
 
-/// The test configuration: one route of each kind.
-pub fn routes(version: u64) -> RouteTable {
+/// The test configuration: one route of each kind, that of jobs only on request.
+pub fn routes(version: u64, has_jobs: bool) -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 8192,
         body_bytes: 65_536,
         idle_timeout: Duration::from_secs(15),
     };
-    let list = vec![
+    let mut list = vec![
         route("/once/", RouteKind::Unsafe, false),
         route("/safe/", RouteKind::Safe, false),
         route("/stream/", RouteKind::Stream, false),
         route("/resume/", RouteKind::Stream, true),
-        route("/jobs/", RouteKind::Batch, true),
     ];
+    if has_jobs {
+        list.push(route("/jobs/", RouteKind::Batch, true));
+    }
     RouteTable::new(version, limits, list)
 }
 
