Test that items outlast the silence of an endpoint

No fault was found. An item stays at an endpoint that is silent for 1.5 s before the head or between two events, and one whose run was given up continues after its last event at the only endpoint of the service.

--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -368,3 +368,51 @@
     assert_eq!(page.results.len(), 1);
     assert!(page.results[0].text == Some(full_text(3)));
 }
+
+/// A sound endpoint may be silent for a second or so. Its run must neither be given up nor moved elsewhere.
+#[rstest]
+#[case::before_the_head(0)]
+#[case::between_two_events(3)]
+#[tokio::test(start_paused = true)]
+async fn item_stays_at_an_endpoint_that_is_silent_for_a_while(#[case] after: u64) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[CallScript::Pause {
+        after,
+        silence: Duration::from_millis(1500),
+        events: 6,
+    }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(COMPLETION_TIME).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(6)));
+    assert_eq!(fleet.client.calls().len(), 1);
+}
+
+/// An item whose run was given up must run again after its last event, also if no other endpoint serves.
+#[rstest]
+#[case::silent_before_the_head(CallScript::Silent, None)]
+#[case::silent_after_events(CallScript::StallAfter { event: 2 }, Some(2))]
+#[case::comments_without_end(CallScript::CommentFlood { chunks: 200 }, None)]
+#[case::event_without_end(CallScript::EndlessEvent, None)]
+#[case::output_without_end(CallScript::LargeEvents { events: 5_000, bytes: 100_000 }, None)]
+#[case::broken_off(CallScript::BreakAfter { event: 2 }, Some(2))]
+#[tokio::test(start_paused = true)]
+async fn item_continues_at_the_only_endpoint_after_its_run_was_given_up(
+    #[case] script: CallScript,
+    #[case] resumed_after: Option<u64>,
+) {
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[script]);
+    fleet.client.set_default(CallScript::Stream { events: 6 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(9)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(6)));
+    let calls = fleet.client.calls();
+    assert_eq!(calls.len(), 2);
+    assert_eq!(calls[1].resume_after, resumed_after);
+}
