--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -151,7 +151,7 @@
         loop {
             // `timeout_at` alone returns a chunk that is ready, even after the deadline.
             if Instant::now() >= stall_deadline {
-                return interrupted("the endpoint stopped sending events");
+                return interrupted(late_cause(deadline));
             }
             match timeout_at(stall_deadline, response.body.next()).await {
                 Ok(Some(Ok(chunk))) => {
@@ -167,7 +167,7 @@
                 }
                 Ok(None) => return RunOutcome::Completed,
                 Ok(Some(Err(error))) => return RunOutcome::Interrupted(error),
-                Err(_) => return interrupted("the endpoint stopped sending events"),
+                Err(_) => return interrupted(late_cause(deadline)),
             }
             while let Some(event) = parser.next_event() {
                 let Some(id) = event.id else {
@@ -287,6 +287,15 @@
     route.map_or(1, |route| route.attempts)
 }
 
+/// Cause of the end of a run that has no further event in time.
+fn late_cause(deadline: Instant) -> &'static str {
+    if Instant::now() >= deadline {
+        "the run takes too long"
+    } else {
+        "the endpoint stopped sending events"
+    }
+}
+
 fn interrupted(cause: &str) -> RunOutcome {
     RunOutcome::Interrupted(CallError::Interrupted {
         cause: cause.into(),
