Wait for all requests of callers before a stop

A caller whose request was in progress when a host was stopped could get a reset or an end of file instead of an answer: a request whose head or body was still arriving, a job request that waited for the store, and an answer that was not written to its end.

A stopping host waited 2.5 s, and beyond that for online requests only, which count from the end of their body to the end of what the endpoint sends. A head that had begun to arrive was also cut after 2.2 s, when idle connections are closed.

--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -23,6 +23,24 @@
     }
 }
 
+/// A request of a caller that has begun to arrive, until its whole answer is written. A stopping host waits for it.
+pub struct OpenRequest(Arc<SwitchNode>);
+
+impl SwitchNode {
+    /// Counts a request of a caller as open until the returned guard is dropped.
+    #[must_use]
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.lock().open_requests += 1;
+        OpenRequest(self.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.lock().open_requests -= 1;
+    }
+}
+
 /// Counts one request as in flight at an endpoint until dropped.
 pub(crate) struct InFlightGuard {
     node: Arc<SwitchNode>,
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -18,7 +18,7 @@
 mod follow;
 pub mod gossip;
 pub mod health;
-mod in_flight;
+pub mod in_flight;
 pub mod jobs;
 pub mod ledger;
 mod listings;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -127,6 +127,8 @@
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
     pub(crate) online_in_flight: usize,
+    /// Requests of callers that have begun to arrive and whose answers are not written completely.
+    pub(crate) open_requests: usize,
     pub(crate) rng: SmallRng,
     pub(crate) numbers: RecordNumberGenerator,
 }
@@ -208,6 +210,7 @@
             texts: TextCache::default(),
             stopping: false,
             online_in_flight: 0,
+            open_requests: 0,
             rng: SmallRng::from_os_rng(),
             numbers: RecordNumberGenerator::new(
                 &settings.descriptor.name,
@@ -317,28 +320,37 @@
             .add_host(descriptor.clone(), Instant::now());
     }
 
-    /// Shuts down: accepts no new work, hands batch items over and waits until online requests have completed or the
-    /// grace period that began at `started` is nearly over.
+    /// Shuts down: accepts no new work, hands batch items over and waits until the requests of callers have completed or
+    /// the grace period that began at `started` is nearly over.
     pub async fn stop(self: &Arc<Self>, started: Instant) {
-        let online = {
+        let (online, open) = {
             let mut state = self.lock();
             state.stopping = true;
-            state.online_in_flight
+            (state.online_in_flight, state.open_requests)
         };
-        info!(self.deps.logger, "stopping"; "online" => online);
+        info!(self.deps.logger, "stopping"; "online" => online, "open" => open);
         self.heartbeat_requested.notify_one();
         batch::hand_over(self).await;
         self.wait_idle(started).await;
     }
 
-    /// Waits until no online request is in flight, or the grace period that began at `started` is nearly over.
+    /// Waits until no request of a caller is in progress, or the grace period that began at `started` is nearly over.
     pub async fn wait_idle(&self, started: Instant) {
         let timeout = self.settings.grace.saturating_sub(STOP_MARGIN);
-        while self.lock().online_in_flight > 0 && started.elapsed() < timeout {
+        while self.has_requests() && started.elapsed() < timeout {
             sleep(Duration::from_millis(20)).await;
         }
-        let unfinished = self.lock().online_in_flight;
-        info!(self.deps.logger, "idle"; "left" => unfinished, "took_ms" => millis(started.elapsed()));
+        let (online, open) = {
+            let state = self.lock();
+            (state.online_in_flight, state.open_requests)
+        };
+        info!(self.deps.logger, "idle"; "left" => online, "open" => open,
+            "took_ms" => millis(started.elapsed()));
+    }
+
+    fn has_requests(&self) -> bool {
+        let state = self.lock();
+        state.online_in_flight > 0 || state.open_requests > 0
     }
 
     /// Whether this host has read the job records within [`LOG_STALE_AFTER`].
