Forward responses without a body again

Callers got a closed connection without an answer if the endpoint's response was successful and had no body.

Cause: the wait for the first chunk polls such a body to its end and keeps the finished stream, which is then polled again. Streams of stream::unfold panic then, and the panic ends the caller's connection. The in-memory endpoints of the switch's tests use other streams.

A finished body is now replaced by an empty one. A further case shows that a request that may run again does so if the first response breaks off before its first byte.

--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -120,10 +120,11 @@
     if !response.status.is_success() {
         return Ok(response);
     }
-    if let Some(chunk) = response.body.next().await {
-        let first = stream::iter([Ok(chunk?)]);
-        response.body = first.chain(response.body).boxed();
-    }
+    response.body = match response.body.next().await {
+        Some(chunk) => stream::iter([Ok(chunk?)]).chain(response.body).boxed(),
+        // The finished body must not be polled again.
+        None => stream::empty().boxed(),
+    };
     Ok(response)
 }
 
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -111,7 +111,11 @@
         }
         Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
         Some(Err(_)) => OnlineReply::Failed,
-        None => OnlineReply::Response(response),
+        None => {
+            // The finished body must not be polled again.
+            response.body = stream::empty().boxed();
+            OnlineReply::Response(response)
+        }
     }
 }
 
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -281,6 +281,7 @@
 /// and the first byte of its response.
 #[rstest]
 #[case::at_once("/once/x", &[BreakAfter { event: 0 }], CallerOutcome::Failed)]
+#[case::unless_it_may_run_again("/safe/x", &[BreakAfter { event: 0 }], CallerOutcome::Complete(events(3)))]
 #[case::of_a_stream("/stream/x", &[BreakAfter { event: 0 }], CallerOutcome::Failed)]
 #[case::at_the_deadline("/stream/x", &[StallAfter { event: 0 }], CallerOutcome::TimedOut)]
 #[case::of_a_stream_that_may_be_resumed(
