Leave an endpoint whose silence lasts longer than that of a sound one

Callers of an endpoint that hangs got 504, or a stream that ended in the middle, at the deadline, if the other endpoints needed more than 0.35 s to begin: cancelled each attempt beside the hung endpoint, and each counted, until none was left.

When neither endpoint has sent data at the end of the overlap, the silent one is given up if it has been silent for 1.9 s, which a sound one is not. To reach 1.9 s at the end of the overlap, the other endpoint is asked after 1.55 s.

--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -1,9 +1,9 @@
 //! Attempts at one request: at most one beside the endpoint that has the request, while that endpoint is silent.
 //!
 //! A sound endpoint may be silent for a while and go on, so silence alone does not end an attempt. After
-//! [`STALL_TIMEOUT`] the request is also sent to another endpoint. Whichever sends data first has the request. If the
-//! other sends none within [`OVERLAP_LIMIT`], its attempt is cancelled, since two endpoints must not run a request for
-//! long.
+//! [`STALL_TIMEOUT`] the request is also sent to another endpoint. Whichever sends data first has the request. Two
+//! endpoints must not run a request for long, so after [`OVERLAP_LIMIT`] one attempt ends: the older one if its endpoint
+//! has been silent for longer than a sound one is, and otherwise the other.
 
 use super::{OnlineExchange, OnlineReply, interrupted};
 use crate::backend::{CallError, CallOptions, EndpointResponse};
@@ -20,17 +20,26 @@
 /// Time without data after which new requests avoid an endpoint.
 const AVOID_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without an event after which an idempotent request is also sent to another endpoint. Longer than the second for
-/// which sound endpoints may be silent, and well under the 2 s after which callers abandon a stream.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1300);
+/// which sound endpoints may be silent, and under the 2 s after which callers abandon a stream.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1550);
+/// Time without an event after which an endpoint is taken for one in trouble.
+const SOUND_SILENCE: Duration = Duration::from_millis(1900);
+/// Multiple of the time after which requests are overdue, from which one that waits for its first event is taken for one
+/// of an endpoint in trouble rather than of a slow service.
+const OVERDUE_MULTIPLE: u32 = 2;
 /// Time for which two endpoints may have a request at once. It covers the timeout of a new connection.
 const OVERLAP_LIMIT: Duration = Duration::from_millis(350);
 /// Interval between two searches for another endpoint during one silence.
 const SEEK_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum expected wait at another endpoint that is asked during a silence, so that it responds within the overlap.
-pub(super) const MAX_OTHER_WAIT: Duration = Duration::from_millis(150);
+/// Maximum expected wait at another endpoint that is asked during a silence, so that it responds before callers abandon a
+/// stream.
+pub(super) const MAX_OTHER_WAIT: Duration = Duration::from_millis(400);
 /// Delay of a step beyond which this host itself did not run, so that the silence may have been its own.
 const LATE_STEP: Duration = Duration::from_millis(600);
 
+/// Cause of the end of an attempt that has lost its request.
+pub(super) const ANSWERED_ELSEWHERE: &str = "another endpoint has answered";
+
 /// An endpoint that has been selected for a request, with the count of the request there.
 pub(super) type RoutedEndpoint = (Arc<ListedEndpoint>, InFlightGuard);
 
@@ -83,8 +92,8 @@
     Avoid,
     /// The request is sent to another endpoint as well.
     Seek,
-    /// The attempt at the other endpoint is cancelled.
-    CancelOther,
+    /// One of two attempts ends.
+    EndOverlap,
     /// The request ends.
     Deadline,
 }
@@ -167,7 +176,7 @@
         let endpoints = self.attempts.0.len() + usize::from(has_current);
         let newest = self.attempts.0.last();
         if let Some(newest) = newest.filter(|_| endpoints > 1) {
-            return (newest.started + OVERLAP_LIMIT, SilenceStep::CancelOther).min_time(deadline);
+            return (newest.started + OVERLAP_LIMIT, SilenceStep::EndOverlap).min_time(deadline);
         }
         if !silence.avoided {
             return (silence.since + AVOID_TIMEOUT, SilenceStep::Avoid).min_time(deadline);
@@ -183,21 +192,28 @@
     }
 
     /// Takes a step, due at `step_at`, about a silence of the endpoint that has the request: `current`, or the one of the
-    /// oldest attempt.
+    /// oldest attempt. Returns whether `current` is given up.
     pub(super) fn take_step(
         &mut self,
         (step_at, step): (Instant, SilenceStep),
         silence: &mut EndpointSilence,
         current: Option<&Arc<ListedEndpoint>>,
         resume_after: Option<u64>,
-    ) {
+    ) -> bool {
         let now = Instant::now();
         let oldest = self.attempts.0.first().map(|attempt| &attempt.endpoint);
         let Some(silent) = current.or(oldest).cloned() else {
-            return;
+            return false;
         };
         match step {
-            SilenceStep::CancelOther => {
+            SilenceStep::EndOverlap if self.is_in_trouble(silence, current.is_some()) => {
+                self.give_up(&silent, "silent for too long");
+                if current.is_none() {
+                    self.attempts.take_oldest();
+                }
+                return current.is_some();
+            }
+            SilenceStep::EndOverlap => {
                 silence.sought_at = Some(now);
                 if let Some(other) = self.attempts.0.pop() {
                     self.record_cancelled(&other, "silent as well");
@@ -221,12 +237,22 @@
             }
             SilenceStep::Deadline => {}
         }
+        false
+    }
+
+    /// Whether a silent endpoint is taken for one in trouble. One that has not begun to respond may be as slow as all
+    /// others.
+    fn is_in_trouble(&self, silence: &EndpointSilence, has_begun: bool) -> bool {
+        let silent_for = silence.since.elapsed();
+        let overdue_after = self.node.lock().load.response_times().overdue_after();
+        let is_slow = overdue_after.is_none_or(|limit| silent_for <= limit * OVERDUE_MULTIPLE);
+        silent_for >= SOUND_SILENCE && (has_begun || !is_slow)
     }
 
     /// Cancels all attempts, since another endpoint has answered.
     pub(super) fn cancel_attempts(&mut self) {
         while let Some(attempt) = self.attempts.take_oldest() {
-            self.record_cancelled(&attempt, "another endpoint has answered");
+            self.record_cancelled(&attempt, ANSWERED_ELSEWHERE);
         }
     }
 
@@ -234,9 +260,9 @@
     pub(super) fn supersede_attempts(&mut self, answered: &PendingAttempt) {
         while let Some(attempt) = self.attempts.take_oldest() {
             if attempt.started < answered.started {
-                self.give_up(&attempt.endpoint);
+                self.give_up(&attempt.endpoint, ANSWERED_ELSEWHERE);
             } else {
-                self.record_cancelled(&attempt, "another endpoint has answered");
+                self.record_cancelled(&attempt, ANSWERED_ELSEWHERE);
             }
         }
     }
@@ -258,9 +284,9 @@
         self.runs += 1;
     }
 
-    /// Records that a silent endpoint is given up, since another one has answered.
-    pub(super) fn give_up(&mut self, silent: &ListedEndpoint) {
-        let error = interrupted("silent, and another endpoint has answered");
+    /// Records that a silent endpoint is given up, since another one has the request.
+    pub(super) fn give_up(&mut self, silent: &ListedEndpoint, cause: &str) {
+        let error = interrupted(cause);
         // The reply for the caller is that of the other endpoint.
         let _ = self.handle_error(silent, &error);
     }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards the body of a response to the caller.
 
-use super::attempts::{AttemptResponse, EndpointSilence, SilenceStep};
+use super::attempts::{ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, SilenceStep};
 use super::{MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{CallError, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
@@ -187,7 +187,7 @@
         let error = match response {
             Ok(response) if response.status.is_success() => {
                 if self.body.take().is_some() {
-                    self.exchange.give_up(&self.endpoint);
+                    self.exchange.give_up(&self.endpoint, ANSWERED_ELSEWHERE);
                 }
                 self.exchange.supersede_attempts(&attempt);
                 info!(self.exchange.node.deps.logger, "answer resumed";
@@ -223,7 +223,11 @@
         }
         let current = self.body.is_some().then_some(&self.endpoint);
         let (exchange, silence) = (&mut self.exchange, &mut self.silence);
-        exchange.take_step(step, silence, current, self.last_event);
+        if exchange.take_step(step, silence, current, self.last_event) {
+            self.drop_current();
+            let started = self.exchange.attempts.oldest_started();
+            self.silence = started.map_or_else(EndpointSilence::begin, EndpointSilence::since);
+        }
         Ok(())
     }
 
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -191,7 +191,9 @@
                     }
                 }
                 Err(_) if step == SilenceStep::Deadline => return Err(self.time_out()),
-                Err(_) => self.take_step((step_at, step), &mut silence, None, resume_after),
+                Err(_) => {
+                    self.take_step((step_at, step), &mut silence, None, resume_after);
+                }
             }
             silence = self.oldest_silence(silence);
         }
