Wait longer for endpoints that all begin late

Callers would never get the result of a batch item if each endpoint needed more than 4 s to begin its response: the run ended after 4 s, and the item began anew elsewhere, without end.

The wait for the head doubles with each run of the item that it has ended at this host, up to 16 s.

--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -19,9 +19,11 @@
 
 /// Maximum duration of one run.
 const RUN_TIMEOUT: Duration = Duration::from_secs(30);
-/// Maximum wait for the head of a response. It is longer than the stall timeout, as the item may wait in the
-/// endpoint's queue.
+/// Maximum wait for the head of a response in the first run of an item. It is longer than the stall timeout, as the item
+/// may wait in the endpoint's queue. It doubles with each run that it ends, since all endpoints may be slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Upper bound of that wait.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(16);
 /// Time without an event from an endpoint after which the run ends and the item continues elsewhere. Other data does not
 /// extend it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -133,12 +135,16 @@
             .deps
             .client
             .call(&self.endpoint, &self.call, options);
-        let response_deadline = Instant::now() + RESPONSE_TIMEOUT;
+        let response_deadline = Instant::now() + self.response_timeout();
         let mut response = match timeout_at(response_deadline, call).await {
             Ok(Ok(response)) => response,
             Ok(Err(CallError::NotRun { .. })) => return RunOutcome::NotRun,
             Ok(Err(error)) => return RunOutcome::Interrupted(error),
-            Err(_) => return interrupted("no response within the timeout"),
+            Err(_) => {
+                let histories = &mut self.node.lock().histories;
+                histories.record_late_response(&self.name);
+                return interrupted("no response within the timeout");
+            }
         };
         match response.status {
             StatusCode::OK => {}
@@ -186,6 +192,12 @@
         }
     }
 
+    /// Maximum wait for the head of the response.
+    fn response_timeout(&self) -> Duration {
+        let late = self.node.lock().histories.late_responses(&self.name);
+        (RESPONSE_TIMEOUT * 2_u32.pow(late.min(8))).min(MAX_RESPONSE_TIMEOUT)
+    }
+
     /// Whether the endpoint still accepts work, since it may have left while the output was loaded.
     fn endpoint_serves(&self) -> bool {
         let state = self.node.lock();
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -61,6 +61,8 @@
     name: ItemName,
     failures: u32,
     interruptions: u32,
+    /// Number of runs that ended before the endpoint had begun to respond.
+    late_responses: u32,
     not_before: Option<Instant>,
 }
 
@@ -86,6 +88,18 @@
         entry.not_before = Some(now + retry_delay(entry.interruptions));
     }
 
+    /// Records that a run ended since its endpoint had not begun to respond in time.
+    pub fn record_late_response(&mut self, name: &ItemName) {
+        self.entry(name).late_responses += 1;
+    }
+
+    /// Number of recorded late responses.
+    #[must_use]
+    pub fn late_responses(&self, name: &ItemName) -> u32 {
+        let found = self.entries.binary_search_by(|entry| entry.name.cmp(name));
+        found.map_or(0, |index| self.entries[index].late_responses)
+    }
+
     /// Whether the backoff of an item has passed.
     #[must_use]
     pub fn may_run(&self, name: &ItemName, now: Instant) -> bool {
@@ -112,6 +126,7 @@
                     name: name.clone(),
                     failures: 0,
                     interruptions: 0,
+                    late_responses: 0,
                     not_before: None,
                 };
                 self.entries.insert(index, entry);
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -416,3 +416,20 @@
     assert_eq!(calls.len(), 2);
     assert_eq!(calls[1].resume_after, resumed_after);
 }
+
+/// Guards against an item that never completes, since each endpoint is given up before it begins to respond.
+#[tokio::test(start_paused = true)]
+async fn item_completes_at_endpoints_that_all_begin_late() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.set_default(CallScript::Pause {
+        after: 0,
+        silence: Duration::from_secs(5),
+        events: 3,
+    });
+    node.submit_job(submission("j", 1)).await;
+    wait_until("the result", async || {
+        results(&node, "j").await.results.len() == 1
+    })
+    .await;
+}
