Keep a late endpoint until another one answers in the daemon

Callers of the product's own interface got "no endpoint answered in time; try again" although the endpoint that had the request was sound: it was silent for a second, or had begun its answer and was then suspected, and would have gone on.

Cause: when the first token was overdue, a probe failed or the endpoint became suspected, the owner dropped the running attempt as soon as another endpoint could be chosen, before any had taken the request. If the others refused it (three gates, or all there are), nothing was left to answer from. In the middle of the text the caller also lost what it had.

Now the first attempt goes on while another endpoint is asked, and ends only when that one has sent text or the outcome, or when it breaks off or refuses itself. At most two endpoints have a request at once: one that is late or suspected beside the first is replaced by the next. Each retry for lateness is charged to the retry budget as before, and refusals of all attempts count together. Only idempotent requests are concerned; calls that may run once take another path, which has no second attempt.

--- a/crates/fulmarswitch/src/keys.rs
+++ b/crates/fulmarswitch/src/keys.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod recovery;
 mod run;
+mod second_attempt;
 
 use crate::backup::OutcomeBackup;
 use crate::balancer::LoadBalancer;
--- a/crates/fulmarswitch/src/keys/at_most_once.rs
+++ b/crates/fulmarswitch/src/keys/at_most_once.rs
@@ -46,7 +46,7 @@
                     outcome = done;
                     break;
                 }
-                AttemptEnd::Interrupted | AttemptEnd::Rerouted | AttemptEnd::Aborted(_) => {
+                AttemptEnd::Interrupted | AttemptEnd::Aborted(_) => {
                     outcome = ItemOutcome::MayHaveRun;
                     break;
                 }
--- a/crates/fulmarswitch/src/keys/attempt.rs
+++ b/crates/fulmarswitch/src/keys/attempt.rs
@@ -1,6 +1,7 @@
 //! Drives one request from acceptance through attempts at endpoints to its outcome.
 
 use super::run::{RequestRun, RunOrigin};
+use super::second_attempt::{SecondAttempt, SecondEvent, next_event};
 use super::{
     DEFAULT_RETRY_AFTER, KeyOwner, LOG_CHECK_INTERVAL, LOG_OUTAGE_RETRY_AFTER, LOG_TIMEOUT,
     conflict, may_have_run_frame, millis, not_run_frame,
@@ -45,6 +46,40 @@
     NoOwner,
 }
 
+/// Endpoints that were asked to run a request, and what is known from their replies.
+struct AskedEndpoints {
+    /// Names of the endpoints, none of which is asked again.
+    names: Vec<Arc<str>>,
+    refusals: u32,
+    /// Retry delay that the last refusal gave.
+    retry_after: Duration,
+    may_have_run: bool,
+}
+
+impl AskedEndpoints {
+    fn new(may_have_run: bool) -> Self {
+        Self {
+            names: Vec::new(),
+            refusals: 0,
+            retry_after: DEFAULT_RETRY_AFTER,
+            may_have_run,
+        }
+    }
+
+    fn record_refusal(&mut self, refusal: &Refusal) {
+        self.refusals += 1;
+        self.retry_after = Duration::from_millis(refusal.retry_after_ms);
+    }
+}
+
+/// What follows from an event of an attempt.
+enum AttemptStep {
+    Continue,
+    /// Another endpoint is asked as well, because this one is late or suspected.
+    AskAnother,
+    End(AttemptEnd),
+}
+
 /// How an attempt ended.
 pub(super) enum AttemptEnd {
     /// The endpoint returned an outcome.
@@ -53,9 +88,6 @@
     Refused(Refusal),
     /// The attempt was interrupted; the request may have run.
     Interrupted,
-    /// The endpoint was too slow or became suspected. The request is retried at another one, and the
-    /// retry is already charged to the retry budget.
-    Rerouted,
     /// The request must not continue; the frame is its last one.
     Aborted(StreamFrame),
 }
@@ -112,55 +144,45 @@
         if origin != RunOrigin::Resumed && full {
             return not_run_frame(&AppendError::Full.to_string(), LOG_OUTAGE_RETRY_AFTER);
         }
-        let mut excluded = Vec::new();
-        let mut retry_after = DEFAULT_RETRY_AFTER;
-        let mut refusals = 0;
-        let mut may_have_run = origin == RunOrigin::Resumed;
+        let mut asked = AskedEndpoints::new(origin == RunOrigin::Resumed);
         while !run.remaining().is_zero() {
-            let Some(mut tracked) = self.balancer.choose(&run.request, &excluded) else {
+            let Some(tracked) = self.choose_endpoint(run, &mut asked) else {
                 break;
             };
-            excluded.push(Arc::clone(&tracked.endpoint));
             match self
-                .attempt(run, &mut tracked, &excluded, &mut acceptance)
+                .attempt(run, tracked, &mut asked, &mut acceptance)
                 .await
             {
                 AttemptEnd::Done(outcome) => return self.finish(run, acceptance, outcome).await,
                 AttemptEnd::Aborted(frame) => return frame,
                 AttemptEnd::Refused(refusal) => {
-                    refusals += 1;
-                    retry_after = Duration::from_millis(refusal.retry_after_ms);
-                    if refusals == MAX_REFUSALS {
+                    asked.record_refusal(&refusal);
+                    if asked.refusals >= MAX_REFUSALS {
                         break;
                     }
                 }
                 AttemptEnd::Interrupted => {
-                    may_have_run = true;
+                    asked.may_have_run = true;
                     run.reset();
                     if let Some(wait) = self.caller_retry_after(run) {
-                        retry_after = wait;
+                        asked.retry_after = wait;
                         break;
                     }
                     self.context.metrics.retries.inc();
                 }
-                AttemptEnd::Rerouted => {
-                    may_have_run = true;
-                    run.reset();
-                    self.context.metrics.retries.inc();
-                }
             }
         }
         let unaccepted = matches!(acceptance, Acceptance::NotWritten | Acceptance::NoOwner);
-        if unaccepted && !may_have_run {
-            return not_run_frame("no endpoint of the service has room", retry_after);
+        if unaccepted && !asked.may_have_run {
+            return not_run_frame("no endpoint of the service has room", asked.retry_after);
         }
-        let outcome = if may_have_run {
+        let outcome = if asked.may_have_run {
             ItemOutcome::Failed {
                 reason: "no endpoint answered in time; try again".into(),
             }
         } else {
             ItemOutcome::NotRun {
-                retry_after_ms: millis(retry_after),
+                retry_after_ms: millis(asked.retry_after),
             }
         };
         self.finish(run, acceptance, outcome).await
@@ -181,82 +203,214 @@
         }
     }
 
-    /// Makes one attempt at an endpoint, through its gate.
+    /// Chooses an endpoint that was not asked before.
+    fn choose_endpoint(
+        &self,
+        run: &RequestRun,
+        asked: &mut AskedEndpoints,
+    ) -> Option<TrackedAttempt> {
+        let tracked = self.balancer.choose(&run.request, &asked.names)?;
+        asked.names.push(Arc::clone(&tracked.endpoint));
+        Some(tracked)
+    }
+
+    /// Sends the request to another endpoint as well, if one is ready and the retry budget allows it.
+    async fn ask_another(
+        &self,
+        run: &Arc<RequestRun>,
+        asked: &mut AskedEndpoints,
+    ) -> Option<SecondAttempt> {
+        if !self.may_ask_another(run, asked) {
+            return None;
+        }
+        self.open_second(run, asked).await
+    }
+
+    /// Decides whether another endpoint is asked because one is late or suspected. If so, the retry is charged to the
+    /// retry budget.
+    fn may_ask_another(&self, run: &RequestRun, asked: &AskedEndpoints) -> bool {
+        let may_ask = asked.refusals < MAX_REFUSALS
+            && self
+                .balancer
+                .may_reroute(&run.request, &asked.names, run.remaining());
+        if may_ask {
+            self.context.metrics.retries.inc();
+        }
+        may_ask
+    }
+
+    /// Sends the request to another endpoint while the first attempt goes on.
+    ///
+    /// Returns `None` if no gate was reached.
+    async fn open_second(
+        &self,
+        run: &Arc<RequestRun>,
+        asked: &mut AskedEndpoints,
+    ) -> Option<SecondAttempt> {
+        while asked.refusals < MAX_REFUSALS {
+            let mut tracked = self.choose_endpoint(run, asked)?;
+            match self.open_attempt(run, &mut tracked, GATE_TIMEOUT).await {
+                Ok(frames) => {
+                    asked.may_have_run = true;
+                    return Some(SecondAttempt::new(tracked, frames));
+                }
+                Err(AttemptEnd::Refused(refusal)) => asked.record_refusal(&refusal),
+                Err(_) => {
+                    asked.may_have_run = true;
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    /// Makes one attempt at an endpoint, through its gate, and further ones while it is late or suspected.
     ///
     /// Text is buffered until the acceptance is in the log, or the log is found to be unavailable.
     async fn attempt(
         &self,
         run: &Arc<RequestRun>,
-        tracked: &mut TrackedAttempt,
-        tried: &[Arc<str>],
+        mut tracked: TrackedAttempt,
+        asked: &mut AskedEndpoints,
         acceptance: &mut Acceptance,
     ) -> AttemptEnd {
-        let mut frames = match self.open_attempt(run, tracked, GATE_TIMEOUT).await {
+        let mut frames = match self.open_attempt(run, &mut tracked, GATE_TIMEOUT).await {
             Ok(frames) => frames,
             Err(end) => return end,
         };
+        let mut second = None;
         let mut buffered = Vec::new();
         let mut next_log_check = Instant::now() + LOG_CHECK_INTERVAL;
         loop {
             let overdue_at = tracked.overdue_at();
-            tokio::select! {
+            let step = tokio::select! {
                 biased;
                 stop = wait_accepted(acceptance) => {
                     if let Some(frame) = stop {
                         return AttemptEnd::Aborted(frame);
                     }
                     buffered.drain(..).for_each(|frame| run.publish(frame));
+                    AttemptStep::Continue
                 }
                 frame = frames.next() => {
                     tracked.observe_frame(frame.as_ref());
-                    match frame {
-                        Some(StreamFrame::Load(_)) => {}
-                        Some(StreamFrame::Admitted) => {
-                            if let Err(frame) = self.write_acceptance(run, acceptance) {
-                                return AttemptEnd::Aborted(frame);
-                            }
-                        }
-                        Some(frame @ StreamFrame::Text(_)) => match acceptance {
-                            Acceptance::NotWritten | Acceptance::Pending(_) => buffered.push(frame),
-                            Acceptance::Recorded | Acceptance::Bypassed | Acceptance::NoOwner => {
-                                run.publish(frame);
-                            }
-                        },
-                        Some(StreamFrame::Done { outcome, .. }) => {
-                            return self.finish_attempt(run, acceptance, buffered, outcome).await;
-                        }
-                        Some(StreamFrame::Refused(refusal)) if refusal.ran == RunState::NotRun => {
-                            return AttemptEnd::Refused(refusal);
-                        }
-                        _ => return AttemptEnd::Interrupted,
-                    }
-                    if tracked.take_failed_probe()
-                        && self.balancer.may_reroute(&run.request, tried, run.remaining())
-                    {
-                        return AttemptEnd::Rerouted;
+                    match self.read_frame(run, acceptance, &mut buffered, frame).await {
+                        Some(end) => AttemptStep::End(end),
+                        None if tracked.take_failed_probe() => AttemptStep::AskAnother,
+                        None => AttemptStep::Continue,
                     }
                 }
+                event = next_event(&mut second) => {
+                    self.handle_second(run, asked, acceptance, &mut second, event).await
+                }
                 () = tokio::time::sleep_until(next_log_check) => {
                     next_log_check += LOG_CHECK_INTERVAL;
                     if self.is_acceptance_blocked(run, acceptance) {
                         *acceptance = Acceptance::Bypassed;
                         buffered.drain(..).for_each(|frame| run.publish(frame));
                     }
+                    AttemptStep::Continue
                 }
                 () = wait_until(overdue_at) => {
                     tracked.observe_overdue();
-                    if self.balancer.may_reroute(&run.request, tried, run.remaining()) {
-                        return AttemptEnd::Rerouted;
+                    AttemptStep::AskAnother
+                }
+                () = tracked.wait_suspected() => AttemptStep::AskAnother,
+                () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Interrupted,
+            };
+            match step {
+                AttemptStep::AskAnother if second.is_none() => {
+                    second = self.ask_another(run, asked).await;
+                }
+                AttemptStep::Continue | AttemptStep::AskAnother => {}
+                AttemptStep::End(end @ (AttemptEnd::Done(_) | AttemptEnd::Aborted(_))) => {
+                    return end;
+                }
+                AttemptStep::End(end) => {
+                    let Some(other) = second.take() else {
+                        return end;
+                    };
+                    if let AttemptEnd::Refused(refusal) = &end {
+                        asked.record_refusal(refusal);
                     }
+                    buffered.clear();
+                    run.reset();
+                    (tracked, frames) = other.into_parts();
                 }
-                () = tracked.wait_suspected() => {
-                    if self.balancer.may_reroute(&run.request, tried, run.remaining()) {
-                        return AttemptEnd::Rerouted;
+            }
+        }
+    }
+
+    /// Processes a frame of the attempt, `None` for its premature end. Returns how the attempt ended, or `None` if it
+    /// goes on.
+    async fn read_frame(
+        &self,
+        run: &Arc<RequestRun>,
+        acceptance: &mut Acceptance,
+        buffered: &mut Vec<StreamFrame>,
+        frame: Option<StreamFrame>,
+    ) -> Option<AttemptEnd> {
+        match frame {
+            Some(StreamFrame::Load(_)) => None,
+            Some(StreamFrame::Admitted) => {
+                let written = self.write_acceptance(run, acceptance);
+                written.err().map(AttemptEnd::Aborted)
+            }
+            Some(frame @ StreamFrame::Text(_)) => {
+                match acceptance {
+                    Acceptance::NotWritten | Acceptance::Pending(_) => buffered.push(frame),
+                    Acceptance::Recorded | Acceptance::Bypassed | Acceptance::NoOwner => {
+                        run.publish(frame);
                     }
                 }
-                () = tokio::time::sleep_until(run.deadline) => return AttemptEnd::Interrupted,
+                None
+            }
+            Some(StreamFrame::Done { outcome, .. }) => {
+                let buffered = std::mem::take(buffered);
+                let end = self.finish_attempt(run, acceptance, buffered, outcome);
+                Some(end.await)
+            }
+            Some(StreamFrame::Refused(refusal)) if refusal.ran == RunState::NotRun => {
+                Some(AttemptEnd::Refused(refusal))
+            }
+            _ => Some(AttemptEnd::Interrupted),
+        }
+    }
+
+    /// Processes an event of the second attempt, and replaces it if it has ended.
+    async fn handle_second(
+        &self,
+        run: &Arc<RequestRun>,
+        asked: &mut AskedEndpoints,
+        acceptance: &mut Acceptance,
+        second: &mut Option<SecondAttempt>,
+        event: SecondEvent,
+    ) -> AttemptStep {
+        match event {
+            SecondEvent::Admitted => {
+                if let Err(frame) = self.write_acceptance(run, acceptance) {
+                    return AttemptStep::End(AttemptEnd::Aborted(frame));
+                }
+            }
+            // The first attempt is given up for the second one.
+            SecondEvent::Answering => return AttemptStep::End(AttemptEnd::Interrupted),
+            SecondEvent::Refused(refusal) => {
+                *second = None;
+                asked.record_refusal(&refusal);
+                *second = self.open_second(run, asked).await;
+            }
+            SecondEvent::Interrupted => {
+                *second = None;
+                return AttemptStep::AskAnother;
+            }
+            SecondEvent::Late => {
+                if self.may_ask_another(run, asked) {
+                    *second = None;
+                    *second = self.open_second(run, asked).await;
+                }
             }
         }
+        AttemptStep::Continue
     }
 
     async fn finish_attempt(
@@ -489,7 +643,7 @@
 }
 
 /// Waits until `at`; never returns if it is `None`.
-async fn wait_until(at: Option<Instant>) {
+pub(super) async fn wait_until(at: Option<Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
         None => std::future::pending().await,
--- a/crates/fulmarswitch/tests/hosts/main.rs
+++ b/crates/fulmarswitch/tests/hosts/main.rs
@@ -3,5 +3,6 @@
 mod handover;
 mod orders;
 mod outage;
+mod reroute;
 mod retention;
 mod support;
