--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -15,15 +15,16 @@
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use fulmarswitch_switch::record::AcceptedItem;
 use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare};
-use futures::{StreamExt, stream};
+use futures::{FutureExt, StreamExt, stream};
 use http::{HeaderMap, Method, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, advance, sleep};
 
 /// Fault of one append to a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +37,9 @@
     AppendLate(Duration),
 }
 
+/// Maximum size of one append; larger ones are refused.
+const MAX_APPEND_BYTES: usize = 2 << 20;
+
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<KeyedRecord>,
@@ -66,6 +70,8 @@
     state: Arc<Mutex<LogState>>,
     /// Whether calls over this access fail.
     cut: Arc<AtomicBool>,
+    /// Topic whose reads over this access fail.
+    cut_topic: Arc<Mutex<Option<Arc<str>>>>,
 }
 
 impl MemoryLog {
@@ -85,6 +91,7 @@
         Self {
             state: self.state.clone(),
             cut: Arc::default(),
+            cut_topic: Arc::default(),
         }
     }
 
@@ -93,6 +100,15 @@
         self.cut.store(cut, Ordering::Relaxed);
     }
 
+    /// Makes reads of this topic over this access fail; `None` for no topic.
+    pub fn cut_topic(&self, topic: Option<&str>) {
+        *self.cut_topic.lock().unwrap() = topic.map(Into::into);
+    }
+
+    fn is_cut_topic(&self, partition: &LogPartition) -> bool {
+        self.cut_topic.lock().unwrap().as_ref() == Some(&partition.topic)
+    }
+
     /// Locks the state, unless the log cannot be reached.
     fn reach(&self) -> Option<MutexGuard<'_, LogState>> {
         let state = self.state.lock().unwrap();
@@ -161,6 +177,15 @@
         records: &[KeyedRecord],
     ) -> Result<u64, AppendError> {
         sleep(Duration::from_millis(4)).await;
+        let bytes: usize = records
+            .iter()
+            .map(|record| record.key.len() + record.value.len())
+            .sum();
+        if bytes > MAX_APPEND_BYTES {
+            return Err(AppendError::Refused {
+                cause: "too large".into(),
+            });
+        }
         let fault = {
             let Some(mut state) = self.reach() else {
                 let cause = "down".into();
@@ -207,6 +232,9 @@
         if !wait.is_zero() {
             sleep(wait / 10).await;
         }
+        if self.is_cut_topic(partition) {
+            return Err(unavailable());
+        }
         let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let start = usize::try_from(from).unwrap();
@@ -266,6 +294,12 @@
     BreakAfter { event: u64 },
     /// Streams events and stops sending after this one.
     StallAfter { event: u64 },
+    /// Streams this many events and is silent for this time after one of them, or before the head if `after` is zero.
+    Pause {
+        after: u64,
+        silence: Duration,
+        events: u64,
+    },
     /// Cannot be reached.
     Unreachable,
     /// Refuses the call as full.
@@ -278,6 +312,14 @@
     EndlessEvent,
     /// Responds with this status.
     Status(u16),
+    /// Sends events without end, as fast as they are read.
+    EndlessStream,
+    /// Always has further bytes ready that belong to no event, one chunk in each [`FLOOD_INTERVAL`].
+    CommentFlood { chunks: u64 },
+    /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
+    EventFlood { events: u64 },
+    /// Streams this many events with this many bytes of data each, one per [`EVENT_INTERVAL`].
+    LargeEvents { events: u64, bytes: usize },
 }
 
 /// A call received by an endpoint.
@@ -305,6 +347,8 @@
 
 /// Time between two events of a stream.
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two chunks of a flood.
+pub const FLOOD_INTERVAL: Duration = Duration::from_millis(500);
 
 impl MemoryClient {
     /// Queues the behaviour of the next calls.
@@ -384,13 +428,36 @@
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status) => (0, false, false, status),
-            CallScript::Stream { events } => (events, false, false, 200),
+            CallScript::Stream { events } | CallScript::Pause { events, .. } => {
+                (events, false, false, 200)
+            }
             CallScript::EndlessEvent => return Ok(endless_event(running)),
+            CallScript::EndlessStream => return Ok(endless_stream(running)),
+            CallScript::CommentFlood { chunks } => {
+                let comment = |_| Bytes::from_static(b": comment\n\n");
+                return Ok(flood(running, 1..=chunks, comment));
+            }
+            CallScript::LargeEvents { events, bytes } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(large_events(running, first..=events, bytes));
+            }
+            CallScript::EventFlood { events } => {
+                let first = options.resume_after.map_or(1, |last| last + 1);
+                return Ok(flood(running, first..=events, event));
+            }
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
+        let pause_at = move |position: u64| match script {
+            CallScript::Pause { after, silence, .. } if after == position => silence,
+            _ => Duration::ZERO,
+        };
+        sleep(pause_at(0)).await;
         let first = options.resume_after.map_or(1, |last| last + 1);
-        let sent = stream::iter(first..=events).then(|id| async move {
+        let sent = stream::iter(first..=events).then(move |id| async move {
+            if id > 1 {
+                sleep(pause_at(id - 1)).await;
+            }
             sleep(EVENT_INTERVAL).await;
             Ok(event(id))
         });
@@ -423,14 +490,73 @@
     }
 }
 
+/// A response with events without end, each of which is ready at once.
+fn endless_stream(running: RunningCall) -> EndpointResponse {
+    let chunks = stream::iter(1..).map(move |id| {
+        let _ = &running;
+        Ok(event(id))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: chunks.boxed(),
+    }
+}
+
+/// A response whose chunks are always ready, so that whoever reads it never waits.
+fn flood(
+    running: RunningCall,
+    indexes: RangeInclusive<u64>,
+    chunk: impl Fn(u64) -> Bytes + Send + 'static,
+) -> EndpointResponse {
+    let body = stream::iter(indexes).map(move |index| {
+        let _ = &running;
+        // The first poll moves the clock.
+        let _ = advance(FLOOD_INTERVAL).now_or_never();
+        Ok(chunk(index))
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
+/// Complete output of a run with this many events of this size.
+pub fn large_text(events: usize, bytes: usize) -> Bytes {
+    vec!["x".repeat(bytes); events].join("\n").into()
+}
+
+fn large_events(running: RunningCall, ids: RangeInclusive<u64>, bytes: usize) -> EndpointResponse {
+    let data = "x".repeat(bytes);
+    let body = stream::iter(ids).then(move |id| {
+        let _ = &running;
+        let event = Bytes::from(format!("id: {id}\ndata: {data}\n\n"));
+        async move {
+            sleep(EVENT_INTERVAL).await;
+            Ok(event)
+        }
+    });
+    EndpointResponse {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.boxed(),
+    }
+}
+
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
 /// follow.
 struct TextDecoder;
 
 impl ConfigDecoder for TextDecoder {
     fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>> {
-        let version = std::str::from_utf8(value).ok()?.parse().ok()?;
-        (key == b"config").then(|| Ok(routes(version)))
+        let text = std::str::from_utf8(value).ok()?;
+        let (version, has_jobs) = match text.strip_suffix(" without jobs") {
+            Some(version) => (version, false),
+            None => (text, true),
+        };
+        let version = version.parse().ok()?;
+        (key == b"config").then(|| Ok(routes(version, has_jobs)))
     }
 
     fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
@@ -486,20 +612,22 @@
     }
 }
 
-/// The test configuration: one route of each kind.
-pub fn routes(version: u64) -> RouteTable {
+/// The test configuration: one route of each kind, that of jobs only on request.
+pub fn routes(version: u64, has_jobs: bool) -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 8192,
         body_bytes: 65_536,
         idle_timeout: Duration::from_secs(15),
     };
-    let list = vec![
+    let mut list = vec![
         route("/once/", RouteKind::Unsafe, false),
         route("/safe/", RouteKind::Safe, false),
         route("/stream/", RouteKind::Stream, false),
         route("/resume/", RouteKind::Stream, true),
-        route("/jobs/", RouteKind::Batch, true),
     ];
+    if has_jobs {
+        list.push(route("/jobs/", RouteKind::Batch, true));
+    }
     RouteTable::new(version, limits, list)
 }
 
