--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -98,6 +98,9 @@
     Deadline,
 }
 
+/// A step and when it is due.
+pub(super) type TimedStep = (Instant, SilenceStep);
+
 /// A silence of the endpoint that has the request.
 pub(super) struct EndpointSilence {
     /// When the endpoint got the request, or sent the last event.
@@ -167,19 +170,17 @@
     }
 
     /// Next step if no endpoint sends anything until then. `has_current` tells whether an endpoint has begun to respond.
-    pub(super) fn silence_step(
-        &self,
-        silence: &EndpointSilence,
-        has_current: bool,
-    ) -> (Instant, SilenceStep) {
+    pub(super) fn silence_step(&self, silence: &EndpointSilence, has_current: bool) -> TimedStep {
         let deadline = (self.request.deadline, SilenceStep::Deadline);
         let endpoints = self.attempts.0.len() + usize::from(has_current);
         let newest = self.attempts.0.last();
         if let Some(newest) = newest.filter(|_| endpoints > 1) {
-            return (newest.started + OVERLAP_LIMIT, SilenceStep::EndOverlap).min_time(deadline);
+            let end = newest.started + OVERLAP_LIMIT;
+            return earlier((end, SilenceStep::EndOverlap), deadline);
         }
         if !silence.avoided {
-            return (silence.since + AVOID_TIMEOUT, SilenceStep::Avoid).min_time(deadline);
+            let avoid_at = silence.since + AVOID_TIMEOUT;
+            return earlier((avoid_at, SilenceStep::Avoid), deadline);
         }
         if !self.may_retry() {
             return deadline;
@@ -188,14 +189,14 @@
             Some(sought_at) => sought_at + SEEK_INTERVAL,
             None => silence.since + STALL_TIMEOUT,
         };
-        (seek_at, SilenceStep::Seek).min_time(deadline)
+        earlier((seek_at, SilenceStep::Seek), deadline)
     }
 
     /// Takes a step, due at `step_at`, about a silence of the endpoint that has the request: `current`, or the one of the
     /// oldest attempt. Returns whether `current` is given up.
     pub(super) fn take_step(
         &mut self,
-        (step_at, step): (Instant, SilenceStep),
+        (step_at, step): TimedStep,
         silence: &mut EndpointSilence,
         current: Option<&Arc<ListedEndpoint>>,
         resume_after: Option<u64>,
@@ -298,13 +299,7 @@
     }
 }
 
-/// Selection of the earlier of two timed steps.
-trait EarlierStep {
-    fn min_time(self, other: Self) -> Self;
-}
-
-impl EarlierStep for (Instant, SilenceStep) {
-    fn min_time(self, other: Self) -> Self {
-        if other.0 <= self.0 { other } else { self }
-    }
+/// The earlier of two steps.
+fn earlier(step: TimedStep, other: TimedStep) -> TimedStep {
+    if other.0 <= step.0 { other } else { step }
 }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -1,6 +1,8 @@
 //! Forwards the body of a response to the caller.
 
-use super::attempts::{ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, SilenceStep};
+use super::attempts::{
+    ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, SilenceStep, TimedStep,
+};
 use super::{MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{CallError, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
@@ -82,7 +84,7 @@
     /// A response of another endpoint.
     Response(AttemptResponse),
     /// No endpoint has sent an event until a step became due.
-    Silence((Instant, SilenceStep)),
+    Silence(TimedStep),
 }
 
 impl ForwardedResponse {
@@ -217,7 +219,7 @@
         self.begin_resumption(&error)
     }
 
-    fn apply_silence(&mut self, step: (Instant, SilenceStep)) -> Result<(), CallError> {
+    fn apply_silence(&mut self, step: TimedStep) -> Result<(), CallError> {
         if step.1 == SilenceStep::Deadline {
             return Err(interrupted("no further data before the deadline"));
         }
