--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -111,7 +111,11 @@
         }
         Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
         Some(Err(_)) => OnlineReply::Failed,
-        None => OnlineReply::Response(response),
+        None => {
+            // The finished body must not be polled again.
+            response.body = stream::empty().boxed();
+            OnlineReply::Response(response)
+        }
     }
 }
 
@@ -187,7 +191,9 @@
                     }
                 }
                 Err(_) if step == SilenceStep::Deadline => return Err(self.time_out()),
-                Err(_) => self.take_step((step_at, step), &mut silence, None, resume_after),
+                Err(_) => {
+                    self.take_step((step_at, step), &mut silence, None, resume_after);
+                }
             }
             silence = self.oldest_silence(silence);
         }
