Log and count how the body of an endpoint's response ended

`request ended` and `item run ended` now have the framing, `request ended` also whether the last event is incomplete, and the metric endpoint_bodies counts both. No decision depends on them yet.

--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -161,12 +161,35 @@
     pub resume_after: Option<u64>,
 }
 
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By a length or a last chunk. A body that ends early is an error.
+    #[default]
+    Delimited,
+    /// By the end of the connection. A body that ends early may look complete.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Delimited => "delimited",
+            Self::UntilClose => "until close",
+        }
+    }
+}
+
 /// Response of an endpoint.
 pub struct EndpointResponse {
     /// HTTP status.
     pub status: StatusCode,
     /// Headers to forward.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     /// Body stream. An error item means that the response was interrupted.
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -380,6 +380,7 @@
         progress,
         segments,
         resumed_after: None,
+        framing: None,
     };
     tokio::spawn(run.run(cancelled, updates.clone()));
 }
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -1,7 +1,7 @@
 //! One run of an item at an endpoint.
 
 use super::outcomes::{ItemUpdate, UpdateKind, send_update};
-use crate::backend::{CallError, CallOptions, EndpointCall};
+use crate::backend::{BodyFraming, CallError, CallOptions, EndpointCall};
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventParser;
 use crate::in_flight::InFlightGuard;
@@ -74,6 +74,8 @@
     pub(super) segments: Vec<ProgressSegment>,
     /// Last event before this run.
     pub(super) resumed_after: Option<u64>,
+    /// Framing of the response's body; `None` before its head.
+    pub(super) framing: Option<BodyFraming>,
 }
 
 impl ItemRun {
@@ -97,6 +99,7 @@
             "item" => self.name.item, "endpoint" => &*self.endpoint.id,
             "outcome" => outcome.label(), "cause" => cause,
             "last_event" => self.progress.lock().last_event(),
+            "framing" => self.framing.map(BodyFraming::as_str),
             "after_ms" => millis(started.elapsed()));
         self.node.metrics.count_item(outcome.label());
         self.guard = None;
@@ -146,6 +149,7 @@
                 return interrupted("no response within the timeout");
             }
         };
+        self.framing = Some(response.framing);
         match response.status {
             StatusCode::OK => {}
             StatusCode::UNPROCESSABLE_ENTITY => return RunOutcome::Impossible,
--- a/crates/switch/src/events.rs
+++ b/crates/switch/src/events.rs
@@ -112,6 +112,48 @@
     Err(bytes.len())
 }
 
+/// Tells whether a stream of server-sent events ends within an event, without holding its bytes. Lines end with a line
+/// feed, a carriage return, or both, and a blank line ends an event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventBoundary {
+    in_event: bool,
+    in_line: bool,
+    after_return: bool,
+}
+
+impl EventBoundary {
+    /// Reads the next bytes of the stream.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::events::EventBoundary;
+    /// let mut boundary = EventBoundary::default();
+    /// boundary.push(b"id: 1\ndata: a\n\nid: 2\n");
+    /// assert!(boundary.is_within_event());
+    /// boundary.push(b"data: b\n\n");
+    /// assert!(!boundary.is_within_event());
+    /// ```
+    pub fn push(&mut self, chunk: &[u8]) {
+        for byte in chunk {
+            let ends_return = *byte == b'\n' && self.after_return;
+            self.after_return = *byte == b'\r';
+            match byte {
+                b'\n' if ends_return => {}
+                b'\n' | b'\r' => {
+                    self.in_event &= self.in_line;
+                    self.in_line = false;
+                }
+                _ => (self.in_event, self.in_line) = (true, true),
+            }
+        }
+    }
+
+    /// Whether the bytes so far end within an event.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.in_event
+    }
+}
+
 fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     let line = line.strip_suffix(b"\r").unwrap_or(line);
     let rest = line.strip_prefix(name)?.strip_prefix(b":")?;
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of a host, in the Prometheus text format.
 
+use crate::backend::BodyFraming;
 use crate::node::SwitchNode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -21,6 +22,13 @@
     outcome: &'static str,
 }
 
+/// Label set of the bodies of endpoints.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct BodyLabel {
+    framing: &'static str,
+    within_event: &'static str,
+}
+
 type OutcomeCounts = Family<OutcomeLabel, Counter>;
 
 /// All metrics of a host.
@@ -34,6 +42,7 @@
     log_calls: OutcomeCounts,
     caller_connections: OutcomeCounts,
     incomplete_answers: Counter,
+    bodies: Family<BodyLabel, Counter>,
     first_byte: Histogram,
     request_time: Histogram,
     state_gauges: StateGauges,
@@ -140,6 +149,7 @@
             log_calls: Family::default(),
             caller_connections: Family::default(),
             incomplete_answers: Counter::default(),
+            bodies: Family::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
             state_gauges: StateGauges::default(),
@@ -185,6 +195,11 @@
             "Requests of callers that ended without a complete answer",
             self.incomplete_answers.clone(),
         );
+        registry.register(
+            "endpoint_bodies",
+            "Ends of the bodies of online responses, by framing and by whether they ended within an event",
+            self.bodies.clone(),
+        );
         let times = [
             (
                 "first_byte",
@@ -216,6 +231,14 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub(crate) fn count_body(&self, framing: BodyFraming, within_event: bool) {
+        let label = BodyLabel {
+            framing: framing.as_str(),
+            within_event: if within_event { "true" } else { "false" },
+        };
+        self.bodies.get_or_create(&label).inc();
+    }
+
     pub(crate) fn count_job(&self, outcome: &'static str) {
         self.jobs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -3,10 +3,10 @@
 use super::attempts::{
     ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, SilenceStep, TimedStep,
 };
-use super::{MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
-use crate::backend::{CallError, EndpointResponse};
+use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
+use crate::backend::{BodyFraming, CallError, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
-use crate::events::EventParser;
+use crate::events::{EventBoundary, EventParser};
 use crate::in_flight::InFlightGuard;
 use crate::load::RequestClass;
 use crate::route::RouteKind;
@@ -36,7 +36,9 @@
         endpoint,
         body: Some(response.body),
         guard: Some(guard),
+        framing: response.framing,
         parser: EventParser::default(),
+        boundary: EventBoundary::default(),
         resumable,
         remaining_bytes: content_length(&response.headers),
         silence: EndpointSilence::begin(),
@@ -50,6 +52,7 @@
     EndpointResponse {
         status: response.status,
         headers: response.headers,
+        framing: response.framing,
         body: body.boxed(),
     }
 }
@@ -63,7 +66,11 @@
     /// `None` after it has broken off, while the response is resumed at another endpoint.
     body: Option<ResponseChunks>,
     guard: Option<InFlightGuard>,
+    /// Framing of the body, or of the last one.
+    framing: BodyFraming,
     parser: EventParser,
+    /// Where in an event a body that is not resumed has come to.
+    boundary: EventBoundary,
     last_event: Option<u64>,
     resumable: bool,
     /// Bytes not received yet of a response with a content length.
@@ -197,6 +204,7 @@
                     "endpoint" => &*attempt.endpoint.id, "version" => &*attempt.endpoint.version,
                     "after_event" => self.last_event);
                 self.parser.clear();
+                self.framing = response.framing;
                 self.body = Some(response.body);
                 self.guard = Some(attempt.guard);
                 self.endpoint = attempt.endpoint;
@@ -243,6 +251,7 @@
         };
         match next {
             Some(Some(Ok(chunk))) => {
+                self.boundary.push(&chunk);
                 self.record_chunk(chunk.len());
                 Some(Ok(chunk))
             }
@@ -306,6 +315,13 @@
                 health.record_success(exchange.started);
             }
         }
+        let within_event = self.status.is_success()
+            && exchange.request.route.kind == RouteKind::Stream
+            && (self.boundary.is_within_event() || self.parser.has_partial_event());
+        exchange.body_end = Some(BodyEnd {
+            framing: self.framing,
+            within_event,
+        });
         exchange.log_end(outcome, None);
     }
 
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -3,7 +3,7 @@
 mod attempts;
 mod forward;
 
-use crate::backend::{CallError, EndpointCall, EndpointResponse};
+use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::{InFlightGuard, InFlightRequest};
 use crate::load::{EndpointPick, RequestClass};
@@ -84,6 +84,7 @@
             time_to_first_byte: None,
             had_free_slot: false,
             endpoint: None,
+            body_end: None,
             ended: false,
             _in_flight: in_flight,
         };
@@ -122,6 +123,13 @@
 /// A response with its in-flight guard and endpoint.
 type Opened = (EndpointResponse, InFlightGuard, Arc<ListedEndpoint>);
 
+/// How the last body of a response ended.
+#[derive(Clone, Copy)]
+struct BodyEnd {
+    framing: BodyFraming,
+    within_event: bool,
+}
+
 /// Expected wait of a request, and the longest with which it is sent.
 #[derive(Clone, Copy)]
 struct ExpectedWait {
@@ -151,6 +159,8 @@
     had_free_slot: bool,
     /// Endpoint of the last attempt.
     endpoint: Option<Arc<str>>,
+    /// How the body of the response ended; `None` before that.
+    body_end: Option<BodyEnd>,
     /// Whether the end of the request has been logged.
     ended: bool,
     _in_flight: InFlightRequest,
@@ -518,9 +528,18 @@
         self.ended = true;
         let elapsed = self.started.elapsed();
         self.node.metrics.count_request(outcome, elapsed);
+        if let Some(BodyEnd {
+            framing,
+            within_event,
+        }) = self.body_end
+        {
+            self.node.metrics.count_body(framing, within_event);
+        }
         info!(self.node.deps.logger, "request ended"; "request" => &*self.request.call.id,
             "outcome" => outcome, "retry_ms" => retry_after.map(millis), "sends" => self.sends,
             "runs" => self.runs, "first_ms" => self.time_to_first_byte.map(millis),
+            "framing" => self.body_end.map(|end| end.framing.as_str()),
+            "within_event" => self.body_end.map(|end| end.within_event),
             "endpoint" => self.endpoint.as_deref(), "after_ms" => millis(elapsed));
     }
 }
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use fulmarswitch_switch::backend::{
-    AppendError, CallError, CallOptions, DecodeError, EndpointCall, EndpointClient,
+    AppendError, BodyFraming, CallError, CallOptions, DecodeError, EndpointCall, EndpointClient,
     EndpointResponse, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition, ReadError,
 };
 use fulmarswitch_switch::endpoint::ListedEndpoint;
@@ -488,6 +488,7 @@
         Ok(EndpointResponse {
             status: StatusCode::from_u16(status).unwrap(),
             headers: HeaderMap::new(),
+            framing: BodyFraming::Delimited,
             body: body.boxed(),
         })
     }
@@ -502,6 +503,7 @@
     EndpointResponse {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        framing: BodyFraming::Delimited,
         body: chunks.boxed(),
     }
 }
@@ -515,6 +517,7 @@
     EndpointResponse {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        framing: BodyFraming::Delimited,
         body: chunks.boxed(),
     }
 }
@@ -531,6 +534,7 @@
     EndpointResponse {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        framing: BodyFraming::Delimited,
         body: chunks.boxed(),
     }
 }
@@ -550,6 +554,7 @@
     EndpointResponse {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        framing: BodyFraming::Delimited,
         body: body.boxed(),
     }
 }
@@ -572,6 +577,7 @@
     EndpointResponse {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        framing: BodyFraming::Delimited,
         body: body.boxed(),
     }
 }
