--- /dev/null
+++ b/crates/switch/tests/switch/body_ends.rs
@@ -0,0 +1,148 @@
+//! Ends of the bodies of endpoints that look like regular ones although the endpoint has broken off.
+
+use crate::support::CallScript::{
+    BreakAfter, EndAfter, EndWithin, Status, StatusUntilClose, Stream, StreamUntilClose,
+};
+use crate::support::{
+    CallScript, CallerOutcome, TestFleet, events, full_text, half_event, request, results,
+    send_request, submission, wait_until,
+};
+use bytes::Bytes;
+use fulmarswitch_switch::backend::BodyFraming::{self, Delimited, UntilClose};
+use fulmarswitch_switch::online::OnlineReply;
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn events_and_half(last: u64) -> Bytes {
+    [events(last), half_event(last + 1)].concat().into()
+}
+
+/// Guards against a broken-off stream that looks complete, since its endpoint ended the body regularly within an event.
+#[rstest]
+#[case::until_close("/stream/x", EndWithin { after: 2, body: UntilClose }, CallerOutcome::Truncated(events_and_half(2)))]
+#[case::until_close_in_the_first("/stream/x", EndWithin { after: 0, body: UntilClose }, CallerOutcome::Truncated(half_event(1)))]
+#[case::delimited("/stream/x", EndWithin { after: 2, body: Delimited }, CallerOutcome::Truncated(events_and_half(2)))]
+#[case::resumable_until_close("/resume/x", EndWithin { after: 2, body: UntilClose }, CallerOutcome::Complete(events(3)))]
+#[case::resumable_delimited("/resume/x", EndWithin { after: 2, body: Delimited }, CallerOutcome::Complete(events(3)))]
+#[tokio::test(start_paused = true)]
+async fn stream_that_ends_within_an_event_is_not_complete(
+    #[case] path: &str,
+    #[case] script: CallScript,
+    #[case] expected: CallerOutcome,
+) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[script]);
+    assert_eq!(send_request(&node, path).await, expected);
+}
+
+/// Guards against a stream without any event that looks complete, since its endpoint closed the connection after the head.
+#[rstest]
+#[case::not_resumable("/stream/x", CallerOutcome::Failed)]
+#[case::resumable("/resume/x", CallerOutcome::Complete(events(3)))]
+#[tokio::test(start_paused = true)]
+async fn stream_that_closes_before_its_first_event_is_not_complete(
+    #[case] path: &str,
+    #[case] expected: CallerOutcome,
+) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[EndAfter {
+        event: 0,
+        body: UntilClose,
+    }]);
+    assert_eq!(send_request(&node, path).await, expected);
+}
+
+/// Guards against an answer whose end is marked more firmly for the caller than it was by the endpoint.
+#[rstest]
+#[case::delimited("/once/x", Stream { events: 3 }, Delimited)]
+#[case::stream("/stream/x", StreamUntilClose { events: 3 }, UntilClose)]
+#[case::resumable_stream("/resume/x", StreamUntilClose { events: 3 }, UntilClose)]
+#[case::no_stream("/once/x", StreamUntilClose { events: 3 }, UntilClose)]
+#[case::failure("/once/x", StatusUntilClose(500), UntilClose)]
+#[case::delimited_failure("/once/x", Status(500), Delimited)]
+#[tokio::test(start_paused = true)]
+async fn answer_keeps_the_framing_of_its_endpoint(
+    #[case] path: &str,
+    #[case] script: CallScript,
+    #[case] expected: BodyFraming,
+) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[script]);
+    let reply = node.serve_online(request(&node, path, "r")).await;
+    let OnlineReply::Response(response) = reply else {
+        panic!("no response");
+    };
+    assert_eq!(response.framing, expected);
+}
+
+/// Guards against a resumed stream whose end at another endpoint is taken for its completeness: the caller was promised a
+/// marked end, and the body at the other endpoint has none.
+#[rstest]
+#[case::goes_on(&[BreakAfter { event: 2 }, EndAfter { event: 3, body: UntilClose }, Stream { events: 5 }], CallerOutcome::Complete(events(5)), 3)]
+#[case::was_complete(&[BreakAfter { event: 2 }, StreamUntilClose { events: 3 }, Stream { events: 3 }], CallerOutcome::Complete(events(3)), 3)]
+#[case::without_a_marked_end(&[BreakAfter { event: 2 }, StreamUntilClose { events: 3 }, StreamUntilClose { events: 3 }], CallerOutcome::Truncated(events(3)), 3)]
+#[tokio::test(start_paused = true)]
+async fn resumed_stream_is_complete_only_after_a_marked_end(
+    #[case] scripts: &[CallScript],
+    #[case] expected: CallerOutcome,
+    #[case] runs: usize,
+) {
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    assert_eq!(send_request(&node, "/resume/x").await, expected);
+    assert_eq!(fleet.client.calls().len(), runs);
+}
+
+/// Guards against an item that is recorded as completed with a part of its output, since its endpoint closed the
+/// connection between two events.
+#[tokio::test(start_paused = true)]
+async fn item_whose_endpoint_closes_between_events_runs_on() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[EndAfter {
+        event: 2,
+        body: UntilClose,
+    }]);
+    fleet.client.set_default(Stream { events: 5 });
+    node.submit_job(submission("j", 1)).await;
+    wait_until("a result", async || {
+        !results(&node, "j").await.results.is_empty()
+    })
+    .await;
+    assert_eq!(
+        results(&node, "j").await.results[0].text,
+        Some(full_text(5))
+    );
+    let resumed: Vec<_> = fleet
+        .client
+        .calls()
+        .iter()
+        .map(|c| c.resume_after)
+        .collect();
+    assert_eq!(resumed, [None, Some(2)]);
+}
+
+/// Guards against an item that runs forever at endpoints that never mark the end of a body.
+#[tokio::test(start_paused = true)]
+async fn item_completes_at_endpoints_that_always_send_until_close() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.set_default(StreamUntilClose { events: 5 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(1)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1, "the item does not end");
+    assert_eq!(page.results[0].text, Some(full_text(5)));
+    let resumed: Vec<_> = fleet
+        .client
+        .calls()
+        .iter()
+        .map(|c| c.resume_after)
+        .collect();
+    assert_eq!(resumed, [None, Some(5)]);
+}
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the switch: its decision logic, and hosts on an in-memory log and in-memory endpoints.
 
+mod body_ends;
 mod departures;
 mod fleet;
 mod jobs;
--- a/crates/switch/tests/switch/online.rs
+++ b/crates/switch/tests/switch/online.rs
@@ -5,20 +5,14 @@
     Pause, PauseOften, Silent, StallAfter, Status, Stream, Unreachable,
 };
 use crate::support::{
-    CallScript, CallerOutcome, TestFleet, event, read_response, request, send_request,
+    CallScript, CallerOutcome, TestFleet, events, read_response, request, send_request,
 };
-use bytes::Bytes;
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
 use futures::StreamExt;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-fn events(last: u64) -> Bytes {
-    let all: Vec<u8> = (1..=last).flat_map(|id| event(id).to_vec()).collect();
-    all.into()
-}
-
 #[rstest]
 #[case::at_once("/once/x", &[Stream { events: 3 }], CallerOutcome::Complete(events(3)), 1)]
 #[case::another_when_unreachable("/once/x", &[Unreachable, Unreachable], CallerOutcome::Complete(events(3)), 1)]
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -324,10 +324,37 @@
     CommentFlood { chunks: u64 },
     /// Always has the next event ready, one in each [`FLOOD_INTERVAL`].
     EventFlood { events: u64 },
+    /// Streams this many events in a body that lasts until the connection closes.
+    StreamUntilClose { events: u64 },
+    /// Streams events and ends the body after this one as a complete one ends.
+    EndAfter { event: u64, body: BodyFraming },
+    /// Streams events and half of the one after this one, and ends the body as a complete one ends.
+    EndWithin { after: u64, body: BodyFraming },
+    /// Responds with this status and a body that lasts until the connection closes.
+    StatusUntilClose(u16),
     /// Streams this many events with this many bytes of data each, one per [`EVENT_INTERVAL`].
     LargeEvents { events: u64, bytes: usize },
 }
 
+impl CallScript {
+    /// Silence after this number of events.
+    fn pause_at(self, position: u64) -> Duration {
+        match self {
+            Self::Pause { after, silence, .. } if after == position => silence,
+            Self::PauseOften { silence, .. } if position > 0 => silence,
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn framing(self) -> BodyFraming {
+        match self {
+            Self::StreamUntilClose { .. } | Self::StatusUntilClose(_) => BodyFraming::UntilClose,
+            Self::EndAfter { body, .. } | Self::EndWithin { body, .. } => body,
+            _ => BodyFraming::Delimited,
+        }
+    }
+}
+
 /// A call received by an endpoint.
 #[derive(Clone, Debug)]
 pub struct RecordedCall {
@@ -391,6 +418,18 @@
     format!("id: {id}\ndata: word{id}\n\n").into()
 }
 
+/// First half of the event with this ID.
+pub fn half_event(id: u64) -> Bytes {
+    let event = event(id);
+    event.slice(..event.len() / 2)
+}
+
+/// Events up to this ID.
+pub fn events(last: u64) -> Bytes {
+    let all: Vec<u8> = (1..=last).flat_map(|id| event(id).to_vec()).collect();
+    all.into()
+}
+
 #[async_trait]
 impl EndpointClient for MemoryClient {
     async fn call(
@@ -433,8 +472,14 @@
             }
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
-            CallScript::Status(status) => (0, false, false, status),
+            CallScript::Status(status) | CallScript::StatusUntilClose(status) => {
+                (0, false, false, status)
+            }
+            CallScript::EndAfter { event, .. } | CallScript::EndWithin { after: event, .. } => {
+                (event, false, false, 200)
+            }
             CallScript::Stream { events }
+            | CallScript::StreamUntilClose { events }
             | CallScript::Pause { events, .. }
             | CallScript::PauseOften { events, .. } => (events, false, false, 200),
             CallScript::BreakAfterSilence { after: 0, silence } => {
@@ -460,11 +505,7 @@
             CallScript::BreakAfter { event } => (event, true, false, 200),
             CallScript::StallAfter { event } => (event, false, true, 200),
         };
-        let pause_at = move |position: u64| match script {
-            CallScript::Pause { after, silence, .. } if after == position => silence,
-            CallScript::PauseOften { silence, .. } if position > 0 => silence,
-            _ => Duration::ZERO,
-        };
+        let pause_at = move |position| script.pause_at(position);
         sleep(pause_at(0)).await;
         let first = options.resume_after.map_or(1, |last| last + 1);
         let sent = stream::iter(first..=events).then(move |id| async move {
@@ -476,6 +517,9 @@
         });
         let tail = async move {
             let _running = running;
+            if let CallScript::EndWithin { after, .. } = script {
+                return Some(Ok(half_event(after + 1)));
+            }
             if stalls {
                 std::future::pending::<()>().await;
             }
@@ -488,7 +532,7 @@
         Ok(EndpointResponse {
             status: StatusCode::from_u16(status).unwrap(),
             headers: HeaderMap::new(),
-            framing: BodyFraming::Delimited,
+            framing: script.framing(),
             body: body.boxed(),
         })
     }
