Break off an answer whose body ends within an event

Cause: only streams that may be resumed are parsed. Of the others the host took the end of the body for the end of the answer, also where it was only the regular end of a body without a length and chunks, the close of the connection, and ended its own chunked body regularly.

The host now follows where events end, without holding them, and ends the answer with an error if its body ends within one, however the body is framed. The caller's connection then closes without a last chunk. A body that ends between two events is not covered.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
 use slog::info;
 use std::sync::Arc;
@@ -29,6 +29,8 @@
     let resumable = exchange.request.route.kind == RouteKind::Stream
         && exchange.request.route.resumable
         && response.status.is_success();
+    let has_events = response.status.is_success()
+        && has_event_stream(&response.headers, exchange.request.route.kind);
     let forwarded = ForwardedResponse {
         status: response.status,
         last_event: exchange.request.resume_after,
@@ -38,7 +40,7 @@
         guard: Some(guard),
         framing: response.framing,
         parser: EventParser::default(),
-        boundary: EventBoundary::default(),
+        boundary: has_events.then(EventBoundary::default),
         resumable,
         remaining_bytes: content_length(&response.headers),
         silence: EndpointSilence::begin(),
@@ -69,8 +71,8 @@
     /// Framing of the body, or of the last one.
     framing: BodyFraming,
     parser: EventParser,
-    /// Where in an event a body that is not resumed has come to.
-    boundary: EventBoundary,
+    /// Where in an event a body that is not resumed has come to; `None` if it is no stream of events.
+    boundary: Option<EventBoundary>,
     last_event: Option<u64>,
     resumable: bool,
     /// Bytes not received yet of a response with a content length.
@@ -118,7 +120,7 @@
                 ResponseInput::Chunk(Some(Ok(chunk))) => self.apply_chunk(&chunk),
                 ResponseInput::Chunk(Some(Err(error))) => self.resume(&error),
                 ResponseInput::Chunk(None) if self.parser.has_partial_event() => {
-                    self.resume(&interrupted("the last event is incomplete"))
+                    self.resume(&incomplete_event())
                 }
                 ResponseInput::Chunk(None) => {
                     self.finish("answered");
@@ -251,10 +253,13 @@
         };
         match next {
             Some(Some(Ok(chunk))) => {
-                self.boundary.push(&chunk);
+                if let Some(boundary) = &mut self.boundary {
+                    boundary.push(&chunk);
+                }
                 self.record_chunk(chunk.len());
                 Some(Ok(chunk))
             }
+            Some(None) if self.ends_within_event() => Some(self.interrupt(incomplete_event())),
             Some(None) => {
                 self.finish("answered");
                 None
@@ -292,8 +297,15 @@
         self.parser.clear();
     }
 
+    /// Whether the bytes of the current body so far end within an event.
+    fn ends_within_event(&self) -> bool {
+        let boundary = self.boundary.as_ref();
+        boundary.is_some_and(EventBoundary::is_within_event) || self.parser.has_partial_event()
+    }
+
     /// Records the end of the response. `outcome` is the result of forwarding it.
     fn finish(&mut self, mut outcome: &'static str) {
+        let within_event = self.ends_within_event();
         self.ended = true;
         self.body = None;
         self.guard = None;
@@ -315,9 +327,6 @@
                 health.record_success(exchange.started);
             }
         }
-        let within_event = self.status.is_success()
-            && exchange.request.route.kind == RouteKind::Stream
-            && (self.boundary.is_within_event() || self.parser.has_partial_event());
         exchange.body_end = Some(BodyEnd {
             framing: self.framing,
             within_event,
@@ -361,6 +370,22 @@
     }
 }
 
+fn incomplete_event() -> CallError {
+    interrupted("the last event is incomplete")
+}
+
+/// Whether the body of a successful response is a stream of events.
+fn has_event_stream(headers: &HeaderMap, kind: RouteKind) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    match headers.get(CONTENT_TYPE) {
+        Some(value) => value
+            .as_bytes()
+            .get(..EVENT_STREAM.len())
+            .is_some_and(|prefix| prefix.eq_ignore_ascii_case(EVENT_STREAM)),
+        None => kind == RouteKind::Stream,
+    }
+}
+
 fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
