Take a stream that closes before its first event as broken off

Cause: a body without a length and chunks that ends before any event counted as a complete, empty answer, also where the server had closed the connection right after its head.

Such a response now counts as one of an endpoint that broke off, like an error before the first chunk: the stream is resumed or fails with 502. A stream that a caller takes up may have no further event and is left as it is.

--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -5,8 +5,9 @@
 //! endpoints must not run a request for long, so after [`OVERLAP_LIMIT`] one attempt ends: the older one if its endpoint
 //! has been silent for longer than a sound one is, and otherwise the other.
 
+use super::forward::has_event_stream;
 use super::{OnlineExchange, OnlineReply, interrupted};
-use crate::backend::{CallError, CallOptions, EndpointResponse};
+use crate::backend::{BodyFraming, CallError, CallOptions, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::in_flight::InFlightGuard;
 use crate::node::millis;
@@ -127,13 +128,19 @@
 }
 
 /// Waits for the first chunk of a successful response, so that an endpoint that breaks off or falls silent after the head
-/// has not answered.
-async fn with_first_chunk(mut response: EndpointResponse) -> Result<EndpointResponse, CallError> {
+/// has not answered. `needs_event` tells whether a stream without any event is no answer either.
+async fn with_first_chunk(
+    mut response: EndpointResponse,
+    needs_event: bool,
+) -> Result<EndpointResponse, CallError> {
     if !response.status.is_success() {
         return Ok(response);
     }
     response.body = match response.body.next().await {
         Some(chunk) => stream::iter([Ok(chunk?)]).chain(response.body).boxed(),
+        None if needs_event && response.framing == BodyFraming::UntilClose => {
+            return Err(interrupted("the connection closed before the first event"));
+        }
         // The finished body must not be polled again.
         None => stream::empty().boxed(),
     };
@@ -159,7 +166,8 @@
         let response = async move {
             let client = &node.deps.client;
             let response = client.call(&target, &request.call, options).await?;
-            with_first_chunk(response).await
+            let has_events = has_event_stream(&response.headers, request.route.kind);
+            with_first_chunk(response, has_events && resume_after.is_none()).await
         };
         self.attempts.0.push(PendingAttempt {
             endpoint,
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -375,7 +375,7 @@
 }
 
 /// Whether the body of a successful response is a stream of events.
-fn has_event_stream(headers: &HeaderMap, kind: RouteKind) -> bool {
+pub(super) fn has_event_stream(headers: &HeaderMap, kind: RouteKind) -> bool {
     const EVENT_STREAM: &[u8] = b"text/event-stream";
     match headers.get(CONTENT_TYPE) {
         Some(value) => value
