Resume a stream again that went on elsewhere and ended without a marked end

Cause: a stream that breaks off goes on at another endpoint. If the body there lasts until the close, its end was taken for the end of the answer, which is in chunks since the first body was.

Evidence: the three cases of resumed_stream_is_complete_only_after_a_marked_end failed before.

Such an end now counts as a body that broke off: the stream is resumed after its last event, and is complete when an endpoint marks its end. If none does within the attempts of the route, the caller's connection closes without a last chunk, and the caller may take the stream up.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -38,6 +38,7 @@
         endpoint,
         body: Some(response.body),
         guard: Some(guard),
+        caller_framing: response.framing,
         framing: response.framing,
         parser: EventParser::default(),
         boundary: has_events.then(EventBoundary::default),
@@ -68,6 +69,8 @@
     /// `None` after it has broken off, while the response is resumed at another endpoint.
     body: Option<ResponseChunks>,
     guard: Option<InFlightGuard>,
+    /// Framing of the answer to the caller: that of the first body.
+    caller_framing: BodyFraming,
     /// Framing of the body, or of the last one.
     framing: BodyFraming,
     parser: EventParser,
@@ -122,6 +125,9 @@
                 ResponseInput::Chunk(None) if self.parser.has_partial_event() => {
                     self.resume(&incomplete_event())
                 }
+                ResponseInput::Chunk(None) if self.lacks_marked_end() => {
+                    self.resume(&interrupted("the end of the response is not marked"))
+                }
                 ResponseInput::Chunk(None) => {
                     self.finish("answered");
                     return None;
@@ -297,6 +303,11 @@
         self.parser.clear();
     }
 
+    /// Whether the caller was promised a marked end, and the body that goes on elsewhere has none.
+    fn lacks_marked_end(&self) -> bool {
+        self.caller_framing == BodyFraming::Delimited && self.framing == BodyFraming::UntilClose
+    }
+
     /// Whether the bytes of the current body so far end within an event.
     fn ends_within_event(&self) -> bool {
         let boundary = self.boundary.as_ref();
