Run an item again whose endpoint closed the connection between two events

A result could be a part of an item's output.

Cause: an item counted as completed at any regular end of its body after an event, also where that was only the close of the connection.

Evidence: item_whose_endpoint_closes_between_events_runs_on and item_completes_at_endpoints_that_always_send_until_close failed before, the first with two of five events recorded as the result.

An item may run more than once, so it is resumed after its last event. It is completed when an endpoint marks the end, or when a second body ends after the same event, so that endpoints that never mark an end do not hold it up.

--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -31,6 +31,8 @@
 /// Result of a run.
 enum RunOutcome {
     Completed,
+    /// The connection closed between two events, which may be the end of the output or not.
+    UnmarkedEnd,
     Cancelled,
     /// The endpoint left before the item was sent to it.
     NotSent,
@@ -50,6 +52,7 @@
     fn label(&self) -> &'static str {
         match self {
             Self::Completed => "completed",
+            Self::UnmarkedEnd => "unmarked end",
             Self::Cancelled => "cancelled",
             Self::NotSent => "not sent",
             Self::NotRun => "not run",
@@ -175,7 +178,11 @@
                 Ok(None) if self.progress.lock().is_empty() => {
                     return interrupted("the response has no events");
                 }
-                Ok(None) => return RunOutcome::Completed,
+                Ok(None) if response.framing == BodyFraming::Delimited => {
+                    return RunOutcome::Completed;
+                }
+                Ok(None) if self.progress.lock().confirm_end() => return RunOutcome::Completed,
+                Ok(None) => return RunOutcome::UnmarkedEnd,
                 Ok(Some(Err(error))) => return RunOutcome::Interrupted(error),
                 Err(_) => return interrupted(late_cause(deadline)),
             }
@@ -255,7 +262,7 @@
                     .record(events, run_events, started.elapsed());
                 Some(UpdateKind::Completed(text.into()))
             }
-            RunOutcome::Cancelled | RunOutcome::NotSent => None,
+            RunOutcome::UnmarkedEnd | RunOutcome::Cancelled | RunOutcome::NotSent => None,
             RunOutcome::NotRun => {
                 state.load.mark_full(endpoint, now);
                 None
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -114,6 +114,8 @@
     last_event: Option<u64>,
     text: Vec<u8>,
     recorded: RecordedState,
+    /// Last event of a run whose end was not marked, so that more events may follow; `None` without such a run.
+    unmarked_end: Option<u64>,
 }
 
 impl ItemProgress {
@@ -134,6 +136,7 @@
             last_event: Some(last.last_event),
             text,
             recorded,
+            unmarked_end: None,
         }
     }
 
@@ -174,6 +177,23 @@
         true
     }
 
+    /// Records that a run ended without a marked end. Returns whether an earlier run ended after the same event, so that
+    /// the output is taken to be complete.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::progress::ItemProgress;
+    /// let mut progress = ItemProgress::default();
+    /// assert!(progress.push_event(1, b"a"));
+    /// assert!(!progress.confirm_end());
+    /// assert!(progress.confirm_end());
+    /// ```
+    #[must_use]
+    pub fn confirm_end(&mut self) -> bool {
+        let is_confirmed = self.last_event.is_some() && self.unmarked_end == self.last_event;
+        self.unmarked_end = self.last_event;
+        is_confirmed
+    }
+
     /// ID of the last event; `None` before the first one.
     #[must_use]
     pub fn last_event(&self) -> Option<u64> {
