Send no new work to an endpoint that says in a response that it leaves

No code read that; a host without the store learned of it from other hosts and from refusals only.

Each response of an endpoint to its own request now marks this start of the endpoint (its ID and start) at once: a success, a failure or a refusal, a stream from its head, also one whose attempt was superseded. A 421 does not, as it may be another server's, nor does a response with the ID of another request. New requests, retries, resumptions and items go elsewhere whatever the listings say; what runs there goes on. A later start is used. Marks are kept until the start has not been listed for a minute. The header reaches the caller as other headers do.

--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -190,6 +190,8 @@
     pub headers: HeaderMap,
     /// How the end of the body is marked.
     pub framing: BodyFraming,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
     /// Body stream. An error item means that the response was interrupted.
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
@@ -210,6 +212,8 @@
         status: StatusCode,
         /// Whether a different endpoint now listens on the address.
         misdirected: bool,
+        /// Whether the endpoint says that it leaves.
+        leaving: bool,
     },
     /// The connection failed after the request was sent; the request may have run.
     #[snafu(display("the endpoint broke off ({cause}); the request may have run"))]
@@ -220,6 +224,12 @@
 }
 
 impl CallError {
+    /// Whether the endpoint has responded and says that it leaves.
+    #[must_use]
+    pub fn says_leaving(&self) -> bool {
+        matches!(self, Self::NotRun { leaving: true, .. })
+    }
+
     /// Label value for the metrics.
     #[must_use]
     pub fn outcome(&self) -> &'static str {
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -136,11 +136,7 @@
             remaining: RUN_TIMEOUT,
             resume_after: self.resumed_after,
         };
-        let call = self
-            .node
-            .deps
-            .client
-            .call(&self.endpoint, &self.call, options);
+        let call = self.node.call_endpoint(&self.endpoint, &self.call, options);
         let response_deadline = Instant::now() + self.response_timeout();
         let mut response = match timeout_at(response_deadline, call).await {
             Ok(Ok(response)) => response,
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -6,6 +6,7 @@
 //! interruption can do so: it would have noticed an outage.
 
 use crate::departures::EndpointDeparture;
+use crate::leaving::LeavingMarks;
 use crate::origins::{RETENTION as ORIGIN_RETENTION, VersionKey};
 use crate::report::EndpointKey;
 use std::net::SocketAddr;
@@ -109,6 +110,8 @@
     confirmed_until: u64,
     /// Versions of removed endpoints, as long as streams that they began may be taken up.
     past_versions: Vec<PastVersion>,
+    /// Endpoints that said that they leave.
+    leaving: LeavingMarks,
 }
 
 impl EndpointTable {
@@ -266,14 +269,33 @@
         entries.filter(|entry| entry.removal.is_some()).count()
     }
 
-    /// Removes the endpoints whose deferred removal is due, and returns their IDs.
+    /// Removes the endpoints whose deferred removal is due, and returns their IDs. Forgets which endpoints leave that have
+    /// not been listed for a while.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
         if self.log_unavailable {
             return Vec::new();
         }
-        self.take_entries(now, |entry| {
+        let removed = self.take_entries(now, |entry| {
             entry.removal.is_some_and(|removal| removal.due_at <= now)
-        })
+        });
+        let entries = &self.entries;
+        self.leaving.expire(now, |id, started_ms| {
+            let index = entries.binary_search_by(|entry| (*entry.endpoint.id).cmp(id));
+            index.is_ok_and(|index| entries[index].endpoint.started_ms == started_ms)
+        });
+        removed
+    }
+
+    /// Records that this start of an endpoint leaves by its own response, so that it accepts no new work. Returns whether
+    /// that was not known from a response before.
+    pub fn mark_leaving(&mut self, endpoint: &ListedEndpoint) -> bool {
+        self.leaving.insert(endpoint)
+    }
+
+    /// Number of endpoints that leave by their own responses.
+    #[must_use]
+    pub fn leaving(&self) -> usize {
+        self.leaving.len()
     }
 
     /// Removes the selected entries, and returns the IDs of their endpoints.
@@ -394,7 +416,8 @@
     /// Whether an endpoint accepts new work. A removal that is due counts before [`EndpointTable::expire`] is called.
     fn serves(&self, entry: &TableEntry, now: Instant) -> bool {
         let is_removed = entry.removal.is_some_and(|removal| removal.due_at <= now);
-        !entry.endpoint.draining && (self.log_unavailable || !is_removed)
+        let is_leaving = entry.endpoint.draining || self.leaving.contains(&entry.endpoint);
+        !is_leaving && (self.log_unavailable || !is_removed)
     }
 
     fn search(&self, id: &str) -> Result<usize, usize> {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,12 +6,13 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`load`], [`wait`], [`affinity`], [`ledger`], [`schedule`], [`members`],
-//! [`origins`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`wait`], [`affinity`],
+//! [`ledger`], [`schedule`], [`members`], [`origins`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
 pub mod batch;
+mod calls;
 pub mod departures;
 pub mod endpoint;
 pub mod events;
@@ -20,6 +21,7 @@
 pub mod health;
 pub mod in_flight;
 pub mod jobs;
+pub mod leaving;
 pub mod ledger;
 mod listings;
 pub mod load;
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -43,6 +43,7 @@
     caller_connections: OutcomeCounts,
     incomplete_answers: Counter,
     bodies: Family<BodyLabel, Counter>,
+    leaving_endpoints: Counter,
     first_byte: Histogram,
     request_time: Histogram,
     state_gauges: StateGauges,
@@ -150,6 +151,7 @@
             caller_connections: Family::default(),
             incomplete_answers: Counter::default(),
             bodies: Family::default(),
+            leaving_endpoints: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
             state_gauges: StateGauges::default(),
@@ -195,6 +197,11 @@
             "Requests of callers that ended without a complete answer",
             self.incomplete_answers.clone(),
         );
+        registry.register(
+            "leaving_endpoints",
+            "Endpoints that said in a response that they leave",
+            self.leaving_endpoints.clone(),
+        );
         registry.register(
             "endpoint_bodies",
             "Ends of the bodies of online responses, by framing and by whether they ended within an event",
@@ -239,6 +246,10 @@
         self.bodies.get_or_create(&label).inc();
     }
 
+    pub(crate) fn count_leaving_endpoint(&self) {
+        self.leaving_endpoints.inc();
+    }
+
     pub(crate) fn count_job(&self, outcome: &'static str) {
         self.jobs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -164,8 +164,7 @@
         };
         let (node, request, target) = (self.node.clone(), self.request.clone(), endpoint.clone());
         let response = async move {
-            let client = &node.deps.client;
-            let response = client.call(&target, &request.call, options).await?;
+            let response = node.call_endpoint(&target, &request.call, options).await?;
             let has_events = has_event_stream(&response.headers, request.route.kind);
             with_first_chunk(response, has_events && resume_after.is_none()).await
         };
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -56,6 +56,7 @@
         status: response.status,
         headers: response.headers,
         framing: response.framing,
+        leaving: response.leaving,
         body: body.boxed(),
     }
 }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -4,6 +4,7 @@
 mod departures;
 mod fleet;
 mod jobs;
+mod leaving;
 mod load;
 mod logging;
 mod online;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -371,6 +371,8 @@
     scripts: VecDeque<CallScript>,
     default_script: Option<CallScript>,
     calls: Vec<RecordedCall>,
+    /// Endpoints that say in their responses that they leave.
+    leaving: Vec<Arc<str>>,
     running: i64,
 }
 
@@ -394,6 +396,15 @@
         self.0.lock().unwrap().default_script = Some(script);
     }
 
+    /// Lets an endpoint say in each response that it leaves, or no longer.
+    pub fn set_leaving(&self, endpoint: &str, leaves: bool) {
+        let leaving = &mut self.0.lock().unwrap().leaving;
+        leaving.retain(|id| **id != *endpoint);
+        if leaves {
+            leaving.push(endpoint.into());
+        }
+    }
+
     /// All calls received so far.
     pub fn calls(&self) -> Vec<RecordedCall> {
         self.0.lock().unwrap().calls.clone()
@@ -438,21 +449,50 @@
         _call: &EndpointCall,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
-        let script = {
-            let mut state = self.0.lock().unwrap();
-            let next = state.scripts.pop_front();
-            let script = next
-                .or(state.default_script)
-                .unwrap_or(CallScript::Stream { events: 3 });
-            let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
-            state.calls.push(RecordedCall {
-                endpoint: endpoint.id.clone(),
-                resume_after: options.resume_after,
-                ran,
-            });
-            state.running += 1;
-            script
-        };
+        let leaves = self.0.lock().unwrap().leaving.contains(&endpoint.id);
+        match self.respond(endpoint, options).await {
+            Ok(response) => Ok(EndpointResponse {
+                leaving: leaves,
+                ..response
+            }),
+            Err(CallError::NotRun {
+                status,
+                misdirected,
+                ..
+            }) => Err(CallError::NotRun {
+                status,
+                misdirected,
+                leaving: leaves,
+            }),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+impl MemoryClient {
+    /// Records a call and returns the behaviour for it.
+    fn record_call(&self, endpoint: &ListedEndpoint, options: CallOptions) -> CallScript {
+        let mut state = self.0.lock().unwrap();
+        let next = state.scripts.pop_front();
+        let script = next
+            .or(state.default_script)
+            .unwrap_or(CallScript::Stream { events: 3 });
+        let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
+        state.calls.push(RecordedCall {
+            endpoint: endpoint.id.clone(),
+            resume_after: options.resume_after,
+            ran,
+        });
+        state.running += 1;
+        script
+    }
+
+    async fn respond(
+        &self,
+        endpoint: &ListedEndpoint,
+        options: CallOptions,
+    ) -> Result<EndpointResponse, CallError> {
+        let script = self.record_call(endpoint, options);
         let running = RunningCall(self.clone());
         sleep(Duration::from_millis(5)).await;
         let lost = || CallError::Interrupted {
@@ -468,6 +508,7 @@
                 return Err(CallError::NotRun {
                     status: StatusCode::SERVICE_UNAVAILABLE,
                     misdirected: false,
+                    leaving: false,
                 });
             }
             CallScript::Disconnect => return Err(lost()),
@@ -533,6 +574,7 @@
             status: StatusCode::from_u16(status).unwrap(),
             headers: HeaderMap::new(),
             framing: script.framing(),
+            leaving: false,
             body: body.boxed(),
         })
     }
@@ -548,6 +590,7 @@
         status: StatusCode::OK,
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
+        leaving: false,
         body: chunks.boxed(),
     }
 }
@@ -562,6 +605,7 @@
         status: StatusCode::OK,
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
+        leaving: false,
         body: chunks.boxed(),
     }
 }
@@ -579,6 +623,7 @@
         status: StatusCode::OK,
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
+        leaving: false,
         body: chunks.boxed(),
     }
 }
@@ -599,6 +644,7 @@
         status: StatusCode::OK,
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
+        leaving: false,
         body: body.boxed(),
     }
 }
@@ -622,12 +668,13 @@
         status: StatusCode::OK,
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
+        leaving: false,
         body: body.boxed(),
     }
 }
 
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
-/// follow.
+/// follow, and after it the endpoint's start in milliseconds.
 struct TextDecoder;
 
 impl ConfigDecoder for TextDecoder {
@@ -647,7 +694,10 @@
         };
         let text = std::str::from_utf8(value).map_err(|_| malformed("no text"))?;
         let id = std::str::from_utf8(key).map_err(|_| malformed("no text"))?;
-        let (state, version) = text.split_once(' ').unwrap_or((text, "1"));
+        let mut parts = text.split(' ');
+        let state = parts.next().unwrap_or_default();
+        let version = parts.next().unwrap_or("1");
+        let started_ms = parts.next().and_then(|start| start.parse().ok());
         let draining = match state {
             "ready" => false,
             "draining" => true,
@@ -655,6 +705,7 @@
         };
         Ok(ListedEndpoint {
             version: version.into(),
+            started_ms: started_ms.unwrap_or(0),
             ..listed(id, 4, draining)
         })
     }
