Do not take a blank line after the last event for a broken-off event

A stream that may be resumed and ends with one more blank line was resumed for nothing, and broken off if its attempts were used up. The resumable case of blank_line_after_the_last_event_is_no_event failed before.

--- a/crates/switch/src/events.rs
+++ b/crates/switch/src/events.rs
@@ -62,10 +62,11 @@
         Some(StreamEvent { bytes, id })
     }
 
-    /// Whether the buffer holds an incomplete event.
+    /// Whether the buffer holds an incomplete event. Blank lines alone are none.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        !self.buffer.iter().all(is_line_end)
     }
 
     /// Discards the buffer.
--- a/crates/switch/tests/switch/body_ends.rs
+++ b/crates/switch/tests/switch/body_ends.rs
@@ -1,7 +1,8 @@
 //! Ends of the bodies of endpoints that look like regular ones although the endpoint has broken off.
 
 use crate::support::CallScript::{
-    BreakAfter, EndAfter, EndWithin, Status, StatusUntilClose, Stream, StreamUntilClose,
+    BlankLineAtEnd, BreakAfter, EndAfter, EndWithin, Status, StatusUntilClose, Stream,
+    StreamUntilClose,
 };
 use crate::support::{
     CallScript, CallerOutcome, TestFleet, events, full_text, half_event, request, results,
@@ -37,6 +38,22 @@
     assert_eq!(send_request(&node, path).await, expected);
 }
 
+/// Guards against a complete stream that is taken for a broken-off one, since a blank line follows its last event.
+#[rstest]
+#[case::not_resumable("/stream/x")]
+#[case::resumable("/resume/x")]
+#[tokio::test(start_paused = true)]
+async fn blank_line_after_the_last_event_is_no_event(#[case] path: &str) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[BlankLineAtEnd { events: 3 }]);
+    let CallerOutcome::Complete(body) = send_request(&node, path).await else {
+        panic!("the stream is not complete");
+    };
+    assert!(body.starts_with(&events(3)));
+    assert_eq!(fleet.client.calls().len(), 1);
+}
+
 /// Guards against a stream without any event that looks complete, since its endpoint closed the connection after the head.
 #[rstest]
 #[case::not_resumable("/stream/x", CallerOutcome::Failed)]
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -330,6 +330,8 @@
     EndAfter { event: u64, body: BodyFraming },
     /// Streams events and half of the one after this one, and ends the body as a complete one ends.
     EndWithin { after: u64, body: BodyFraming },
+    /// Streams this many events and ends the body with one more blank line.
+    BlankLineAtEnd { events: u64 },
     /// Responds with this status and a body that lasts until the connection closes.
     StatusUntilClose(u16),
     /// Streams this many events with this many bytes of data each, one per [`EVENT_INTERVAL`].
@@ -521,6 +523,7 @@
             }
             CallScript::Stream { events }
             | CallScript::StreamUntilClose { events }
+            | CallScript::BlankLineAtEnd { events }
             | CallScript::Pause { events, .. }
             | CallScript::PauseOften { events, .. } => (events, false, false, 200),
             CallScript::BreakAfterSilence { after: 0, silence } => {
@@ -558,8 +561,12 @@
         });
         let tail = async move {
             let _running = running;
-            if let CallScript::EndWithin { after, .. } = script {
-                return Some(Ok(half_event(after + 1)));
+            match script {
+                CallScript::EndWithin { after, .. } => return Some(Ok(half_event(after + 1))),
+                CallScript::BlankLineAtEnd { .. } => {
+                    return Some(Ok(Bytes::from_static(b"\n")));
+                }
+                _ => {}
             }
             if stalls {
                 std::future::pending::<()>().await;
