Complete an item without a marked end only after two further runs without an event

An item whose endpoint closed the connection between two events was completed with a part of its output if the next endpoint closed its connection right after the head: the second body ended after the same event.

Evidence: item_whose_endpoints_close_twice_runs_on fails with one confirming run, with two of five events in the result.

Two further runs must end there without an event, unless an endpoint marks the end. Each takes one short call, only where no endpoint marks ends.

--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -292,12 +292,6 @@
         self.leaving.insert(endpoint)
     }
 
-    /// Number of endpoints that leave by their own responses.
-    #[must_use]
-    pub fn leaving(&self) -> usize {
-        self.leaving.len()
-    }
-
     /// Removes the selected entries, and returns the IDs of their endpoints.
     fn take_entries(
         &mut self,
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -9,6 +9,10 @@
 /// be returned.
 pub const MAX_OUTPUT_BYTES: usize = 900_000;
 
+/// Number of further runs without an event that confirm the end of an output whose end no endpoint has marked. One may be
+/// of an endpoint that closes the connection after the head of its response.
+pub const CONFIRMING_RUNS: u32 = 2;
+
 /// A segment of an item's output in the log, written by one checkpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressSegment {
@@ -114,8 +118,8 @@
     last_event: Option<u64>,
     text: Vec<u8>,
     recorded: RecordedState,
-    /// Last event of a run whose end was not marked, so that more events may follow; `None` without such a run.
-    unmarked_end: Option<u64>,
+    /// Event after which the last runs ended without a marked end, and their number.
+    unmarked_ends: (Option<u64>, u32),
 }
 
 impl ItemProgress {
@@ -136,7 +140,7 @@
             last_event: Some(last.last_event),
             text,
             recorded,
-            unmarked_end: None,
+            unmarked_ends: (None, 0),
         }
     }
 
@@ -177,21 +181,23 @@
         true
     }
 
-    /// Records that a run ended without a marked end. Returns whether an earlier run ended after the same event, so that
-    /// the output is taken to be complete.
+    /// Records that a run ended without a marked end. Returns whether the output is taken to be complete, since
+    /// [`CONFIRMING_RUNS`] earlier runs ended after the same event.
     ///
     /// ```
     /// use fulmarswitch_switch::progress::ItemProgress;
     /// let mut progress = ItemProgress::default();
     /// assert!(progress.push_event(1, b"a"));
     /// assert!(!progress.confirm_end());
+    /// assert!(!progress.confirm_end());
     /// assert!(progress.confirm_end());
     /// ```
     #[must_use]
     pub fn confirm_end(&mut self) -> bool {
-        let is_confirmed = self.last_event.is_some() && self.unmarked_end == self.last_event;
-        self.unmarked_end = self.last_event;
-        is_confirmed
+        let (event, runs) = self.unmarked_ends;
+        let earlier = if event == self.last_event { runs } else { 0 };
+        self.unmarked_ends = (self.last_event, earlier + 1);
+        self.last_event.is_some() && earlier >= CONFIRMING_RUNS
     }
 
     /// ID of the last event; `None` before the first one.
--- a/crates/switch/tests/switch/body_ends.rs
+++ b/crates/switch/tests/switch/body_ends.rs
@@ -161,5 +161,23 @@
         .iter()
         .map(|c| c.resume_after)
         .collect();
-    assert_eq!(resumed, [None, Some(5)]);
+    assert_eq!(resumed, [None, Some(5), Some(5)]);
+}
+
+/// Guards against an item that is recorded as completed with a part of its output, since one endpoint closed the connection
+/// between two events and the next one after the head.
+#[tokio::test(start_paused = true)]
+async fn item_whose_endpoints_close_twice_runs_on() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    let close_early = EndAfter {
+        event: 2,
+        body: UntilClose,
+    };
+    fleet.client.script(&[close_early, close_early]);
+    fleet.client.set_default(StreamUntilClose { events: 5 });
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(1)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results[0].text, Some(full_text(5)));
 }
