Ask for the end of a resumed stream instead of cutting it

The stream goes on if events follow. It is complete if the end is marked, if a second body ends after the same event, or if nobody can tell. It is broken off only if more follows and is lost.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards the body of a response to the caller.
 
 use super::attempts::{
-    ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, SilenceStep, TimedStep,
+    ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, MAX_OTHER_WAIT, SilenceStep, TimedStep,
 };
 use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{BodyFraming, CallError, EndpointResponse};
@@ -40,6 +40,7 @@
         guard: Some(guard),
         caller_framing: response.framing,
         framing: response.framing,
+        unmarked_end: None,
         parser: EventParser::default(),
         boundary: has_events.then(EventBoundary::default),
         resumable,
@@ -74,6 +75,8 @@
     caller_framing: BodyFraming,
     /// Framing of the body, or of the last one.
     framing: BodyFraming,
+    /// The last unmarked end of a body; `None` if there was none or further data has followed.
+    unmarked_end: Option<UnmarkedEnd>,
     parser: EventParser,
     /// Where in an event a body that is not resumed has come to; `None` if it is no stream of events.
     boundary: Option<EventBoundary>,
@@ -98,6 +101,16 @@
     Response(AttemptResponse),
     /// No endpoint has sent an event until a step became due.
     Silence(TimedStep),
+    /// No endpoint has told in time whether anything follows an unmarked end.
+    NoConfirmation,
+}
+
+/// The end of a body by the end of its connection, where the caller was promised a marked end.
+struct UnmarkedEnd {
+    /// Last event before it.
+    last_event: Option<u64>,
+    /// Until when another endpoint may tell whether further events follow.
+    confirm_until: Instant,
 }
 
 impl ForwardedResponse {
@@ -126,18 +139,21 @@
                 ResponseInput::Chunk(None) if self.parser.has_partial_event() => {
                     self.resume(&incomplete_event())
                 }
-                ResponseInput::Chunk(None) if self.lacks_marked_end() => {
-                    self.resume(&interrupted("the end of the response is not marked"))
-                }
-                ResponseInput::Chunk(None) => {
+                ResponseInput::Chunk(None) if self.seek_marked_end() => Ok(()),
+                ResponseInput::Chunk(None) | ResponseInput::NoConfirmation => {
                     self.finish("answered");
                     return None;
                 }
                 ResponseInput::Response(response) => self.apply_response(response),
                 ResponseInput::Silence(step) => self.apply_silence(step),
             };
-            if let Err(error) = handled {
-                return Some(self.interrupt(error));
+            match handled {
+                Ok(()) => {}
+                Err(_) if self.is_at_unmarked_end() => {
+                    self.finish("answered");
+                    return None;
+                }
+                Err(error) => return Some(self.interrupt(error)),
             }
         }
     }
@@ -171,6 +187,9 @@
             // A body with a chunk always ready must not outlast a step.
             return ResponseInput::Silence(step);
         }
+        let end = self.unmarked_end.as_ref();
+        let end = end.filter(|end| end.last_event == self.last_event);
+        let confirm_until = end.map(|end| end.confirm_until);
         let input = {
             let body = &mut self.body;
             let next_chunk = async {
@@ -184,6 +203,9 @@
                 response = exchange.attempts.next_response() => ResponseInput::Response(response),
                 chunk = next_chunk => ResponseInput::Chunk(chunk),
                 () = sleep_until(step.0) => ResponseInput::Silence(step),
+                () = sleep_until(confirm_until.unwrap_or(step.0)), if confirm_until.is_some() => {
+                    ResponseInput::NoConfirmation
+                }
             }
         };
         if let ResponseInput::Chunk(Some(Ok(chunk))) = &input {
@@ -298,17 +320,41 @@
         begun.map_err(|_| error.clone())
     }
 
+    /// Asks another endpoint whether further events follow, if the caller was promised a marked end and the body has none.
+    /// Returns whether one is asked. A regular close between two events is a complete stream's end too, so the answer is
+    /// complete if no endpoint can be asked or a second body ends after the same event.
+    fn seek_marked_end(&mut self) -> bool {
+        let lacks_marked_end = self.caller_framing == BodyFraming::Delimited
+            && self.framing == BodyFraming::UntilClose;
+        if !lacks_marked_end || self.is_at_unmarked_end() || !self.exchange.may_retry() {
+            return false;
+        }
+        self.drop_current();
+        self.exchange.tried.push(self.endpoint.id.clone());
+        self.exchange.runs += 1;
+        self.silence = EndpointSilence::begin();
+        self.unmarked_end = Some(UnmarkedEnd {
+            last_event: self.last_event,
+            confirm_until: Instant::now() + MAX_OTHER_WAIT,
+        });
+        self.exchange.begin_attempt(self.last_event).is_ok()
+    }
+
+    /// Whether a body ended without a marked end after the last event, and nothing has followed since.
+    fn is_at_unmarked_end(&self) -> bool {
+        let end = self.unmarked_end.as_ref();
+        end.is_some_and(|end| end.last_event == self.last_event)
+    }
+
     fn drop_current(&mut self) {
+        if self.parser.has_partial_event() {
+            self.unmarked_end = None;
+        }
         self.body = None;
         self.guard = None;
         self.parser.clear();
     }
 
-    /// Whether the caller was promised a marked end, and the body that goes on elsewhere has none.
-    fn lacks_marked_end(&self) -> bool {
-        self.caller_framing == BodyFraming::Delimited && self.framing == BodyFraming::UntilClose
-    }
-
     /// Whether the bytes of the current body so far end within an event.
     fn ends_within_event(&self) -> bool {
         let boundary = self.boundary.as_ref();
