Return announced items in the copies test with one record for each announcement

Cause: the test, not the copy. A copy identifies the announcements of the items that it covers by its own place, so items that one record announced have two places after copies of two chunks. The test returned only the items of the first announcement, that is, other items with copies than without. Owners write one record for each announcement (reopen_items in crates/fulmarswitch/src/jobs/assignment.rs).

The test now does the same and is stricter: all announced items of a step are returned in both logs, and a repeated step repeats all its records.

--- a/crates/decide/tests/retention/main.rs
+++ b/crates/decide/tests/retention/main.rs
@@ -15,11 +15,12 @@
 use fulmarswitch_decide::shard::jobs::ItemState;
 use fulmarswitch_decide::shard::verify::verify_shard;
 use fulmarswitch_decide::shard::{ApplyResult, ShardState};
-use fulmarswitch_records::record::{ForgetName, KeyOutcome};
+use fulmarswitch_records::record::{ForgetName, ItemsReturned, KeyOutcome};
 use fulmarswitch_records::{
     Epoch, ItemOutcome, LogRecord, Offset, RecordBody, RecordId, RecordPlace, ShardIndex,
 };
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use steps::{LogStep, answer, bodies_of, claim, key_name, log_step, owner};
 
@@ -190,14 +191,15 @@
     let mut log = ShardLog::default();
     let mut state = ShardState::new(ShardIndex(0));
     let mut planned = Vec::new();
-    let mut original_offsets: Vec<usize> = Vec::new();
+    // Offsets of the records of each part of a step. Their number depends on the copies, that of the parts does not.
+    let mut original_offsets: Vec<Vec<usize>> = Vec::new();
     log.push(&mut state, Epoch(1), claim(0));
     for step in steps {
         let epoch = state.epoch();
         match step {
             LogStep::Claim => {
                 let read = log.entries.len();
-                original_offsets.push(read);
+                original_offsets.push(vec![read]);
                 log.push(&mut state, epoch.next(), claim(read as u64));
             }
             LogStep::Stale {
@@ -211,8 +213,8 @@
             }
             LogStep::Repeat { back } => {
                 let position = original_offsets.len().checked_sub(back + 1);
-                if let Some(position) = position {
-                    let record = log.entries[original_offsets[position]].1.clone();
+                for offset in position.map_or(&[][..], |position| &original_offsets[position]) {
+                    let record = log.entries[*offset].1.clone();
                     log.push_record(&mut state, record);
                 }
             }
@@ -227,9 +229,12 @@
             step => {
                 let forget = forget_not_run(&state, step);
                 for body in forget.into_iter().chain(bodies_of(step)) {
-                    original_offsets.push(log.entries.len());
-                    let body = fit_to_state(&state, body);
-                    log.push(&mut state, epoch, body);
+                    let mut offsets = Vec::new();
+                    for body in fit_to_state(&state, body) {
+                        offsets.push(log.entries.len());
+                        log.push(&mut state, epoch, body);
+                    }
+                    original_offsets.push(offsets);
                 }
             }
         }
@@ -269,19 +274,14 @@
     }))
 }
 
-/// Adapts a record to the state, as owners do: they announce only open items, and return only items
-/// of a single announcement, which they name.
-fn fit_to_state(state: &ShardState, body: RecordBody) -> RecordBody {
-    if let RecordBody::ItemsReturned(mut returned) = body {
-        let job = state.job(&returned.job);
-        let place_of = |item: &u32| job.and_then(|job| job.announced_at(*item));
-        returned.announced = returned.items.iter().find_map(place_of).unwrap_or_default();
-        let is_named = |item: &u32| place_of(item) == Some(returned.announced);
-        returned.items.retain(is_named);
-        return RecordBody::ItemsReturned(returned);
+/// Adapts a record to the state, as owners do: they announce only open items, and return announced items with one record
+/// for each announcement, which it names.
+fn fit_to_state(state: &ShardState, body: RecordBody) -> Vec<RecordBody> {
+    if let RecordBody::ItemsReturned(returned) = body {
+        return split_by_announcement(state, &returned);
     }
     let RecordBody::ItemsAnnounced(mut announcement) = body else {
-        return body;
+        return vec![body];
     };
     let states = state
         .job(&announcement.job)
@@ -292,7 +292,27 @@
     };
     announcement.items.retain(is_open);
     announcement.items.dedup();
-    RecordBody::ItemsAnnounced(announcement)
+    vec![RecordBody::ItemsAnnounced(announcement)]
+}
+
+/// A copy identifies the announcements of the items that it covers, so that the same items may need more or fewer records
+/// after it.
+fn split_by_announcement(state: &ShardState, returned: &ItemsReturned) -> Vec<RecordBody> {
+    let job = state.job(&returned.job);
+    let mut by_place: BTreeMap<RecordPlace, Vec<u32>> = BTreeMap::new();
+    for item in &returned.items {
+        if let Some(place) = job.and_then(|job| job.announced_at(*item)) {
+            by_place.entry(place).or_default().push(*item);
+        }
+    }
+    let bodies = by_place.into_iter().map(|(announced, items)| {
+        RecordBody::ItemsReturned(ItemsReturned {
+            items,
+            announced,
+            ..returned.clone()
+        })
+    });
+    bodies.collect()
 }
 
 proptest! {
--- a/crates/decide/tests/retention/steps.rs
+++ b/crates/decide/tests/retention/steps.rs
@@ -43,7 +43,7 @@
         job: u8,
         items: Vec<u32>,
     },
-    /// Returns those of the items that share one announcement.
+    /// Returns those of the items that are announced.
     ReturnItems {
         job: u8,
         items: Vec<u32>,
