Wait for the checkpoint that the test of lost hosts relies on

Cause, by reading: the test waited 2.5 s for a checkpoint that is written after 2 s, with the events that have come by then. Nothing makes 21 of them come in that time on a busy machine.

--- a/crates/switch/tests/switch/fleet.rs
+++ b/crates/switch/tests/switch/fleet.rs
@@ -5,7 +5,9 @@
 use crate::support::{
     CallScript, TestFleet, WAIT_TIMEOUT, full_text, results, submission, wait_until,
 };
+use fulmarswitch_switch::backend::{KeyedLog, LogPartition};
 use fulmarswitch_switch::jobs::SubmitReply;
+use fulmarswitch_switch::record::{JobRecord, RecordReader};
 use std::time::Duration;
 use tokio::runtime::Builder;
 use tokio::time::{Instant, sleep};
@@ -80,6 +82,22 @@
     stop.await.unwrap();
 }
 
+/// Last event of the newest checkpoint in the log.
+async fn last_checkpoint(fleet: &TestFleet) -> Option<u64> {
+    let partition = LogPartition {
+        topic: "jobs".into(),
+        partition: 0,
+    };
+    let page = fleet.log.read_snapshot(&partition).await.unwrap();
+    let mut reader = RecordReader::default();
+    let records = page.records.iter().filter_map(|entry| reader.push(entry));
+    let checkpoints = records.filter_map(|record| match record {
+        Ok(JobRecord::Checkpoint { segment, .. }) => Some(segment.last_event),
+        _ => None,
+    });
+    checkpoints.last()
+}
+
 /// The only host is lost; items resume on a later one after their last checkpoint.
 #[tokio::test]
 async fn items_of_lost_hosts_resume_after_their_checkpoint() {
@@ -97,8 +115,11 @@
         .await
         .unwrap();
     first.submit_job(submission("j", 1)).await;
-    wait_until("a run", async || fleet.client.running() == 1).await;
-    sleep(Duration::from_millis(2500)).await;
+    // Events come late on a busy machine, so that the first checkpoint may end earlier.
+    wait_until("a checkpoint after event 20", async || {
+        last_checkpoint(&fleet).await > Some(20)
+    })
+    .await;
     host.shutdown_background();
     let second = fleet.start("b").await;
     wait_until("the result", async || {
