Test that fails: surplus events of an item whose run ends early

The bound on the output is on bytes only. A bound on events (an event has a token at least, and the item names its tokens) would show it.

--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -348,6 +348,22 @@
     assert_ne!(calls[0].endpoint, calls[1].endpoint);
 }
 
+/// Guards against events beyond the end of an output that become part of the result, since their endpoint was left before they
+/// exceeded the maximum size: the next endpoint has nothing to add. An item has no more events than tokens.
+#[tokio::test(start_paused = true)]
+async fn surplus_events_of_a_run_that_ends_early_are_discarded() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet
+        .client
+        .script(&[CallScript::BreakAfter { event: 200 }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(8)).await;
+    let page = results(&node, "j").await;
+    assert_eq!(page.results.len(), 1);
+    assert_eq!(page.results[0].text, Some(full_text(3)));
+}
+
 /// A host that takes over an item must not continue output that was discarded.
 #[tokio::test(start_paused = true)]
 async fn host_started_later_does_not_continue_discarded_output() {
