Bound the responses that the product's client reads as a whole

The hosts of the users' platform have bounds already; the client that the product's daemon uses for its log, its peers' calls and its endpoints' reports collected any body.

A body over 64 MiB now ends the call as broken, and the connection is closed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::server::{HttpBody, full_body};
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
@@ -14,6 +14,8 @@
 use snafu::Snafu;
 use std::time::Duration;
 
+/// Maximum size of a response's body that is read as a whole, in bytes. A page of the log or of results is far smaller.
+pub const MAX_REPLY_BYTES: usize = 64 << 20;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -170,7 +172,7 @@
 /// Reads the body of a response to its end.
 ///
 /// # Errors
-/// [`HttpError::Broken`] when the connection fails before the end of the body.
+/// [`HttpError::Broken`] when the connection fails before the end of the body, or the body exceeds [`MAX_REPLY_BYTES`].
 pub async fn read_reply(url: &str, response: Response<Incoming>) -> Result<HttpReply, HttpError> {
     let status = response.status();
     let retry_after = response
@@ -178,8 +180,7 @@
         .get(RETRY_AFTER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map(Duration::from_secs);
-    let body = response
-        .into_body()
+    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES)
         .collect()
         .await
         .map_err(|error| HttpError::Broken {
