Copy the records that expire first

Traced on a scratch copy that prints each pass over shard 6 (records kept for 20 s): its owner, host-3, finds the job due at 22.9 s and appends two copies, which take until 28.9 s (lost answers and a log that is cut off). From 29.9 to 33.0 s it writes 4, 4, 4 and 3 copies, all in the log within 30 ms, and the job's first record expires at 33 s. So the owner could write for 3 s of the last ten, and the exception of GUARANTEES.md does not apply.

Cause: a pass plans at most 4 copies of a shard, keys first and jobs after them, whatever their age. After the pause the keys that were due took all of them.

--- a/crates/decide/src/retention.rs
+++ b/crates/decide/src/retention.rs
@@ -63,7 +63,7 @@
     },
 }
 
-/// Plans the next records to write, at most `limits`.
+/// Plans the next records to write, at most `limits`. The copies are those whose records expire first.
 ///
 /// ```
 /// use fulmarswitch_decide::retention::{RetentionWindow, StepLimits, plan_steps};
@@ -80,22 +80,18 @@
     limits: StepLimits,
 ) -> Vec<RetentionStep> {
     let mut planned = PlannedSteps {
-        steps: Vec::new(),
-        remaining: limits,
+        copies: Vec::new(),
+        forgets: Vec::new(),
+        limits,
     };
     for (name, entry) in state.keys() {
-        if planned.is_full() {
-            break;
-        }
         plan_key(name, entry, window, &mut planned);
     }
     for (name, job) in state.jobs() {
-        if planned.is_full() {
-            break;
-        }
         plan_job(name, job, window, &mut planned);
     }
-    planned.steps
+    let copies = planned.copies.into_iter().map(|(_, step)| step);
+    copies.chain(planned.forgets).collect()
 }
 
 /// Returns a violation for each key and job that a reader starting at `oldest`, the oldest entry of
@@ -132,27 +128,26 @@
 }
 
 struct PlannedSteps {
-    steps: Vec<RetentionStep>,
-    remaining: StepLimits,
+    /// Copies with the offset of the oldest record that each replaces, in the order of these offsets.
+    copies: Vec<(Offset, RetentionStep)>,
+    forgets: Vec<RetentionStep>,
+    limits: StepLimits,
 }
 
 impl PlannedSteps {
-    fn is_full(&self) -> bool {
-        self.remaining.copies == 0 && self.remaining.forgets == 0
-    }
-
-    fn copy(&mut self, step: RetentionStep) {
-        if self.remaining.copies > 0 {
-            self.remaining.copies -= 1;
-            self.steps.push(step);
+    /// Plans a copy unless enough are planned whose records expire before.
+    fn copy(&mut self, oldest: Offset, step: impl FnOnce() -> RetentionStep) {
+        let position = self.copies.partition_point(|(other, _)| *other <= oldest);
+        if position < self.limits.copies {
+            self.copies.insert(position, (oldest, step()));
+            self.copies.truncate(self.limits.copies);
         }
     }
 
     fn forget(&mut self, name: &Arc<str>, is_job: bool) {
-        if self.remaining.forgets > 0 {
-            self.remaining.forgets -= 1;
+        if self.forgets.len() < self.limits.forgets {
             let name = Arc::clone(name);
-            self.steps.push(RetentionStep::Forget { name, is_job });
+            self.forgets.push(RetentionStep::Forget { name, is_job });
         }
     }
 }
@@ -163,10 +158,11 @@
     window: &RetentionWindow,
     planned: &mut PlannedSteps,
 ) {
-    let is_old = entry.oldest_needed().offset < window.before;
+    let oldest = entry.oldest_needed().offset;
+    let is_old = oldest < window.before;
     if must_keep_key(entry, window) {
         if is_old {
-            planned.copy(RetentionStep::CopyKey {
+            planned.copy(oldest, || RetentionStep::CopyKey {
                 key: Arc::clone(name),
             });
         }
@@ -188,19 +184,19 @@
         }
         return;
     }
-    if job.chunks().is_empty() && job.oldest_needed().offset < window.before {
-        let job = Arc::clone(name);
-        let (first, count) = (0, 0);
-        planned.copy(RetentionStep::CopyItems { job, first, count });
+    let copy_items = |first, count| RetentionStep::CopyItems {
+        job: Arc::clone(name),
+        first,
+        count,
+    };
+    let oldest = job.oldest_needed().offset;
+    if job.chunks().is_empty() && oldest < window.before {
+        planned.copy(oldest, || copy_items(0, 0));
     }
     for chunk in job.chunks() {
-        if planned.remaining.copies == 0 {
-            return;
-        }
-        if job.oldest_needed_of(chunk).offset < window.before {
-            let job = Arc::clone(name);
-            let (first, count) = (chunk.first, chunk.count);
-            planned.copy(RetentionStep::CopyItems { job, first, count });
+        let oldest = job.oldest_needed_of(chunk).offset;
+        if oldest < window.before {
+            planned.copy(oldest, || copy_items(chunk.first, chunk.count));
         }
     }
 }
--- a/crates/decide/tests/retention/main.rs
+++ b/crates/decide/tests/retention/main.rs
@@ -22,7 +22,7 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use steps::{LogStep, answer, bodies_of, claim, key_name, log_step, owner};
+use steps::{JOB_ITEMS, LogStep, answer, bodies_of, claim, key_name, log_step, owner};
 
 /// Time between two records by the clock of the log, in milliseconds.
 const STEP_MS: u64 = 1_000;
@@ -367,6 +367,37 @@
     }
 }
 
+/// Guards against a job that expires since keys whose records are newer take all copies of each pass.
+#[test]
+fn copies_are_planned_in_the_order_in_which_their_records_expire() {
+    let mut log = ShardLog::default();
+    let mut state = ShardState::new(ShardIndex(0));
+    log.push(&mut state, Epoch(1), claim(0));
+    for body in bodies_of(&LogStep::Submit { job: 0 }) {
+        log.push(&mut state, Epoch(1), body);
+    }
+    for key in 0..4 {
+        for body in bodies_of(&LogStep::Accept { key, input: 0 }) {
+            log.push(&mut state, Epoch(1), body);
+        }
+    }
+    let end = log.entries.len() as u64;
+    let limits = StepLimits {
+        copies: 3,
+        forgets: 0,
+    };
+    let copy_items = |first| RetentionStep::CopyItems {
+        job: "w/j0".into(),
+        first,
+        count: JOB_ITEMS / 2,
+    };
+    let oldest_key = RetentionStep::CopyKey { key: key_name(0) };
+    assert_eq!(
+        plan_steps(&state, &window_at(end, end), limits),
+        [copy_items(0), copy_items(JOB_ITEMS / 2), oldest_key]
+    );
+}
+
 /// Result places must be dropped once no item uses them, or repeated copies would let their number
 /// grow without bound.
 #[test]
