--- a/crates/trials/tests/seeds.rs
+++ b/crates/trials/tests/seeds.rs
@@ -37,6 +37,9 @@
 /// Seeds that exposed a fault with a short log retention, with the number of steps and the retention.
 #[rstest]
 #[case::a_job_expires_before_its_copy(16, 25, 20)]
+#[case::hosts_differ(198, 25, 20)]
+#[case::jobs_and_keys_are_lost(221, 25, 20)]
+#[case::a_key_is_lost(259, 25, 20)]
 fn promises_hold_while_records_expire(
     #[case] seed: u64,
     #[case] steps: u32,
