Name the parts of prompts in the logs, and the endpoint of an answer that broke off

The fields parts of 'request routed' and 'item started' tell the hypotheses apart: one part in common of different requests, or the same request sent again. No decision reads them.

--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -1,6 +1,7 @@
 //! Interfaces to the external systems: the log that stores all durable state, and the endpoints.
 
 use crate::endpoint::ListedEndpoint;
+use crate::prompt::PromptParts;
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::stream::BoxStream;
@@ -252,4 +253,8 @@
         call: &EndpointCall,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError>;
+
+    /// Returns the parts of a request's prompt, without the last one, which belongs to the request itself or to its
+    /// session.
+    fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts;
 }
--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -354,7 +354,8 @@
     let progress = state.start_progress(&name);
     let (cancel, cancelled) = oneshot::channel();
     info!(node.deps.logger, "item started"; "job" => &*name.job, "item" => name.item,
-        "id" => &*call.id, "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
+        "id" => &*call.id, "parts" => %node.deps.client.prompt_parts(&call.headers),
+        "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
         "after_event" => progress.lock().last_event(),
         "load" => state.load.total(&endpoint.id).total(),
         "listing" => state.endpoints.read_until(),
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod origins;
 pub mod overload;
 pub mod progress;
+pub mod prompt;
 pub mod record;
 pub mod report;
 pub mod route;
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -420,8 +420,8 @@
                 node.avoid_endpoint(&mut node.lock(), &self.endpoint.id, now);
             }
             info!(self.exchange.node.deps.logger, "answer broke off";
-                "request" => &*self.exchange.request.call.id, "cause" => %error,
-                "at_deadline" => at_deadline);
+                "request" => &*self.exchange.request.call.id, "endpoint" => &*self.endpoint.id,
+                "cause" => %error, "at_deadline" => at_deadline);
             self.finish("broken off");
         }
         Err(error)
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -10,6 +10,7 @@
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::overload::Rejection;
+use crate::prompt::PromptParts;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
 use attempts::{
@@ -71,9 +72,11 @@
     /// Serves an online request, up to the first chunk of the response.
     pub async fn serve_online(self: &Arc<Self>, request: OnlineRequest) -> OnlineReply {
         let in_flight = InFlightRequest::begin(self);
+        let parts = self.deps.client.prompt_parts(&request.call.headers);
         let mut exchange = OnlineExchange {
             node: self.clone(),
             request: Arc::new(request),
+            parts,
             attempts: PendingAttempts::default(),
             tried: Vec::new(),
             version: None,
@@ -141,6 +144,8 @@
 struct OnlineExchange {
     node: Arc<SwitchNode>,
     request: Arc<OnlineRequest>,
+    /// Parts of the prompt that other requests may share.
+    parts: PromptParts,
     /// Attempts in progress whose responses have not begun.
     attempts: PendingAttempts,
     /// Endpoints at which an attempt has failed.
@@ -384,7 +389,7 @@
         let remaining = self.request.deadline.saturating_duration_since(now);
         let load = state.load.total(&endpoint.id);
         info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-            "service" => service, "endpoint" => &*endpoint.id,
+            "service" => service, "parts" => %self.parts, "endpoint" => &*endpoint.id,
             "version" => &*endpoint.version, "send" => self.sends + 1,
             "resumes" => self.request.resumes.as_deref(),
             "resume_after" => self.request.resume_after,
--- /dev/null
+++ b/crates/switch/src/prompt.rs
@@ -0,0 +1,93 @@
+//! Parts of prompts: what a request's prompt has in common with the prompts of other requests.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Maximum number of parts of one prompt that are told apart. It bounds the memory of a request.
+const MAX_PARTS: usize = 32;
+
+/// Identifies a part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "[u8; 8]", from = "[u8; 8]")]
+pub struct PartKey(u64);
+
+impl PartKey {
+    /// Returns the key of the part with this ID: its value if it is a hexadecimal number, and otherwise its hash.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::prompt::PartKey;
+    /// assert_eq!(PartKey::of("5C1E07A2"), PartKey::of("5c1e07a2"));
+    /// assert_eq!(PartKey::of("5c1e07a2").to_string(), "5c1e07a2");
+    /// assert_ne!(PartKey::of("part"), PartKey::of("other"));
+    /// ```
+    #[must_use]
+    pub fn of(id: &str) -> Self {
+        Self(u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes())))
+    }
+}
+
+impl From<[u8; 8]> for PartKey {
+    fn from(bytes: [u8; 8]) -> Self {
+        Self(u64::from_le_bytes(bytes))
+    }
+}
+
+impl From<PartKey> for [u8; 8] {
+    fn from(key: PartKey) -> Self {
+        key.0.to_le_bytes()
+    }
+}
+
+impl fmt::Display for PartKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
+/// Parts of one prompt that other prompts may have as well, in the order of the prompt.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptParts(Arc<[PartKey]>);
+
+impl PromptParts {
+    /// Number of parts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the prompt has no part that others may have.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Iterates over the parts.
+    pub fn iter(&self) -> impl Iterator<Item = PartKey> + '_ {
+        self.0.iter().copied()
+    }
+
+    /// Whether the prompt has this part.
+    #[must_use]
+    pub fn contains(&self, part: PartKey) -> bool {
+        self.0.contains(&part)
+    }
+}
+
+/// Takes the first 32 parts.
+impl FromIterator<PartKey> for PromptParts {
+    fn from_iter<I: IntoIterator<Item = PartKey>>(parts: I) -> Self {
+        Self(parts.into_iter().take(MAX_PARTS).collect())
+    }
+}
+
+impl fmt::Display for PromptParts {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(formatter, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -13,6 +13,7 @@
     ConfigDecoder, LogTopics, SwitchDependencies, SwitchNode, SwitchSettings,
 };
 use fulmarswitch_switch::online::{OnlineReply, OnlineRequest};
+use fulmarswitch_switch::prompt::{PartKey, PromptParts};
 use fulmarswitch_switch::record::AcceptedItem;
 use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute, ServiceShare};
 use futures::{FutureExt, StreamExt, stream};
@@ -469,6 +470,14 @@
             Err(error) => Err(error),
         }
     }
+
+    fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts {
+        let list = headers.get("parts").and_then(|list| list.to_str().ok());
+        list.into_iter()
+            .flat_map(|list| list.split(','))
+            .map(PartKey::of)
+            .collect()
+    }
 }
 
 impl MemoryClient {
