--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -25,6 +25,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{Instant, advance, sleep};
 
 /// Fault of one append to a topic.
@@ -367,6 +368,18 @@
     pub resume_after: Option<u64>,
     /// Whether the endpoint ran the call.
     pub ran: bool,
+    /// Parts of the prompt.
+    pub parts: PromptParts,
+    /// When the endpoint got the call.
+    pub at: Instant,
+}
+
+/// A part of prompts that crashes each endpoint which begins to answer a request with it.
+#[derive(Clone, Copy, Debug)]
+pub struct DeadlyPart {
+    pub part: PartKey,
+    /// Time from the call to the crash.
+    pub crash_after: Duration,
 }
 
 #[derive(Default)]
@@ -377,6 +390,9 @@
     /// Endpoints that say in their responses that they leave.
     leaving: Vec<Arc<str>>,
     running: i64,
+    deadly: Option<DeadlyPart>,
+    /// Endpoints that have ended, in the order in which they did.
+    ended: watch::Sender<Vec<Arc<str>>>,
 }
 
 /// In-memory endpoints.
@@ -417,6 +433,54 @@
     pub fn running(&self) -> i64 {
         self.0.lock().unwrap().running
     }
+
+    /// Lets a part crash the endpoints from now on, or none.
+    pub fn set_deadly(&self, deadly: Option<DeadlyPart>) {
+        self.0.lock().unwrap().deadly = deadly;
+    }
+
+    /// Ends an endpoint: its calls break off, and new ones are refused.
+    pub fn end_endpoint(&self, id: &Arc<str>) {
+        let state = self.0.lock().unwrap();
+        state.ended.send_if_modified(|ended| {
+            let is_new = !ended.contains(id);
+            if is_new {
+                ended.push(id.clone());
+            }
+            is_new
+        });
+    }
+
+    /// Endpoints that have ended, in the order in which they did.
+    pub fn ended(&self) -> watch::Receiver<Vec<Arc<str>>> {
+        self.0.lock().unwrap().ended.subscribe()
+    }
+
+    /// Ends the endpoint after a while if the call has the deadly part.
+    fn crash_if_deadly(&self, endpoint: &ListedEndpoint, parts: &PromptParts) {
+        let deadly = self.0.lock().unwrap().deadly;
+        let Some(deadly) = deadly.filter(|deadly| parts.contains(deadly.part)) else {
+            return;
+        };
+        let (client, id) = (self.clone(), endpoint.id.clone());
+        tokio::spawn(async move {
+            sleep(deadly.crash_after).await;
+            client.end_endpoint(&id);
+        });
+    }
+}
+
+fn broken_off() -> CallError {
+    CallError::Interrupted {
+        cause: "the endpoint has ended".into(),
+    }
+}
+
+/// Waits until the endpoint has ended.
+async fn wait_for_end(mut ended: watch::Receiver<Vec<Arc<str>>>, id: Arc<str>) {
+    if ended.wait_for(|ended| ended.contains(&id)).await.is_err() {
+        std::future::pending::<()>().await;
+    }
 }
 
 struct RunningCall(MemoryClient);
@@ -449,13 +513,34 @@
     async fn call(
         &self,
         endpoint: &ListedEndpoint,
-        _call: &EndpointCall,
+        call: &EndpointCall,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
         let leaves = self.0.lock().unwrap().leaving.contains(&endpoint.id);
-        match self.respond(endpoint, options).await {
+        let ended = self.ended();
+        if ended.borrow().contains(&endpoint.id) {
+            let cause = "connection refused".into();
+            return Err(CallError::NotSent { cause });
+        }
+        let parts = self.prompt_parts(&call.headers);
+        self.crash_if_deadly(endpoint, &parts);
+        let end = wait_for_end(ended, endpoint.id.clone()).boxed().shared();
+        let response = tokio::select! {
+            response = self.respond(endpoint, parts, options) => response,
+            () = end.clone() => Err(broken_off()),
+        };
+        match response {
             Ok(response) => Ok(EndpointResponse {
                 leaving: leaves,
+                body: response
+                    .body
+                    .map(Some)
+                    .chain(stream::once(async { None }))
+                    .take_until(end)
+                    // The body is complete if its last chunk came before the end of the endpoint.
+                    .chain(stream::once(async { Some(Err(broken_off())) }))
+                    .scan((), |(), chunk| std::future::ready(chunk))
+                    .boxed(),
                 ..response
             }),
             Err(CallError::NotRun {
@@ -482,7 +567,12 @@
 
 impl MemoryClient {
     /// Records a call and returns the behaviour for it.
-    fn record_call(&self, endpoint: &ListedEndpoint, options: CallOptions) -> CallScript {
+    fn record_call(
+        &self,
+        endpoint: &ListedEndpoint,
+        parts: PromptParts,
+        options: CallOptions,
+    ) -> CallScript {
         let mut state = self.0.lock().unwrap();
         let next = state.scripts.pop_front();
         let script = next
@@ -493,6 +583,8 @@
             endpoint: endpoint.id.clone(),
             resume_after: options.resume_after,
             ran,
+            parts,
+            at: Instant::now(),
         });
         state.running += 1;
         script
@@ -501,9 +593,10 @@
     async fn respond(
         &self,
         endpoint: &ListedEndpoint,
+        parts: PromptParts,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
-        let script = self.record_call(endpoint, options);
+        let script = self.record_call(endpoint, parts, options);
         let running = RunningCall(self.clone());
         sleep(Duration::from_millis(5)).await;
         let lost = || CallError::Interrupted {
@@ -913,6 +1006,19 @@
     }
 }
 
+/// A request with this ID whose prompt has these parts.
+pub fn request_with_parts(
+    node: &SwitchNode,
+    path: &str,
+    id: &str,
+    parts: &[String],
+) -> OnlineRequest {
+    let mut request = request(node, path, id);
+    let list = parts.join(",").parse().unwrap();
+    request.call.headers.insert("parts", list);
+    request
+}
+
 /// Sends a request and reads its response.
 pub async fn send_request(node: &Arc<SwitchNode>, path: &str) -> CallerOutcome {
     read_response(node, request(node, path, "r")).await
