--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -254,6 +254,9 @@
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError>;
 
+    /// Whether the endpoint's address refuses connections, as that of a process which has ended does.
+    async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool;
+
     /// Returns the parts of a request's prompt, without the last one, which belongs to the request itself or to its
     /// session.
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts;
--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -16,6 +16,8 @@
 use crate::node::{RunningItem, SwitchNode, SwitchState, millis, unix_time_ms};
 use crate::origins::VersionKey;
 use crate::progress::{ProgressSegment, SegmentChain};
+use crate::prompt::PromptParts;
+use crate::quarantine::Admission;
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -30,6 +32,8 @@
 
 /// Maximum time between two scheduling passes.
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum time for which an item whose prompt crashes endpoints is held back before it is looked at again.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
 
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
@@ -156,6 +160,15 @@
         let Some(endpoint) = picked else {
             continue;
         };
+        let parts = node.deps.client.prompt_parts(&call.headers);
+        if let Admission::Rejected { retry_after } = node.admit(state, &call.id, &parts, now) {
+            info!(node.deps.logger, "item held back"; "job" => &*item.name.job,
+                "item" => item.name.item, "parts" => %parts,
+                "cause" => "parts of its prompt crash endpoints");
+            let until = now + retry_after.min(MAX_HOLD_TIME);
+            state.histories.hold_back(&item.name, until);
+            continue;
+        }
         quotas[index].1 -= 1;
         let segments = if target.starts_again {
             state.remove_progress(&item.name);
@@ -163,7 +176,12 @@
         } else {
             checkpoints(state, &item.name).map_or_else(Vec::new, |chain| chain.segments().to_vec())
         };
-        start_item(node, state, item.name, &endpoint, call, segments, updates);
+        let call = ItemCall {
+            call,
+            parts,
+            segments,
+        };
+        start_item(node, state, item.name, &endpoint, call, updates);
     }
 }
 
@@ -342,19 +360,32 @@
     Some((call, route.clone()))
 }
 
+/// What a run of an item sends.
+struct ItemCall {
+    call: EndpointCall,
+    /// Parts of its prompt that other requests may share.
+    parts: PromptParts,
+    /// Output in the log, from checkpoints of earlier runs.
+    segments: Vec<ProgressSegment>,
+}
+
 fn start_item(
     node: &Arc<SwitchNode>,
     state: &mut SwitchState,
     name: ItemName,
     endpoint: &Arc<ListedEndpoint>,
-    call: EndpointCall,
-    segments: Vec<ProgressSegment>,
+    call: ItemCall,
     updates: &mpsc::UnboundedSender<ItemUpdate>,
 ) {
+    let ItemCall {
+        call,
+        parts,
+        segments,
+    } = call;
     let progress = state.start_progress(&name);
     let (cancel, cancelled) = oneshot::channel();
     info!(node.deps.logger, "item started"; "job" => &*name.job, "item" => name.item,
-        "id" => &*call.id, "parts" => %node.deps.client.prompt_parts(&call.headers),
+        "id" => &*call.id, "parts" => %parts,
         "endpoint" => &*endpoint.id, "version" => &*endpoint.version,
         "after_event" => progress.lock().last_event(),
         "load" => state.load.total(&endpoint.id).total(),
@@ -378,6 +409,9 @@
         name,
         endpoint: endpoint.clone(),
         call,
+        parts,
+        admitted_at: Instant::now(),
+        sent_at: None,
         progress,
         segments,
         resumed_after: None,
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -2,12 +2,15 @@
 
 use super::outcomes::{ItemUpdate, UpdateKind, send_update};
 use crate::backend::{BodyFraming, CallError, CallOptions, EndpointCall};
+use crate::crash_watch::{EndedRequest, PROOF_TIME};
+use crate::crashes::BrokenRequest;
 use crate::endpoint::ListedEndpoint;
 use crate::events::EventParser;
 use crate::in_flight::InFlightGuard;
 use crate::load::RequestClass;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::progress::{ItemProgress, MAX_OUTPUT_BYTES, ProgressSegment, SharedProgress};
+use crate::prompt::PromptParts;
 use crate::schedule::ItemName;
 use futures::StreamExt;
 use http::StatusCode;
@@ -34,7 +37,7 @@
     /// The connection closed between two events, which may be the end of the output or not.
     UnmarkedEnd,
     Cancelled,
-    /// The endpoint left before the item was sent to it.
+    /// The endpoint left before the item was sent to it, or the item's prompt is rejected since then.
     NotSent,
     /// The endpoint did not run the item.
     NotRun,
@@ -72,6 +75,12 @@
     /// Counts the run as in flight at its endpoint; `None` once it has ended.
     pub(super) guard: Option<InFlightGuard>,
     pub(super) call: EndpointCall,
+    /// Parts of the prompt that other requests may share.
+    pub(super) parts: PromptParts,
+    /// When the run was admitted.
+    pub(super) admitted_at: Instant,
+    /// When the item was sent to the endpoint.
+    pub(super) sent_at: Option<Instant>,
     pub(super) progress: SharedProgress,
     /// Output in the log, from checkpoints of earlier runs.
     pub(super) segments: Vec<ProgressSegment>,
@@ -106,6 +115,7 @@
             "after_ms" => millis(started.elapsed()));
         self.node.metrics.count_item(outcome.label());
         self.guard = None;
+        self.record_end(&outcome);
         let mut state = self.node.lock();
         state.running.retain(|running| running.name != self.name);
         let kind = self.apply_outcome(&mut state, &outcome, started, &updates);
@@ -124,7 +134,7 @@
 
     async fn read_response(&mut self) -> RunOutcome {
         self.load_segments().await;
-        if !self.endpoint_serves() {
+        if !self.may_be_sent() {
             return RunOutcome::NotSent;
         }
         if self.progress.lock().is_empty() {
@@ -136,6 +146,7 @@
             remaining: RUN_TIMEOUT,
             resume_after: self.resumed_after,
         };
+        self.sent_at = Some(Instant::now());
         let call = self.node.call_endpoint(&self.endpoint, &self.call, options);
         let response_deadline = Instant::now() + self.response_timeout();
         let mut response = match timeout_at(response_deadline, call).await {
@@ -155,6 +166,7 @@
             StatusCode::INTERNAL_SERVER_ERROR => return RunOutcome::Failed,
             status => return interrupted(&format!("the endpoint returned status {status}")),
         }
+        let mut proof_at = Some(Instant::now() + PROOF_TIME);
         let mut parser = EventParser::default();
         let mut stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
         loop {
@@ -196,6 +208,41 @@
                 }
                 stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
             }
+            if proof_at.is_some_and(|proof_at| Instant::now() >= proof_at) {
+                proof_at = None;
+                self.record_sound();
+            }
+        }
+    }
+
+    /// Records what the end of the run tells of the item's prompt.
+    fn record_end(&self, outcome: &RunOutcome) {
+        let is_marked = self.framing == Some(BodyFraming::Delimited);
+        let may_be_complete = match outcome {
+            RunOutcome::Completed if is_marked => return self.record_sound(),
+            RunOutcome::Completed | RunOutcome::UnmarkedEnd => true,
+            RunOutcome::Interrupted(CallError::Interrupted { .. }) => false,
+            _ => return,
+        };
+        let Some(sent_at) = self.sent_at else {
+            return;
+        };
+        let request = BrokenRequest {
+            parts: self.parts.clone(),
+            sent_at,
+        };
+        let ended = EndedRequest {
+            request,
+            may_be_complete,
+        };
+        self.node.record_end(&self.endpoint, ended);
+    }
+
+    /// Records that the run shows that the item's prompt does not crash the endpoint.
+    fn record_sound(&self) {
+        if let Some(sent_at) = self.sent_at {
+            let state = &mut self.node.lock();
+            self.node.record_sound(state, &self.parts, sent_at);
         }
     }
 
@@ -205,12 +252,17 @@
         (RESPONSE_TIMEOUT * 2_u32.pow(late.min(8))).min(MAX_RESPONSE_TIMEOUT)
     }
 
-    /// Whether the endpoint still accepts work, since it may have left while the output was loaded.
-    fn endpoint_serves(&self) -> bool {
+    /// Whether the item may still be sent to the endpoint, which may have left while the output was loaded.
+    fn may_be_sent(&self) -> bool {
         let state = self.node.lock();
-        state
-            .endpoints
-            .is_serving(&self.endpoint.id, Instant::now())
+        let is_rejected = state
+            .crashes
+            .quarantine
+            .began_after(&self.parts, self.admitted_at);
+        !is_rejected
+            && state
+                .endpoints
+                .is_serving(&self.endpoint.id, Instant::now())
     }
 
     /// Loads checkpointed output of earlier runs, as far as it can be read, unless this host has output of the item.
--- /dev/null
+++ b/crates/switch/src/crash_watch.rs
@@ -0,0 +1,225 @@
+//! Watches for endpoints that crash, and rejects requests whose prompts crash them.
+//!
+//! An answer that breaks off does not tell whether its endpoint has crashed. A crashed one refuses connections at once.
+
+use crate::crashes::{BrokenRequest, CrashId, CrashRecords};
+use crate::endpoint::ListedEndpoint;
+use crate::node::{SwitchNode, SwitchState, millis};
+use crate::prompt::{PartKey, PromptParts};
+use crate::quarantine::{Admission, Quarantine, QuarantineId, QuarantineTable};
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Delay of the check whether an endpoint refuses connections, in which its process ends.
+const CHECK_DELAY: Duration = Duration::from_millis(30);
+/// Maximum number of endpoints that are checked at a time.
+const MAX_CHECKS: usize = 32;
+/// Maximum number of requests that wait for one check.
+const MAX_CHECKED_REQUESTS: usize = 32;
+/// Time for which an answer must be in progress to show that its prompt does not crash the endpoint.
+pub(crate) const PROOF_TIME: Duration = Duration::from_secs(2);
+
+/// What a host knows of crashes.
+#[derive(Default)]
+pub(crate) struct CrashState {
+    pub(crate) records: CrashRecords,
+    pub(crate) quarantine: QuarantineTable,
+    /// Whether the records have changed since the conclusions were drawn.
+    pub(crate) has_news: bool,
+    /// Whether this host has something new to report to the others.
+    pub(crate) must_report: bool,
+    checks: Vec<EndpointCheck>,
+}
+
+/// A check whether an endpoint has crashed, and the requests that ended there.
+struct EndpointCheck {
+    id: CrashId,
+    requests: Vec<EndedRequest>,
+}
+
+/// A request whose answer may have ended with its endpoint.
+pub(crate) struct EndedRequest {
+    pub(crate) request: BrokenRequest,
+    /// Whether the answer is complete if the endpoint has not crashed.
+    pub(crate) may_be_complete: bool,
+}
+
+impl SwitchNode {
+    /// Records that a call broke off, or that its body ended without a mark. If its endpoint has crashed, the request may
+    /// be the cause.
+    pub(crate) fn record_end(
+        self: &Arc<Self>,
+        endpoint: &Arc<ListedEndpoint>,
+        ended: EndedRequest,
+    ) {
+        if ended.request.parts.is_empty() {
+            return;
+        }
+        let id = CrashId::of(endpoint);
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.crashes.records.has_crashed(id) {
+            self.record_crash(&mut state, endpoint, vec![ended.request], now);
+            return;
+        }
+        let checks = &mut state.crashes.checks;
+        if let Some(check) = checks.iter_mut().find(|check| check.id == id) {
+            if check.requests.len() < MAX_CHECKED_REQUESTS {
+                check.requests.push(ended);
+            }
+            return;
+        }
+        // The end of an endpoint that leaves is no crash.
+        if checks.len() >= MAX_CHECKS || !state.endpoints.is_serving(&endpoint.id, now) {
+            return;
+        }
+        state.crashes.checks.push(EndpointCheck {
+            id,
+            requests: vec![ended],
+        });
+        drop(state);
+        tokio::spawn(check_endpoint(self.clone(), endpoint.clone()));
+    }
+
+    /// Records that an answer to a request with these parts was completed or has been in progress for [`PROOF_TIME`].
+    pub(crate) fn record_sound(
+        &self,
+        state: &mut SwitchState,
+        parts: &PromptParts,
+        sent_at: Instant,
+    ) {
+        let now = Instant::now();
+        let CrashState {
+            records,
+            quarantine,
+            ..
+        } = &mut state.crashes;
+        let suspected_since = |part| quarantine.suspected_since(part);
+        let shown = records.record_sound(parts, sent_at, now, suspected_since);
+        for part in &shown {
+            self.release(state, *part, now, now);
+        }
+        if !shown.is_empty() {
+            state.crashes.must_report = true;
+            self.crash_report_requested.notify_one();
+        }
+    }
+
+    /// Removes a part that was seen at `seen_at` to be sound from the quarantines.
+    pub(crate) fn release(
+        &self,
+        state: &mut SwitchState,
+        part: PartKey,
+        seen_at: Instant,
+        now: Instant,
+    ) {
+        let quarantine = &mut state.crashes.quarantine;
+        for changed in quarantine.remove_sound(part, seen_at, now) {
+            info!(self.deps.logger, "part is sound"; "part" => %part,
+                "still_rejected" => part_list(&changed.parts));
+        }
+    }
+
+    /// Decides whether a request with these parts may be sent.
+    pub(crate) fn admit(
+        &self,
+        state: &mut SwitchState,
+        request: &str,
+        parts: &PromptParts,
+        now: Instant,
+    ) -> Admission {
+        let (members, own) = (&state.members, &*self.settings.descriptor.name);
+        let makes_trials = |id: QuarantineId| {
+            members.hears_most(now) && members.assigned_to(id.hash(), own, now) == own
+        };
+        let admission = state.crashes.quarantine.admit(parts, now, makes_trials);
+        match admission {
+            Admission::Sent => {}
+            Admission::Trial => {
+                info!(self.deps.logger, "request is sent as a trial"; "request" => request, "parts" => %parts,
+                    "cause" => "the term of a quarantine is over");
+            }
+            Admission::Rejected { .. } => self.metrics.count_quarantined_request(),
+        }
+        admission
+    }
+
+    /// Records requests of this host that broke off with an endpoint that has crashed.
+    fn record_crash(
+        &self,
+        state: &mut SwitchState,
+        endpoint: &ListedEndpoint,
+        requests: Vec<BrokenRequest>,
+        now: Instant,
+    ) {
+        let id = CrashId::of(endpoint);
+        if !state.crashes.records.has_crashed(id) {
+            self.metrics.count_endpoint_crash();
+        }
+        for request in requests {
+            info!(self.deps.logger, "endpoint crashed"; "endpoint" => &*endpoint.id,
+                "parts" => %request.parts,
+                "sent_before_ms" => millis(now.saturating_duration_since(request.sent_at)));
+            let records = &mut state.crashes.records;
+            state.crashes.has_news |= records.add_own_request(id, request, now);
+        }
+        state.crashes.must_report = true;
+        self.crash_report_requested.notify_one();
+    }
+
+    /// Draws the conclusions from the crashes that were recorded.
+    pub(crate) fn update_quarantine(&self, state: &mut SwitchState, now: Instant) {
+        if !std::mem::take(&mut state.crashes.has_news) {
+            return;
+        }
+        let CrashState {
+            records,
+            quarantine,
+            ..
+        } = &mut state.crashes;
+        for begun in quarantine.update(records, now) {
+            self.log_quarantine(&begun, None, now);
+            state.crashes.must_report = true;
+        }
+    }
+
+    /// Logs a quarantine that began or changed; by the report of `peer`, if there is one.
+    pub(crate) fn log_quarantine(&self, quarantine: &Quarantine, peer: Option<&str>, now: Instant) {
+        if quarantine.parts.is_empty() {
+            info!(self.deps.logger, "part is sound"; "peer" => peer);
+            return;
+        }
+        let left = quarantine.term_end.saturating_duration_since(now);
+        info!(self.deps.logger, "requests are rejected"; "parts" => part_list(&quarantine.parts),
+            "term" => quarantine.term, "left_ms" => millis(left), "peer" => peer,
+            "cause" => "endpoints crashed one after the other under these parts of prompts");
+    }
+}
+
+/// Checks whether an endpoint has crashed, and records the requests that ended there.
+async fn check_endpoint(node: Arc<SwitchNode>, endpoint: Arc<ListedEndpoint>) {
+    let began_at = Instant::now();
+    sleep(CHECK_DELAY).await;
+    let has_crashed = node.deps.client.refuses_connections(&endpoint).await;
+    let id = CrashId::of(&endpoint);
+    let mut state = node.lock();
+    let checks = &mut state.crashes.checks;
+    let Some(index) = checks.iter().position(|check| check.id == id) else {
+        return;
+    };
+    let ended = checks.swap_remove(index).requests;
+    if has_crashed {
+        let requests = ended.into_iter().map(|ended| ended.request).collect();
+        node.record_crash(&mut state, &endpoint, requests, began_at);
+        return;
+    }
+    for ended in ended.into_iter().filter(|ended| ended.may_be_complete) {
+        node.record_sound(&mut state, &ended.request.parts, ended.request.sent_at);
+    }
+}
+
+fn part_list(parts: &[PartKey]) -> String {
+    parts.iter().copied().collect::<PromptParts>().to_string()
+}
--- /dev/null
+++ b/crates/switch/src/crashes.rs
@@ -0,0 +1,322 @@
+//! Crashes of endpoints and the requests that broke off with them, from the reports of all hosts.
+//!
+//! A request may crash each endpoint that begins to answer it, because of a part of its prompt that other requests have as
+//! well. One crash does not tell which of the requests caused it. A part is suspected the more, the more often a request
+//! with it was sent after a crash under the same part and broke off with the next endpoint. Endpoints that crash at the same
+//! moment, for whatever cause, count once. An answer that is complete, or has been in progress for long, shows that its
+//! parts are sound.
+
+use crate::endpoint::ListedEndpoint;
+use crate::prompt::{PartKey, PromptParts};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Time for which a crash is remembered.
+const RETENTION: Duration = Duration::from_mins(2);
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of requests of one host that are remembered for a crash.
+const MAX_REQUESTS: usize = 32;
+/// Maximum number of parts whose soundness is remembered.
+const MAX_SOUND_PARTS: usize = 256;
+/// Time for which this host reports to others that a part is sound: several reports, as datagrams are lost.
+const SOUND_REPORT_DURATION: Duration = Duration::from_secs(5);
+
+/// Identifies one start of an endpoint, which crashes once at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CrashId(u64);
+
+impl CrashId {
+    /// Returns the ID of the crash of this start of an endpoint.
+    #[must_use]
+    pub fn of(endpoint: &ListedEndpoint) -> Self {
+        Self(xxh3_64_with_seed(
+            endpoint.id.as_bytes(),
+            endpoint.started_ms,
+        ))
+    }
+}
+
+/// A request that broke off with its endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenRequest {
+    /// Parts of its prompt.
+    pub parts: PromptParts,
+    /// When it was sent to the endpoint.
+    pub sent_at: Instant,
+}
+
+/// Requests that broke off with an endpoint at one host.
+#[derive(Clone, Debug)]
+struct HostReport {
+    /// The host; `None` for this one.
+    host: Option<Arc<str>>,
+    requests: Vec<BrokenRequest>,
+}
+
+/// Crash of an endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointCrash {
+    id: CrashId,
+    /// When a host first saw it.
+    seen_at: Instant,
+    reports: Vec<HostReport>,
+}
+
+impl EndpointCrash {
+    /// Which start of an endpoint crashed.
+    #[must_use]
+    pub fn id(&self) -> CrashId {
+        self.id
+    }
+
+    /// When a host first saw it.
+    #[must_use]
+    pub fn seen_at(&self) -> Instant {
+        self.seen_at
+    }
+
+    /// Requests of all hosts that broke off with the endpoint.
+    pub fn requests(&self) -> impl Iterator<Item = &BrokenRequest> {
+        self.reports.iter().flat_map(|report| &report.requests)
+    }
+
+    /// Requests of this host that broke off with the endpoint.
+    pub fn own_requests(&self) -> impl Iterator<Item = &BrokenRequest> {
+        let own = self.reports.iter().filter(|report| report.host.is_none());
+        own.flat_map(|report| &report.requests)
+    }
+
+    fn has_part(&self, part: PartKey) -> bool {
+        self.requests().any(|request| request.parts.contains(part))
+    }
+
+    /// When the last request with this part was sent to the endpoint.
+    fn last_sent(&self, part: PartKey) -> Option<Instant> {
+        let requests = self.requests();
+        let with_part = requests.filter(|request| request.parts.contains(part));
+        with_part.map(|request| request.sent_at).max()
+    }
+}
+
+/// A part that was seen to be sound.
+#[derive(Clone, Copy, Debug)]
+struct SoundPart {
+    part: PartKey,
+    seen_at: Instant,
+    /// Whether this host saw it.
+    is_own: bool,
+}
+
+/// Crashes that hosts have seen lately, in the order of time, and the parts that are sound.
+#[derive(Clone, Debug, Default)]
+pub struct CrashRecords {
+    crashes: Vec<EndpointCrash>,
+    /// Sorted by part.
+    sound: Vec<SoundPart>,
+}
+
+impl CrashRecords {
+    /// Records the requests of a host that broke off with an endpoint; `host` is `None` for this host. A later report of
+    /// the same host on the same crash replaces its earlier one. Returns whether anything is new.
+    pub fn record(
+        &mut self,
+        id: CrashId,
+        host: Option<&Arc<str>>,
+        seen_at: Instant,
+        mut requests: Vec<BrokenRequest>,
+    ) -> bool {
+        requests.truncate(MAX_REQUESTS);
+        let Some(index) = self.crashes.iter().position(|crash| crash.id == id) else {
+            self.insert(EndpointCrash {
+                id,
+                seen_at,
+                reports: vec![HostReport {
+                    host: host.cloned(),
+                    requests,
+                }],
+            });
+            return true;
+        };
+        let mut crash = self.crashes.remove(index);
+        crash.seen_at = crash.seen_at.min(seen_at);
+        let known = crash
+            .reports
+            .iter_mut()
+            .find(|report| report.host.as_ref() == host);
+        let is_new = match known {
+            Some(report) if report.requests.len() >= requests.len() => false,
+            Some(report) => {
+                report.requests = requests;
+                true
+            }
+            None => {
+                crash.reports.push(HostReport {
+                    host: host.cloned(),
+                    requests,
+                });
+                true
+            }
+        };
+        self.insert(crash);
+        is_new
+    }
+
+    /// Adds a request of this host to a crash that is known.
+    pub fn add_own_request(&mut self, id: CrashId, request: BrokenRequest, now: Instant) -> bool {
+        let known = self.crashes.iter().find(|crash| crash.id == id);
+        let mut requests: Vec<_> = known
+            .into_iter()
+            .flat_map(|crash| crash.own_requests().cloned())
+            .collect();
+        if requests.contains(&request) {
+            return false;
+        }
+        requests.push(request);
+        self.record(id, None, now, requests)
+    }
+
+    /// Records that an answer to a request with these parts, sent at `sent_at`, shows that they do not crash its endpoint.
+    /// Only a request that was sent after the suspicion tells anything: after the first crash under a part, or after the time
+    /// that `suspected_since` returns for it. Returns the parts that were under suspicion.
+    pub fn record_sound(
+        &mut self,
+        parts: &PromptParts,
+        sent_at: Instant,
+        now: Instant,
+        suspected_since: impl Fn(PartKey) -> Option<Instant>,
+    ) -> Vec<PartKey> {
+        let is_shown = |part: &PartKey| {
+            let first = self.suspicious(*part).next().map(|crash| crash.seen_at);
+            let since = first.or_else(|| suspected_since(*part));
+            since.is_some_and(|since| sent_at > since)
+        };
+        let shown: Vec<PartKey> = parts.iter().filter(is_shown).collect();
+        for part in &shown {
+            self.set_sound(*part, now, true);
+        }
+        shown
+    }
+
+    /// Records that another host has seen at `seen_at` that a part is sound. Returns whether that is new.
+    pub fn apply_sound(&mut self, part: PartKey, seen_at: Instant) -> bool {
+        let is_new = self.suspicious(part).next().is_some();
+        self.set_sound(part, seen_at, false);
+        is_new && self.suspicious(part).next().is_none()
+    }
+
+    fn set_sound(&mut self, part: PartKey, seen_at: Instant, is_own: bool) {
+        let sound = SoundPart {
+            part,
+            seen_at,
+            is_own,
+        };
+        match self.sound.binary_search_by_key(&part, |sound| sound.part) {
+            Ok(index) if self.sound[index].seen_at >= seen_at => {}
+            Ok(index) => self.sound[index] = sound,
+            Err(index) => self.sound.insert(index, sound),
+        }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let oldest = self.sound.iter().map(|sound| sound.seen_at).min();
+            self.sound.retain(|sound| Some(sound.seen_at) != oldest);
+        }
+    }
+
+    /// Crashes under a part since it was last seen to be sound.
+    fn suspicious(&self, part: PartKey) -> impl Iterator<Item = &EndpointCrash> {
+        let found = self.sound.binary_search_by_key(&part, |sound| sound.part);
+        let sound_at = found.ok().map(|index| self.sound[index].seen_at);
+        let crashes = self.crashes.iter();
+        crashes.filter(move |crash| {
+            sound_at.is_none_or(|sound_at| crash.seen_at > sound_at) && crash.has_part(part)
+        })
+    }
+
+    /// Number of crashes under a part, each by a request that was sent after the one before, without those that are
+    /// `explained` otherwise.
+    pub fn successive(
+        &self,
+        part: PartKey,
+        explained: impl Fn(&EndpointCrash) -> bool,
+    ) -> SuccessiveCrashes {
+        let mut found = SuccessiveCrashes::default();
+        let mut last: Option<Instant> = None;
+        for crash in self.suspicious(part).filter(|crash| !explained(crash)) {
+            let sent = crash.last_sent(part);
+            let Some(sent_at) = sent.filter(|sent| last.is_none_or(|last| *sent > last)) else {
+                continue;
+            };
+            found.count += 1;
+            found.age += crash.seen_at.saturating_duration_since(sent_at);
+            last = Some(crash.seen_at);
+        }
+        found
+    }
+
+    /// Whether a part was seen to be sound lately.
+    #[must_use]
+    pub fn is_sound(&self, part: PartKey) -> bool {
+        let found = self.sound.binary_search_by_key(&part, |sound| sound.part);
+        found.is_ok()
+    }
+
+    /// All crashes, in the order of time.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointCrash> {
+        self.crashes.iter()
+    }
+
+    /// Whether this start of an endpoint is known to have crashed.
+    #[must_use]
+    pub fn has_crashed(&self, id: CrashId) -> bool {
+        self.crashes.iter().any(|crash| crash.id == id)
+    }
+
+    /// Parts that this host saw to be sound lately, and when.
+    pub fn own_sound(&self, now: Instant) -> impl Iterator<Item = (PartKey, Instant)> + '_ {
+        let own = self.sound.iter().filter(move |sound| {
+            sound.is_own && now.saturating_duration_since(sound.seen_at) < SOUND_REPORT_DURATION
+        });
+        own.map(|sound| (sound.part, sound.seen_at))
+    }
+
+    /// Whether nothing is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty()
+    }
+
+    /// Number of crashes that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Instant) {
+        let is_recent = |seen_at: Instant| now.saturating_duration_since(seen_at) < RETENTION;
+        self.crashes.retain(|crash| is_recent(crash.seen_at));
+        self.sound.retain(|sound| is_recent(sound.seen_at));
+    }
+
+    /// Inserts a crash in the order of time, and drops the oldest one if there are too many.
+    fn insert(&mut self, crash: EndpointCrash) {
+        let index = self
+            .crashes
+            .partition_point(|other| other.seen_at <= crash.seen_at);
+        self.crashes.insert(index, crash);
+        let excess = self.crashes.len().saturating_sub(MAX_CRASHES);
+        self.crashes.drain(..excess);
+    }
+}
+
+/// Crashes under one part that followed each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SuccessiveCrashes {
+    /// Their number.
+    pub count: u32,
+    /// Sum of the times from the requests with the part to the crashes.
+    pub age: Duration,
+}
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -1,12 +1,13 @@
 //! Heartbeats: each host reports to all others that it is alive, whether it is ready, and its load.
 //!
-//! Messages about the origins of streams use the same socket.
+//! Messages about the origins of streams and about crashes of endpoints use the same socket.
 //!
 //! Heartbeats are UDP datagrams. A lost one is not sent again, since the next replaces it. The log is only needed to
 //! find a first peer: each heartbeat to all hosts also carries the descriptor of one other host, in rotation.
 
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
+use crate::crash_exchange::{self, CrashNotice};
 use crate::follow::FollowBatch;
 use crate::listings::{self, ListingReport, listing_report};
 use crate::members::{HostDescriptor, MemberChange};
@@ -45,6 +46,11 @@
 enum PeerMessage {
     Heartbeat(Box<Heartbeat>),
     Origin(OriginMessage),
+    Crashes {
+        /// Name of the sender.
+        host: Arc<str>,
+        notices: Vec<CrashNotice>,
+    },
 }
 
 /// Wire format of a heartbeat.
@@ -219,13 +225,27 @@
     message: OriginMessage,
     targets: &[SocketAddr],
 ) {
-    let bytes = encode(node, &PeerMessage::Origin(message));
+    send_message(node, &PeerMessage::Origin(message), targets);
+}
+
+/// Sends notices about crashes, without waiting. A host that is not started sends nothing.
+pub(crate) fn send_crash_notices(
+    node: &SwitchNode,
+    notices: Vec<CrashNotice>,
+    targets: &[SocketAddr],
+) {
+    let host = node.settings.descriptor.name.clone();
+    send_message(node, &PeerMessage::Crashes { host, notices }, targets);
+}
+
+fn send_message(node: &SwitchNode, message: &PeerMessage, targets: &[SocketAddr]) {
+    let bytes = encode(node, message);
     let (Some(bytes), Some(socket)) = (bytes, node.socket.get()) else {
         return;
     };
     for target in targets {
         if let Err(error) = socket.try_send_to(&bytes, *target) {
-            // The other hosts that are sent the message suffice.
+            // Origins go to several hosts, and crashes are reported again.
             slog::debug!(node.deps.logger, "message not sent"; "to" => %target, "cause" => %error);
         }
     }
@@ -273,6 +293,9 @@
                 Ok((SCHEMA, PeerMessage::Origin(message))) => {
                     node.handle_origin_message(message, from);
                 }
+                Ok((SCHEMA, PeerMessage::Crashes { host, notices })) => {
+                    crash_exchange::apply_notices(&node, &host, notices);
+                }
                 Ok((schema, _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
@@ -304,6 +327,7 @@
         heartbeat.descriptor.name.clone(),
         heartbeat.descriptor.incarnation,
     );
+    let peer_address = heartbeat.descriptor.peer_address;
     let change = state
         .members
         .record_heartbeat(heartbeat.descriptor, heartbeat.ready, now);
@@ -311,6 +335,9 @@
         info!(node.deps.logger, "host heard"; "peer" => &*name, "incarnation" => incarnation,
             "ready" => heartbeat.ready, "change" => ?change);
     }
+    if matches!(change, MemberChange::Joined | MemberChange::Restarted) {
+        crash_exchange::report_to(node, &state, peer_address);
+    }
     state.load.update_report(&name, heartbeat.load, now);
     for key in state.load.update_failing(&name, heartbeat.failing) {
         let mut listed = state.endpoints.all_serving(now).into_iter();
--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -79,15 +79,17 @@
         }
     }
 
-    /// Records that the endpoint has begun to respond, so the request holds a slot.
-    pub(crate) fn begin_run(&mut self) {
-        if self.run_started.is_none() {
-            let now = Instant::now();
-            self.run_started = Some(now);
-            let load = &mut self.node.lock().load;
-            load.finish_wait(&self.endpoint, self.sent);
-            load.begin_run(&self.endpoint, now);
+    /// Records that the endpoint has begun to respond, so the request holds a slot. Returns when it began.
+    pub(crate) fn begin_run(&mut self) -> Instant {
+        if let Some(started) = self.run_started {
+            return started;
         }
+        let now = Instant::now();
+        self.run_started = Some(now);
+        let load = &mut self.node.lock().load;
+        load.finish_wait(&self.endpoint, self.sent);
+        load.begin_run(&self.endpoint, now);
+        now
     }
 }
 
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,12 +7,15 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`wait`], [`affinity`],
-//! [`ledger`], [`schedule`], [`members`], [`origins`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`schedule`], [`members`], [`origins`], [`crashes`], [`quarantine`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
 pub mod batch;
 mod calls;
+mod crash_exchange;
+mod crash_watch;
+pub mod crashes;
 pub mod departures;
 pub mod endpoint;
 pub mod events;
@@ -35,6 +38,7 @@
 pub mod overload;
 pub mod progress;
 pub mod prompt;
+pub mod quarantine;
 pub mod record;
 pub mod report;
 pub mod route;
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -216,6 +216,12 @@
             .unwrap_or_default()
     }
 
+    /// Whether at least half of the known hosts are live.
+    #[must_use]
+    pub fn hears_most(&self, now: Instant) -> bool {
+        self.live(now).count() * 2 >= self.entries.len()
+    }
+
     /// Sets the items that a host claims.
     pub fn set_claims(&mut self, name: &str, claims: Vec<ItemKey>) {
         if let Ok(index) = self.search(name) {
@@ -260,7 +266,12 @@
     /// Returns the host that is assigned an item by rendezvous hashing over the ready hosts and `own`.
     #[must_use]
     pub fn assigned_host<'a>(&'a self, item: &ItemName, own: &'a str, now: Instant) -> &'a str {
-        let hash = item.hash();
+        self.assigned_to(item.hash(), own, now)
+    }
+
+    /// Returns the host with the highest rank for `hash` by rendezvous hashing over the ready hosts and `own`.
+    #[must_use]
+    pub fn assigned_to<'a>(&'a self, hash: u64, own: &'a str, now: Instant) -> &'a str {
         let others = self
             .live(now)
             .filter(|entry| entry.ready)
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -44,6 +44,8 @@
     incomplete_answers: Counter,
     bodies: Family<BodyLabel, Counter>,
     leaving_endpoints: Counter,
+    endpoint_crashes: Counter,
+    quarantined_requests: Counter,
     first_byte: Histogram,
     request_time: Histogram,
     state_gauges: StateGauges,
@@ -58,6 +60,7 @@
     listing_silence: Gauge,
     config_version: Gauge,
     stream_origins: Gauge,
+    quarantines: Gauge,
     jobs_open: Gauge,
     items_running: Gauge,
     online_running: Gauge,
@@ -92,6 +95,11 @@
                 "Streams of which this host knows the software version that began them",
                 &self.stream_origins,
             ),
+            (
+                "quarantines",
+                "Sets of parts of prompts whose requests are rejected, since they crash endpoints",
+                &self.quarantines,
+            ),
             ("jobs_open", "Jobs with items to run", &self.jobs_open),
             (
                 "items_running",
@@ -152,6 +160,8 @@
             incomplete_answers: Counter::default(),
             bodies: Family::default(),
             leaving_endpoints: Counter::default(),
+            endpoint_crashes: Counter::default(),
+            quarantined_requests: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
             state_gauges: StateGauges::default(),
@@ -202,6 +212,16 @@
             "Endpoints that said in a response that they leave",
             self.leaving_endpoints.clone(),
         );
+        registry.register(
+            "endpoint_crashes",
+            "Endpoints that crashed with requests of this host",
+            self.endpoint_crashes.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Times that a request or an item was not sent, since parts of its prompt crash endpoints",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "endpoint_bodies",
             "Ends of the bodies of online responses, by framing and by whether they ended within an event",
@@ -250,6 +270,14 @@
         self.leaving_endpoints.inc();
     }
 
+    pub(crate) fn count_endpoint_crash(&self) {
+        self.endpoint_crashes.inc();
+    }
+
+    pub(crate) fn count_quarantined_request(&self) {
+        self.quarantined_requests.inc();
+    }
+
     pub(crate) fn count_job(&self, outcome: &'static str) {
         self.jobs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
@@ -320,6 +348,10 @@
                 state.endpoints.deferred_removals(),
             ),
             (&state_gauges.stream_origins, state.origins.len()),
+            (
+                &state_gauges.quarantines,
+                state.crashes.quarantine.in_force(),
+            ),
             (&state_gauges.jobs_open, state.ledger.open_jobs().count()),
             (&state_gauges.items_running, state.running.len()),
             (&state_gauges.online_running, state.online_in_flight),
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{DecodeError, EndpointClient, KeyedLog, LogEntry, LogPartition};
 use crate::batch::routeless::RoutelessJobs;
+use crate::crash_watch::CrashState;
 use crate::departures::RecentDepartures;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
 use crate::follow::{FollowBatch, FollowOptions, follow};
@@ -17,7 +18,7 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::{batch, jobs, listings};
+use crate::{batch, crash_exchange, jobs, listings};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -116,6 +117,7 @@
     pub(crate) load: LoadView,
     pub(crate) origins: OriginTable,
     pub(crate) overload: OverloadTracker,
+    pub(crate) crashes: CrashState,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
     pub(crate) routeless: RoutelessJobs,
@@ -184,6 +186,8 @@
     pub(crate) heartbeat_requested: Notify,
     /// Requests an immediate heartbeat to the neighbours.
     pub(crate) neighbour_heartbeat_requested: Notify,
+    /// Requests a report of crashes to all hosts.
+    pub(crate) crash_report_requested: Notify,
     pub(crate) started: Instant,
     /// Requests a read of the job records before the next interval.
     pub(crate) read_requested: Notify,
@@ -204,6 +208,7 @@
             load: LoadView::default(),
             origins: OriginTable::default(),
             overload: OverloadTracker::default(),
+            crashes: CrashState::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
             routeless: RoutelessJobs::default(),
@@ -233,6 +238,7 @@
             origin_received: Notify::new(),
             heartbeat_requested: Notify::new(),
             neighbour_heartbeat_requested: Notify::new(),
+            crash_report_requested: Notify::new(),
             started: Instant::now(),
             read_requested: Notify::new(),
             job_updates: watch::Sender::new(0),
@@ -264,6 +270,7 @@
         tokio::spawn(self.clone().follow_jobs());
         tokio::spawn(gossip::publish_descriptor(self.clone()));
         tokio::spawn(gossip::exchange_heartbeats(self.clone(), socket));
+        tokio::spawn(crash_exchange::share_crashes(self.clone()));
         tokio::spawn(batch::run_scheduler(self.clone()));
         tokio::spawn(jobs::expire_jobs(self.clone()));
     }
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -293,7 +293,7 @@
     }
 
     /// Records that a silent endpoint is given up, since another one has the request.
-    pub(super) fn give_up(&mut self, silent: &ListedEndpoint, cause: &str) {
+    pub(super) fn give_up(&mut self, silent: &Arc<ListedEndpoint>, cause: &str) {
         let error = interrupted(cause);
         // The reply for the caller is that of the other endpoint.
         let _ = self.handle_error(silent, &error);
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -5,6 +5,7 @@
 };
 use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{BodyFraming, CallError, EndpointResponse};
+use crate::crash_watch::PROOF_TIME;
 use crate::endpoint::ListedEndpoint;
 use crate::events::{EventBoundary, EventParser};
 use crate::in_flight::InFlightGuard;
@@ -385,6 +386,13 @@
                 health.record_success(exchange.started);
             }
         }
+        if outcome == "answered" && self.status.is_success() {
+            if self.framing == BodyFraming::Delimited {
+                exchange.record_sound(&self.endpoint);
+            } else {
+                exchange.record_end(&self.endpoint, true);
+            }
+        }
         exchange.body_end = Some(BodyEnd {
             framing: self.framing,
             within_event,
@@ -395,7 +403,11 @@
     /// Records the first byte, and the end of a response with a content length.
     fn record_chunk(&mut self, bytes: usize) {
         if let Some(guard) = &mut self.guard {
-            guard.begin_run();
+            let run_time = guard.begin_run().elapsed();
+            if !self.exchange.is_proven && run_time >= PROOF_TIME {
+                self.exchange.is_proven = true;
+                self.exchange.record_sound(&self.endpoint);
+            }
         }
         if self.exchange.time_to_first_byte.is_none() {
             let elapsed = self.exchange.started.elapsed();
@@ -418,6 +430,7 @@
             if !at_deadline {
                 let node = &self.exchange.node;
                 node.avoid_endpoint(&mut node.lock(), &self.endpoint.id, now);
+                self.exchange.record_end(&self.endpoint, false);
             }
             info!(self.exchange.node.deps.logger, "answer broke off";
                 "request" => &*self.exchange.request.call.id, "endpoint" => &*self.endpoint.id,
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -4,6 +4,8 @@
 mod forward;
 
 use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
+use crate::crash_watch::EndedRequest;
+use crate::crashes::BrokenRequest;
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::{InFlightGuard, InFlightRequest};
 use crate::load::{EndpointPick, RequestClass};
@@ -11,6 +13,7 @@
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::overload::Rejection;
 use crate::prompt::PromptParts;
+use crate::quarantine::Admission;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
 use attempts::{
@@ -79,6 +82,7 @@
             parts,
             attempts: PendingAttempts::default(),
             tried: Vec::new(),
+            sent: Vec::new(),
             version: None,
             origin_recorded_at: None,
             sends: 0,
@@ -86,6 +90,7 @@
             started: Instant::now(),
             time_to_first_byte: None,
             had_free_slot: false,
+            is_proven: false,
             endpoint: None,
             body_end: None,
             ended: false,
@@ -150,6 +155,8 @@
     attempts: PendingAttempts,
     /// Endpoints at which an attempt has failed.
     tried: Vec<Arc<str>>,
+    /// Endpoints to which the request was sent, and when.
+    sent: Vec<(Arc<str>, Instant)>,
     /// Software version that began the stream and at which it goes on; `None` before the first event.
     version: Option<VersionKey>,
     /// When the origin of the stream was last recorded.
@@ -162,6 +169,8 @@
     time_to_first_byte: Option<Duration>,
     /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
     had_free_slot: bool,
+    /// Whether a long answer has shown that its prompt does not crash the endpoint.
+    is_proven: bool,
     /// Endpoint of the last attempt.
     endpoint: Option<Arc<str>>,
     /// How the body of the response ended; `None` before that.
@@ -183,6 +192,7 @@
     /// Sends the request, with retries, until an endpoint responds.
     async fn first_response(&mut self) -> Result<Opened, OnlineReply> {
         let resume_after = self.request.resume_after;
+        self.check_parts()?;
         if resume_after.is_some() {
             self.version = Some(self.find_version().await?);
         }
@@ -314,6 +324,10 @@
         }
         let node = self.node.clone();
         let state = &mut *node.lock();
+        let admission = node.admit(state, &self.request.call.id, &self.parts, now);
+        if let Admission::Rejected { retry_after } = admission {
+            return Err(self.reject_parts(retry_after));
+        }
         let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
@@ -350,6 +364,9 @@
         }
         let node = self.node.clone();
         let state = &mut *node.lock();
+        if state.crashes.quarantine.covers(&self.parts) {
+            return None;
+        }
         let service = self.pick_service(state, now)?;
         let max_wait = self.max_wait(state, remaining).min(MAX_OTHER_WAIT);
         let excluded = [&self.tried[..], std::slice::from_ref(silent)].concat();
@@ -402,11 +419,59 @@
             "left_ms" => millis(remaining));
         let guard = InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
         self.sends += 1;
+        self.sent.push((endpoint.id.clone(), now));
         self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
         self.endpoint = Some(endpoint.id.clone());
         (endpoint, guard)
     }
 
+    /// Rejects a request that takes up a stream at once if its prompt has parts that crash endpoints. It is not used as a
+    /// trial, since it would have to wait for the version that began the stream.
+    fn check_parts(&self) -> Result<(), OnlineReply> {
+        let is_resumed = self.request.resume_after.is_some();
+        if is_resumed && self.node.lock().crashes.quarantine.covers(&self.parts) {
+            return Err(self.reject_parts(NO_ENDPOINT_RETRY_AFTER));
+        }
+        Ok(())
+    }
+
+    /// Logs that the request is not sent because of its prompt, and returns the reply.
+    fn reject_parts(&self, retry_after: Duration) -> OnlineReply {
+        info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
+            "cause" => "parts of its prompt crash endpoints", "parts" => %self.parts);
+        self.failure_reply(retry_after)
+    }
+
+    /// When the request was last sent to an endpoint.
+    fn sent_at(&self, endpoint: &str) -> Instant {
+        let mut sent = self.sent.iter().rev();
+        let found = sent.find(|(id, _)| **id == *endpoint);
+        found.map_or(self.started, |(_, sent_at)| *sent_at)
+    }
+
+    /// Records that the request ended at an endpoint that may have crashed under it.
+    fn record_end(&self, endpoint: &Arc<ListedEndpoint>, may_be_complete: bool) {
+        let request = BrokenRequest {
+            parts: self.parts.clone(),
+            sent_at: self.sent_at(&endpoint.id),
+        };
+        let ended = EndedRequest {
+            request,
+            may_be_complete,
+        };
+        self.node.record_end(endpoint, ended);
+    }
+
+    /// Records that the answer of an endpoint shows that the prompt does not crash it.
+    fn record_sound(&self, endpoint: &ListedEndpoint) {
+        if self.parts.is_empty() {
+            return;
+        }
+        let sent_at = self.sent_at(&endpoint.id);
+        let state = &mut self.node.lock();
+        self.node.record_sound(state, &self.parts, sent_at);
+    }
+
     /// Longest expected wait with which the request is sent.
     fn max_wait(&self, state: &SwitchState, remaining: Duration) -> Duration {
         if self.version.is_some() {
@@ -451,7 +516,7 @@
 
     fn handle_error(
         &mut self,
-        endpoint: &ListedEndpoint,
+        endpoint: &Arc<ListedEndpoint>,
         error: &CallError,
     ) -> Result<(), OnlineReply> {
         let now = Instant::now();
@@ -474,6 +539,7 @@
             CallError::Interrupted { .. } => {
                 self.node
                     .avoid_endpoint(&mut self.node.lock(), &endpoint.id, now);
+                self.record_end(endpoint, false);
                 let retries = self.may_retry();
                 self.runs += 1;
                 if retries {
--- /dev/null
+++ b/crates/switch/src/quarantine.rs
@@ -0,0 +1,347 @@
+//! Parts of prompts whose requests are rejected, since they crash the endpoints that begin to answer them.
+//!
+//! Parts that only occurred together cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
+//! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
+
+use crate::crashes::{CrashRecords, EndpointCrash, SuccessiveCrashes};
+use crate::prompt::{PartKey, PromptParts};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Number of successive crashes after which a part is in quarantine, if no other part has as many.
+const MIN_CRASHES: u32 = 3;
+/// Number of successive crashes after which one is in quarantine also if others have as many.
+const MAX_CRASHES: u32 = 5;
+/// Duration of the first term of a quarantine, after which one request is let through as a trial.
+const FIRST_TERM: Duration = Duration::from_mins(1);
+/// Factor by which a term is longer than the one before.
+const TERM_GROWTH: u32 = 4;
+/// Number of terms after which they grow no longer.
+const MAX_TERM: u8 = 5;
+/// Time after which a trial without a result is repeated.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the end of a term for which a quarantine without a request is kept.
+const RETENTION: Duration = Duration::from_hours(1);
+/// Time for which the end of a quarantine is kept, so that reports which are still on their way do not renew it.
+const END_RETENTION: Duration = Duration::from_mins(1);
+/// Maximum number of quarantines.
+const MAX_QUARANTINES: usize = 32;
+
+/// Identifies the set of parts with which a quarantine began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QuarantineId(u64);
+
+impl QuarantineId {
+    /// Hash that distributes trials over hosts.
+    #[must_use]
+    pub fn hash(self) -> u64 {
+        self.0
+    }
+
+    fn of(parts: &[PartKey]) -> Self {
+        let bytes: Vec<u8> = parts
+            .iter()
+            .flat_map(|part| <[u8; 8]>::from(*part))
+            .collect();
+        Self(xxh3_64(&bytes))
+    }
+}
+
+/// A set of parts whose prompts are rejected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// Identifies it at all hosts.
+    pub id: QuarantineId,
+    /// Number of the term, counted from 1.
+    pub term: u8,
+    /// When the term ends, after which a trial may be made.
+    pub term_end: Instant,
+    /// Parts that are not known to be sound, sorted. It has ended if there are none.
+    pub parts: Vec<PartKey>,
+}
+
+impl Quarantine {
+    fn covers(&self, parts: &PromptParts) -> bool {
+        !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(*part))
+    }
+}
+
+/// A quarantine with what only this host knows of it.
+#[derive(Clone, Debug)]
+struct QuarantineEntry {
+    quarantine: Quarantine,
+    /// Since when this host knows of the term.
+    known_since: Instant,
+    /// When a trial is due. No trial is made before the end of the term.
+    trial_at: Instant,
+    /// When the quarantine is dropped.
+    drop_at: Instant,
+}
+
+impl QuarantineEntry {
+    fn new(quarantine: Quarantine, now: Instant) -> Self {
+        Self {
+            known_since: now,
+            trial_at: quarantine.term_end,
+            drop_at: quarantine.term_end + RETENTION,
+            quarantine,
+        }
+    }
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Sent,
+    /// It may, as the trial of a quarantine.
+    Trial,
+    /// It must not before this time has passed.
+    Rejected {
+        /// Time until the next trial.
+        retry_after: Duration,
+    },
+}
+
+/// All quarantines.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineTable {
+    entries: Vec<QuarantineEntry>,
+}
+
+impl QuarantineTable {
+    /// Decides whether a request with these parts may be sent. `makes_trials` tells whether this host is the one that makes
+    /// a trial which is due.
+    pub fn admit(
+        &mut self,
+        parts: &PromptParts,
+        now: Instant,
+        makes_trials: impl FnOnce(QuarantineId) -> bool,
+    ) -> Admission {
+        let mut covering = self
+            .entries
+            .iter_mut()
+            .filter(|entry| entry.quarantine.covers(parts));
+        let Some(entry) = covering.next() else {
+            return Admission::Sent;
+        };
+        let others = covering.map(|entry| entry.trial_at).max();
+        let trial_at = others.map_or(entry.trial_at, |other| other.max(entry.trial_at));
+        if now >= trial_at && makes_trials(entry.quarantine.id) {
+            entry.trial_at = now + TRIAL_TIMEOUT;
+            return Admission::Trial;
+        }
+        let retry_after = trial_at.saturating_duration_since(now).max(TRIAL_TIMEOUT);
+        Admission::Rejected { retry_after }
+    }
+
+    /// Whether a request with these parts is rejected, without making it a trial.
+    #[must_use]
+    pub fn covers(&self, parts: &PromptParts) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.quarantine.covers(parts))
+    }
+
+    /// Whether a quarantine that rejects a request with these parts became known after `time`.
+    #[must_use]
+    pub fn began_after(&self, parts: &PromptParts, time: Instant) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.known_since > time && entry.quarantine.covers(parts))
+    }
+
+    /// Since when a part is in a quarantine; `None` if it is in none.
+    #[must_use]
+    pub fn suspected_since(&self, part: PartKey) -> Option<Instant> {
+        let entries = self.entries.iter();
+        let with_part = entries.filter(|entry| entry.quarantine.parts.contains(&part));
+        with_part.map(|entry| entry.known_since).min()
+    }
+
+    /// Draws the conclusions from the crashes. Returns the quarantines that began or were prolonged by that.
+    pub fn update(&mut self, records: &CrashRecords, now: Instant) -> Vec<Quarantine> {
+        let mut changed = self.prolong(records, now);
+        while let Some(parts) = self.find_suspects(records) {
+            changed.push(self.begin(parts, now));
+        }
+        changed
+    }
+
+    /// Prolongs the quarantines of which a trial crashed its endpoint.
+    fn prolong(&mut self, records: &CrashRecords, now: Instant) -> Vec<Quarantine> {
+        let mut prolonged = Vec::new();
+        for entry in &mut self.entries {
+            let quarantine = &entry.quarantine;
+            let mut requests = records.iter().flat_map(EndpointCrash::requests);
+            let has_failed = requests.any(|request| {
+                request.sent_at >= quarantine.term_end && quarantine.covers(&request.parts)
+            });
+            if has_failed {
+                let term = quarantine.term.saturating_add(1);
+                *entry = QuarantineEntry::new(
+                    Quarantine {
+                        term,
+                        term_end: now + term_duration(term),
+                        ..quarantine.clone()
+                    },
+                    now,
+                );
+                prolonged.push(entry.quarantine.clone());
+            }
+        }
+        prolonged
+    }
+
+    /// Finds the parts under which most endpoints crashed one after the other, if they are to be quarantined. Crashes under
+    /// a quarantine are explained by it.
+    fn find_suspects(&self, records: &CrashRecords) -> Option<Vec<PartKey>> {
+        let explained = |crash: &EndpointCrash| {
+            let mut requests = crash.requests();
+            requests.any(|request| self.covers(&request.parts))
+        };
+        let unexplained = records.iter().filter(|crash| !explained(crash));
+        let mut parts: Vec<PartKey> = unexplained
+            .flat_map(EndpointCrash::requests)
+            .flat_map(|request| request.parts.iter())
+            .collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let counts = parts.into_iter().map(|part| {
+            let successive = records.successive(part, explained);
+            (part, successive)
+        });
+        let mut suspects: Vec<(PartKey, SuccessiveCrashes)> = counts
+            .filter(|(_, successive)| successive.count >= MIN_CRASHES)
+            .collect();
+        // The request that crashes an endpoint was sent a short time before.
+        suspects.sort_by_key(|(_, successive)| (Reverse(successive.count), successive.age));
+        let (first, most) = *suspects.first()?;
+        let together = parts_together(records, first);
+        let rival = suspects.iter().find(|(part, _)| !together.contains(part));
+        let is_clear = rival.is_none_or(|(_, successive)| successive.count < most.count);
+        (is_clear || most.count >= MAX_CRASHES).then_some(together)
+    }
+
+    fn begin(&mut self, parts: Vec<PartKey>, now: Instant) -> Quarantine {
+        let id = QuarantineId::of(&parts);
+        let index = self.position(id);
+        let last_term = index.map_or(0, |index| self.entries[index].quarantine.term);
+        let term = last_term.saturating_add(1);
+        let quarantine = Quarantine {
+            id,
+            term,
+            term_end: now + term_duration(term),
+            parts,
+        };
+        self.put(index, quarantine.clone(), now);
+        quarantine
+    }
+
+    /// Applies the report of another host on a quarantine. Returns whether it was not known or is shorter or longer by it.
+    pub fn apply(&mut self, mut reported: Quarantine, now: Instant) -> bool {
+        reported.parts.sort_unstable();
+        let Some(index) = self.position(reported.id) else {
+            // The end of a quarantine that this host does not know tells it nothing.
+            let is_new = !reported.parts.is_empty();
+            if is_new {
+                self.put(None, reported, now);
+            }
+            return is_new;
+        };
+        let known = &mut self.entries[index].quarantine;
+        if reported.term > known.term {
+            self.put(Some(index), reported, now);
+            return true;
+        }
+        let before = known.parts.len();
+        if reported.term == known.term {
+            known.parts.retain(|part| reported.parts.contains(part));
+        }
+        known.parts.len() < before
+    }
+
+    /// Removes a part that was seen at `seen_at` to be sound from the quarantines that were known before. Returns those
+    /// that had it.
+    pub fn remove_sound(
+        &mut self,
+        part: PartKey,
+        seen_at: Instant,
+        now: Instant,
+    ) -> Vec<Quarantine> {
+        let mut changed = Vec::new();
+        let entries = self.entries.iter_mut();
+        for entry in entries.filter(|entry| entry.known_since < seen_at) {
+            let parts = &mut entry.quarantine.parts;
+            let before = parts.len();
+            parts.retain(|suspect| *suspect != part);
+            if parts.len() == before {
+                continue;
+            }
+            if parts.is_empty() {
+                entry.drop_at = now + END_RETENTION;
+            }
+            changed.push(entry.quarantine.clone());
+        }
+        changed
+    }
+
+    /// All quarantines, also those that have ended lately.
+    pub fn iter(&self) -> impl Iterator<Item = &Quarantine> {
+        self.entries.iter().map(|entry| &entry.quarantine)
+    }
+
+    /// Number of quarantines that are in force.
+    #[must_use]
+    pub fn in_force(&self) -> usize {
+        self.iter()
+            .filter(|quarantine| !quarantine.parts.is_empty())
+            .count()
+    }
+
+    /// Drops the quarantines that are kept no longer.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries.retain(|entry| entry.drop_at > now);
+    }
+
+    fn position(&self, id: QuarantineId) -> Option<usize> {
+        let mut entries = self.entries.iter();
+        entries.position(|entry| entry.quarantine.id == id)
+    }
+
+    /// Replaces the entry at `index`, or adds one. Drops the one that ends first if there are too many.
+    fn put(&mut self, index: Option<usize>, quarantine: Quarantine, now: Instant) {
+        let entry = QuarantineEntry::new(quarantine, now);
+        match index {
+            Some(index) => self.entries[index] = entry,
+            None => self.entries.push(entry),
+        }
+        if self.entries.len() > MAX_QUARANTINES {
+            let first = (0..self.entries.len()).min_by_key(|index| self.entries[*index].drop_at);
+            self.entries.remove(first.unwrap_or_default());
+        }
+    }
+}
+
+/// Parts that occur in the same broken requests as `part`, with it, sorted.
+fn parts_together(records: &CrashRecords, part: PartKey) -> Vec<PartKey> {
+    let requests = || records.iter().flat_map(EndpointCrash::requests);
+    let Some(request) = requests().find(|request| request.parts.contains(part)) else {
+        return vec![part];
+    };
+    let is_together = |other: &PartKey| {
+        let may_be_cause = *other == part || !records.is_sound(*other);
+        may_be_cause
+            && requests()
+                .all(|request| request.parts.contains(*other) == request.parts.contains(part))
+    };
+    let mut together: Vec<PartKey> = request.parts.iter().filter(is_together).collect();
+    together.sort_unstable();
+    together.dedup();
+    together
+}
+
+fn term_duration(term: u8) -> Duration {
+    FIRST_TERM * TERM_GROWTH.pow(u32::from(term.min(MAX_TERM)).saturating_sub(1))
+}
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -88,6 +88,11 @@
         entry.not_before = Some(now + retry_delay(entry.interruptions));
     }
 
+    /// Does not run the item before `until`.
+    pub fn hold_back(&mut self, name: &ItemName, until: Instant) {
+        self.entry(name).not_before = Some(until);
+    }
+
     /// Records that a run ended since its endpoint had not begun to respond in time.
     pub fn record_late_response(&mut self, name: &ItemName) {
         self.entry(name).late_responses += 1;
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -11,5 +11,6 @@
 mod online;
 mod overload;
 mod pure;
+mod quarantine;
 mod support;
 mod versions;
--- /dev/null
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -0,0 +1,246 @@
+//! Which parts of prompts are rejected after which crashes, and until when.
+
+use crate::support::listed;
+use fulmarswitch_switch::crashes::{BrokenRequest, CrashId, CrashRecords};
+use fulmarswitch_switch::endpoint::ListedEndpoint;
+use fulmarswitch_switch::prompt::{PartKey, PromptParts};
+use fulmarswitch_switch::quarantine::{Admission, Quarantine, QuarantineTable};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time from one crash to the next.
+const CRASH_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from a request to the crash of its endpoint.
+const RUN: Duration = Duration::from_millis(50);
+
+fn parts(list: &str) -> PromptParts {
+    list.split(',').map(PartKey::of).collect()
+}
+
+fn endpoint(number: u64) -> ListedEndpoint {
+    ListedEndpoint {
+        started_ms: number,
+        ..listed("e", 4, false)
+    }
+}
+
+/// Crashes as one host sees them, and what it concludes.
+#[derive(Default)]
+struct Observer {
+    records: CrashRecords,
+    table: QuarantineTable,
+    crashes: u64,
+}
+
+impl Observer {
+    /// An endpoint crashes now. Requests are given by their parts and their age.
+    fn crash(&mut self, requests: &[(&str, Duration)]) -> Vec<Quarantine> {
+        self.crashes += 1;
+        let now = Instant::now();
+        let requests = requests.iter().map(|(list, age)| BrokenRequest {
+            parts: parts(list),
+            sent_at: now - *age,
+        });
+        let id = CrashId::of(&endpoint(self.crashes));
+        self.records.record(id, None, now, requests.collect());
+        self.table.update(&self.records, now)
+    }
+
+    /// An endpoint crashes under each prompt, one after the other.
+    async fn crash_each(&mut self, prompts: &[&str]) {
+        for prompt in prompts {
+            self.crash(&[(prompt, RUN)]);
+            sleep(CRASH_INTERVAL).await;
+        }
+    }
+
+    /// A request is answered that was sent this long ago.
+    fn answer(&mut self, list: &str, age: Duration) {
+        let now = Instant::now();
+        let table = &self.table;
+        let since = |part| table.suspected_since(part);
+        let shown = self
+            .records
+            .record_sound(&parts(list), now - age, now, since);
+        for part in shown {
+            self.table.remove_sound(part, now, now);
+        }
+    }
+
+    fn rejects(&mut self, list: &str) -> bool {
+        let admission = self.table.admit(&parts(list), Instant::now(), |_| false);
+        admission != Admission::Sent
+    }
+
+    fn is_tried(&mut self, list: &str) -> bool {
+        self.table.admit(&parts(list), Instant::now(), |_| true) == Admission::Trial
+    }
+}
+
+/// Guards against parts that go on being sent after three crashes, each under a request that was sent after the crash before.
+#[rstest]
+#[case::first_part(&["dead,a", "dead,b", "dead,c"], "dead,d", "a,b")]
+#[case::second_part(&["a,dead", "b,dead", "c,dead"], "d,dead", "a,b")]
+#[case::only_part(&["dead", "dead", "dead"], "dead", "a")]
+#[case::two_parts_at_once(&["a,dead", "a,dead2", "b,dead", "b,dead2", "c,dead", "c,dead2"], "d,dead2", "a,b")]
+#[tokio::test(start_paused = true)]
+async fn part_is_rejected_after_three_crashes(
+    #[case] prompts: &[&str],
+    #[case] rejected: &str,
+    #[case] sent: &str,
+) {
+    let mut observer = Observer::default();
+    observer.crash_each(&prompts[..prompts.len() - 1]).await;
+    assert!(!observer.rejects(rejected));
+    observer.crash_each(&prompts[prompts.len() - 1..]).await;
+    assert!(observer.rejects(rejected));
+    assert!(!observer.rejects(sent));
+}
+
+/// Guards against sound parts that are rejected since they always came with the one that crashes endpoints.
+#[tokio::test(start_paused = true)]
+async fn parts_that_come_together_are_told_apart_by_answers() {
+    let mut observer = Observer::default();
+    observer
+        .crash_each(&["first,dead", "first,dead", "first,dead"])
+        .await;
+    assert!(observer.rejects("first,dead"));
+    assert!(!observer.rejects("first,other"));
+    assert!(!observer.rejects("other,dead"));
+    observer.answer("first,other", RUN);
+    assert!(observer.rejects("other,dead"));
+    assert!(!observer.rejects("first,other"));
+}
+
+/// Guards against sound parts that are rejected since many requests with them run at the endpoints that crash.
+#[tokio::test(start_paused = true)]
+async fn parts_beside_the_one_that_crashes_endpoints_are_sent() {
+    let mut observer = Observer::default();
+    for number in 0..8 {
+        let popular = format!("popular,a{}", number % 3);
+        let dead = format!("b{},dead", number % 3);
+        observer.crash(&[(&popular, RUN * 3), (&dead, RUN)]);
+        sleep(CRASH_INTERVAL).await;
+    }
+    assert!(observer.rejects("c,dead"));
+    assert!(!observer.rejects("popular,a"));
+    assert!(!observer.rejects("popular,c"));
+}
+
+/// Guards against sound parts that are rejected after crashes of other causes.
+#[rstest]
+#[case::all_at_once(Duration::ZERO, Duration::from_secs(1), false)]
+#[case::requests_from_before(CRASH_INTERVAL, Duration::from_secs(30), false)]
+#[case::answered_between(CRASH_INTERVAL, RUN, true)]
+#[tokio::test(start_paused = true)]
+async fn part_is_sent_after_crashes_of_other_causes(
+    #[case] interval: Duration,
+    #[case] age: Duration,
+    #[case] is_answered: bool,
+) {
+    sleep(Duration::from_mins(1)).await;
+    let mut observer = Observer::default();
+    for _ in 0..20 {
+        observer.crash(&[("popular", age)]);
+        sleep(interval).await;
+        if is_answered {
+            observer.answer("popular", interval / 2);
+        }
+    }
+    assert!(!observer.rejects("popular"));
+}
+
+/// Guards against an answer to a request from before the first crash that counts as a proof.
+#[tokio::test(start_paused = true)]
+async fn answers_to_earlier_requests_prove_nothing() {
+    let mut observer = Observer::default();
+    sleep(CRASH_INTERVAL).await;
+    observer.crash_each(&["dead", "dead"]).await;
+    observer.answer("dead", CRASH_INTERVAL * 3);
+    observer.crash_each(&["dead"]).await;
+    assert!(observer.rejects("dead"));
+}
+
+/// Guards against a quarantine without an end, and against more than one request with the part in each term.
+#[tokio::test(start_paused = true)]
+async fn one_request_is_let_through_after_each_term() {
+    let mut observer = Observer::default();
+    observer.crash_each(&["dead", "dead", "dead"]).await;
+    sleep(Duration::from_secs(59)).await;
+    assert!(!observer.is_tried("dead"));
+    sleep(Duration::from_secs(1)).await;
+    assert!(observer.rejects("dead"), "another host makes the trial");
+    assert!(observer.is_tried("dead"));
+    assert!(!observer.is_tried("dead"));
+    sleep(RUN).await;
+    observer.crash(&[("dead", RUN / 2)]);
+    sleep(Duration::from_secs(230)).await;
+    assert!(!observer.is_tried("dead"));
+    sleep(Duration::from_secs(10)).await;
+    assert!(observer.is_tried("dead"));
+    sleep(RUN).await;
+    observer.answer("dead", RUN / 2);
+    assert!(!observer.rejects("dead"));
+}
+
+/// Guards against a quarantine that is renewed by reports from before its end, and against one that is kept forever.
+#[tokio::test(start_paused = true)]
+async fn end_of_a_quarantine_outlasts_earlier_reports() {
+    let (mut first, mut second) = (Observer::default(), Observer::default());
+    let reported = {
+        first.crash_each(&["dead", "dead"]).await;
+        first.crash(&[("dead", RUN)])
+    };
+    let now = Instant::now();
+    assert_eq!(reported.len(), 1);
+    assert!(second.table.apply(reported[0].clone(), now));
+    assert!(!second.table.apply(reported[0].clone(), now));
+    assert!(second.rejects("dead"));
+    sleep(RUN).await;
+    first
+        .table
+        .remove_sound(PartKey::of("dead"), Instant::now(), Instant::now());
+    assert!(!first.table.apply(reported[0].clone(), now));
+    assert!(!first.rejects("dead"));
+    let ended = first.table.iter().next().unwrap().clone();
+    assert!(second.table.apply(ended, Instant::now()));
+    assert!(!second.rejects("dead"));
+    sleep(Duration::from_mins(1)).await;
+    first.table.expire(Instant::now());
+    assert_eq!(first.table.iter().count(), 0);
+    sleep(Duration::from_hours(2)).await;
+    second.table.expire(Instant::now());
+    assert_eq!(second.table.iter().count(), 0);
+}
+
+/// Guards against records that grow without a bound.
+#[tokio::test(start_paused = true)]
+async fn records_are_bounded_and_expire() {
+    let mut observer = Observer::default();
+    let host: Arc<str> = "other".into();
+    for number in 0..1000 {
+        let now = Instant::now();
+        let part = format!("part-{number}");
+        let request = BrokenRequest {
+            parts: parts(&part),
+            sent_at: now,
+        };
+        let id = CrashId::of(&endpoint(number));
+        let requests = vec![request; 1000];
+        observer.records.record(id, Some(&host), now, requests);
+        sleep(RUN).await;
+        observer.answer(&part, RUN / 2);
+    }
+    assert_eq!(observer.records.len(), 64);
+    let requests = observer
+        .records
+        .iter()
+        .map(|crash| crash.requests().count());
+    assert!(requests.max() <= Some(32));
+    assert!(observer.records.own_sound(Instant::now()).count() <= 256);
+    sleep(Duration::from_mins(2)).await;
+    observer.records.expire(Instant::now());
+    assert!(observer.records.is_empty());
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -556,6 +556,10 @@
         }
     }
 
+    async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool {
+        self.ended().borrow().contains(&endpoint.id)
+    }
+
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts {
         let list = headers.get("parts").and_then(|list| list.to_str().ok());
         list.into_iter()
