--- a/crates/switch/src/crash_exchange.rs
+++ b/crates/switch/src/crash_exchange.rs
@@ -8,7 +8,7 @@
 use crate::gossip::{heartbeat_interval, send_crash_notices};
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::prompt::{PartKey, PromptParts};
-use crate::quarantine::{Quarantine, QuarantineId};
+use crate::quarantine::{Quarantine, QuarantineId, SETTLE_TIME};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -59,12 +59,15 @@
 pub(crate) async fn share_crashes(node: Arc<SwitchNode>) {
     let mut last_full = Instant::now();
     loop {
-        let interval = {
-            let known = node.lock().members.all().count();
-            heartbeat_interval(u32::try_from(known).unwrap_or(u32::MAX)) * INTERVALS_PER_REPORT
+        let (interval, has_news) = {
+            let state = node.lock();
+            let known = u32::try_from(state.members.all().count()).unwrap_or(u32::MAX);
+            let interval = heartbeat_interval(known) * INTERVALS_PER_REPORT;
+            (interval, state.crashes.has_news)
         };
-        // A report is due whether it was requested or the interval has passed.
-        let _ = timeout(interval, node.crash_report_requested.notified()).await;
+        let pause = if has_news { SETTLE_TIME / 3 } else { interval };
+        // A report is due whether it was requested or the time has passed.
+        let _ = timeout(pause, node.crash_report_requested.notified()).await;
         let now = Instant::now();
         let is_full = now >= last_full + interval;
         if is_full {
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -2,11 +2,11 @@
 //!
 //! An answer that breaks off does not tell whether its endpoint has crashed. A crashed one refuses connections at once.
 
-use crate::crashes::{BrokenRequest, CrashId, CrashRecords};
+use crate::crashes::{BrokenRequest, CrashId, CrashRecords, EndpointCrash};
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::prompt::{PartKey, PromptParts};
-use crate::quarantine::{Admission, Quarantine, QuarantineId, QuarantineTable};
+use crate::quarantine::{Admission, Quarantine, QuarantineId, QuarantineTable, SETTLE_TIME};
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 pub(crate) struct CrashState {
     pub(crate) records: CrashRecords,
     pub(crate) quarantine: QuarantineTable,
-    /// Whether the records have changed since the conclusions were drawn.
+    /// Whether conclusions are still to be drawn from the records.
     pub(crate) has_news: bool,
     /// Whether this host has something new to report to the others.
     pub(crate) must_report: bool,
@@ -171,17 +171,22 @@
 
     /// Draws the conclusions from the crashes that were recorded.
     pub(crate) fn update_quarantine(&self, state: &mut SwitchState, now: Instant) {
-        if !std::mem::take(&mut state.crashes.has_news) {
+        if !state.crashes.has_news {
             return;
         }
         let CrashState {
             records,
             quarantine,
+            has_news,
+            must_report,
             ..
         } = &mut state.crashes;
+        let is_unsettled =
+            |crash: &EndpointCrash| now.saturating_duration_since(crash.seen_at()) < SETTLE_TIME;
+        *has_news = records.iter().any(is_unsettled);
         for begun in quarantine.update(records, now) {
             self.log_quarantine(&begun, None, now);
-            state.crashes.must_report = true;
+            *must_report = true;
         }
     }
 
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -235,16 +235,16 @@
         })
     }
 
-    /// Number of crashes under a part, each by a request that was sent after the one before, without those that are
-    /// `explained` otherwise.
+    /// Number of crashes under a part, each by a request that was sent after the one before, without those that
+    /// `is_left_out` selects.
     pub fn successive(
         &self,
         part: PartKey,
-        explained: impl Fn(&EndpointCrash) -> bool,
+        is_left_out: impl Fn(&EndpointCrash) -> bool,
     ) -> SuccessiveCrashes {
         let mut found = SuccessiveCrashes::default();
         let mut last: Option<Instant> = None;
-        for crash in self.suspicious(part).filter(|crash| !explained(crash)) {
+        for crash in self.suspicious(part).filter(|crash| !is_left_out(crash)) {
             let sent = crash.last_sent(part);
             let Some(sent_at) = sent.filter(|sent| last.is_none_or(|last| *sent > last)) else {
                 continue;
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -1,9 +1,9 @@
 //! Parts of prompts whose requests are rejected, since they crash the endpoints that begin to answer them.
 //!
-//! Parts that only occurred together cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
+//! Parts that all these requests have cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
 //! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
 
-use crate::crashes::{CrashRecords, EndpointCrash, SuccessiveCrashes};
+use crate::crashes::{BrokenRequest, CrashRecords, EndpointCrash, SuccessiveCrashes};
 use crate::prompt::{PartKey, PromptParts};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -15,12 +15,15 @@
 const MIN_CRASHES: u32 = 3;
 /// Number of successive crashes after which one is in quarantine also if others have as many.
 const MAX_CRASHES: u32 = 5;
+/// Age from which a crash counts. Before that the reports of some hosts may be missing, and with them the request that
+/// caused it.
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Duration of the first term of a quarantine, after which one request is let through as a trial.
-const FIRST_TERM: Duration = Duration::from_mins(1);
+const FIRST_TERM: Duration = Duration::from_secs(20);
 /// Factor by which a term is longer than the one before.
-const TERM_GROWTH: u32 = 4;
+const TERM_GROWTH: u32 = 8;
 /// Number of terms after which they grow no longer.
-const MAX_TERM: u8 = 5;
+const MAX_TERM: u8 = 4;
 /// Time after which a trial without a result is repeated.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the end of a term for which a quarantine without a request is kept.
@@ -163,7 +166,7 @@
     /// Draws the conclusions from the crashes. Returns the quarantines that began or were prolonged by that.
     pub fn update(&mut self, records: &CrashRecords, now: Instant) -> Vec<Quarantine> {
         let mut changed = self.prolong(records, now);
-        while let Some(parts) = self.find_suspects(records) {
+        while let Some(parts) = self.find_suspects(records, now) {
             changed.push(self.begin(parts, now));
         }
         changed
@@ -196,32 +199,47 @@
 
     /// Finds the parts under which most endpoints crashed one after the other, if they are to be quarantined. Crashes under
     /// a quarantine are explained by it.
-    fn find_suspects(&self, records: &CrashRecords) -> Option<Vec<PartKey>> {
-        let explained = |crash: &EndpointCrash| {
+    fn find_suspects(&self, records: &CrashRecords, now: Instant) -> Option<Vec<PartKey>> {
+        let is_left_out = |crash: &EndpointCrash| {
             let mut requests = crash.requests();
-            requests.any(|request| self.covers(&request.parts))
+            let is_settled = now.saturating_duration_since(crash.seen_at()) >= SETTLE_TIME;
+            !is_settled || requests.any(|request| self.covers(&request.parts))
         };
-        let unexplained = records.iter().filter(|crash| !explained(crash));
-        let mut parts: Vec<PartKey> = unexplained
-            .flat_map(EndpointCrash::requests)
-            .flat_map(|request| request.parts.iter())
-            .collect();
+        let unexplained = records.iter().filter(|crash| !is_left_out(crash));
+        let requests: Vec<&BrokenRequest> = unexplained.flat_map(EndpointCrash::requests).collect();
+        let parts = requests.iter().flat_map(|request| request.parts.iter());
+        let mut parts: Vec<PartKey> = parts.collect();
         parts.sort_unstable();
         parts.dedup();
-        let counts = parts.into_iter().map(|part| {
-            let successive = records.successive(part, explained);
-            (part, successive)
+        let suspects = parts.into_iter().map(|part| Suspect {
+            part,
+            successive: records.successive(part, is_left_out),
+            carriers: carriers(&requests, part),
         });
-        let mut suspects: Vec<(PartKey, SuccessiveCrashes)> = counts
-            .filter(|(_, successive)| successive.count >= MIN_CRASHES)
+        let suspects: Vec<Suspect> = suspects
+            .filter(|suspect| suspect.successive.count >= MIN_CRASHES)
+            .collect();
+        let mut specific: Vec<&Suspect> = suspects
+            .iter()
+            .filter(|suspect| !suspects.iter().any(|other| other.is_within(suspect)))
             .collect();
-        // The request that crashes an endpoint was sent a short time before.
-        suspects.sort_by_key(|(_, successive)| (Reverse(successive.count), successive.age));
-        let (first, most) = *suspects.first()?;
-        let together = parts_together(records, first);
-        let rival = suspects.iter().find(|(part, _)| !together.contains(part));
-        let is_clear = rival.is_none_or(|(_, successive)| successive.count < most.count);
-        (is_clear || most.count >= MAX_CRASHES).then_some(together)
+        // The request that crashes an endpoint is one of many there, and was sent a short time before.
+        specific.sort_by_key(|suspect| {
+            let successive = suspect.successive;
+            (
+                Reverse(successive.count),
+                suspect.carriers.len(),
+                successive.age,
+            )
+        });
+        let first = specific.first()?;
+        let together = first.parts_together(&requests, records);
+        let rival = specific
+            .iter()
+            .find(|suspect| !together.contains(&suspect.part));
+        let count = first.successive.count;
+        let is_clear = rival.is_none_or(|rival| rival.successive.count < count);
+        (is_clear || count >= MAX_CRASHES).then_some(together)
     }
 
     fn begin(&mut self, parts: Vec<PartKey>, now: Instant) -> Quarantine {
@@ -324,22 +342,44 @@
     }
 }
 
-/// Parts that occur in the same broken requests as `part`, with it, sorted.
-fn parts_together(records: &CrashRecords, part: PartKey) -> Vec<PartKey> {
-    let requests = || records.iter().flat_map(EndpointCrash::requests);
-    let Some(request) = requests().find(|request| request.parts.contains(part)) else {
-        return vec![part];
-    };
-    let is_together = |other: &PartKey| {
-        let may_be_cause = *other == part || !records.is_sound(*other);
-        may_be_cause
-            && requests()
-                .all(|request| request.parts.contains(*other) == request.parts.contains(part))
-    };
-    let mut together: Vec<PartKey> = request.parts.iter().filter(is_together).collect();
-    together.sort_unstable();
-    together.dedup();
-    together
+/// A part under which endpoints crashed one after the other.
+struct Suspect {
+    part: PartKey,
+    successive: SuccessiveCrashes,
+    /// Indexes of the broken requests with the part.
+    carriers: Vec<usize>,
+}
+
+impl Suspect {
+    /// Whether all requests with this part, and fewer, have the other one too, so that this one explains its crashes.
+    fn is_within(&self, other: &Self) -> bool {
+        let is_carrier = |index: &usize| other.carriers.binary_search(index).is_ok();
+        self.carriers.len() < other.carriers.len() && self.carriers.iter().all(is_carrier)
+    }
+
+    /// Parts that all broken requests with this one have, unless they are sound. Sorted.
+    fn parts_together(&self, requests: &[&BrokenRequest], records: &CrashRecords) -> Vec<PartKey> {
+        let mut together: Vec<PartKey> = vec![self.part];
+        let carriers = || self.carriers.iter().map(|index| requests[*index]);
+        let first = carriers().next().into_iter();
+        let others = first.flat_map(|request| request.parts.iter());
+        let is_together = |part: &PartKey| carriers().all(|request| request.parts.contains(*part));
+        together.extend(
+            others
+                .filter(is_together)
+                .filter(|part| !records.is_sound(*part)),
+        );
+        together.sort_unstable();
+        together.dedup();
+        together
+    }
+}
+
+/// Indexes of the requests with a part.
+fn carriers(requests: &[&BrokenRequest], part: PartKey) -> Vec<usize> {
+    let indexed = requests.iter().enumerate();
+    let with_part = indexed.filter(|(_, request)| request.parts.contains(part));
+    with_part.map(|(index, _)| index).collect()
 }
 
 fn term_duration(term: u8) -> Duration {
