--- a/crates/switch/src/crash_exchange.rs
+++ b/crates/switch/src/crash_exchange.rs
@@ -1,8 +1,8 @@
 //! Reports of crashes and quarantines between hosts.
 //!
 //! Each host reports the crashes that it saw itself and all quarantines, at once and then at an interval, so that lost
-//! datagrams do not matter and a host that starts or was cut off learns them. The log is not involved. Times are sent as
-//! ages, since the clocks of hosts differ.
+//! datagrams do not matter and a host that starts or was cut off learns them. Times are sent as ages,
+//! since the clocks of hosts differ.
 
 use crate::crashes::{BrokenRequest, CrashId, EndpointCrash};
 use crate::gossip::{heartbeat_interval, send_crash_notices};
@@ -25,7 +25,7 @@
 const MAX_NOTICES_BYTES: usize = 1200;
 /// Maximum number of datagrams of one report.
 const MAX_DATAGRAMS: usize = 16;
-/// Maximum age of a time in a notice. It bounds what a host takes from others.
+/// Maximum age of a time in a notice. Older ones no longer tell anything.
 const MAX_AGE: Duration = Duration::from_mins(10);
 
 /// What a host reports of crashes.
@@ -48,6 +48,31 @@
     },
 }
 
+impl CrashNotice {
+    /// The notice as it is `age_ms` later; `None` if it is too old.
+    pub(crate) fn aged(mut self, age_ms: u32) -> Option<Self> {
+        match &mut self {
+            Self::Crash {
+                seen_before_ms,
+                requests,
+                ..
+            } => {
+                *seen_before_ms = seen_before_ms.checked_add(age_ms)?;
+                for request in requests {
+                    request.sent_before_ms = request.sent_before_ms.checked_add(age_ms)?;
+                }
+            }
+            Self::Sound { seen_before_ms, .. } => {
+                *seen_before_ms = seen_before_ms.checked_add(age_ms)?;
+            }
+            Self::Quarantine { left_ms, .. } => {
+                *left_ms = left_ms.checked_sub(age_ms)?;
+            }
+        }
+        Some(self)
+    }
+}
+
 /// A request that broke off.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct WireRequest {
@@ -96,7 +121,7 @@
 }
 
 /// What this host reports: quarantines first, then its own crashes, the latest first.
-fn report(state: &SwitchState, now: Instant) -> Vec<CrashNotice> {
+pub(crate) fn report(state: &SwitchState, now: Instant) -> Vec<CrashNotice> {
     let crashes = &state.crashes;
     let quarantines = crashes.quarantine.iter().map(|quarantine| {
         let left = quarantine.term_end.saturating_duration_since(now);
@@ -175,11 +200,15 @@
                 seen_before_ms,
                 requests,
             } => {
-                let requests = requests.into_iter().map(|request| BrokenRequest {
-                    parts: request.parts,
-                    sent_at: before(now, request.sent_before_ms),
+                let requests = requests.into_iter().filter_map(|request| {
+                    Some(BrokenRequest {
+                        parts: request.parts,
+                        sent_at: before(now, request.sent_before_ms)?,
+                    })
                 });
-                let seen_at = before(now, seen_before_ms);
+                let Some(seen_at) = before(now, seen_before_ms) else {
+                    continue;
+                };
                 let records = &mut state.crashes.records;
                 let is_new = records.record(id, Some(host), seen_at, requests.collect());
                 state.crashes.has_news |= is_new;
@@ -188,7 +217,9 @@
                 part,
                 seen_before_ms,
             } => {
-                let seen_at = before(now, seen_before_ms);
+                let Some(seen_at) = before(now, seen_before_ms) else {
+                    continue;
+                };
                 state.crashes.records.apply_sound(part, seen_at);
                 node.release(&mut state, part, seen_at, now);
             }
@@ -226,8 +257,8 @@
     u32::try_from(millis(duration)).unwrap_or(u32::MAX)
 }
 
-/// The time `age_ms` before `now`, or the earliest that the clock can tell.
-fn before(now: Instant, age_ms: u32) -> Instant {
-    let age = Duration::from_millis(age_ms.into()).min(MAX_AGE);
-    now.checked_sub(age).unwrap_or(now)
+/// The time `age_ms` before `now`; `None` if that is too long ago.
+fn before(now: Instant, age_ms: u32) -> Option<Instant> {
+    let age = Duration::from_millis(age_ms.into());
+    (age <= MAX_AGE).then(|| now.checked_sub(age)).flatten()
 }
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -2,6 +2,7 @@
 //!
 //! An answer that breaks off does not tell whether its endpoint has crashed. A crashed one refuses connections at once.
 
+use crate::crash_log::StoredQuarantine;
 use crate::crashes::{BrokenRequest, CrashId, CrashRecords, EndpointCrash};
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
@@ -31,6 +32,10 @@
     /// Whether this host has something new to report to the others.
     pub(crate) must_report: bool,
     checks: Vec<EndpointCheck>,
+    /// What the record of this host in the log has of quarantines.
+    pub(crate) stored: Vec<StoredQuarantine>,
+    /// Whether this host has seen a crash since its record was last considered.
+    pub(crate) has_unstored_crash: bool,
 }
 
 /// A check whether an endpoint has crashed, and the requests that ended there.
@@ -166,6 +171,7 @@
             state.crashes.has_news |= records.add_own_request(id, request, now);
         }
         state.crashes.must_report = true;
+        state.crashes.has_unstored_crash = true;
         self.crash_report_requested.notify_one();
     }
 
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -15,6 +15,9 @@
 /// Upper bound of the delay until the first successful read: a starting host serves no requests before it.
 const MAX_INITIAL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Pause between reads of the hosts' partition by a host that does not hear most of the others.
+const ISOLATED_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How a partition is followed.
 pub(crate) struct FollowOptions {
     /// Partition to follow.
@@ -52,6 +55,7 @@
     F: FnMut(&SwitchNode, FollowBatch<'_>) + Send,
 {
     let is_jobs = options.partition == node.settings.topics.jobs;
+    let is_hosts = options.partition == node.settings.topics.hosts;
     let is_config = options.partition == node.settings.topics.config;
     let mut next = None;
     let mut delay = MIN_RETRY_DELAY;
@@ -89,6 +93,8 @@
                     node.jobs_read_at.send_replace(Some(started));
                     // A task that needs newer state requests the next read early.
                     let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
+                } else if is_hosts {
+                    pause_or_isolation(&node, options.poll_interval).await;
                 } else if !options.poll_interval.is_zero() {
                     sleep(options.poll_interval).await;
                 }
@@ -119,3 +125,16 @@
         }
     }
 }
+
+/// Waits for the interval between two reads, or for [`ISOLATED_POLL_INTERVAL`] if this host does not hear most of the others:
+/// what they would tell it is in the log only.
+async fn pause_or_isolation(node: &SwitchNode, interval: Duration) {
+    let until = Instant::now() + interval;
+    loop {
+        sleep(ISOLATED_POLL_INTERVAL.min(interval)).await;
+        let now = Instant::now();
+        if now >= until || !node.lock().members.hears_most(now) {
+            return;
+        }
+    }
+}
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
 use crate::crash_exchange::{self, CrashNotice};
+use crate::crash_log;
 use crate::follow::FollowBatch;
 use crate::listings::{self, ListingReport, listing_report};
 use crate::members::{HostDescriptor, MemberChange};
@@ -118,11 +119,11 @@
     }
 }
 
-/// Adds the hosts whose descriptors were read from the log.
+/// Adds the hosts whose descriptors were read from the log, and applies the reports of crashes among them.
 pub(crate) fn apply_host_descriptors(node: &SwitchNode, batch: FollowBatch<'_>) {
     let now = Instant::now();
     for entry in batch.records() {
-        if entry.record.value.is_empty() {
+        if crash_log::apply_record(node, entry) || entry.record.value.is_empty() {
             continue;
         }
         match postcard::from_bytes::<HostDescriptor>(&entry.record.value) {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod batch;
 mod calls;
 mod crash_exchange;
+mod crash_log;
 mod crash_watch;
 pub mod crashes;
 pub mod departures;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -18,7 +18,7 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::{batch, crash_exchange, jobs, listings};
+use crate::{batch, crash_exchange, crash_log, jobs, listings};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -271,6 +271,7 @@
         tokio::spawn(gossip::publish_descriptor(self.clone()));
         tokio::spawn(gossip::exchange_heartbeats(self.clone(), socket));
         tokio::spawn(crash_exchange::share_crashes(self.clone()));
+        tokio::spawn(crash_log::store_reports(self.clone()));
         tokio::spawn(batch::run_scheduler(self.clone()));
         tokio::spawn(jobs::expire_jobs(self.clone()));
     }
--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -232,3 +233,115 @@
     let late = fleet.deadly_calls_since(last_crash + STABLE_WINDOW);
     assert!(late <= MAX_LATE, "{late} requests reached endpoints");
 }
+
+/// Number of calls with the part that reached endpoints.
+fn deadly_calls(fleet: &TestFleet) -> usize {
+    let calls = fleet.client.calls();
+    let with_part = calls
+        .iter()
+        .filter(|call| call.parts.contains(PartKey::of(DEADLY)));
+    with_part.count()
+}
+
+/// Sends a request with the part to a host.
+async fn send_deadly_to(host: &Arc<SwitchNode>) -> CallerOutcome {
+    let prompt = Position::SecondAfterSame.deadly_prompt(0);
+    read_response(
+        host,
+        request_with_parts(host, "/stream/x", "deadly", &prompt),
+    )
+    .await
+}
+
+/// Starts hosts on a runtime of their own, whose end loses them all at once.
+fn spawn_hosts(fleet: &TestFleet, names: &[&'static str]) -> (Runtime, Vec<Arc<SwitchNode>>) {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let hosts = names.iter().copied().map(|name| {
+        let fleet = fleet.clone();
+        let (sender, receiver) = std::sync::mpsc::channel();
+        runtime.spawn(async move {
+            let _ = sender.send(fleet.spawn(name).await);
+        });
+        receiver.recv().unwrap()
+    });
+    let hosts = hosts.collect();
+    (runtime, hosts)
+}
+
+/// Lets three endpoints crash under the part, and waits until the hosts reject it.
+async fn crash_until_rejected(fleet: &TestFleet, hosts: &[Arc<SwitchNode>]) {
+    fleet.client.set_deadly(Some(DeadlyPart {
+        part: PartKey::of(DEADLY),
+        crash_after: Duration::from_millis(60),
+    }));
+    for host in hosts.iter().cycle().take(3) {
+        assert_ne!(send_deadly_to(host).await, CallerOutcome::Rejected);
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_millis(400)).await;
+    for host in hosts {
+        assert_eq!(send_deadly_to(host).await, CallerOutcome::Rejected);
+    }
+}
+
+/// Guards against endpoints that crash again under a part after all hosts, which knew of it, were lost at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn part_is_rejected_after_the_loss_of_all_hosts() {
+    let fleet = TestFleet::new(SIZE);
+    let (runtime, hosts) = spawn_hosts(&fleet, &["a", "b", "c"]);
+    sleep(Duration::from_secs(1)).await;
+    crash_until_rejected(&fleet, &hosts).await;
+    sleep(Duration::from_secs(1)).await;
+    runtime.shutdown_background();
+    let restarted = fleet.start("a").await;
+    assert_eq!(send_deadly_to(&restarted).await, CallerOutcome::Rejected);
+    assert_eq!(deadly_calls(&fleet), 3);
+}
+
+/// Guards against a host that goes on sending requests with a part since the others cannot tell it of the crashes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn part_is_rejected_by_a_host_that_hears_no_other() {
+    let fleet = TestFleet::new(SIZE);
+    let hosts = [
+        fleet.spawn("a").await,
+        fleet.spawn("b").await,
+        fleet.spawn("c").await,
+    ];
+    let (isolated, _unread) = fleet.spawn_isolated("d").await;
+    sleep(Duration::from_secs(2)).await;
+    crash_until_rejected(&fleet, &hosts).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(send_deadly_to(&isolated).await, CallerOutcome::Rejected);
+    assert_eq!(deadly_calls(&fleet), 3);
+}
+
+/// Guards against hosts that do not learn of the crashes at the others while none of them reaches the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn part_is_rejected_by_all_hosts_while_the_log_is_out_of_reach() {
+    let fleet = TestFleet::new(SIZE);
+    let hosts = [
+        fleet.spawn("a").await,
+        fleet.spawn("b").await,
+        fleet.spawn("c").await,
+    ];
+    sleep(Duration::from_secs(1)).await;
+    fleet.log.set_down(true);
+    crash_until_rejected(&fleet, &hosts).await;
+    assert_eq!(deadly_calls(&fleet), 3);
+}
+
+/// Guards against a host that starts while the others reject a part, and sends requests with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn part_is_rejected_by_a_host_that_starts_later() {
+    let fleet = TestFleet::new(SIZE);
+    let hosts = [fleet.spawn("a").await, fleet.spawn("b").await];
+    sleep(Duration::from_secs(1)).await;
+    crash_until_rejected(&fleet, &hosts).await;
+    let late = fleet.start("c").await;
+    assert_eq!(send_deadly_to(&late).await, CallerOutcome::Rejected);
+    assert_eq!(deadly_calls(&fleet), 3);
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -916,6 +916,19 @@
     /// Starts a host without waiting for it.
     pub async fn spawn(&self, name: &str) -> Arc<SwitchNode> {
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let peer_address = socket.local_addr().unwrap();
+        self.spawn_on(name, socket, peer_address)
+    }
+
+    /// Starts a host that no other host reaches, and returns the socket that gets what they send to it.
+    pub async fn spawn_isolated(&self, name: &str) -> (Arc<SwitchNode>, UdpSocket) {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let unread = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let peer_address = unread.local_addr().unwrap();
+        (self.spawn_on(name, socket, peer_address), unread)
+    }
+
+    fn spawn_on(&self, name: &str, socket: UdpSocket, peer_address: SocketAddr) -> Arc<SwitchNode> {
         let topic = |topic: &str| LogPartition {
             topic: topic.into(),
             partition: 0,
@@ -924,7 +937,7 @@
             descriptor: HostDescriptor {
                 name: name.into(),
                 incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed).into(),
-                peer_address: socket.local_addr().unwrap(),
+                peer_address,
                 caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
                 domain: "domain".into(),
             },
