Judge no crash from before the host's start, nor without the answers since (LOST)

Cause: a host that had just started got the other hosts' reports of three crashes of other causes, 3.5 s and more apart. The answers in between, which showed that the part was sound, were no longer reported after 5 s. It judged 2 ms after its start and told all others. A host back from a cut or a freeze could do the same.

Why this works: a host leaves out crashes from before its start, on which the others have judged and report their conclusions. A host that is heard again is told all parts that are known to be sound, and a crash counts 0.3 s after this host has learned of it, when the reports of all others are in.

--- a/crates/switch/src/crash_exchange.rs
+++ b/crates/switch/src/crash_exchange.rs
@@ -19,6 +19,9 @@
 const INTERVALS_PER_REPORT: u32 = 10;
 /// Minimum time between two reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which each report says that a part is sound: several reports, as datagrams are lost. A host that has missed them
+/// is told all when it is heard again.
+const SOUND_REPORT_DURATION: Duration = Duration::from_secs(5);
 /// Maximum number of parts in one notice, limited by the size of a datagram.
 const MAX_NOTICE_PARTS: usize = 96;
 /// Maximum encoded size of the notices in one datagram.
@@ -104,8 +107,9 @@
             state.crashes.quarantine.expire(now);
             node.update_quarantine(&mut state, now);
             let is_due = std::mem::take(&mut state.crashes.must_report) || is_full;
+            let sound_since = now.checked_sub(SOUND_REPORT_DURATION);
             let notices = if is_due {
-                report(&state, now)
+                report(&state, sound_since, now)
             } else {
                 Vec::new()
             };
@@ -120,8 +124,13 @@
     }
 }
 
-/// What this host reports: quarantines first, then its own crashes, the latest first.
-pub(crate) fn report(state: &SwitchState, now: Instant) -> Vec<CrashNotice> {
+/// What this host reports: quarantines first, then its own crashes, the latest first, and the parts that it saw to be sound
+/// after `sound_since`, or all of them.
+pub(crate) fn report(
+    state: &SwitchState,
+    sound_since: Option<Instant>,
+    now: Instant,
+) -> Vec<CrashNotice> {
     let crashes = &state.crashes;
     let quarantines = crashes.quarantine.iter().map(|quarantine| {
         let left = quarantine.term_end.saturating_duration_since(now);
@@ -138,7 +147,7 @@
         .filter_map(|crash| crash_notice(crash, now))
         .collect();
     own.reverse();
-    let sound = crashes.records.own_sound(now);
+    let sound = crashes.records.own_sound(sound_since);
     let sound = sound.map(|(part, seen_at)| CrashNotice::Sound {
         part,
         seen_before_ms: wire_ms(now.saturating_duration_since(seen_at)),
@@ -209,8 +218,12 @@
                 let Some(seen_at) = before(now, seen_before_ms) else {
                     continue;
                 };
+                // Those who saw what was sound since an earlier crash may be lost.
+                if seen_at < node.started {
+                    continue;
+                }
                 let records = &mut state.crashes.records;
-                let is_new = records.record(id, Some(host), seen_at, requests.collect());
+                let is_new = records.record(id, Some(host), seen_at, requests.collect(), now);
                 state.crashes.has_news |= is_new;
             }
             CrashNotice::Sound {
@@ -248,7 +261,7 @@
 
 /// Reports to a host that was just heard.
 pub(crate) fn report_to(node: &SwitchNode, state: &SwitchState, target: SocketAddr) {
-    for notices in split_notices(report(state, Instant::now())) {
+    for notices in split_notices(report(state, None, Instant::now())) {
         send_crash_notices(node, notices, &[target]);
     }
 }
--- a/crates/switch/src/crash_log.rs
+++ b/crates/switch/src/crash_log.rs
@@ -77,7 +77,7 @@
         }
         _ => is_isolated,
     };
-    let mut notices = report(&state, now);
+    let mut notices = report(&state, None, now);
     notices.retain(is_kept);
     notices.truncate(MAX_NOTICES);
     Some(WantedReport {
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -188,7 +188,7 @@
             ..
         } = &mut state.crashes;
         let is_unsettled =
-            |crash: &EndpointCrash| now.saturating_duration_since(crash.seen_at()) < SETTLE_TIME;
+            |crash: &EndpointCrash| now.saturating_duration_since(crash.learned_at()) < SETTLE_TIME;
         *has_news = records.iter().any(is_unsettled);
         for begun in quarantine.update(records, now) {
             self.log_quarantine(&begun, None, now);
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -22,8 +22,6 @@
 const MAX_REQUESTS: usize = 32;
 /// Maximum number of parts whose soundness is remembered.
 const MAX_SOUND_PARTS: usize = 256;
-/// Time for which this host reports to others that a part is sound: several reports, as datagrams are lost.
-const SOUND_REPORT_DURATION: Duration = Duration::from_secs(5);
 
 /// Identifies one start of an endpoint, which crashes once at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -63,6 +61,8 @@
     id: CrashId,
     /// When a host first saw it.
     seen_at: Instant,
+    /// When this host first learned of it.
+    learned_at: Instant,
     reports: Vec<HostReport>,
 }
 
@@ -79,6 +79,12 @@
         self.seen_at
     }
 
+    /// When this host first learned of it.
+    #[must_use]
+    pub fn learned_at(&self) -> Instant {
+        self.learned_at
+    }
+
     /// Requests of all hosts that broke off with the endpoint.
     pub fn requests(&self) -> impl Iterator<Item = &BrokenRequest> {
         self.reports.iter().flat_map(|report| &report.requests)
@@ -128,12 +134,14 @@
         host: Option<&Arc<str>>,
         seen_at: Instant,
         mut requests: Vec<BrokenRequest>,
+        now: Instant,
     ) -> bool {
         requests.truncate(MAX_REQUESTS);
         let Some(index) = self.crashes.iter().position(|crash| crash.id == id) else {
             self.insert(EndpointCrash {
                 id,
                 seen_at,
+                learned_at: now,
                 reports: vec![HostReport {
                     host: host.cloned(),
                     requests,
@@ -176,7 +184,7 @@
             return false;
         }
         requests.push(request);
-        self.record(id, None, now, requests)
+        self.record(id, None, now, requests, now)
     }
 
     /// Records that an answer to a request with these parts, sent at `sent_at`, shows that they do not crash its endpoint.
@@ -274,11 +282,14 @@
         self.crashes.iter().any(|crash| crash.id == id)
     }
 
-    /// Parts that this host saw to be sound lately, and when.
-    pub fn own_sound(&self, now: Instant) -> impl Iterator<Item = (PartKey, Instant)> + '_ {
-        let own = self.sound.iter().filter(move |sound| {
-            sound.is_own && now.saturating_duration_since(sound.seen_at) < SOUND_REPORT_DURATION
-        });
+    /// Parts that this host saw to be sound after `since`, or at any time, and when.
+    pub fn own_sound(
+        &self,
+        since: Option<Instant>,
+    ) -> impl Iterator<Item = (PartKey, Instant)> + '_ {
+        let own = self.sound.iter();
+        let is_later = move |seen_at: Instant| since.is_none_or(|since| seen_at >= since);
+        let own = own.filter(move |sound| sound.is_own && is_later(sound.seen_at));
         own.map(|sound| (sound.part, sound.seen_at))
     }
 
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -15,8 +15,8 @@
 const MIN_CRASHES: u32 = 3;
 /// Number of successive crashes after which one is in quarantine also if others have as many.
 const MAX_CRASHES: u32 = 5;
-/// Age from which a crash counts. Before that the reports of some hosts may be missing, and with them the request that
-/// caused it.
+/// Time after this host has learned of a crash from which it counts. Before that the reports of some hosts may be missing, and
+/// with them the request that caused it, or the answers that show which parts are sound.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Duration of the first term of a quarantine, after which one request is let through as a trial.
 const FIRST_TERM: Duration = Duration::from_secs(20);
@@ -202,7 +202,7 @@
     fn find_suspects(&self, records: &CrashRecords, now: Instant) -> Option<Vec<PartKey>> {
         let is_left_out = |crash: &EndpointCrash| {
             let mut requests = crash.requests();
-            let is_settled = now.saturating_duration_since(crash.seen_at()) >= SETTLE_TIME;
+            let is_settled = now.saturating_duration_since(crash.learned_at()) >= SETTLE_TIME;
             !is_settled || requests.any(|request| self.covers(&request.parts))
         };
         let unexplained = records.iter().filter(|crash| !is_left_out(crash));
--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -345,3 +345,47 @@
     assert_eq!(send_deadly_to(&late).await, CallerOutcome::Rejected);
     assert_eq!(deadly_calls(&fleet), 3);
 }
+
+/// Guards against a host that starts after crashes of other causes, learns of them and not of the answers in between, and makes
+/// all hosts reject a sound part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_that_starts_after_crashes_of_other_causes_rejects_nothing() {
+    let fleet = TestFleet::new(8);
+    fleet.client.set_default(CallScript::Stream { events: 3 });
+    let hosts = [fleet.spawn("a").await, fleet.spawn("b").await];
+    sleep(Duration::from_secs(1)).await;
+    let prompt = [FIRST.to_owned()];
+    let answer = async |host: &Arc<SwitchNode>| {
+        read_response(host, request_with_parts(host, "/stream/x", "r", &prompt)).await
+    };
+    for _ in 0..5 {
+        fleet.client.script(&[CallScript::Stream { events: 100 }]);
+        let calls = fleet.client.calls().len();
+        let host = hosts[0].clone();
+        let prompt = prompt.clone();
+        let broken = tokio::spawn(async move {
+            read_response(
+                &host,
+                request_with_parts(&host, "/stream/x", "long", &prompt),
+            )
+            .await
+        });
+        sleep(Duration::from_millis(100)).await;
+        let endpoint = fleet.client.calls()[calls].endpoint.clone();
+        fleet.client.end_endpoint(&endpoint);
+        assert!(matches!(broken.await.unwrap(), CallerOutcome::Truncated(_)));
+        sleep(Duration::from_millis(100)).await;
+        fleet.log.put("endpoints", &endpoint, "");
+        sleep(Duration::from_millis(700)).await;
+        let outcome = answer(&hosts[1]).await;
+        assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+    }
+    // Reports repeat for some seconds which parts are sound.
+    sleep(Duration::from_secs(6)).await;
+    let late = fleet.start("c").await;
+    sleep(Duration::from_secs(1)).await;
+    for host in [&late, &hosts[0], &hosts[1]] {
+        let outcome = answer(host).await;
+        assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+    }
+}
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -46,7 +46,7 @@
             sent_at: now - *age,
         });
         let id = CrashId::of(&endpoint(self.crashes));
-        self.records.record(id, None, now, requests.collect());
+        self.records.record(id, None, now, requests.collect(), now);
         // The conclusions are drawn once all reports are in.
         self.table.update(&self.records, now + SETTLE_TIME)
     }
@@ -252,7 +252,7 @@
         };
         let id = CrashId::of(&endpoint(number));
         let requests = vec![request; 1000];
-        observer.records.record(id, Some(&host), now, requests);
+        observer.records.record(id, Some(&host), now, requests, now);
         sleep(RUN).await;
         observer.answer(&part, RUN / 2);
     }
@@ -262,7 +262,7 @@
         .iter()
         .map(|crash| crash.requests().count());
     assert!(requests.max() <= Some(32));
-    assert!(observer.records.own_sound(Instant::now()).count() <= 256);
+    assert!(observer.records.own_sound(None).count() <= 256);
     sleep(Duration::from_mins(2)).await;
     observer.records.expire(Instant::now());
     assert!(observer.records.is_empty());
@@ -281,9 +281,10 @@
             parts: parts(list),
             sent_at: now - RUN,
         };
-        records.record(id, None, now, vec![request(&format!("first,a{number}"))]);
+        let sound = format!("first,a{number}");
+        records.record(id, None, now, vec![request(&sound)], now);
         assert_eq!(table.update(&records, now + RUN), []);
-        records.record(id, Some(&host), now, vec![request("first,dead")]);
+        records.record(id, Some(&host), now, vec![request("first,dead")], now);
         sleep(CRASH_INTERVAL).await;
     }
     let begun = table.update(&records, Instant::now() + SETTLE_TIME);
