Read the limits that endpoints name, and tests that fail: endpoints get more (LIMIT)

Observability first: the limit of a response is parsed at the adapter, logged (debug) and counted (limited_responses_total). No decision reads it yet.

--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -1,6 +1,7 @@
 //! Interfaces to the external systems: the log that stores all durable state, and the endpoints.
 
 use crate::endpoint::ListedEndpoint;
+use crate::limits::RateLimit;
 use crate::prompt::PromptParts;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -183,6 +184,15 @@
     }
 }
 
+/// What an endpoint says of itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointNotice {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Requests that it takes from all hosts together; `None` for no limit.
+    pub limit: Option<RateLimit>,
+}
+
 /// Response of an endpoint.
 pub struct EndpointResponse {
     /// HTTP status.
@@ -193,10 +203,23 @@
     pub framing: BodyFraming,
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
+    /// Requests that the endpoint says it takes from all hosts together.
+    pub limit: Option<RateLimit>,
     /// Body stream. An error item means that the response was interrupted.
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
 
+impl EndpointResponse {
+    /// What the endpoint says of itself.
+    #[must_use]
+    pub fn notice(&self) -> EndpointNotice {
+        EndpointNotice {
+            leaving: self.leaving,
+            limit: self.limit,
+        }
+    }
+}
+
 /// Errors of [`EndpointClient::call`].
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum CallError {
@@ -213,8 +236,8 @@
         status: StatusCode,
         /// Whether a different endpoint now listens on the address.
         misdirected: bool,
-        /// Whether the endpoint says that it leaves.
-        leaving: bool,
+        /// What the endpoint says of itself; `None` if the response may be another endpoint's.
+        notice: Option<EndpointNotice>,
     },
     /// The connection failed after the request was sent; the request may have run.
     #[snafu(display("the endpoint broke off ({cause}); the request may have run"))]
@@ -225,10 +248,13 @@
 }
 
 impl CallError {
-    /// Whether the endpoint has responded and says that it leaves.
+    /// What the endpoint says of itself, if it has responded.
     #[must_use]
-    pub fn says_leaving(&self) -> bool {
-        matches!(self, Self::NotRun { leaving: true, .. })
+    pub fn notice(&self) -> Option<EndpointNotice> {
+        match self {
+            Self::NotRun { notice, .. } => *notice,
+            Self::NotSent { .. } | Self::Interrupted { .. } => None,
+        }
     }
 
     /// Label value for the metrics.
--- a/crates/switch/src/calls.rs
+++ b/crates/switch/src/calls.rs
@@ -1,9 +1,9 @@
 //! Calls to endpoints.
 
-use crate::backend::{CallError, CallOptions, EndpointCall, EndpointResponse};
+use crate::backend::{CallError, CallOptions, EndpointCall, EndpointNotice, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::node::SwitchNode;
-use slog::info;
+use slog::{debug, info};
 
 impl SwitchNode {
     /// Sends a request to an endpoint. Marks the endpoint at once if its response says that it leaves, whatever becomes of
@@ -15,16 +15,27 @@
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
         let response = self.deps.client.call(endpoint, call, options).await;
-        let is_leaving = match &response {
-            Ok(response) => response.leaving,
-            Err(error) => error.says_leaving(),
+        let notice = match &response {
+            Ok(response) => Some(response.notice()),
+            Err(error) => error.notice(),
         };
-        if is_leaving && self.lock().endpoints.mark_leaving(endpoint) {
+        if let Some(notice) = notice {
+            self.apply_notice(endpoint, call, notice);
+        }
+        response
+    }
+
+    fn apply_notice(&self, endpoint: &ListedEndpoint, call: &EndpointCall, notice: EndpointNotice) {
+        if let Some(limit) = notice.limit {
+            self.metrics.count_limited_response();
+            debug!(self.deps.logger, "endpoint limit"; "endpoint" => &*endpoint.id,
+                "per_s" => %limit, "request" => &*call.id);
+        }
+        if notice.leaving && self.lock().endpoints.mark_leaving(endpoint) {
             self.metrics.count_leaving_endpoint();
             info!(self.deps.logger, "endpoint leaving"; "endpoint" => &*endpoint.id,
                 "started_ms" => endpoint.started_ms, "request" => &*call.id,
                 "cause" => "its response says so");
         }
-        response
     }
 }
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod jobs;
 pub mod leaving;
 pub mod ledger;
+pub mod limits;
 mod listings;
 pub mod load;
 pub mod logging;
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -44,6 +44,7 @@
     incomplete_answers: Counter,
     bodies: Family<BodyLabel, Counter>,
     leaving_endpoints: Counter,
+    limited_responses: Counter,
     endpoint_crashes: Counter,
     quarantined_requests: Counter,
     first_byte: Histogram,
@@ -160,6 +161,7 @@
             incomplete_answers: Counter::default(),
             bodies: Family::default(),
             leaving_endpoints: Counter::default(),
+            limited_responses: Counter::default(),
             endpoint_crashes: Counter::default(),
             quarantined_requests: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
@@ -212,6 +214,11 @@
             "Endpoints that said in a response that they leave",
             self.leaving_endpoints.clone(),
         );
+        registry.register(
+            "limited_responses",
+            "Responses in which an endpoint names a limit of requests a second",
+            self.limited_responses.clone(),
+        );
         registry.register(
             "endpoint_crashes",
             "Endpoints that crashed with requests of this host",
@@ -270,6 +277,10 @@
         self.leaving_endpoints.inc();
     }
 
+    pub(crate) fn count_limited_response(&self) {
+        self.limited_responses.inc();
+    }
+
     pub(crate) fn count_endpoint_crash(&self) {
         self.endpoint_crashes.inc();
     }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -59,6 +59,7 @@
         headers: response.headers,
         framing: response.framing,
         leaving: response.leaving,
+        limit: response.limit,
         body: body.boxed(),
     }
 }
--- /dev/null
+++ b/crates/switch/tests/switch/limits.rs
@@ -0,0 +1,127 @@
+//! Endpoints that name a limit of requests a second, at several hosts.
+//!
+//! Heartbeats are real datagrams on loopback, so these tests run in real time.
+
+use crate::support::{CallScript, TestFleet, read_response, request, submission};
+use fulmarswitch_switch::node::SwitchNode;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// Time after an endpoint first named its limit, from which the limit holds.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests a second that the endpoint names.
+const LIMIT: &str = "3";
+/// Requests in [`WINDOW`] that are allowed: one and a half times the limit, and 5.
+const MAX_REQUESTS: usize = 23;
+/// Interval between two requests at each host.
+const INTERVAL: Duration = Duration::from_millis(80);
+
+struct LimitedFleet {
+    fleet: TestFleet,
+    hosts: Vec<Arc<SwitchNode>>,
+    tasks: JoinSet<()>,
+}
+
+impl LimitedFleet {
+    /// Starts hosts and endpoints, of which `e0` names a limit from now on, and sends requests to all hosts.
+    async fn start(path: &'static str) -> Self {
+        let fleet = TestFleet::new(4);
+        fleet.client.set_default(CallScript::Stream { events: 8 });
+        let mut hosts = Vec::new();
+        for index in 0..4 {
+            hosts.push(fleet.spawn(&format!("h{index}")).await);
+        }
+        sleep(Duration::from_secs(1)).await;
+        fleet.client.set_limit("e0", Some(LIMIT));
+        let mut tasks = JoinSet::new();
+        for host in &hosts {
+            tasks.spawn(send_requests(host.clone(), path));
+        }
+        Self {
+            fleet,
+            hosts,
+            tasks,
+        }
+    }
+
+    /// Times of the calls that `e0` got since `from`.
+    fn calls_since(&self, from: Instant) -> Vec<Instant> {
+        let calls = self.fleet.client.calls();
+        let limited = calls.iter().filter(|call| &*call.endpoint == "e0");
+        limited
+            .map(|call| call.at)
+            .filter(|at| *at >= from)
+            .collect()
+    }
+
+    /// Most calls that `e0` got in [`WINDOW`] since `from`.
+    fn most_calls_since(&self, from: Instant) -> usize {
+        let times = self.calls_since(from);
+        let in_window = |start: &Instant| {
+            let in_window = times
+                .iter()
+                .filter(|at| (*start..*start + WINDOW).contains(at));
+            in_window.count()
+        };
+        times.iter().map(in_window).max().unwrap_or(0)
+    }
+}
+
+async fn send_requests(host: Arc<SwitchNode>, path: &'static str) {
+    let mut sent = JoinSet::new();
+    loop {
+        let host = host.clone();
+        sent.spawn(async move {
+            // Whether it is answered or rejected is not counted here.
+            let _ = read_response(&host, request(&host, path, "r")).await;
+        });
+        sleep(INTERVAL).await;
+    }
+}
+
+/// Guards against more requests to an endpoint than the limit that it named, summed over all hosts (LIMIT), against one that
+/// gets hardly any, and against a limit that holds on after the endpoint names none.
+#[rstest]
+#[case::streams("/stream/x")]
+#[case::retried_requests("/safe/x")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoint_gets_no_more_requests_than_it_takes(#[case] path: &'static str) {
+    let mut limited = LimitedFleet::start(path).await;
+    sleep(STABLE_WINDOW).await;
+    let from = Instant::now();
+    sleep(WINDOW * 2).await;
+    let most = limited.most_calls_since(from);
+    assert!(most <= MAX_REQUESTS, "{most} requests");
+    let used = limited.calls_since(from).len();
+    assert!(used >= 16, "{used} requests, 24 allowed by the limit");
+    limited.fleet.client.set_limit("e0", None);
+    sleep(Duration::from_secs(2)).await;
+    let from = Instant::now();
+    sleep(WINDOW).await;
+    let free = limited.calls_since(from).len();
+    assert!(free > MAX_REQUESTS, "{free} requests without a limit");
+    limited.tasks.shutdown().await;
+}
+
+/// Guards against batch items that exceed the limit of an endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_count_towards_the_limit() {
+    let mut limited = LimitedFleet::start("/stream/x").await;
+    limited.tasks.shutdown().await;
+    for (index, host) in limited.hosts.iter().enumerate() {
+        for job in 0..4 {
+            host.submit_job(submission(&format!("job-{index}-{job}"), 90))
+                .await;
+        }
+    }
+    sleep(STABLE_WINDOW).await;
+    let from = Instant::now();
+    sleep(WINDOW * 2).await;
+    let most = limited.most_calls_since(from);
+    assert!(most <= MAX_REQUESTS, "{most} items");
+}
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod jobs;
 mod leaving;
+mod limits;
 mod load;
 mod logging;
 mod online;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -4,10 +4,12 @@
 use bytes::Bytes;
 use fulmarswitch_switch::backend::{
     AppendError, BodyFraming, CallError, CallOptions, DecodeError, EndpointCall, EndpointClient,
-    EndpointResponse, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition, ReadError,
+    EndpointNotice, EndpointResponse, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition,
+    ReadError,
 };
 use fulmarswitch_switch::endpoint::ListedEndpoint;
 use fulmarswitch_switch::jobs::{JobReply, JobSubmission, ResultPage};
+use fulmarswitch_switch::limits::RateLimit;
 use fulmarswitch_switch::members::HostDescriptor;
 use fulmarswitch_switch::node::{
     ConfigDecoder, LogTopics, SwitchDependencies, SwitchNode, SwitchSettings,
@@ -389,6 +391,8 @@
     calls: Vec<RecordedCall>,
     /// Endpoints that say in their responses that they leave.
     leaving: Vec<Arc<str>>,
+    /// Limits that endpoints name in their responses.
+    limits: Vec<(Arc<str>, RateLimit)>,
     running: i64,
     deadly: Option<DeadlyPart>,
     /// Endpoints that have ended, in the order in which they did.
@@ -424,6 +428,24 @@
         }
     }
 
+    /// Lets an endpoint name a limit of requests a second in each response, or none.
+    pub fn set_limit(&self, endpoint: &str, per_second: Option<&str>) {
+        let limits = &mut self.0.lock().unwrap().limits;
+        limits.retain(|(id, _)| **id != *endpoint);
+        if let Some(limit) = per_second {
+            limits.push((endpoint.into(), limit.parse().unwrap()));
+        }
+    }
+
+    fn notice(&self, endpoint: &Arc<str>) -> EndpointNotice {
+        let state = self.0.lock().unwrap();
+        let limit = state.limits.iter().find(|(id, _)| id == endpoint);
+        EndpointNotice {
+            leaving: state.leaving.contains(endpoint),
+            limit: limit.map(|(_, limit)| *limit),
+        }
+    }
+
     /// All calls received so far.
     pub fn calls(&self) -> Vec<RecordedCall> {
         self.0.lock().unwrap().calls.clone()
@@ -516,7 +538,7 @@
         call: &EndpointCall,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
-        let leaves = self.0.lock().unwrap().leaving.contains(&endpoint.id);
+        let notice = self.notice(&endpoint.id);
         let ended = self.ended();
         if ended.borrow().contains(&endpoint.id) {
             let cause = "connection refused".into();
@@ -531,7 +553,8 @@
         };
         match response {
             Ok(response) => Ok(EndpointResponse {
-                leaving: leaves,
+                leaving: notice.leaving,
+                limit: notice.limit,
                 body: response
                     .body
                     .map(Some)
@@ -550,7 +573,7 @@
             }) => Err(CallError::NotRun {
                 status,
                 misdirected,
-                leaving: leaves,
+                notice: Some(notice),
             }),
             Err(error) => Err(error),
         }
@@ -616,7 +639,7 @@
                 return Err(CallError::NotRun {
                     status: StatusCode::SERVICE_UNAVAILABLE,
                     misdirected: false,
-                    leaving: false,
+                    notice: None,
                 });
             }
             CallScript::Disconnect => return Err(lost()),
@@ -688,6 +711,7 @@
             headers: HeaderMap::new(),
             framing: script.framing(),
             leaving: false,
+            limit: None,
             body: body.boxed(),
         })
     }
@@ -704,6 +728,7 @@
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
         leaving: false,
+        limit: None,
         body: chunks.boxed(),
     }
 }
@@ -719,6 +744,7 @@
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
         leaving: false,
+        limit: None,
         body: chunks.boxed(),
     }
 }
@@ -737,6 +763,7 @@
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
         leaving: false,
+        limit: None,
         body: chunks.boxed(),
     }
 }
@@ -758,6 +785,7 @@
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
         leaving: false,
+        limit: None,
         body: body.boxed(),
     }
 }
@@ -782,6 +810,7 @@
         headers: HeaderMap::new(),
         framing: BodyFraming::Delimited,
         leaving: false,
+        limit: None,
         body: body.boxed(),
     }
 }
