Share the limit that an endpoint names among a few hosts (LIMIT)

Cause: nobody read the limit. Endpoints were chosen by load, and one that names a limit is as fast as before: in the logs all twelve got the same number of requests, from 7 to 12 hosts.

Why this works: hosts tell each other the limits within a heartbeat. As an equal share of 3 a second is a quarter of a request a second for each of 12 hosts, one host (more for larger limits, each with 2 a second or more) uses a limit, chosen by rendezvous hashing, with a token bucket; the others send the endpoint nothing. All sends count. A limit ends with the first response without it, or 10 s after the last one with it.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -154,9 +154,10 @@
             service,
             version: target.version,
         };
+        let is_admitted = |id: &str| state.limits.admits_item(id, now);
         let picked = state
             .load
-            .pick_batch(endpoints, filter, now, &mut state.rng);
+            .pick_batch(endpoints, filter, is_admitted, now, &mut state.rng);
         let Some(endpoint) = picked else {
             continue;
         };
@@ -392,6 +393,7 @@
         "listing" => state.endpoints.read_until(),
         "listing_age_ms" => state.endpoints.read_age(Instant::now()).map(millis),
         "held_back" => state.endpoints.removal_due(&endpoint.id).is_some());
+    state.limits.take(&endpoint.id, Instant::now());
     state.running.push(RunningItem {
         name: name.clone(),
         endpoint: endpoint.id.clone(),
--- a/crates/switch/src/calls.rs
+++ b/crates/switch/src/calls.rs
@@ -3,7 +3,8 @@
 use crate::backend::{CallError, CallOptions, EndpointCall, EndpointNotice, EndpointResponse};
 use crate::endpoint::ListedEndpoint;
 use crate::node::SwitchNode;
-use slog::{debug, info};
+use slog::info;
+use tokio::time::Instant;
 
 impl SwitchNode {
     /// Sends a request to an endpoint. Marks the endpoint at once if its response says that it leaves, whatever becomes of
@@ -26,10 +27,13 @@
     }
 
     fn apply_notice(&self, endpoint: &ListedEndpoint, call: &EndpointCall, notice: EndpointNotice) {
-        if let Some(limit) = notice.limit {
+        if notice.limit.is_some() {
             self.metrics.count_limited_response();
-            debug!(self.deps.logger, "endpoint limit"; "endpoint" => &*endpoint.id,
-                "per_s" => %limit, "request" => &*call.id);
+        }
+        let limits = &mut self.lock().limits;
+        if limits.record(&endpoint.id, notice.limit, Instant::now()) {
+            info!(self.deps.logger, "endpoint limit"; "endpoint" => &*endpoint.id,
+                "per_s" => notice.limit.map(|limit| limit.to_string()), "request" => &*call.id);
         }
         if notice.leaving && self.lock().endpoints.mark_leaving(endpoint) {
             self.metrics.count_leaving_endpoint();
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -10,6 +10,7 @@
 use crate::crash_exchange::{self, CrashNotice};
 use crate::crash_log;
 use crate::follow::FollowBatch;
+use crate::limits::LimitReport;
 use crate::listings::{self, ListingReport, listing_report};
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
@@ -35,6 +36,8 @@
 const MAX_HEARTBEAT_BYTES: usize = 1400;
 /// Maximum number of claimed items in a heartbeat, limited by its size.
 const MAX_CLAIMS: usize = 120;
+/// Maximum number of limits of endpoints in a message, limited by its size.
+const MAX_LIMITS: usize = 80;
 /// Maximum number of failing endpoints in a heartbeat, limited by its size.
 const MAX_FAILING: usize = 24;
 /// Delay before the descriptor is published again after a failed append.
@@ -52,6 +55,7 @@
         host: Arc<str>,
         notices: Vec<CrashNotice>,
     },
+    Limits(Vec<LimitReport>),
 }
 
 /// Wire format of a heartbeat.
@@ -166,7 +170,7 @@
     neighbours_only: bool,
 ) -> Duration {
     let now = Instant::now();
-    let (heartbeat, targets, interval) = {
+    let (heartbeat, limits, targets, interval) = {
         let mut state = node.lock();
         let known = u32::try_from(state.members.all().count()).unwrap_or(u32::MAX);
         let interval = heartbeat_interval(known);
@@ -197,12 +201,20 @@
             listings: listing_report(&state, now),
             introduced,
         };
-        (heartbeat, targets, interval)
+        let limits = if neighbours_only {
+            Vec::new()
+        } else {
+            state.limits.reports(now)
+        };
+        (heartbeat, limits, targets, interval)
     };
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
     if let Some(bytes) = encode(node, &message) {
         send_to_targets(node, socket, &bytes, &targets).await;
     }
+    for reports in limits.chunks(MAX_LIMITS) {
+        send_message(node, &PeerMessage::Limits(reports.to_vec()), &targets);
+    }
     interval
 }
 
@@ -276,7 +288,30 @@
             entry.descriptor.domain.clone(),
         )
     }));
-    let affinity = compute_affinity(&own.name, &hosts, &state.endpoints.all_serving(now));
+    let mut affinity = compute_affinity(&own.name, &hosts, &state.endpoints.all_serving(now));
+    let SwitchState {
+        limits,
+        members,
+        endpoints,
+        stopping,
+        ..
+    } = &mut *state;
+    limits.update_shares(hosts.len(), now, |key, count| {
+        !*stopping && members.is_among_assigned(key.hash(), &own.name, count, now)
+    });
+    if !limits.is_empty() {
+        // Nobody else uses what a limit leaves to this host.
+        affinity
+            .endpoints
+            .retain(|id| limits.share(id) != Some(false));
+        let serving = endpoints.all_serving(now).into_iter();
+        let shared = serving.filter(|endpoint| limits.share(&endpoint.id) == Some(true));
+        affinity
+            .endpoints
+            .extend(shared.map(|endpoint| endpoint.id.clone()));
+        affinity.endpoints.sort_unstable();
+        affinity.endpoints.dedup();
+    }
     state.load.set_affinity(affinity);
 }
 
@@ -297,6 +332,13 @@
                 Ok((SCHEMA, PeerMessage::Crashes { host, notices })) => {
                     crash_exchange::apply_notices(&node, &host, notices);
                 }
+                Ok((SCHEMA, PeerMessage::Limits(reports))) => {
+                    let now = Instant::now();
+                    let limits = &mut node.lock().limits;
+                    for report in reports {
+                        limits.apply(report, now);
+                    }
+                }
                 Ok((schema, _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -382,16 +382,19 @@
         EndpointPick::Use(endpoint.clone())
     }
 
-    /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free qualify.
+    /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free and that `is_admitted` selects
+    /// qualify.
     pub fn pick_batch<'a>(
         &self,
         table: &'a EndpointTable,
         filter: impl Into<EndpointFilter<'a>>,
+        is_admitted: impl Fn(&str) -> bool,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
         table
             .serving(filter, now)
+            .filter(|endpoint| is_admitted(&endpoint.id))
             .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
             .filter(|endpoint| !self.is_full(&endpoint.id, now))
             .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -216,6 +216,17 @@
             .unwrap_or_default()
     }
 
+    /// Whether `own` is among the `count` hosts with the highest rank for `hash` by rendezvous hashing over the ready hosts and
+    /// `own`.
+    #[must_use]
+    pub fn is_among_assigned(&self, hash: u64, own: &str, count: usize, now: Instant) -> bool {
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), hash);
+        let own_rank = rank(own);
+        let others = self.live(now).filter(|entry| entry.ready);
+        let higher = others.filter(|entry| rank(&entry.descriptor.name) > own_rank);
+        higher.count() < count
+    }
+
     /// Whether at least half of the known hosts are live.
     #[must_use]
     pub fn hears_most(&self, now: Instant) -> bool {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -9,6 +9,7 @@
 use crate::gossip;
 use crate::jobs::TextCache;
 use crate::ledger::JobLedger;
+use crate::limits::LimitTable;
 use crate::load::{LoadView, RequestClass};
 use crate::members::{HostDescriptor, MemberTable};
 use crate::metrics::SwitchMetrics;
@@ -115,6 +116,7 @@
     pub(crate) endpoints: EndpointTable,
     pub(crate) departures: RecentDepartures,
     pub(crate) load: LoadView,
+    pub(crate) limits: LimitTable,
     pub(crate) origins: OriginTable,
     pub(crate) overload: OverloadTracker,
     pub(crate) crashes: CrashState,
@@ -206,6 +208,7 @@
             endpoints: EndpointTable::default(),
             departures: RecentDepartures::default(),
             load: LoadView::default(),
+            limits: LimitTable::default(),
             origins: OriginTable::default(),
             overload: OverloadTracker::default(),
             crashes: CrashState::default(),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -388,11 +388,25 @@
             service,
             version: self.version,
         };
-        let (endpoints, rng) = (&state.endpoints, &mut state.rng);
         let now = Instant::now();
-        state
+        let (endpoints, limits) = (&state.endpoints, &state.limits);
+        let serving = endpoints.serving(filter, now);
+        let usable = serving.filter(|endpoint| !excluded.contains(&endpoint.id));
+        let limited = usable.filter(|endpoint| !limits.admits(&endpoint.id, now));
+        let limited: Vec<Arc<str>> = limited.map(|endpoint| endpoint.id.clone()).collect();
+        let all_excluded = [excluded, &limited].concat();
+        let rng = &mut state.rng;
+        let pick = state
             .load
-            .pick_online(endpoints, filter, excluded, max_wait, now, rng)
+            .pick_online(endpoints, filter, &all_excluded, max_wait, now, rng);
+        if pick != EndpointPick::Missing {
+            return pick;
+        }
+        // Endpoints whose limit is used up are not missing.
+        let waits = limited.iter().map(|id| limits.wait(id, now));
+        waits
+            .min()
+            .map_or(EndpointPick::Missing, |wait| EndpointPick::Full { wait })
     }
 
     /// Counts the request at the endpoint that was selected for it.
@@ -420,6 +434,7 @@
         let guard = InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
         self.sends += 1;
         self.sent.push((endpoint.id.clone(), now));
+        state.limits.take(&endpoint.id, now);
         self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
         self.endpoint = Some(endpoint.id.clone());
         (endpoint, guard)
--- a/crates/switch/src/report.rs
+++ b/crates/switch/src/report.rs
@@ -9,6 +9,12 @@
 pub struct EndpointKey(u32);
 
 impl EndpointKey {
+    /// Hash that distributes endpoints over hosts.
+    #[must_use]
+    pub fn hash(self) -> u64 {
+        self.0.into()
+    }
+
     /// Returns the key of the endpoint with this ID.
     ///
     /// ```
--- a/crates/switch/tests/switch/limits.rs
+++ b/crates/switch/tests/switch/limits.rs
@@ -3,6 +3,7 @@
 //! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
 use crate::support::{CallScript, TestFleet, read_response, request, submission};
+use fulmarswitch_switch::limits::LimitTable;
 use fulmarswitch_switch::node::SwitchNode;
 use rstest::rstest;
 use std::sync::Arc;
@@ -125,3 +126,83 @@
     let most = limited.most_calls_since(from);
     assert!(most <= MAX_REQUESTS, "{most} items");
 }
+
+/// A share of this host in a limit of this many requests a second.
+fn shared(limit: &str, hosts: usize) -> (LimitTable, Instant) {
+    let (mut table, now) = (LimitTable::default(), Instant::now());
+    assert!(table.record("e", limit.parse().ok(), now));
+    table.update_shares(hosts, now, |_, _| true);
+    (table, now)
+}
+
+/// Number of requests that a host sends in a time, one as soon as it may.
+fn sent_in(table: &mut LimitTable, from: Instant, duration: Duration) -> u32 {
+    let mut sent = 0;
+    let mut now = from;
+    while now < from + duration {
+        if table.admits("e", now) {
+            table.take("e", now);
+            sent += 1;
+        }
+        now += Duration::from_millis(1);
+    }
+    sent
+}
+
+/// Guards against hosts that together exceed a limit, and against shares that are too small to be of use.
+#[rstest]
+#[case::small("2.5", 12, 1)]
+#[case::one_host("40", 1, 1)]
+#[case::large("16", 12, 8)]
+#[case::very_large("1000", 12, 8)]
+#[tokio::test(start_paused = true)]
+async fn sharing_hosts_send_what_the_limit_allows(
+    #[case] limit: &str,
+    #[case] hosts: usize,
+    #[case] sharers: u32,
+) {
+    let (mut table, now) = shared(limit, hosts);
+    table.update_shares(hosts, now, |_, count| {
+        assert_eq!(count, sharers as usize);
+        true
+    });
+    let allowed = 10.0 * limit.parse::<f64>().unwrap();
+    let sent = f64::from(sent_in(&mut table, now, Duration::from_secs(10)) * sharers);
+    assert!(
+        sent <= allowed && sent >= allowed * 0.9,
+        "{sent} of {allowed}"
+    );
+}
+
+/// Guards against requests to a limited endpoint from a host without a share.
+#[tokio::test(start_paused = true)]
+async fn host_without_a_share_sends_nothing() {
+    let (mut table, now) = shared("2.5", 12);
+    table.update_shares(12, now, |_, _| false);
+    assert_eq!(sent_in(&mut table, now, Duration::from_secs(9)), 0);
+    assert_eq!(table.wait("e", now), Duration::from_secs(1));
+    assert!(table.admits("other", now));
+}
+
+/// Guards against a limit without an end, and against reports that outlast what they report.
+#[tokio::test(start_paused = true)]
+async fn limit_ends_with_the_responses_that_name_it() {
+    let (mut table, _) = shared("0", 12);
+    let (mut other, _) = shared("2.5", 12);
+    sleep(Duration::from_secs(1)).await;
+    let now = Instant::now();
+    assert!(other.record("e", None, now));
+    assert!(other.admits("e", now));
+    for report in other.reports(now) {
+        table.apply(report, now);
+    }
+    assert!(table.admits("e", now));
+    assert!(
+        table.reports(now).is_empty(),
+        "reports of others are not repeated"
+    );
+    let (mut silent, _) = shared("2.5", 12);
+    sleep(Duration::from_secs(10)).await;
+    silent.update_shares(12, Instant::now(), |_, _| false);
+    assert!(silent.is_empty());
+}
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -297,7 +297,10 @@
     for full in ["e1", "e2", "e3", "e4", "e5"] {
         view.mark_full(full, now);
     }
-    assert_eq!(view.pick_batch(&table, "service", now, &mut rng), None);
+    assert_eq!(
+        view.pick_batch(&table, "service", |_| true, now, &mut rng),
+        None
+    );
 }
 
 /// Size of a large fleet, and a burst that takes 97% of the slots for 2.2 s.
--- a/crates/switch/tests/switch/overload.rs
+++ b/crates/switch/tests/switch/overload.rs
@@ -266,7 +266,10 @@
     assert!(view.update_overdue(later), "one more request is overdue");
     assert!(!view.update_overdue(later));
     assert_eq!(view.batch_preemptions(&endpoint, later), 1);
-    assert_eq!(view.pick_batch(&table, "service", later, &mut rng), None);
+    assert_eq!(
+        view.pick_batch(&table, "service", |_| true, later, &mut rng),
+        None
+    );
     let pick = view.pick_online(&table, "service", &[], Duration::ZERO, later, &mut rng);
     assert!(matches!(pick, EndpointPick::Full { .. }), "{pick:?}");
 
