Do not lock the state twice when an endpoint says that it leaves

One thread runs all tasks, so the host stood still.

Evidence: the host's log ends after the end of an item at 13:40:24.837, while another endpoint was leaving; tests of leaving endpoints hang on the code before.

Why this works: one guard covers both, and is dropped before anything is logged.

--- a/crates/switch/src/calls.rs
+++ b/crates/switch/src/calls.rs
@@ -30,12 +30,17 @@
         if notice.limit.is_some() {
             self.metrics.count_limited_response();
         }
-        let limits = &mut self.lock().limits;
-        if limits.record(&endpoint.id, notice.limit, Instant::now()) {
+        let mut state = self.lock();
+        let has_new_limit = state
+            .limits
+            .record(&endpoint.id, notice.limit, Instant::now());
+        let is_newly_leaving = notice.leaving && state.endpoints.mark_leaving(endpoint);
+        drop(state);
+        if has_new_limit {
             info!(self.deps.logger, "endpoint limit"; "endpoint" => &*endpoint.id,
                 "per_s" => notice.limit.map(|limit| limit.to_string()), "request" => &*call.id);
         }
-        if notice.leaving && self.lock().endpoints.mark_leaving(endpoint) {
+        if is_newly_leaving {
             self.metrics.count_leaving_endpoint();
             info!(self.deps.logger, "endpoint leaving"; "endpoint" => &*endpoint.id,
                 "started_ms" => endpoint.started_ms, "request" => &*call.id,
