--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -111,6 +111,8 @@
 struct UnmarkedEnd {
     /// Last event before it.
     last_event: Option<u64>,
+    /// Endpoint whose connection ended.
+    endpoint: Arc<ListedEndpoint>,
     /// Until when another endpoint may tell whether further events follow.
     confirm_until: Instant,
 }
@@ -142,19 +144,19 @@
                     self.resume(&incomplete_event())
                 }
                 ResponseInput::Chunk(None) if self.seek_marked_end() => Ok(()),
-                ResponseInput::Chunk(None) | ResponseInput::NoConfirmation => {
+                ResponseInput::Chunk(None) if self.is_end_confirmed() => {
                     self.finish("answered");
                     return None;
                 }
+                ResponseInput::Chunk(None) | ResponseInput::NoConfirmation => {
+                    return self.end_unconfirmed().await;
+                }
                 ResponseInput::Response(response) => self.apply_response(response),
                 ResponseInput::Silence(step) => self.apply_silence(step),
             };
             match handled {
                 Ok(()) => {}
-                Err(_) if self.is_at_unmarked_end() => {
-                    self.finish("answered");
-                    return None;
-                }
+                Err(_) if self.is_at_unmarked_end() => return self.end_unconfirmed().await,
                 Err(error) => return Some(self.interrupt(error)),
             }
         }
@@ -326,9 +328,7 @@
     /// Returns whether one is asked. A regular close between two events is a complete stream's end too, so the answer is
     /// complete if no endpoint can be asked or a second body ends after the same event.
     fn seek_marked_end(&mut self) -> bool {
-        let lacks_marked_end = self.caller_framing == BodyFraming::Delimited
-            && self.framing == BodyFraming::UntilClose;
-        if !lacks_marked_end || self.is_at_unmarked_end() || !self.exchange.may_retry() {
+        if !self.lacks_marked_end() || self.is_at_unmarked_end() || !self.exchange.may_retry() {
             return false;
         }
         self.drop_current();
@@ -337,11 +337,43 @@
         self.silence = EndpointSilence::begin();
         self.unmarked_end = Some(UnmarkedEnd {
             last_event: self.last_event,
+            endpoint: self.endpoint.clone(),
             confirm_until: Instant::now() + MAX_OTHER_WAIT,
         });
         self.exchange.begin_attempt(self.last_event).is_ok()
     }
 
+    /// Ends the response where nothing is known to follow. An end without a mark, where the caller was promised one, is that of
+    /// the stream, unless its endpoint has crashed.
+    async fn end_unconfirmed(&mut self) -> Option<Result<Bytes, CallError>> {
+        let closed = match &self.unmarked_end {
+            Some(end) if end.last_event == self.last_event => Some(end.endpoint.clone()),
+            _ if self.lacks_marked_end() => Some(self.endpoint.clone()),
+            _ => None,
+        };
+        if let Some(endpoint) = closed {
+            let client = self.exchange.node.deps.client.clone();
+            if client.refuses_connections(&endpoint).await {
+                return Some(self.interrupt(interrupted("the endpoint has ended")));
+            }
+        }
+        self.finish("answered");
+        None
+    }
+
+    /// Whether the end of the current body tells that the stream is complete: it is marked, or another endpoint's body ended
+    /// after the same event.
+    fn is_end_confirmed(&self) -> bool {
+        let other_agrees = |end: &UnmarkedEnd| end.endpoint.id != self.endpoint.id;
+        let end = self.unmarked_end.as_ref();
+        let end = end.filter(|end| end.last_event == self.last_event);
+        !self.lacks_marked_end() || end.is_some_and(other_agrees)
+    }
+
+    fn lacks_marked_end(&self) -> bool {
+        self.caller_framing == BodyFraming::Delimited && self.framing == BodyFraming::UntilClose
+    }
+
     /// Whether a body ended without a marked end after the last event, and nothing has followed since.
     fn is_at_unmarked_end(&self) -> bool {
         let end = self.unmarked_end.as_ref();
--- a/crates/switch/tests/switch/body_ends.rs
+++ b/crates/switch/tests/switch/body_ends.rs
@@ -127,6 +127,22 @@
     );
 }
 
+/// Guards against a resumed stream that looks complete since the endpoint at which it went on crashed between two events, and no
+/// other endpoint can be asked.
+#[rstest]
+#[case::nobody_can_be_asked(&[BreakAfter { event: 2 }, EndAfter { event: 3, body: UntilClose }])]
+#[case::attempts_are_used_up(&[BreakAfter { event: 1 }, BreakAfter { event: 2 }, EndAfter { event: 3, body: UntilClose }])]
+#[case::asked_endpoint_is_lost(&[BreakAfter { event: 2 }, EndAfter { event: 3, body: UntilClose }, Disconnect])]
+#[tokio::test(start_paused = true)]
+async fn resumed_stream_whose_endpoint_crashes_is_not_complete(#[case] scripts: &[CallScript]) {
+    let fleet = TestFleet::new(4);
+    let node = fleet.start("a").await;
+    fleet.client.script(scripts);
+    fleet.client.refuse_connections();
+    let outcome = send_request(&node, "/resume/x").await;
+    assert_eq!(outcome, CallerOutcome::Truncated(events(3)));
+}
+
 /// Guards against an item that is recorded as completed with a part of its output, since its endpoint closed the
 /// connection between two events.
 #[tokio::test(start_paused = true)]
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -395,6 +395,8 @@
     limits: Vec<(Arc<str>, RateLimit)>,
     running: i64,
     deadly: Option<DeadlyPart>,
+    /// Whether all endpoints refuse connections once the queued behaviours are used up.
+    refuses: bool,
     /// Endpoints that have ended, in the order in which they did.
     ended: watch::Sender<Vec<Arc<str>>>,
 }
@@ -461,6 +463,13 @@
         self.0.lock().unwrap().deadly = deadly;
     }
 
+    /// Lets all endpoints refuse connections once the queued behaviours are used up, as if they had ended.
+    pub fn refuse_connections(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.refuses = true;
+        state.default_script = Some(CallScript::Unreachable);
+    }
+
     /// Ends an endpoint: its calls break off, and new ones are refused.
     pub fn end_endpoint(&self, id: &Arc<str>) {
         let state = self.0.lock().unwrap();
@@ -580,7 +589,11 @@
     }
 
     async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool {
-        self.ended().borrow().contains(&endpoint.id)
+        let refuses = {
+            let state = self.0.lock().unwrap();
+            state.refuses && state.scripts.is_empty()
+        };
+        refuses || self.ended().borrow().contains(&endpoint.id)
     }
 
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts {
