--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -276,6 +276,13 @@
         found
     }
 
+    /// Number of crashes under a part since it was last seen to be sound, without those that `is_left_out` selects.
+    pub fn presence(&self, part: PartKey, is_left_out: impl Fn(&EndpointCrash) -> bool) -> usize {
+        self.suspicious(part)
+            .filter(|crash| !is_left_out(crash))
+            .count()
+    }
+
     /// Whether a part was seen to be sound lately.
     #[must_use]
     pub fn is_sound(&self, part: PartKey) -> bool {
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -11,9 +11,9 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Number of successive crashes after which a part is in quarantine, if no other part has as many.
+/// Number of successive crashes after which a part is in quarantine, if no other part is in as many crashes.
 const MIN_CRASHES: usize = 3;
-/// Number of successive crashes after which one is in quarantine also if others have as many.
+/// Number of successive crashes after which one is in quarantine also if others are.
 const MAX_CRASHES: usize = 5;
 /// Time after this host has learned of a crash from which it counts. Before that the reports of some hosts may be missing, and
 /// with them the request that caused it, or the answers that show which parts are sound.
@@ -216,6 +216,7 @@
             .map(|part| Suspect {
                 part,
                 successive: records.successive(part, is_left_out),
+                presence: records.presence(part, is_left_out),
                 carriers: carriers(&requests, part),
             })
             .collect();
@@ -232,17 +233,18 @@
         specific.sort_by_key(|suspect| {
             (
                 Reverse(suspect.count()),
+                Reverse(suspect.presence),
                 suspect.carriers.len(),
                 suspect.successive.age,
             )
         });
         let first = specific.first()?;
         let together = first.parts_together(&requests, records);
-        let rival = specific
-            .iter()
-            .find(|suspect| !together.contains(&suspect.part));
         let count = first.count();
-        let is_clear = rival.is_none_or(|rival| rival.count() < count);
+        // A part in as many crashes, whenever its requests were sent, may be the cause as well.
+        let is_rival =
+            |other: &Suspect| other.presence >= first.presence && !together.contains(&other.part);
+        let is_clear = !candidates.iter().any(is_rival);
         (is_clear || count >= MAX_CRASHES).then_some(together)
     }
 
@@ -350,6 +352,8 @@
 struct Suspect {
     part: PartKey,
     successive: SuccessiveCrashes,
+    /// Number of crashes under the part, successive or not, since it was last seen to be sound.
+    presence: usize,
     /// Indexes of the broken requests with the part.
     carriers: Vec<usize>,
 }
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -169,6 +169,24 @@
     assert!(!observer.rejects("first,a0"));
 }
 
+/// Guards against a sound part that is rejected since requests with it broke off, by chance, in three crashes one after the other,
+/// while the part that caused most of them is in as many, two of them at once.
+#[tokio::test(start_paused = true)]
+async fn part_is_sent_while_another_is_in_as_many_crashes() {
+    let mut observer = Observer::default();
+    observer.crash(&[("dead,b", RUN)]);
+    sleep(CRASH_INTERVAL).await;
+    observer.crash(&[("dead,c", RUN), ("a,b", RUN)]);
+    observer.crash(&[("dead,d", RUN)]);
+    sleep(CRASH_INTERVAL).await;
+    observer.crash(&[("e,b", RUN)]);
+    assert!(!observer.rejects("a,b"));
+    sleep(CRASH_INTERVAL).await;
+    observer.crash(&[("dead,e", RUN), ("f,c", RUN)]);
+    assert!(observer.rejects("dead,f"));
+    assert!(!observer.rejects("a,b"));
+}
+
 /// Guards against sound parts that are rejected after crashes of other causes.
 #[rstest]
 #[case::all_at_once(20, Duration::ZERO, Duration::from_secs(1), false)]
