Look for suspects only among parts in three crashes or more, and drop ended quarantines that peers report

From the review of the diff: each judgement walked all crashes for each part of each broken request, and a judgement is due each 0.1 s while crashes settle; a part in fewer than three crashes can neither be judged nor stand in the way. The end of a quarantine that another host reported was kept, and reported on, for an hour instead of a minute. Endpoints are not filtered by limits while none is named. What is judged does not change; the tests of the quarantine, the crashing parts and the limits hold.

--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -390,6 +390,10 @@
         };
         let now = Instant::now();
         let (endpoints, limits) = (&state.endpoints, &state.limits);
+        if limits.is_empty() {
+            let (load, rng) = (&state.load, &mut state.rng);
+            return load.pick_online(endpoints, filter, excluded, max_wait, now, rng);
+        }
         let serving = endpoints.serving(filter, now);
         let usable = serving.filter(|endpoint| !excluded.contains(&endpoint.id));
         let limited = usable.filter(|endpoint| !limits.admits(&endpoint.id, now));
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -3,7 +3,7 @@
 //! Parts that all these requests have cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
 //! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
 
-use crate::crashes::{BrokenRequest, CrashRecords, EndpointCrash, SuccessiveCrashes};
+use crate::crashes::{BrokenRequest, CrashId, CrashRecords, EndpointCrash, SuccessiveCrashes};
 use crate::prompt::{PartKey, PromptParts};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -207,11 +207,8 @@
         };
         let unexplained = records.iter().filter(|crash| !is_left_out(crash));
         let requests: Vec<&BrokenRequest> = unexplained.flat_map(EndpointCrash::requests).collect();
-        let parts = requests.iter().flat_map(|request| request.parts.iter());
-        let mut parts: Vec<PartKey> = parts.collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let candidates: Vec<Suspect> = parts
+        let unexplained = records.iter().filter(|crash| !is_left_out(crash));
+        let candidates: Vec<Suspect> = frequent_parts(unexplained)
             .into_iter()
             .map(|part| Suspect {
                 part,
@@ -283,7 +280,11 @@
         if reported.term == known.term {
             known.parts.retain(|part| reported.parts.contains(part));
         }
-        known.parts.len() < before
+        let has_changed = known.parts.len() < before;
+        if has_changed && known.parts.is_empty() {
+            self.entries[index].drop_at = now + END_RETENTION;
+        }
+        has_changed
     }
 
     /// Removes a part that was seen at `seen_at` to be sound from the quarantines that were known before. Returns those
@@ -400,6 +401,21 @@
     }
 }
 
+/// Parts in at least [`MIN_CRASHES`] of the crashes. Other parts are not suspected, nor do they explain the crashes under one.
+fn frequent_parts<'a>(crashes: impl Iterator<Item = &'a EndpointCrash>) -> Vec<PartKey> {
+    let mut seen: Vec<(PartKey, CrashId)> = crashes
+        .flat_map(|crash| {
+            let parts = crash.requests().flat_map(|request| request.parts.iter());
+            parts.map(|part| (part, crash.id()))
+        })
+        .collect();
+    seen.sort_unstable();
+    seen.dedup();
+    let by_part = seen.chunk_by(|(part, _), (other, _)| part == other);
+    let frequent = by_part.filter(|crashes| crashes.len() >= MIN_CRASHES);
+    frequent.map(|crashes| crashes[0].0).collect()
+}
+
 /// Indexes of the requests with a part.
 fn carriers(requests: &[&BrokenRequest], part: PartKey) -> Vec<usize> {
     let indexed = requests.iter().enumerate();
