--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -12,7 +12,7 @@
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::overload::Rejection;
-use crate::prompt::PromptParts;
+use crate::prompt::{PartKey, PromptParts};
 use crate::quarantine::Admission;
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
@@ -76,10 +76,12 @@
     pub async fn serve_online(self: &Arc<Self>, request: OnlineRequest) -> OnlineReply {
         let in_flight = InFlightRequest::begin(self);
         let parts = self.deps.client.prompt_parts(&request.call.headers);
+        let key = PartKey::of_request(&request.call);
         let mut exchange = OnlineExchange {
             node: self.clone(),
             request: Arc::new(request),
             parts,
+            key,
             attempts: PendingAttempts::default(),
             tried: Vec::new(),
             sent: Vec::new(),
@@ -151,6 +153,8 @@
     request: Arc<OnlineRequest>,
     /// Parts of the prompt that other requests may share.
     parts: PromptParts,
+    /// Key of the request as a whole.
+    key: PartKey,
     /// Attempts in progress whose responses have not begun.
     attempts: PendingAttempts,
     /// Endpoints at which an attempt has failed.
@@ -424,7 +428,8 @@
         let remaining = self.request.deadline.saturating_duration_since(now);
         let load = state.load.total(&endpoint.id);
         info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-            "service" => service, "parts" => %self.parts, "endpoint" => &*endpoint.id,
+            "service" => service, "key" => %self.key, "parts" => %self.parts,
+            "body_bytes" => self.request.call.body.len(), "endpoint" => &*endpoint.id,
             "version" => &*endpoint.version, "send" => self.sends + 1,
             "resumes" => self.request.resumes.as_deref(),
             "resume_after" => self.request.resume_after,
@@ -457,7 +462,8 @@
     /// Logs that the request is not sent because of its prompt, and returns the reply.
     fn reject_parts(&self, retry_after: Duration) -> OnlineReply {
         info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-            "cause" => "parts of its prompt crash endpoints", "parts" => %self.parts);
+            "cause" => "parts of its prompt crash endpoints", "key" => %self.key,
+            "parts" => %self.parts);
         self.failure_reply(retry_after)
     }
 
--- a/crates/switch/src/prompt.rs
+++ b/crates/switch/src/prompt.rs
@@ -1,9 +1,11 @@
 //! Parts of prompts: what a request's prompt has in common with the prompts of other requests.
 
+use crate::backend::EndpointCall;
+use http::header::AUTHORIZATION;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Maximum number of parts of one prompt that are told apart. It bounds the memory of a request.
 const MAX_PARTS: usize = 32;
@@ -26,6 +28,44 @@
     pub fn of(id: &str) -> Self {
         Self(u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes())))
     }
+
+    /// Returns the key of a request as a whole. It is the same when the caller sends the request again, at whichever host: it
+    /// covers the method, the host name, the target, the caller's credentials and the body, and no other header.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::backend::EndpointCall;
+    /// use fulmarswitch_switch::prompt::PartKey;
+    /// use http::{HeaderMap, Method};
+    /// let call = |id: &str, body: &'static str| EndpointCall {
+    ///     id: id.into(),
+    ///     method: Method::POST,
+    ///     host: "workshop.example".into(),
+    ///     target: "/ask/1".into(),
+    ///     headers: HeaderMap::new(),
+    ///     body: body.into(),
+    /// };
+    /// let key = PartKey::of_request(&call("first", "code P0301"));
+    /// assert_eq!(key, PartKey::of_request(&call("again", "code P0301")));
+    /// assert_ne!(key, PartKey::of_request(&call("other", "code P0302")));
+    /// ```
+    #[must_use]
+    pub fn of_request(call: &EndpointCall) -> Self {
+        let caller = call.headers.get(AUTHORIZATION);
+        let fields = [
+            call.method.as_str().as_bytes(),
+            call.host.as_bytes(),
+            call.target.as_bytes(),
+            caller.map_or(&[][..], |credentials| credentials.as_bytes()),
+            &call.body,
+        ];
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            // Lengths keep neighbouring fields apart.
+            hasher.update(&field.len().to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest())
+    }
 }
 
 impl From<[u8; 8]> for PartKey {
