--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -1,42 +1,33 @@
 //! Parts of prompts that crash each endpoint which begins to answer a request with them, at several hosts.
-//!
-//! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
+use crate::crashing_fleet::{
+    CALM_TIME, CRASH_AFTER, CrashingFleet, DEADLY_INTERVAL, MAX_LATE, RequestMaker, SIZE,
+    STABLE_WINDOW,
+};
 use crate::support::{
-    CallScript, CallerOutcome, DeadlyPart, TestFleet, read_response, request_with_parts, submission,
+    CallScript, CallerOutcome, DeadlyCalls, DeadlyCause, TestFleet, read_response,
+    request_with_parts, submission,
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::SwitchNode;
 use fulmarswitch_switch::prompt::PartKey;
 use rstest::rstest;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
-use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Time after the fifth crash from which requests with the part must no longer reach endpoints; after twice this time sound
-/// requests must be served.
-const STABLE_WINDOW: Duration = Duration::from_secs(3);
-/// Number of requests with the part that may reach endpoints after that.
-const MAX_LATE: usize = 3;
 /// Number of crashes after which requests with a part must stop.
 const CRASHES: usize = 5;
-/// Number of hosts and of endpoints.
-const SIZE: usize = 5;
-/// Time after which an ended endpoint is back under another ID.
-const RESTART_TIME: Duration = Duration::from_millis(1500);
-/// Interval between two sound requests at each host.
-const SOUND_INTERVAL: Duration = Duration::from_millis(120);
-/// Interval between two requests with the part in the whole fleet.
-const DEADLY_INTERVAL: Duration = Duration::from_millis(210);
-/// Time in which sound requests are counted before the first request with the part.
-const CALM_TIME: Duration = Duration::from_secs(2);
 /// The part that crashes endpoints.
 const DEADLY: &str = "dead";
 /// First part that sound requests have.
 const FIRST: &str = "f0";
 
+fn deadly_part() -> DeadlyCause {
+    DeadlyCause::Part(PartKey::of(DEADLY))
+}
+
 /// Position of the part in the prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Position {
@@ -57,137 +48,22 @@
             Self::SecondAfterAny => vec![format!("f{}", number % 4), DEADLY.to_owned()],
         }
     }
-}
-
-/// Outcomes of sound requests, with the times at which they were sent.
-type SoundOutcomes = Arc<Mutex<Vec<(Instant, CallerOutcome)>>>;
-
-/// Hosts and endpoints that come back under other IDs after they have ended.
-struct CrashingFleet {
-    fleet: TestFleet,
-    hosts: Vec<Arc<SwitchNode>>,
-    sound: SoundOutcomes,
-    tasks: JoinSet<()>,
-}
-
-impl CrashingFleet {
-    async fn start() -> Self {
-        let fleet = TestFleet::new(SIZE);
-        fleet.client.set_default(CallScript::Stream { events: 12 });
-        let mut hosts = Vec::new();
-        for index in 0..SIZE {
-            hosts.push(fleet.spawn(&format!("h{index}")).await);
-        }
-        sleep(Duration::from_secs(1)).await;
-        let mut tasks = JoinSet::new();
-        tasks.spawn(restart_endpoints(fleet.clone()));
-        let sound = SoundOutcomes::default();
-        for (index, host) in hosts.iter().enumerate() {
-            tasks.spawn(send_sound_requests(host.clone(), index, sound.clone()));
-        }
-        sleep(CALM_TIME).await;
-        Self {
-            fleet,
-            hosts,
-            sound,
-            tasks,
-        }
-    }
 
-    /// Lets the part crash endpoints, and sends requests with it to all hosts until the fleet is dropped.
-    fn send_deadly(&mut self, path: &'static str, position: Position) {
-        self.fleet.client.set_deadly(Some(DeadlyPart {
-            part: PartKey::of(DEADLY),
-            crash_after: Duration::from_millis(60),
-        }));
-        let hosts = self.hosts.clone();
-        self.tasks.spawn(async move {
-            let mut sent = JoinSet::new();
-            for number in 0.. {
-                let host = hosts[number % hosts.len()].clone();
-                let prompt = position.deadly_prompt(number);
-                sent.spawn(async move {
-                    let id = format!("deadly-{number}");
-                    read_response(&host, request_with_parts(&host, path, &id, &prompt)).await
-                });
-                sleep(DEADLY_INTERVAL).await;
-            }
-        });
-    }
-
-    /// Waits until this many endpoints have ended, or for `limit`. Returns when the last of them did.
-    async fn wait_for_crashes(&self, count: usize, limit: Duration) -> Instant {
-        let mut ended = self.fleet.client.ended();
-        let until = Instant::now() + limit;
-        let mut last = Instant::now();
-        while ended.borrow_and_update().len() < count {
-            tokio::select! {
-                _ = ended.changed() => last = Instant::now(),
-                () = sleep_until(until) => break,
-            }
-        }
-        last
-    }
-
-    /// Number of calls with the part that reached endpoints after `since`.
-    fn deadly_calls_since(&self, since: Instant) -> usize {
-        let calls = self.fleet.client.calls();
-        let is_late = |at: Instant| at > since;
-        calls
-            .iter()
-            .filter(|call| call.parts.contains(PartKey::of(DEADLY)) && is_late(call.at))
-            .count()
-    }
-
-    /// Share of the sound requests from `from` to `to` that were answered at the first attempt.
-    fn sound_share(&self, from: Instant, to: Instant) -> f64 {
-        let outcomes = self.sound.lock().unwrap();
-        let sent = outcomes.iter().filter(|(at, _)| (from..to).contains(at));
-        let (mut count, mut answered) = (0_u32, 0_u32);
-        for (_, outcome) in sent {
-            count += 1;
-            answered += u32::from(matches!(outcome, CallerOutcome::Complete(_)));
-        }
-        assert!(count >= 20, "{count} sound requests");
-        f64::from(answered) / f64::from(count)
+    /// Makes requests with the part.
+    fn deadly_requests(self, path: &'static str) -> RequestMaker {
+        Arc::new(move |host, number| {
+            let prompt = self.deadly_prompt(number);
+            request_with_parts(host, path, &format!("deadly-{number}"), &prompt)
+        })
     }
 }
 
-/// Lists a successor of each endpoint that has ended, after a while.
-async fn restart_endpoints(fleet: TestFleet) {
-    let mut ended = fleet.client.ended();
-    let mut handled = 0;
-    let mut restarts = JoinSet::new();
-    while ended.changed().await.is_ok() {
-        let ids = ended.borrow_and_update().clone();
-        for (number, id) in ids.into_iter().enumerate().skip(handled) {
-            let fleet = fleet.clone();
-            restarts.spawn(async move {
-                sleep(RESTART_TIME).await;
-                fleet.log.put("endpoints", &id, "");
-                let successor = format!("successor-{number}");
-                fleet.log.put("endpoints", &successor, "ready");
-            });
-            handled = number + 1;
-        }
-    }
-}
-
-/// Sends sound requests, whose parts many others have, to one host.
-async fn send_sound_requests(host: Arc<SwitchNode>, index: usize, outcomes: SoundOutcomes) {
-    let mut sent = JoinSet::new();
-    for number in 0.. {
-        let (host, outcomes) = (host.clone(), outcomes.clone());
-        sent.spawn(async move {
-            let prompt = [FIRST.to_owned(), format!("5{}", number % 4)];
-            let id = format!("sound-{index}-{number}");
-            let at = Instant::now();
-            let request = request_with_parts(&host, "/stream/x", &id, &prompt);
-            let outcome = read_response(&host, request).await;
-            outcomes.lock().unwrap().push((at, outcome));
-        });
-        sleep(SOUND_INTERVAL).await;
-    }
+/// Makes sound requests, whose parts many others have.
+fn sound_requests() -> RequestMaker {
+    Arc::new(|host, number| {
+        let prompt = [FIRST.to_owned(), format!("5{}", number % 4)];
+        request_with_parts(host, "/stream/x", &format!("sound-{number}"), &prompt)
+    })
 }
 
 /// Guards against requests that go on being sent to endpoints after a part of their prompts has crashed five of them
@@ -203,15 +79,15 @@
     #[case] path: &'static str,
     #[case] position: Position,
 ) {
-    let mut fleet = CrashingFleet::start().await;
+    let mut fleet = CrashingFleet::start(sound_requests()).await;
     let calm_until = Instant::now();
-    fleet.send_deadly(path, position);
+    fleet.send_deadly(deadly_part(), position.deadly_requests(path));
     let limit = DEADLY_INTERVAL * 40;
     let last_crash = fleet.wait_for_crashes(CRASHES, limit).await;
     sleep_until(last_crash + STABLE_WINDOW * 2).await;
     let sound_from = Instant::now();
     sleep(Duration::from_secs(3)).await;
-    let late = fleet.deadly_calls_since(last_crash + STABLE_WINDOW);
+    let late = fleet.calls_since(deadly_part(), last_crash + STABLE_WINDOW);
     assert!(late <= MAX_LATE, "{late} requests reached endpoints");
     let calm = fleet.sound_share(calm_until - CALM_TIME, calm_until);
     let sound = fleet.sound_share(sound_from, Instant::now() - Duration::from_secs(1));
@@ -221,8 +97,8 @@
 /// Guards against items that go on being sent to endpoints after a part of their prompts has crashed five of them (BUDGET).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn items_whose_part_crashes_endpoints_are_no_longer_sent() {
-    let mut fleet = CrashingFleet::start().await;
-    fleet.send_deadly("/stream/x", Position::First);
+    let mut fleet = CrashingFleet::start(sound_requests()).await;
+    fleet.send_deadly(deadly_part(), Position::First.deadly_requests("/stream/x"));
     let mut job = submission("deadly", 4);
     for item in &mut job.items {
         item.headers.push(("parts".into(), DEADLY.into()));
@@ -230,16 +106,14 @@
     assert_eq!(fleet.hosts[0].submit_job(job).await, SubmitReply::Done);
     let last_crash = fleet.wait_for_crashes(CRASHES, DEADLY_INTERVAL * 40).await;
     sleep_until(last_crash + STABLE_WINDOW * 2).await;
-    let late = fleet.deadly_calls_since(last_crash + STABLE_WINDOW);
+    let late = fleet.calls_since(deadly_part(), last_crash + STABLE_WINDOW);
     assert!(late <= MAX_LATE, "{late} requests reached endpoints");
 }
 
 /// Number of calls with the part that reached endpoints.
 fn deadly_calls(fleet: &TestFleet) -> usize {
     let calls = fleet.client.calls();
-    let with_part = calls
-        .iter()
-        .filter(|call| call.parts.contains(PartKey::of(DEADLY)));
+    let with_part = calls.iter().filter(|call| deadly_part().is_in(call));
     with_part.count()
 }
 
@@ -274,9 +148,9 @@
 
 /// Lets three endpoints crash under the part, and waits until the hosts reject it.
 async fn crash_until_rejected(fleet: &TestFleet, hosts: &[Arc<SwitchNode>]) {
-    fleet.client.set_deadly(Some(DeadlyPart {
-        part: PartKey::of(DEADLY),
-        crash_after: Duration::from_millis(60),
+    fleet.client.set_deadly(Some(DeadlyCalls {
+        cause: deadly_part(),
+        crash_after: CRASH_AFTER,
     }));
     for host in hosts.iter().cycle().take(3) {
         assert_ne!(send_deadly_to(host).await, CallerOutcome::Rejected);
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the switch: its decision logic, and hosts on an in-memory log and in-memory endpoints.
 
 mod body_ends;
+mod crashing_fleet;
 mod crashing_parts;
+mod deadly_requests;
 mod departures;
 mod fleet;
 mod jobs;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -372,14 +372,38 @@
     pub ran: bool,
     /// Parts of the prompt.
     pub parts: PromptParts,
+    /// Key of the request as a whole.
+    pub key: PartKey,
     /// When the endpoint got the call.
     pub at: Instant,
 }
 
-/// A part of prompts that crashes each endpoint which begins to answer a request with it.
+/// What crashes each endpoint that begins to answer a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeadlyCause {
+    /// A part of its prompt.
+    Part(PartKey),
+    /// The request as a whole, by its key.
+    Request(PartKey),
+    /// Anything. No request is the cause.
+    Any,
+}
+
+impl DeadlyCause {
+    /// Whether this is in the call.
+    pub fn is_in(self, call: &RecordedCall) -> bool {
+        match self {
+            Self::Part(part) => call.parts.contains(part),
+            Self::Request(key) => call.key == key,
+            Self::Any => true,
+        }
+    }
+}
+
+/// Calls that crash their endpoints.
 #[derive(Clone, Copy, Debug)]
-pub struct DeadlyPart {
-    pub part: PartKey,
+pub struct DeadlyCalls {
+    pub cause: DeadlyCause,
     /// Time from the call to the crash.
     pub crash_after: Duration,
 }
@@ -394,7 +418,7 @@
     /// Limits that endpoints name in their responses.
     limits: Vec<(Arc<str>, RateLimit)>,
     running: i64,
-    deadly: Option<DeadlyPart>,
+    deadly: Option<DeadlyCalls>,
     /// Whether all endpoints refuse connections once the queued behaviours are used up.
     refuses: bool,
     /// Endpoints that have ended, in the order in which they did.
@@ -458,8 +482,8 @@
         self.0.lock().unwrap().running
     }
 
-    /// Lets a part crash the endpoints from now on, or none.
-    pub fn set_deadly(&self, deadly: Option<DeadlyPart>) {
+    /// Lets calls crash the endpoints from now on, or none.
+    pub fn set_deadly(&self, deadly: Option<DeadlyCalls>) {
         self.0.lock().unwrap().deadly = deadly;
     }
 
@@ -487,13 +511,13 @@
         self.0.lock().unwrap().ended.subscribe()
     }
 
-    /// Ends the endpoint after a while if the call has the deadly part.
-    fn crash_if_deadly(&self, endpoint: &ListedEndpoint, parts: &PromptParts) {
+    /// Ends the endpoint of a call after a while if the call is deadly.
+    fn crash_if_deadly(&self, call: &RecordedCall) {
         let deadly = self.0.lock().unwrap().deadly;
-        let Some(deadly) = deadly.filter(|deadly| parts.contains(deadly.part)) else {
+        let Some(deadly) = deadly.filter(|deadly| deadly.cause.is_in(call)) else {
             return;
         };
-        let (client, id) = (self.clone(), endpoint.id.clone());
+        let (client, id) = (self.clone(), call.endpoint.clone());
         tokio::spawn(async move {
             sleep(deadly.crash_after).await;
             client.end_endpoint(&id);
@@ -553,11 +577,18 @@
             let cause = "connection refused".into();
             return Err(CallError::NotSent { cause });
         }
-        let parts = self.prompt_parts(&call.headers);
-        self.crash_if_deadly(endpoint, &parts);
+        let call = RecordedCall {
+            endpoint: endpoint.id.clone(),
+            resume_after: options.resume_after,
+            ran: false,
+            parts: self.prompt_parts(&call.headers),
+            key: PartKey::of_request(call),
+            at: Instant::now(),
+        };
+        self.crash_if_deadly(&call);
         let end = wait_for_end(ended, endpoint.id.clone()).boxed().shared();
         let response = tokio::select! {
-            response = self.respond(endpoint, parts, options) => response,
+            response = self.respond(call) => response,
             () = end.clone() => Err(broken_off()),
         };
         match response {
@@ -599,7 +630,7 @@
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts {
         let list = headers.get("parts").and_then(|list| list.to_str().ok());
         list.into_iter()
-            .flat_map(|list| list.split(','))
+            .flat_map(|list| list.split_terminator(','))
             .map(PartKey::of)
             .collect()
     }
@@ -607,36 +638,21 @@
 
 impl MemoryClient {
     /// Records a call and returns the behaviour for it.
-    fn record_call(
-        &self,
-        endpoint: &ListedEndpoint,
-        parts: PromptParts,
-        options: CallOptions,
-    ) -> CallScript {
+    fn record_call(&self, call: RecordedCall) -> CallScript {
         let mut state = self.0.lock().unwrap();
         let next = state.scripts.pop_front();
         let script = next
             .or(state.default_script)
             .unwrap_or(CallScript::Stream { events: 3 });
         let ran = !matches!(script, CallScript::Unreachable | CallScript::Full);
-        state.calls.push(RecordedCall {
-            endpoint: endpoint.id.clone(),
-            resume_after: options.resume_after,
-            ran,
-            parts,
-            at: Instant::now(),
-        });
+        state.calls.push(RecordedCall { ran, ..call });
         state.running += 1;
         script
     }
 
-    async fn respond(
-        &self,
-        endpoint: &ListedEndpoint,
-        parts: PromptParts,
-        options: CallOptions,
-    ) -> Result<EndpointResponse, CallError> {
-        let script = self.record_call(endpoint, parts, options);
+    async fn respond(&self, call: RecordedCall) -> Result<EndpointResponse, CallError> {
+        let resume_after = call.resume_after;
+        let script = self.record_call(call);
         let running = RunningCall(self.clone());
         sleep(Duration::from_millis(5)).await;
         let lost = || CallError::Interrupted {
@@ -681,11 +697,11 @@
                 return Ok(flood(running, 1..=chunks, comment));
             }
             CallScript::LargeEvents { events, bytes } => {
-                let first = options.resume_after.map_or(1, |last| last + 1);
+                let first = resume_after.map_or(1, |last| last + 1);
                 return Ok(large_events(running, first..=events, bytes));
             }
             CallScript::EventFlood { events } => {
-                let first = options.resume_after.map_or(1, |last| last + 1);
+                let first = resume_after.map_or(1, |last| last + 1);
                 return Ok(flood(running, first..=events, event));
             }
             CallScript::BreakAfter { event } => (event, true, false, 200),
@@ -693,7 +709,7 @@
         };
         let pause_at = move |position| script.pause_at(position);
         sleep(pause_at(0)).await;
-        let first = options.resume_after.map_or(1, |last| last + 1);
+        let first = resume_after.map_or(1, |last| last + 1);
         let sent = stream::iter(first..=events).then(move |id| async move {
             if id > 1 {
                 sleep(pause_at(id - 1)).await;
