--- a/crates/switch/src/crash_log.rs
+++ b/crates/switch/src/crash_log.rs
@@ -2,7 +2,8 @@
 //! all others were lost, and those that are cut off from the others. Hosts that hear each other do not need them.
 //!
 //! A host keeps one record, which it replaces. It is responsible for the quarantines that rendezvous hashing assigns to it,
-//! and writes all that it reports while it does not hear most of the others. What a record says expires as in a datagram.
+//! and writes all that it reports while it does not hear most of the others. Each quarantine is assigned to two hosts, since one
+//! that others hear may hear none itself. What a record says expires as in a datagram.
 
 use crate::backend::{KeyedRecord, LogEntry};
 use crate::crash_exchange::{CrashNotice, apply_notices, report};
@@ -18,6 +19,8 @@
 const KEY_PREFIX: &str = "crashes/";
 /// Interval at which a host checks whether its record must be replaced. It bounds the calls to the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of hosts that store a quarantine.
+const COPIES: usize = 2;
 /// Maximum number of notices in a record.
 const MAX_NOTICES: usize = 64;
 
@@ -101,7 +104,8 @@
             .iter()
             .any(|stored| stored.0 == quarantine.id);
         let hash = quarantine.id.hash();
-        is_isolated || is_stored || state.members.assigned_to(hash, own, now) == own
+        let members = &state.members;
+        is_isolated || is_stored || members.is_among_assigned(hash, own, COPIES, now)
     };
     let quarantines = crashes.quarantine.iter();
     let in_force = quarantines.filter(|quarantine| !quarantine.parts.is_empty());
--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -176,16 +176,24 @@
     assert_eq!(deadly_calls(&fleet), 3);
 }
 
-/// Guards against a host that goes on sending requests with a part since the others cannot tell it of the crashes.
+/// Guards against a host that goes on sending requests with a part since the others cannot tell it of the crashes, also if it is the one
+/// that is to keep the part in the log, as the others hear it.
+#[rstest]
+#[case::first("d")]
+#[case::second("e")]
+#[case::third("f")]
+#[case::fourth("g")]
+#[case::fifth("h")]
+#[case::sixth("i")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn part_is_rejected_by_a_host_that_hears_no_other() {
+async fn part_is_rejected_by_a_host_that_hears_no_other(#[case] isolated: &str) {
     let fleet = TestFleet::new(SIZE);
     let hosts = [
         fleet.spawn("a").await,
         fleet.spawn("b").await,
         fleet.spawn("c").await,
     ];
-    let (isolated, _unread) = fleet.spawn_isolated("d").await;
+    let (isolated, _unread) = fleet.spawn_isolated(isolated).await;
     sleep(Duration::from_secs(2)).await;
     crash_until_rejected(&fleet, &hosts).await;
     sleep(Duration::from_secs(2)).await;
