--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -1,10 +1,10 @@
 //! Crashes of endpoints and the requests that broke off with them, from the reports of all hosts.
 //!
-//! A request may crash each endpoint that begins to answer it, because of a part of its prompt that other requests have as
-//! well. One crash does not tell which of the requests caused it. A part is suspected the more, the more often a request
-//! with it was sent after a crash under the same part and broke off with the next endpoint. Endpoints that crash at the same
-//! moment, for whatever cause, count once. An answer that is complete, or has been in progress for long, shows that its
-//! parts are sound.
+//! A request may crash each endpoint that begins to answer it, by itself or because of a part of its prompt that other requests
+//! have as well. One crash does not tell which of the requests caused it. A part is suspected the more, the more often a request
+//! with it was sent after a crash under the same part and broke off with the next endpoint. So is a request as a whole, which its
+//! caller or its host may send again; its key counts as one more part. Endpoints that crash at the same moment, for whatever
+//! cause, count once. An answer that is complete, or has been in progress for long, shows that its parts are sound.
 
 use crate::endpoint::ListedEndpoint;
 use crate::prompt::{PartKey, PromptParts};
@@ -20,8 +20,8 @@
 const MAX_CRASHES: usize = 64;
 /// Maximum number of requests of one host that are remembered for a crash.
 const MAX_REQUESTS: usize = 32;
-/// Time after a crash in which a request that is sent again, as its endpoint has crashed, reaches another endpoint. If that
-/// crashes too, it may have done so together with the first.
+/// Time after a crash in which others may have the same cause. Requests that are sent again, as their endpoint has crashed, reach
+/// other endpoints in it.
 const REPEAT_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of parts whose soundness is remembered.
 const MAX_SOUND_PARTS: usize = 256;
@@ -44,7 +44,7 @@
 /// A request that broke off with its endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
-    /// Parts of its prompt.
+    /// Parts of its prompt. The key of the request follows, unless it is an item of a job, which is never the cause by itself.
     pub parts: PromptParts,
     /// When it was sent to the endpoint.
     pub sent_at: Instant,
@@ -253,8 +253,9 @@
         })
     }
 
-    /// Number of crashes under a part, each by a request that was sent some time after the one before, without those that
-    /// `is_left_out` selects.
+    /// Crashes under a part that followed each other, without those that `is_left_out` selects. Each has a request with the part
+    /// that was sent some time after the crash before. A request that is sent again at once is the same one, of which that cannot be
+    /// expected: its endpoint must have crashed some time after the one before.
     pub fn successive(
         &self,
         part: PartKey,
@@ -263,15 +264,23 @@
         let mut found = SuccessiveCrashes::default();
         let mut last: Option<Instant> = None;
         for crash in self.suspicious(part).filter(|crash| !is_left_out(crash)) {
-            let sent = crash.last_sent(part);
-            let Some(sent_at) =
-                sent.filter(|sent| last.is_none_or(|last| *sent > last + REPEAT_TIME))
-            else {
+            let Some(sent_at) = crash.last_sent(part) else {
                 continue;
             };
-            found.crashes.push(crash.id);
-            found.age += crash.seen_at.saturating_duration_since(sent_at);
-            last = Some(crash.seen_at);
+            let is_successive = last.is_none_or(|last| {
+                if part.is_request() {
+                    sent_at >= last && crash.seen_at >= last + REPEAT_TIME
+                } else {
+                    sent_at > last + REPEAT_TIME
+                }
+            });
+            if is_successive {
+                found.crashes.push(crash.id);
+                found.age += crash.seen_at.saturating_duration_since(sent_at);
+            }
+            if is_successive || part.is_request() {
+                last = Some(crash.seen_at);
+            }
         }
         found
     }
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -77,11 +77,13 @@
         let in_flight = InFlightRequest::begin(self);
         let parts = self.deps.client.prompt_parts(&request.call.headers);
         let key = PartKey::of_request(&request.call);
+        let suspects = parts.with_request(key);
         let mut exchange = OnlineExchange {
             node: self.clone(),
             request: Arc::new(request),
             parts,
             key,
+            suspects,
             attempts: PendingAttempts::default(),
             tried: Vec::new(),
             sent: Vec::new(),
@@ -155,6 +157,8 @@
     parts: PromptParts,
     /// Key of the request as a whole.
     key: PartKey,
+    /// What may crash endpoints: the parts and the key.
+    suspects: PromptParts,
     /// Attempts in progress whose responses have not begun.
     attempts: PendingAttempts,
     /// Endpoints at which an attempt has failed.
@@ -173,7 +177,7 @@
     time_to_first_byte: Option<Duration>,
     /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
     had_free_slot: bool,
-    /// Whether a long answer has shown that its prompt does not crash the endpoint.
+    /// Whether a long answer has shown that the request does not crash the endpoint.
     is_proven: bool,
     /// Endpoint of the last attempt.
     endpoint: Option<Arc<str>>,
@@ -196,7 +200,7 @@
     /// Sends the request, with retries, until an endpoint responds.
     async fn first_response(&mut self) -> Result<Opened, OnlineReply> {
         let resume_after = self.request.resume_after;
-        self.check_parts()?;
+        self.check_suspects()?;
         if resume_after.is_some() {
             self.version = Some(self.find_version().await?);
         }
@@ -328,9 +332,9 @@
         }
         let node = self.node.clone();
         let state = &mut *node.lock();
-        let admission = node.admit(state, &self.request.call.id, &self.parts, now);
+        let admission = node.admit(state, &self.request.call.id, &self.suspects, now);
         if let Admission::Rejected { retry_after } = admission {
-            return Err(self.reject_parts(retry_after));
+            return Err(self.reject_suspect(retry_after));
         }
         let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
@@ -368,7 +372,7 @@
         }
         let node = self.node.clone();
         let state = &mut *node.lock();
-        if state.crashes.quarantine.covers(&self.parts) {
+        if state.crashes.quarantine.covers(&self.suspects) {
             return None;
         }
         let service = self.pick_service(state, now)?;
@@ -449,20 +453,19 @@
         (endpoint, guard)
     }
 
-    /// Rejects a request that takes up a stream at once if its prompt has parts that crash endpoints. It is not used as a
-    /// trial, since it would have to wait for the version that began the stream.
-    fn check_parts(&self) -> Result<(), OnlineReply> {
+    /// Rejects a request that takes up a stream at once if endpoints crash under it. It is not used as a trial, since it would have to wait for the version that began the stream.
+    fn check_suspects(&self) -> Result<(), OnlineReply> {
         let is_resumed = self.request.resume_after.is_some();
-        if is_resumed && self.node.lock().crashes.quarantine.covers(&self.parts) {
-            return Err(self.reject_parts(NO_ENDPOINT_RETRY_AFTER));
+        if is_resumed && self.node.lock().crashes.quarantine.covers(&self.suspects) {
+            return Err(self.reject_suspect(NO_ENDPOINT_RETRY_AFTER));
         }
         Ok(())
     }
 
-    /// Logs that the request is not sent because of its prompt, and returns the reply.
-    fn reject_parts(&self, retry_after: Duration) -> OnlineReply {
+    /// Logs that the request is not sent since endpoints crash under it, and returns the reply.
+    fn reject_suspect(&self, retry_after: Duration) -> OnlineReply {
         info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-            "cause" => "parts of its prompt crash endpoints", "key" => %self.key,
+            "cause" => "endpoints crash under it or under parts of its prompt", "key" => %self.key,
             "parts" => %self.parts);
         self.failure_reply(retry_after)
     }
@@ -477,7 +480,7 @@
     /// Records that the request ended at an endpoint that may have crashed under it.
     fn record_end(&self, endpoint: &Arc<ListedEndpoint>, may_be_complete: bool) {
         let request = BrokenRequest {
-            parts: self.parts.clone(),
+            parts: self.suspects.clone(),
             sent_at: self.sent_at(&endpoint.id),
         };
         let ended = EndedRequest {
@@ -487,14 +490,11 @@
         self.node.record_end(endpoint, ended);
     }
 
-    /// Records that the answer of an endpoint shows that the prompt does not crash it.
+    /// Records that the answer of an endpoint shows that the request does not crash it.
     fn record_sound(&self, endpoint: &ListedEndpoint) {
-        if self.parts.is_empty() {
-            return;
-        }
         let sent_at = self.sent_at(&endpoint.id);
         let state = &mut self.node.lock();
-        self.node.record_sound(state, &self.parts, sent_at);
+        self.node.record_sound(state, &self.suspects, sent_at);
     }
 
     /// Longest expected wait with which the request is sent.
--- a/crates/switch/src/prompt.rs
+++ b/crates/switch/src/prompt.rs
@@ -1,4 +1,5 @@
-//! Parts of prompts: what a request's prompt has in common with the prompts of other requests.
+//! Parts of prompts: what a request's prompt has in common with the prompts of other requests, and what a request has in common with
+//! its repeats.
 
 use crate::backend::EndpointCall;
 use http::header::AUTHORIZATION;
@@ -10,13 +11,16 @@
 /// Maximum number of parts of one prompt that are told apart. It bounds the memory of a request.
 const MAX_PARTS: usize = 32;
 
-/// Identifies a part of a prompt.
+/// Bit that tells the keys of requests from those of parts.
+const REQUEST_BIT: u64 = 1 << 63;
+
+/// Identifies a part of a prompt, or a request as a whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "[u8; 8]", from = "[u8; 8]")]
 pub struct PartKey(u64);
 
 impl PartKey {
-    /// Returns the key of the part with this ID: its value if it is a hexadecimal number, and otherwise its hash.
+    /// Returns the key of the part with this ID: its value if it is a hexadecimal number, and otherwise its hash, of 63 bits.
     ///
     /// ```
     /// use fulmarswitch_switch::prompt::PartKey;
@@ -26,7 +30,8 @@
     /// ```
     #[must_use]
     pub fn of(id: &str) -> Self {
-        Self(u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes())))
+        let value = u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes()));
+        Self(value & !REQUEST_BIT)
     }
 
     /// Returns the key of a request as a whole. It is the same when the caller sends the request again, at whichever host: it
@@ -47,6 +52,7 @@
     /// let key = PartKey::of_request(&call("first", "code P0301"));
     /// assert_eq!(key, PartKey::of_request(&call("again", "code P0301")));
     /// assert_ne!(key, PartKey::of_request(&call("other", "code P0302")));
+    /// assert!(key.is_request() && !PartKey::of("ffffffffffffffff").is_request());
     /// ```
     #[must_use]
     pub fn of_request(call: &EndpointCall) -> Self {
@@ -64,7 +70,13 @@
             hasher.update(&field.len().to_le_bytes());
             hasher.update(field);
         }
-        Self(hasher.digest())
+        Self(hasher.digest() | REQUEST_BIT)
+    }
+
+    /// Whether this is the key of a request as a whole.
+    #[must_use]
+    pub fn is_request(self) -> bool {
+        self.0 & REQUEST_BIT != 0
     }
 }
 
@@ -86,7 +98,7 @@
     }
 }
 
-/// Parts of one prompt that other prompts may have as well, in the order of the prompt.
+/// Parts of one prompt that other prompts may have as well, in the order of the prompt. The key of the request may follow.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptParts(Arc<[PartKey]>);
 
@@ -97,6 +109,13 @@
         self.0.len()
     }
 
+    /// These parts, followed by the key of the request that has them.
+    #[must_use]
+    pub fn with_request(&self, key: PartKey) -> Self {
+        let parts = self.iter().chain([key]);
+        Self(parts.collect())
+    }
+
     /// Whether the prompt has no part that others may have.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Parts of prompts whose requests are rejected, since they crash the endpoints that begin to answer them.
+//! Requests that are rejected since they crash the endpoints that begin to answer them: because of parts of their prompts, or by
+//! themselves. The key of a request is taken for one more part of its prompt, which none but its repeats have.
 //!
 //! Parts that all these requests have cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
 //! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
@@ -236,12 +237,13 @@
             )
         });
         let first = specific.first()?;
-        let together = first.parts_together(&requests, records);
+        let mut together = first.parts_together(&requests);
         let count = first.count();
         // A part in as many crashes, whenever its requests were sent, may be the cause as well.
         let is_rival =
             |other: &Suspect| other.presence >= first.presence && !together.contains(&other.part);
         let is_clear = !candidates.iter().any(is_rival);
+        together.retain(|part| *part == first.part || !records.is_sound(*part));
         (is_clear || count >= MAX_CRASHES).then_some(together)
     }
 
@@ -383,18 +385,13 @@
         without.next().is_none()
     }
 
-    /// Parts that all broken requests with this one have, unless they are sound. Sorted.
-    fn parts_together(&self, requests: &[&BrokenRequest], records: &CrashRecords) -> Vec<PartKey> {
-        let mut together: Vec<PartKey> = vec![self.part];
+    /// Parts that all broken requests with this one have, this one included. Sorted.
+    fn parts_together(&self, requests: &[&BrokenRequest]) -> Vec<PartKey> {
         let carriers = || self.carriers.iter().map(|index| requests[*index]);
         let first = carriers().next().into_iter();
-        let others = first.flat_map(|request| request.parts.iter());
+        let parts = first.flat_map(|request| request.parts.iter());
         let is_together = |part: &PartKey| carriers().all(|request| request.parts.contains(*part));
-        together.extend(
-            others
-                .filter(is_together)
-                .filter(|part| !records.is_sound(*part)),
-        );
+        let mut together: Vec<PartKey> = parts.filter(is_together).collect();
         together.sort_unstable();
         together.dedup();
         together
--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -1,11 +1,12 @@
-//! Parts of prompts that crash each endpoint which begins to answer a request with them, at several hosts.
+//! Parts of prompts that crash each endpoint which begins to answer a request with them, at several hosts; and what hosts remember of
+//! deadly requests when some or all of them are lost.
 
 use crate::crashing_fleet::{
     CALM_TIME, CRASH_AFTER, CrashingFleet, DEADLY_INTERVAL, MAX_LATE, RequestMaker, SIZE,
     STABLE_WINDOW,
 };
 use crate::support::{
-    CallScript, CallerOutcome, DeadlyCalls, DeadlyCause, TestFleet, read_response,
+    CallScript, CallerOutcome, DeadlyCalls, DeadlyCause, TestFleet, read_response, request,
     request_with_parts, submission,
 };
 use fulmarswitch_switch::jobs::SubmitReply;
@@ -13,6 +14,7 @@
 use fulmarswitch_switch::prompt::PartKey;
 use rstest::rstest;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -110,21 +112,36 @@
     assert!(late <= MAX_LATE, "{late} requests reached endpoints");
 }
 
-/// Number of calls with the part that reached endpoints.
-fn deadly_calls(fleet: &TestFleet) -> usize {
-    let calls = fleet.client.calls();
-    let with_part = calls.iter().filter(|call| deadly_part().is_in(call));
-    with_part.count()
+/// What the requests that crash endpoints have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Common {
+    /// A part of their prompts, and nothing else.
+    Part,
+    /// All but their IDs. They have no parts.
+    Request,
+}
+
+/// Number of calls to endpoints.
+fn calls(fleet: &TestFleet) -> usize {
+    fleet.client.calls().len()
 }
 
-/// Sends a request with the part to a host.
-async fn send_deadly_to(host: &Arc<SwitchNode>) -> CallerOutcome {
-    let prompt = Position::SecondAfterSame.deadly_prompt(0);
-    read_response(
-        host,
-        request_with_parts(host, "/stream/x", "deadly", &prompt),
-    )
-    .await
+/// Sends a deadly request to a host.
+async fn send_deadly_to(host: &Arc<SwitchNode>, common: Common) -> CallerOutcome {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let id = format!("deadly-{number}");
+    let mut request = match common {
+        Common::Part => {
+            let prompt = Position::SecondAfterSame.deadly_prompt(0);
+            request_with_parts(host, "/stream/x", &id, &prompt)
+        }
+        Common::Request => request(host, "/stream/x", &id),
+    };
+    if common == Common::Part {
+        request.call.body = id.into();
+    }
+    read_response(host, request).await
 }
 
 /// Starts hosts on a runtime of their own, whose end loses them all at once.
@@ -146,38 +163,44 @@
     (runtime, hosts)
 }
 
-/// Lets three endpoints crash under the part, and waits until the hosts reject it.
-async fn crash_until_rejected(fleet: &TestFleet, hosts: &[Arc<SwitchNode>]) {
+/// Lets three endpoints crash under deadly requests, and waits until the hosts reject them.
+async fn crash_until_rejected(fleet: &TestFleet, hosts: &[Arc<SwitchNode>], common: Common) {
     fleet.client.set_deadly(Some(DeadlyCalls {
-        cause: deadly_part(),
+        cause: DeadlyCause::Any,
         crash_after: CRASH_AFTER,
     }));
     for host in hosts.iter().cycle().take(3) {
-        assert_ne!(send_deadly_to(host).await, CallerOutcome::Rejected);
+        assert_ne!(send_deadly_to(host, common).await, CallerOutcome::Rejected);
         sleep(Duration::from_millis(250)).await;
     }
     sleep(Duration::from_millis(400)).await;
     for host in hosts {
-        assert_eq!(send_deadly_to(host).await, CallerOutcome::Rejected);
+        assert_eq!(send_deadly_to(host, common).await, CallerOutcome::Rejected);
     }
 }
 
-/// Guards against endpoints that crash again under a part after all hosts, which knew of it, were lost at once.
+/// Guards against endpoints that crash again under a part or a request after all hosts, which knew of it, were lost at once.
+#[rstest]
+#[case::part(Common::Part)]
+#[case::request(Common::Request)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn part_is_rejected_after_the_loss_of_all_hosts() {
+async fn cause_is_rejected_after_the_loss_of_all_hosts(#[case] common: Common) {
     let fleet = TestFleet::new(SIZE);
     let (runtime, hosts) = spawn_hosts(&fleet, &["a", "b", "c"]);
     sleep(Duration::from_secs(1)).await;
-    crash_until_rejected(&fleet, &hosts).await;
+    crash_until_rejected(&fleet, &hosts, common).await;
     sleep(Duration::from_secs(1)).await;
     runtime.shutdown_background();
     let restarted = fleet.start("a").await;
-    assert_eq!(send_deadly_to(&restarted).await, CallerOutcome::Rejected);
-    assert_eq!(deadly_calls(&fleet), 3);
+    assert_eq!(
+        send_deadly_to(&restarted, common).await,
+        CallerOutcome::Rejected
+    );
+    assert_eq!(calls(&fleet), 3);
 }
 
-/// Guards against a host that goes on sending requests with a part since the others cannot tell it of the crashes, also if it is the one
-/// that is to keep the part in the log, as the others hear it.
+/// Guards against a host that goes on sending deadly requests since the others cannot tell it of the crashes, also if it is the one that
+/// is to keep the cause in the log, as the others hear it.
 #[rstest]
 #[case::first("d")]
 #[case::second("e")]
@@ -186,7 +209,10 @@
 #[case::fifth("h")]
 #[case::sixth("i")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn part_is_rejected_by_a_host_that_hears_no_other(#[case] isolated: &str) {
+async fn cause_is_rejected_by_a_host_that_hears_no_other(
+    #[case] isolated: &str,
+    #[values(Common::Part, Common::Request)] common: Common,
+) {
     let fleet = TestFleet::new(SIZE);
     let hosts = [
         fleet.spawn("a").await,
@@ -195,15 +221,21 @@
     ];
     let (isolated, _unread) = fleet.spawn_isolated(isolated).await;
     sleep(Duration::from_secs(2)).await;
-    crash_until_rejected(&fleet, &hosts).await;
+    crash_until_rejected(&fleet, &hosts, common).await;
     sleep(Duration::from_secs(2)).await;
-    assert_eq!(send_deadly_to(&isolated).await, CallerOutcome::Rejected);
-    assert_eq!(deadly_calls(&fleet), 3);
+    assert_eq!(
+        send_deadly_to(&isolated, common).await,
+        CallerOutcome::Rejected
+    );
+    assert_eq!(calls(&fleet), 3);
 }
 
 /// Guards against hosts that do not learn of the crashes at the others while none of them reaches the log.
+#[rstest]
+#[case::part(Common::Part)]
+#[case::request(Common::Request)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn part_is_rejected_by_all_hosts_while_the_log_is_out_of_reach() {
+async fn cause_is_rejected_by_all_hosts_while_the_log_is_out_of_reach(#[case] common: Common) {
     let fleet = TestFleet::new(SIZE);
     let hosts = [
         fleet.spawn("a").await,
@@ -212,20 +244,23 @@
     ];
     sleep(Duration::from_secs(1)).await;
     fleet.log.set_down(true);
-    crash_until_rejected(&fleet, &hosts).await;
-    assert_eq!(deadly_calls(&fleet), 3);
+    crash_until_rejected(&fleet, &hosts, common).await;
+    assert_eq!(calls(&fleet), 3);
 }
 
-/// Guards against a host that starts while the others reject a part, and sends requests with it.
+/// Guards against a host that starts while the others reject a part or a request, and sends it.
+#[rstest]
+#[case::part(Common::Part)]
+#[case::request(Common::Request)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn part_is_rejected_by_a_host_that_starts_later() {
+async fn cause_is_rejected_by_a_host_that_starts_later(#[case] common: Common) {
     let fleet = TestFleet::new(SIZE);
     let hosts = [fleet.spawn("a").await, fleet.spawn("b").await];
     sleep(Duration::from_secs(1)).await;
-    crash_until_rejected(&fleet, &hosts).await;
+    crash_until_rejected(&fleet, &hosts, common).await;
     let late = fleet.start("c").await;
-    assert_eq!(send_deadly_to(&late).await, CallerOutcome::Rejected);
-    assert_eq!(deadly_calls(&fleet), 3);
+    assert_eq!(send_deadly_to(&late, common).await, CallerOutcome::Rejected);
+    assert_eq!(calls(&fleet), 3);
 }
 
 /// Guards against a host that starts after crashes of other causes, learns of them and not of the answers in between, and makes
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -1,10 +1,13 @@
 //! Which parts of prompts are rejected after which crashes, and until when.
 
 use crate::support::listed;
+use bytes::Bytes;
+use fulmarswitch_switch::backend::EndpointCall;
 use fulmarswitch_switch::crashes::{BrokenRequest, CrashId, CrashRecords};
 use fulmarswitch_switch::endpoint::ListedEndpoint;
 use fulmarswitch_switch::prompt::{PartKey, PromptParts};
 use fulmarswitch_switch::quarantine::{Admission, Quarantine, QuarantineTable};
+use http::{HeaderMap, Method};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +20,23 @@
 /// Time from a request to the crash of its endpoint.
 const RUN: Duration = Duration::from_millis(50);
 
+/// Parts with these IDs. One that begins with `request` is the key of a request.
 fn parts(list: &str) -> PromptParts {
-    list.split(',').map(PartKey::of).collect()
+    list.split(',').map(part).collect()
+}
+
+fn part(id: &str) -> PartKey {
+    if !id.starts_with("request") {
+        return PartKey::of(id);
+    }
+    PartKey::of_request(&EndpointCall {
+        id: "r".into(),
+        method: Method::POST,
+        host: "host".into(),
+        target: id.into(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    })
 }
 
 fn endpoint(number: u64) -> ListedEndpoint {
@@ -187,6 +205,63 @@
     assert!(!observer.rejects("a,b"));
 }
 
+/// Guards against a request that goes on being sent since sound requests, which are answered meanwhile, have all parts of its prompt; and
+/// against sound requests with these parts that are rejected.
+#[rstest]
+#[case::with_parts("first,second,request", "first,second,request-sound")]
+#[case::without_parts("request", "request-sound")]
+#[tokio::test(start_paused = true)]
+async fn request_is_rejected_after_three_crashes_while_its_parts_are_answered(
+    #[case] deadly: &str,
+    #[case] sound: &str,
+) {
+    let mut observer = Observer::default();
+    for _ in 0..3 {
+        assert!(!observer.rejects(deadly));
+        observer.crash(&[(deadly, RUN)]);
+        sleep(CRASH_INTERVAL).await;
+        observer.answer(sound, RUN);
+    }
+    assert!(observer.rejects(deadly));
+    assert!(!observer.rejects(sound));
+}
+
+/// Guards against a request that goes on being sent since its host sends it to the next endpoint as soon as one has crashed, so that the
+/// crashes follow each other closely.
+#[tokio::test(start_paused = true)]
+async fn crashes_under_a_request_that_is_sent_again_at_once_count() {
+    let mut observer = Observer::default();
+    for number in 0..3 {
+        let sound = format!("first,request-{number}");
+        observer.crash(&[("first,request", RUN), (&sound, RUN * 5)]);
+        sleep(RUN).await;
+    }
+    assert!(observer.rejects("first,request"));
+    assert!(!observer.rejects("first,request-0"));
+}
+
+/// Guards against a sound request that is rejected since its host sent it again, as each time its endpoint had crashed, to one that crashed
+/// as well.
+#[rstest]
+#[case::endpoints_that_crash_together(5, RUN / 2, &[("first,request-sound", RUN / 4)])]
+#[case::beside_the_cause(2, RUN * 2, &[("first,request", RUN), ("first,request-sound", RUN)])]
+#[case::sent_before_the_first_crash(20, CRASH_INTERVAL, &[("first,request-sound", Duration::from_secs(30))])]
+#[tokio::test(start_paused = true)]
+async fn sound_request_that_is_sent_again_is_not_rejected(
+    #[case] crashes: u32,
+    #[case] interval: Duration,
+    #[case] requests: &[(&str, Duration)],
+) {
+    sleep(Duration::from_mins(1)).await;
+    let mut observer = Observer::default();
+    for _ in 0..crashes {
+        observer.crash(requests);
+        sleep(interval).await;
+    }
+    observer.crash(&[("first,request", RUN)]);
+    assert!(!observer.rejects("first,request-sound"));
+}
+
 /// Guards against sound parts that are rejected after crashes of other causes.
 #[rstest]
 #[case::all_at_once(20, Duration::ZERO, Duration::from_secs(1), false)]
