--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -226,7 +226,7 @@
         );
         registry.register(
             "quarantined_requests",
-            "Times that a request or an item was not sent, since parts of its prompt crash endpoints",
+            "Times that a request or an item was not sent, since endpoints crash under it",
             self.quarantined_requests.clone(),
         );
         registry.register(
