Ask for five crashes if an endpoint ended long after the request (LOST)

Three crashes are weak evidence where the request may have run for any time. A deadly one ends its endpoint when it begins to run. So three suffice only if each endpoint ended within 250 ms of the request, and five do otherwise.

--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -276,7 +276,9 @@
             });
             if is_successive {
                 found.crashes.push(crash.id);
-                found.age += crash.seen_at.saturating_duration_since(sent_at);
+                let age = crash.seen_at.saturating_duration_since(sent_at);
+                found.age += age;
+                found.longest_age = found.longest_age.max(age);
             }
             if is_successive || part.is_request() {
                 last = Some(crash.seen_at);
@@ -359,4 +361,6 @@
     pub crashes: Vec<CrashId>,
     /// Sum of the times from the requests with the part to the crashes.
     pub age: Duration,
+    /// Longest of these times.
+    pub longest_age: Duration,
 }
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -12,10 +12,14 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Number of successive crashes after which a part is in quarantine, if no other part is in as many crashes.
+/// Number of successive crashes after which a part is in quarantine, if no other part is in as many crashes and each endpoint
+/// ended within [`BEGIN_TIME`] of the request.
 const MIN_CRASHES: usize = 3;
-/// Number of successive crashes after which one is in quarantine also if others are.
+/// Number of successive crashes after which one is in quarantine in any case.
 const MAX_CRASHES: usize = 5;
+/// Time in which a request that crashes the endpoint which begins to answer it does so, unless it waits for a slot. A sound one
+/// may break off at any time of its run.
+const BEGIN_TIME: Duration = Duration::from_millis(250);
 /// Time after this host has learned of a crash from which it counts. Before that the reports of some hosts may be missing, and
 /// with them the request that caused it, or the answers that show which parts are sound.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -244,6 +248,7 @@
             |other: &Suspect| other.presence >= first.presence && !together.contains(&other.part);
         let is_clear = !candidates.iter().any(is_rival);
         together.retain(|part| *part == first.part || !records.is_sound(*part));
+        let is_clear = is_clear && first.successive.longest_age <= BEGIN_TIME;
         (is_clear || count >= MAX_CRASHES).then_some(together)
     }
 
