Count the crashes of an endpoint that has started again under an old listing (BUDGET)

A crash was identified by the listed start of its endpoint, which crashes once. A listing that is not read again tells of a start that has ended, and each further crash at its address was taken for the one that was known. Requests that were sent after a crash and break off 1 s after it or later now make another one.

The new test fails on the code before: the fourth attempt is sent.

--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -3,7 +3,7 @@
 //! An answer that breaks off does not tell whether its endpoint has crashed. A crashed one refuses connections at once.
 
 use crate::crash_log::StoredQuarantine;
-use crate::crashes::{BrokenRequest, CrashId, CrashRecords, EndpointCrash};
+use crate::crashes::{BREAK_OFF_TIME, BrokenRequest, CrashId, CrashRecords, EndpointCrash};
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::prompt::{PartKey, PromptParts};
@@ -22,9 +22,6 @@
 /// Minimum time from a request to the end of its endpoint with which it may be the cause. An endpoint that ends sooner had no
 /// time to begin an answer.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
-/// Time after a crash in which further requests break off with the endpoint. Those that break off later may have been sent to
-/// its successor.
-const BREAK_OFF_TIME: Duration = Duration::from_secs(1);
 /// Time for which an answer must be in progress to show that its prompt does not crash the endpoint.
 pub(crate) const PROOF_TIME: Duration = Duration::from_secs(2);
 
@@ -74,8 +71,11 @@
         if let Some(seen_at) = state.crashes.records.crashed_at(id) {
             if now < seen_at + BREAK_OFF_TIME {
                 self.record_crash(&mut state, endpoint, vec![ended.request], seen_at);
+                return;
+            }
+            if ended.request.sent_at <= seen_at {
+                return;
             }
-            return;
         }
         let checks = &mut state.crashes.checks;
         if let Some(check) = checks.iter_mut().find(|check| check.id == id) {
@@ -168,7 +168,7 @@
         crashed_at: Instant,
     ) {
         let id = CrashId::of(endpoint);
-        if state.crashes.records.crashed_at(id).is_none() {
+        if state.crashes.records.crashed_at(id) != Some(crashed_at) {
             self.metrics.count_endpoint_crash();
         }
         let had_time = |request: &BrokenRequest| request.sent_at + MIN_RUN_TIME <= crashed_at;
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -26,7 +26,11 @@
 /// Maximum number of parts whose soundness is remembered.
 const MAX_SOUND_PARTS: usize = 256;
 
-/// Identifies one start of an endpoint, which crashes once at most.
+/// Time between two crashes of one listed start of an endpoint, from which they are two. Those that break off later than that after a
+/// crash may have been sent to the successor, of which the listings may not tell yet.
+pub(crate) const BREAK_OFF_TIME: Duration = Duration::from_secs(1);
+
+/// Identifies one listed start of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashId(u64);
 
@@ -70,12 +74,18 @@
 }
 
 impl EndpointCrash {
-    /// Which start of an endpoint crashed.
+    /// Which listed start of an endpoint crashed.
     #[must_use]
     pub fn id(&self) -> CrashId {
         self.id
     }
 
+    /// Tells this crash from all others.
+    #[must_use]
+    pub fn identity(&self) -> (CrashId, Instant) {
+        (self.id, self.seen_at)
+    }
+
     /// When a host first saw it.
     #[must_use]
     pub fn seen_at(&self) -> Instant {
@@ -142,7 +152,7 @@
         now: Instant,
     ) -> bool {
         requests.truncate(MAX_REQUESTS);
-        let Some(index) = self.crashes.iter().position(|crash| crash.id == id) else {
+        let Some(index) = self.position(id, seen_at) else {
             self.insert(EndpointCrash {
                 id,
                 seen_at,
@@ -185,7 +195,8 @@
         request: BrokenRequest,
         seen_at: Instant,
     ) -> bool {
-        let known = self.crashes.iter().find(|crash| crash.id == id);
+        let known = self.position(id, seen_at);
+        let known = known.map(|index| &self.crashes[index]);
         let mut requests: Vec<_> = known
             .into_iter()
             .flat_map(|crash| crash.own_requests().cloned())
@@ -275,7 +286,7 @@
                 }
             });
             if is_successive {
-                found.crashes.push(crash.id);
+                found.crashes.push(crash.identity());
                 let age = crash.seen_at.saturating_duration_since(sent_at);
                 found.age += age;
                 found.longest_age = found.longest_age.max(age);
@@ -306,13 +317,22 @@
         self.crashes.iter()
     }
 
-    /// When this start of an endpoint crashed; `None` if it is not known to have.
+    /// When this start of an endpoint last crashed; `None` if it is not known to have.
     #[must_use]
     pub fn crashed_at(&self, id: CrashId) -> Option<Instant> {
-        let mut crashes = self.crashes.iter();
+        let mut crashes = self.crashes.iter().rev();
         Some(crashes.find(|crash| crash.id == id)?.seen_at)
     }
 
+    /// Index of the crash of this start that was seen at about this time.
+    fn position(&self, id: CrashId, seen_at: Instant) -> Option<usize> {
+        let is_same = |crash: &EndpointCrash| {
+            let (first, last) = (crash.seen_at.min(seen_at), crash.seen_at.max(seen_at));
+            crash.id == id && last < first + BREAK_OFF_TIME
+        };
+        self.crashes.iter().position(is_same)
+    }
+
     /// Parts that this host saw to be sound after `since`, or at any time, and when.
     pub fn own_sound(
         &self,
@@ -358,7 +378,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuccessiveCrashes {
     /// The crashes, in the order of time.
-    pub crashes: Vec<CrashId>,
+    pub crashes: Vec<(CrashId, Instant)>,
     /// Sum of the times from the requests with the part to the crashes.
     pub age: Duration,
     /// Longest of these times.
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! Parts that all these requests have cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
 //! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
 
-use crate::crashes::{BrokenRequest, CrashId, CrashRecords, EndpointCrash, SuccessiveCrashes};
+use crate::crashes::{BrokenRequest, CrashRecords, EndpointCrash, SuccessiveCrashes};
 use crate::prompt::{PartKey, PromptParts};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -385,7 +385,7 @@
     fn is_in_all(&self, successive: &SuccessiveCrashes, records: &CrashRecords) -> bool {
         let crashes = records
             .iter()
-            .filter(|crash| successive.crashes.contains(&crash.id()));
+            .filter(|crash| successive.crashes.contains(&crash.identity()));
         let mut without = crashes.filter(|crash| !crash.has_part(self.part));
         without.next().is_none()
     }
@@ -405,10 +405,10 @@
 
 /// Parts in at least [`MIN_CRASHES`] of the crashes. Other parts are not suspected, nor do they explain the crashes under one.
 fn frequent_parts<'a>(crashes: impl Iterator<Item = &'a EndpointCrash>) -> Vec<PartKey> {
-    let mut seen: Vec<(PartKey, CrashId)> = crashes
+    let mut seen: Vec<_> = crashes
         .flat_map(|crash| {
             let parts = crash.requests().flat_map(|request| request.parts.iter());
-            parts.map(|part| (part, crash.id()))
+            parts.map(|part| (part, crash.identity()))
         })
         .collect();
     seen.sort_unstable();
--- a/crates/switch/tests/switch/deadly_requests.rs
+++ b/crates/switch/tests/switch/deadly_requests.rs
@@ -99,6 +99,33 @@
     assert_eq!(fleet.client.calls().len(), CRASHES);
 }
 
+/// Guards against a request that goes on crashing an endpoint which starts again while the log is out of reach, as the listing still tells
+/// of its first start, of which one crash counts (BUDGET).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_crashes_an_endpoint_of_an_old_listing_again_is_stopped() {
+    let fleet = TestFleet::new(1);
+    let hosts = [fleet.spawn("a").await, fleet.spawn("b").await];
+    sleep(Duration::from_secs(1)).await;
+    fleet.log.set_down(true);
+    fleet.client.set_default(CallScript::Silent);
+    fleet.client.set_deadly(Some(DeadlyCalls {
+        cause: DeadlyCause::Any,
+        crash_after: CRASH_AFTER,
+    }));
+    for number in 0..CRASHES {
+        let host = &hosts[number % hosts.len()];
+        let request = deadly_request(host, "/once/x", "", number);
+        assert_eq!(read_response(host, request).await, CallerOutcome::Failed);
+        sleep(Duration::from_millis(1500)).await;
+        fleet.client.revive_endpoint("e0");
+    }
+    for host in &hosts {
+        let repeat = deadly_request(host, "/once/x", "", CRASHES);
+        assert_eq!(read_response(host, repeat).await, CallerOutcome::Rejected);
+    }
+    assert_eq!(fleet.client.calls().len(), CRASHES);
+}
+
 /// Guards against an item that is given up or held back since endpoints crashed while they ran it. An item is never the cause by itself.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn item_under_which_endpoints_crashed_is_completed() {
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -506,6 +506,14 @@
         });
     }
 
+    /// Starts an endpoint again that has ended, at the same address and under the same listing.
+    pub fn revive_endpoint(&self, id: &str) {
+        let state = self.0.lock().unwrap();
+        state
+            .ended
+            .send_modify(|ended| ended.retain(|other| **other != *id));
+    }
+
     /// Endpoints that have ended, in the order in which they did.
     pub fn ended(&self) -> watch::Receiver<Vec<Arc<str>>> {
         self.0.lock().unwrap().ended.subscribe()
