--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod online;
 mod overload;
+mod partitions;
 mod pure;
 mod quarantine;
 mod support;
--- /dev/null
+++ b/crates/switch/tests/switch/partitions.rs
@@ -0,0 +1,202 @@
+//! Hosts that are cut off from all endpoints, while callers, the log and the other hosts reach them.
+//!
+//! Heartbeats are real datagrams on loopback, so these tests run in real time.
+
+use crate::support::{
+    CallScript, CallerOutcome, LinkMode, TestFleet, full_text, read_response, request, results,
+    submission, wait_until,
+};
+use fulmarswitch_switch::jobs::SubmitReply;
+use fulmarswitch_switch::node::SwitchNode;
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// Time after the begin of a cut from which callers must be served again.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// Interval between two requests at each host.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of requests at each host.
+const REQUESTS: usize = 20;
+/// Number of endpoints.
+const ENDPOINTS: usize = 6;
+
+/// A host with its links to the endpoints.
+struct LinkedHost {
+    node: Arc<SwitchNode>,
+    fleet: TestFleet,
+}
+
+impl LinkedHost {
+    async fn spawn(fleet: &TestFleet, name: &str) -> Self {
+        let fleet = fleet.with_other_links();
+        let node = fleet.spawn(name).await;
+        Self { node, fleet }
+    }
+
+    fn set_links(&self, mode: LinkMode) {
+        self.fleet.client.set_links(mode);
+    }
+}
+
+/// Starts hosts with these names, and waits until they hear each other and know the endpoints.
+async fn start_hosts(fleet: &TestFleet, names: &[&str]) -> Vec<LinkedHost> {
+    fleet.client.set_default(CallScript::Stream { events: 12 });
+    let mut hosts = Vec::new();
+    for name in names {
+        hosts.push(LinkedHost::spawn(fleet, name).await);
+    }
+    sleep(Duration::from_millis(1500)).await;
+    hosts
+}
+
+/// Sends requests with this path to a host, one per interval, and returns the outcomes.
+async fn send_requests(node: &Arc<SwitchNode>, path: &'static str) -> Vec<CallerOutcome> {
+    let mut sent = JoinSet::new();
+    for number in 0..REQUESTS {
+        let node = node.clone();
+        sent.spawn(async move {
+            let id = format!("{}-{number}", node.settings.descriptor.name);
+            read_response(&node, request(&node, path, &id)).await
+        });
+        sleep(REQUEST_INTERVAL).await;
+    }
+    sent.join_all().await
+}
+
+/// Sends requests to all hosts at once, and returns the outcomes by host.
+async fn send_to_all(hosts: &[LinkedHost], path: &'static str) -> Vec<Vec<CallerOutcome>> {
+    let sent = hosts.iter().map(|host| send_requests(&host.node, path));
+    futures::future::join_all(sent).await
+}
+
+fn count(outcomes: &[CallerOutcome], counts: impl Fn(&CallerOutcome) -> bool) -> usize {
+    outcomes.iter().filter(|outcome| counts(outcome)).count()
+}
+
+fn is_complete(outcome: &CallerOutcome) -> bool {
+    matches!(outcome, CallerOutcome::Complete(_))
+}
+
+/// Guards against callers of a host without a link to any endpoint who are not served, though other hosts reach the endpoints
+/// (RECOVER).
+#[rstest]
+#[case::silent(LinkMode::Silent, "/stream/x")]
+#[case::silent_once(LinkMode::Silent, "/once/x")]
+#[case::refusing(LinkMode::Refusing, "/stream/x")]
+#[case::reset(LinkMode::Reset, "/resume/x")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_off_hosts_are_served(#[case] mode: LinkMode, #[case] path: &'static str) {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c", "d"]).await;
+    for host in &hosts[..2] {
+        host.set_links(mode);
+    }
+    let warm_up = send_to_all(&hosts, path);
+    let started = Instant::now();
+    drop(warm_up.await);
+    tokio::time::sleep_until(started + DETECTION_TIME).await;
+    for outcomes in send_to_all(&hosts, path).await {
+        assert_eq!(count(&outcomes, is_complete), REQUESTS, "{outcomes:?}");
+    }
+}
+
+/// Guards against hosts that reject their callers, and take items away, since hosts which are cut off from the endpoints report requests
+/// that wait there, though these never reached an endpoint (RECOVER).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_reach_no_endpoint_are_no_load_for_other_hosts() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c", "d", "e"]).await;
+    // The usual time to the first byte must be known for requests to be overdue.
+    for outcomes in send_to_all(&hosts, "/stream/x").await {
+        assert_eq!(count(&outcomes, is_complete), REQUESTS, "{outcomes:?}");
+    }
+    for host in &hosts[..4] {
+        host.set_links(LinkMode::Silent);
+    }
+    // Many callers of the cut off hosts.
+    let cut_off = (0..6).map(|_| send_to_all(&hosts[..4], "/stream/x"));
+    let (_, outcomes) = tokio::join!(
+        futures::future::join_all(cut_off),
+        send_requests(&hosts[4].node, "/stream/x")
+    );
+    assert_eq!(count(&outcomes, is_complete), REQUESTS, "{outcomes:?}");
+}
+
+/// Guards against callers that are sent to hosts which are cut off from the endpoints, and against a fleet without any endpoint that
+/// names no host to its callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_sent_to_hosts_that_reach_endpoints() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c"]).await;
+    assert_eq!(hosts[2].node.caller_addresses(64).len(), 3);
+    hosts[0].set_links(LinkMode::Silent);
+    send_to_all(&hosts, "/stream/x").await;
+    for host in &hosts {
+        assert_eq!(host.node.caller_addresses(64).len(), 2);
+    }
+    for host in &hosts {
+        host.set_links(LinkMode::Refusing);
+    }
+    send_to_all(&hosts, "/stream/x").await;
+    for host in &hosts {
+        assert_eq!(host.node.caller_addresses(64).len(), 3);
+    }
+    for host in &hosts {
+        host.set_links(LinkMode::Up);
+    }
+    wait_until("the links", async || {
+        let outcomes = send_to_all(&hosts[..1], "/stream/x").await;
+        count(&outcomes[0], is_complete) == REQUESTS
+    })
+    .await;
+}
+
+/// Guards against items that stay with a host which is cut off from the endpoints.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_of_cut_off_hosts_run_at_other_hosts() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c"]).await;
+    fleet.client.set_default(CallScript::Stream { events: 60 });
+    let submitted = hosts[2].node.submit_job(submission("job", 24)).await;
+    assert_eq!(submitted, SubmitReply::Done);
+    sleep(Duration::from_millis(900)).await;
+    hosts[0].set_links(LinkMode::Silent);
+    hosts[1].set_links(LinkMode::Reset);
+    wait_until("all items", async || {
+        results(&hosts[0].node, "job").await.results.len() == 24
+    })
+    .await;
+    let page = results(&hosts[2].node, "job").await;
+    let texts: Vec<_> = page
+        .results
+        .iter()
+        .map(|result| result.text.clone())
+        .collect();
+    assert!(texts.iter().all(|text| *text == Some(full_text(60))));
+}
+
+/// Guards against a host that takes the loss of its links for crashes of the endpoints, under which it and all others reject requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_links_are_no_crashes() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b"]).await;
+    for _ in 0..6 {
+        let node = hosts[0].node.clone();
+        let broken = tokio::spawn(async move {
+            read_response(&node, request(&node, "/stream/x", "broken")).await
+        });
+        sleep(Duration::from_millis(60)).await;
+        hosts[0].set_links(LinkMode::Reset);
+        drop(broken.await.unwrap());
+        sleep(Duration::from_millis(400)).await;
+        hosts[0].set_links(LinkMode::Up);
+        sleep(Duration::from_millis(700)).await;
+    }
+    for host in &hosts {
+        let outcome = read_response(&host.node, request(&host.node, "/stream/x", "sound")).await;
+        assert!(is_complete(&outcome), "{outcome:?}");
+    }
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -425,9 +425,28 @@
     ended: watch::Sender<Vec<Arc<str>>>,
 }
 
-/// In-memory endpoints.
+/// Links from a host to the endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkMode {
+    #[default]
+    Up,
+    /// Nothing passes, and new connections come about no more.
+    Silent,
+    /// New connections are refused, and open ones live on.
+    Refusing,
+    /// Open connections are reset, and new ones refused.
+    Reset,
+}
+
+/// In-memory endpoints. Clones share them and their links to them.
 #[derive(Clone, Default)]
-pub struct MemoryClient(Arc<Mutex<ClientState>>);
+pub struct MemoryClient {
+    state: Arc<Mutex<ClientState>>,
+    links: Arc<watch::Sender<LinkMode>>,
+}
+
+/// Time after which a connection that does not come about is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time between two events of a stream.
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(20);
@@ -435,19 +454,61 @@
 pub const FLOOD_INTERVAL: Duration = Duration::from_millis(500);
 
 impl MemoryClient {
+    /// Returns the same endpoints over other links.
+    pub fn over_other_links(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+            links: Arc::default(),
+        }
+    }
+
+    /// Sets the state of these links.
+    pub fn set_links(&self, mode: LinkMode) {
+        self.links.send_replace(mode);
+    }
+
+    /// Opens a connection, unless the links do not allow it.
+    async fn connect(&self) -> Result<(), CallError> {
+        let mode = *self.links.borrow();
+        let cause = match mode {
+            LinkMode::Up => return Ok(()),
+            LinkMode::Silent => {
+                sleep(CONNECT_TIMEOUT).await;
+                "no connection in time"
+            }
+            LinkMode::Refusing | LinkMode::Reset => "connection refused",
+        };
+        Err(CallError::NotSent {
+            cause: cause.into(),
+        })
+    }
+
+    /// Waits until the links are reset.
+    async fn wait_for_reset(&self) {
+        let mut links = self.links.subscribe();
+        // The sender lives as long as this client.
+        let _ = links.wait_for(|mode| *mode == LinkMode::Reset).await;
+    }
+
+    /// Waits while nothing passes over the links.
+    async fn pass(&self) {
+        let mut links = self.links.subscribe();
+        let _ = links.wait_for(|mode| *mode != LinkMode::Silent).await;
+    }
+
     /// Queues the behaviour of the next calls.
     pub fn script(&self, scripts: &[CallScript]) {
-        self.0.lock().unwrap().scripts.extend(scripts);
+        self.state.lock().unwrap().scripts.extend(scripts);
     }
 
     /// Sets the behaviour of calls beyond the queued ones.
     pub fn set_default(&self, script: CallScript) {
-        self.0.lock().unwrap().default_script = Some(script);
+        self.state.lock().unwrap().default_script = Some(script);
     }
 
     /// Lets an endpoint say in each response that it leaves, or no longer.
     pub fn set_leaving(&self, endpoint: &str, leaves: bool) {
-        let leaving = &mut self.0.lock().unwrap().leaving;
+        let leaving = &mut self.state.lock().unwrap().leaving;
         leaving.retain(|id| **id != *endpoint);
         if leaves {
             leaving.push(endpoint.into());
@@ -456,7 +517,7 @@
 
     /// Lets an endpoint name a limit of requests a second in each response, or none.
     pub fn set_limit(&self, endpoint: &str, per_second: Option<&str>) {
-        let limits = &mut self.0.lock().unwrap().limits;
+        let limits = &mut self.state.lock().unwrap().limits;
         limits.retain(|(id, _)| **id != *endpoint);
         if let Some(limit) = per_second {
             limits.push((endpoint.into(), limit.parse().unwrap()));
@@ -464,7 +525,7 @@
     }
 
     fn notice(&self, endpoint: &Arc<str>) -> EndpointNotice {
-        let state = self.0.lock().unwrap();
+        let state = self.state.lock().unwrap();
         let limit = state.limits.iter().find(|(id, _)| id == endpoint);
         EndpointNotice {
             leaving: state.leaving.contains(endpoint),
@@ -474,29 +535,29 @@
 
     /// All calls received so far.
     pub fn calls(&self) -> Vec<RecordedCall> {
-        self.0.lock().unwrap().calls.clone()
+        self.state.lock().unwrap().calls.clone()
     }
 
     /// Number of calls in progress.
     pub fn running(&self) -> i64 {
-        self.0.lock().unwrap().running
+        self.state.lock().unwrap().running
     }
 
     /// Lets calls crash the endpoints from now on, or none.
     pub fn set_deadly(&self, deadly: Option<DeadlyCalls>) {
-        self.0.lock().unwrap().deadly = deadly;
+        self.state.lock().unwrap().deadly = deadly;
     }
 
     /// Lets all endpoints refuse connections once the queued behaviours are used up, as if they had ended.
     pub fn refuse_connections(&self) {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         state.refuses = true;
         state.default_script = Some(CallScript::Unreachable);
     }
 
     /// Ends an endpoint: its calls break off, and new ones are refused.
     pub fn end_endpoint(&self, id: &Arc<str>) {
-        let state = self.0.lock().unwrap();
+        let state = self.state.lock().unwrap();
         state.ended.send_if_modified(|ended| {
             let is_new = !ended.contains(id);
             if is_new {
@@ -508,7 +569,7 @@
 
     /// Starts an endpoint again that has ended, at the same address and under the same listing.
     pub fn revive_endpoint(&self, id: &str) {
-        let state = self.0.lock().unwrap();
+        let state = self.state.lock().unwrap();
         state
             .ended
             .send_modify(|ended| ended.retain(|other| **other != *id));
@@ -516,12 +577,12 @@
 
     /// Endpoints that have ended, in the order in which they did.
     pub fn ended(&self) -> watch::Receiver<Vec<Arc<str>>> {
-        self.0.lock().unwrap().ended.subscribe()
+        self.state.lock().unwrap().ended.subscribe()
     }
 
     /// Ends the endpoint of a call after a while if the call is deadly.
     fn crash_if_deadly(&self, call: &RecordedCall) {
-        let deadly = self.0.lock().unwrap().deadly;
+        let deadly = self.state.lock().unwrap().deadly;
         let Some(deadly) = deadly.filter(|deadly| deadly.cause.is_in(call)) else {
             return;
         };
@@ -550,7 +611,7 @@
 
 impl Drop for RunningCall {
     fn drop(&mut self) {
-        self.0.0.lock().unwrap().running -= 1;
+        self.0.state.lock().unwrap().running -= 1;
     }
 }
 
@@ -579,6 +640,7 @@
         call: &EndpointCall,
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError> {
+        self.connect().await?;
         let notice = self.notice(&endpoint.id);
         let ended = self.ended();
         if ended.borrow().contains(&endpoint.id) {
@@ -594,18 +656,38 @@
             at: Instant::now(),
         };
         self.crash_if_deadly(&call);
-        let end = wait_for_end(ended, endpoint.id.clone()).boxed().shared();
+        let responding = call.clone();
+        let (reset_links, links) = (self.clone(), self.clone());
+        let end = async move {
+            tokio::select! {
+                () = wait_for_end(ended, call.endpoint.clone()) => {}
+                () = reset_links.wait_for_reset() => {}
+            }
+        };
+        let end = end.boxed().shared();
         let response = tokio::select! {
-            response = self.respond(call) => response,
+            response = self.respond(responding) => response,
             () = end.clone() => Err(broken_off()),
         };
+        if response.is_ok() {
+            tokio::select! {
+                () = self.pass() => {}
+                () = end.clone() => return Err(broken_off()),
+            }
+        }
         match response {
             Ok(response) => Ok(EndpointResponse {
                 leaving: notice.leaving,
                 limit: notice.limit,
                 body: response
                     .body
-                    .map(Some)
+                    .then(move |chunk| {
+                        let links = links.clone();
+                        async move {
+                            links.pass().await;
+                            Some(chunk)
+                        }
+                    })
                     .chain(stream::once(async { None }))
                     .take_until(end)
                     // The body is complete if its last chunk came before the end of the endpoint.
@@ -628,8 +710,12 @@
     }
 
     async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool {
+        let mode = *self.links.borrow();
+        if self.connect().await.is_err() {
+            return mode != LinkMode::Silent;
+        }
         let refuses = {
-            let state = self.0.lock().unwrap();
+            let state = self.state.lock().unwrap();
             state.refuses && state.scripts.is_empty()
         };
         refuses || self.ended().borrow().contains(&endpoint.id)
@@ -647,7 +733,7 @@
 impl MemoryClient {
     /// Records a call and returns the behaviour for it.
     fn record_call(&self, call: RecordedCall) -> CallScript {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         let next = state.scripts.pop_front();
         let script = next
             .or(state.default_script)
@@ -963,6 +1049,14 @@
         fleet
     }
 
+    /// Returns the same fleet over other links to the endpoints, for hosts that are cut off from them alone.
+    pub fn with_other_links(&self) -> Self {
+        Self {
+            log: self.log.clone(),
+            client: self.client.over_other_links(),
+        }
+    }
+
     /// Returns the same fleet with another access to the log, for hosts that are cut off from it alone.
     pub fn with_other_log_access(&self) -> Self {
         Self {
