Report no load of requests that may not have reached an endpoint (RECOVER)

A host counted a request at its endpoint from the moment of the choice, and as overdue there soon after, also while its connection did not come about. The others added up the counts of all hosts, took the endpoints for full and preempted items.

A request now counts as overdue, and after 100 ms as load for other hosts, only if the host has got data from any endpoint since it was sent. With links that work it gets such data all the time.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -46,7 +46,7 @@
         let mut state = node.lock();
         let state = &mut *state;
         cancel_closed_items(state);
-        if state.load.update_overdue(Instant::now()) {
+        if state.load.update_overdue(node.heard_at()) {
             // Other hosts may run batch items at the endpoint.
             node.heartbeat_requested.notify_one();
         }
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -176,6 +176,7 @@
             }
             match timeout_at(stall_deadline, response.body.next()).await {
                 Ok(Some(Ok(chunk))) => {
+                    self.node.record_heard();
                     if !parser.push(&chunk) {
                         return interrupted("an event exceeds 1 MiB");
                     }
--- a/crates/switch/src/calls.rs
+++ b/crates/switch/src/calls.rs
@@ -21,6 +21,7 @@
             Err(error) => error.notice(),
         };
         if let Some(notice) = notice {
+            self.record_heard();
             self.apply_notice(endpoint, call, notice);
         }
         response
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -195,7 +195,7 @@
             descriptor: node.settings.descriptor.clone(),
             ready: state.routes.is_some() && !state.stopping,
             has_log: node.has_log(now),
-            load: state.load.own_report(now),
+            load: state.load.own_report(now, node.heard_at()),
             claims: state.own_claims(MAX_CLAIMS),
             failing: state.load.failing_endpoints(MAX_FAILING, now),
             listings: listing_report(&state, now),
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -150,14 +150,16 @@
         self.entry(EndpointKey::of(id)).own_waiting.remove(sent);
     }
 
-    /// Counts the overdue requests of this host. Returns whether there are more than before at any endpoint.
-    pub fn update_overdue(&mut self, now: Instant) -> bool {
+    /// Counts the overdue requests of this host, which last got data from any endpoint at `heard_at`. While it gets none from all, the requests
+    /// may not have reached their endpoints, and whether they wait there is not known. Returns whether there are more than before at
+    /// any endpoint.
+    pub fn update_overdue(&mut self, heard_at: Instant) -> bool {
         let Some(limit) = self.response_times.overdue_after() else {
             return false;
         };
         let mut has_more = false;
         for (_, entry) in &mut self.entries {
-            let overdue = entry.own_waiting.overdue(limit, now);
+            let overdue = entry.own_waiting.overdue(limit, heard_at);
             has_more |= overdue > entry.own_overdue;
             entry.own_overdue = overdue;
         }
@@ -280,23 +282,25 @@
         }
     }
 
-    /// Returns the load of this host, for its heartbeat.
+    /// Returns the load of this host, which last got data from any endpoint at `heard_at`, for its heartbeat. Requests that may not have
+    /// reached their endpoints are no load there.
     #[must_use]
-    pub fn own_report(&self, now: Instant) -> LoadReport {
-        let now = self.since_origin(now);
-        let in_use = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| !entry.own.is_zero());
-        in_use
-            .map(|(key, entry)| {
-                let report = EndpointReport {
-                    counts: entry.own,
-                    ages: entry.own_runs.ages(now),
-                    overdue: entry.own_overdue,
-                };
-                (*key, report)
-            })
+    pub fn own_report(&self, now: Instant, heard_at: Instant) -> LoadReport {
+        let age_origin = self.since_origin(now);
+        let reports = self.entries.iter().map(|(key, entry)| {
+            let unreached = entry.own_waiting.unreached(heard_at, now);
+            let report = EndpointReport {
+                counts: RequestCounts {
+                    online: entry.own.online.saturating_sub(unreached),
+                    ..entry.own
+                },
+                ages: entry.own_runs.ages(age_origin),
+                overdue: entry.own_overdue,
+            };
+            (*key, report)
+        });
+        reports
+            .filter(|(_, report)| !report.counts.is_zero())
             .collect()
     }
 
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -24,6 +24,7 @@
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
@@ -191,6 +192,8 @@
     /// Requests a report of crashes to all hosts.
     pub(crate) crash_report_requested: Notify,
     pub(crate) started: Instant,
+    /// When this host last got data from an endpoint, in milliseconds since its start.
+    heard_ms: AtomicU64,
     /// Requests a read of the job records before the next interval.
     pub(crate) read_requested: Notify,
     /// Number of reads that returned job records.
@@ -243,6 +246,7 @@
             neighbour_heartbeat_requested: Notify::new(),
             crash_report_requested: Notify::new(),
             started: Instant::now(),
+            heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
             job_updates: watch::Sender::new(0),
             jobs_read_at: watch::Sender::new(None),
@@ -370,6 +374,17 @@
         state.online_in_flight > 0 || state.open_requests > 0
     }
 
+    /// Records that this host has got data from an endpoint.
+    pub(crate) fn record_heard(&self) {
+        let heard = millis(self.started.elapsed());
+        self.heard_ms.store(heard, Ordering::Relaxed);
+    }
+
+    /// When this host last got data from an endpoint; its start if it has not.
+    pub(crate) fn heard_at(&self) -> Instant {
+        self.started + Duration::from_millis(self.heard_ms.load(Ordering::Relaxed))
+    }
+
     /// Whether this host has read the job records within [`LOG_STALE_AFTER`].
     pub(crate) fn has_log(&self, now: Instant) -> bool {
         let read_at = *self.jobs_read_at.borrow();
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -435,6 +435,7 @@
 
     /// Records the first byte, and the end of a response with a content length.
     fn record_chunk(&mut self, bytes: usize) {
+        self.exchange.node.record_heard();
         if let Some(guard) = &mut self.guard {
             let run_time = guard.begin_run().elapsed();
             if !self.exchange.is_proven && run_time >= PROOF_TIME {
--- a/crates/switch/src/wait.rs
+++ b/crates/switch/src/wait.rs
@@ -122,6 +122,9 @@
     }
 }
 
+/// Time in which a request reaches its endpoint: a few round trips within a region.
+const REACH_TIME: Duration = Duration::from_millis(100);
+
 /// Requests that have been sent and have not received a first byte.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingRequests {
@@ -143,6 +146,17 @@
         }
     }
 
+    /// Number of requests that may not have reached their endpoint: they have waited for longer than that takes, and nothing was
+    /// heard from any endpoint since they were sent. `heard_at` is when something last was.
+    #[must_use]
+    pub fn unreached(&self, heard_at: Instant, now: Instant) -> u16 {
+        let before = self.sent.partition_point(|sent| *sent <= heard_at);
+        let late = self
+            .sent
+            .partition_point(|sent| now.saturating_duration_since(*sent) > REACH_TIME);
+        u16::try_from(late.saturating_sub(before)).unwrap_or(u16::MAX)
+    }
+
     /// Number of requests that have waited for `limit` or longer.
     #[must_use]
     pub fn overdue(&self, limit: Duration, now: Instant) -> u16 {
