--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -2,6 +2,8 @@
 
 use crate::endpoint::ListedEndpoint;
 use crate::limits::RateLimit;
+use crate::members::HostDescriptor;
+use crate::origins::VersionKey;
 use crate::prompt::PromptParts;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -205,6 +207,8 @@
     pub leaving: bool,
     /// Requests that the endpoint says it takes from all hosts together.
     pub limit: Option<RateLimit>,
+    /// Software version of the endpoint, if the response does not come from it directly.
+    pub version: Option<VersionKey>,
     /// Body stream. An error item means that the response was interrupted.
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
@@ -239,6 +243,12 @@
         /// What the endpoint says of itself; `None` if the response may be another endpoint's.
         notice: Option<EndpointNotice>,
     },
+    /// Another host, to which the request was passed on, rejected it.
+    #[snafu(display("the host did not run the request; retry after {retry_after:?}"))]
+    Rejected {
+        /// Delay after which the caller should retry.
+        retry_after: Duration,
+    },
     /// The connection failed after the request was sent; the request may have run.
     #[snafu(display("the endpoint broke off ({cause}); the request may have run"))]
     Interrupted {
@@ -253,7 +263,7 @@
     pub fn notice(&self) -> Option<EndpointNotice> {
         match self {
             Self::NotRun { notice, .. } => *notice,
-            Self::NotSent { .. } | Self::Interrupted { .. } => None,
+            Self::NotSent { .. } | Self::Rejected { .. } | Self::Interrupted { .. } => None,
         }
     }
 
@@ -262,12 +272,23 @@
     pub fn outcome(&self) -> &'static str {
         match self {
             Self::NotSent { .. } => "not sent",
-            Self::NotRun { .. } => "not run",
+            Self::NotRun { .. } | Self::Rejected { .. } => "not run",
             Self::Interrupted { .. } => "broken off",
         }
     }
 }
 
+/// What becomes of a connection to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectOutcome {
+    /// It was opened.
+    Accepted,
+    /// The endpoint's address refuses it.
+    Refused,
+    /// Nothing has answered in time.
+    NoAnswer,
+}
+
 /// Client for calls to endpoints.
 #[async_trait]
 pub trait EndpointClient: Send + Sync {
@@ -280,10 +301,41 @@
         options: CallOptions,
     ) -> Result<EndpointResponse, CallError>;
 
+    /// Opens a connection to the endpoint and closes it.
+    async fn try_connect(&self, endpoint: &ListedEndpoint) -> ConnectOutcome;
+
     /// Whether the endpoint's address refuses connections, as that of a process which has ended does.
-    async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool;
+    async fn refuses_connections(&self, endpoint: &ListedEndpoint) -> bool {
+        self.try_connect(endpoint).await == ConnectOutcome::Refused
+    }
 
     /// Returns the parts of a request's prompt, without the last one, which belongs to the request itself or to its
     /// session.
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts;
 }
+
+/// Options of a request that is passed on to another host.
+#[derive(Clone, Debug)]
+pub struct PassOptions {
+    /// Time left until the deadline of the request.
+    pub remaining: Duration,
+    /// ID of the last event that the caller has received; `None` to run from the start.
+    pub resume_after: Option<u64>,
+    /// ID of the request that began a stream which is resumed.
+    pub resumes: Option<Arc<str>>,
+    /// Software version at which a stream goes on, if it is known.
+    pub version: Option<VersionKey>,
+}
+
+/// Client for requests that other hosts send to an endpoint.
+#[async_trait]
+pub trait HostClient: Send + Sync {
+    /// Passes a request on to a host, which sends it to an endpoint once, and returns the head of the response. Dropping the future
+    /// or the response ends the request at that host, which cancels the run.
+    async fn pass_on(
+        &self,
+        host: &HostDescriptor,
+        call: &EndpointCall,
+        options: PassOptions,
+    ) -> Result<EndpointResponse, CallError>;
+}
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -15,6 +15,7 @@
 use crate::members::{HostDescriptor, MemberChange};
 use crate::node::{SwitchNode, SwitchState};
 use crate::origin_exchange::OriginMessage;
+use crate::reach::ReachReport;
 use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
 use serde::{Deserialize, Serialize};
@@ -58,11 +59,11 @@
     Limits(Vec<LimitReport>),
 }
 
-/// Wire format of a heartbeat.
+/// Wire format of a heartbeat. A [`ReachReport`] follows it in the datagram, which hosts of earlier versions do not read.
 #[derive(Debug, Serialize, Deserialize)]
 struct Heartbeat {
     descriptor: HostDescriptor,
-    /// Whether the sender accepts callers and runs batch items.
+    /// Whether the sender accepts callers and runs batch items, and is not cut off from the endpoints.
     ready: bool,
     /// Whether the sender has access to the log.
     has_log: bool,
@@ -170,7 +171,7 @@
     neighbours_only: bool,
 ) -> Duration {
     let now = Instant::now();
-    let (heartbeat, limits, targets, interval) = {
+    let (heartbeat, reach, limits, targets, interval) = {
         let mut state = node.lock();
         let known = u32::try_from(state.members.all().count()).unwrap_or(u32::MAX);
         let interval = heartbeat_interval(known);
@@ -193,7 +194,7 @@
             .collect();
         let heartbeat = Heartbeat {
             descriptor: node.settings.descriptor.clone(),
-            ready: state.routes.is_some() && !state.stopping,
+            ready: state.routes.is_some() && !state.stopping && !state.reach.is_cut_off(),
             has_log: node.has_log(now),
             load: state.load.own_report(now, node.heard_at()),
             claims: state.own_claims(MAX_CLAIMS),
@@ -206,10 +207,11 @@
         } else {
             state.limits.reports(now)
         };
-        (heartbeat, limits, targets, interval)
+        let reach = node.reach_report(&state, now);
+        (heartbeat, reach, limits, targets, interval)
     };
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
-    if let Some(bytes) = encode(node, &message) {
+    if let Some(bytes) = encode(node, &(message, reach)) {
         send_to_targets(node, socket, &bytes, &targets).await;
     }
     for reports in limits.chunks(MAX_LIMITS) {
@@ -218,7 +220,7 @@
     interval
 }
 
-fn encode(node: &SwitchNode, message: &PeerMessage) -> Option<Vec<u8>> {
+fn encode(node: &SwitchNode, message: &impl Serialize) -> Option<Vec<u8>> {
     match postcard::to_stdvec(&(SCHEMA, message)) {
         Ok(bytes) if bytes.len() <= MAX_HEARTBEAT_BYTES => Some(bytes),
         Ok(bytes) => {
@@ -322,24 +324,26 @@
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                Ok((SCHEMA, PeerMessage::Heartbeat(heartbeat))) => {
-                    handle_heartbeat(&node, *heartbeat);
+            Ok((length, from)) => match postcard::take_from_bytes(&buffer[..length]) {
+                Ok(((SCHEMA, PeerMessage::Heartbeat(heartbeat)), rest)) => {
+                    // A host of an earlier version sends none.
+                    let reach = postcard::from_bytes(rest).ok();
+                    handle_heartbeat(&node, *heartbeat, reach);
                 }
-                Ok((SCHEMA, PeerMessage::Origin(message))) => {
+                Ok(((SCHEMA, PeerMessage::Origin(message)), _)) => {
                     node.handle_origin_message(message, from);
                 }
-                Ok((SCHEMA, PeerMessage::Crashes { host, notices })) => {
+                Ok(((SCHEMA, PeerMessage::Crashes { host, notices }), _)) => {
                     crash_exchange::apply_notices(&node, &host, notices);
                 }
-                Ok((SCHEMA, PeerMessage::Limits(reports))) => {
+                Ok(((SCHEMA, PeerMessage::Limits(reports)), _)) => {
                     let now = Instant::now();
                     let limits = &mut node.lock().limits;
                     for report in reports {
                         limits.apply(report, now);
                     }
                 }
-                Ok((schema, _)) => {
+                Ok(((schema, _), _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
                 Err(error) => {
@@ -355,7 +359,7 @@
     }
 }
 
-fn handle_heartbeat(node: &SwitchNode, heartbeat: Heartbeat) {
+fn handle_heartbeat(node: &SwitchNode, heartbeat: Heartbeat, reach: Option<ReachReport>) {
     let now = Instant::now();
     let mut state = node.lock();
     if heartbeat.descriptor.name == node.settings.descriptor.name {
@@ -392,6 +396,7 @@
     listings::apply_report(node, &mut state, &name, &heartbeat.listings, now);
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
+    state.members.set_reach(&name, reach);
     let must_preempt = state.running.iter().any(|running| {
         let endpoint = state.endpoints.get(&running.endpoint);
         endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint, now) > 0)
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`wait`], [`affinity`],
-//! [`ledger`], [`schedule`], [`members`], [`origins`], [`crashes`], [`quarantine`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`schedule`], [`members`], [`origins`], [`crashes`], [`quarantine`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
@@ -41,6 +41,8 @@
 pub mod progress;
 pub mod prompt;
 pub mod quarantine;
+pub mod reach;
+mod reach_watch;
 pub mod record;
 pub mod report;
 pub mod route;
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -1,5 +1,6 @@
 //! Membership: the other hosts as known from their heartbeats.
 
+use crate::reach::ReachReport;
 use crate::schedule::{ItemKey, ItemName};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -49,6 +50,26 @@
     pub claims: Vec<ItemKey>,
     /// Whether the host has access to the log.
     pub has_log: bool,
+    /// What the host tells of its links to the endpoints; `None` for one of a version that does not.
+    pub reach: Option<ReachReport>,
+}
+
+impl MemberEntry {
+    /// Whether the host accepts callers, and is cut off from the endpoints as `is_cut_off` says. One that is does not call itself ready.
+    #[must_use]
+    pub fn accepts_callers(&self, is_cut_off: bool) -> bool {
+        if is_cut_off {
+            self.reach.is_some_and(|reach| reach.is_cut_off)
+        } else {
+            self.ready
+        }
+    }
+
+    /// Whether the host got data from an endpoint a short time ago.
+    #[must_use]
+    pub fn has_recent_data(&self) -> bool {
+        self.reach.is_some_and(ReachReport::has_recent_data)
+    }
 }
 
 /// Change that a heartbeat made to the table.
@@ -104,6 +125,7 @@
                     added_at: now,
                     claims: Vec::new(),
                     has_log: false,
+                    reach: None,
                 };
                 self.entries.insert(index, entry);
                 return MemberChange::Joined;
@@ -148,6 +170,7 @@
                     added_at: now,
                     claims: Vec::new(),
                     has_log: false,
+                    reach: None,
                 };
                 self.entries.insert(index, entry);
             }
@@ -247,6 +270,19 @@
         }
     }
 
+    /// Sets what a host tells of its links to the endpoints.
+    pub fn set_reach(&mut self, name: &str, reach: Option<ReachReport>) {
+        if let Ok(index) = self.search(name) {
+            self.entries[index].reach = reach;
+        }
+    }
+
+    /// Whether another host that is live got data from an endpoint a short time ago.
+    #[must_use]
+    pub fn others_have_data(&self, now: Instant) -> bool {
+        self.live(now).any(MemberEntry::has_recent_data)
+    }
+
     /// Whether another host that is live and ready has access to the log.
     #[must_use]
     pub fn others_have_log(&self, now: Instant) -> bool {
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -47,6 +47,7 @@
     limited_responses: Counter,
     endpoint_crashes: Counter,
     quarantined_requests: Counter,
+    passed_requests: Counter,
     first_byte: Histogram,
     request_time: Histogram,
     state_gauges: StateGauges,
@@ -62,6 +63,7 @@
     config_version: Gauge,
     stream_origins: Gauge,
     quarantines: Gauge,
+    cut_off: Gauge,
     jobs_open: Gauge,
     items_running: Gauge,
     online_running: Gauge,
@@ -75,6 +77,11 @@
     fn register(&self, registry: &mut Registry) {
         let gauges = [
             ("members", "Other hosts heard lately", &self.members),
+            (
+                "cut_off",
+                "1 while no endpoint can be reached, 0 otherwise",
+                &self.cut_off,
+            ),
             ("endpoints", "Endpoints listed", &self.endpoints),
             (
                 "endpoints_held_back",
@@ -164,6 +171,7 @@
             limited_responses: Counter::default(),
             endpoint_crashes: Counter::default(),
             quarantined_requests: Counter::default(),
+            passed_requests: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
             state_gauges: StateGauges::default(),
@@ -229,6 +237,11 @@
             "Times that a request or an item was not sent, since endpoints crash under it",
             self.quarantined_requests.clone(),
         );
+        registry.register(
+            "passed_requests",
+            "Attempts that were passed on to another host, since this one is cut off from the endpoints",
+            self.passed_requests.clone(),
+        );
         registry.register(
             "endpoint_bodies",
             "Ends of the bodies of online responses, by framing and by whether they ended within an event",
@@ -289,6 +302,10 @@
         self.quarantined_requests.inc();
     }
 
+    pub(crate) fn count_passed_request(&self) {
+        self.passed_requests.inc();
+    }
+
     pub(crate) fn count_job(&self, outcome: &'static str) {
         self.jobs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
@@ -363,6 +380,7 @@
                 &state_gauges.quarantines,
                 state.crashes.quarantine.in_force(),
             ),
+            (&state_gauges.cut_off, usize::from(state.reach.is_cut_off())),
             (&state_gauges.jobs_open, state.ledger.open_jobs().count()),
             (&state_gauges.items_running, state.running.len()),
             (&state_gauges.online_running, state.online_in_flight),
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,6 +1,6 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
-use crate::backend::{DecodeError, EndpointClient, KeyedLog, LogEntry, LogPartition};
+use crate::backend::{DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition};
 use crate::batch::routeless::RoutelessJobs;
 use crate::crash_watch::CrashState;
 use crate::departures::RecentDepartures;
@@ -16,6 +16,7 @@
 use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
+use crate::reach::EndpointReach;
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
@@ -95,6 +96,8 @@
     pub log: Arc<dyn KeyedLog>,
     /// Client for calls to endpoints.
     pub client: Arc<dyn EndpointClient>,
+    /// Client for requests that are passed on to other hosts.
+    pub hosts: Arc<dyn HostClient>,
     /// Decoder for configurations and listings.
     pub decoder: Arc<dyn ConfigDecoder>,
     /// Logger of the host.
@@ -121,6 +124,7 @@
     pub(crate) origins: OriginTable,
     pub(crate) overload: OverloadTracker,
     pub(crate) crashes: CrashState,
+    pub(crate) reach: EndpointReach,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
     pub(crate) routeless: RoutelessJobs,
@@ -189,6 +193,8 @@
     pub(crate) heartbeat_requested: Notify,
     /// Requests an immediate heartbeat to the neighbours.
     pub(crate) neighbour_heartbeat_requested: Notify,
+    /// Whether this host is cut off from the endpoints. Notifies the requests that wait for one.
+    pub(crate) reach_changes: watch::Sender<bool>,
     /// Requests a report of crashes to all hosts.
     pub(crate) crash_report_requested: Notify,
     pub(crate) started: Instant,
@@ -215,6 +221,7 @@
             origins: OriginTable::default(),
             overload: OverloadTracker::default(),
             crashes: CrashState::default(),
+            reach: EndpointReach::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
             routeless: RoutelessJobs::default(),
@@ -244,6 +251,7 @@
             origin_received: Notify::new(),
             heartbeat_requested: Notify::new(),
             neighbour_heartbeat_requested: Notify::new(),
+            reach_changes: watch::Sender::new(false),
             crash_report_requested: Notify::new(),
             started: Instant::now(),
             heard_ms: AtomicU64::new(0),
@@ -313,19 +321,26 @@
         self.lock().routes.clone()
     }
 
-    /// Caller addresses of at most `max` ready hosts, including this one; a random selection if there are more.
+    /// Caller addresses of at most `max` ready hosts, including this one; a random selection if there are more. Hosts that are cut off from
+    /// the endpoints are left out as long as there are others.
     #[must_use]
     pub fn caller_addresses(&self, max: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
         let mut state = self.lock();
-        let mut addresses: Vec<SocketAddr> = state
-            .members
-            .live(now)
-            .filter(|entry| entry.ready)
-            .map(|entry| entry.descriptor.caller_address)
-            .collect();
-        if state.routes.is_some() && !state.stopping {
-            addresses.push(self.settings.descriptor.caller_address);
+        let caller_addresses = |state: &SwitchState, is_cut_off: bool| {
+            let hosts = state.members.live(now);
+            let hosts = hosts.filter(|entry| entry.accepts_callers(is_cut_off));
+            let mut addresses: Vec<SocketAddr> =
+                hosts.map(|entry| entry.descriptor.caller_address).collect();
+            let accepts_callers = state.routes.is_some() && !state.stopping;
+            if accepts_callers && state.reach.is_cut_off() == is_cut_off {
+                addresses.push(self.settings.descriptor.caller_address);
+            }
+            addresses
+        };
+        let mut addresses = caller_addresses(&state, false);
+        if addresses.is_empty() {
+            addresses = caller_addresses(&state, true);
         }
         while addresses.len() > max {
             let index = state.rng.random_range(..addresses.len());
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -6,15 +6,14 @@
 //! has been silent for longer than a sound one is, and otherwise the other.
 
 use super::forward::has_event_stream;
+use super::target::AttemptTarget;
 use super::{OnlineExchange, OnlineReply, interrupted};
 use crate::backend::{BodyFraming, CallError, CallOptions, EndpointResponse};
-use crate::endpoint::ListedEndpoint;
 use crate::in_flight::InFlightGuard;
 use crate::node::millis;
 use futures::future::{BoxFuture, pending, select_all};
 use futures::{FutureExt, StreamExt, stream};
 use slog::info;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -23,6 +22,8 @@
 /// Time without an event after which an idempotent request is also sent to another endpoint. Longer than the second for
 /// which sound endpoints may be silent, and under the 2 s after which callers abandon a stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1550);
+/// Time without an event after which a request goes to another host, if this one is cut off from the endpoints.
+const CUT_OFF_STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without an event after which an endpoint is taken for one in trouble.
 const SOUND_SILENCE: Duration = Duration::from_millis(1900);
 /// Multiple of the time after which requests are overdue, from which one that waits for its first event is taken for one
@@ -41,16 +42,16 @@
 /// Cause of the end of an attempt that has lost its request.
 pub(super) const ANSWERED_ELSEWHERE: &str = "another endpoint has answered";
 
-/// An endpoint that has been selected for a request, with the count of the request there.
-pub(super) type RoutedEndpoint = (Arc<ListedEndpoint>, InFlightGuard);
+/// Where a request has been routed, with the count of the request at the endpoint.
+pub(super) type RoutedTarget = (AttemptTarget, Option<InFlightGuard>);
 
 /// Result of [`PendingAttempts::next_response`].
 pub(super) type AttemptResponse = (PendingAttempt, Result<EndpointResponse, CallError>);
 
 /// An attempt whose response has not begun.
 pub(super) struct PendingAttempt {
-    pub(super) endpoint: Arc<ListedEndpoint>,
-    pub(super) guard: InFlightGuard,
+    pub(super) target: AttemptTarget,
+    pub(super) guard: Option<InFlightGuard>,
     started: Instant,
     /// The response, complete or with its first chunk.
     response: BoxFuture<'static, Result<EndpointResponse, CallError>>,
@@ -155,21 +156,31 @@
         Ok(())
     }
 
-    fn push_attempt(&mut self, (endpoint, guard): RoutedEndpoint, resume_after: Option<u64>) {
+    fn push_attempt(&mut self, (target, guard): RoutedTarget, resume_after: Option<u64>) {
         let started = Instant::now();
         let deadline = self.request.deadline;
         let options = CallOptions {
             remaining: deadline.saturating_duration_since(started),
             resume_after,
         };
-        let (node, request, target) = (self.node.clone(), self.request.clone(), endpoint.clone());
+        let pass_options = self.pass_options(resume_after);
+        let (node, request, called) = (self.node.clone(), self.request.clone(), target.clone());
         let response = async move {
-            let response = node.call_endpoint(&target, &request.call, options).await?;
+            let response = match called {
+                AttemptTarget::Endpoint(endpoint) => {
+                    node.call_endpoint(&endpoint, &request.call, options).await
+                }
+                AttemptTarget::Host(host) => {
+                    let hosts = &node.deps.hosts;
+                    hosts.pass_on(&host, &request.call, pass_options).await
+                }
+            };
+            let response = response?;
             let has_events = has_event_stream(&response.headers, request.route.kind);
             with_first_chunk(response, has_events && resume_after.is_none()).await
         };
         self.attempts.0.push(PendingAttempt {
-            endpoint,
+            target,
             guard,
             started,
             response: response.boxed(),
@@ -185,7 +196,8 @@
             let end = newest.started + OVERLAP_LIMIT;
             return earlier((end, SilenceStep::EndOverlap), deadline);
         }
-        if !silence.avoided {
+        let is_cut_off = *self.node.reach_changes.borrow() && self.request.passed_on.is_none();
+        if !silence.avoided && !is_cut_off {
             let avoid_at = silence.since + AVOID_TIMEOUT;
             return earlier((avoid_at, SilenceStep::Avoid), deadline);
         }
@@ -194,6 +206,7 @@
         }
         let seek_at = match silence.sought_at {
             Some(sought_at) => sought_at + SEEK_INTERVAL,
+            None if is_cut_off => silence.since + CUT_OFF_STALL_TIMEOUT,
             None => silence.since + STALL_TIMEOUT,
         };
         earlier((seek_at, SilenceStep::Seek), deadline)
@@ -205,11 +218,11 @@
         &mut self,
         (step_at, step): TimedStep,
         silence: &mut EndpointSilence,
-        current: Option<&Arc<ListedEndpoint>>,
+        current: Option<&AttemptTarget>,
         resume_after: Option<u64>,
     ) -> bool {
         let now = Instant::now();
-        let oldest = self.attempts.0.first().map(|attempt| &attempt.endpoint);
+        let oldest = self.attempts.0.first().map(|attempt| &attempt.target);
         let Some(silent) = current.or(oldest).cloned() else {
             return false;
         };
@@ -230,11 +243,10 @@
             _ if now > step_at + LATE_STEP => *silence = EndpointSilence::begin(),
             SilenceStep::Avoid => {
                 silence.avoided = true;
-                self.node
-                    .avoid_endpoint(&mut self.node.lock(), &silent.id, now);
+                self.avoid(&silent);
             }
             SilenceStep::Seek => {
-                let routed = self.pick_other(&silent.id);
+                let routed = self.pick_other(silent.id());
                 if silence.sought_at.is_none() {
                     self.log_silence(&silent, silence, routed.is_some());
                 }
@@ -268,7 +280,7 @@
     pub(super) fn supersede_attempts(&mut self, answered: &PendingAttempt) {
         while let Some(attempt) = self.attempts.take_oldest() {
             if attempt.started < answered.started {
-                self.give_up(&attempt.endpoint, ANSWERED_ELSEWHERE);
+                self.give_up(&attempt.target, ANSWERED_ELSEWHERE);
             } else {
                 self.record_cancelled(&attempt, ANSWERED_ELSEWHERE);
             }
@@ -286,22 +298,22 @@
     /// Records an attempt that this host has cancelled. It may have run.
     fn record_cancelled(&mut self, attempt: &PendingAttempt, cause: &str) {
         info!(self.node.deps.logger, "attempt cancelled"; "request" => &*self.request.call.id,
-            "endpoint" => &*attempt.endpoint.id, "cause" => cause,
+            "endpoint" => &**attempt.target.id(), "cause" => cause,
             "asked_for_ms" => millis(attempt.started.elapsed()));
         self.node.metrics.count_attempt("cancelled");
         self.runs += 1;
     }
 
     /// Records that a silent endpoint is given up, since another one has the request.
-    pub(super) fn give_up(&mut self, silent: &Arc<ListedEndpoint>, cause: &str) {
+    pub(super) fn give_up(&mut self, silent: &AttemptTarget, cause: &str) {
         let error = interrupted(cause);
         // The reply for the caller is that of the other endpoint.
         let _ = self.handle_error(silent, &error);
     }
 
-    fn log_silence(&self, silent: &ListedEndpoint, silence: &EndpointSilence, is_sent: bool) {
+    fn log_silence(&self, silent: &AttemptTarget, silence: &EndpointSilence, is_sent: bool) {
         info!(self.node.deps.logger, "endpoint silent"; "request" => &*self.request.call.id,
-            "endpoint" => &*silent.id, "silent_ms" => millis(silence.since.elapsed()),
+            "endpoint" => &**silent.id(), "silent_ms" => millis(silence.since.elapsed()),
             "action" => if is_sent { "sent to another as well" } else { "waits: no other takes it" });
     }
 }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -3,13 +3,14 @@
 use super::attempts::{
     ANSWERED_ELSEWHERE, AttemptResponse, EndpointSilence, MAX_OTHER_WAIT, SilenceStep, TimedStep,
 };
+use super::target::AttemptTarget;
 use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
 use crate::backend::{BodyFraming, CallError, EndpointResponse};
 use crate::crash_watch::PROOF_TIME;
-use crate::endpoint::ListedEndpoint;
 use crate::events::{EventBoundary, EventParser};
 use crate::in_flight::InFlightGuard;
 use crate::load::RequestClass;
+use crate::origins::VersionKey;
 use crate::route::RouteKind;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -17,28 +18,32 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
 use slog::info;
-use std::sync::Arc;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Forwards a response to the caller, and resumes it at another endpoint where that is allowed.
 pub(super) fn forward(
     exchange: OnlineExchange,
     response: EndpointResponse,
-    guard: InFlightGuard,
-    endpoint: Arc<ListedEndpoint>,
+    guard: Option<InFlightGuard>,
+    target: AttemptTarget,
 ) -> EndpointResponse {
     let resumable = exchange.request.route.kind == RouteKind::Stream
         && exchange.request.route.resumable
         && response.status.is_success();
     let has_events = response.status.is_success()
         && has_event_stream(&response.headers, exchange.request.route.kind);
+    let version = match &target {
+        AttemptTarget::Endpoint(endpoint) => Some(endpoint.version_key()),
+        AttemptTarget::Host(_) => response.version,
+    };
     let forwarded = ForwardedResponse {
         status: response.status,
         last_event: exchange.request.resume_after,
         exchange,
-        endpoint,
+        target,
+        version,
         body: Some(response.body),
-        guard: Some(guard),
+        guard,
         caller_framing: response.framing,
         framing: response.framing,
         unmarked_end: None,
@@ -60,6 +65,7 @@
         framing: response.framing,
         leaving: response.leaving,
         limit: response.limit,
+        version,
         body: body.boxed(),
     }
 }
@@ -68,8 +74,10 @@
 struct ForwardedResponse {
     exchange: OnlineExchange,
     status: StatusCode,
-    /// Endpoint of the body, or of the last one.
-    endpoint: Arc<ListedEndpoint>,
+    /// Where the body, or the last one, comes from.
+    target: AttemptTarget,
+    /// Software version of its endpoint; `None` if another host does not tell.
+    version: Option<VersionKey>,
     /// `None` after it has broken off, while the response is resumed at another endpoint.
     body: Option<ResponseChunks>,
     guard: Option<InFlightGuard>,
@@ -111,8 +119,8 @@
 struct UnmarkedEnd {
     /// Last event before it.
     last_event: Option<u64>,
-    /// Endpoint whose connection ended.
-    endpoint: Arc<ListedEndpoint>,
+    /// Where the body came from.
+    target: AttemptTarget,
     /// Until when another endpoint may tell whether further events follow.
     confirm_until: Instant,
 }
@@ -174,7 +182,7 @@
             return Ok(None);
         }
         self.last_event = event.id.or(self.last_event);
-        self.exchange.record_event(&self.endpoint);
+        self.exchange.record_event(&self.target, self.version);
         if event.id.is_some() {
             // The endpoint goes on, so no other one is needed.
             self.exchange.cancel_attempts();
@@ -231,25 +239,27 @@
         let error = match response {
             Ok(response) if response.status.is_success() => {
                 if self.body.take().is_some() {
-                    self.exchange.give_up(&self.endpoint, ANSWERED_ELSEWHERE);
+                    self.exchange.give_up(&self.target, ANSWERED_ELSEWHERE);
                 }
                 self.exchange.supersede_attempts(&attempt);
                 info!(self.exchange.node.deps.logger, "answer resumed";
                     "request" => &*self.exchange.request.call.id,
-                    "endpoint" => &*attempt.endpoint.id, "version" => &*attempt.endpoint.version,
+                    "endpoint" => &**attempt.target.id(),
+                    "version" => attempt.target.endpoint().map(|endpoint| &*endpoint.version),
                     "after_event" => self.last_event);
                 self.parser.clear();
                 self.framing = response.framing;
                 self.body = Some(response.body);
-                self.guard = Some(attempt.guard);
-                self.endpoint = attempt.endpoint;
+                self.guard = attempt.guard;
+                self.version = response.version;
+                self.target = attempt.target;
                 self.silence = EndpointSilence::begin();
                 return Ok(());
             }
             Ok(response) => interrupted(&format!("resuming returned status {}", response.status)),
             Err(error) => error,
         };
-        let handled = self.exchange.handle_error(&attempt.endpoint, &error);
+        let handled = self.exchange.handle_error(&attempt.target, &error);
         if self.body.is_some() {
             // The current endpoint still has the request.
             return Ok(());
@@ -266,7 +276,7 @@
         if step.1 == SilenceStep::Deadline {
             return Err(interrupted("no further data before the deadline"));
         }
-        let current = self.body.is_some().then_some(&self.endpoint);
+        let current = self.body.is_some().then_some(&self.target);
         let (exchange, silence) = (&mut self.exchange, &mut self.silence);
         if exchange.take_step(step, silence, current, self.last_event) {
             self.drop_current();
@@ -308,7 +318,7 @@
     /// Resumes the response at another endpoint after the last complete event, since the current one has failed.
     fn resume(&mut self, error: &CallError) -> Result<(), CallError> {
         self.drop_current();
-        let handled = self.exchange.handle_error(&self.endpoint, error);
+        let handled = self.exchange.handle_error(&self.target, error);
         if let Some(started) = self.exchange.attempts.oldest_started() {
             self.silence = EndpointSilence::since(started);
             return Ok(());
@@ -332,12 +342,12 @@
             return false;
         }
         self.drop_current();
-        self.exchange.tried.push(self.endpoint.id.clone());
+        self.exchange.tried.push(self.target.id().clone());
         self.exchange.runs += 1;
         self.silence = EndpointSilence::begin();
         self.unmarked_end = Some(UnmarkedEnd {
             last_event: self.last_event,
-            endpoint: self.endpoint.clone(),
+            target: self.target.clone(),
             confirm_until: Instant::now() + MAX_OTHER_WAIT,
         });
         self.exchange.begin_attempt(self.last_event).is_ok()
@@ -347,11 +357,11 @@
     /// the stream, unless its endpoint has crashed.
     async fn end_unconfirmed(&mut self) -> Option<Result<Bytes, CallError>> {
         let closed = match &self.unmarked_end {
-            Some(end) if end.last_event == self.last_event => Some(end.endpoint.clone()),
-            _ if self.lacks_marked_end() => Some(self.endpoint.clone()),
+            Some(end) if end.last_event == self.last_event => Some(end.target.clone()),
+            _ if self.lacks_marked_end() => Some(self.target.clone()),
             _ => None,
         };
-        if let Some(endpoint) = closed {
+        if let Some(AttemptTarget::Endpoint(endpoint)) = closed {
             let client = self.exchange.node.deps.client.clone();
             if client.refuses_connections(&endpoint).await {
                 return Some(self.interrupt(interrupted("the endpoint has ended")));
@@ -364,7 +374,7 @@
     /// Whether the end of the current body tells that the stream is complete: it is marked, or another endpoint's body ended
     /// after the same event.
     fn is_end_confirmed(&self) -> bool {
-        let other_agrees = |end: &UnmarkedEnd| end.endpoint.id != self.endpoint.id;
+        let other_agrees = |end: &UnmarkedEnd| end.target.id() != self.target.id();
         let end = self.unmarked_end.as_ref();
         let end = end.filter(|end| end.last_event == self.last_event);
         !self.lacks_marked_end() || end.is_some_and(other_agrees)
@@ -403,27 +413,22 @@
         self.guard = None;
         self.exchange.cancel_attempts();
         let exchange = &mut self.exchange;
-        if outcome == "answered" {
-            let mut state = exchange.node.lock();
-            if is_endpoint_failure(self.status) {
-                let node = &exchange.node;
-                node.record_error_response(&mut state, &self.endpoint.id, RequestClass::Online);
-                outcome = "answered with a failure";
-            } else {
-                let first_byte = exchange.time_to_first_byte;
-                let waited = first_byte.unwrap_or_default();
-                let run = exchange.started.elapsed().saturating_sub(waited);
-                let unqueued = first_byte.filter(|_| exchange.had_free_slot);
-                state.load.record_response(unqueued, run);
-                let health = state.load.health(&self.endpoint.id);
-                health.record_success(exchange.started);
-            }
+        let is_failure = is_endpoint_failure(self.status);
+        if outcome == "answered" && is_failure {
+            outcome = "answered with a failure";
         }
-        if outcome == "answered" && self.status.is_success() {
-            if self.framing == BodyFraming::Delimited {
-                exchange.record_sound(&self.endpoint);
-            } else {
-                exchange.record_end(&self.endpoint, true);
+        // The host that has passed a request on learns nothing of the endpoint.
+        if let AttemptTarget::Endpoint(endpoint) = &self.target {
+            match outcome {
+                "answered" => exchange.record_answer(endpoint, self.status, self.framing),
+                "answered with a failure" => {
+                    let state = &mut exchange.node.lock();
+                    let class = RequestClass::Online;
+                    exchange
+                        .node
+                        .record_error_response(state, &endpoint.id, class);
+                }
+                _ => {}
             }
         }
         exchange.body_end = Some(BodyEnd {
@@ -435,12 +440,12 @@
 
     /// Records the first byte, and the end of a response with a content length.
     fn record_chunk(&mut self, bytes: usize) {
-        self.exchange.node.record_heard();
-        if let Some(guard) = &mut self.guard {
+        if let (AttemptTarget::Endpoint(endpoint), Some(guard)) = (&self.target, &mut self.guard) {
+            self.exchange.node.record_heard();
             let run_time = guard.begin_run().elapsed();
             if !self.exchange.is_proven && run_time >= PROOF_TIME {
                 self.exchange.is_proven = true;
-                self.exchange.record_sound(&self.endpoint);
+                self.exchange.record_sound(endpoint);
             }
         }
         if self.exchange.time_to_first_byte.is_none() {
@@ -462,12 +467,13 @@
             let now = Instant::now();
             let at_deadline = self.exchange.request.deadline <= now + MIN_REMAINING;
             if !at_deadline {
-                let node = &self.exchange.node;
-                node.avoid_endpoint(&mut node.lock(), &self.endpoint.id, now);
-                self.exchange.record_end(&self.endpoint, false);
+                self.exchange.avoid(&self.target);
+                if let AttemptTarget::Endpoint(endpoint) = &self.target {
+                    self.exchange.record_end(endpoint, false);
+                }
             }
             info!(self.exchange.node.deps.logger, "answer broke off";
-                "request" => &*self.exchange.request.call.id, "endpoint" => &*self.endpoint.id,
+                "request" => &*self.exchange.request.call.id, "endpoint" => &**self.target.id(),
                 "cause" => %error, "at_deadline" => at_deadline);
             self.finish("broken off");
         }
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod forward;
+mod target;
 
 use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
 use crate::crash_watch::EndedRequest;
@@ -17,7 +18,7 @@
 use crate::route::ServiceRoute;
 use crate::wait::max_wait;
 use attempts::{
-    EndpointSilence, MAX_OTHER_WAIT, PendingAttempt, PendingAttempts, RoutedEndpoint, SilenceStep,
+    EndpointSilence, MAX_OTHER_WAIT, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep,
 };
 use forward::forward;
 use futures::stream::{self, StreamExt};
@@ -27,6 +28,7 @@
 use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
+use target::AttemptTarget;
 use tokio::time::{Instant, timeout_at};
 
 /// Maximum number of endpoints tried for one request, including those that refused it.
@@ -52,19 +54,30 @@
     pub resume_after: Option<u64>,
     /// ID of the caller's request that brought the first event of a resumed stream.
     pub resumes: Option<Arc<str>>,
+    /// Set if another host has passed the request on.
+    pub passed_on: Option<PassedOn>,
     /// Earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
 }
 
+/// What another host tells of a request that it passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PassedOn {
+    /// Software version at which a stream goes on, if it is known.
+    pub version: Option<VersionKey>,
+}
+
 /// Result of [`SwitchNode::serve_online`].
 pub enum OnlineReply {
     /// An endpoint responded; the body may still be in progress.
-    Response(EndpointResponse),
+    Response(Box<EndpointResponse>),
     /// The request has not run and will not run.
     Rejected {
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// The request was passed on by another host, and has not run since this one does not reach the endpoints or has no route for it.
+    OutOfReach,
     /// The request failed and may have run.
     Failed,
     /// The deadline passed; the request may have run.
@@ -101,9 +114,9 @@
             _in_flight: in_flight,
         };
         match exchange.first_response().await {
-            Ok((response, guard, endpoint)) => {
+            Ok((response, guard, target)) => {
                 let deadline = exchange.request.deadline;
-                begin_reply(forward(exchange, response, guard, endpoint), deadline).await
+                begin_reply(forward(exchange, response, guard, target), deadline).await
             }
             Err(reply) => {
                 exchange.log_reply(&reply);
@@ -120,20 +133,20 @@
         Some(Ok(chunk)) => {
             let rest = response.body;
             response.body = stream::iter([Ok(chunk)]).chain(rest).boxed();
-            OnlineReply::Response(response)
+            OnlineReply::Response(Box::new(response))
         }
         Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
         Some(Err(_)) => OnlineReply::Failed,
         None => {
             // The finished body must not be polled again.
             response.body = stream::empty().boxed();
-            OnlineReply::Response(response)
+            OnlineReply::Response(Box::new(response))
         }
     }
 }
 
-/// A response with its in-flight guard and endpoint.
-type Opened = (EndpointResponse, InFlightGuard, Arc<ListedEndpoint>);
+/// A response with its in-flight guard and where it comes from.
+type Opened = (EndpointResponse, Option<InFlightGuard>, AttemptTarget);
 
 /// How the last body of a response ended.
 #[derive(Clone, Copy)]
@@ -161,7 +174,7 @@
     suspects: PromptParts,
     /// Attempts in progress whose responses have not begun.
     attempts: PendingAttempts,
-    /// Endpoints at which an attempt has failed.
+    /// Endpoints, and hosts to which the request was passed on, at which an attempt has failed.
     tried: Vec<Arc<str>>,
     /// Endpoints to which the request was sent, and when.
     sent: Vec<(Arc<str>, Instant)>,
@@ -179,7 +192,7 @@
     had_free_slot: bool,
     /// Whether a long answer has shown that the request does not crash the endpoint.
     is_proven: bool,
-    /// Endpoint of the last attempt.
+    /// Endpoint of the last attempt, or the host to which it was passed on.
     endpoint: Option<Arc<str>>,
     /// How the body of the response ended; `None` before that.
     body_end: Option<BodyEnd>,
@@ -204,6 +217,7 @@
         if resume_after.is_some() {
             self.version = Some(self.find_version().await?);
         }
+        let mut reach_changes = self.node.reach_changes.subscribe();
         let mut silence = EndpointSilence::begin();
         loop {
             if self.attempts.is_empty() {
@@ -211,14 +225,20 @@
                 silence = EndpointSilence::begin();
             }
             let (step_at, step) = self.silence_step(&silence, false);
-            match timeout_at(step_at, self.attempts.next_response()).await {
+            let response = tokio::select! {
+                biased;
+                response = timeout_at(step_at, self.attempts.next_response()) => response,
+                // The steps are other ones for a host that is cut off.
+                Ok(()) = reach_changes.changed() => continue,
+            };
+            match response {
                 Ok((attempt, Ok(response))) => {
                     if let Some(opened) = self.accept_head(attempt, response) {
                         return Ok(opened);
                     }
                 }
                 Ok((attempt, Err(error))) => {
-                    let handled = self.handle_error(&attempt.endpoint, &error);
+                    let handled = self.handle_error(&attempt.target, &error);
                     if self.attempts.is_empty() {
                         handled?;
                     }
@@ -242,12 +262,13 @@
         let goes_on = self.may_retry() || !self.attempts.is_empty();
         if !(status.is_server_error() && goes_on) {
             self.supersede_attempts(&attempt);
-            return Some((response, attempt.guard, attempt.endpoint));
+            return Some((response, attempt.guard, attempt.target));
         }
-        let endpoint = &attempt.endpoint;
-        self.record_failed_attempt(endpoint, "answered with a failure", "failed");
+        self.record_failed_attempt(attempt.target.id(), "answered with a failure", "failed");
         self.runs += 1;
-        if is_endpoint_failure(status) {
+        if let Some(endpoint) = attempt.target.endpoint()
+            && is_endpoint_failure(status)
+        {
             let state = &mut self.node.lock();
             self.node
                 .record_error_response(state, &endpoint.id, RequestClass::Online);
@@ -260,7 +281,7 @@
         let error = interrupted("no response within the timeout");
         while let Some(attempt) = self.attempts.take_oldest() {
             // The reply is the same for all of them.
-            let _ = self.handle_error(&attempt.endpoint, &error);
+            let _ = self.handle_error(&attempt.target, &error);
         }
         OnlineReply::TimedOut
     }
@@ -268,6 +289,9 @@
     /// Finds the software version that began the stream which the request takes up.
     async fn find_version(&mut self) -> Result<VersionKey, OnlineReply> {
         let (request, route) = (&self.request, &self.request.route);
+        if let Some(version) = request.passed_on.and_then(|passed_on| passed_on.version) {
+            return Ok(version);
+        }
         let found = self.node.find_origin(request.resumes.as_deref(), route);
         let version = found.await;
         let is_known = if version.is_some() {
@@ -286,8 +310,13 @@
 
     /// Records that the caller has got an event from an endpoint. The origin of the stream is recorded with the first
     /// event, and again while the stream runs: hosts keep an origin for a limited time, and those that have it may be lost.
-    fn record_event(&mut self, endpoint: &ListedEndpoint) {
+    /// The host to which the request was passed on does this for its endpoint, and `version` is what it tells.
+    fn record_event(&mut self, target: &AttemptTarget, version: Option<VersionKey>) {
         let now = Instant::now();
+        let Some(endpoint) = target.endpoint() else {
+            self.version = self.version.or(version);
+            return;
+        };
         let version = *self.version.get_or_insert_with(|| endpoint.version_key());
         let is_due = self
             .origin_recorded_at
@@ -320,8 +349,8 @@
         serving.or(drawn).cloned()
     }
 
-    /// Selects an endpoint and counts the request there.
-    fn pick(&mut self) -> Result<RoutedEndpoint, OnlineReply> {
+    /// Selects where the request goes, and counts it there.
+    fn pick(&mut self) -> Result<RoutedTarget, OnlineReply> {
         let now = Instant::now();
         let remaining = self.request.deadline.saturating_duration_since(now);
         if remaining < MIN_REMAINING {
@@ -336,6 +365,14 @@
         if let Admission::Rejected { retry_after } = admission {
             return Err(self.reject_suspect(retry_after));
         }
+        if state.reach.is_cut_off() {
+            if self.request.passed_on.is_some() && self.runs == 0 {
+                return Err(OnlineReply::OutOfReach);
+            }
+            if let Some(routed) = self.route_to_host(state) {
+                return Ok(routed);
+            }
+        }
         let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
@@ -362,9 +399,9 @@
         }
     }
 
-    /// Selects an endpoint beside the silent one that has the request, and counts the request there. `None` if none can
-    /// take the request now.
-    fn pick_other(&mut self, silent: &Arc<str>) -> Option<RoutedEndpoint> {
+    /// Selects where the request goes beside the silent target that has it, and counts it there. `None` if none can take the request
+    /// now.
+    fn pick_other(&mut self, silent: &Arc<str>) -> Option<RoutedTarget> {
         let now = Instant::now();
         let remaining = self.request.deadline.saturating_duration_since(now);
         if remaining < MIN_REMAINING {
@@ -375,6 +412,9 @@
         if state.crashes.quarantine.covers(&self.suspects) {
             return None;
         }
+        if state.reach.is_cut_off() {
+            return self.route_to_host(state);
+        }
         let service = self.pick_service(state, now)?;
         let max_wait = self.max_wait(state, remaining).min(MAX_OTHER_WAIT);
         let excluded = [&self.tried[..], std::slice::from_ref(silent)].concat();
@@ -427,7 +467,7 @@
         state: &mut SwitchState,
         service: &str,
         endpoint: Arc<ListedEndpoint>,
-    ) -> RoutedEndpoint {
+    ) -> RoutedTarget {
         let now = Instant::now();
         let remaining = self.request.deadline.saturating_duration_since(now);
         let load = state.load.total(&endpoint.id);
@@ -450,7 +490,7 @@
         state.limits.take(&endpoint.id, now);
         self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
         self.endpoint = Some(endpoint.id.clone());
-        (endpoint, guard)
+        (AttemptTarget::Endpoint(endpoint), Some(guard))
     }
 
     /// Rejects a request that takes up a stream at once if endpoints crash under it. It is not used as a trial, since it would have to wait for the version that began the stream.
@@ -497,6 +537,29 @@
         self.node.record_sound(state, &self.suspects, sent_at);
     }
 
+    /// Records what a complete answer tells of its endpoint.
+    fn record_answer(
+        &self,
+        endpoint: &Arc<ListedEndpoint>,
+        status: StatusCode,
+        framing: BodyFraming,
+    ) {
+        {
+            let state = &mut *self.node.lock();
+            let waited = self.time_to_first_byte.unwrap_or_default();
+            let run = self.started.elapsed().saturating_sub(waited);
+            let unqueued = self.time_to_first_byte.filter(|_| self.had_free_slot);
+            state.load.record_response(unqueued, run);
+            let health = state.load.health(&endpoint.id);
+            health.record_success(self.started);
+        }
+        match framing {
+            _ if !status.is_success() => {}
+            BodyFraming::Delimited => self.record_sound(endpoint),
+            BodyFraming::UntilClose => self.record_end(endpoint, true),
+        }
+    }
+
     /// Longest expected wait with which the request is sent.
     fn max_wait(&self, state: &SwitchState, remaining: Duration) -> Duration {
         if self.version.is_some() {
@@ -533,38 +596,44 @@
         state.overload.record_rejection(rejection, now, draw)
     }
 
+    /// Whether the request may be sent once more. One that was passed on is sent once; the host that has the caller decides on more.
     fn may_retry(&self) -> bool {
-        self.request.route.is_idempotent()
+        self.request.passed_on.is_none()
+            && self.request.route.is_idempotent()
             && self.runs + 1 < self.request.route.attempts
             && self.sends < MAX_SENDS
     }
 
     fn handle_error(
         &mut self,
-        endpoint: &Arc<ListedEndpoint>,
+        target: &AttemptTarget,
         error: &CallError,
     ) -> Result<(), OnlineReply> {
         let now = Instant::now();
-        self.record_failed_attempt(endpoint, error, error.outcome());
+        self.record_failed_attempt(target.id(), error, error.outcome());
         match error {
             CallError::NotSent { .. } => {
-                self.node
-                    .avoid_endpoint(&mut self.node.lock(), &endpoint.id, now);
+                self.avoid(target);
+                if let AttemptTarget::Endpoint(endpoint) = target {
+                    let state = &mut self.node.lock();
+                    self.node.record_unreached(state, &endpoint.id);
+                }
                 Ok(())
             }
             CallError::NotRun { misdirected, .. } => {
                 if *misdirected {
-                    self.node
-                        .avoid_endpoint(&mut self.node.lock(), &endpoint.id, now);
-                } else {
+                    self.avoid(target);
+                } else if let Some(endpoint) = target.endpoint() {
                     self.node.lock().load.mark_full(&endpoint.id, now);
                 }
                 Ok(())
             }
+            CallError::Rejected { retry_after } => Err(self.failure_reply(*retry_after)),
             CallError::Interrupted { .. } => {
-                self.node
-                    .avoid_endpoint(&mut self.node.lock(), &endpoint.id, now);
-                self.record_end(endpoint, false);
+                self.avoid(target);
+                if let Some(endpoint) = target.endpoint() {
+                    self.record_end(endpoint, false);
+                }
                 let retries = self.may_retry();
                 self.runs += 1;
                 if retries {
@@ -578,18 +647,30 @@
         }
     }
 
-    /// Records a failed attempt and excludes its endpoint from further attempts.
+    /// Gives an endpoint or a host that has failed no new request for a while.
+    fn avoid(&self, target: &AttemptTarget) {
+        let state = &mut self.node.lock();
+        match target {
+            AttemptTarget::Endpoint(endpoint) => {
+                self.node
+                    .avoid_endpoint(state, &endpoint.id, Instant::now());
+            }
+            AttemptTarget::Host(host) => self.node.avoid_host(state, &host.name),
+        }
+    }
+
+    /// Records a failed attempt and excludes its endpoint or host from further attempts.
     fn record_failed_attempt(
         &mut self,
-        endpoint: &ListedEndpoint,
+        target: &Arc<str>,
         cause: impl Display,
         outcome: &'static str,
     ) {
         info!(self.node.deps.logger, "attempt failed"; "request" => &*self.request.call.id,
-            "endpoint" => &*endpoint.id, "send" => self.sends, "cause" => %cause,
+            "endpoint" => &**target, "send" => self.sends, "cause" => %cause,
             "after_ms" => millis(self.started.elapsed()));
         self.node.metrics.count_attempt(outcome);
-        self.tried.push(endpoint.id.clone());
+        self.tried.push(target.clone());
     }
 
     fn failure_reply(&self, retry_after: Duration) -> OnlineReply {
@@ -614,6 +695,7 @@
         match reply {
             OnlineReply::Response(_) => self.log_end("answered", None),
             OnlineReply::Rejected { retry_after } => self.log_end("rejected", Some(*retry_after)),
+            OnlineReply::OutOfReach => self.log_end("out of reach", None),
             OnlineReply::Failed => self.log_end("failed", None),
             OnlineReply::TimedOut => self.log_end("timed out", None),
         }
--- a/crates/switch/src/origins.rs
+++ b/crates/switch/src/origins.rs
@@ -52,6 +52,18 @@
     }
 }
 
+impl From<u32> for VersionKey {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+
+impl From<VersionKey> for u32 {
+    fn from(key: VersionKey) -> Self {
+        key.0
+    }
+}
+
 /// The version that began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
--- /dev/null
+++ b/crates/switch/src/reach_watch.rs
@@ -0,0 +1,125 @@
+//! Checks whether this host reaches the endpoints, and what follows if it does not.
+
+use crate::backend::ConnectOutcome;
+use crate::endpoint::ListedEndpoint;
+use crate::node::{SwitchNode, SwitchState, millis};
+use crate::reach::{HOST_AVOID_TIME, ReachReport};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Number of endpoints that are tried at once.
+const CHECKED_AT_ONCE: usize = 2;
+/// Time between two attempts of a host that is cut off, at first and at most.
+const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
+
+impl SwitchNode {
+    /// What this host tells the others of its links.
+    pub(crate) fn reach_report(&self, state: &SwitchState, now: Instant) -> ReachReport {
+        let silence = now.saturating_duration_since(self.heard_at());
+        let accepts_callers = state.routes.is_some() && !state.stopping;
+        ReachReport {
+            is_cut_off: state.reach.is_cut_off() && accepts_callers,
+            heard_before_ms: u32::try_from(millis(silence)).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Records that no connection to an endpoint came about, and checks whether other endpoints can be reached.
+    pub(crate) fn record_unreached(self: &Arc<Self>, state: &mut SwitchState, id: &Arc<str>) {
+        let now = Instant::now();
+        if state.reach.begin_check(now) {
+            self.apply_unreached(state, id);
+            tokio::spawn(check_reach(self.clone()));
+        }
+    }
+
+    /// Gives a host that could not be reached no request for a while.
+    pub(crate) fn avoid_host(&self, state: &mut SwitchState, name: &Arc<str>) {
+        state.reach.avoid_host(name, Instant::now());
+        info!(self.deps.logger, "host avoided"; "peer" => &**name,
+            "for_ms" => millis(HOST_AVOID_TIME));
+    }
+
+    /// Tries to open connections to these endpoints at once. Returns whether one accepts.
+    async fn reaches_any(&self, endpoints: &[Arc<ListedEndpoint>]) -> bool {
+        let attempts = endpoints
+            .iter()
+            .map(|endpoint| self.deps.client.try_connect(endpoint));
+        let mut attempts: FuturesUnordered<_> = attempts.collect();
+        while let Some(outcome) = attempts.next().await {
+            if outcome == ConnectOutcome::Accepted {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn apply_unreached(self: &Arc<Self>, state: &mut SwitchState, id: &Arc<str>) {
+        let serving = state.endpoints.all_serving(Instant::now()).len();
+        if !state.reach.record_unreached(id, serving) {
+            return;
+        }
+        warn!(self.deps.logger, "endpoints out of reach"; "endpoints" => serving,
+            "unreached" => state.reach.unreached_count(),
+            "action" => "requests are passed on to other hosts, and callers sent there");
+        self.reach_changes.send_replace(true);
+        self.heartbeat_requested.notify_one();
+    }
+}
+
+/// Tries endpoints until one can be reached.
+async fn check_reach(node: Arc<SwitchNode>) {
+    let [mut pause, max_pause] = RETRY_INTERVALS;
+    loop {
+        let endpoints = {
+            let state = &mut *node.lock();
+            let reach = state.reach.clone();
+            let is_new = |endpoint: &ListedEndpoint| !reach.is_unreached(&endpoint.id);
+            let new = sample_endpoints(state, CHECKED_AT_ONCE, is_new);
+            if new.is_empty() {
+                sample_endpoints(state, CHECKED_AT_ONCE, |_| true)
+            } else {
+                new
+            }
+        };
+        // Without endpoints, nothing is out of reach.
+        if endpoints.is_empty() || node.reaches_any(&endpoints).await {
+            break;
+        }
+        let is_cut_off = {
+            let state = &mut *node.lock();
+            for endpoint in &endpoints {
+                node.apply_unreached(state, &endpoint.id);
+            }
+            state.reach.is_cut_off()
+        };
+        if is_cut_off {
+            sleep(pause).await;
+            pause = (pause * 2).min(max_pause);
+        }
+    }
+    let state = &mut *node.lock();
+    state.reach.end_check();
+    if state.reach.record_reached(Instant::now()) {
+        info!(node.deps.logger, "endpoints in reach again");
+        node.reach_changes.send_replace(false);
+        node.heartbeat_requested.notify_one();
+    }
+}
+
+/// Draws serving endpoints that `is_wanted` selects.
+fn sample_endpoints(
+    state: &mut SwitchState,
+    count: usize,
+    is_wanted: impl Fn(&ListedEndpoint) -> bool,
+) -> Vec<Arc<ListedEndpoint>> {
+    let serving = state.endpoints.all_serving(Instant::now());
+    let wanted = serving.into_iter().filter(|endpoint| is_wanted(endpoint));
+    let wanted: Vec<Arc<ListedEndpoint>> = wanted.collect();
+    let sample = wanted.choose_multiple(&mut state.rng, count);
+    sample.cloned().collect()
+}
