Do not take lost links for crashes of endpoints (LOST)

Callers of all hosts would have had sound requests rejected for 20 s: a host whose links to the endpoints were reset reported a crash of each, with the requests that broke off. In the test a request is rejected after six losses of the links.

Cause: what one host sees is taken for the state of the endpoint; connections were refused by the path, not by the endpoint. Before it reports a crash a host now opens a connection to another endpoint. If none of eight accepts one though another host got data from an endpoint within 0.5 s, its links are lost. If nobody gets data, the endpoints may well have ended, and the crash counts.

--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -222,7 +222,8 @@
 async fn check_endpoint(node: Arc<SwitchNode>, endpoint: Arc<ListedEndpoint>) {
     let began_at = Instant::now();
     sleep(CHECK_DELAY).await;
-    let has_crashed = node.deps.client.refuses_connections(&endpoint).await;
+    let has_crashed = node.deps.client.refuses_connections(&endpoint).await
+        && !node.has_lost_links(&endpoint).await;
     let id = CrashId::of(&endpoint);
     let mut state = node.lock();
     let checks = &mut state.crashes.checks;
--- a/crates/switch/src/reach_watch.rs
+++ b/crates/switch/src/reach_watch.rs
@@ -15,6 +15,8 @@
 
 /// Number of endpoints that are tried at once.
 const CHECKED_AT_ONCE: usize = 2;
+/// Number of other endpoints that are tried before the end of an answer is put down to the links of this host.
+const MAX_OTHERS: usize = 8;
 /// Time between two attempts of a host that is cut off, at first and at most.
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 
@@ -45,6 +47,21 @@
             "for_ms" => millis(HOST_AVOID_TIME));
     }
 
+    /// Whether the end of answers of `endpoint`, which refuses connections, is that of this host's own links: it reaches no other
+    /// endpoint either, though another host gets data from endpoints.
+    pub(crate) async fn has_lost_links(&self, endpoint: &ListedEndpoint) -> bool {
+        let is_other = |other: &ListedEndpoint| other.id != endpoint.id;
+        let others = sample_endpoints(&mut self.lock(), MAX_OTHERS, is_other);
+        let Some((first, rest)) = others.split_first() else {
+            return false;
+        };
+        // Mostly the first one accepts, which spares the others a connection.
+        if self.reaches_any(std::slice::from_ref(first)).await || self.reaches_any(rest).await {
+            return false;
+        }
+        self.lock().members.others_have_data(Instant::now())
+    }
+
     /// Tries to open connections to these endpoints at once. Returns whether one accepts.
     async fn reaches_any(&self, endpoints: &[Arc<ListedEndpoint>]) -> bool {
         let attempts = endpoints
