Take the time of a crash when the request breaks off, not when the check begins (BUDGET)

Callers would have seen a request crash up to twice as many endpoints before it is rejected: what its host sends again at once was sent before the time that the crash got, which was that of the start of the task that checks the endpoint. So the crash that followed did not count as successive. On the daemon's one thread the request is sent again first.

--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -93,7 +93,7 @@
             requests: vec![ended],
         });
         drop(state);
-        tokio::spawn(check_endpoint(self.clone(), endpoint.clone()));
+        tokio::spawn(check_endpoint(self.clone(), endpoint.clone(), now));
     }
 
     /// Records that an answer to a request with these parts was completed or has been in progress for [`PROOF_TIME`].
@@ -218,9 +218,8 @@
     }
 }
 
-/// Checks whether an endpoint has crashed, and records the requests that ended there.
-async fn check_endpoint(node: Arc<SwitchNode>, endpoint: Arc<ListedEndpoint>) {
-    let began_at = Instant::now();
+/// Checks whether an endpoint has crashed, at which a first request ended at `ended_at`, and records the requests that ended there.
+async fn check_endpoint(node: Arc<SwitchNode>, endpoint: Arc<ListedEndpoint>, ended_at: Instant) {
     sleep(CHECK_DELAY).await;
     let has_crashed = node.deps.client.refuses_connections(&endpoint).await
         && !node.has_lost_links(&endpoint).await;
@@ -233,7 +232,7 @@
     let ended = checks.swap_remove(index).requests;
     if has_crashed {
         let requests = ended.into_iter().map(|ended| ended.request).collect();
-        node.record_crash(&mut state, &endpoint, requests, began_at);
+        node.record_crash(&mut state, &endpoint, requests, ended_at);
         return;
     }
     for ended in ended.into_iter().filter(|ended| ended.may_be_complete) {
--- a/crates/switch/tests/switch/deadly_requests.rs
+++ b/crates/switch/tests/switch/deadly_requests.rs
@@ -76,8 +76,8 @@
 }
 
 /// Guards against a request that crashes two endpoints each time that its caller sends it, as its host sends it again at once, of which
-/// only one counts (BUDGET).
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+/// only one counts (BUDGET). Like the daemon, it has one thread, on which the request is sent again before anything else runs.
+#[tokio::test]
 async fn request_that_its_host_sends_again_at_once_is_stopped_after_three_crashes() {
     let fleet = TestFleet::new(SIZE);
     let hosts = [fleet.spawn("a").await, fleet.spawn("b").await];
