Wait for the check of the links before the next attempt (RECOVER)

Callers of a host whose links are refused or reset were rejected in the first moment: a request used its four attempts up in a millisecond, before the host knew that it is cut off.

After an attempt that reached no endpoint, a request now waits until the check that it began has found an endpoint in reach, mostly in a few milliseconds, or the host cut off. Where connections hang, the check takes no longer than the next attempt would.

Also tests of what is passed on, in the process and over the wire: answers, versions, ends, runs, callers that leave.

--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -16,7 +16,7 @@
 use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
-use crate::reach::EndpointReach;
+use crate::reach::{EndpointReach, ReachPhase};
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
@@ -193,8 +193,8 @@
     pub(crate) heartbeat_requested: Notify,
     /// Requests an immediate heartbeat to the neighbours.
     pub(crate) neighbour_heartbeat_requested: Notify,
-    /// Whether this host is cut off from the endpoints. Notifies the requests that wait for one.
-    pub(crate) reach_changes: watch::Sender<bool>,
+    /// Whether this host reaches the endpoints. Notifies the requests that wait for one.
+    pub(crate) reach_changes: watch::Sender<ReachPhase>,
     /// Requests a report of crashes to all hosts.
     pub(crate) crash_report_requested: Notify,
     pub(crate) started: Instant,
@@ -251,7 +251,7 @@
             origin_received: Notify::new(),
             heartbeat_requested: Notify::new(),
             neighbour_heartbeat_requested: Notify::new(),
-            reach_changes: watch::Sender::new(false),
+            reach_changes: watch::Sender::new(ReachPhase::Reached),
             crash_report_requested: Notify::new(),
             started: Instant::now(),
             heard_ms: AtomicU64::new(0),
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -196,7 +196,7 @@
             let end = newest.started + OVERLAP_LIMIT;
             return earlier((end, SilenceStep::EndOverlap), deadline);
         }
-        let is_cut_off = *self.node.reach_changes.borrow() && self.request.passed_on.is_none();
+        let is_cut_off = self.node.is_cut_off() && self.request.passed_on.is_none();
         if !silence.avoided && !is_cut_off {
             let avoid_at = silence.since + AVOID_TIMEOUT;
             return earlier((avoid_at, SilenceStep::Avoid), deadline);
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -241,6 +241,7 @@
                     let handled = self.handle_error(&attempt.target, &error);
                     if self.attempts.is_empty() {
                         handled?;
+                        self.wait_for_check(&error).await;
                     }
                 }
                 Err(_) if step == SilenceStep::Deadline => return Err(self.time_out()),
@@ -276,6 +277,14 @@
         None
     }
 
+    /// Waits until it is known whether the endpoint of an attempt that reached none is out of reach, or all are.
+    async fn wait_for_check(&mut self, error: &CallError) {
+        if let CallError::NotSent { .. } = error {
+            // At the deadline, the next attempt ends the request.
+            let _ = timeout_at(self.request.deadline, self.node.wait_for_check()).await;
+        }
+    }
+
     /// Ends all attempts at the deadline.
     fn time_out(&mut self) -> OnlineReply {
         let error = interrupted("no response within the timeout");
--- a/crates/switch/src/reach.rs
+++ b/crates/switch/src/reach.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// Whether this host reaches the endpoints, as far as it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachPhase {
+    /// It does.
+    Reached,
+    /// A connection to one did not come about, and others are being tried.
+    Checking,
+    /// It does not.
+    CutOff,
+}
+
 /// What this host knows of its links to the endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointReach {
@@ -93,10 +104,20 @@
         std::mem::take(&mut self.is_cut_off)
     }
 
-    /// Number of endpoints that could not be reached since one last was.
+    /// Endpoints to which no connection came about since the last one that did, sorted.
     #[must_use]
-    pub fn unreached_count(&self) -> usize {
-        self.unreached.len()
+    pub fn unreached(&self) -> &[Arc<str>] {
+        &self.unreached
+    }
+
+    /// Whether this host reaches the endpoints, as far as it knows.
+    #[must_use]
+    pub fn phase(&self) -> ReachPhase {
+        match (self.is_cut_off, self.is_checking) {
+            (true, _) => ReachPhase::CutOff,
+            (false, true) => ReachPhase::Checking,
+            (false, false) => ReachPhase::Reached,
+        }
     }
 
     /// Begins a check whether endpoints can be reached, unless one is in progress or has just found one.
--- a/crates/switch/src/reach_watch.rs
+++ b/crates/switch/src/reach_watch.rs
@@ -4,7 +4,7 @@
 use crate::batch;
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
-use crate::reach::{HOST_AVOID_TIME, ReachReport};
+use crate::reach::{HOST_AVOID_TIME, ReachPhase, ReachReport};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
@@ -35,11 +35,26 @@
     pub(crate) fn record_unreached(self: &Arc<Self>, state: &mut SwitchState, id: &Arc<str>) {
         let now = Instant::now();
         if state.reach.begin_check(now) {
+            self.reach_changes.send_replace(ReachPhase::Checking);
             self.apply_unreached(state, id);
             tokio::spawn(check_reach(self.clone()));
         }
     }
 
+    /// Whether this host is cut off from the endpoints.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        *self.reach_changes.borrow() == ReachPhase::CutOff
+    }
+
+    /// Waits until a check whether endpoints can be reached has told, if one is in progress. It takes no longer than connections do.
+    pub(crate) async fn wait_for_check(&self) {
+        let mut phases = self.reach_changes.subscribe();
+        // The sender lives as long as this host.
+        let _ = phases
+            .wait_for(|phase| *phase != ReachPhase::Checking)
+            .await;
+    }
+
     /// Gives a host that could not be reached no request for a while.
     pub(crate) fn avoid_host(&self, state: &mut SwitchState, name: &Arc<str>) {
         state.reach.avoid_host(name, Instant::now());
@@ -82,9 +97,9 @@
             return;
         }
         warn!(self.deps.logger, "endpoints out of reach"; "endpoints" => serving,
-            "unreached" => state.reach.unreached_count(),
+            "unreached" => state.reach.unreached().len(),
             "action" => "requests are passed on to other hosts, and callers sent there");
-        self.reach_changes.send_replace(true);
+        self.reach_changes.send_replace(state.reach.phase());
         self.heartbeat_requested.notify_one();
         if !state.stopping && state.reach.set_handing_over(true) {
             tokio::spawn(hand_items_over(self.clone()));
@@ -131,9 +146,10 @@
     }
     let state = &mut *node.lock();
     state.reach.end_check();
-    if state.reach.record_reached(Instant::now()) {
+    let was_cut_off = state.reach.record_reached(Instant::now());
+    node.reach_changes.send_replace(state.reach.phase());
+    if was_cut_off {
         info!(node.deps.logger, "endpoints in reach again");
-        node.reach_changes.send_replace(false);
         node.heartbeat_requested.notify_one();
         node.schedule_requested.notify_one();
     }
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -13,7 +13,7 @@
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 const MAX_WAIT: Duration = Duration::from_millis(300);
 const SLOTS: u32 = 4;
@@ -244,6 +244,30 @@
     assert!(view.own_report(Instant::now(), Instant::now()).is_empty());
 }
 
+/// Guards against load that a host reports though no endpoint has it, as its links to all of them are lost (RECOVER).
+#[tokio::test(start_paused = true)]
+async fn requests_without_any_data_since_are_not_reported() {
+    let second = Duration::from_secs(1);
+    sleep(second).await;
+    let (mut view, sent) = (view(&[]), Instant::now());
+    let before = sent - second / 2;
+    view.record_response(Some(Duration::from_millis(50)), second);
+    view.begin("e0", RequestClass::Online);
+    view.begin_wait("e0", sent);
+    let reported = |view: &LoadView, now: Instant, heard_at: Instant| {
+        let report = view.own_report(now, heard_at);
+        let counts = report.iter().map(|(_, report)| report.counts.online);
+        counts.sum::<u16>()
+    };
+    assert_eq!(reported(&view, sent, before), 1, "it is on its way");
+    assert_eq!(reported(&view, sent + second, before), 0);
+    assert_eq!(reported(&view, sent + second, sent + second / 2), 1);
+    view.update_overdue(before);
+    assert_eq!(view.overdue(), 0);
+    view.update_overdue(sent + second / 2);
+    assert_eq!(view.overdue(), 1);
+}
+
 #[rstest]
 #[case::below_capacity(&[(1, 1)], 0)]
 #[case::full(&[(2, 2)], 0)]
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -3,8 +3,8 @@
 //! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
 use crate::support::{
-    CallScript, CallerOutcome, LinkMode, TestFleet, full_text, read_response, request, results,
-    submission, wait_until,
+    CallScript, CallerOutcome, LinkMode, RecordedCall, TestFleet, events, full_text, read_response,
+    request, results, submission, wait_until,
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::SwitchNode;
@@ -204,3 +204,88 @@
         assert!(is_complete(&outcome), "{outcome:?}");
     }
 }
+
+/// Lets hosts with these indexes count as cut off, by requests of their own.
+async fn cut_off(hosts: &[LinkedHost], mode: LinkMode) {
+    for host in hosts {
+        host.set_links(mode);
+    }
+    send_to_all(hosts, "/stream/x").await;
+}
+
+/// Guards against callers who are not served in the first second after the links are lost, when no host knows yet which ones are (RECOVER).
+#[rstest]
+#[case::silent_once(LinkMode::Silent, "/once/x")]
+#[case::silent_stream(LinkMode::Silent, "/resume/x")]
+#[case::refusing(LinkMode::Refusing, "/once/x")]
+#[case::reset(LinkMode::Reset, "/once/x")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_from_the_first_second_on(
+    #[case] mode: LinkMode,
+    #[case] path: &'static str,
+) {
+    // Room for the requests that waited in vain, which are passed on at the same moment.
+    let fleet = TestFleet::new(ENDPOINTS * 2);
+    let hosts = start_hosts(&fleet, &["a", "b", "c", "d", "e"]).await;
+    send_to_all(&hosts, path).await;
+    for host in &hosts[..3] {
+        host.set_links(mode);
+    }
+    for outcomes in send_to_all(&hosts, path).await {
+        assert_eq!(count(&outcomes, is_complete), REQUESTS, "{outcomes:?}");
+    }
+}
+
+/// Guards against an endpoint that works on a request whose caller has left the host which passed it on (GONE).
+#[rstest]
+#[case::before_the_head(CallScript::Silent)]
+#[case::within_the_answer(CallScript::EndlessComments)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_is_passed_on_ends_when_its_caller_leaves(#[case] script: CallScript) {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b"]).await;
+    cut_off(&hosts[..1], LinkMode::Refusing).await;
+    fleet.client.set_default(script);
+    let node = hosts[0].node.clone();
+    let caller =
+        tokio::spawn(async move { read_response(&node, request(&node, "/once/x", "r")).await });
+    wait_until("the run", async || fleet.client.running() == 1).await;
+    caller.abort();
+    let ended = wait_until("its end", async || fleet.client.running() == 0);
+    tokio::time::timeout(Duration::from_millis(500), ended)
+        .await
+        .unwrap();
+}
+
+/// Guards against a stream on a silent link that does not go on, that goes on at another software version, or that begins anew.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_on_a_silent_link_goes_on_over_another_host() {
+    let fleet = TestFleet::new(2);
+    for index in 0..6 {
+        let id = format!("other{index}");
+        fleet.log.put("endpoints", &id, "ready 2");
+    }
+    let hosts = start_hosts(&fleet, &["a", "b", "c"]).await;
+    fleet.client.set_default(CallScript::Stream { events: 40 });
+    let mut streams = JoinSet::new();
+    for number in 0..8 {
+        let node = hosts[0].node.clone();
+        streams.spawn(async move {
+            let id = format!("stream-{number}");
+            read_response(&node, request(&node, "/resume/x", &id)).await
+        });
+    }
+    sleep(Duration::from_millis(300)).await;
+    hosts[0].set_links(LinkMode::Silent);
+    send_requests(&hosts[0].node, "/once/x").await;
+    for outcome in streams.join_all().await {
+        assert_eq!(outcome, CallerOutcome::Complete(events(40)));
+    }
+    let calls = fleet.client.calls();
+    for resumed in calls.iter().filter(|call| call.resume_after.is_some()) {
+        let first = calls.iter().find(|call| call.id == resumed.id).unwrap();
+        let is_other = |call: &RecordedCall| call.endpoint.starts_with("other");
+        assert_eq!(is_other(first), is_other(resumed), "{}", resumed.id);
+    }
+    assert!(calls.iter().any(|call| call.resume_after.is_some()));
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -23,7 +23,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -364,10 +364,14 @@
 /// A call received by an endpoint.
 #[derive(Clone, Debug)]
 pub struct RecordedCall {
+    /// ID of the request.
+    pub id: Arc<str>,
     /// ID of the endpoint.
     pub endpoint: Arc<str>,
     /// ID of the event after which the stream resumes.
     pub resume_after: Option<u64>,
+    /// Time left for the call.
+    pub remaining: Duration,
     /// Whether the endpoint ran the call.
     pub ran: bool,
     /// Parts of the prompt.
@@ -648,8 +652,10 @@
             return Err(CallError::NotSent { cause });
         }
         let call = RecordedCall {
+            id: call.id.clone(),
             endpoint: endpoint.id.clone(),
             resume_after: options.resume_after,
+            remaining: options.remaining,
             ran: false,
             parts: self.prompt_parts(&call.headers),
             key: PartKey::of_request(call),
@@ -1044,7 +1050,17 @@
 
 /// Hosts that pass requests on to each other.
 #[derive(Clone, Default)]
-pub struct MemoryHosts(Arc<Mutex<Vec<Arc<SwitchNode>>>>);
+pub struct MemoryHosts {
+    nodes: Arc<Mutex<Vec<Arc<SwitchNode>>>>,
+    passed: Arc<AtomicUsize>,
+}
+
+impl MemoryHosts {
+    /// Number of attempts that were passed on.
+    pub fn passed(&self) -> usize {
+        self.passed.load(Ordering::Relaxed)
+    }
+}
 
 #[async_trait]
 impl HostClient for MemoryHosts {
@@ -1054,8 +1070,9 @@
         call: &EndpointCall,
         options: PassOptions,
     ) -> Result<EndpointResponse, CallError> {
+        self.passed.fetch_add(1, Ordering::Relaxed);
         let found = {
-            let hosts = self.0.lock().unwrap();
+            let hosts = self.nodes.lock().unwrap();
             let is_host = |node: &&Arc<SwitchNode>| node.settings.descriptor == *host;
             hosts.iter().find(is_host).cloned()
         };
@@ -1160,7 +1177,7 @@
             logger: slog::Logger::root(slog::Discard, slog::o!()),
         };
         let node = SwitchNode::new(settings, deps);
-        self.hosts.0.lock().unwrap().push(node.clone());
+        self.hosts.nodes.lock().unwrap().push(node.clone());
         node.start(socket);
         node
     }
