Do not avoid a host for the failure of the endpoint that it tried (RECOVER)

Callers of a cut off host whose request failed at an endpoint got fewer attempts than their route allows, and the host that had passed it on was avoided for a second, at the cost of other callers: one attempt of three in the new test, at two other hosts.

A host that reports that its attempt failed is sound. It is not avoided, and may get the next attempt if no other host is left; it chooses the endpoint anew.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -466,11 +466,9 @@
         if !self.ended {
             let now = Instant::now();
             let at_deadline = self.exchange.request.deadline <= now + MIN_REMAINING;
-            if !at_deadline {
+            if !at_deadline && let AttemptTarget::Endpoint(endpoint) = &self.target {
                 self.exchange.avoid(&self.target);
-                if let AttemptTarget::Endpoint(endpoint) = &self.target {
-                    self.exchange.record_end(endpoint, false);
-                }
+                self.exchange.record_end(endpoint, false);
             }
             info!(self.exchange.node.deps.logger, "answer broke off";
                 "request" => &*self.exchange.request.call.id, "endpoint" => &**self.target.id(),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -639,8 +639,9 @@
             }
             CallError::Rejected { retry_after } => Err(self.failure_reply(*retry_after)),
             CallError::Interrupted { .. } => {
-                self.avoid(target);
+                // A host that passed the request on is not to blame for the endpoint.
                 if let Some(endpoint) = target.endpoint() {
+                    self.avoid(target);
                     self.record_end(endpoint, false);
                 }
                 let retries = self.may_retry();
--- a/crates/switch/src/online/target.rs
+++ b/crates/switch/src/online/target.rs
@@ -45,7 +45,10 @@
             return None;
         }
         let now = Instant::now();
-        let host = Arc::new(pick_host(state, &self.node, &self.tried, now)?);
+        let untried = pick_host(state, &self.node, &self.tried, now);
+        // A host at which an attempt has failed may send the next one to another endpoint.
+        let host = untried.or_else(|| pick_host(state, &self.node, &[], now))?;
+        let host = Arc::new(host);
         let remaining = self.request.deadline.saturating_duration_since(now);
         info!(self.node.deps.logger, "request passed on"; "request" => &*self.request.call.id,
             "peer" => &*host.name, "key" => %self.key, "parts" => %self.parts,
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -236,6 +236,27 @@
     }
 }
 
+/// Guards against a request that runs twice, or for longer than its caller waits, since another host has passed it on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_is_passed_on_runs_once_within_its_deadline() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c"]).await;
+    cut_off(&hosts[..1], LinkMode::Refusing).await;
+    for (path, runs) in [("/once/x", 1), ("/safe/x", 3)] {
+        let before = fleet.client.calls().len();
+        fleet.client.set_default(CallScript::Disconnect);
+        let mut request = request(&hosts[0].node, path, "r");
+        request.deadline = Instant::now() + Duration::from_millis(1200);
+        let outcome = read_response(&hosts[0].node, request).await;
+        assert_eq!(outcome, CallerOutcome::Failed);
+        let calls = fleet.client.calls().split_off(before);
+        // The route allows three attempts at what may be repeated.
+        assert_eq!(calls.len(), runs, "{path}");
+        let in_time = |remaining: Duration| remaining <= Duration::from_millis(1200);
+        assert!(calls.iter().all(|call| in_time(call.remaining)));
+    }
+}
+
 /// Guards against an endpoint that works on a request whose caller has left the host which passed it on (GONE).
 #[rstest]
 #[case::before_the_head(CallScript::Silent)]
