--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -386,7 +386,13 @@
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
         let max_wait = self.max_wait(state, remaining);
-        let mut pick = self.select(state, &service, &self.tried, max_wait);
+        // No other host can help one that is cut off, so the endpoints may have ended.
+        let excluded = if state.reach.is_cut_off() {
+            [&self.tried, state.reach.unreached()].concat()
+        } else {
+            self.tried.clone()
+        };
+        let mut pick = self.select(state, &service, &excluded, max_wait);
         if pick == EndpointPick::Missing && self.runs > 0 {
             // An endpoint that has failed this request is better than none.
             pick = self.select(state, &service, &[], max_wait);
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -278,6 +278,27 @@
         .unwrap();
 }
 
+/// Guards against requests that hosts pass on to each other in a circle, or that wait for their deadline, when all endpoints are gone.
+#[rstest]
+#[case::silent(LinkMode::Silent)]
+#[case::refusing(LinkMode::Refusing)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_rejected_at_once_when_all_endpoints_are_gone(#[case] mode: LinkMode) {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b", "c", "d"]).await;
+    cut_off(&hosts, mode).await;
+    sleep(DETECTION_TIME).await;
+    let passed = fleet.hosts.passed();
+    for host in &hosts {
+        let started = Instant::now();
+        let outcome = read_response(&host.node, request(&host.node, "/once/x", "r")).await;
+        assert_eq!(outcome, CallerOutcome::Rejected);
+        let elapsed = started.elapsed();
+        assert!(elapsed < Duration::from_millis(200), "{elapsed:?}");
+    }
+    assert_eq!(fleet.hosts.passed(), passed);
+}
+
 /// Guards against a stream on a silent link that does not go on, that goes on at another software version, or that begins anew.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_on_a_silent_link_goes_on_over_another_host() {
