Resume a stream once it is known whether all endpoints are out of reach (RECOVER)

Callers saw streams end early when a host lost its links by resets: to resume them it tried four endpoints in a millisecond, was refused by all, and gave up before it knew that it is cut off. Resumptions now wait for the check of the links, as first attempts do. The new case reset fails before, with streams cut within their events.

--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -159,7 +159,7 @@
                 ResponseInput::Chunk(None) | ResponseInput::NoConfirmation => {
                     return self.end_unconfirmed().await;
                 }
-                ResponseInput::Response(response) => self.apply_response(response),
+                ResponseInput::Response(response) => self.apply_response(response).await,
                 ResponseInput::Silence(step) => self.apply_silence(step),
             };
             match handled {
@@ -236,7 +236,10 @@
     }
 
     /// Goes on at the endpoint that has responded, unless it refuses the request or fails.
-    fn apply_response(&mut self, (attempt, response): AttemptResponse) -> Result<(), CallError> {
+    async fn apply_response(
+        &mut self,
+        (attempt, response): AttemptResponse,
+    ) -> Result<(), CallError> {
         let error = match response {
             Ok(response) if response.status.is_success() => {
                 if self.body.take().is_some() {
@@ -270,6 +273,7 @@
             return Ok(());
         }
         handled.map_err(|_| error.clone())?;
+        self.exchange.wait_for_check(&error).await;
         self.begin_resumption(&error)
     }
 
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -320,6 +320,7 @@
 /// Guards against a stream on a lost link that does not go on, that goes on at another software version, or that begins anew.
 #[rstest]
 #[case::silent(LinkMode::Silent)]
+#[case::reset(LinkMode::Reset)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stream_on_a_lost_link_goes_on_over_another_host(#[case] mode: LinkMode) {
     let fleet = TestFleet::new(2);
