--- a/crates/switch/src/reach.rs
+++ b/crates/switch/src/reach.rs
@@ -10,11 +10,11 @@
 use tokio::time::Instant;
 
 /// Number of endpoints, one after the other out of reach, from which a host counts as cut off; fewer if there are no more.
-const MIN_UNREACHED: usize = 3;
+const MIN_UNREACHED: usize = 5;
 /// Minimum time from a check that found an endpoint in reach to the next one.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which a host that could not be reached gets no request.
-pub(crate) const HOST_AVOID_TIME: Duration = Duration::from_secs(1);
+/// Time for which a host that could not be reached, or does not reach the endpoints, gets no request. Heartbeats tell of either soon after.
+pub(crate) const HOST_AVOID_TIME: Duration = Duration::from_millis(300);
 /// Age of the last data from any endpoint up to which a host reaches endpoints for certain.
 const RECENT_DATA: Duration = Duration::from_millis(500);
 
@@ -82,9 +82,10 @@
     /// ```
     /// use fulmarswitch_switch::reach::EndpointReach;
     /// let mut reach = EndpointReach::default();
-    /// assert!(!reach.record_unreached(&"a".into(), 12));
-    /// assert!(!reach.record_unreached(&"b".into(), 12));
-    /// assert!(reach.record_unreached(&"c".into(), 12));
+    /// for id in ["a", "b", "c", "d"] {
+    ///     assert!(!reach.record_unreached(&id.into(), 12));
+    /// }
+    /// assert!(reach.record_unreached(&"e".into(), 12));
     /// assert!(reach.record_reached(tokio::time::Instant::now()));
     /// assert!(!reach.is_cut_off());
     /// ```
--- a/crates/switch/src/reach_watch.rs
+++ b/crates/switch/src/reach_watch.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Number of endpoints that are tried at once.
-const CHECKED_AT_ONCE: usize = 2;
+const CHECKED_AT_ONCE: usize = 4;
 /// Number of other endpoints that are tried before the end of an answer is put down to the links of this host.
 const MAX_OTHERS: usize = 8;
 /// Time between two attempts of a host that is cut off, at first and at most.
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -151,6 +151,23 @@
     .await;
 }
 
+/// Guards against a host that takes the end of most endpoints for the loss of its links, and rejects requests that the others could serve.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_is_not_cut_off_while_one_endpoint_is_left() {
+    let fleet = TestFleet::new(5);
+    let hosts = start_hosts(&fleet, &["a", "b"]).await;
+    for index in 0..4 {
+        fleet.client.end_endpoint(&format!("e{index}").into());
+    }
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let outcome = read_response(&hosts[0].node, request(&hosts[0].node, "/once/x", &id)).await;
+        assert!(is_complete(&outcome), "{outcome:?}");
+        assert_eq!(hosts[1].node.caller_addresses(64).len(), 2);
+    }
+    assert_eq!(fleet.hosts.passed(), 0);
+}
+
 /// Guards against items that stay with a host which is cut off from the endpoints.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn items_of_cut_off_hosts_run_at_other_hosts() {
