--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -2,28 +2,24 @@
 
 mod attempts;
 mod forward;
+mod pick;
 mod target;
 
 use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
 use crate::crash_watch::EndedRequest;
 use crate::crashes::BrokenRequest;
-use crate::endpoint::{EndpointFilter, ListedEndpoint};
+use crate::endpoint::ListedEndpoint;
 use crate::in_flight::{InFlightGuard, InFlightRequest};
-use crate::load::{EndpointPick, RequestClass};
-use crate::node::{SwitchNode, SwitchState, millis};
+use crate::load::RequestClass;
+use crate::node::{SwitchNode, millis};
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
-use crate::overload::Rejection;
 use crate::prompt::{PartKey, PromptParts};
-use crate::quarantine::Admission;
 use crate::route::ServiceRoute;
-use crate::wait::max_wait;
-use attempts::{
-    EndpointSilence, MAX_OTHER_WAIT, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep,
-};
+use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep};
 use forward::forward;
 use futures::stream::{self, StreamExt};
 use http::StatusCode;
-use rand::Rng;
+use pick::MAX_SENDS;
 use slog::info;
 use std::fmt::Display;
 use std::sync::Arc;
@@ -31,14 +27,8 @@
 use target::AttemptTarget;
 use tokio::time::{Instant, timeout_at};
 
-/// Maximum number of endpoints tried for one request, including those that refused it.
-const MAX_SENDS: u32 = 4;
-/// Maximum expected wait with which a stream is resumed. Well under the 2 s after which callers abandon a stream.
-const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 /// Interval at which the origin of a running stream is recorded.
 const ORIGIN_INTERVAL: Duration = Duration::from_secs(10);
-/// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
-const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Retry-after value sent to callers when no endpoint is available.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Minimum time to the deadline for a request to be sent at all.
@@ -155,13 +145,6 @@
     within_event: bool,
 }
 
-/// Expected wait of a request, and the longest with which it is sent.
-#[derive(Clone, Copy)]
-struct ExpectedWait {
-    wait: Duration,
-    max_wait: Duration,
-}
-
 /// An online request and its attempts so far.
 struct OnlineExchange {
     node: Arc<SwitchNode>,
@@ -345,186 +328,6 @@
         }
     }
 
-    /// Selects the service of the next attempt. A stream goes on at the service that began it.
-    fn pick_service(&self, state: &mut SwitchState, now: Instant) -> Option<Arc<str>> {
-        let route = &self.request.route;
-        let draw = state.rng.random::<f64>();
-        let drawn = route.pick_service(draw);
-        let Some(version) = self.version else {
-            return drawn.cloned();
-        };
-        let table = &state.endpoints;
-        let serving = table.service_with_version(route.services(), version, now);
-        serving.or(drawn).cloned()
-    }
-
-    /// Selects where the request goes, and counts it there.
-    fn pick(&mut self) -> Result<RoutedTarget, OnlineReply> {
-        let now = Instant::now();
-        let remaining = self.request.deadline.saturating_duration_since(now);
-        if remaining < MIN_REMAINING {
-            return Err(self.deadline_reply());
-        }
-        if self.sends >= MAX_SENDS {
-            return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
-        }
-        let node = self.node.clone();
-        let state = &mut *node.lock();
-        let admission = node.admit(state, &self.request.call.id, &self.suspects, now);
-        if let Admission::Rejected { retry_after } = admission {
-            return Err(self.reject_suspect(retry_after));
-        }
-        if state.reach.is_cut_off() {
-            if self.request.passed_on.is_some() && self.runs == 0 {
-                return Err(OnlineReply::OutOfReach);
-            }
-            if let Some(routed) = self.route_to_host(state) {
-                return Ok(routed);
-            }
-        }
-        let Some(service) = self.pick_service(state, now) else {
-            return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
-        };
-        let max_wait = self.max_wait(state, remaining);
-        // No other host can help one that is cut off, so the endpoints may have ended.
-        let excluded = if state.reach.is_cut_off() {
-            [&self.tried, state.reach.unreached()].concat()
-        } else {
-            self.tried.clone()
-        };
-        let mut pick = self.select(state, &service, &excluded, max_wait);
-        if pick == EndpointPick::Missing && self.runs > 0 {
-            // An endpoint that has failed this request is better than none.
-            pick = self.select(state, &service, &[], max_wait);
-        }
-        match pick {
-            EndpointPick::Use(endpoint) => Ok(self.route(state, &service, endpoint)),
-            EndpointPick::Full { wait } => {
-                let expected = ExpectedWait { wait, max_wait };
-                let retry_after = self.reject_full(state, &service, expected, remaining);
-                Err(self.failure_reply(retry_after))
-            }
-            EndpointPick::Missing => {
-                info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-                    "service" => &*service, "cause" => "no endpoint is left",
-                    "resumes" => self.request.resumes.as_deref(),
-                    "tried" => self.tried.len(), "listed" => state.endpoints.len());
-                Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER))
-            }
-        }
-    }
-
-    /// Selects where the request goes beside the silent target that has it, and counts it there. `None` if none can take the request
-    /// now.
-    fn pick_other(&mut self, silent: &Arc<str>) -> Option<RoutedTarget> {
-        let now = Instant::now();
-        let remaining = self.request.deadline.saturating_duration_since(now);
-        if remaining < MIN_REMAINING {
-            return None;
-        }
-        let node = self.node.clone();
-        let state = &mut *node.lock();
-        if state.crashes.quarantine.covers(&self.suspects) {
-            return None;
-        }
-        if state.reach.is_cut_off() {
-            return self.route_to_host(state);
-        }
-        let service = self.pick_service(state, now)?;
-        let max_wait = self.max_wait(state, remaining).min(MAX_OTHER_WAIT);
-        let excluded = [&self.tried[..], std::slice::from_ref(silent)].concat();
-        match self.select(state, &service, &excluded, max_wait) {
-            EndpointPick::Use(endpoint) => Some(self.route(state, &service, endpoint)),
-            EndpointPick::Full { .. } | EndpointPick::Missing => None,
-        }
-    }
-
-    /// Selects an endpoint that is not among the `excluded`.
-    fn select(
-        &self,
-        state: &mut SwitchState,
-        service: &str,
-        excluded: &[Arc<str>],
-        max_wait: Duration,
-    ) -> EndpointPick {
-        let filter = EndpointFilter {
-            service,
-            version: self.version,
-        };
-        let now = Instant::now();
-        let (endpoints, limits) = (&state.endpoints, &state.limits);
-        if limits.is_empty() {
-            let (load, rng) = (&state.load, &mut state.rng);
-            return load.pick_online(endpoints, filter, excluded, max_wait, now, rng);
-        }
-        let serving = endpoints.serving(filter, now);
-        let usable = serving.filter(|endpoint| !excluded.contains(&endpoint.id));
-        let limited = usable.filter(|endpoint| !limits.admits(&endpoint.id, now));
-        let limited: Vec<Arc<str>> = limited.map(|endpoint| endpoint.id.clone()).collect();
-        let all_excluded = [excluded, &limited].concat();
-        let rng = &mut state.rng;
-        let pick = state
-            .load
-            .pick_online(endpoints, filter, &all_excluded, max_wait, now, rng);
-        if pick != EndpointPick::Missing {
-            return pick;
-        }
-        // Endpoints whose limit is used up are not missing.
-        let waits = limited.iter().map(|id| limits.wait(id, now));
-        waits
-            .min()
-            .map_or(EndpointPick::Missing, |wait| EndpointPick::Full { wait })
-    }
-
-    /// Counts the request at the endpoint that was selected for it.
-    fn route(
-        &mut self,
-        state: &mut SwitchState,
-        service: &str,
-        endpoint: Arc<ListedEndpoint>,
-    ) -> RoutedTarget {
-        let now = Instant::now();
-        let remaining = self.request.deadline.saturating_duration_since(now);
-        let load = state.load.total(&endpoint.id);
-        info!(self.node.deps.logger, "request routed"; "request" => &*self.request.call.id,
-            "service" => service, "key" => %self.key, "parts" => %self.parts,
-            "body_bytes" => self.request.call.body.len(), "endpoint" => &*endpoint.id,
-            "version" => &*endpoint.version, "send" => self.sends + 1,
-            "resumes" => self.request.resumes.as_deref(),
-            "resume_after" => self.request.resume_after,
-            "online" => load.online, "batch" => load.batch, "slots" => endpoint.slots,
-            "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
-            "config" => state.routes.as_ref().map(|routes| routes.version),
-            "listing" => state.endpoints.read_until(),
-            "listing_age_ms" => state.endpoints.read_age(now).map(millis),
-            "held_back" => state.endpoints.removal_due(&endpoint.id).is_some(),
-            "left_ms" => millis(remaining));
-        let guard = InFlightGuard::begin(&self.node, state, &endpoint, RequestClass::Online);
-        self.sends += 1;
-        self.sent.push((endpoint.id.clone(), now));
-        state.limits.take(&endpoint.id, now);
-        self.had_free_slot = self.sends == 1 && load.total() < endpoint.slots;
-        self.endpoint = Some(endpoint.id.clone());
-        (AttemptTarget::Endpoint(endpoint), Some(guard))
-    }
-
-    /// Rejects a request that takes up a stream at once if endpoints crash under it. It is not used as a trial, since it would have to wait for the version that began the stream.
-    fn check_suspects(&self) -> Result<(), OnlineReply> {
-        let is_resumed = self.request.resume_after.is_some();
-        if is_resumed && self.node.lock().crashes.quarantine.covers(&self.suspects) {
-            return Err(self.reject_suspect(NO_ENDPOINT_RETRY_AFTER));
-        }
-        Ok(())
-    }
-
-    /// Logs that the request is not sent since endpoints crash under it, and returns the reply.
-    fn reject_suspect(&self, retry_after: Duration) -> OnlineReply {
-        info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-            "cause" => "endpoints crash under it or under parts of its prompt", "key" => %self.key,
-            "parts" => %self.parts);
-        self.failure_reply(retry_after)
-    }
-
     /// When the request was last sent to an endpoint.
     fn sent_at(&self, endpoint: &str) -> Instant {
         let mut sent = self.sent.iter().rev();
@@ -575,42 +378,6 @@
         }
     }
 
-    /// Longest expected wait with which the request is sent.
-    fn max_wait(&self, state: &SwitchState, remaining: Duration) -> Duration {
-        if self.version.is_some() {
-            // The latency target concerns the first event, which the caller has.
-            return MAX_RESUME_WAIT.min(remaining);
-        }
-        let first_byte = state.load.response_times().first_byte();
-        max_wait(self.request.route.latency_target, first_byte, remaining)
-    }
-
-    /// Records that the request is rejected since it would wait too long, and returns the retry-after value.
-    fn reject_full(
-        &self,
-        state: &mut SwitchState,
-        service: &str,
-        expected: ExpectedWait,
-        remaining: Duration,
-    ) -> Duration {
-        let now = Instant::now();
-        let times = state.load.response_times();
-        info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
-            "service" => service, "cause" => "all endpoints have queues",
-            "report_age_ms" => millis(state.members.oldest_heartbeat_age(now)),
-            "wait_ms" => millis(expected.wait), "max_wait_ms" => millis(expected.max_wait),
-            "first_byte_ms" => millis(times.first_byte()), "mean_run_ms" => millis(times.run()),
-            "overdue" => state.load.overdue());
-        let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
-        let rejection = Rejection {
-            wait: expected.wait,
-            limit: remaining.mul_f64(MAX_RETRY_FRACTION),
-            service_interval: state.load.service_interval(&state.endpoints, service, now) * hosts,
-        };
-        let draw = state.rng.random::<f64>();
-        state.overload.record_rejection(rejection, now, draw)
-    }
-
     /// Whether the request may be sent once more. One that was passed on is sent once; the host that has the caller decides on more.
     fn may_retry(&self) -> bool {
         self.request.passed_on.is_none()
