Avoid the endpoints that a check of the links finds out of reach

A check knows which endpoints accept no connection, and told nobody.

New requests avoid those endpoints as they do one that failed a request.

--- a/crates/switch/src/reach.rs
+++ b/crates/switch/src/reach.rs
@@ -12,7 +12,7 @@
 /// Number of endpoints, one after the other out of reach, from which a host counts as cut off; fewer if there are no more.
 const MIN_UNREACHED: usize = 5;
 /// Minimum time from a check that found an endpoint in reach to the next one.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a host that could not be reached, or does not reach the endpoints, gets no request. Heartbeats tell of either soon after.
 pub(crate) const HOST_AVOID_TIME: Duration = Duration::from_millis(300);
 /// Age of the last data from any endpoint up to which a host reaches endpoints for certain.
--- a/crates/switch/src/reach_watch.rs
+++ b/crates/switch/src/reach_watch.rs
@@ -11,12 +11,14 @@
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Number of endpoints that are tried at once.
 const CHECKED_AT_ONCE: usize = 4;
 /// Number of other endpoints that are tried before the end of an answer is put down to the links of this host.
 const MAX_OTHERS: usize = 8;
+/// Time after an endpoint has accepted a connection in which others are waited for: a few round trips within a region.
+const OTHERS_TIME: Duration = Duration::from_millis(10);
 /// Time between two attempts of a host that is cut off, at first and at most.
 const RETRY_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(1)];
 
@@ -77,18 +79,31 @@
         self.lock().members.others_have_data(Instant::now())
     }
 
-    /// Tries to open connections to these endpoints at once. Returns whether one accepts.
+    /// Tries to open connections to these endpoints at once. Returns whether one accepts. New requests avoid those that do not, as far as
+    /// that is known shortly after.
     async fn reaches_any(&self, endpoints: &[Arc<ListedEndpoint>]) -> bool {
         let attempts = endpoints
             .iter()
-            .map(|endpoint| self.deps.client.try_connect(endpoint));
+            .map(async |endpoint| (endpoint, self.deps.client.try_connect(endpoint).await));
         let mut attempts: FuturesUnordered<_> = attempts.collect();
-        while let Some(outcome) = attempts.next().await {
+        let mut accepted_at: Option<Instant> = None;
+        loop {
+            let next = match accepted_at {
+                None => attempts.next().await,
+                Some(accepted_at) => timeout_at(accepted_at + OTHERS_TIME, attempts.next())
+                    .await
+                    .ok()
+                    .flatten(),
+            };
+            let Some((endpoint, outcome)) = next else {
+                return accepted_at.is_some();
+            };
             if outcome == ConnectOutcome::Accepted {
-                return true;
+                accepted_at = accepted_at.or_else(|| Some(Instant::now()));
+            } else {
+                self.avoid_endpoint(&mut self.lock(), &endpoint.id, Instant::now());
             }
         }
-        false
     }
 
     fn apply_unreached(self: &Arc<Self>, state: &mut SwitchState, id: &Arc<str>) {
