--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Forgets the failures, unless the endpoint has answered with errors.
+    pub fn forget_connection_failures(&mut self) {
+        if self.error_responses == 0 {
+            *self = Self::default();
+        }
+    }
+
     /// Whether the endpoint is avoided at `now`.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -195,6 +195,13 @@
         &mut self.entry(EndpointKey::of(id)).health
     }
 
+    /// Forgets which endpoints could not be reached or broke off, since the links of this host were the cause.
+    pub fn forget_connection_failures(&mut self) {
+        for (_, entry) in &mut self.entries {
+            entry.health.forget_connection_failures();
+        }
+    }
+
     /// Replaces the list of endpoints that another host reports as failing. Returns those that no host reported until
     /// now.
     pub fn update_failing(&mut self, host: &Arc<str>, keys: Vec<EndpointKey>) -> Vec<EndpointKey> {
--- a/crates/switch/src/reach.rs
+++ b/crates/switch/src/reach.rs
@@ -105,6 +105,11 @@
         std::mem::take(&mut self.is_cut_off)
     }
 
+    /// Forgets endpoints that no longer serve. `serving` has the IDs of those that do.
+    pub fn forget_others(&mut self, serving: &[Arc<str>]) {
+        self.unreached.retain(|id| serving.contains(id));
+    }
+
     /// Endpoints to which no connection came about since the last one that did, sorted.
     #[must_use]
     pub fn unreached(&self) -> &[Arc<str>] {
--- a/crates/switch/src/reach_watch.rs
+++ b/crates/switch/src/reach_watch.rs
@@ -107,11 +107,13 @@
     }
 
     fn apply_unreached(self: &Arc<Self>, state: &mut SwitchState, id: &Arc<str>) {
-        let serving = state.endpoints.all_serving(Instant::now()).len();
-        if !state.reach.record_unreached(id, serving) {
+        let serving = state.endpoints.all_serving(Instant::now()).into_iter();
+        let serving: Vec<Arc<str>> = serving.map(|endpoint| endpoint.id.clone()).collect();
+        state.reach.forget_others(&serving);
+        if !state.reach.record_unreached(id, serving.len()) {
             return;
         }
-        warn!(self.deps.logger, "endpoints out of reach"; "endpoints" => serving,
+        warn!(self.deps.logger, "endpoints out of reach"; "endpoints" => serving.len(),
             "unreached" => state.reach.unreached().len(),
             "action" => "requests are passed on to other hosts, and callers sent there");
         self.reach_changes.send_replace(state.reach.phase());
@@ -164,6 +166,7 @@
     let was_cut_off = state.reach.record_reached(Instant::now());
     node.reach_changes.send_replace(state.reach.phase());
     if was_cut_off {
+        state.load.forget_connection_failures();
         info!(node.deps.logger, "endpoints in reach again");
         node.heartbeat_requested.notify_one();
         node.schedule_requested.notify_one();
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -168,6 +168,29 @@
     assert_eq!(fleet.hosts.passed(), 0);
 }
 
+/// Guards against a host that avoids endpoints after its links are back, since these were lost, and rejects what the few others cannot
+/// take.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoints_are_used_once_the_links_are_back() {
+    let fleet = TestFleet::new(ENDPOINTS);
+    let hosts = start_hosts(&fleet, &["a", "b"]).await;
+    cut_off(&hosts[..1], LinkMode::Refusing).await;
+    sleep(DETECTION_TIME).await;
+    hosts[0].set_links(LinkMode::Up);
+    wait_until("the links", async || {
+        hosts[1].node.caller_addresses(64).len() == 2
+    })
+    .await;
+    let passed = fleet.hosts.passed();
+    let requests = (0..ENDPOINTS * 3).map(async |number| {
+        let id = format!("r{number}");
+        read_response(&hosts[0].node, request(&hosts[0].node, "/once/x", &id)).await
+    });
+    let outcomes = futures::future::join_all(requests).await;
+    assert_eq!(count(&outcomes, is_complete), ENDPOINTS * 3, "{outcomes:?}");
+    assert_eq!(fleet.hosts.passed(), passed);
+}
+
 /// Guards against items that stay with a host which is cut off from the endpoints.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn items_of_cut_off_hosts_run_at_other_hosts() {
