Tell the host that passed a request on which endpoint says that it leaves (DRAIN)

The response did not say which endpoint it came from.

Responses between hosts name the endpoint and its start, and the host marks it as it does for a response of its own.

--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -195,6 +195,29 @@
     pub limit: Option<RateLimit>,
 }
 
+/// The endpoint of a response that another host passes back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseSource {
+    /// ID of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Start of the endpoint in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Software version of the endpoint.
+    pub version: VersionKey,
+}
+
+impl ResponseSource {
+    /// Returns the source of responses of this endpoint.
+    #[must_use]
+    pub fn of(endpoint: &ListedEndpoint) -> Self {
+        Self {
+            endpoint: endpoint.id.clone(),
+            started_ms: endpoint.started_ms,
+            version: endpoint.version_key(),
+        }
+    }
+}
+
 /// Response of an endpoint.
 pub struct EndpointResponse {
     /// HTTP status.
@@ -207,8 +230,8 @@
     pub leaving: bool,
     /// Requests that the endpoint says it takes from all hosts together.
     pub limit: Option<RateLimit>,
-    /// Software version of the endpoint, if the response does not come from it directly.
-    pub version: Option<VersionKey>,
+    /// Where the response comes from, as hosts tell each other.
+    pub source: Option<ResponseSource>,
     /// Body stream. An error item means that the response was interrupted.
     pub body: BoxStream<'static, Result<Bytes, CallError>>,
 }
--- a/crates/switch/src/calls.rs
+++ b/crates/switch/src/calls.rs
@@ -27,6 +27,29 @@
         response
     }
 
+    /// Marks the endpoint of a response that another host passes back, if the response says that it leaves.
+    pub(crate) fn apply_passed_notice(&self, call: &EndpointCall, response: &EndpointResponse) {
+        let Some(source) = response.source.as_ref().filter(|_| response.leaving) else {
+            return;
+        };
+        let mut state = self.lock();
+        let listed = state.endpoints.get(&source.endpoint).cloned();
+        let listed = listed.filter(|endpoint| endpoint.started_ms == source.started_ms);
+        if let Some(endpoint) = listed
+            && state.endpoints.mark_leaving(&endpoint)
+        {
+            drop(state);
+            self.record_leaving(&endpoint, call);
+        }
+    }
+
+    fn record_leaving(&self, endpoint: &ListedEndpoint, call: &EndpointCall) {
+        self.metrics.count_leaving_endpoint();
+        info!(self.deps.logger, "endpoint leaving"; "endpoint" => &*endpoint.id,
+            "started_ms" => endpoint.started_ms, "request" => &*call.id,
+            "cause" => "its response says so");
+    }
+
     fn apply_notice(&self, endpoint: &ListedEndpoint, call: &EndpointCall, notice: EndpointNotice) {
         if notice.limit.is_some() {
             self.metrics.count_limited_response();
@@ -42,10 +65,7 @@
                 "per_s" => notice.limit.map(|limit| limit.to_string()), "request" => &*call.id);
         }
         if is_newly_leaving {
-            self.metrics.count_leaving_endpoint();
-            info!(self.deps.logger, "endpoint leaving"; "endpoint" => &*endpoint.id,
-                "started_ms" => endpoint.started_ms, "request" => &*call.id,
-                "cause" => "its response says so");
+            self.record_leaving(endpoint, call);
         }
     }
 }
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -172,7 +172,11 @@
                 }
                 AttemptTarget::Host(host) => {
                     let hosts = &node.deps.hosts;
-                    hosts.pass_on(&host, &request.call, pass_options).await
+                    let response = hosts.pass_on(&host, &request.call, pass_options).await;
+                    if let Ok(response) = &response {
+                        node.apply_passed_notice(&request.call, response);
+                    }
+                    response
                 }
             };
             let response = response?;
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -5,7 +5,7 @@
 };
 use super::target::AttemptTarget;
 use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
-use crate::backend::{BodyFraming, CallError, EndpointResponse};
+use crate::backend::{BodyFraming, CallError, EndpointResponse, ResponseSource};
 use crate::crash_watch::PROOF_TIME;
 use crate::events::{EventBoundary, EventParser};
 use crate::in_flight::InFlightGuard;
@@ -32,16 +32,16 @@
         && response.status.is_success();
     let has_events = response.status.is_success()
         && has_event_stream(&response.headers, exchange.request.route.kind);
-    let version = match &target {
-        AttemptTarget::Endpoint(endpoint) => Some(endpoint.version_key()),
-        AttemptTarget::Host(_) => response.version,
+    let source = match &target {
+        AttemptTarget::Endpoint(endpoint) => Some(ResponseSource::of(endpoint)),
+        AttemptTarget::Host(_) => response.source,
     };
     let forwarded = ForwardedResponse {
         status: response.status,
         last_event: exchange.request.resume_after,
         exchange,
         target,
-        version,
+        version: source.as_ref().map(|source| source.version),
         body: Some(response.body),
         guard,
         caller_framing: response.framing,
@@ -65,7 +65,7 @@
         framing: response.framing,
         leaving: response.leaving,
         limit: response.limit,
-        version,
+        source,
         body: body.boxed(),
     }
 }
@@ -108,7 +108,7 @@
     /// A chunk of the body; `None` at its end.
     Chunk(Option<Result<Bytes, CallError>>),
     /// A response of another endpoint.
-    Response(AttemptResponse),
+    Response(Box<AttemptResponse>),
     /// No endpoint has sent an event until a step became due.
     Silence(TimedStep),
     /// No endpoint has told in time whether anything follows an unmarked end.
@@ -159,7 +159,7 @@
                 ResponseInput::Chunk(None) | ResponseInput::NoConfirmation => {
                     return self.end_unconfirmed().await;
                 }
-                ResponseInput::Response(response) => self.apply_response(response).await,
+                ResponseInput::Response(response) => self.apply_response(*response).await,
                 ResponseInput::Silence(step) => self.apply_silence(step),
             };
             match handled {
@@ -213,7 +213,9 @@
             };
             tokio::select! {
                 biased;
-                response = exchange.attempts.next_response() => ResponseInput::Response(response),
+                response = exchange.attempts.next_response() => {
+                    ResponseInput::Response(Box::new(response))
+                }
                 chunk = next_chunk => ResponseInput::Chunk(chunk),
                 () = sleep_until(step.0) => ResponseInput::Silence(step),
                 () = sleep_until(confirm_until.unwrap_or(step.0)), if confirm_until.is_some() => {
@@ -255,7 +257,7 @@
                 self.framing = response.framing;
                 self.body = Some(response.body);
                 self.guard = attempt.guard;
-                self.version = response.version;
+                self.version = response.source.map(|source| source.version);
                 self.target = attempt.target;
                 self.silence = EndpointSilence::begin();
                 return Ok(());
--- a/crates/switch/tests/switch/partitions.rs
+++ b/crates/switch/tests/switch/partitions.rs
@@ -191,6 +191,25 @@
     assert_eq!(fleet.hosts.passed(), passed);
 }
 
+/// Guards against a host that sends a request to an endpoint of which it has passed on that it leaves, when it was cut off (DRAIN).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn host_learns_which_endpoint_leaves_while_it_is_cut_off() {
+    let fleet = TestFleet::new(1);
+    let hosts = start_hosts(&fleet, &["a", "b"]).await;
+    cut_off(&hosts[..1], LinkMode::Refusing).await;
+    fleet.client.set_leaving("e0", true);
+    let node = &hosts[0].node;
+    let outcome = read_response(node, request(node, "/once/x", "told")).await;
+    assert!(is_complete(&outcome), "{outcome:?}");
+    hosts[0].set_links(LinkMode::Up);
+    wait_until("the links", async || {
+        hosts[1].node.caller_addresses(64).len() == 2
+    })
+    .await;
+    let outcome = read_response(node, request(node, "/once/x", "later")).await;
+    assert_eq!(outcome, CallerOutcome::Rejected);
+}
+
 /// Guards against items that stay with a host which is cut off from the endpoints.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn items_of_cut_off_hosts_run_at_other_hosts() {
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -848,7 +848,7 @@
             framing: script.framing(),
             leaving: false,
             limit: None,
-            version: None,
+            source: None,
             body: body.boxed(),
         })
     }
@@ -866,7 +866,7 @@
         framing: BodyFraming::Delimited,
         leaving: false,
         limit: None,
-        version: None,
+        source: None,
         body: chunks.boxed(),
     }
 }
@@ -883,7 +883,7 @@
         framing: BodyFraming::Delimited,
         leaving: false,
         limit: None,
-        version: None,
+        source: None,
         body: chunks.boxed(),
     }
 }
@@ -903,7 +903,7 @@
         framing: BodyFraming::Delimited,
         leaving: false,
         limit: None,
-        version: None,
+        source: None,
         body: chunks.boxed(),
     }
 }
@@ -926,7 +926,7 @@
         framing: BodyFraming::Delimited,
         leaving: false,
         limit: None,
-        version: None,
+        source: None,
         body: body.boxed(),
     }
 }
@@ -952,7 +952,7 @@
         framing: BodyFraming::Delimited,
         leaving: false,
         limit: None,
-        version: None,
+        source: None,
         body: body.boxed(),
     }
 }
