Let one host decide for the endpoints of a group in a large fleet

Cause: with 195 hosts, reports of load are up to a second old and a run lasts 0.75 s, so that hosts collide at slots that each of them takes to be free.

Change: in a fleet of more than 20 other hosts, endpoints are divided into groups by failure domain. A host asks the coordinator of a group, chosen by rendezvous hashing, for an endpoint; it knows the load of its group from its grants and from load messages that hosts send on each change, tells hosts which items to preempt, and names a group with more room. A host that gets no answer chooses as before. Heartbeats to neighbours, and those to all hosts for each request at a full endpoint, are no longer sent there.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -8,6 +8,8 @@
 pub(crate) use outcomes::hand_over;
 
 use crate::backend::EndpointCall;
+use crate::coordinator::message::SlotNeed;
+use crate::coordinator::{SlotRequest, excluded_endpoints};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::InFlightGuard;
 use crate::jobs::MAX_CLOCK_SKEW;
@@ -18,6 +20,7 @@
 use crate::progress::{ProgressSegment, SegmentChain};
 use crate::prompt::PromptParts;
 use crate::quarantine::Admission;
+use crate::report::EndpointKey;
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -48,8 +51,13 @@
         cancel_closed_items(state);
         if state.load.update_overdue(node.heard_at()) {
             // Other hosts may run batch items at the endpoint.
-            node.heartbeat_requested.notify_one();
+            if state.coordination.is_active() {
+                node.neighbour_heartbeat_requested.notify_one();
+            } else {
+                node.heartbeat_requested.notify_one();
+            }
         }
+        node.coordinate(state);
         preempt_items(&node, state);
         if !state.stopping && state.reach.starts_items() {
             start_items(&node, state, &updates);
@@ -73,45 +81,65 @@
     state.progress.retain(|(name, _)| is_open(name));
 }
 
-/// Preempts items at endpoints that have more requests than slots, those with the least output first.
+/// Preempts items at endpoints that have more requests than slots, those with the least output first. In a large fleet, coordinators say
+/// which.
 fn preempt_items(node: &SwitchNode, state: &mut SwitchState) {
-    let mut endpoints: Vec<Arc<str>> = state
+    let now = Instant::now();
+    for (id, excess) in due_preemptions(state, now) {
+        state.load.record_preemption(&id, now);
+        preempt_at(node, state, &id, excess);
+    }
+}
+
+/// Endpoints at which items of this host must give way, and how many.
+fn due_preemptions(state: &mut SwitchState, now: Instant) -> Vec<(Arc<str>, usize)> {
+    let mut ids: Vec<Arc<str>> = state
         .running
         .iter()
         .map(|running| running.endpoint.clone())
         .collect();
-    endpoints.sort_unstable();
-    endpoints.dedup();
-    let now = Instant::now();
-    for id in endpoints {
-        let Some(endpoint) = state.endpoints.get(&id).cloned() else {
-            continue;
+    ids.sort_unstable();
+    ids.dedup();
+    if state.coordination.is_active() {
+        let orders = state.coordination.take_orders();
+        let excess = |id: &Arc<str>| -> usize {
+            let key = EndpointKey::of(id);
+            let at_endpoint = orders.iter().filter(|(endpoint, _)| *endpoint == key);
+            let cancelled = state.running.iter();
+            let cancelled = cancelled
+                .filter(|running| running.endpoint == *id && running.cancel.is_none())
+                .count();
+            let ordered: usize = at_endpoint.map(|(_, count)| usize::from(*count)).sum();
+            if ordered == 0 { 0 } else { ordered + cancelled }
         };
-        let excess = state.load.batch_preemptions(&endpoint, now) as usize;
-        if excess == 0 {
-            continue;
-        }
-        state.load.record_preemption(&id, now);
-        let on_endpoint = |running: &&mut RunningItem| running.endpoint == id;
-        let cancelled = state
-            .running
-            .iter_mut()
-            .filter(on_endpoint)
-            .filter(|running| running.cancel.is_none())
-            .count();
-        let mut runs: Vec<_> = state
-            .running
-            .iter_mut()
-            .filter(on_endpoint)
-            .filter(|running| running.cancel.is_some())
+        let due = ids.into_iter().map(|id| (excess(&id), id));
+        return due
+            .filter(|(excess, _)| *excess > 0)
+            .map(|(excess, id)| (id, excess))
             .collect();
-        runs.sort_by_key(|running| running.progress.lock().len());
-        for running in runs.into_iter().take(excess.saturating_sub(cancelled)) {
-            info!(node.deps.logger, "item gives way"; "job" => &*running.name.job,
-                "item" => running.name.item, "endpoint" => &*id, "excess" => excess);
-            if let Some(cancel) = running.cancel.take() {
-                let _ = cancel.send(());
-            }
+    }
+    let endpoints = ids.iter().filter_map(|id| state.endpoints.get(id));
+    let due = endpoints.map(|endpoint| {
+        let excess = state.load.batch_preemptions(endpoint, now) as usize;
+        (endpoint.id.clone(), excess)
+    });
+    due.filter(|(_, excess)| *excess > 0).collect()
+}
+
+/// Preempts items at an endpoint until `excess` are, with those whose runs are being cancelled.
+fn preempt_at(node: &SwitchNode, state: &mut SwitchState, id: &Arc<str>, excess: usize) {
+    let (mut runs, cancelled): (Vec<_>, Vec<_>) = state
+        .running
+        .iter_mut()
+        .filter(|running| running.endpoint == *id)
+        .partition(|running| running.cancel.is_some());
+    runs.sort_by_key(|running| running.progress.lock().len());
+    let count = excess.saturating_sub(cancelled.len());
+    for running in runs.into_iter().take(count) {
+        info!(node.deps.logger, "item gives way"; "job" => &*running.name.job,
+            "item" => running.name.item, "endpoint" => &**id, "excess" => excess);
+        if let Some(cancel) = running.cancel.take() {
+            let _ = cancel.send(());
         }
     }
 }
@@ -138,6 +166,21 @@
             continue;
         };
         let service = target.service;
+        if state.coordination.is_active() {
+            let Some(endpoint) = coordinated_endpoint(node, state, &item, &target, now) else {
+                continue;
+            };
+            begin_item(
+                node,
+                state,
+                item.name,
+                &endpoint,
+                call,
+                target.starts_again,
+                updates,
+            );
+            continue;
+        }
         let index = match quotas.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
@@ -161,29 +204,105 @@
         let Some(endpoint) = picked else {
             continue;
         };
-        let parts = node.deps.client.prompt_parts(&call.headers);
-        if let Admission::Rejected { retry_after } = node.admit(state, &call.id, &parts, now) {
-            info!(node.deps.logger, "item held back"; "job" => &*item.name.job,
-                "item" => item.name.item, "parts" => %parts,
-                "cause" => "parts of its prompt crash endpoints");
-            let until = now + retry_after.min(MAX_HOLD_TIME);
-            state.histories.hold_back(&item.name, until);
-            continue;
-        }
-        quotas[index].1 -= 1;
-        let segments = if target.starts_again {
-            state.remove_progress(&item.name);
-            Vec::new()
-        } else {
-            checkpoints(state, &item.name).map_or_else(Vec::new, |chain| chain.segments().to_vec())
-        };
-        let call = ItemCall {
+        if begin_item(
+            node,
+            state,
+            item.name,
+            &endpoint,
             call,
-            parts,
-            segments,
-        };
-        start_item(node, state, item.name, &endpoint, call, updates);
+            target.starts_again,
+            updates,
+        ) {
+            quotas[index].1 -= 1;
+        }
+    }
+    state.coordination.asks.resolve_granted();
+    state.resolve_own_grants(&node.settings.descriptor.name);
+}
+
+/// The endpoint that a coordinator has granted for an item. Asks for one if none has, and returns `None`.
+fn coordinated_endpoint(
+    node: &SwitchNode,
+    state: &mut SwitchState,
+    item: &RunnableItem,
+    target: &ItemTarget<'_>,
+    now: Instant,
+) -> Option<Arc<ListedEndpoint>> {
+    if state.coordination.asks.granted(&item.name).is_none() {
+        ask_for_endpoint(node, state, item, target, now);
+    }
+    // This host may be the coordinator.
+    let (number, key) = state.coordination.asks.granted(&item.name)?;
+    // The load of this host has the item from now on.
+    state.coordination.asks.resolve(number);
+    let endpoint = state.endpoints.serving_with_key(key, now)?;
+    let has_version = target
+        .version
+        .is_none_or(|version| endpoint.version_key() == version);
+    let is_usable = has_version && state.limits.admits_item(&endpoint.id, now);
+    is_usable.then(|| endpoint.clone())
+}
+
+fn ask_for_endpoint(
+    node: &SwitchNode,
+    state: &mut SwitchState,
+    item: &RunnableItem,
+    target: &ItemTarget<'_>,
+    now: Instant,
+) {
+    if !state.coordination.asks.may_ask_for(&item.name, now) {
+        return;
+    }
+    let filter = EndpointFilter {
+        service: target.service,
+        version: target.version,
+    };
+    let excluded = excluded_endpoints(state, filter, &[], |limits, id| limits.admits_item(id, now));
+    let request = SlotRequest {
+        service: target.service.clone(),
+        version: target.version,
+        excluded,
+        need: SlotNeed::Item {
+            in_time: item.in_time,
+            due_ms: item.due_ms,
+        },
+    };
+    node.ask_for_item(state, &item.name, &request);
+}
+
+/// Starts an item at an endpoint, unless its prompt is rejected. Returns whether it was started.
+fn begin_item(
+    node: &Arc<SwitchNode>,
+    state: &mut SwitchState,
+    name: ItemName,
+    endpoint: &Arc<ListedEndpoint>,
+    call: EndpointCall,
+    starts_again: bool,
+    updates: &mpsc::UnboundedSender<ItemUpdate>,
+) -> bool {
+    let now = Instant::now();
+    let parts = node.deps.client.prompt_parts(&call.headers);
+    if let Admission::Rejected { retry_after } = node.admit(state, &call.id, &parts, now) {
+        info!(node.deps.logger, "item held back"; "job" => &*name.job,
+            "item" => name.item, "parts" => %parts,
+            "cause" => "parts of its prompt crash endpoints");
+        let until = now + retry_after.min(MAX_HOLD_TIME);
+        state.histories.hold_back(&name, until);
+        return false;
     }
+    let segments = if starts_again {
+        state.remove_progress(&name);
+        Vec::new()
+    } else {
+        checkpoints(state, &name).map_or_else(Vec::new, |chain| chain.segments().to_vec())
+    };
+    let call = ItemCall {
+        call,
+        parts,
+        segments,
+    };
+    start_item(node, state, name, endpoint, call, updates);
+    true
 }
 
 /// Where an item may run.
--- /dev/null
+++ b/crates/switch/src/coordinator/decide.rs
@@ -0,0 +1,306 @@
+//! Decisions of a coordinator.
+
+use super::grants::SlotGrant;
+use super::group::GroupId;
+use super::message::{GroupRoom, SlotAsk, SlotNeed, SlotOutcome, message_millis};
+use super::pick::{GroupPick, GroupView, RoomCount};
+use super::{MAX_ROOM_AGE, PREEMPTION_TIME, PendingPreemption};
+use crate::endpoint::{EndpointFilter, ListedEndpoint};
+use crate::load::RequestClass;
+use crate::node::SwitchState;
+use crate::overload::Rejection;
+use crate::report::EndpointKey;
+use crate::wait::max_wait;
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after a preemption for which no item starts in the group.
+const ITEM_PAUSE: Duration = Duration::from_millis(300);
+/// Time after which an item that found no room may ask again.
+const ITEM_RETRY: Duration = Duration::from_millis(60);
+/// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
+const MAX_RETRY_FRACTION: f64 = 0.3;
+
+/// An order to a host to preempt items at an endpoint.
+pub(super) struct PreemptionOrder {
+    pub(super) host: Arc<str>,
+    pub(super) endpoint: EndpointKey,
+}
+
+impl SwitchState {
+    /// Endpoints of a group that accept new work.
+    fn group_endpoints(&self, group: &GroupId, now: Instant) -> Vec<Arc<ListedEndpoint>> {
+        let mut serving = self.endpoints.all_serving(now);
+        serving.retain(|endpoint| group.contains(endpoint));
+        serving
+    }
+
+    fn with_view<T>(
+        &mut self,
+        now: Instant,
+        choose: impl FnOnce(&GroupView<'_>, &mut rand::rngs::SmallRng) -> T,
+    ) -> T {
+        let coordination = &self.coordination;
+        let preempting = |id: &str| coordination.preempting_at(EndpointKey::of(id), now);
+        let view = GroupView {
+            load: &self.load,
+            preempting: &preempting,
+        };
+        choose(&view, &mut self.rng)
+    }
+
+    /// Decides on an ask. A grant is counted.
+    pub(super) fn decide(&mut self, ask: &SlotAsk, now: Instant) -> SlotOutcome {
+        for grant in self.coordination.grants.expire(now) {
+            self.load.remove_granted(grant.endpoint, grant.class);
+        }
+        if let Some(grant) = self.coordination.grants.find(&ask.host, ask.number) {
+            return SlotOutcome::Granted {
+                endpoint: grant.endpoint,
+                has_free_slot: false,
+            };
+        }
+        let filter = EndpointFilter {
+            service: &ask.service,
+            version: ask.version,
+        };
+        let candidates: Vec<Arc<ListedEndpoint>> = self
+            .endpoints
+            .serving(filter, now)
+            .filter(|endpoint| ask.group.contains(endpoint))
+            .filter(|endpoint| !ask.excluded.contains(&EndpointKey::of(&endpoint.id)))
+            .cloned()
+            .collect();
+        match ask.need {
+            SlotNeed::Online { .. } => self.decide_online(ask, &candidates, now),
+            SlotNeed::Item { .. } => self.decide_item(ask, &candidates, now),
+        }
+    }
+
+    fn decide_online(
+        &mut self,
+        ask: &SlotAsk,
+        candidates: &[Arc<ListedEndpoint>],
+        now: Instant,
+    ) -> SlotOutcome {
+        let SlotNeed::Online {
+            target_ms,
+            remaining_ms,
+        } = ask.need
+        else {
+            return SlotOutcome::Missing;
+        };
+        let millis = |value: u32| Duration::from_millis(value.into());
+        let remaining = millis(remaining_ms);
+        let first_byte = self.load.response_times().first_byte();
+        let longest = max_wait(millis(target_ms), first_byte, remaining);
+        let candidates: Vec<&Arc<ListedEndpoint>> = candidates.iter().collect();
+        let pick = self.with_view(now, |view, rng| {
+            view.pick_online(&candidates, longest, now, rng)
+        });
+        let may_pass = !ask.is_final;
+        let is_free = matches!(pick, GroupPick::Free(_));
+        if may_pass
+            && !is_free
+            && let Some(room) = self
+                .coordination
+                .roomiest(&ask.group, |room| room.free, now)
+        {
+            room.free -= 1;
+            return SlotOutcome::Elsewhere(room.group.clone());
+        }
+        let must_wait = !is_free && !matches!(pick, GroupPick::Preempt(_));
+        if may_pass
+            && must_wait
+            && let Some(room) = self
+                .coordination
+                .roomiest(&ask.group, |room| room.preemptible, now)
+        {
+            room.preemptible -= 1;
+            return SlotOutcome::Elsewhere(room.group.clone());
+        }
+        match pick {
+            GroupPick::Free(endpoint)
+            | GroupPick::Preempt(endpoint)
+            | GroupPick::Queue(endpoint) => self.grant(ask, &endpoint, RequestClass::Online, now),
+            GroupPick::Full { wait } => {
+                let endpoints: u32 = candidates.iter().map(|endpoint| endpoint.slots).sum();
+                let rejection = Rejection {
+                    wait,
+                    limit: remaining.mul_f64(MAX_RETRY_FRACTION),
+                    service_interval: self.load.response_times().run() / endpoints.max(1),
+                };
+                let draw = self.rng.random::<f64>();
+                let retry_after = self.overload.record_rejection(rejection, now, draw);
+                SlotOutcome::Full {
+                    wait_ms: message_millis(wait),
+                    retry_after_ms: message_millis(retry_after),
+                }
+            }
+            GroupPick::Missing => SlotOutcome::Missing,
+        }
+    }
+
+    fn decide_item(
+        &mut self,
+        ask: &SlotAsk,
+        candidates: &[Arc<ListedEndpoint>],
+        now: Instant,
+    ) -> SlotOutcome {
+        let candidates: Vec<&Arc<ListedEndpoint>> = candidates.iter().collect();
+        let picked = if self.coordination.pauses_items(&ask.group, now) {
+            None
+        } else {
+            self.with_view(now, |view, rng| view.pick_item(&candidates, now, rng))
+        };
+        if let Some(endpoint) = picked {
+            return self.grant(ask, &endpoint, RequestClass::Batch, now);
+        }
+        if !ask.is_final
+            && let Some(room) =
+                self.coordination
+                    .roomiest(&ask.group, |room| room.free_for_items, now)
+        {
+            room.free_for_items -= 1;
+            return SlotOutcome::Elsewhere(room.group.clone());
+        }
+        if candidates.is_empty() {
+            return SlotOutcome::Missing;
+        }
+        SlotOutcome::Full {
+            wait_ms: 0,
+            retry_after_ms: message_millis(ITEM_RETRY),
+        }
+    }
+
+    fn grant(
+        &mut self,
+        ask: &SlotAsk,
+        endpoint: &ListedEndpoint,
+        class: RequestClass,
+        now: Instant,
+    ) -> SlotOutcome {
+        let key = EndpointKey::of(&endpoint.id);
+        let has_free_slot = self.load.total(&endpoint.id).total() < endpoint.slots;
+        let is_added = self.coordination.grants.add(SlotGrant {
+            host: ask.host.clone(),
+            number: ask.number,
+            endpoint: key,
+            class,
+            granted_at: now,
+        });
+        if is_added {
+            self.load.add_granted(key, class);
+        }
+        SlotOutcome::Granted {
+            endpoint: key,
+            has_free_slot,
+        }
+    }
+
+    /// Applies the load of a host. Its asks up to `resolved` are part of it.
+    pub(super) fn resolve_grants(&mut self, host: &str, resolved: u32) {
+        for grant in self.coordination.grants.resolve(host, resolved) {
+            self.load.remove_granted(grant.endpoint, grant.class);
+        }
+    }
+
+    /// Decides which hosts must preempt items in a group, one order for each item.
+    pub(super) fn preemption_orders(
+        &mut self,
+        own: &Arc<str>,
+        group: &GroupId,
+        now: Instant,
+    ) -> Vec<PreemptionOrder> {
+        self.coordination
+            .preempting
+            .retain(|pending| now < pending.until);
+        let mut orders = Vec::new();
+        for endpoint in self.group_endpoints(group, now) {
+            let excess = self.with_view(now, |view, _| view.excess(&endpoint, now));
+            if excess == 0 {
+                continue;
+            }
+            let key = EndpointKey::of(&endpoint.id);
+            self.load.record_preemption(&endpoint.id, now);
+            self.coordination.record_preemption(group, now);
+            let mut holders = self.load.item_holders(key);
+            holders.push((own.clone(), self.load.own(&endpoint.id).batch));
+            for pending in &self.coordination.preempting {
+                let mut told = holders.iter_mut();
+                let told = told.find(|(host, _)| pending.endpoint == key && *host == pending.host);
+                if let Some((_, items)) = told {
+                    *items = items.saturating_sub(1);
+                }
+            }
+            for _ in 0..excess {
+                let Some(host) = self.choose_holder(&mut holders) else {
+                    break;
+                };
+                let pending = PendingPreemption {
+                    host: host.clone(),
+                    endpoint: key,
+                    until: now + PREEMPTION_TIME,
+                };
+                self.coordination.preempting.push(pending);
+                orders.push(PreemptionOrder {
+                    host,
+                    endpoint: key,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Draws a host by the number of items that it has, and takes one of them out of the count.
+    fn choose_holder(&mut self, holders: &mut [(Arc<str>, u16)]) -> Option<Arc<str>> {
+        let items: u32 = holders.iter().map(|(_, items)| u32::from(*items)).sum();
+        if items == 0 {
+            return None;
+        }
+        let mut draw = self.rng.random_range(..items);
+        for (host, items) in holders {
+            if draw < u32::from(*items) {
+                *items -= 1;
+                return Some(host.clone());
+            }
+            draw -= u32::from(*items);
+        }
+        None
+    }
+
+    /// Room of a group that this host coordinates.
+    pub(super) fn room_of(&mut self, group: &GroupId, now: Instant) -> GroupRoom {
+        let endpoints = self.group_endpoints(group, now);
+        let endpoints: Vec<&Arc<ListedEndpoint>> = endpoints.iter().collect();
+        let room: RoomCount = self.with_view(now, |view, _| view.room(&endpoints, now));
+        let pauses = self.coordination.pauses_items(group, now);
+        let count = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
+        GroupRoom {
+            group: group.clone(),
+            free: count(room.free),
+            free_for_items: if pauses {
+                0
+            } else {
+                count(room.free_for_items())
+            },
+            preemptible: count(room.preemptible),
+        }
+    }
+}
+
+impl super::CoordinationState {
+    /// Whether items were preempted in a group a short time ago, so that none starts.
+    fn pauses_items(&self, group: &GroupId, now: Instant) -> bool {
+        let mut times = self.preempted_at.iter();
+        times.any(|(known, at)| known == group && now < *at + ITEM_PAUSE)
+    }
+
+    fn record_preemption(&mut self, group: &GroupId, now: Instant) {
+        self.preempted_at
+            .retain(|(known, at)| known != group && now < *at + MAX_ROOM_AGE);
+        self.preempted_at.push((group.clone(), now));
+    }
+}
--- /dev/null
+++ b/crates/switch/src/coordinator/mod.rs
@@ -0,0 +1,231 @@
+//! Coordinators: in a large fleet, one host decides which requests and items the endpoints of a group get.
+//!
+//! In a small fleet each host chooses endpoints by what the others report, which is a fraction of a run old. With hundreds of hosts the
+//! reports are older than the load that they describe, or cost more than the requests, and hosts collide at slots that each of them takes
+//! to be free. There the endpoints are divided into groups ([`group`]), and a host asks the coordinator of a group for an endpoint:
+//! one datagram each way. The coordinator counts what it grants ([`grants`]), and hosts report each change of their load to the coordinators
+//! concerned, so that it knows the load of its group exactly ([`pick`]). It tells hosts to preempt items, and names the group with the most
+//! room when its own has none.
+//!
+//! A coordinator only advises. It holds no lease: a host that is asked answers, and two hosts that are both asked, as views of the
+//! membership differ, at worst fill one queue twice. The request stays with the host that has its caller. If no coordinator answers within
+//! two timeouts ([`asks`]), the host chooses by the last reports, as in a small fleet.
+
+pub mod asks;
+mod decide;
+mod exchange;
+pub mod grants;
+pub mod group;
+pub mod message;
+pub mod pick;
+
+pub(crate) use exchange::{AskGuard, SlotRequest};
+
+use crate::endpoint::{EndpointFilter, ListedEndpoint};
+use crate::limits::LimitTable;
+use crate::members::{HostDescriptor, MemberTable};
+use crate::node::SwitchState;
+use crate::report::EndpointKey;
+use asks::AskTable;
+use grants::SlotGrants;
+use group::{EndpointGroup, GroupId, compute_groups};
+use message::{GroupRoom, MAX_EXCLUDED, MAX_SAMPLES};
+use rand::Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Number of other hosts up to which each host chooses endpoints itself. Up to there, heartbeats come each tenth of a second.
+const MAX_DIRECT_HOSTS: usize = 20;
+/// Age of the room of a group beyond which it is not known.
+const MAX_ROOM_AGE: Duration = Duration::from_secs(1);
+/// Maximum number of rooms of other groups, and of orders to preempt. It bounds their memory.
+const MAX_ENTRIES: usize = 256;
+/// Time in which a host that was told to preempt items does it.
+const PREEMPTION_TIME: Duration = Duration::from_millis(200);
+/// Time for which a host that was never heard may be asked, from when it became known.
+const UNHEARD_TIME: Duration = Duration::from_secs(2);
+
+/// Items that a host was told to preempt.
+#[derive(Clone, Debug)]
+struct PendingPreemption {
+    host: Arc<str>,
+    endpoint: EndpointKey,
+    until: Instant,
+}
+
+/// What a host knows as a coordinator, and of the coordinators.
+#[derive(Debug, Default)]
+pub(crate) struct CoordinationState {
+    groups: Vec<EndpointGroup>,
+    pub(crate) asks: AskTable,
+    grants: SlotGrants,
+    preempting: Vec<PendingPreemption>,
+    /// When an item was last told to give way, by group.
+    preempted_at: Vec<(GroupId, Instant)>,
+    /// Rooms of other groups, and when they were received.
+    rooms: Vec<(GroupRoom, Instant)>,
+    /// Room of an own group that was sent last, and when.
+    sent_rooms: Vec<(GroupRoom, Instant)>,
+    /// Items that this host has to preempt.
+    orders: Vec<(EndpointKey, u16)>,
+    samples: Vec<(u16, u16)>,
+}
+
+impl CoordinationState {
+    /// Computes the groups anew. A fleet with few hosts has none. Returns whether they or their candidates have changed.
+    pub(crate) fn update(
+        &mut self,
+        own: &HostDescriptor,
+        members: &MemberTable,
+        endpoints: &[Arc<ListedEndpoint>],
+        now: Instant,
+    ) -> bool {
+        let candidates = members.all().filter(|entry| match entry.last_heartbeat {
+            Some(_) => entry.ready && members.is_available(&entry.descriptor.name, now),
+            None => now.saturating_duration_since(entry.added_at) < UNHEARD_TIME,
+        });
+        let mut hosts: Vec<_> = candidates
+            .map(|entry| {
+                let descriptor = &entry.descriptor;
+                (descriptor.name.clone(), descriptor.domain.clone())
+            })
+            .collect();
+        let groups = if members.all().count() > MAX_DIRECT_HOSTS {
+            hosts.push((own.name.clone(), own.domain.clone()));
+            compute_groups(endpoints, &hosts)
+        } else {
+            Vec::new()
+        };
+        let has_changed = groups != self.groups;
+        self.groups = groups;
+        has_changed
+    }
+
+    /// Whether hosts ask coordinators.
+    pub(crate) fn is_active(&self) -> bool {
+        !self.groups.is_empty()
+    }
+
+    /// A group to ask first: one of the own domain, if it has endpoints.
+    fn home_group(&self, domain: &str, rng: &mut impl Rng) -> Option<GroupId> {
+        let is_own = |group: &&EndpointGroup| *group.id.domain == *domain;
+        let own: Vec<&EndpointGroup> = self.groups.iter().filter(is_own).collect();
+        let all: Vec<&EndpointGroup> = self.groups.iter().collect();
+        let choices = if own.is_empty() { all } else { own };
+        if choices.is_empty() {
+            return None;
+        }
+        Some(choices[rng.random_range(..choices.len())].id.clone())
+    }
+
+    /// The first host that may coordinate a group and is not silent.
+    fn coordinator_of(&self, id: &GroupId, now: Instant) -> Option<&Arc<str>> {
+        let index = self
+            .groups
+            .binary_search_by(|group| group.id.cmp(id))
+            .ok()?;
+        let mut candidates = self.groups[index].candidates.iter();
+        candidates.find(|name| !self.asks.is_silent(name, now))
+    }
+
+    /// The group of an endpoint.
+    fn group_of(&self, endpoint: &ListedEndpoint) -> Option<&EndpointGroup> {
+        let mut groups = self.groups.iter();
+        groups.find(|group| group.id.contains(endpoint))
+    }
+
+    /// Groups that this host coordinates by its own view.
+    fn own_groups(&self, own: &str, now: Instant) -> Vec<GroupId> {
+        let groups = self.groups.iter().map(|group| &group.id);
+        let is_own = |id: &&GroupId| {
+            self.coordinator_of(id, now)
+                .is_some_and(|name| **name == *own)
+        };
+        groups.filter(is_own).cloned().collect()
+    }
+
+    /// Items at an endpoint that were told to give way and may not have yet.
+    fn preempting_at(&self, endpoint: EndpointKey, now: Instant) -> u32 {
+        let pending = self.preempting.iter();
+        let count = pending
+            .filter(|pending| pending.endpoint == endpoint && now < pending.until)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Records the room of another group.
+    fn set_room(&mut self, room: GroupRoom, now: Instant) {
+        self.rooms.retain(|(known, received_at)| {
+            known.group != room.group && now.saturating_duration_since(*received_at) < MAX_ROOM_AGE
+        });
+        if self.rooms.len() < MAX_ENTRIES {
+            self.rooms.push((room, now));
+        }
+    }
+
+    /// The other group with the most room, by `room_of`, if any has some.
+    fn roomiest(
+        &mut self,
+        own: &GroupId,
+        room_of: impl Fn(&GroupRoom) -> u16,
+        now: Instant,
+    ) -> Option<&mut GroupRoom> {
+        let known = self.rooms.iter_mut().filter(|(room, received_at)| {
+            room.group != *own && now.saturating_duration_since(*received_at) < MAX_ROOM_AGE
+        });
+        let best = known.max_by_key(|(room, _)| room_of(room));
+        best.map(|(room, _)| room).filter(|room| room_of(room) > 0)
+    }
+
+    /// Records how long a request of this host took, for the next load message.
+    pub(crate) fn record_sample(&mut self, first_byte: Option<Duration>, run: Duration) {
+        let millis = |span: Duration| u16::try_from(span.as_millis()).unwrap_or(u16::MAX);
+        if let Some(first_byte) = first_byte
+            && self.samples.len() < MAX_SAMPLES
+        {
+            self.samples.push((millis(first_byte), millis(run)));
+        }
+    }
+
+    /// Adds items that this host has to preempt.
+    fn add_order(&mut self, endpoint: EndpointKey, count: u16) {
+        if self.orders.len() < MAX_ENTRIES {
+            self.orders.push((endpoint, count));
+        }
+    }
+
+    /// Takes the items that this host has to preempt.
+    pub(crate) fn take_orders(&mut self) -> Vec<(EndpointKey, u16)> {
+        std::mem::take(&mut self.orders)
+    }
+}
+
+/// Endpoints that this host leaves out of an ask: those in `tried`, those that it cannot reach, and those that `is_admitted` does not select
+/// by their limit.
+pub(crate) fn excluded_endpoints<'a>(
+    state: &'a SwitchState,
+    filter: EndpointFilter<'a>,
+    tried: &[Arc<str>],
+    is_admitted: impl Fn(&LimitTable, &str) -> bool,
+) -> Vec<EndpointKey> {
+    let now = Instant::now();
+    let tried = tried.iter().map(|id| EndpointKey::of(id));
+    let serving = state.endpoints.serving(filter, now);
+    let unusable = serving.filter(|endpoint| {
+        let id = &*endpoint.id;
+        state.load.is_avoided(id, now)
+            || state.load.is_full(id, now)
+            || !is_admitted(&state.limits, id)
+    });
+    let unusable = unusable.map(|endpoint| EndpointKey::of(&endpoint.id));
+    tried.chain(unusable).take(MAX_EXCLUDED).collect()
+}
+
+/// Address for messages of a host, if it is known.
+fn peer_address(members: &MemberTable, name: &str) -> Option<SocketAddr> {
+    let mut all = members.all();
+    let found = all.find(|entry| *entry.descriptor.name == *name);
+    found.map(|entry| entry.descriptor.peer_address)
+}
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -367,6 +367,14 @@
         Some(&self.entries[index].endpoint)
     }
 
+    /// Looks up an endpoint that accepts new work by its key.
+    #[must_use]
+    pub fn serving_with_key(&self, key: EndpointKey, now: Instant) -> Option<&Arc<ListedEndpoint>> {
+        let mut entries = self.entries.iter();
+        let entry = entries.find(|entry| entry.key == key && self.serves(entry, now))?;
+        Some(&entry.endpoint)
+    }
+
     /// Whether an endpoint is listed and accepts new work.
     #[must_use]
     pub fn is_serving(&self, id: &str, now: Instant) -> bool {
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -7,6 +7,7 @@
 
 use crate::affinity::compute_affinity;
 use crate::backend::{AppendError, KeyedRecord};
+use crate::coordinator::message::CoordinatorMessage;
 use crate::crash_exchange::{self, CrashNotice};
 use crate::crash_log;
 use crate::follow::FollowBatch;
@@ -57,6 +58,7 @@
         notices: Vec<CrashNotice>,
     },
     Limits(Vec<LimitReport>),
+    Coordinator(CoordinatorMessage),
 }
 
 /// Wire format of a heartbeat. A [`ReachReport`] follows it in the datagram, which hosts of earlier versions do not read.
@@ -154,6 +156,10 @@
             () = node.heartbeat_requested.notified() => false,
             () = node.neighbour_heartbeat_requested.notified() => true,
         };
+        if neighbours_only && node.send_load_changes() {
+            sleep(MIN_HEARTBEAT_INTERVAL).await;
+            continue;
+        }
         let interval = send_heartbeat(&node, socket, round, neighbours_only).await;
         if !neighbours_only {
             round += 1;
@@ -243,6 +249,15 @@
     send_message(node, &PeerMessage::Origin(message), targets);
 }
 
+/// Sends a message to or as a coordinator, without waiting. A host that is not started sends nothing.
+pub(crate) fn send_coordinator_message(
+    node: &SwitchNode,
+    message: CoordinatorMessage,
+    targets: &[SocketAddr],
+) {
+    send_message(node, &PeerMessage::Coordinator(message), targets);
+}
+
 /// Sends notices about crashes, without waiting. A host that is not started sends nothing.
 pub(crate) fn send_crash_notices(
     node: &SwitchNode,
@@ -315,6 +330,21 @@
         affinity.endpoints.dedup();
     }
     state.load.set_affinity(affinity);
+    update_coordination(node, state, now);
+}
+
+fn update_coordination(node: &SwitchNode, state: &mut SwitchState, now: Instant) {
+    let endpoints = state.endpoints.all_serving(now);
+    let SwitchState {
+        coordination,
+        members,
+        ..
+    } = &mut *state;
+    if coordination.update(&node.settings.descriptor, members, &endpoints, now) {
+        // New coordinators have to know the load of this host.
+        state.load.mark_all_changed();
+        node.neighbour_heartbeat_requested.notify_one();
+    }
 }
 
 async fn receive_messages(node: Arc<SwitchNode>) {
@@ -343,6 +373,9 @@
                         limits.apply(report, now);
                     }
                 }
+                Ok(((SCHEMA, PeerMessage::Coordinator(message)), _)) => {
+                    node.handle_coordinator_message(message, from);
+                }
                 Ok(((schema, _), _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
@@ -397,10 +430,11 @@
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
     state.members.set_reach(&name, reach);
-    let must_preempt = state.running.iter().any(|running| {
-        let endpoint = state.endpoints.get(&running.endpoint);
-        endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint, now) > 0)
-    });
+    let must_preempt = !state.coordination.is_active()
+        && state.running.iter().any(|running| {
+            let endpoint = state.endpoints.get(&running.endpoint);
+            endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint, now) > 0)
+        });
     if must_preempt || change != MemberChange::Same {
         node.schedule_requested.notify_one();
     }
--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -66,8 +66,10 @@
         node.neighbour_heartbeat_requested.notify_one();
         if class == RequestClass::Online && state.load.total(&endpoint.id).total() > endpoint.slots
         {
-            // Batch items must be preempted, so the hosts that run them are notified immediately.
-            node.heartbeat_requested.notify_one();
+            // Batch items must be preempted, so the hosts that run them are notified immediately, unless a coordinator does it.
+            if !state.coordination.is_active() {
+                node.heartbeat_requested.notify_one();
+            }
             node.schedule_requested.notify_one();
         }
         Self {
@@ -86,9 +88,12 @@
         }
         let now = Instant::now();
         self.run_started = Some(now);
-        let load = &mut self.node.lock().load;
-        load.finish_wait(&self.endpoint, self.sent);
-        load.begin_run(&self.endpoint, now);
+        let state = &mut *self.node.lock();
+        state.load.finish_wait(&self.endpoint, self.sent);
+        state.load.begin_run(&self.endpoint, now);
+        if state.coordination.is_active() {
+            self.node.neighbour_heartbeat_requested.notify_one();
+        }
         now
     }
 }
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,13 +6,14 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`wait`], [`affinity`],
+//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`coordinator`], [`wait`], [`affinity`],
 //! [`ledger`], [`schedule`], [`members`], [`origins`], [`crashes`], [`quarantine`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
 pub mod batch;
 mod calls;
+pub mod coordinator;
 mod crash_exchange;
 mod crash_log;
 mod crash_watch;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -63,6 +63,8 @@
     peer_runs: RunStarts,
     /// Number of overdue online requests of all other hosts.
     peers_overdue: u16,
+    /// Requests to which this host, as a coordinator, has granted a slot and that no report has yet.
+    granted: RequestCounts,
     health: EndpointHealth,
     full_until: Option<Instant>,
     /// When this host last preempted a batch item.
@@ -75,6 +77,11 @@
     fn overdue(&self) -> u16 {
         self.own_overdue.saturating_add(self.peers_overdue)
     }
+
+    /// Requests of all hosts.
+    fn total(&self) -> RequestCounts {
+        self.own.plus(self.peers).plus(self.granted)
+    }
 }
 
 /// Load and health of all endpoints from the view of this host.
@@ -88,6 +95,8 @@
     affinity: HostAffinity,
     /// Origin of the start times of runs.
     origin: Instant,
+    /// Endpoints at which the load of this host has changed since its last report to their coordinators.
+    changed: Vec<EndpointKey>,
 }
 
 /// Load of another host at one endpoint.
@@ -122,6 +131,7 @@
             response_times: ResponseTimes::default(),
             affinity: HostAffinity::default(),
             origin: Instant::now(),
+            changed: Vec::new(),
         }
     }
 }
@@ -129,14 +139,16 @@
 impl LoadView {
     /// Counts a request of this host as in flight at an endpoint.
     pub fn begin(&mut self, id: &str, class: RequestClass) {
-        let counts = &mut self.entry(EndpointKey::of(id)).own;
-        *class_count(counts, class) += 1;
+        let key = EndpointKey::of(id);
+        self.mark_changed(key);
+        *class_count(&mut self.entry(key).own, class) += 1;
     }
 
     /// Removes a request of this host from the in-flight count.
     pub fn finish(&mut self, id: &str, class: RequestClass) {
-        let counts = &mut self.entry(EndpointKey::of(id)).own;
-        let count = class_count(counts, class);
+        let key = EndpointKey::of(id);
+        self.mark_changed(key);
+        let count = class_count(&mut self.entry(key).own, class);
         *count = count.saturating_sub(1);
     }
 
@@ -158,11 +170,18 @@
             return false;
         };
         let mut has_more = false;
-        for (_, entry) in &mut self.entries {
+        let mut changed = Vec::new();
+        for (key, entry) in &mut self.entries {
             let overdue = entry.own_waiting.overdue(limit, heard_at);
             has_more |= overdue > entry.own_overdue;
+            if overdue != entry.own_overdue {
+                changed.push(*key);
+            }
             entry.own_overdue = overdue;
         }
+        for key in changed {
+            self.mark_changed(key);
+        }
         has_more
     }
 
@@ -176,7 +195,9 @@
     /// Records that an online request of this host has got a slot of its endpoint.
     pub fn begin_run(&mut self, id: &str, now: Instant) {
         let start = self.since_origin(now);
-        self.entry(EndpointKey::of(id)).own_runs.add(start);
+        let key = EndpointKey::of(id);
+        self.mark_changed(key);
+        self.entry(key).own_runs.add(start);
     }
 
     /// Records that an online request of this host that got its slot at `started` has freed it.
@@ -255,6 +276,61 @@
         }
     }
 
+    /// Counts a request to which this host has granted a slot as a coordinator.
+    pub fn add_granted(&mut self, key: EndpointKey, class: RequestClass) {
+        *class_count(&mut self.entry(key).granted, class) += 1;
+    }
+
+    /// Removes a request from the count of [`LoadView::add_granted`].
+    pub fn remove_granted(&mut self, key: EndpointKey, class: RequestClass) {
+        let count = class_count(&mut self.entry(key).granted, class);
+        *count = count.saturating_sub(1);
+    }
+
+    /// Hosts that report items at an endpoint, with their number.
+    #[must_use]
+    pub fn item_holders(&self, key: EndpointKey) -> Vec<(Arc<str>, u16)> {
+        let of_host = |report: &[PeerLoad]| {
+            let load = report.iter().find(|load| load.key == key)?;
+            (load.counts.batch > 0).then_some(load.counts.batch)
+        };
+        let reports = self.reports.iter();
+        reports
+            .filter_map(|(host, report)| Some((host.clone(), of_host(report)?)))
+            .collect()
+    }
+
+    /// Number of items at an endpoint that another host reports.
+    #[must_use]
+    pub fn items_of(&self, host: &str, key: EndpointKey) -> u16 {
+        let found = self
+            .reports
+            .binary_search_by(|(name, _)| (**name).cmp(host));
+        let report = found.map_or(&[][..], |index| &self.reports[index].1);
+        let load = report.iter().find(|load| load.key == key);
+        load.map_or(0, |load| load.counts.batch)
+    }
+
+    /// Takes the endpoints at which the load of this host has changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<EndpointKey> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Marks the load of this host as changed at all endpoints where it has requests.
+    pub fn mark_all_changed(&mut self) {
+        let used = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.own.is_zero());
+        self.changed = used.map(|(key, _)| *key).collect();
+    }
+
+    fn mark_changed(&mut self, key: EndpointKey) {
+        if !self.changed.contains(&key) {
+            self.changed.push(key);
+        }
+    }
+
     /// Replaces the load report of another host by one that was received at `now`.
     pub fn update_report(&mut self, host: &Arc<str>, report: LoadReport, now: Instant) {
         let now = self.since_origin(now);
@@ -314,9 +390,7 @@
     /// In-flight requests of all hosts at an endpoint.
     #[must_use]
     pub fn total(&self, id: &str) -> RequestCounts {
-        self.find(id)
-            .map(|entry| entry.own.plus(entry.peers))
-            .unwrap_or_default()
+        self.find(id).map(LoadEntry::total).unwrap_or_default()
     }
 
     /// In-flight requests of this host at an endpoint.
@@ -446,18 +520,10 @@
         let Some(entry) = self.find(&endpoint.id) else {
             return 0;
         };
-        let total = entry.own.plus(entry.peers);
+        let total = entry.total();
         let own = u32::from(entry.own.batch);
-        // A request that has just got the slot of a preempted item is overdue until its first byte.
-        let limit = self.response_times.overdue_after().unwrap_or_default();
-        let settled = entry
-            .preempted_at
-            .is_none_or(|preempted_at| now >= preempted_at + limit);
-        let overdue = if settled { entry.overdue() } else { 0 };
-        let excess = total
-            .total()
-            .saturating_sub(endpoint.slots)
-            .max(overdue.into());
+        let overdue = self.unsettled_overdue(&endpoint.id, now);
+        let excess = total.total().saturating_sub(endpoint.slots).max(overdue);
         if excess == 0 || own == 0 {
             return 0;
         }
@@ -465,6 +531,24 @@
         (excess.min(batch) * own).div_ceil(batch).min(own)
     }
 
+    /// Number of overdue online requests at an endpoint, unless an item has just been preempted for them: a request that has just got its
+    /// slot is overdue until its first byte.
+    pub(crate) fn unsettled_overdue(&self, id: &str, now: Instant) -> u32 {
+        let Some(entry) = self.find(id) else {
+            return 0;
+        };
+        let limit = self.response_times.overdue_after().unwrap_or_default();
+        let settled = entry
+            .preempted_at
+            .is_none_or(|preempted_at| now >= preempted_at + limit);
+        if settled { entry.overdue().into() } else { 0 }
+    }
+
+    /// Whether online requests are overdue at an endpoint.
+    pub(crate) fn is_overdue(&self, id: &str) -> bool {
+        self.find(id).is_some_and(|entry| entry.overdue() > 0)
+    }
+
     /// Keeps the preferred endpoints and a random sample of the others. The load of the others is known with a delay,
     /// and hosts that all chose the least loaded one would overload it together.
     fn sample_candidates(&self, candidates: &mut Vec<&Arc<ListedEndpoint>>, rng: &mut impl Rng) {
@@ -524,10 +608,7 @@
     }
 
     fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
-        if self
-            .find(&endpoint.id)
-            .is_some_and(|entry| entry.overdue() > 0)
-        {
+        if self.is_overdue(&endpoint.id) {
             return 0;
         }
         let used = self.total(&endpoint.id).total() + self.reserved_slots(&endpoint.id);
@@ -540,11 +621,12 @@
             .is_some_and(|preempted_at| now < preempted_at + PREEMPTION_COOLDOWN)
     }
 
-    fn expected_wait(&self, endpoint: &ListedEndpoint, now: Instant) -> Duration {
+    /// Expected wait of one more online request at an endpoint.
+    pub(crate) fn expected_wait(&self, endpoint: &ListedEndpoint, now: Instant) -> Duration {
         let Some(entry) = self.find(&endpoint.id) else {
             return Duration::ZERO;
         };
-        let online = u32::from(entry.own.plus(entry.peers).online);
+        let online = u32::from(entry.total().online);
         let queued = online
             .saturating_sub(endpoint.slots)
             .max(entry.overdue().into());
@@ -561,7 +643,8 @@
         time.saturating_duration_since(self.origin)
     }
 
-    fn is_full(&self, id: &str, now: Instant) -> bool {
+    /// Whether an endpoint refused a request of this host as full a short time ago.
+    pub(crate) fn is_full(&self, id: &str, now: Instant) -> bool {
         self.find(id)
             .and_then(|entry| entry.full_until)
             .is_some_and(|until| until > now)
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition};
 use crate::batch::routeless::RoutelessJobs;
+use crate::coordinator::CoordinationState;
 use crate::crash_watch::CrashState;
 use crate::departures::RecentDepartures;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
@@ -120,6 +121,7 @@
     pub(crate) endpoints: EndpointTable,
     pub(crate) departures: RecentDepartures,
     pub(crate) load: LoadView,
+    pub(crate) coordination: CoordinationState,
     pub(crate) limits: LimitTable,
     pub(crate) origins: OriginTable,
     pub(crate) overload: OverloadTracker,
@@ -217,6 +219,7 @@
             endpoints: EndpointTable::default(),
             departures: RecentDepartures::default(),
             load: LoadView::default(),
+            coordination: CoordinationState::default(),
             limits: LimitTable::default(),
             origins: OriginTable::default(),
             overload: OverloadTracker::default(),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -1,5 +1,6 @@
 //! Online requests: selects an endpoint, sends the request, retries where that is allowed, and forwards the response.
 
+mod ask;
 mod attempts;
 mod forward;
 mod pick;
@@ -15,6 +16,7 @@
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::prompt::{PartKey, PromptParts};
 use crate::route::ServiceRoute;
+use ask::AskedPlace;
 use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep};
 use forward::forward;
 use futures::stream::{self, StreamExt};
@@ -88,6 +90,7 @@
             key,
             suspects,
             attempts: PendingAttempts::default(),
+            asked: None,
             tried: Vec::new(),
             sent: Vec::new(),
             version: None,
@@ -157,6 +160,8 @@
     suspects: PromptParts,
     /// Attempts in progress whose responses have not begun.
     attempts: PendingAttempts,
+    /// Answer of a coordinator for the next attempt.
+    asked: Option<AskedPlace>,
     /// Endpoints, and hosts to which the request was passed on, at which an attempt has failed.
     tried: Vec<Arc<str>>,
     /// Endpoints to which the request was sent, and when.
@@ -204,6 +209,7 @@
         let mut silence = EndpointSilence::begin();
         loop {
             if self.attempts.is_empty() {
+                self.ask_coordinator().await;
                 self.begin_attempt(resume_after)?;
                 silence = EndpointSilence::begin();
             }
@@ -368,6 +374,7 @@
             let run = self.started.elapsed().saturating_sub(waited);
             let unqueued = self.time_to_first_byte.filter(|_| self.had_free_slot);
             state.load.record_response(unqueued, run);
+            state.coordination.record_sample(unqueued, run);
             let health = state.load.health(&endpoint.id);
             health.record_success(self.started);
         }
--- a/crates/switch/src/online/pick.rs
+++ b/crates/switch/src/online/pick.rs
@@ -1,5 +1,6 @@
 //! Selects where a request goes, or rejects it.
 
+use super::ask::CoordinatedPick;
 use super::attempts::{MAX_OTHER_WAIT, RoutedTarget};
 use super::target::AttemptTarget;
 use super::{MIN_REMAINING, NO_ENDPOINT_RETRY_AFTER, OnlineExchange, OnlineReply};
@@ -19,7 +20,7 @@
 /// Maximum number of endpoints tried for one request, including those that refused it.
 pub(super) const MAX_SENDS: u32 = 4;
 /// Maximum expected wait with which a stream is resumed. Well under the 2 s after which callers abandon a stream.
-const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
+pub(super) const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 /// Fraction of the time left that callers accept as a retry delay; they honour up to a third.
 const MAX_RETRY_FRACTION: f64 = 0.3;
 
@@ -32,7 +33,7 @@
 
 impl OnlineExchange {
     /// Selects the service of the next attempt. A stream goes on at the service that began it.
-    fn pick_service(&self, state: &mut SwitchState, now: Instant) -> Option<Arc<str>> {
+    pub(super) fn pick_service(&self, state: &mut SwitchState, now: Instant) -> Option<Arc<str>> {
         let route = &self.request.route;
         let draw = state.rng.random::<f64>();
         let drawn = route.pick_service(draw);
@@ -55,6 +56,8 @@
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         }
         let node = self.node.clone();
+        // Dropped after the lock is released.
+        let asked = self.asked.take();
         let state = &mut *node.lock();
         let admission = node.admit(state, &self.request.call.id, &self.suspects, now);
         if let Admission::Rejected { retry_after } = admission {
@@ -68,6 +71,13 @@
                 return Ok(routed);
             }
         }
+        let coordinated = asked.as_ref().and_then(|asked| {
+            let pick = self.coordinated_pick(state, asked)?;
+            Some((asked.service.clone(), pick))
+        });
+        if let Some((service, pick)) = coordinated {
+            return self.apply_coordinated(state, &service, pick);
+        }
         let Some(service) = self.pick_service(state, now) else {
             return Err(self.failure_reply(NO_ENDPOINT_RETRY_AFTER));
         };
@@ -100,6 +110,31 @@
         }
     }
 
+    /// Routes or rejects the request as a coordinator decided.
+    fn apply_coordinated(
+        &mut self,
+        state: &mut SwitchState,
+        service: &str,
+        pick: CoordinatedPick,
+    ) -> Result<RoutedTarget, OnlineReply> {
+        match pick {
+            CoordinatedPick::Use {
+                endpoint,
+                has_free_slot,
+            } => {
+                let routed = self.route(state, service, endpoint);
+                self.had_free_slot = self.sends == 1 && has_free_slot;
+                Ok(routed)
+            }
+            CoordinatedPick::Full { retry_after, wait } => {
+                info!(self.node.deps.logger, "request not routed"; "request" => &*self.request.call.id,
+                    "service" => service, "cause" => "a coordinator says that all endpoints have queues",
+                    "wait_ms" => millis(wait));
+                Err(self.failure_reply(retry_after))
+            }
+        }
+    }
+
     /// Selects where the request goes beside the silent target that has it, and counts it there. `None` if none can take the request
     /// now.
     pub(super) fn pick_other(&mut self, silent: &Arc<str>) -> Option<RoutedTarget> {
