--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -224,7 +224,7 @@
 }
 
 /// Address for messages of a host, if it is known.
-fn peer_address(members: &MemberTable, name: &str) -> Option<SocketAddr> {
+pub(crate) fn peer_address(members: &MemberTable, name: &str) -> Option<SocketAddr> {
     let mut all = members.all();
     let found = all.find(|entry| *entry.descriptor.name == *name);
     found.map(|entry| entry.descriptor.peer_address)
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -104,6 +104,8 @@
     uninterrupted_since: Option<Instant>,
     /// Time of the last read of the listings; `None` before the first one.
     read_at: Option<Instant>,
+    /// Time of the first read of the listings.
+    first_read_at: Option<Instant>,
     /// Offset up to which the listings have been read.
     read_until: u64,
     /// Offset before which another host has confirmed all removals.
@@ -123,8 +125,12 @@
                 entry.removal = None;
                 let changed = *entry.endpoint != endpoint;
                 if changed {
+                    let old = entry.clone();
                     entry.version = endpoint.version_key();
                     entry.endpoint = Arc::new(endpoint);
+                    if old.version != entry.version {
+                        self.record_past_version(&old, Instant::now());
+                    }
                 }
                 changed
             }
@@ -195,6 +201,7 @@
         if has_gap || self.uninterrupted_since.is_none() {
             self.uninterrupted_since = Some(now);
         }
+        self.first_read_at.get_or_insert(now);
         (self.read_at, self.read_until) = (Some(now), end);
         if self.log_unavailable {
             self.log_unavailable = false;
@@ -255,6 +262,22 @@
         Some(now.saturating_duration_since(self.read_at?))
     }
 
+    /// Time for which this host has followed the listings.
+    #[must_use]
+    pub fn watched_for(&self, now: Instant) -> Duration {
+        let first_read_at = self.first_read_at.unwrap_or(now);
+        now.saturating_duration_since(first_read_at)
+    }
+
+    /// Services with the software versions of all listed endpoints.
+    #[must_use]
+    pub fn versions(&self) -> Vec<(Arc<str>, VersionKey)> {
+        let entries = self.entries.iter();
+        entries
+            .map(|entry| (entry.endpoint.service.clone(), entry.version))
+            .collect()
+    }
+
     /// When the deferred removal of an endpoint is due; `None` if its removal is not deferred.
     #[must_use]
     pub fn removal_due(&self, id: &str) -> Option<Instant> {
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -19,6 +19,7 @@
 use crate::reach::ReachReport;
 use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
+use crate::versions;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -130,7 +131,9 @@
 pub(crate) fn apply_host_descriptors(node: &SwitchNode, batch: FollowBatch<'_>) {
     let now = Instant::now();
     for entry in batch.records() {
-        if crash_log::apply_record(node, entry) || entry.record.value.is_empty() {
+        let is_applied =
+            crash_log::apply_record(node, entry) || versions::store::apply_record(node, entry);
+        if is_applied || entry.record.value.is_empty() {
             continue;
         }
         match postcard::from_bytes::<HostDescriptor>(&entry.record.value) {
@@ -142,6 +145,9 @@
                 "offset" => entry.offset, "cause" => %error),
         }
     }
+    if let FollowBatch::Snapshot(_) = batch {
+        node.lock().versions.history.mark_read();
+    }
 }
 
 /// Sends and receives heartbeats.
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -21,7 +21,8 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::{batch, crash_exchange, crash_log, jobs, listings};
+use crate::versions::VersionState;
+use crate::{batch, crash_exchange, crash_log, jobs, listings, versions};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -61,6 +62,8 @@
     pub jobs: LogPartition,
     /// Output texts of items.
     pub texts: LogPartition,
+    /// Origins of streams. Records of this topic expire, and do not replace each other.
+    pub origins: LogPartition,
 }
 
 /// Settings of a host.
@@ -74,6 +77,8 @@
     pub job_retention: Duration,
     /// Grace period for shutdown.
     pub grace: Duration,
+    /// Whether the whole system starts for the first time, so that nothing in it is older than this host.
+    pub is_first_start: bool,
 }
 
 /// Decodes records written by the operator and by endpoints.
@@ -124,6 +129,7 @@
     pub(crate) coordination: CoordinationState,
     pub(crate) limits: LimitTable,
     pub(crate) origins: OriginTable,
+    pub(crate) versions: VersionState,
     pub(crate) overload: OverloadTracker,
     pub(crate) crashes: CrashState,
     pub(crate) reach: EndpointReach,
@@ -191,6 +197,10 @@
     pub(crate) socket: OnceLock<UdpSocket>,
     /// Notifies the tasks that wait for the origin of a stream.
     pub(crate) origin_received: Notify,
+    /// Requests an append of the origins that this host has to write to the log.
+    pub(crate) origins_queued: Notify,
+    /// Offset up to which this host has read the origins in the log.
+    pub(crate) origins_read_until: tokio::sync::Mutex<u64>,
     /// Requests an immediate heartbeat to all hosts.
     pub(crate) heartbeat_requested: Notify,
     /// Requests an immediate heartbeat to the neighbours.
@@ -222,6 +232,7 @@
             coordination: CoordinationState::default(),
             limits: LimitTable::default(),
             origins: OriginTable::default(),
+            versions: VersionState::default(),
             overload: OverloadTracker::default(),
             crashes: CrashState::default(),
             reach: EndpointReach::default(),
@@ -252,6 +263,8 @@
             schedule_requested: Notify::new(),
             socket: OnceLock::new(),
             origin_received: Notify::new(),
+            origins_queued: Notify::new(),
+            origins_read_until: tokio::sync::Mutex::new(0),
             heartbeat_requested: Notify::new(),
             neighbour_heartbeat_requested: Notify::new(),
             reach_changes: watch::Sender::new(ReachPhase::Reached),
@@ -290,6 +303,8 @@
         tokio::spawn(gossip::exchange_heartbeats(self.clone(), socket));
         tokio::spawn(crash_exchange::share_crashes(self.clone()));
         tokio::spawn(crash_log::store_reports(self.clone()));
+        tokio::spawn(versions::store::store_changes(self.clone()));
+        tokio::spawn(versions::origin_log::store_origins(self.clone()));
         tokio::spawn(batch::run_scheduler(self.clone()));
         tokio::spawn(jobs::expire_jobs(self.clone()));
     }
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -321,7 +321,8 @@
             .is_none_or(|recorded_at| now >= recorded_at + ORIGIN_INTERVAL);
         if is_due && let Some(began_by) = self.began_by() {
             let stream = StreamKey::of(began_by);
-            self.node.record_origin(StreamOrigin { stream, version });
+            let origin = StreamOrigin { stream, version };
+            self.node.record_origin(origin, &self.request.route);
             self.origin_recorded_at = Some(now);
         }
     }
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -1,10 +1,12 @@
 //! Copies the origins of streams to other hosts, and asks them for the origin of a stream that a caller takes up.
 
+use crate::coordinator::peer_address;
 use crate::gossip::send_origin_message;
 use crate::members::{HostDescriptor, highest_ranked};
-use crate::node::SwitchNode;
-use crate::origins::{StreamKey, StreamOrigin, VersionKey};
+use crate::node::{SwitchNode, SwitchState};
+use crate::origins::{RETENTION, StreamKey, StreamOrigin, VersionKey};
 use crate::route::ServiceRoute;
+use crate::versions::origin_log::{read_origins, writer_of};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,19 +29,45 @@
     Known(StreamOrigin),
     /// The sender asks for the origin of a stream.
     Wanted(StreamKey),
+    /// The receiver is to write the origin to the log.
+    Store(StreamOrigin),
 }
 
 impl SwitchNode {
-    /// Records the origin of a stream here and at other hosts.
-    pub(crate) fn record_origin(&self, origin: StreamOrigin) {
+    /// Records the origin of a stream of these services here and at other hosts, and in the log if their versions do not tell it.
+    pub(crate) fn record_origin(&self, origin: StreamOrigin, route: &ServiceRoute) {
         let now = Instant::now();
-        let targets = {
-            let mut state = self.lock();
+        let services = service_names(route);
+        let (targets, writer) = {
+            let state = &mut *self.lock();
             state.origins.record(origin, now);
             let hosts = state.members.live(now);
-            addresses(&highest_ranked(hosts, origin.stream.hash(), COPIES))
+            let targets = addresses(&highest_ranked(hosts, origin.stream.hash(), COPIES));
+            let is_stored = state.sole_version(&services, now).is_none();
+            let writer = is_stored.then(|| self.find_writer(state, &origin, now));
+            (targets, writer.flatten())
         };
         send_origin_message(self, OriginMessage::Known(origin), &targets);
+        if let Some(writer) = writer {
+            send_origin_message(self, OriginMessage::Store(origin), &[writer]);
+        }
+    }
+
+    /// Address of the host that writes an origin to the log. `None` if it is this one, which has queued it.
+    fn find_writer(
+        &self,
+        state: &mut SwitchState,
+        origin: &StreamOrigin,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let own = &*self.settings.descriptor.name;
+        let writer = writer_of(&state.members, origin, own, now);
+        let address = peer_address(&state.members, writer);
+        if address.is_none() {
+            state.queue_origin(*origin);
+            self.origins_queued.notify_one();
+        }
+        address
     }
 
     /// Finds the version that began the stream of the request `resumes`, asking other hosts if this one does not know
@@ -49,17 +77,19 @@
         resumes: Option<&str>,
         route: &ServiceRoute,
     ) -> Option<VersionKey> {
-        let services: Vec<&str> = route.services().map(|service| &**service).collect();
+        let services = service_names(route);
         let stream = resumes.map(StreamKey::of);
         if let Some(known) = stream.and_then(|stream| self.lock().origins.version_of(stream)) {
             return Some(known);
         }
         let now = Instant::now();
-        let (sole_version, is_current) = {
-            let endpoints = &self.lock().endpoints;
+        let (sole_version, is_current, has_watched) = {
+            let state = self.lock();
+            let endpoints = &state.endpoints;
             (
-                endpoints.sole_version(&services, now),
+                state.sole_version(&services, now),
                 endpoints.is_current(now),
+                endpoints.watched_for(now) >= RETENTION,
             )
         };
         let Some(stream) = stream else {
@@ -68,7 +98,25 @@
         if sole_version.is_some() && is_current {
             return sole_version;
         }
-        self.ask_origin(stream).await.or(sole_version)
+        // All hosts may have started when this one did, and know no more.
+        if !has_watched && let Some(stored) = self.stored_origin(stream).await {
+            return Some(stored);
+        }
+        if let Some(known) = self.ask_origin(stream).await {
+            return Some(known);
+        }
+        let stored = if has_watched {
+            self.stored_origin(stream).await
+        } else {
+            None
+        };
+        stored.or(sole_version)
+    }
+
+    /// The origin of a stream in the log.
+    async fn stored_origin(&self, stream: StreamKey) -> Option<VersionKey> {
+        read_origins(self).await;
+        self.lock().origins.version_of(stream)
     }
 
     /// Asks other hosts for the origin of a stream.
@@ -106,6 +154,10 @@
                 self.lock().origins.record(origin, Instant::now());
                 self.origin_received.notify_waiters();
             }
+            OriginMessage::Store(origin) => {
+                self.lock().queue_origin(origin);
+                self.origins_queued.notify_one();
+            }
             OriginMessage::Wanted(stream) => {
                 let known = self.lock().origins.version_of(stream);
                 if let Some(version) = known {
@@ -117,6 +169,10 @@
     }
 }
 
+fn service_names(route: &ServiceRoute) -> Vec<&str> {
+    route.services().map(|service| &**service).collect()
+}
+
 fn addresses(hosts: &[&HostDescriptor]) -> Vec<SocketAddr> {
     hosts.iter().map(|host| host.peer_address).collect()
 }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -19,4 +19,5 @@
 mod pure;
 mod quarantine;
 mod support;
+mod version_history;
 mod versions;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -263,6 +263,9 @@
 
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError> {
         sleep(Duration::from_millis(1)).await;
+        if self.is_cut_topic(partition) {
+            return Err(unavailable());
+        }
         let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let end = topic.records.len() as u64;
@@ -1165,9 +1168,11 @@
                 hosts: topic("hosts"),
                 jobs: topic("jobs"),
                 texts: topic("texts"),
+                origins: topic("origins"),
             },
             job_retention: Duration::from_mins(2),
             grace: Duration::from_secs(8),
+            is_first_start: true,
         };
         let deps = SwitchDependencies {
             log: Arc::new(self.log.clone()),
--- a/crates/switch/tests/switch/versions.rs
+++ b/crates/switch/tests/switch/versions.rs
@@ -170,6 +170,8 @@
         fleet.log.put("endpoints", "v2-a", "");
         sleep(Duration::from_secs(1)).await;
     }
+    // A lone host of a new system has the versions in the log after 1.7 s. Before that it rejects.
+    sleep(Duration::from_secs(1)).await;
     let outcome = read_response(&node, resumption(&node, "s", "unknown")).await;
     let expected = [CallerOutcome::Rejected, CallerOutcome::Complete(event(3))];
     assert_eq!(outcome, expected[usize::from(is_served)]);
