--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -5,12 +5,13 @@
 use fulmarswitch_caller::client::{CallerClient, CallerError};
 use fulmarswitch_http::HttpClient;
 use fulmarswitch_operator::{PublishCall, RecordReply, StatusReply};
+use fulmarswitch_ports::claim_address;
 use hyper::Method;
 use serde::Serialize;
 use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -170,7 +171,7 @@
         failure_domain: &str,
         extra_settings: &str,
     ) -> Result<FleetMember, FleetError> {
-        let [callers, messages, streams] = free_addresses()?;
+        let [callers, messages, streams] = claim_addresses()?;
         let platform = &self.platform.address;
         let settings = format!(
             "host = \"{name}\"\n\
@@ -409,15 +410,12 @@
     Ok(folder)
 }
 
-/// Finds free ports. All listeners stay open until the last port is found, so that the ports are distinct.
-fn free_addresses<const COUNT: usize>() -> Result<[SocketAddr; COUNT], FleetError> {
-    let what = "finding a free port";
-    let mut listeners = Vec::new();
+/// Claims ports that no other process is given.
+fn claim_addresses<const COUNT: usize>() -> Result<[SocketAddr; COUNT], FleetError> {
+    let what = "claiming a port";
     let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); COUNT];
     for address in &mut addresses {
-        let listener = TcpListener::bind(*address).context(LocalResourceSnafu { what })?;
-        *address = listener.local_addr().context(LocalResourceSnafu { what })?;
-        listeners.push(listener);
+        *address = claim_address().context(LocalResourceSnafu { what })?;
     }
     Ok(addresses)
 }
--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -226,7 +226,7 @@
             let key = EndpointKey::of(&endpoint.id);
             self.load.record_preemption(&endpoint.id, now);
             self.coordination.record_preemption(group, now);
-            let mut holders = self.load.item_holders(key);
+            let mut holders = self.load.reports().item_holders(key);
             holders.push((own.clone(), self.load.own(&endpoint.id).batch));
             for pending in &self.coordination.preempting {
                 let mut told = holders.iter_mut();
--- a/crates/switch/src/coordinator/exchange.rs
+++ b/crates/switch/src/coordinator/exchange.rs
@@ -388,7 +388,7 @@
         keys.dedup();
         let counts = |state: &Self| -> Vec<u16> {
             keys.iter()
-                .map(|key| state.load.items_of(&host, *key))
+                .map(|key| state.load.reports().items_of(&host, *key))
                 .collect()
         };
         let before = counts(self);
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -39,6 +39,7 @@
 mod origin_exchange;
 pub mod origins;
 pub mod overload;
+pub mod peer_load;
 pub mod progress;
 pub mod prompt;
 pub mod quarantine;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -3,9 +3,12 @@
 //! A host counts its own requests in flight exactly, and receives the counts of other hosts in their heartbeats.
 //! Endpoints are not polled.
 
+mod batch;
+
 use crate::affinity::HostAffinity;
 use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
+use crate::peer_load::{PeerLoad, PeerReports, peer_loads};
 use crate::report::{EndpointKey, EndpointReport, LoadReport, RequestCounts};
 use crate::wait::{ResponseTimes, RunStarts, WaitingRequests};
 use rand::Rng;
@@ -20,14 +23,8 @@
 const NON_PREFERRED_COST: f64 = 3.0;
 /// Number of endpoints outside the preferred ones that are considered for one request.
 const NON_PREFERRED_SAMPLE: usize = 4;
-/// Slots of a preferred endpoint that batch items leave free for online requests.
-const PREFERRED_RESERVED_SLOTS: u32 = 1;
-/// Slots of any other endpoint that batch items leave free, since other hosts may fill it between two heartbeats.
-const NON_PREFERRED_RESERVED_SLOTS: u32 = 3;
 /// Cost, in requests, of waiting for a batch item to be preempted.
 const PREEMPTION_COST: f64 = 0.5;
-/// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
-const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
 
 /// Class of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,8 +85,7 @@
 #[derive(Clone, Debug)]
 pub struct LoadView {
     entries: Vec<(EndpointKey, LoadEntry)>,
-    /// Latest reports of the other hosts, sorted by host.
-    reports: Vec<(Arc<str>, Vec<PeerLoad>)>,
+    reports: PeerReports,
     failing: FailingReports,
     response_times: ResponseTimes,
     affinity: HostAffinity,
@@ -99,15 +95,6 @@
     changed: Vec<EndpointKey>,
 }
 
-/// Load of another host at one endpoint.
-#[derive(Clone, Copy, Debug)]
-struct PeerLoad {
-    key: EndpointKey,
-    counts: RequestCounts,
-    runs: RunStarts,
-    overdue: u16,
-}
-
 /// Result of [`LoadView::pick_online`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointPick {
@@ -126,7 +113,7 @@
     fn default() -> Self {
         Self {
             entries: Vec::new(),
-            reports: Vec::new(),
+            reports: PeerReports::default(),
             failing: FailingReports::default(),
             response_times: ResponseTimes::default(),
             affinity: HostAffinity::default(),
@@ -287,28 +274,10 @@
         *count = count.saturating_sub(1);
     }
 
-    /// Hosts that report items at an endpoint, with their number.
+    /// Latest reports of the other hosts.
     #[must_use]
-    pub fn item_holders(&self, key: EndpointKey) -> Vec<(Arc<str>, u16)> {
-        let of_host = |report: &[PeerLoad]| {
-            let load = report.iter().find(|load| load.key == key)?;
-            (load.counts.batch > 0).then_some(load.counts.batch)
-        };
-        let reports = self.reports.iter();
-        reports
-            .filter_map(|(host, report)| Some((host.clone(), of_host(report)?)))
-            .collect()
-    }
-
-    /// Number of items at an endpoint that another host reports.
-    #[must_use]
-    pub fn items_of(&self, host: &str, key: EndpointKey) -> u16 {
-        let found = self
-            .reports
-            .binary_search_by(|(name, _)| (**name).cmp(host));
-        let report = found.map_or(&[][..], |index| &self.reports[index].1);
-        let load = report.iter().find(|load| load.key == key);
-        load.map_or(0, |load| load.counts.batch)
+    pub fn reports(&self) -> &PeerReports {
+        &self.reports
     }
 
     /// Takes the endpoints at which the load of this host has changed since the last call.
@@ -333,24 +302,12 @@
 
     /// Replaces the load report of another host by one that was received at `now`.
     pub fn update_report(&mut self, host: &Arc<str>, report: LoadReport, now: Instant) {
-        let now = self.since_origin(now);
-        let loads = report.into_iter().map(|(key, report)| PeerLoad {
-            key,
-            counts: report.counts,
-            runs: report.ages.starts(now),
-            overdue: report.overdue,
-        });
-        self.replace_report(host, loads.collect());
+        let loads = peer_loads(report, self.since_origin(now));
+        self.replace_report(host, loads);
     }
 
     fn replace_report(&mut self, host: &Arc<str>, report: Vec<PeerLoad>) {
-        let old = match self.reports.binary_search_by(|(name, _)| name.cmp(host)) {
-            Ok(index) => std::mem::replace(&mut self.reports[index].1, report.clone()),
-            Err(index) => {
-                self.reports.insert(index, (host.clone(), report.clone()));
-                Vec::new()
-            }
-        };
+        let old = self.reports.replace(host, report.clone());
         for load in old {
             let entry = self.entry(load.key);
             entry.peers = entry.peers.minus(load.counts);
@@ -467,70 +424,6 @@
         EndpointPick::Use(endpoint.clone())
     }
 
-    /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free and that `is_admitted` selects
-    /// qualify.
-    pub fn pick_batch<'a>(
-        &self,
-        table: &'a EndpointTable,
-        filter: impl Into<EndpointFilter<'a>>,
-        is_admitted: impl Fn(&str) -> bool,
-        now: Instant,
-        rng: &mut impl Rng,
-    ) -> Option<Arc<ListedEndpoint>> {
-        table
-            .serving(filter, now)
-            .filter(|endpoint| is_admitted(&endpoint.id))
-            .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
-            .filter(|endpoint| !self.is_full(&endpoint.id, now))
-            .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
-            .filter(|endpoint| self.free_batch_slots(endpoint) > 0)
-            .map(|endpoint| {
-                let total = f64::from(self.total(&endpoint.id).total());
-                let affinity = self.affinity_cost(&endpoint.id);
-                (total + affinity + rng.random::<f64>(), endpoint)
-            })
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, endpoint)| endpoint.clone())
-    }
-
-    /// Counts the free slots of a service that batch items may use.
-    #[must_use]
-    pub fn free_slots(&self, table: &EndpointTable, service: &str, now: Instant) -> FreeSlots {
-        let mut free = FreeSlots::default();
-        let usable = table
-            .serving(service, now)
-            .filter(|endpoint| !self.recently_preempted(&endpoint.id, now));
-        for endpoint in usable {
-            let slots = self.free_batch_slots(endpoint);
-            if self.is_preferred(&endpoint.id) {
-                free.preferred += slots;
-            } else {
-                free.other += slots;
-            }
-        }
-        free
-    }
-
-    /// Number of this host's batch items to preempt at an endpoint.
-    ///
-    /// Each host preempts its share of the excess, rounded up, so that hosts with the same view of the load do not each
-    /// preempt an item for the same request.
-    #[must_use]
-    pub fn batch_preemptions(&self, endpoint: &ListedEndpoint, now: Instant) -> u32 {
-        let Some(entry) = self.find(&endpoint.id) else {
-            return 0;
-        };
-        let total = entry.total();
-        let own = u32::from(entry.own.batch);
-        let overdue = self.unsettled_overdue(&endpoint.id, now);
-        let excess = total.total().saturating_sub(endpoint.slots).max(overdue);
-        if excess == 0 || own == 0 {
-            return 0;
-        }
-        let batch = u32::from(total.batch).max(1);
-        (excess.min(batch) * own).div_ceil(batch).min(own)
-    }
-
     /// Number of overdue online requests at an endpoint, unless an item has just been preempted for them: a request that has just got its
     /// slot is overdue until its first byte.
     pub(crate) fn unsettled_overdue(&self, id: &str, now: Instant) -> u32 {
@@ -598,29 +491,6 @@
             .is_ok()
     }
 
-    /// Slots that batch items leave free at an endpoint.
-    fn reserved_slots(&self, id: &str) -> u32 {
-        if self.is_preferred(id) {
-            PREFERRED_RESERVED_SLOTS
-        } else {
-            NON_PREFERRED_RESERVED_SLOTS
-        }
-    }
-
-    fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
-        if self.is_overdue(&endpoint.id) {
-            return 0;
-        }
-        let used = self.total(&endpoint.id).total() + self.reserved_slots(&endpoint.id);
-        endpoint.slots.saturating_sub(used)
-    }
-
-    fn recently_preempted(&self, id: &str, now: Instant) -> bool {
-        self.find(id)
-            .and_then(|entry| entry.preempted_at)
-            .is_some_and(|preempted_at| now < preempted_at + PREEMPTION_COOLDOWN)
-    }
-
     /// Expected wait of one more online request at an endpoint.
     pub(crate) fn expected_wait(&self, endpoint: &ListedEndpoint, now: Instant) -> Duration {
         let Some(entry) = self.find(&endpoint.id) else {
--- /dev/null
+++ b/crates/switch/src/load/batch.rs
@@ -0,0 +1,104 @@
+//! Batch items: where they may run, and how many must give way.
+
+use super::{FreeSlots, LoadView};
+use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Slots of a preferred endpoint that batch items leave free for online requests.
+const PREFERRED_RESERVED_SLOTS: u32 = 1;
+/// Slots of any other endpoint that batch items leave free, since other hosts may fill it between two heartbeats.
+const NON_PREFERRED_RESERVED_SLOTS: u32 = 3;
+/// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
+const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
+
+impl LoadView {
+    /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free and that `is_admitted` selects
+    /// qualify.
+    pub fn pick_batch<'a>(
+        &self,
+        table: &'a EndpointTable,
+        filter: impl Into<EndpointFilter<'a>>,
+        is_admitted: impl Fn(&str) -> bool,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Arc<ListedEndpoint>> {
+        table
+            .serving(filter, now)
+            .filter(|endpoint| is_admitted(&endpoint.id))
+            .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
+            .filter(|endpoint| !self.is_full(&endpoint.id, now))
+            .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
+            .filter(|endpoint| self.free_batch_slots(endpoint) > 0)
+            .map(|endpoint| {
+                let total = f64::from(self.total(&endpoint.id).total());
+                let affinity = self.affinity_cost(&endpoint.id);
+                (total + affinity + rng.random::<f64>(), endpoint)
+            })
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, endpoint)| endpoint.clone())
+    }
+
+    /// Counts the free slots of a service that batch items may use.
+    #[must_use]
+    pub fn free_slots(&self, table: &EndpointTable, service: &str, now: Instant) -> FreeSlots {
+        let mut free = FreeSlots::default();
+        let usable = table
+            .serving(service, now)
+            .filter(|endpoint| !self.recently_preempted(&endpoint.id, now));
+        for endpoint in usable {
+            let slots = self.free_batch_slots(endpoint);
+            if self.is_preferred(&endpoint.id) {
+                free.preferred += slots;
+            } else {
+                free.other += slots;
+            }
+        }
+        free
+    }
+
+    /// Number of this host's batch items to preempt at an endpoint.
+    ///
+    /// Each host preempts its share of the excess, rounded up, so that hosts with the same view of the load do not each
+    /// preempt an item for the same request.
+    #[must_use]
+    pub fn batch_preemptions(&self, endpoint: &ListedEndpoint, now: Instant) -> u32 {
+        let Some(entry) = self.find(&endpoint.id) else {
+            return 0;
+        };
+        let total = entry.total();
+        let own = u32::from(entry.own.batch);
+        let overdue = self.unsettled_overdue(&endpoint.id, now);
+        let excess = total.total().saturating_sub(endpoint.slots).max(overdue);
+        if excess == 0 || own == 0 {
+            return 0;
+        }
+        let batch = u32::from(total.batch).max(1);
+        (excess.min(batch) * own).div_ceil(batch).min(own)
+    }
+
+    /// Slots that batch items leave free at an endpoint.
+    fn reserved_slots(&self, id: &str) -> u32 {
+        if self.is_preferred(id) {
+            PREFERRED_RESERVED_SLOTS
+        } else {
+            NON_PREFERRED_RESERVED_SLOTS
+        }
+    }
+
+    fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
+        if self.is_overdue(&endpoint.id) {
+            return 0;
+        }
+        let used = self.total(&endpoint.id).total() + self.reserved_slots(&endpoint.id);
+        endpoint.slots.saturating_sub(used)
+    }
+
+    fn recently_preempted(&self, id: &str, now: Instant) -> bool {
+        self.find(id)
+            .and_then(|entry| entry.preempted_at)
+            .is_some_and(|preempted_at| now < preempted_at + PREEMPTION_COOLDOWN)
+    }
+}
