Give free slots to the most urgent items of all hosts

Cause: a host sorts its own items by urgency, but asks of different hosts were answered in the order in which they came, so that under load an item with time left could take the slot of one that was due.

Change: a coordinator remembers for 120 ms which hosts found no room, with the urgency of their item, and grants a slot only beyond those for more urgent ones.

--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -4,6 +4,7 @@
 use super::group::GroupId;
 use super::message::{GroupRoom, SlotAsk, SlotNeed, SlotOutcome, message_millis};
 use super::pick::{GroupPick, GroupView, RoomCount};
+use super::waiting::ItemUrgency;
 use super::{MAX_ROOM_AGE, PREEMPTION_TIME, PendingPreemption};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::load::RequestClass;
@@ -149,13 +150,25 @@
         candidates: &[Arc<ListedEndpoint>],
         now: Instant,
     ) -> SlotOutcome {
+        let SlotNeed::Item { in_time, due_ms } = ask.need else {
+            return SlotOutcome::Missing;
+        };
+        let urgency = ItemUrgency {
+            is_late: !in_time,
+            due_ms,
+        };
+        let waiting = &self.coordination.waiting_items;
+        let ahead = waiting.ahead_of(&ask.host, urgency, now);
         let candidates: Vec<&Arc<ListedEndpoint>> = candidates.iter().collect();
         let picked = if self.coordination.pauses_items(&ask.group, now) {
             None
         } else {
-            self.with_view(now, |view, rng| view.pick_item(&candidates, now, rng))
+            self.with_view(now, |view, rng| {
+                view.pick_item(&candidates, ahead, now, rng)
+            })
         };
         if let Some(endpoint) = picked {
+            self.coordination.waiting_items.remove(&ask.host);
             return self.grant(ask, &endpoint, RequestClass::Batch, now);
         }
         if !ask.is_final
@@ -169,6 +182,7 @@
         if candidates.is_empty() {
             return SlotOutcome::Missing;
         }
+        self.coordination.waiting_items.add(&ask.host, urgency, now);
         SlotOutcome::Full {
             wait_ms: 0,
             retry_after_ms: message_millis(ITEM_RETRY),
--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -4,8 +4,8 @@
 //! reports are older than the load that they describe, or cost more than the requests, and hosts collide at slots that each of them takes
 //! to be free. There the endpoints are divided into groups ([`group`]), and a host asks the coordinator of a group for an endpoint:
 //! one datagram each way. The coordinator counts what it grants ([`grants`]), and hosts report each change of their load to the coordinators
-//! concerned, so that it knows the load of its group exactly ([`pick`]). It tells hosts to preempt items, and names the group with the most
-//! room when its own has none.
+//! concerned, so that it knows the load of its group exactly ([`pick`]). It gives slots to the most
+//! urgent items first ([`waiting`]), tells hosts to preempt items, and names the group with the most room when its own has none.
 //!
 //! A coordinator only advises. It holds no lease: a host that is asked answers, and two hosts that are both asked, as views of the
 //! membership differ, at worst fill one queue twice. The request stays with the host that has its caller. If no coordinator answers within
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod message;
 pub mod pick;
+pub mod waiting;
 
 pub(crate) use exchange::{AskGuard, SlotRequest};
 
@@ -35,6 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use waiting::WaitingItems;
 
 /// Number of other hosts up to which each host chooses endpoints itself. Up to there, heartbeats come each tenth of a second.
 const MAX_DIRECT_HOSTS: usize = 20;
@@ -61,6 +63,7 @@
     groups: Vec<EndpointGroup>,
     pub(crate) asks: AskTable,
     grants: SlotGrants,
+    waiting_items: WaitingItems,
     preempting: Vec<PendingPreemption>,
     /// When an item was last told to give way, by group.
     preempted_at: Vec<(GroupId, Instant)>,
--- a/crates/switch/src/coordinator/pick.rs
+++ b/crates/switch/src/coordinator/pick.rs
@@ -133,14 +133,16 @@
         }
     }
 
-    /// Selects the endpoint of an item: the one with the most free slots. `None` if the group has none for items.
+    /// Selects the endpoint of an item: the one with the most free slots. `None` if the group has none for items beyond those for the
+    /// `ahead` items that are more urgent.
     pub fn pick_item(
         &self,
         candidates: &[&Arc<ListedEndpoint>],
+        ahead: u32,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
-        if self.room(candidates, now).free_for_items() == 0 {
+        if self.room(candidates, now).free_for_items() <= ahead {
             return None;
         }
         let usable = candidates
--- a/crates/switch/tests/switch/coordinator.rs
+++ b/crates/switch/tests/switch/coordinator.rs
@@ -8,6 +8,7 @@
 use fulmarswitch_switch::coordinator::group::{EndpointGroup, compute_groups};
 use fulmarswitch_switch::coordinator::message::SlotOutcome;
 use fulmarswitch_switch::coordinator::pick::{GroupPick, GroupView};
+use fulmarswitch_switch::coordinator::waiting::{ItemUrgency, WaitingItems};
 use fulmarswitch_switch::endpoint::{EndpointTable, ListedEndpoint};
 use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
 use fulmarswitch_switch::node::SwitchNode;
@@ -235,7 +236,7 @@
             load: &load,
             preempting: &no_preemptions,
         };
-        let Some(endpoint) = view.pick_item(&candidates, now, &mut rng) else {
+        let Some(endpoint) = view.pick_item(&candidates, 0, now, &mut rng) else {
             break;
         };
         load.add_granted(EndpointKey::of(&endpoint.id), RequestClass::Batch);
@@ -244,6 +245,41 @@
     assert_eq!(started, 12 * SLOTS - (12 * SLOTS).div_ceil(20));
 }
 
+/// Overload of items: more wait than there are slots. Guards against slots that go to whoever asks next.
+#[test]
+fn most_urgent_items_go_first() {
+    let urgency = |is_late, due_ms| ItemUrgency { is_late, due_ms };
+    let now = Instant::now();
+    let mut waiting = WaitingItems::default();
+    waiting.add(&"a".into(), urgency(false, 20), now);
+    waiting.add(&"b".into(), urgency(false, 10), now);
+    waiting.add(&"c".into(), urgency(true, 5), now);
+    assert_eq!(waiting.ahead_of("c", urgency(true, 5), now), 2);
+    assert_eq!(waiting.ahead_of("a", urgency(false, 20), now), 1);
+    assert_eq!(waiting.ahead_of("b", urgency(false, 10), now), 0);
+    waiting.remove("b");
+    assert_eq!(waiting.ahead_of("a", urgency(false, 20), now), 0);
+    // A host that does not ask again, as it was lost or its item has run elsewhere, holds no slot back.
+    assert_eq!(
+        waiting.ahead_of("c", urgency(true, 5), now + Duration::from_millis(121)),
+        0
+    );
+    let all = endpoints("a", 1);
+    let candidates: Vec<_> = all.iter().collect();
+    let load = LoadView::default();
+    let view = GroupView {
+        load: &load,
+        preempting: &no_preemptions,
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let free = SLOTS - 1;
+    assert!(
+        view.pick_item(&candidates, free - 1, now, &mut rng)
+            .is_some()
+    );
+    assert!(view.pick_item(&candidates, free, now, &mut rng).is_none());
+}
+
 fn grant(host: &str, number: u32, granted_at: Instant) -> SlotGrant {
     SlotGrant {
         host: host.into(),
