--- a/review/cases/src/daemon.rs
+++ b/review/cases/src/daemon.rs
@@ -7,6 +7,7 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use rustix::process::{Pid, Signal, kill_process};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -26,6 +27,8 @@
     pub name: String,
     /// Address for clients.
     pub frontend: SocketAddr,
+    /// Address for look-ups.
+    pub registry: SocketAddr,
     ready: SocketAddr,
     child: Child,
 }
@@ -56,11 +59,27 @@
         Ok(Self {
             name: name.to_owned(),
             frontend,
+            registry,
             ready,
             child,
         })
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        if let Ok(id) = i32::try_from(self.child.id())
+            && let Some(pid) = Pid::from_raw(id)
+        {
+            // An error means that the process has ended.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits until the daemon is ready.
     ///
     /// # Errors
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -4,7 +4,9 @@
 mod daemon;
 mod failed_twice;
 mod nested_route;
+mod planned_stop;
 mod record;
+mod same_id;
 mod server;
 mod store;
 
@@ -90,6 +92,8 @@
         match case {
             "failed-twice" => failed_twice::run(&record, &settings.0, trouble).await,
             "nested-route" => nested_route::run(&record, &settings.0, trouble).await,
+            "same-id" => same_id::run(&record, &settings.0, trouble).await,
+            "planned-stop" => planned_stop::run(&record, &settings.0, trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
     };
