--- a/review/cases/src/planned_stop.rs
+++ b/review/cases/src/planned_stop.rs
@@ -1,6 +1,6 @@
 //! One of three daemons gets SIGTERM under steady traffic of streams, a third of which last four seconds.
 //!
-//! Clients keep the answer of a look-up for `ttl_s`, a third of them three times as long.
+//! Clients keep the answer of a look-up for `ttl_s`, half of them three times as long.
 
 use crate::daemon::{Daemon, call};
 use crate::record::Record;
@@ -25,7 +25,7 @@
 /// Number of events of a long stream, and of another one.
 const EVENTS: [u64; 2] = [106, 8];
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
-const CLIENTS: usize = 400;
+const CLIENTS: usize = 480;
 /// Time budget of a request, as `Deadline-Ms`, and timeout of the route.
 const BUDGET: Duration = Duration::from_secs(5);
 /// Maximum pause of a client between two requests, in milliseconds.
@@ -97,7 +97,7 @@
         let options = ServerOptions {
             id,
             service: "svc",
-            slots: 160,
+            slots: 200,
         };
         start_server(options, &store, &runs, Arc::new(plan), record).await?;
     }
@@ -212,7 +212,7 @@
             if Instant::now() >= kept_until
                 && let Some((found, ttl)) = self.look_up(request).await
             {
-                let factor = if self.number.is_multiple_of(3) {
+                let factor = if self.number.is_multiple_of(2) {
                     3.0
                 } else {
                     1.0
