--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -3,6 +3,8 @@
 
 mod daemon;
 mod failed_twice;
+mod held_back;
+mod lifetime;
 mod nested_route;
 mod planned_stop;
 mod record;
@@ -94,6 +96,7 @@
             "nested-route" => nested_route::run(&record, &settings.0, trouble).await,
             "same-id" => same_id::run(&record, &settings.0, trouble).await,
             "planned-stop" => planned_stop::run(&record, &settings.0, trouble).await,
+            "held-back" => held_back::run(&record, &settings.0, trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
     };
--- a/review/cases/src/same_id.rs
+++ b/review/cases/src/same_id.rs
@@ -3,16 +3,14 @@
 //! Clients whose streams broke off take them up again. What two versions write doesn't fit together.
 
 use crate::daemon::Daemon;
+use crate::lifetime::{Server, ServerKind};
 use crate::record::Record;
 use crate::store::Store;
 use crate::{HOST, Verdict};
 use bytes::Bytes;
-use fulmarswitch_platform_standins::http_util::{Body, header_text, read_body, response, serve};
-use futures::{StreamExt, stream};
-use http_body_util::{BodyExt, Empty, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -21,8 +19,8 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::Runtime;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::{Instant, sleep, timeout};
 
 const EVENTS: u64 = 60;
@@ -37,8 +35,6 @@
 const START_INTERVAL: Duration = Duration::from_millis(140);
 /// Number of retries of a client.
 const RETRIES: usize = 3;
-/// Interval at which a server writes to the store.
-const HEARTBEAT: Duration = Duration::from_millis(1200);
 
 fn config() -> String {
     json!({
@@ -55,87 +51,6 @@
     .to_string()
 }
 
-/// One start of a server. Its channels close when it ends.
-struct Server {
-    runtime: Runtime,
-}
-
-impl Server {
-    /// Starts a server, which lists itself before it accepts the first request.
-    fn start(
-        id: &'static str,
-        version: &'static str,
-        address: SocketAddr,
-        store: &Store,
-        record: &Record,
-    ) -> io::Result<Self> {
-        let runtime = Runtime::new()?;
-        let (store, born) = (store.clone(), crate::unix_ms());
-        let listing = move |sequence: u64| {
-            json!({
-                "service": "svc", "address": address.to_string(), "zone": "z", "version": version,
-                "slots": 64, "state": "ready", "cold_left_ms": 0, "sequence": sequence,
-                "born": born,
-            })
-            .to_string()
-        };
-        store.put("keyed.servers", id, &listing(1));
-        record.line(format!("server {id}: starts at {version} and is listed so"));
-        let served_record = record.clone();
-        runtime.spawn(async move {
-            let Ok(listener) = TcpListener::bind(address).await else {
-                served_record.line(format!("server {id}: its address is in use"));
-                return;
-            };
-            serve(listener, move |request| {
-                answer(request, id, version, served_record.clone())
-            })
-            .await;
-        });
-        runtime.spawn(async move {
-            for sequence in 2.. {
-                sleep(HEARTBEAT).await;
-                store.put("keyed.servers", id, &listing(sequence));
-            }
-        });
-        Ok(Self { runtime })
-    }
-
-    fn end(self) {
-        self.runtime.shutdown_background();
-    }
-}
-
-async fn answer(
-    request: Request<Incoming>,
-    id: &'static str,
-    version: &'static str,
-    record: Record,
-) -> Option<Response<Body>> {
-    let expected = header_text(&request, "expect-instance");
-    if expected.is_some_and(|expected| expected != id) {
-        return Some(response(421, ""));
-    }
-    let request_id = header_text(&request, "request-id")?.to_owned();
-    let after = header_text(&request, "last-event-id").and_then(|after| after.parse().ok());
-    read_body(request).await?;
-    record.line(format!(
-        "server {id} ({version}): runs {request_id}, after event {after:?}"
-    ));
-    let first: u64 = after.unwrap_or(0) + 1;
-    let frames = stream::iter(first..=EVENTS).then(move |event| async move {
-        sleep(EVENT_INTERVAL).await;
-        let text = format!("id: {event}\ndata: {version}\n\n");
-        Ok::<_, io::Error>(Frame::data(Bytes::from(text)))
-    });
-    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
-    let headers = answer.headers_mut();
-    headers.insert("content-type", "text/event-stream".parse().ok()?);
-    headers.insert("request-id", request_id.parse().ok()?);
-    headers.insert("signature", format!("sig.{request_id}").parse().ok()?);
-    Some(answer)
-}
-
 /// What a client got of its stream over all its tries.
 #[derive(Clone, Debug, Default)]
 struct Text {
@@ -146,11 +61,21 @@
 
 pub async fn run(record: &Record, folder: &Path, trouble: bool) -> io::Result<Verdict> {
     let (store, store_address) = Store::start(record).await?;
+    // Nobody listens to the starts of runs.
+    let (started, _) = unbounded_channel();
     let mut servers = Vec::new();
     for (id, version) in [("i-1", "v2"), ("i-2", "v2"), ("i-3", "v1")] {
         let address = fulmarswitch_ports::claim_address()?;
-        let server = Server::start(id, version, address, &store, record)?;
-        servers.push((address, server));
+        let kind = ServerKind {
+            id,
+            version,
+            address,
+            events: EVENTS,
+            interval: EVENT_INTERVAL,
+            started: started.clone(),
+        };
+        let server = Server::start(&kind, &store, record)?;
+        servers.push((kind, server));
     }
     store.put("keyed.op", "config", &config());
     let mut daemons = Vec::new();
@@ -172,20 +97,19 @@
         }));
         sleep(Duration::from_millis(20)).await;
     }
-    if trouble && let Some((address, server)) = servers.pop() {
+    if trouble && let Some((mut kind, server)) = servers.pop() {
         record.line("server i-3: ends");
-        server.end();
+        drop(server);
         sleep(DOWN_TIME).await;
-        let server = Server::start("i-3", "v2", address, &store, record)?;
-        servers.push((address, server));
+        kind.version = "v2";
+        let server = Server::start(&kind, &store, record)?;
+        servers.push((kind, server));
     }
     let mut texts = Vec::new();
     for client in clients {
         texts.push(client.await.map_err(io::Error::other)?);
     }
-    for (_, server) in servers {
-        server.end();
-    }
+    drop(servers);
     let began = texts.iter().filter(|text| text.last_event > 0).count();
     let complete = texts.iter().filter(|text| text.is_complete).count();
     let joined = texts.iter().filter(|text| text.versions.len() > 1).count();
