--- a/review/cases/src/held_back.rs
+++ b/review/cases/src/held_back.rs
@@ -19,7 +19,9 @@
 const JOB: &str = "91d07c3a5be2f468";
 const ITEM: &str = "a4c6e8f013579bd2";
 const DAEMONS: [&str; 6] = ["edge-1", "edge-2", "edge-3", "edge-4", "edge-5", "edge-6"];
-const SERVERS: [&str; 6] = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+const SERVERS: [&str; 12] = [
+    "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10", "i-11", "i-12",
+];
 const EVENTS: u64 = 150;
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Number of crashes.
--- a/review/cases/src/same_id.rs
+++ b/review/cases/src/same_id.rs
@@ -25,8 +25,11 @@
 
 const EVENTS: u64 = 60;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
-/// Number of streams. A third of them begin at the server that starts again.
-const STREAMS: usize = 60;
+const SERVERS: [&str; 7] = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", LAST];
+/// The server that starts again.
+const LAST: &str = "i-7";
+/// Number of streams. About a seventh of them begin at the server that starts again.
+const STREAMS: usize = 210;
 /// Time from the end of the server to its next start.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time budget of a client, as `Deadline-Ms`.
@@ -64,7 +67,8 @@
     // Nobody listens to the starts of runs.
     let (started, _) = unbounded_channel();
     let mut servers = Vec::new();
-    for (id, version) in [("i-1", "v2"), ("i-2", "v2"), ("i-3", "v1")] {
+    for id in SERVERS {
+        let version = if id == LAST { "v1" } else { "v2" };
         let address = fulmarswitch_ports::claim_address()?;
         let kind = ServerKind {
             id,
@@ -95,10 +99,10 @@
         clients.push(tokio::spawn(async move {
             read_stream(number, &addresses, &record).await
         }));
-        sleep(Duration::from_millis(20)).await;
+        sleep(Duration::from_millis(6)).await;
     }
     if trouble && let Some((mut kind, server)) = servers.pop() {
-        record.line("server i-3: ends");
+        record.line(format!("server {LAST}: ends"));
         drop(server);
         sleep(DOWN_TIME).await;
         kind.version = "v2";
