--- a/review/cases/src/daemon.rs
+++ b/review/cases/src/daemon.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
@@ -21,7 +22,10 @@
 /// Time that a client waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// A running daemon. It is killed when this is dropped.
+/// All daemons that were started.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// A running daemon.
 pub struct Daemon {
     /// Name of the daemon.
     pub name: String,
@@ -30,7 +34,24 @@
     /// Address for look-ups.
     pub registry: SocketAddr,
     ready: SocketAddr,
-    child: Child,
+    process_id: u32,
+}
+
+/// Kills all daemons, and waits until they have ended.
+pub fn end_all() {
+    let mut children = lock_children();
+    for child in children.iter_mut() {
+        // An error means that the process has ended.
+        let _ = child.kill();
+    }
+    for child in children.iter_mut() {
+        let _ = child.wait();
+    }
+    children.clear();
+}
+
+fn lock_children() -> MutexGuard<'static, Vec<Child>> {
+    CHILDREN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Daemon {
@@ -56,18 +77,20 @@
             .stdout(log)
             .stderr(Stdio::null())
             .spawn()?;
+        let process_id = child.id();
+        lock_children().push(child);
         Ok(Self {
             name: name.to_owned(),
             frontend,
             registry,
             ready,
-            child,
+            process_id,
         })
     }
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        if let Ok(id) = i32::try_from(self.child.id())
+        if let Ok(id) = i32::try_from(self.process_id)
             && let Some(pid) = Pid::from_raw(id)
         {
             // An error means that the process has ended.
@@ -76,8 +99,13 @@
     }
 
     /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let mut children = lock_children();
+        let mut own = children
+            .iter_mut()
+            .filter(|child| child.id() == self.process_id);
+        own.all(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
     /// Waits until the daemon is ready.
@@ -99,14 +127,6 @@
     }
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        // An error means that the process has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// The program of the deploy file.
 fn program() -> PathBuf {
     PathBuf::from("target/release/fulmarswitch-node")
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -103,6 +103,7 @@
     let verdict = tokio::time::timeout(CASE_TIMEOUT, running)
         .await
         .unwrap_or(Ok(Verdict::NotRun));
+    daemon::end_all();
     if let Ok(logs) = std::env::var("KEEP_LOGS") {
         for entry in std::fs::read_dir(&settings.0)? {
             let entry = entry?;
--- a/review/cases/src/planned_stop.rs
+++ b/review/cases/src/planned_stop.rs
@@ -123,7 +123,7 @@
         clients.push(tokio::spawn(client.run()));
     }
     sleep(LEAD).await;
-    let stopped = &mut daemons[0];
+    let stopped = &daemons[0];
     let address = stopped.frontend;
     let signalled = Instant::now();
     if trouble {
