--- a/review/cases/src/failed_twice.rs
+++ b/review/cases/src/failed_twice.rs
@@ -23,7 +23,7 @@
 /// Time for the item to be done.
 const WAIT: Duration = Duration::from_secs(40);
 /// Window in which the answer is lost, as `platform_lost` has it.
-const WINDOW: Duration = Duration::from_secs(5);
+const WINDOW: Duration = Duration::from_millis(4500);
 
 fn config() -> Value {
     json!({
