--- a/crates/switch/src/batch/outcomes.rs
+++ b/crates/switch/src/batch/outcomes.rs
@@ -127,26 +127,42 @@
     }
 }
 
+/// A record to append.
+struct PendingRecord {
+    record: JobRecord,
+    /// Number of the record's key in every append; `None` for an unused one in each.
+    number: Option<u64>,
+}
+
+impl From<JobRecord> for PendingRecord {
+    fn from(record: JobRecord) -> Self {
+        let number = None;
+        Self { record, number }
+    }
+}
+
 /// Writes the texts of completed items, retrying until the append succeeds, and returns the records of the updates.
-async fn write_texts(node: &SwitchNode, updates: &[ItemUpdate]) -> Vec<JobRecord> {
+async fn write_texts(node: &SwitchNode, updates: &[ItemUpdate]) -> Vec<PendingRecord> {
     let mut texts = TextBatch::default();
-    let mut records = Vec::new();
+    let mut records: Vec<PendingRecord> = Vec::new();
     for update in updates {
         let (job, item) = (update.name.job.clone(), update.name.item);
         let outcome = match &update.kind {
             UpdateKind::Failed => {
-                records.push(JobRecord::Failed { job, item });
+                let record = JobRecord::Failed { job, item };
+                let number = Some(node.lock().numbers.next_failure_number());
+                records.push(PendingRecord { record, number });
                 continue;
             }
             UpdateKind::Discarded => {
                 let writer = node.lock().numbers.writer();
-                records.push(JobRecord::Discarded { job, item, writer });
+                records.push(JobRecord::Discarded { job, item, writer }.into());
                 continue;
             }
             UpdateKind::Abandoned => ItemOutcome::Abandoned,
             UpdateKind::Completed(text) => ItemOutcome::Completed(texts.add(node, text)),
         };
-        records.push(JobRecord::Settled { job, item, outcome });
+        records.push(JobRecord::Settled { job, item, outcome }.into());
     }
     if !texts.frames.is_empty() {
         let partition = &node.settings.topics.texts;
@@ -155,7 +171,7 @@
             if let JobRecord::Settled {
                 outcome: ItemOutcome::Completed(location),
                 ..
-            } = record
+            } = &mut record.record
             {
                 location.offset += first;
             }
@@ -165,17 +181,18 @@
 }
 
 /// Writes outcomes, retrying until the append succeeds. Each attempt uses new keys: with the same keys, compaction
-/// would keep the later copy, and readers that start from a snapshot would see the outcome at another position.
-async fn write_outcomes(node: &SwitchNode, records: &[JobRecord]) {
+/// would keep the later copy, and readers that start from a snapshot would see the outcome at another position. A failed
+/// run has no position, and keeps its key: each key counts as a failure of its own.
+async fn write_outcomes(node: &SwitchNode, records: &[PendingRecord]) {
     let partition = &node.settings.topics.jobs;
     append_with_retry(node, partition, || encode_all(node, records)).await;
     node.read_requested.notify_one();
 }
 
-fn encode_all(node: &SwitchNode, records: &[JobRecord]) -> Vec<KeyedRecord> {
+fn encode_all(node: &SwitchNode, records: &[PendingRecord]) -> Vec<KeyedRecord> {
     let mut frames = Vec::new();
-    for record in records {
-        let number = node.lock().numbers.next_number();
+    for PendingRecord { record, number } in records {
+        let number = number.unwrap_or_else(|| node.lock().numbers.next_number());
         match record.encode(number) {
             Ok(parts) => frames.extend(parts),
             Err(error) => warn!(node.deps.logger, "record not encoded";
@@ -186,7 +203,7 @@
 }
 
 /// Appends with retries until the log acknowledges the records. They may be in the log twice; readers use the first
-/// copy.
+/// copy of an outcome, and count a failed run once.
 async fn append_with_retry(
     node: &SwitchNode,
     partition: &LogPartition,
@@ -239,7 +256,7 @@
         // No record refers to the texts, so they are harmless; the next checkpoint writes them again.
         return 0;
     };
-    let records: Vec<JobRecord> = deltas
+    let records: Vec<PendingRecord> = deltas
         .iter()
         .map(|(name, _, delta, location)| JobRecord::Checkpoint {
             job: name.job.clone(),
@@ -254,6 +271,7 @@
                 },
             },
         })
+        .map(PendingRecord::from)
         .collect();
     let frames = encode_all(node, &records);
     let appended = node.append_to(&node.settings.topics.jobs, &frames).await;
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -337,9 +337,14 @@
             }
             RunOutcome::Failed => {
                 node.record_error_response(state, endpoint, RequestClass::Batch);
-                let failures = state.histories.record_failure(name, now);
-                let total = failures.max(recorded_failures(state, name) + 1);
-                let is_exhausted = total >= item_attempts(state, name);
+                let own = state.histories.record_failure(name, now);
+                let recorded = recorded_failures(state, name);
+                let attempts = item_attempts(state, name);
+                let is_exhausted = own.max(recorded + 1) >= attempts;
+                info!(node.deps.logger, "item failed"; "job" => &*name.job, "item" => name.item,
+                    "endpoint" => endpoint, "own_failures" => own,
+                    "recorded_failures" => recorded, "attempts" => attempts,
+                    "given_up" => is_exhausted);
                 let (name, kind) = (name.clone(), UpdateKind::Failed);
                 send_update(updates, ItemUpdate { name, kind });
                 is_exhausted.then_some(UpdateKind::Abandoned)
@@ -352,7 +357,8 @@
 /// Number of failed runs of an item at all hosts, as recorded in the log.
 fn recorded_failures(state: &SwitchState, name: &ItemName) -> u32 {
     let job = state.ledger.get(&name.job);
-    job.map_or(0, |job| job.items[name.item as usize].failures)
+    let failures = job.map_or(0, |job| job.items[name.item as usize].failures.len());
+    u32::try_from(failures).unwrap_or(u32::MAX)
 }
 
 fn item_attempts(state: &SwitchState, name: &ItemName) -> u32 {
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -492,7 +492,8 @@
 async fn delete_records(node: &SwitchNode, job: &LedgerJob) {
     let topics = &node.settings.topics;
     for (partition, is_text) in [(&topics.texts, true), (&topics.jobs, false)] {
-        let frames = job.frames.iter().filter(|frames| frames.is_text == is_text);
+        let frames = job.frames.iter();
+        let frames = frames.filter(|frames| frames.is_text == is_text);
         let tombstones: Vec<KeyedRecord> = frames
             .flat_map(|frames| frames.tombstones(&job.id))
             .collect();
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -3,8 +3,9 @@
 //! All hosts apply the same records in the same order, so they agree on which items have an outcome and on the
 //! position of each result.
 
+use crate::frame_set::FrameSet;
 use crate::progress::{ProgressSegment, SegmentChain};
-use crate::record::{AcceptedItem, AcceptedJob, FrameRange, ItemOutcome, JobRecord};
+use crate::record::{AcceptedItem, AcceptedJob, FailedRun, FrameRange, ItemOutcome, JobRecord};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,8 +26,8 @@
     pub accepted: AcceptedItem,
     /// Whether the item has an outcome.
     pub state: ItemState,
-    /// Number of failed runs at all hosts.
-    pub failures: u32,
+    /// Failed runs at all hosts, sorted.
+    pub failures: Vec<FailedRun>,
     /// Checkpointed output.
     pub checkpoints: SegmentChain,
 }
@@ -60,7 +61,7 @@
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
     /// Frames in the log that belong to the job.
-    pub frames: Vec<FrameRange>,
+    pub frames: FrameSet,
 }
 
 impl LedgerJob {
@@ -68,7 +69,7 @@
         let items = accepted.items.into_iter().map(|item| LedgerItem {
             accepted: item,
             state: ItemState::Open,
-            failures: 0,
+            failures: Vec::new(),
             checkpoints: SegmentChain::default(),
         });
         Self {
@@ -80,7 +81,7 @@
             items: items.collect(),
             results: Vec::new(),
             cancelled: false,
-            frames: Vec::new(),
+            frames: FrameSet::default(),
         }
     }
 
@@ -107,7 +108,7 @@
 /// Effect of a record on the ledger.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LedgerChange {
-    /// No change: the record repeats an earlier one, does not apply to the state of the item, or refers to an unknown
+    /// No change: the record was applied before, repeats an earlier one, does not apply to the state of the item, or refers to an unknown
     /// job or item.
     Repeated,
     /// A job was added.
@@ -136,8 +137,17 @@
 impl JobLedger {
     /// Applies a record from the log, whose last frame has the key `last_key`. Stores which frames belong to the job,
     /// also those of repeated records, so that they can be deleted with it.
+    ///
+    /// A record is applied once: it comes again in a snapshot that is read after the tail has expired, and if it was
+    /// appended twice under one key.
     pub fn apply_entry(&mut self, record: JobRecord, last_key: &[u8]) -> LedgerChange {
         let job = record.job().clone();
+        let record_frames = FrameRange::from_record_key(last_key);
+        if let (Some(job), Some(frames)) = (self.get(&job), record_frames)
+            && job.frames.contains(frames)
+        {
+            return LedgerChange::Repeated;
+        }
         let text_frames = match &record {
             JobRecord::Settled {
                 outcome: ItemOutcome::Completed(location),
@@ -150,28 +160,26 @@
             } => Some(FrameRange::from_text(location)),
             _ => None,
         };
-        let change = self.apply(record);
+        let change = match (&record, record_frames) {
+            (JobRecord::Failed { job, item }, Some(frames)) => {
+                self.record_failure(job, *item, frames.into())
+            }
+            _ => self.apply(record),
+        };
         if let Some(job) = self.get_mut(&job) {
-            let record_frames = FrameRange::from_record_key(last_key);
-            job.frames
-                .extend(text_frames.into_iter().chain(record_frames));
+            for frames in text_frames.into_iter().chain(record_frames) {
+                job.frames.insert(frames);
+            }
         }
         change
     }
 
-    /// Applies a record.
+    /// Applies a record. A failed run has no effect, as only the key of its record identifies it.
     pub fn apply(&mut self, record: JobRecord) -> LedgerChange {
         match record {
             JobRecord::Accepted(accepted) => self.accept(accepted),
             JobRecord::Settled { job, item, outcome } => self.settle(&job, item, outcome),
-            JobRecord::Failed { job, item } => match self.open_item_mut(&job, item) {
-                Some(item) => {
-                    item.failures += 1;
-                    LedgerChange::Failed
-                }
-                None => LedgerChange::Repeated,
-            },
-            JobRecord::Progress { .. } => LedgerChange::Repeated,
+            JobRecord::Failed { .. } | JobRecord::Progress { .. } => LedgerChange::Repeated,
             JobRecord::Checkpoint { job, item, segment } => {
                 let item = self.open_item_mut(&job, item);
                 if item.is_some_and(|item| item.checkpoints.push(segment)) {
@@ -280,6 +288,19 @@
         }
     }
 
+    fn record_failure(&mut self, job: &str, item: u32, run: FailedRun) -> LedgerChange {
+        let Some(item) = self.open_item_mut(job, item) else {
+            return LedgerChange::Repeated;
+        };
+        match item.failures.binary_search(&run) {
+            Ok(_) => LedgerChange::Repeated,
+            Err(index) => {
+                item.failures.insert(index, run);
+                LedgerChange::Failed
+            }
+        }
+    }
+
     fn open_item_mut(&mut self, job: &str, item: u32) -> Option<&mut LedgerItem> {
         let item = self.get_mut(job)?.items.get_mut(item as usize)?;
         (item.state == ItemState::Open).then_some(item)
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`coordinator`], [`wait`], [`affinity`],
-//! [`ledger`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
@@ -22,6 +22,7 @@
 pub mod endpoint;
 pub mod events;
 mod follow;
+pub mod frame_set;
 pub mod gossip;
 pub mod health;
 pub mod in_flight;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -9,7 +9,7 @@
 use crate::follow::{FollowBatch, FollowOptions, follow};
 use crate::gossip;
 use crate::jobs::TextCache;
-use crate::ledger::JobLedger;
+use crate::ledger::{JobLedger, LedgerChange};
 use crate::limits::LimitTable;
 use crate::load::{LoadView, RequestClass};
 use crate::members::{HostDescriptor, MemberTable};
@@ -517,13 +517,17 @@
             JobRecord::Cancelled { .. } => "ended",
         };
         let last_key = &last_frame.record.key;
+        let discarded_item = match &record {
+            JobRecord::Discarded { item, .. } => Some(*item),
+            _ => None,
+        };
         let mut state = self.lock();
-        if let JobRecord::Discarded { job, item, .. } = &record {
+        let change = state.ledger.apply_entry(record, last_key);
+        if let (LedgerChange::Discarded, Some(item)) = (&change, discarded_item) {
             state
                 .unrecorded
-                .retain(|name| (&name.job, name.item) != (job, *item));
+                .retain(|name| (&name.job, name.item) != (&job, item));
         }
-        let change = state.ledger.apply_entry(record, last_key);
         drop(state);
         slog::debug!(self.deps.logger, "job record"; "job" => &*job, "kind" => kind,
             "offset" => last_frame.offset, "change" => ?change);
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -199,9 +199,11 @@
     count: u64,
 }
 
-/// Number of low bits that hold the count within an incarnation. An incarnation writes fewer than 2^28 records and
-/// texts.
+/// Number of low bits that hold the count within an incarnation and [`FAILURE_BIT`]. An incarnation writes fewer than 2^27
+/// records and texts.
 const COUNT_BITS: u32 = 28;
+/// Bit of a number that marks the record of a failed run. All copies of such a record in the log have the same key.
+const FAILURE_BIT: u64 = 1 << (COUNT_BITS - 1);
 
 impl RecordNumberGenerator {
     /// Creates the generator for an incarnation of a host.
@@ -226,7 +228,31 @@
     /// ```
     pub fn next_number(&mut self) -> u64 {
         self.count += 1;
-        self.base | (self.count & ((1 << COUNT_BITS) - 1))
+        self.base | (self.count & (FAILURE_BIT - 1))
+    }
+
+    /// Returns an unused number for the record of a failed run. Every append of the record uses this number, so that a
+    /// repeated append is not taken for a second failure.
+    pub fn next_failure_number(&mut self) -> u64 {
+        self.next_number() | FAILURE_BIT
+    }
+}
+
+/// Identifies a failed run of an item.
+///
+/// Hosts of releases up to b14947a append the record again under another key if the log does not respond, which nothing
+/// tells from a second failure. All failures of an item that one incarnation of such a host recorded count as one: an
+/// item may run more often than its attempts, but must not be abandoned too early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FailedRun(u64);
+
+impl From<FrameRange> for FailedRun {
+    fn from(record: FrameRange) -> Self {
+        if record.number & FAILURE_BIT == 0 {
+            Self(record.writer() << COUNT_BITS)
+        } else {
+            Self(record.number)
+        }
     }
 }
 
@@ -242,6 +268,12 @@
 }
 
 impl FrameRange {
+    /// Identifies the incarnation of the host that wrote the frames.
+    #[must_use]
+    pub fn writer(self) -> u64 {
+        self.number >> COUNT_BITS
+    }
+
     /// Returns the frames of a text.
     #[must_use]
     pub fn from_text(location: &TextLocation) -> Self {
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -4,6 +4,7 @@
     AppendFault, CallScript, TestFleet, full_text, large_text, results, submission, wait_until,
 };
 use fulmarswitch_switch::jobs::{JobReply, SubmitReply};
+use fulmarswitch_switch::node::SwitchNode;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -93,6 +94,53 @@
     assert_eq!(results(&node, "j").await.results[0].text, None);
 }
 
+/// Guards against an item that is abandoned with attempts left, since a failure whose append got no response is in the log
+/// twice.
+#[rstest]
+#[case::response_lost(AppendFault::LoseResponse)]
+#[case::appended_late(AppendFault::AppendLate(Duration::from_millis(300)))]
+#[tokio::test(start_paused = true)]
+async fn failure_whose_append_got_no_response_counts_once(#[case] fault: AppendFault) {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&FAILURES_APART);
+    node.submit_job(submission("j", 1)).await;
+    fleet.log.inject_fault("jobs", fault);
+    assert_completes_after_failures(&fleet, &node).await;
+}
+
+/// Guards against an item that is abandoned with attempts left, since its host counts all failures again when it reads a
+/// snapshot after the tail has expired.
+#[tokio::test(start_paused = true)]
+async fn failures_in_a_snapshot_that_is_read_again_count_once() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&FAILURES_APART);
+    node.submit_job(submission("j", 1)).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.log.set_cut(true);
+    fleet.log.put("jobs", "of another writer", "");
+    fleet.log.expire("jobs");
+    fleet.log.set_cut(false);
+    assert_completes_after_failures(&fleet, &node).await;
+}
+
+/// Two failures of an item, between which all records of the first one are read.
+const FAILURES_APART: [CallScript; 3] = [
+    CallScript::Status(500),
+    CallScript::BreakAfterSilence {
+        after: 0,
+        silence: Duration::from_secs(3),
+    },
+    CallScript::Status(500),
+];
+
+async fn assert_completes_after_failures(fleet: &TestFleet, node: &SwitchNode) {
+    sleep(Duration::from_secs(8)).await;
+    assert_eq!(fleet.client.calls().len(), FAILURES_APART.len() + 1);
+    assert_eq!(results(node, "j").await.results[0].text, Some(full_text(3)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn impossible_item_is_abandoned_at_once() {
     let fleet = TestFleet::new(2);
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod jobs;
 mod leaving;
+mod ledger_entries;
 mod limits;
 mod load;
 mod logging;
