--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -23,6 +23,7 @@
 use crate::report::EndpointKey;
 use crate::route::{RouteKind, RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
+use crate::trial::ASK_INTERVAL;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use outcomes::{ItemUpdate, UpdateKind, record_updates, run_checkpoints, send_update};
 use rand::Rng;
@@ -282,11 +283,11 @@
 ) -> bool {
     let now = Instant::now();
     let parts = node.deps.client.prompt_parts(&call.headers);
-    if let Admission::Rejected { retry_after } = node.admit(state, &call.id, &parts, now) {
+    if let Admission::Rejected { trial_in, .. } = node.admit(state, &call.id, &parts, now) {
         info!(node.deps.logger, "item held back"; "job" => &*name.job,
             "item" => name.item, "parts" => %parts,
             "cause" => "parts of its prompt crash endpoints");
-        let until = now + retry_after.min(MAX_HOLD_TIME);
+        let until = now + trial_in.clamp(ASK_INTERVAL, MAX_HOLD_TIME);
         state.histories.hold_back(&name, until);
         return false;
     }
--- a/crates/switch/src/coordinator/exchange.rs
+++ b/crates/switch/src/coordinator/exchange.rs
@@ -6,7 +6,6 @@
     CoordinatorMessage, LoadMessage, MAX_EXCLUDED, MAX_SAMPLES, SlotAnswer, SlotAsk, SlotNeed,
     SlotOutcome,
 };
-use super::peer_address;
 use crate::gossip::send_coordinator_message;
 use crate::node::{SwitchNode, SwitchState};
 use crate::origins::VersionKey;
@@ -180,7 +179,7 @@
         let own = &self.settings.descriptor;
         if **coordinator == *own.name {
             self.answer_ask(state, &ask, own.peer_address);
-        } else if let Some(address) = peer_address(&state.members, coordinator) {
+        } else if let Some(address) = state.members.peer_address(coordinator) {
             send_coordinator_message(self, CoordinatorMessage::Ask(ask), &[address]);
         }
     }
@@ -231,7 +230,7 @@
             if *order.host == **own {
                 state.coordination.add_order(order.endpoint, 1);
                 self.schedule_requested.notify_one();
-            } else if let Some(address) = peer_address(&state.members, &order.host) {
+            } else if let Some(address) = state.members.peer_address(&order.host) {
                 let message = CoordinatorMessage::Preempt {
                     endpoint: order.endpoint,
                     count: 1,
@@ -297,7 +296,7 @@
             let group = endpoint.and_then(|endpoint| coordination.group_of(endpoint));
             let name = group.and_then(|group| coordination.coordinator_of(&group.id, now));
             let name = name.filter(|name| ***name != *self.settings.descriptor.name);
-            targets.extend(name.and_then(|name| peer_address(&state.members, name)));
+            targets.extend(name.and_then(|name| state.members.peer_address(name)));
         }
         targets.sort_unstable();
         targets.dedup();
@@ -351,7 +350,7 @@
         let ring = after.iter().chain(before);
         let others = ring.filter(|name| ****name != *own);
         let mut targets: Vec<SocketAddr> = others
-            .filter_map(|name| peer_address(&state.members, name))
+            .filter_map(|name| state.members.peer_address(name))
             .take(MAX_ROOM_TARGETS)
             .collect();
         targets.sort_unstable();
--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -32,7 +32,6 @@
 use group::{EndpointGroup, GroupId, compute_groups};
 use message::{GroupRoom, MAX_EXCLUDED, MAX_SAMPLES};
 use rand::Rng;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -225,10 +224,3 @@
     let unusable = unusable.map(|endpoint| EndpointKey::of(&endpoint.id));
     tried.chain(unusable).take(MAX_EXCLUDED).collect()
 }
-
-/// Address for messages of a host, if it is known.
-pub(crate) fn peer_address(members: &MemberTable, name: &str) -> Option<SocketAddr> {
-    let mut all = members.all();
-    let found = all.find(|entry| *entry.descriptor.name == *name);
-    found.map(|entry| entry.descriptor.peer_address)
-}
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -7,7 +7,7 @@
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::prompt::{PartKey, PromptParts};
-use crate::quarantine::{Admission, Quarantine, QuarantineId, QuarantineTable, SETTLE_TIME};
+use crate::quarantine::{Admission, Quarantine, QuarantineTable, SETTLE_TIME};
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Decides whether a request with these parts may be sent.
+    /// Decides whether a request with these parts may be sent. Asks for a trial that is due if another host decides on it.
     pub(crate) fn admit(
         &self,
         state: &mut SwitchState,
@@ -143,18 +143,21 @@
         parts: &PromptParts,
         now: Instant,
     ) -> Admission {
-        let (members, own) = (&state.members, &*self.settings.descriptor.name);
-        let makes_trials = |id: QuarantineId| {
-            members.hears_most(now) && members.assigned_to(id.hash(), own, now) == own
-        };
-        let admission = state.crashes.quarantine.admit(parts, now, makes_trials);
+        let members = &state.members;
+        let is_arbiter = |id, rank| self.is_arbiter(members, id, rank, now);
+        let admission = state.crashes.quarantine.admit(parts, now, is_arbiter);
         match admission {
             Admission::Sent => {}
             Admission::Trial => {
                 info!(self.deps.logger, "request is sent as a trial"; "request" => request, "parts" => %parts,
                     "cause" => "the term of a quarantine is over");
             }
-            Admission::Rejected { .. } => self.metrics.count_quarantined_request(),
+            Admission::Rejected { id, trial_in } => {
+                self.metrics.count_quarantined_request();
+                if trial_in.is_zero() {
+                    self.ask_for_trial(state, id, now);
+                }
+            }
         }
         admission
     }
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -19,6 +19,7 @@
 use crate::reach::ReachReport;
 use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
+use crate::trial_exchange::TrialMessage;
 use crate::versions;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -60,6 +61,7 @@
     },
     Limits(Vec<LimitReport>),
     Coordinator(CoordinatorMessage),
+    Trial(TrialMessage),
 }
 
 /// Wire format of a heartbeat. A [`ReachReport`] follows it in the datagram, which hosts of earlier versions do not read.
@@ -264,6 +266,11 @@
     send_message(node, &PeerMessage::Coordinator(message), targets);
 }
 
+/// Sends a message about a trial, without waiting. A host that is not started sends nothing.
+pub(crate) fn send_trial_message(node: &SwitchNode, message: TrialMessage, target: SocketAddr) {
+    send_message(node, &PeerMessage::Trial(message), &[target]);
+}
+
 /// Sends notices about crashes, without waiting. A host that is not started sends nothing.
 pub(crate) fn send_crash_notices(
     node: &SwitchNode,
@@ -382,6 +389,9 @@
                 Ok(((SCHEMA, PeerMessage::Coordinator(message)), _)) => {
                     node.handle_coordinator_message(message, from);
                 }
+                Ok(((SCHEMA, PeerMessage::Trial(message)), _)) => {
+                    node.handle_trial_message(message, from);
+                }
                 Ok(((schema, _), _)) => {
                     info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
                 }
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -329,6 +329,32 @@
             .unwrap_or(own)
     }
 
+    /// The `count` hosts with the highest rank for `hash` by rendezvous hashing over the ready hosts and `own`, highest first.
+    #[must_use]
+    pub fn ranked_hosts<'a>(
+        &'a self,
+        hash: u64,
+        own: &'a str,
+        count: usize,
+        now: Instant,
+    ) -> Vec<&'a str> {
+        let others = self.live(now).filter(|entry| entry.ready);
+        let names = others.map(|entry| &*entry.descriptor.name).chain([own]);
+        let mut ranked: Vec<_> = names
+            .map(|name| (xxh3_64_with_seed(name.as_bytes(), hash), name))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, name)| name).collect()
+    }
+
+    /// Address for messages to a host.
+    #[must_use]
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let index = self.search(name).ok()?;
+        Some(self.entries[index].descriptor.peer_address)
+    }
+
     fn search(&self, name: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| (*entry.descriptor.name).cmp(name))
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -209,6 +209,8 @@
     pub(crate) reach_changes: watch::Sender<ReachPhase>,
     /// Requests a report of crashes to all hosts.
     pub(crate) crash_report_requested: Notify,
+    /// Notifies the requests that wait for the answer of an arbiter.
+    pub(crate) trial_settled: Notify,
     pub(crate) started: Instant,
     /// When this host last got data from an endpoint, in milliseconds since its start.
     heard_ms: AtomicU64,
@@ -269,6 +271,7 @@
             neighbour_heartbeat_requested: Notify::new(),
             reach_changes: watch::Sender::new(ReachPhase::Reached),
             crash_report_requested: Notify::new(),
+            trial_settled: Notify::new(),
             started: Instant::now(),
             heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -209,6 +209,7 @@
         let mut silence = EndpointSilence::begin();
         loop {
             if self.attempts.is_empty() {
+                self.node.await_trial(&self.suspects).await;
                 self.ask_coordinator().await;
                 self.begin_attempt(resume_after)?;
                 silence = EndpointSilence::begin();
--- a/crates/switch/src/online/pick.rs
+++ b/crates/switch/src/online/pick.rs
@@ -9,7 +9,7 @@
 use crate::load::{EndpointPick, RequestClass};
 use crate::node::{SwitchState, millis};
 use crate::overload::Rejection;
-use crate::quarantine::Admission;
+use crate::quarantine::{Admission, retry_delay};
 use crate::wait::max_wait;
 use rand::Rng;
 use slog::info;
@@ -60,8 +60,8 @@
         let asked = self.asked.take();
         let state = &mut *node.lock();
         let admission = node.admit(state, &self.request.call.id, &self.suspects, now);
-        if let Admission::Rejected { retry_after } = admission {
-            return Err(self.reject_suspect(retry_after));
+        if let Admission::Rejected { trial_in, .. } = admission {
+            return Err(self.reject_suspect(retry_delay(trial_in)));
         }
         if state.reach.is_cut_off() {
             if self.request.passed_on.is_some() && self.runs == 0 {
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -1,6 +1,5 @@
 //! Copies the origins of streams to other hosts, and asks them for the origin of a stream that a caller takes up.
 
-use crate::coordinator::peer_address;
 use crate::gossip::send_origin_message;
 use crate::members::{HostDescriptor, highest_ranked};
 use crate::node::{SwitchNode, SwitchState};
@@ -62,7 +61,7 @@
     ) -> Option<SocketAddr> {
         let own = &*self.settings.descriptor.name;
         let writer = writer_of(&state.members, origin, own, now);
-        let address = peer_address(&state.members, writer);
+        let address = state.members.peer_address(writer);
         if address.is_none() {
             state.queue_origin(*origin);
             self.origins_queued.notify_one();
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -6,6 +6,7 @@
 
 use crate::crashes::{BrokenRequest, CrashRecords, EndpointCrash, SuccessiveCrashes};
 use crate::prompt::{PartKey, PromptParts};
+use crate::trial::{TRIAL_TIMEOUT, TrialSchedule};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -29,8 +30,6 @@
 const TERM_GROWTH: u32 = 8;
 /// Number of terms after which they grow no longer.
 const MAX_TERM: u8 = 4;
-/// Time after which a trial without a result is repeated.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the end of a term for which a quarantine without a request is kept.
 const RETENTION: Duration = Duration::from_hours(1);
 /// Time for which the end of a quarantine is kept, so that reports which are still on their way do not renew it.
@@ -83,8 +82,8 @@
     quarantine: Quarantine,
     /// Since when this host knows of the term.
     known_since: Instant,
-    /// When a trial is due. No trial is made before the end of the term.
-    trial_at: Instant,
+    /// No trial is due before the end of the term.
+    trial: TrialSchedule,
     /// When the quarantine is dropped.
     drop_at: Instant,
 }
@@ -93,7 +92,7 @@
     fn new(quarantine: Quarantine, now: Instant) -> Self {
         Self {
             known_since: now,
-            trial_at: quarantine.term_end,
+            trial: TrialSchedule::new(quarantine.term_end),
             drop_at: quarantine.term_end + RETENTION,
             quarantine,
         }
@@ -107,13 +106,32 @@
     Sent,
     /// It may, as the trial of a quarantine.
     Trial,
-    /// It must not before this time has passed.
+    /// It must not.
     Rejected {
-        /// Time until the next trial.
-        retry_after: Duration,
+        /// The quarantine whose trial comes last.
+        id: QuarantineId,
+        /// Time until that trial is due; zero if another host has to grant it.
+        trial_in: Duration,
     },
 }
 
+/// Delay after which the caller of a rejected request should retry: by then the next trial has a result, or is due again.
+#[must_use]
+pub fn retry_delay(trial_in: Duration) -> Duration {
+    trial_in.max(TRIAL_TIMEOUT)
+}
+
+/// Answer of an arbiter to a host that asks for a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialGrant {
+    /// The host makes the trial.
+    Granted,
+    /// The next trial is due after this time.
+    Postponed(Duration),
+    /// This host does not know the quarantine in this term, or it has ended.
+    Other,
+}
+
 /// All quarantines.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
@@ -121,29 +139,94 @@
 }
 
 impl QuarantineTable {
-    /// Decides whether a request with these parts may be sent. `makes_trials` tells whether this host is the one that makes
-    /// a trial which is due.
+    /// Decides whether a request with these parts may be sent. `is_arbiter` tells whether this host is the one with this rank
+    /// that decides on a trial.
     pub fn admit(
         &mut self,
         parts: &PromptParts,
         now: Instant,
-        makes_trials: impl FnOnce(QuarantineId) -> bool,
+        is_arbiter: impl FnOnce(QuarantineId, u32) -> bool,
     ) -> Admission {
-        let mut covering = self
-            .entries
-            .iter_mut()
-            .filter(|entry| entry.quarantine.covers(parts));
-        let Some(entry) = covering.next() else {
+        let Some(entry) = self.last_covering(parts, now) else {
             return Admission::Sent;
         };
-        let others = covering.map(|entry| entry.trial_at).max();
-        let trial_at = others.map_or(entry.trial_at, |other| other.max(entry.trial_at));
-        if now >= trial_at && makes_trials(entry.quarantine.id) {
-            entry.trial_at = now + TRIAL_TIMEOUT;
-            return Admission::Trial;
+        let id = entry.quarantine.id;
+        let trial_in = entry.trial.due_in(now);
+        let begins = trial_in.is_zero()
+            && (entry.trial.is_permitted(now) || is_arbiter(id, entry.trial.arbiter_rank(now)));
+        if !begins {
+            return Admission::Rejected { id, trial_in };
+        }
+        for entry in &mut self.entries {
+            if entry.quarantine.covers(parts) {
+                entry.trial.postpone(TRIAL_TIMEOUT, now);
+            }
+        }
+        Admission::Trial
+    }
+
+    /// Of the quarantines that cover these parts, the one whose trial is due last.
+    fn last_covering(&self, parts: &PromptParts, now: Instant) -> Option<&QuarantineEntry> {
+        let entries = self.entries.iter();
+        let covering = entries.filter(|entry| entry.quarantine.covers(parts));
+        covering.max_by_key(|entry| entry.trial.due_in(now))
+    }
+
+    /// The quarantine whose trial is due for a request with these parts and not granted to this host yet, and the rank of the
+    /// arbiter.
+    #[must_use]
+    pub fn due_trial(&self, parts: &PromptParts, now: Instant) -> Option<(QuarantineId, u32)> {
+        let entry = self.last_covering(parts, now)?;
+        let is_wanted = entry.trial.due_in(now).is_zero() && !entry.trial.is_permitted(now);
+        is_wanted.then(|| (entry.quarantine.id, entry.trial.arbiter_rank(now)))
+    }
+
+    /// Records that this host asks for a trial. Returns the term and the rank of the arbiter; `None` if none is due or the answer
+    /// to the last ask is still waited for.
+    pub fn ask_for_trial(&mut self, id: QuarantineId, now: Instant) -> Option<(u8, u32)> {
+        let index = self.position(id)?;
+        let entry = &mut self.entries[index];
+        let is_due = entry.trial.due_in(now).is_zero();
+        (is_due && entry.trial.ask(now))
+            .then(|| (entry.quarantine.term, entry.trial.arbiter_rank(now)))
+    }
+
+    /// Decides on the trial after a term, for a host that asks for it.
+    pub fn grant_trial(&mut self, id: QuarantineId, term: u8, now: Instant) -> TrialGrant {
+        let Some(entry) = self.entry_in_term(id, term) else {
+            return TrialGrant::Other;
+        };
+        let due_in = entry.trial.due_in(now);
+        if !due_in.is_zero() {
+            return TrialGrant::Postponed(due_in);
+        }
+        entry.trial.postpone(TRIAL_TIMEOUT, now);
+        TrialGrant::Granted
+    }
+
+    /// Records that this host may make the trial after a term. Returns whether it is due.
+    pub fn permit_trial(&mut self, id: QuarantineId, term: u8, now: Instant) -> bool {
+        let entry = self.entry_in_term(id, term);
+        let due = entry.filter(|entry| entry.trial.due_in(now).is_zero());
+        due.is_some_and(|entry| {
+            entry.trial.permit(now);
+            true
+        })
+    }
+
+    /// Records that the next trial after a term is due later.
+    pub fn postpone_trial(&mut self, id: QuarantineId, term: u8, time: Duration, now: Instant) {
+        if let Some(entry) = self.entry_in_term(id, term) {
+            entry.trial.postpone(time, now);
         }
-        let retry_after = trial_at.saturating_duration_since(now).max(TRIAL_TIMEOUT);
-        Admission::Rejected { retry_after }
+    }
+
+    /// The quarantine with this ID if it is in force, in this term.
+    fn entry_in_term(&mut self, id: QuarantineId, term: u8) -> Option<&mut QuarantineEntry> {
+        let index = self.position(id)?;
+        let entry = &mut self.entries[index];
+        let is_same = entry.quarantine.term == term && !entry.quarantine.parts.is_empty();
+        is_same.then_some(entry)
     }
 
     /// Whether a request with these parts is rejected, without making it a trial.
--- a/crates/switch/tests/switch/crash_model.rs
+++ b/crates/switch/tests/switch/crash_model.rs
@@ -260,7 +260,7 @@
     }
 
     fn is_admitted(&mut self, number: Option<u64>) -> bool {
-        let admission = self.table.admit(&suspects(number), self.now, |_| true);
+        let admission = self.table.admit(&suspects(number), self.now, |_, _| true);
         !matches!(admission, Admission::Rejected { .. })
     }
 
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -19,6 +19,7 @@
 mod partitions;
 mod pure;
 mod quarantine;
+mod quarantine_trials;
 mod support;
 mod version_history;
 mod versions;
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -91,12 +91,12 @@
     }
 
     fn rejects(&mut self, list: &str) -> bool {
-        let admission = self.table.admit(&parts(list), Instant::now(), |_| false);
+        let admission = self.table.admit(&parts(list), Instant::now(), |_, _| false);
         admission != Admission::Sent
     }
 
     fn is_tried(&mut self, list: &str) -> bool {
-        self.table.admit(&parts(list), Instant::now(), |_| true) == Admission::Trial
+        self.table.admit(&parts(list), Instant::now(), |_, _| true) == Admission::Trial
     }
 }
 
