Spawn item runs after the state is unlocked

All threads of limits::items_count_towards_the_limit waited for the state's lock: a runtime that shuts down drops a run as it is spawned, and the run then locks the state that the scheduler had locked.

Change: a scheduling pass returns the runs that begin, and they are spawned once the state is unlocked.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -47,23 +47,42 @@
     loop {
         // A pass is due whether it was requested or the interval has passed.
         let _ = timeout(SCHEDULE_INTERVAL, node.schedule_requested.notified()).await;
-        let mut state = node.lock();
-        let state = &mut *state;
-        cancel_closed_items(state);
-        if state.load.update_overdue(node.heard_at()) {
-            // Other hosts may run batch items at the endpoint.
-            if state.coordination.is_active() {
-                node.neighbour_heartbeat_requested.notify_one();
-            } else {
-                node.heartbeat_requested.notify_one();
-            }
+        for launch in schedule_items(&node, &updates) {
+            tokio::spawn(launch.run.run(launch.cancelled, updates.clone()));
         }
-        node.coordinate(state);
-        preempt_items(&node, state);
-        if !state.stopping && state.reach.starts_items() {
-            start_items(&node, state, &updates);
+    }
+}
+
+/// A run that is to be spawned. That must not happen while the state is locked: a runtime that shuts down drops the run at
+/// once, which locks the state to take the item out of the load.
+struct ItemLaunch {
+    run: ItemRun,
+    /// Ends the run when it is sent.
+    cancelled: oneshot::Receiver<()>,
+}
+
+/// Makes one scheduling pass. Returns the runs that begin.
+fn schedule_items(
+    node: &Arc<SwitchNode>,
+    updates: &mpsc::UnboundedSender<ItemUpdate>,
+) -> Vec<ItemLaunch> {
+    let mut state = node.lock();
+    let state = &mut *state;
+    cancel_closed_items(state);
+    if state.load.update_overdue(node.heard_at()) {
+        // Other hosts may run batch items at the endpoint.
+        if state.coordination.is_active() {
+            node.neighbour_heartbeat_requested.notify_one();
+        } else {
+            node.heartbeat_requested.notify_one();
         }
     }
+    node.coordinate(state);
+    preempt_items(node, state);
+    if state.stopping || !state.reach.starts_items() {
+        return Vec::new();
+    }
+    start_items(node, state, updates)
 }
 
 /// Cancels the runs of items that are no longer open.
@@ -150,9 +169,10 @@
     node: &Arc<SwitchNode>,
     state: &mut SwitchState,
     updates: &mpsc::UnboundedSender<ItemUpdate>,
-) {
+) -> Vec<ItemLaunch> {
+    let mut launches = Vec::new();
     let Some(routes) = state.routes.clone() else {
-        return;
+        return launches;
     };
     let now = Instant::now();
     let mut runnable = runnable_items(node, state, &routes, now, updates);
@@ -171,15 +191,8 @@
             let Some(endpoint) = coordinated_endpoint(node, state, &item, &target, now) else {
                 continue;
             };
-            begin_item(
-                node,
-                state,
-                item.name,
-                &endpoint,
-                call,
-                target.starts_again,
-                updates,
-            );
+            let begun = begin_item(node, state, item.name, &endpoint, call, target.starts_again);
+            launches.extend(begun);
             continue;
         }
         let index = match quotas.binary_search_by(|(name, _)| name.cmp(service)) {
@@ -205,20 +218,15 @@
         let Some(endpoint) = picked else {
             continue;
         };
-        if begin_item(
-            node,
-            state,
-            item.name,
-            &endpoint,
-            call,
-            target.starts_again,
-            updates,
-        ) {
+        let begun = begin_item(node, state, item.name, &endpoint, call, target.starts_again);
+        if let Some(launch) = begun {
+            launches.push(launch);
             quotas[index].1 -= 1;
         }
     }
     state.coordination.asks.resolve_granted();
     state.resolve_own_grants(&node.settings.descriptor.name);
+    launches
 }
 
 /// The endpoint that a coordinator has granted for an item. Asks for one if none has, and returns `None`.
@@ -271,7 +279,7 @@
     node.ask_for_item(state, &item.name, &request);
 }
 
-/// Starts an item at an endpoint, unless its prompt is rejected. Returns whether it was started.
+/// Starts an item at an endpoint, unless its prompt is rejected.
 fn begin_item(
     node: &Arc<SwitchNode>,
     state: &mut SwitchState,
@@ -279,8 +287,7 @@
     endpoint: &Arc<ListedEndpoint>,
     call: EndpointCall,
     starts_again: bool,
-    updates: &mpsc::UnboundedSender<ItemUpdate>,
-) -> bool {
+) -> Option<ItemLaunch> {
     let now = Instant::now();
     let parts = node.deps.client.prompt_parts(&call.headers);
     if let Admission::Rejected { trial_in, .. } = node.admit(state, &call.id, &parts, now) {
@@ -289,7 +296,7 @@
             "cause" => "parts of its prompt crash endpoints");
         let until = now + trial_in.clamp(ASK_INTERVAL, MAX_HOLD_TIME);
         state.histories.hold_back(&name, until);
-        return false;
+        return None;
     }
     let segments = if starts_again {
         state.remove_progress(&name);
@@ -302,8 +309,7 @@
         parts,
         segments,
     };
-    start_item(node, state, name, endpoint, call, updates);
-    true
+    Some(start_item(node, state, name, endpoint, call))
 }
 
 /// Where an item may run.
@@ -496,8 +502,7 @@
     name: ItemName,
     endpoint: &Arc<ListedEndpoint>,
     call: ItemCall,
-    updates: &mpsc::UnboundedSender<ItemUpdate>,
-) {
+) -> ItemLaunch {
     let ItemCall {
         call,
         parts,
@@ -539,5 +544,5 @@
         resumed_after: None,
         framing: None,
     };
-    tokio::spawn(run.run(cancelled, updates.clone()));
+    ItemLaunch { run, cancelled }
 }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -20,6 +20,7 @@
 mod pure;
 mod quarantine;
 mod quarantine_trials;
+mod shutdown;
 mod support;
 mod version_history;
 mod versions;
