--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -283,6 +283,12 @@
         self.live(now).any(MemberEntry::has_recent_data)
     }
 
+    /// Whether another host that is live is ready.
+    #[must_use]
+    pub fn others_are_ready(&self, now: Instant) -> bool {
+        self.live(now).any(|entry| entry.ready)
+    }
+
     /// Whether another host that is live and ready has access to the log.
     #[must_use]
     pub fn others_have_log(&self, now: Instant) -> bool {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -21,18 +21,20 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
+use crate::stop::{AnswerTimes, StopPlan};
 use crate::versions::VersionState;
 use crate::{batch, crash_exchange, crash_log, jobs, listings, versions};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Maximum wait of a read for the next configuration. It is short, so that a stalled connection is detected well
 /// within the 2 s in which a configuration must take effect.
@@ -46,8 +48,6 @@
 const HOST_POLL_INTERVAL: Duration = Duration::from_secs(4);
 /// Age of the last read of the job records beyond which the log counts as unavailable: a few poll intervals.
 const LOG_STALE_AFTER: Duration = Duration::from_millis(1500);
-/// Time before the end of the grace period at which a stopping host no longer waits for requests in flight.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 
 /// Partitions of the log in which the switch stores and reads records.
 #[derive(Clone, Debug)]
@@ -147,6 +147,7 @@
     pub(crate) unrecorded: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) online_in_flight: usize,
     /// Requests of callers that have begun to arrive and whose answers are not written completely.
     pub(crate) open_requests: usize,
@@ -212,6 +213,8 @@
     /// Notifies the requests that wait for the answer of an arbiter.
     pub(crate) trial_settled: Notify,
     pub(crate) started: Instant,
+    /// The planned stop that is in progress.
+    stop_plan: watch::Sender<Option<StopPlan>>,
     /// When this host last got data from an endpoint, in milliseconds since its start.
     heard_ms: AtomicU64,
     /// Requests a read of the job records before the next interval.
@@ -249,6 +252,7 @@
             unrecorded: Vec::new(),
             texts: TextCache::default(),
             stopping: false,
+            answer_times: AnswerTimes::default(),
             online_in_flight: 0,
             open_requests: 0,
             rng: SmallRng::from_os_rng(),
@@ -273,6 +277,7 @@
             crash_report_requested: Notify::new(),
             trial_settled: Notify::new(),
             started: Instant::now(),
+            stop_plan: watch::Sender::new(None),
             heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
             job_updates: watch::Sender::new(0),
@@ -377,32 +382,65 @@
             .add_host(descriptor.clone(), Instant::now());
     }
 
-    /// Shuts down: accepts no new work, hands batch items over and waits until the requests of callers have completed or
-    /// the grace period that began at `started` is nearly over.
+    /// Shuts down: takes only requests that end in time, hands batch items over and waits until the requests of callers have
+    /// completed or the grace period that began at `started` is nearly over.
     pub async fn stop(self: &Arc<Self>, started: Instant) {
+        let plan = StopPlan::new(started, self.settings.grace);
         let (online, open) = {
             let mut state = self.lock();
             state.stopping = true;
             (state.online_in_flight, state.open_requests)
         };
+        self.stop_plan.send_replace(Some(plan));
         info!(self.deps.logger, "stopping"; "online" => online, "open" => open);
         self.heartbeat_requested.notify_one();
         batch::hand_over(self).await;
-        self.wait_idle(started).await;
+        self.wait_idle().await;
     }
 
-    /// Waits until no request of a caller is in progress, or the grace period that began at `started` is nearly over.
-    pub async fn wait_idle(&self, started: Instant) {
-        let timeout = self.settings.grace.saturating_sub(STOP_MARGIN);
-        while self.has_requests() && started.elapsed() < timeout {
+    /// Waits until no request of a caller is in progress, or the grace period of the stop is nearly over.
+    pub async fn wait_idle(&self) {
+        let end = self.stop_end();
+        let is_over = || end.is_some_and(|end| Instant::now() >= end);
+        while self.has_requests() && !is_over() {
             sleep(Duration::from_millis(20)).await;
         }
         let (online, open) = {
             let state = self.lock();
             (state.online_in_flight, state.open_requests)
         };
-        info!(self.deps.logger, "idle"; "left" => online, "open" => open,
-            "took_ms" => millis(started.elapsed()));
+        let left = end.map(|end| millis(end.saturating_duration_since(Instant::now())));
+        info!(self.deps.logger, "idle"; "left" => online, "open" => open, "grace_left_ms" => left);
+    }
+
+    /// Waits until a stopping host ends the requests in progress; forever if it does not stop.
+    pub async fn wait_stop_end(&self) {
+        let mut plans = self.stop_plan.subscribe();
+        let plan = match plans.wait_for(Option::is_some).await {
+            Ok(plan) => *plan,
+            // The sender lives as long as the host.
+            Err(_) => None,
+        };
+        match plan {
+            Some(plan) => sleep_until(plan.end()).await,
+            None => pending().await,
+        }
+    }
+
+    fn stop_end(&self) -> Option<Instant> {
+        let plan = *self.stop_plan.borrow();
+        plan.map(|plan| plan.end())
+    }
+
+    /// Whether a request that ends at `deadline` at the latest is not taken, as this host stops before.
+    pub(crate) fn stops_before(&self, deadline: Instant) -> bool {
+        let Some(plan) = *self.stop_plan.borrow() else {
+            return false;
+        };
+        let now = Instant::now();
+        let state = self.lock();
+        let has_others = state.members.others_are_ready(now);
+        !plan.takes(deadline, &state.answer_times, has_others, now)
     }
 
     fn has_requests(&self) -> bool {
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -68,7 +68,7 @@
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
-    /// The request was passed on by another host, and has not run since this one does not reach the endpoints or has no route for it.
+    /// The request was passed on by another host, and has not run since this one stops, does not reach the endpoints or has no route for it.
     OutOfReach,
     /// The request failed and may have run.
     Failed,
@@ -201,6 +201,7 @@
     /// Sends the request, with retries, until an endpoint responds.
     async fn first_response(&mut self) -> Result<Opened, OnlineReply> {
         let resume_after = self.request.resume_after;
+        self.check_stop()?;
         self.check_suspects()?;
         if resume_after.is_some() {
             self.version = Some(self.find_version().await?);
@@ -285,6 +286,27 @@
         OnlineReply::TimedOut
     }
 
+    /// Rejects the request if this host stops before it ends. Another host can serve it at once.
+    fn check_stop(&self) -> Result<(), OnlineReply> {
+        let request = &self.request;
+        if !self.node.stops_before(request.deadline) {
+            return Ok(());
+        }
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        info!(self.node.deps.logger, "request not routed"; "request" => &*request.call.id,
+            "cause" => "this host stops before the request ends", "left_ms" => millis(left));
+        if request.passed_on.is_some() {
+            return Err(OnlineReply::OutOfReach);
+        }
+        let has_others = self.node.lock().members.others_are_ready(Instant::now());
+        let retry_after = if has_others {
+            Duration::ZERO
+        } else {
+            NO_ENDPOINT_RETRY_AFTER
+        };
+        Err(OnlineReply::Rejected { retry_after })
+    }
+
     /// Finds the software version that began the stream which the request takes up.
     async fn find_version(&mut self) -> Result<VersionKey, OnlineReply> {
         let (request, route) = (&self.request, &self.request.route);
@@ -373,7 +395,10 @@
         {
             let state = &mut *self.node.lock();
             let waited = self.time_to_first_byte.unwrap_or_default();
-            let run = self.started.elapsed().saturating_sub(waited);
+            let now = Instant::now();
+            let time = now.duration_since(self.started);
+            let run = time.saturating_sub(waited);
+            state.answer_times.record(time, now);
             let unqueued = self.time_to_first_byte.filter(|_| self.had_free_slot);
             state.load.record_response(unqueued, run);
             state.coordination.record_sample(unqueued, run);
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -17,6 +17,7 @@
 mod online;
 mod overload;
 mod partitions;
+mod planned_stop;
 mod pure;
 mod quarantine;
 mod quarantine_trials;
