--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -21,7 +21,7 @@
 use crate::prompt::PromptParts;
 use crate::quarantine::Admission;
 use crate::report::EndpointKey;
-use crate::route::{RouteKind, RouteTable, ServiceRoute};
+use crate::route::{RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -386,10 +386,11 @@
     let ledger = &state.ledger;
     state.routeless.retain(|id| {
         let job = ledger.get(id).filter(|job| job.is_open());
-        job.is_some_and(|job| routes.find(&job.host, &job.path_prefix).is_none())
+        let route = job.map(|job| routes.find_for_job(&job.host, &job.path_prefix));
+        route.is_some_and(|route| route.is_none())
     });
     for job in state.ledger.open_jobs() {
-        let route = routes.find(&job.host, &job.path_prefix);
+        let route = routes.find_for_job(&job.host, &job.path_prefix);
         let is_expired = match route {
             Some(route) => now_ms > job.accepted_ms + millis(route.retention + MAX_CLOCK_SKEW),
             None => state
@@ -454,7 +455,7 @@
     }
 }
 
-/// Builds the call that runs an item.
+/// Builds the call that runs an item, and returns it with the route of the item's job.
 fn build_call(
     state: &SwitchState,
     routes: &RouteTable,
@@ -462,10 +463,7 @@
 ) -> Option<(EndpointCall, Arc<ServiceRoute>)> {
     let job = state.ledger.get(&name.job)?;
     let item = &job.items[name.item as usize].accepted;
-    let route = routes.find(&job.host, &item.path)?;
-    if route.kind != RouteKind::Batch {
-        return None;
-    }
+    let route = routes.find_for_job(&job.host, &job.path_prefix)?;
     let mut headers = HeaderMap::new();
     for (header, value) in &item.headers {
         let parsed = (
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -363,7 +363,8 @@
 
 fn item_attempts(state: &SwitchState, name: &ItemName) -> u32 {
     let job = state.ledger.get(&name.job);
-    let route = job.and_then(|job| state.routes.as_ref()?.find(&job.host, &job.path_prefix));
+    let routes = state.routes.as_ref();
+    let route = job.and_then(|job| routes?.find_for_job(&job.host, &job.path_prefix));
     // A job without a route is abandoned as a whole, so this item gets no further attempt.
     route.map_or(1, |route| route.attempts)
 }
--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -128,6 +128,38 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns the route of a job that was accepted on `host` under `path_prefix`. If that route was removed, the jobs' route that
+    /// now covers it takes its place. Routes below the prefix concern new requests only, whatever the paths of the job's items.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::route::{CallerLimits, RouteKind, RouteTable, ServiceRoute};
+    /// use std::time::Duration;
+    ///
+    /// let route = |path_prefix: &str, kind| ServiceRoute {
+    ///     host: "host".into(),
+    ///     path_prefix: path_prefix.into(),
+    ///     kind,
+    ///     timeout: Duration::from_secs(5),
+    ///     latency_target: Duration::ZERO,
+    ///     completion_target: Duration::from_secs(18),
+    ///     retention: Duration::from_secs(60),
+    ///     attempts: 3,
+    ///     resumable: false,
+    ///     token_quota: None,
+    ///     shares: Vec::new(),
+    /// };
+    /// let limits = CallerLimits { header_bytes: 8192, body_bytes: 65_536, idle_timeout: Duration::from_secs(15) };
+    /// let routes = vec![route("/", RouteKind::Safe), route("/jobs/", RouteKind::Batch), route("/jobs/run/", RouteKind::Safe)];
+    /// let table = RouteTable::new(1, limits, routes);
+    /// assert_eq!(&*table.find_for_job("host", "/jobs/").unwrap().path_prefix, "/jobs/");
+    /// assert!(table.find_for_job("host", "/removed/").is_none());
+    /// ```
+    #[must_use]
+    pub fn find_for_job(&self, host: &str, path_prefix: &str) -> Option<&Arc<ServiceRoute>> {
+        self.find(host, path_prefix)
+            .filter(|route| route.kind == RouteKind::Batch)
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -8,6 +8,7 @@
 mod deadly_requests;
 mod departures;
 mod fleet;
+mod job_routes;
 mod jobs;
 mod leaving;
 mod ledger_entries;
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -1,6 +1,6 @@
 //! Decision logic without I/O: routes, endpoints, members, affinity, the ledger, events and records.
 
-use crate::support::{listed, route, routes};
+use crate::support::{LIMITS, listed, route};
 use fulmarswitch_switch::affinity::compute_affinity;
 use fulmarswitch_switch::backend::LogEntry;
 use fulmarswitch_switch::endpoint::{EndpointTable, ListedEndpoint};
@@ -35,7 +35,7 @@
         route("/jobs/", RouteKind::Batch, true),
         route("/jobs/inner/", RouteKind::Safe, false),
     ];
-    let table = RouteTable::new(1, routes(1, true).limits, list);
+    let table = RouteTable::new(1, LIMITS, list);
     let found = table.find(host, path).map(|route| &*route.path_prefix);
     assert_eq!(found, expected);
 }
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -960,19 +960,32 @@
     }
 }
 
-/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. A software version may
-/// follow, and after it the endpoint's start in milliseconds.
+/// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. After the version `without jobs`
+/// may follow, and then the kinds and prefixes of further routes. After the state a software version may follow, and after it the
+/// endpoint's start in milliseconds.
 struct TextDecoder;
 
 impl ConfigDecoder for TextDecoder {
     fn routes(&self, key: &[u8], value: &[u8]) -> Option<Result<RouteTable, DecodeError>> {
         let text = std::str::from_utf8(value).ok()?;
-        let (version, has_jobs) = match text.strip_suffix(" without jobs") {
-            Some(version) => (version, false),
-            None => (text, true),
+        let (version, rest) = text.split_once(' ').unwrap_or((text, ""));
+        let (has_jobs, further) = match rest.strip_prefix("without jobs") {
+            Some(further) => (false, further),
+            None => (true, rest),
         };
-        let version = version.parse().ok()?;
-        (key == b"config").then(|| Ok(routes(version, has_jobs)))
+        let words: Vec<&str> = further.split_whitespace().collect();
+        let further = words.chunks_exact(2).map(|words| {
+            let kind = match words[0] {
+                "safe" => RouteKind::Safe,
+                "stream" => RouteKind::Stream,
+                _ => RouteKind::Batch,
+            };
+            route(words[1], kind, true)
+        });
+        let mut list = routes(has_jobs);
+        list.extend(further);
+        let table = RouteTable::new(version.parse().ok()?, LIMITS, list);
+        (key == b"config").then_some(Ok(table))
     }
 
     fn endpoint(&self, key: &[u8], value: &[u8]) -> Result<ListedEndpoint, DecodeError> {
@@ -1032,13 +1045,15 @@
     }
 }
 
-/// The test configuration: one route of each kind, that of jobs only on request.
-pub fn routes(version: u64, has_jobs: bool) -> RouteTable {
-    let limits = CallerLimits {
-        header_bytes: 8192,
-        body_bytes: 65_536,
-        idle_timeout: Duration::from_secs(15),
-    };
+/// Limits for callers in the test configuration.
+pub const LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 8192,
+    body_bytes: 65_536,
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Routes of the test configuration: one of each kind, that of jobs only on request.
+pub fn routes(has_jobs: bool) -> Vec<ServiceRoute> {
     let mut list = vec![
         route("/once/", RouteKind::Unsafe, false),
         route("/safe/", RouteKind::Safe, false),
@@ -1048,7 +1063,7 @@
     if has_jobs {
         list.push(route("/jobs/", RouteKind::Batch, true));
     }
-    RouteTable::new(version, limits, list)
+    list
 }
 
 /// Hosts that pass requests on to each other.
