--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Whether this host knows the job.
+    #[must_use]
+    pub fn knows_job(&self, job: &str) -> bool {
+        self.lock().ledger.get(job).is_some()
+    }
+
     /// Cancels a job; its open items no longer run.
     pub async fn cancel_job(&self, job: &Arc<str>) -> SubmitReply {
         let reply = match self.find_job(job, |found| found.cancelled).await {
--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -160,6 +160,13 @@
             .filter(|route| route.kind == RouteKind::Batch)
     }
 
+    /// Whether jobs can be submitted on `host`.
+    #[must_use]
+    pub fn has_jobs(&self, host: &str) -> bool {
+        let mut routes = self.routes_of_host(host).iter();
+        routes.any(|route| route.kind == RouteKind::Batch)
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
