--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -15,6 +15,8 @@
 /// Upper bound of the delay until the first successful read: a starting host serves no requests before it.
 const MAX_INITIAL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Minimum pause between reads of the listings, which requests may ask for at any rate.
+const MIN_LISTINGS_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between reads of the hosts' partition by a host that does not hear most of the others.
 const ISOLATED_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -56,6 +58,7 @@
 {
     let is_jobs = options.partition == node.settings.topics.jobs;
     let is_hosts = options.partition == node.settings.topics.hosts;
+    let is_listings = options.partition == node.settings.topics.endpoints;
     let is_config = options.partition == node.settings.topics.config;
     let mut next = None;
     let mut delay = MIN_RETRY_DELAY;
@@ -93,6 +96,12 @@
                     node.jobs_read_at.send_replace(Some(started));
                     // A task that needs newer state requests the next read early.
                     let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
+                } else if is_listings {
+                    node.listings_read_at.send_replace(Some(started));
+                    sleep(MIN_LISTINGS_INTERVAL).await;
+                    // A request that needs newer listings requests the next read early.
+                    let pause = options.poll_interval.saturating_sub(MIN_LISTINGS_INTERVAL);
+                    let _ = timeout(pause, node.listings_requested.notified()).await;
                 } else if is_hosts {
                     pause_or_isolation(&node, options.poll_interval).await;
                 } else if !options.poll_interval.is_zero() {
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -7,7 +7,8 @@
 use crate::node::{SwitchNode, SwitchState, millis};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
 
 /// What a host knows of the listings, as sent in its heartbeats.
 #[derive(Debug, Serialize, Deserialize)]
@@ -46,6 +47,22 @@
     }
 }
 
+impl SwitchNode {
+    /// Reads the listings, at most for `limit`. Returns whether a read that began after this call has been applied. The age of the
+    /// last read does not tell that nothing has changed since, also because the clock does not count the time in which a host is
+    /// suspended.
+    pub(crate) async fn read_listings(&self, limit: Duration) -> bool {
+        let requested_at = Instant::now();
+        let mut reads = self.listings_read_at.subscribe();
+        self.listings_requested.notify_one();
+        let fresh =
+            reads.wait_for(|read_at| read_at.is_some_and(|read_at| read_at >= requested_at));
+        timeout(limit, fresh)
+            .await
+            .is_ok_and(|waited| waited.is_ok())
+    }
+}
+
 /// Returns what this host knows of the listings, for its heartbeat.
 pub(crate) fn listing_report(state: &SwitchState, now: Instant) -> ListingReport {
     let confirmed_until = state.endpoints.confirmable_until(now);
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -219,6 +219,10 @@
     heard_ms: AtomicU64,
     /// Requests a read of the job records before the next interval.
     pub(crate) read_requested: Notify,
+    /// Requests a read of the listings before the next interval.
+    pub(crate) listings_requested: Notify,
+    /// Start of the last read that reached the end of the listings; `None` before the first one.
+    pub(crate) listings_read_at: watch::Sender<Option<Instant>>,
     /// Number of reads that returned job records.
     pub(crate) job_updates: watch::Sender<u64>,
     /// Start of the last read that reached the end of the job records; `None` before the first one.
@@ -280,6 +284,8 @@
             stop_plan: watch::Sender::new(None),
             heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
+            listings_requested: Notify::new(),
+            listings_read_at: watch::Sender::new(None),
             job_updates: watch::Sender::new(0),
             jobs_read_at: watch::Sender::new(None),
         })
--- a/crates/switch/src/origin_exchange.rs
+++ b/crates/switch/src/origin_exchange.rs
@@ -7,9 +7,10 @@
 use crate::route::ServiceRoute;
 use crate::versions::origin_log::{read_origins, writer_of};
 use serde::{Deserialize, Serialize};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Number of hosts that an origin is copied to. With half of all hosts lost at once, one in a hundred is lost.
 const COPIES: usize = 6;
@@ -20,6 +21,10 @@
 const ASK_ROUNDS: u32 = 2;
 /// Wait for a response in each round: several round trips between regions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time in which a host that knows an origin mostly answers: a few round trips within a region.
+const ANSWER_TIME: Duration = Duration::from_millis(25);
+/// Time in which the listings must be read for a caller that takes a stream up.
+const LISTINGS_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Message about the origin of a stream.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -81,35 +86,57 @@
         if let Some(known) = stream.and_then(|stream| self.lock().origins.version_of(stream)) {
             return Some(known);
         }
+        let Some(stream) = stream else {
+            return self.current_sole_version(&services).await;
+        };
         let now = Instant::now();
-        let (sole_version, is_current, has_watched) = {
+        let (seems_sole, has_watched) = {
             let state = self.lock();
-            let endpoints = &state.endpoints;
-            (
-                state.sole_version(&services, now),
-                endpoints.is_current(now),
-                endpoints.watched_for(now) >= RETENTION,
-            )
-        };
-        let Some(stream) = stream else {
-            return sole_version;
+            let has_watched = state.endpoints.watched_for(now) >= RETENTION;
+            (state.sole_version(&services, now).is_some(), has_watched)
         };
-        if sole_version.is_some() && is_current {
-            return sole_version;
-        }
         // All hosts may have started when this one did, and know no more.
-        if !has_watched && let Some(stored) = self.stored_origin(stream).await {
+        if !seems_sole
+            && !has_watched
+            && let Some(stored) = self.stored_origin(stream).await
+        {
             return Some(stored);
         }
-        if let Some(known) = self.ask_origin(stream).await {
-            return Some(known);
-        }
-        let stored = if has_watched {
-            self.stored_origin(stream).await
-        } else {
-            None
+        let asked = async {
+            match self.ask_origin(stream).await {
+                Some(known) => known,
+                None => pending().await,
+            }
         };
-        stored.or(sole_version)
+        let limit = sleep(ASK_TIMEOUT * ASK_ROUNDS);
+        let concluded = async {
+            if seems_sole {
+                // Mostly a host answers before that.
+                sleep(ANSWER_TIME).await;
+                if let Some(version) = self.current_sole_version(&services).await {
+                    return version;
+                }
+            }
+            pending().await
+        };
+        let found = tokio::select! {
+            known = asked => Some(known),
+            version = concluded => Some(version),
+            () = limit => None,
+        };
+        if found.is_some() || (!seems_sole && !has_watched) {
+            return found;
+        }
+        self.stored_origin(stream).await
+    }
+
+    /// The version of all endpoints of these services that can have begun a stream which is taken up now. The listings are read
+    /// first: an endpoint of another version, which this host has not seen yet, may have begun the stream at another host.
+    async fn current_sole_version(&self, services: &[&str]) -> Option<VersionKey> {
+        if !self.read_listings(LISTINGS_TIMEOUT).await {
+            return None;
+        }
+        self.lock().sole_version(services, Instant::now())
     }
 
     /// The origin of a stream in the log.
--- a/crates/switch/tests/switch/versions.rs
+++ b/crates/switch/tests/switch/versions.rs
@@ -178,6 +178,29 @@
     assert_eq!(fleet.client.calls().len(), usize::from(is_served));
 }
 
+/// Guards against a stream that goes on at another version at a host that is out of step: it has not seen the version that began
+/// the stream at another host.
+#[rstest]
+#[case::stood_still(1000, true)]
+#[case::cut_off(1000, false)]
+#[case::cut_off_for_long(5000, false)]
+#[tokio::test(start_paused = true)]
+async fn stream_of_a_version_that_was_not_seen_yet(#[case] unread_ms: u64, #[case] is_back: bool) {
+    let fleet = TestFleet::new(0);
+    fleet.log.put("endpoints", "v1-a", "ready v1");
+    let node = fleet.start("a").await;
+    sleep(Duration::from_secs(31)).await;
+    fleet.log.cut_topic(Some("endpoints"));
+    fleet.log.put("endpoints", "v2-a", "ready v2");
+    sleep(Duration::from_millis(unread_ms)).await;
+    if is_back {
+        fleet.log.cut_topic(None);
+    }
+    let outcome = read_response(&node, resumption(&node, "s", "began-elsewhere")).await;
+    assert_eq!(outcome, CallerOutcome::Rejected);
+    assert_eq!(fleet.client.calls().len(), 0);
+}
+
 /// Guards against rejecting a stream that ran for longer than hosts keep the origin of one.
 #[tokio::test(start_paused = true)]
 async fn stream_is_taken_up_after_a_long_run() {
