--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -104,7 +104,7 @@
     uninterrupted_since: Option<Instant>,
     /// Time of the last read of the listings; `None` before the first one.
     read_at: Option<Instant>,
-    /// Time of the first read of the listings.
+    /// Time of the first read of the listings, or of the last snapshot.
     first_read_at: Option<Instant>,
     /// Offset up to which the listings have been read.
     read_until: u64,
@@ -167,13 +167,15 @@
     }
 
     /// Replaces the whole list by a snapshot that was read up to the offset `end`. Endpoints missing from it are removed
-    /// as in [`EndpointTable::remove`]. Returns their IDs.
+    /// as in [`EndpointTable::remove`]. Returns their IDs. Endpoints that were listed and removed before it are not known, so
+    /// that the listings count as followed from now on.
     pub fn replace(
         &mut self,
         endpoints: Vec<ListedEndpoint>,
         end: u64,
         now: Instant,
     ) -> Vec<Arc<str>> {
+        self.first_read_at = Some(now);
         let removed: Vec<Arc<str>> = self
             .entries
             .iter()
@@ -262,7 +264,7 @@
         Some(now.saturating_duration_since(self.read_at?))
     }
 
-    /// Time for which this host has followed the listings.
+    /// Time for which this host has followed the listings without a gap.
     #[must_use]
     pub fn watched_for(&self, now: Instant) -> Duration {
         let first_read_at = self.first_read_at.unwrap_or(now);
--- a/crates/switch/tests/switch/version_history.rs
+++ b/crates/switch/tests/switch/version_history.rs
@@ -222,6 +222,20 @@
     assert_eq!(table.sole_version(&["service"], Instant::now()), None);
 }
 
+/// Guards against a stream that goes on at another version: the one that began it was listed and removed between two snapshots, which
+/// only the history in the log tells.
+#[test]
+fn listings_are_not_followed_across_a_snapshot() {
+    let mut table = EndpointTable::default();
+    let started = Instant::now();
+    let later = started + Duration::from_secs(40);
+    for now in [started, later] {
+        table.record_read(1, now);
+        table.replace(vec![listed("e", 1, false)], 1, now);
+    }
+    assert_eq!(table.watched_for(later), Duration::ZERO);
+}
+
 const NOW_MS: u64 = 1_000_000_000;
 
 fn version(name: &str) -> VersionKey {
