--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -127,7 +127,8 @@
             | GroupPick::Preempt(endpoint)
             | GroupPick::Queue(endpoint) => self.grant(ask, &endpoint, RequestClass::Online, now),
             GroupPick::Full { wait } => {
-                let endpoints: u32 = candidates.iter().map(|endpoint| endpoint.slots).sum();
+                let slots = candidates.iter().map(|endpoint| endpoint.slots);
+                let endpoints = slots.fold(0_u32, u32::saturating_add);
                 let rejection = Rejection {
                     wait,
                     limit: remaining.mul_f64(MAX_RETRY_FRACTION),
--- a/crates/switch/src/coordinator/pick.rs
+++ b/crates/switch/src/coordinator/pick.rs
@@ -167,9 +167,9 @@
                 continue;
             }
             let state = self.slots(endpoint, now);
-            room.slots += endpoint.slots;
-            room.free += state.free;
-            room.preemptible += state.preemptible;
+            room.slots = room.slots.saturating_add(endpoint.slots);
+            room.free = room.free.saturating_add(state.free);
+            room.preemptible = room.preemptible.saturating_add(state.preemptible);
         }
         room
     }
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -365,10 +365,8 @@
     /// Mean time between two responses that the endpoints of a service complete while all their slots are in use.
     #[must_use]
     pub fn service_interval(&self, table: &EndpointTable, service: &str, now: Instant) -> Duration {
-        let slots: u32 = table
-            .serving(service, now)
-            .map(|endpoint| endpoint.slots)
-            .sum();
+        let serving = table.serving(service, now);
+        let slots = serving.fold(0_u32, |sum, endpoint| sum.saturating_add(endpoint.slots));
         self.response_times.run() / slots.max(1)
     }
 
--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -51,9 +51,9 @@
         for endpoint in usable {
             let slots = self.free_batch_slots(endpoint);
             if self.is_preferred(&endpoint.id) {
-                free.preferred += slots;
+                free.preferred = free.preferred.saturating_add(slots);
             } else {
-                free.other += slots;
+                free.other = free.other.saturating_add(slots);
             }
         }
         free
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -213,5 +213,6 @@
 /// ```
 #[must_use]
 pub fn start_quota(free: FreeSlots, hosts: u32) -> u32 {
-    free.preferred.div_ceil(2) + free.other.div_ceil(hosts.max(1))
+    let preferred = free.preferred.div_ceil(2);
+    preferred.saturating_add(free.other.div_ceil(hosts.max(1)))
 }
