Give up items of which no request can be made (report of an operator)

By reading, for the report on odd entries: an item whose path is none, or whose ID cannot be the value of a header, is accepted. Each run fails before anything is sent, which counts as an endpoint out of reach: the endpoint is avoided, and after five the host takes itself to be cut off. The item is never listed.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -181,6 +181,8 @@
     let mut quotas: Vec<(Arc<str>, u32)> = Vec::new();
     for item in runnable {
         let Some((call, route)) = build_call(state, &routes, &item.name) else {
+            let cause = "its path or its ID cannot be sent";
+            give_up(node, state, item.name, cause, updates);
             continue;
         };
         let Some(target) = pick_target(state, &item.name, &route, now) else {
@@ -430,15 +432,26 @@
         }
     }
     for name in abandoned {
-        info!(node.deps.logger, "item given up"; "job" => &*name.job, "item" => name.item,
-            "cause" => "its time or its route is over");
-        state.unrecorded.push(name.clone());
-        let kind = UpdateKind::Abandoned;
-        send_update(updates, ItemUpdate { name, kind });
+        give_up(node, state, name, "its time or its route is over", updates);
     }
     runnable
 }
 
+/// Abandons an item that does not run.
+fn give_up(
+    node: &SwitchNode,
+    state: &mut SwitchState,
+    name: ItemName,
+    cause: &str,
+    updates: &mpsc::UnboundedSender<ItemUpdate>,
+) {
+    info!(node.deps.logger, "item given up"; "job" => &*name.job, "item" => name.item,
+        "cause" => cause);
+    state.unrecorded.push(name.clone());
+    let kind = UpdateKind::Abandoned;
+    send_update(updates, ItemUpdate { name, kind });
+}
+
 /// Number of events of an item's output that this host has or that are in the log.
 fn events_so_far(state: &SwitchState, name: &ItemName, item: &LedgerItem) -> u64 {
     let local = state.progress.iter().find(|(known, _)| known == name);
@@ -455,7 +468,8 @@
     }
 }
 
-/// Builds the call that runs an item, and returns it with the route of the item's job.
+/// Builds the call that runs an item, and returns it with the route of the item's job. `None` if no request can be made of the item,
+/// which a host of an earlier release may have accepted.
 fn build_call(
     state: &SwitchState,
     routes: &RouteTable,
@@ -463,6 +477,9 @@
 ) -> Option<(EndpointCall, Arc<ServiceRoute>)> {
     let job = state.ledger.get(&name.job)?;
     let item = &job.items[name.item as usize].accepted;
+    if !item.is_sendable() {
+        return None;
+    }
     let route = routes.find_for_job(&job.host, &job.path_prefix)?;
     let mut headers = HeaderMap::new();
     for (header, value) in &item.headers {
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -7,6 +7,8 @@
 use crate::backend::{KeyedRecord, LogEntry};
 use crate::progress::ProgressSegment;
 use bytes::{BufMut, Bytes, BytesMut};
+use http::HeaderValue;
+use http::uri::PathAndQuery;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::sync::Arc;
@@ -32,6 +34,31 @@
     pub tokens: u64,
 }
 
+impl AcceptedItem {
+    /// Whether a request can be made of the item: its path is one, and its ID can be the value of a header.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::record::AcceptedItem;
+    /// let item = |path: &str| AcceptedItem {
+    ///     id: "e5b2907c".into(),
+    ///     path: path.into(),
+    ///     headers: Vec::new(),
+    ///     body: "input".into(),
+    ///     tokens: 10,
+    /// };
+    /// assert!(item("/jobs/7?retry=1").is_sendable());
+    /// assert!(!item("/jobs/7 8").is_sendable());
+    /// assert!(!item("jobs.example").is_sendable());
+    /// ```
+    #[must_use]
+    pub fn is_sendable(&self) -> bool {
+        self.path.starts_with('/')
+            && self.path.parse::<PathAndQuery>().is_ok()
+            && !self.id.is_empty()
+            && HeaderValue::from_str(&self.id).is_ok()
+    }
+}
+
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptedJob {
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -141,6 +141,27 @@
     assert_eq!(results(node, "j").await.results[0].text, Some(full_text(3)));
 }
 
+/// Guards against an item that is sent again and again and never ends, as no request can be made of it, and against endpoints that
+/// are avoided for it. A host of an earlier release accepts such an item.
+#[rstest]
+#[case::space_in_the_path("/jobs/a b", "i")]
+#[case::no_path("jobs.example", "i")]
+#[case::line_feed_in_the_id("/jobs/a", "i\nj")]
+#[tokio::test(start_paused = true)]
+async fn item_that_cannot_be_sent_is_abandoned(#[case] path: &str, #[case] id: &str) {
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    let mut submission = submission("j", 2);
+    submission.items[0].path = path.into();
+    submission.items[0].id = id.into();
+    node.submit_job(submission).await;
+    sleep(COMPLETION_TIME).await;
+    let texts: Vec<_> = results(&node, "j").await.results;
+    assert_eq!(texts.len(), 2);
+    assert!(texts.iter().any(|result| result.text.is_none()));
+    assert_eq!(fleet.client.calls().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn impossible_item_is_abandoned_at_once() {
     let fleet = TestFleet::new(2);
