--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -394,7 +394,10 @@
     for job in state.ledger.open_jobs() {
         let route = routes.find_for_job(&job.host, &job.path_prefix);
         let is_expired = match route {
-            Some(route) => now_ms > job.accepted_ms + millis(route.retention + MAX_CLOCK_SKEW),
+            Some(route) => {
+                let retention_ms = millis(route.retention + MAX_CLOCK_SKEW);
+                now_ms > job.accepted_ms.saturating_add(retention_ms)
+            }
             None => state
                 .routeless
                 .is_removed(&job.id, state.config_read_at, now),
@@ -418,13 +421,15 @@
             } else if let Some(route) = route
                 && state.histories.may_run(&name, now)
             {
-                let due_ms = job.accepted_ms + millis(route.completion_target);
+                let due_ms = job
+                    .accepted_ms
+                    .saturating_add(millis(route.completion_target));
                 let remaining = state
                     .item_times
                     .remaining(events_so_far(state, &name, item));
                 runnable.push(RunnableItem {
                     due_ms,
-                    in_time: now_ms + millis(remaining) <= due_ms,
+                    in_time: now_ms.saturating_add(millis(remaining)) <= due_ms,
                     started,
                     name,
                 });
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -161,7 +161,8 @@
         let started = Instant::now();
         let job = submission.job.clone();
         let items = submission.items.len();
-        let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
+        let tokens = submission.items.iter().map(|item| item.tokens);
+        let tokens = tokens.fold(0, u64::saturating_add);
         let quota = submission.route.token_quota;
         let open_tokens = {
             let route = &submission.route;
@@ -169,7 +170,9 @@
             ledger.open_tokens(&route.host, &route.path_prefix)
         };
         let read_at = *self.jobs_read_at.borrow();
-        let reply = self.accept_job(submission, open_tokens + tokens).await;
+        let reply = self
+            .accept_job(submission, open_tokens.saturating_add(tokens))
+            .await;
         self.metrics.count_job(reply.outcome());
         info!(self.deps.logger, "job submitted"; "job" => &*job, "items" => items,
             "tokens" => tokens, "waiting_tokens" => open_tokens, "quota" => quota,
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -101,7 +101,8 @@
             .items
             .iter()
             .filter(|item| item.state == ItemState::Open);
-        open.map(|item| item.accepted.tokens).sum()
+        open.map(|item| item.accepted.tokens)
+            .fold(0, u64::saturating_add)
     }
 }
 
@@ -231,7 +232,7 @@
         self.open_jobs()
             .filter(|job| &*job.host == host && &*job.path_prefix == path_prefix)
             .map(LedgerJob::open_tokens)
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Removes and returns the jobs without open items that were accepted at least `retention` before `now_ms`.
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -176,7 +176,7 @@
             return Ok(None);
         };
         if let (Some(id), Some(last)) = (event.id, self.last_event)
-            && id != last + 1
+            && last.checked_add(1) != Some(id)
         {
             self.resume(&interrupted("event IDs are not consecutive"))?;
             return Ok(None);
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -170,7 +170,10 @@
     /// ```
     #[must_use]
     pub fn push_event(&mut self, id: u64, data: &[u8]) -> bool {
-        if self.last_event.is_some_and(|last| id != last + 1) {
+        if self
+            .last_event
+            .is_some_and(|last| last.checked_add(1) != Some(id))
+        {
             return false;
         }
         if self.last_event.is_some() {
--- a/crates/switch/src/route.rs
+++ b/crates/switch/src/route.rs
@@ -73,8 +73,8 @@
     /// Returns `None` if the route has no service.
     #[must_use]
     pub fn pick_service(&self, draw: f64) -> Option<&Arc<str>> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.shares.iter().map(|share| f64::from(share.weight));
+        let mut remaining = draw * weights.sum::<f64>();
         for share in &self.shares {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
