--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -12,6 +12,7 @@
 use crate::progress::{ItemProgress, MAX_OUTPUT_BYTES, ProgressSegment, SharedProgress};
 use crate::prompt::PromptParts;
 use crate::schedule::ItemName;
+use crate::starts::StartCheck;
 use futures::StreamExt;
 use http::StatusCode;
 use slog::{info, warn};
@@ -31,6 +32,9 @@
 /// extend it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time within which the listings must be read for the output of a run.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Result of a run.
 enum RunOutcome {
     Completed,
@@ -116,6 +120,7 @@
         self.node.metrics.count_item(outcome.label());
         self.guard = None;
         self.record_end(&outcome);
+        let outcome = self.confirm_output(outcome).await;
         let mut state = self.node.lock();
         state.running.retain(|running| running.name != self.name);
         let kind = self.apply_outcome(&mut state, &outcome, started, &updates);
@@ -146,7 +151,10 @@
             remaining: RUN_TIMEOUT,
             resume_after: self.resumed_after,
         };
-        self.sent_at = Some(Instant::now());
+        let sent_at = Instant::now();
+        self.sent_at = Some(sent_at);
+        self.progress.lock().set_confirmed(false);
+        let mut is_confirmed = false;
         let call = self.node.call_endpoint(&self.endpoint, &self.call, options);
         let response_deadline = Instant::now() + self.response_timeout();
         let mut response = match timeout_at(response_deadline, call).await {
@@ -209,6 +217,18 @@
                 }
                 stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
             }
+            if !is_confirmed {
+                match self.node.check_start(&self.endpoint, sent_at) {
+                    StartCheck::Unknown => {}
+                    StartCheck::Same => {
+                        is_confirmed = true;
+                        self.progress.lock().set_confirmed(true);
+                    }
+                    StartCheck::Other => {
+                        return interrupted("another start of the endpoint has answered");
+                    }
+                }
+            }
             if proof_at.is_some_and(|proof_at| Instant::now() >= proof_at) {
                 proof_at = None;
                 self.record_sound();
@@ -216,6 +236,28 @@
         }
     }
 
+    /// Checks that the output of the run is of the software version of which it seems to be. The endpoint may have started again under its
+    /// ID at another one; then the output that this host has is dropped, and the item continues from its checkpoints. A run that
+    /// completes from the beginning is of one start in any case.
+    async fn confirm_output(&self, outcome: RunOutcome) -> RunOutcome {
+        let last_event = self.progress.lock().last_event();
+        let has_output = last_event != self.resumed_after;
+        let is_whole = matches!(outcome, RunOutcome::Completed) && self.resumed_after.is_none();
+        let Some(sent_at) = self.sent_at.filter(|_| has_output && !is_whole) else {
+            self.progress.lock().set_confirmed(true);
+            return outcome;
+        };
+        let confirmed = self
+            .node
+            .confirm_start(&self.endpoint, sent_at, CONFIRM_TIMEOUT);
+        if confirmed.await {
+            self.progress.lock().set_confirmed(true);
+            return outcome;
+        }
+        self.node.lock().remove_progress(&self.name);
+        interrupted("another start of the endpoint has answered")
+    }
+
     /// Records what the end of the run tells of the item's prompt.
     fn record_end(&self, outcome: &RunOutcome) {
         let is_marked = self.framing == Some(BodyFraming::Delimited);
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -9,6 +9,7 @@
 use crate::leaving::LeavingMarks;
 use crate::origins::{RETENTION as ORIGIN_RETENTION, VersionKey};
 use crate::report::EndpointKey;
+use crate::starts::{EndpointStarts, StartCheck};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,6 +115,7 @@
     past_versions: Vec<PastVersion>,
     /// Endpoints that said that they leave.
     leaving: LeavingMarks,
+    starts: EndpointStarts,
 }
 
 impl EndpointTable {
@@ -128,8 +130,12 @@
                     let old = entry.clone();
                     entry.version = endpoint.version_key();
                     entry.endpoint = Arc::new(endpoint);
+                    let now = Instant::now();
+                    if old.endpoint.started_ms != entry.endpoint.started_ms {
+                        self.starts.record_restart(&old.endpoint, now);
+                    }
                     if old.version != entry.version {
-                        self.record_past_version(&old, Instant::now());
+                        self.record_past_version(&old, now);
                     }
                 }
                 changed
@@ -211,6 +217,17 @@
         }
     }
 
+    /// Records that a read of the listings, which began at `started`, has been applied completely.
+    pub fn complete_read(&mut self, started: Instant) {
+        self.starts.record_read(Some(started));
+    }
+
+    /// Checks whether a request that was sent at `sent_at` has reached this start of an endpoint.
+    #[must_use]
+    pub fn check_start(&self, endpoint: &ListedEndpoint, sent_at: Instant) -> StartCheck {
+        self.starts.check(endpoint, sent_at)
+    }
+
     /// Offset before which this host can confirm all removals to other hosts: it has read them without an interruption
     /// in which listings could have expired. 0 if it can confirm none.
     #[must_use]
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -97,6 +97,7 @@
                     // A task that needs newer state requests the next read early.
                     let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
                 } else if is_listings {
+                    node.lock().endpoints.complete_read(started);
                     node.listings_read_at.send_replace(Some(started));
                     sleep(MIN_LISTINGS_INTERVAL).await;
                     // A request that needs newer listings requests the next read early.
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Whether a request failed after `time`, or at an unknown time if that is `None`, and none has succeeded since.
+    #[must_use]
+    pub fn failed_since(&self, time: Option<Instant>) -> bool {
+        let failure = self.last_failure;
+        failure.is_some_and(|failure| time.is_none_or(|time| failure > time))
+    }
+
     /// Whether the endpoint is avoided at `now`.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -6,7 +6,7 @@
 //! Hosts report their load to each other in UDP heartbeats.
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
-//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`load`], [`coordinator`], [`wait`], [`affinity`],
+//! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`starts`], [`load`], [`coordinator`], [`wait`], [`affinity`],
 //! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`trial`], [`stop`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
@@ -50,6 +50,7 @@
 pub mod report;
 pub mod route;
 pub mod schedule;
+pub mod starts;
 pub mod stop;
 pub mod trial;
 mod trial_exchange;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -5,6 +5,7 @@
 use crate::endpoint::ListedEndpoint;
 use crate::follow::FollowBatch;
 use crate::node::{SwitchNode, SwitchState, millis};
+use crate::starts::StartCheck;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::time::Duration;
@@ -52,15 +53,55 @@
     /// last read does not tell that nothing has changed since, also because the clock does not count the time in which a host is
     /// suspended.
     pub(crate) async fn read_listings(&self, limit: Duration) -> bool {
-        let requested_at = Instant::now();
+        self.read_listings_since(Instant::now(), limit).await
+    }
+
+    /// Waits until a read of the listings that began after `since` has been applied, at most for `limit`. Returns whether one has.
+    async fn read_listings_since(&self, since: Instant, limit: Duration) -> bool {
         let mut reads = self.listings_read_at.subscribe();
         self.listings_requested.notify_one();
-        let fresh =
-            reads.wait_for(|read_at| read_at.is_some_and(|read_at| read_at >= requested_at));
+        let fresh = reads.wait_for(|read_at| read_at.is_some_and(|read_at| read_at >= since));
         timeout(limit, fresh)
             .await
             .is_ok_and(|waited| waited.is_ok())
     }
+
+    /// Checks whether a request that was sent at `sent_at` has reached this start of an endpoint, as far as the listings have been
+    /// read.
+    pub(crate) fn check_start(&self, endpoint: &ListedEndpoint, sent_at: Instant) -> StartCheck {
+        let read_at = *self.listings_read_at.borrow();
+        if read_at.is_none_or(|read_at| read_at < sent_at) {
+            // The state need not be locked for each event of a response.
+            return StartCheck::Unknown;
+        }
+        self.lock().endpoints.check_start(endpoint, sent_at)
+    }
+
+    /// Whether a request that was sent at `sent_at` has reached this start of an endpoint, so that the response is of its software
+    /// version. While the listings cannot be read, an endpoint at which nothing has failed since the last read counts as the
+    /// same.
+    pub(crate) async fn confirm_start(
+        &self,
+        endpoint: &ListedEndpoint,
+        sent_at: Instant,
+        limit: Duration,
+    ) -> bool {
+        if self.lock().endpoints.check_start(endpoint, sent_at) == StartCheck::Unknown {
+            self.read_listings_since(sent_at, limit).await;
+        }
+        let read_at = *self.listings_read_at.borrow();
+        let state = &mut *self.lock();
+        let is_same = match state.endpoints.check_start(endpoint, sent_at) {
+            StartCheck::Same => true,
+            StartCheck::Other => false,
+            StartCheck::Unknown => !state.load.health(&endpoint.id).failed_since(read_at),
+        };
+        if !is_same {
+            info!(self.deps.logger, "endpoint may have started again"; "endpoint" => &*endpoint.id,
+                "version" => &*endpoint.version, "started_ms" => endpoint.started_ms);
+        }
+        is_same
+    }
 }
 
 /// Returns what this host knows of the listings, for its heartbeat.
--- a/crates/switch/src/online/attempts.rs
+++ b/crates/switch/src/online/attempts.rs
@@ -157,6 +157,10 @@
     }
 
     fn push_attempt(&mut self, (target, guard): RoutedTarget, resume_after: Option<u64>) {
+        if resume_after.is_some() && target.endpoint().is_some() {
+            // `confirm_version` needs a read that began after the request was sent.
+            self.node.listings_requested.notify_one();
+        }
         let started = Instant::now();
         let deadline = self.request.deadline;
         let options = CallOptions {
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -242,8 +242,21 @@
         &mut self,
         (attempt, response): AttemptResponse,
     ) -> Result<(), CallError> {
-        let error = match response {
+        let response = match response {
             Ok(response) if response.status.is_success() => {
+                let confirmed = self
+                    .exchange
+                    .confirm_version(&attempt.target, self.last_event);
+                confirmed.await.map(|()| response)
+            }
+            Ok(response) => Err(interrupted(&format!(
+                "resuming returned status {}",
+                response.status
+            ))),
+            Err(error) => Err(error),
+        };
+        let error = match response {
+            Ok(response) => {
                 if self.body.take().is_some() {
                     self.exchange.give_up(&self.target, ANSWERED_ELSEWHERE);
                 }
@@ -262,7 +275,6 @@
                 self.silence = EndpointSilence::begin();
                 return Ok(());
             }
-            Ok(response) => interrupted(&format!("resuming returned status {}", response.status)),
             Err(error) => error,
         };
         let handled = self.exchange.handle_error(&attempt.target, &error);
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -16,6 +16,7 @@
 use crate::origins::{StreamKey, StreamOrigin, VersionKey};
 use crate::prompt::{PartKey, PromptParts};
 use crate::route::ServiceRoute;
+use crate::starts::StartCheck;
 use ask::AskedPlace;
 use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep};
 use forward::forward;
@@ -33,6 +34,8 @@
 const ORIGIN_INTERVAL: Duration = Duration::from_secs(10);
 /// Retry-after value sent to callers when no endpoint is available.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time within which the listings must be read for a stream that is resumed.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
 /// Minimum time to the deadline for a request to be sent at all.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
 
@@ -94,6 +97,7 @@
             tried: Vec::new(),
             sent: Vec::new(),
             version: None,
+            unconfirmed: None,
             origin_recorded_at: None,
             sends: 0,
             runs: 0,
@@ -168,6 +172,8 @@
     sent: Vec<(Arc<str>, Instant)>,
     /// Software version that began the stream and at which it goes on; `None` before the first event.
     version: Option<VersionKey>,
+    /// Start of the endpoint that sent the first event and when the request was sent to it, until it is known that it was that start.
+    unconfirmed: Option<(Arc<ListedEndpoint>, Instant)>,
     /// When the origin of the stream was last recorded.
     origin_recorded_at: Option<Instant>,
     /// Number of attempts.
@@ -225,7 +231,11 @@
             match response {
                 Ok((attempt, Ok(response))) => {
                     if let Some(opened) = self.accept_head(attempt, response) {
-                        return Ok(opened);
+                        let confirmed = self.confirm_version(&opened.2, resume_after).await;
+                        let Err(error) = confirmed else {
+                            return Ok(opened);
+                        };
+                        self.handle_error(&opened.2, &error)?;
                     }
                 }
                 Ok((attempt, Err(error))) => {
@@ -268,6 +278,28 @@
         None
     }
 
+    /// Checks that a stream which is resumed goes on at the software version that began it: either endpoint may have started again
+    /// under its ID at another one.
+    fn confirm_version(
+        &self,
+        target: &AttemptTarget,
+        resume_after: Option<u64>,
+    ) -> impl Future<Output = Result<(), CallError>> + Send + 'static {
+        let node = self.node.clone();
+        let endpoint = target.endpoint().filter(|_| resume_after.is_some());
+        let sent = endpoint.map(|endpoint| (endpoint.clone(), self.sent_at(&endpoint.id)));
+        let first = self.unconfirmed.clone().filter(|_| sent.is_some());
+        async move {
+            for (endpoint, sent_at) in first.into_iter().chain(sent) {
+                let confirmed = node.confirm_start(&endpoint, sent_at, CONFIRM_TIMEOUT);
+                if !confirmed.await {
+                    return Err(interrupted("another start of the endpoint has answered"));
+                }
+            }
+            Ok(())
+        }
+    }
+
     /// Waits until it is known whether the endpoint of an attempt that reached none is out of reach, or all are.
     async fn wait_for_check(&mut self, error: &CallError) {
         if let CallError::NotSent { .. } = error {
@@ -338,6 +370,10 @@
             self.version = self.version.or(version);
             return;
         };
+        if self.version.is_none() {
+            self.unconfirmed = Some((endpoint.clone(), self.sent_at(&endpoint.id)));
+        }
+        self.check_first_start();
         let version = *self.version.get_or_insert_with(|| endpoint.version_key());
         let is_due = self
             .origin_recorded_at
@@ -350,6 +386,26 @@
         }
     }
 
+    /// Checks whether the stream was begun by the start of the endpoint to which the request was sent. If another one may have, its
+    /// version cannot be told, and it is not resumed anywhere.
+    fn check_first_start(&mut self) {
+        let Some((endpoint, sent_at)) = &self.unconfirmed else {
+            return;
+        };
+        match self.node.check_start(endpoint, *sent_at) {
+            StartCheck::Unknown => return,
+            StartCheck::Same => {}
+            StartCheck::Other => {
+                info!(self.node.deps.logger, "version of a stream is unknown";
+                    "request" => &*self.request.call.id, "endpoint" => &*endpoint.id,
+                    "cause" => "the endpoint has started again");
+                self.version = Some(VersionKey::UNKNOWN);
+                self.origin_recorded_at = None;
+            }
+        }
+        self.unconfirmed = None;
+    }
+
     /// ID of the request that began the stream; `None` if the caller takes one up without naming it.
     fn began_by(&self) -> Option<&str> {
         match self.request.resume_after {
--- a/crates/switch/src/origins.rs
+++ b/crates/switch/src/origins.rs
@@ -37,6 +37,9 @@
 pub struct VersionKey(u32);
 
 impl VersionKey {
+    /// Stands for a version that cannot be told. No endpoint has it.
+    pub const UNKNOWN: Self = Self(0);
+
     /// Returns the key of a version of a service.
     ///
     /// ```
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -120,6 +120,8 @@
     recorded: RecordedState,
     /// Event after which the last runs ended without a marked end, and their number.
     unmarked_ends: (Option<u64>, u32),
+    /// Whether the run in progress may be at another software version than it seems. Nothing is written until that is known.
+    is_unconfirmed: bool,
 }
 
 impl ItemProgress {
@@ -141,6 +143,7 @@
             text,
             recorded,
             unmarked_ends: (None, 0),
+            is_unconfirmed: false,
         }
     }
 
@@ -153,6 +156,11 @@
         }
     }
 
+    /// Records whether the software version of the run in progress is certain.
+    pub fn set_confirmed(&mut self, is_confirmed: bool) {
+        self.is_unconfirmed = !is_confirmed;
+    }
+
     /// Software version that wrote the output; `None` if there is no output.
     #[must_use]
     pub fn version(&self) -> Option<VersionKey> {
@@ -230,6 +238,9 @@
     /// Returns the output that is not in the log; `None` if there is none or if it must not be written.
     #[must_use]
     pub fn delta(&self) -> Option<ProgressDelta> {
+        if self.is_unconfirmed {
+            return None;
+        }
         let (version, last_event) = (self.version?, self.last_event?);
         let (after, start) = match self.recorded {
             RecordedState::Unknown => return None,
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -22,6 +22,7 @@
 mod pure;
 mod quarantine;
 mod quarantine_trials;
+mod restarted_endpoints;
 mod shutdown;
 mod support;
 mod version_history;
