--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -47,6 +47,11 @@
     NotRun,
     /// The endpoint or the connection to it failed.
     Interrupted(CallError),
+    /// The run resumed at the end of an output that is not complete by the runs before, and had no event. The last event has to be
+    /// shown again.
+    Unproven,
+    /// The endpoint does not have the last event, so that the output has events beyond its end.
+    Surplus,
     /// The output exceeds its maximum size, so the endpoint does not end it properly.
     Oversized,
     /// The endpoint reports that the run failed.
@@ -64,6 +69,8 @@
             Self::NotSent => "not sent",
             Self::NotRun => "not run",
             Self::Interrupted(_) => "broken off",
+            Self::Unproven => "end to be proved",
+            Self::Surplus => "surplus events",
             Self::Oversized => "oversized",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
@@ -149,8 +156,9 @@
         self.resumed_after = self.progress.lock().last_event();
         let options = CallOptions {
             remaining: RUN_TIMEOUT,
-            resume_after: self.resumed_after,
+            resume_after: self.progress.lock().resume_point(),
         };
+        let mut is_proven = self.resumed_after.is_none();
         let sent_at = Instant::now();
         self.sent_at = Some(sent_at);
         self.progress.lock().set_confirmed(false);
@@ -195,27 +203,17 @@
                 Ok(None) if self.progress.lock().is_empty() => {
                     return interrupted("the response has no events");
                 }
-                Ok(None) if response.framing == BodyFraming::Delimited => {
-                    return RunOutcome::Completed;
-                }
-                Ok(None) if self.progress.lock().confirm_end() => return RunOutcome::Completed,
-                Ok(None) => return RunOutcome::UnmarkedEnd,
+                Ok(None) => return self.end_output(response.framing, is_proven),
                 Ok(Some(Err(error))) => return RunOutcome::Interrupted(error),
                 Err(_) => return interrupted(late_cause(deadline)),
             }
-            while let Some(event) = parser.next_event() {
-                let Some(id) = event.id else {
-                    continue;
-                };
-                let data = event.data();
-                let mut progress = self.progress.lock();
-                if progress.len() + data.len() >= MAX_OUTPUT_BYTES {
-                    return RunOutcome::Oversized;
-                }
-                if !progress.push_event(id, &data) {
-                    return interrupted("event IDs are not consecutive");
+            match self.take_events(&mut parser) {
+                Ok(false) => {}
+                Ok(true) => {
+                    is_proven = true;
+                    stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
                 }
-                stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
+                Err(outcome) => return outcome,
             }
             if !is_confirmed {
                 match self.node.check_start(&self.endpoint, sent_at) {
@@ -236,6 +234,48 @@
         }
     }
 
+    /// Adds the complete events to the output. Returns whether there were any, or the outcome of a run that ends with them.
+    fn take_events(&self, parser: &mut EventParser) -> Result<bool, RunOutcome> {
+        let mut has_events = false;
+        while let Some(event) = parser.next_event() {
+            let Some(id) = event.id else {
+                continue;
+            };
+            let data = event.data();
+            let mut progress = self.progress.lock();
+            has_events = true;
+            if progress.needs_proof() {
+                if !progress.prove(id, &data) {
+                    return Err(RunOutcome::Surplus);
+                }
+                continue;
+            }
+            if progress.len() + data.len() >= MAX_OUTPUT_BYTES {
+                return Err(RunOutcome::Oversized);
+            }
+            if !progress.push_event(id, &data) {
+                return Err(interrupted("event IDs are not consecutive"));
+            }
+        }
+        Ok(has_events)
+    }
+
+    /// Outcome of a run whose body has ended. `is_proven` tells whether the run had an event, or began the output.
+    fn end_output(&self, framing: BodyFraming, is_proven: bool) -> RunOutcome {
+        let mut progress = self.progress.lock();
+        if progress.needs_proof() {
+            return RunOutcome::Surplus;
+        }
+        if framing != BodyFraming::Delimited && !progress.confirm_end() {
+            return RunOutcome::UnmarkedEnd;
+        }
+        if is_proven {
+            return RunOutcome::Completed;
+        }
+        progress.require_proof();
+        RunOutcome::Unproven
+    }
+
     /// Checks that the output of the run is of the software version of which it seems to be. The endpoint may have started again under its
     /// ID at another one; then the output that this host has is dropped, and the item continues from its checkpoints. A run that
     /// completes from the beginning is of one start in any case.
@@ -353,7 +393,10 @@
                     .record(events, run_events, started.elapsed());
                 Some(UpdateKind::Completed(text.into()))
             }
-            RunOutcome::UnmarkedEnd | RunOutcome::Cancelled | RunOutcome::NotSent => None,
+            RunOutcome::UnmarkedEnd
+            | RunOutcome::Unproven
+            | RunOutcome::Cancelled
+            | RunOutcome::NotSent => None,
             RunOutcome::NotRun => {
                 state.load.mark_full(endpoint, now);
                 None
@@ -366,8 +409,10 @@
                 state.histories.record_interruption(name, now);
                 None
             }
-            RunOutcome::Oversized => {
-                node.avoid_endpoint(state, endpoint, now);
+            RunOutcome::Surplus | RunOutcome::Oversized => {
+                if let RunOutcome::Oversized = outcome {
+                    node.avoid_endpoint(state, endpoint, now);
+                }
                 state.histories.record_interruption(name, now);
                 // This host claims the item, and does not run it until the record is read back.
                 state.remove_progress(name);
--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -120,6 +120,8 @@
     recorded: RecordedState,
     /// Event after which the last runs ended without a marked end, and their number.
     unmarked_ends: (Option<u64>, u32),
+    /// Whether the next run has to show that the last event is part of the output.
+    needs_proof: bool,
     /// Whether the run in progress may be at another software version than it seems. Nothing is written until that is known.
     is_unconfirmed: bool,
 }
@@ -143,6 +145,7 @@
             text,
             recorded,
             unmarked_ends: (None, 0),
+            needs_proof: false,
             is_unconfirmed: false,
         }
     }
@@ -156,6 +159,45 @@
         }
     }
 
+    /// Event after which the next run resumes: the last one, or the one before if the last one has to be shown again.
+    #[must_use]
+    pub fn resume_point(&self) -> Option<u64> {
+        match self.last_event {
+            Some(last) if self.needs_proof => last.checked_sub(1),
+            last => last,
+        }
+    }
+
+    /// Requires that a run shows the last event again. An endpoint may have sent events beyond the end of the output, after which others
+    /// have nothing to add.
+    pub fn require_proof(&mut self) {
+        self.needs_proof = true;
+    }
+
+    /// Whether the next event has to be the last one again.
+    #[must_use]
+    pub fn needs_proof(&self) -> bool {
+        self.needs_proof
+    }
+
+    /// Takes the event that a run sends first for the proof of the last one. Returns whether it is the same.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::progress::ItemProgress;
+    /// let mut progress = ItemProgress::default();
+    /// assert!(progress.push_event(1, b"a") && progress.push_event(2, b"b"));
+    /// progress.require_proof();
+    /// assert_eq!(progress.resume_point(), Some(1));
+    /// assert!(progress.prove(2, b"b"));
+    /// assert_eq!(progress.resume_point(), Some(2));
+    /// ```
+    #[must_use]
+    pub fn prove(&mut self, id: u64, data: &[u8]) -> bool {
+        let is_same = self.last_event == Some(id) && self.text.ends_with(data);
+        self.needs_proof &= !is_same;
+        is_same
+    }
+
     /// Records whether the software version of the run in progress is certain.
     pub fn set_confirmed(&mut self, is_confirmed: bool) {
         self.is_unconfirmed = !is_confirmed;
@@ -193,7 +235,7 @@
     }
 
     /// Records that a run ended without a marked end. Returns whether the output is taken to be complete, since
-    /// [`CONFIRMING_RUNS`] earlier runs ended after the same event.
+    /// [`CONFIRMING_RUNS`] earlier runs ended after the same event. The last of these runs has to prove that event.
     ///
     /// ```
     /// use fulmarswitch_switch::progress::ItemProgress;
@@ -208,6 +250,7 @@
         let (event, runs) = self.unmarked_ends;
         let earlier = if event == self.last_event { runs } else { 0 };
         self.unmarked_ends = (self.last_event, earlier + 1);
+        self.needs_proof = self.last_event.is_some() && earlier + 1 == CONFIRMING_RUNS;
         self.last_event.is_some() && earlier >= CONFIRMING_RUNS
     }
 
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -433,6 +433,23 @@
     assert_eq!(page.results[0].text, Some(full_text(3)));
 }
 
+/// Guards against an item that never ends, or runs again from its beginning, after it broke off behind its last event.
+#[tokio::test(start_paused = true)]
+async fn item_that_breaks_off_behind_its_last_event_completes() {
+    let fleet = TestFleet::new(2);
+    let node = fleet.start("a").await;
+    fleet.client.script(&[CallScript::BreakAfter { event: 3 }]);
+    node.submit_job(submission("j", 1)).await;
+    sleep(COMPLETION_TIME).await;
+    assert_eq!(
+        results(&node, "j").await.results[0].text,
+        Some(full_text(3))
+    );
+    let calls = fleet.client.calls();
+    let resumed: Vec<_> = calls.iter().map(|call| call.resume_after).collect();
+    assert_eq!(resumed, [None, Some(3), Some(2)]);
+}
+
 /// A host that takes over an item must not continue output that was discarded.
 #[tokio::test(start_paused = true)]
 async fn host_started_later_does_not_continue_discarded_output() {
