--- a/crates/decide/src/retention.rs
+++ b/crates/decide/src/retention.rs
@@ -18,7 +18,7 @@
 /// Time limits of the retention, by the clock of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetentionWindow {
-    /// Records at smaller offsets are old: state that only they hold must be copied.
+    /// Records at smaller offsets are old: state that only they hold, or that is read under a claim among them, must be copied.
     pub before: Offset,
     /// Current time by the clock of the log, in milliseconds since the Unix epoch.
     pub now_ms: u64,
@@ -85,10 +85,10 @@
         limits,
     };
     for (name, entry) in state.keys() {
-        plan_key(name, entry, window, &mut planned);
+        plan_key(state, name, entry, window, &mut planned);
     }
     for (name, job) in state.jobs() {
-        plan_job(name, job, window, &mut planned);
+        plan_job(state, name, job, window, &mut planned);
     }
     let copies = planned.copies.into_iter().map(|(_, step)| step);
     copies.chain(planned.forgets).collect()
@@ -127,19 +127,23 @@
     violations
 }
 
+/// When state expires: offsets of the claim under which its oldest record is read, and of that record. A record is of no use once
+/// its claim has expired.
+type Expiry = (Offset, Offset);
+
 struct PlannedSteps {
-    /// Copies with the offset of the oldest record that each replaces, in the order of these offsets.
-    copies: Vec<(Offset, RetentionStep)>,
+    /// Copies in the order in which the records that they replace expire.
+    copies: Vec<(Expiry, RetentionStep)>,
     forgets: Vec<RetentionStep>,
     limits: StepLimits,
 }
 
 impl PlannedSteps {
     /// Plans a copy unless enough are planned whose records expire before.
-    fn copy(&mut self, oldest: Offset, step: impl FnOnce() -> RetentionStep) {
-        let position = self.copies.partition_point(|(other, _)| *other <= oldest);
+    fn copy(&mut self, expiry: Expiry, step: impl FnOnce() -> RetentionStep) {
+        let position = self.copies.partition_point(|(other, _)| *other <= expiry);
         if position < self.limits.copies {
-            self.copies.insert(position, (oldest, step()));
+            self.copies.insert(position, (expiry, step()));
             self.copies.truncate(self.limits.copies);
         }
     }
@@ -153,21 +157,23 @@
 }
 
 fn plan_key(
+    state: &ShardState,
     name: &Arc<str>,
     entry: &KeyEntry,
     window: &RetentionWindow,
     planned: &mut PlannedSteps,
 ) {
     let oldest = entry.oldest_needed().offset;
-    let is_old = oldest < window.before;
     if must_keep_key(entry, window) {
-        if is_old {
-            planned.copy(oldest, || RetentionStep::CopyKey {
+        let claim = state.claim_of(oldest);
+        if claim < window.before {
+            planned.copy((claim, oldest), || RetentionStep::CopyKey {
                 key: Arc::clone(name),
             });
         }
         return;
     }
+    let is_old = oldest < window.before;
     // A key whose request was given up without running is equivalent to an unknown key: a resend
     // starts over.
     let not_run = entry.outcome.is_some_and(|result| result.not_run);
@@ -176,7 +182,13 @@
     }
 }
 
-fn plan_job(name: &Arc<str>, job: &JobEntry, window: &RetentionWindow, planned: &mut PlannedSteps) {
+fn plan_job(
+    state: &ShardState,
+    name: &Arc<str>,
+    job: &JobEntry,
+    window: &RetentionWindow,
+    planned: &mut PlannedSteps,
+) {
     if !must_keep_job(job, window) {
         let sealed = job.seal().is_some();
         if sealed || window.now_ms > job.started_ms() + window.submission_ttl_ms {
@@ -190,13 +202,15 @@
         count,
     };
     let oldest = job.oldest_needed().offset;
-    if job.chunks().is_empty() && oldest < window.before {
-        planned.copy(oldest, || copy_items(0, 0));
+    let claim = state.claim_of(oldest);
+    if job.chunks().is_empty() && claim < window.before {
+        planned.copy((claim, oldest), || copy_items(0, 0));
     }
     for chunk in job.chunks() {
         let oldest = job.oldest_needed_of(chunk).offset;
-        if oldest < window.before {
-            planned.copy(oldest, || copy_items(chunk.first, chunk.count));
+        let claim = state.claim_of(oldest);
+        if claim < window.before {
+            planned.copy((claim, oldest), || copy_items(chunk.first, chunk.count));
         }
     }
 }
--- a/crates/decide/src/shard.rs
+++ b/crates/decide/src/shard.rs
@@ -198,6 +198,15 @@
         claim.filter(|_| !forgotten).map(|claim| claim.offset)
     }
 
+    /// Returns the offset of the claim under which the record at `offset` is read. A reader that starts behind this claim rejects
+    /// the record, though the log may still have it. `offset` itself if no such claim is known.
+    #[must_use]
+    pub fn claim_of(&self, offset: Offset) -> Offset {
+        let mut claims = self.claims.iter().rev();
+        let claim = claims.find(|claim| claim.offset <= offset);
+        claim.map_or(offset, |claim| claim.offset)
+    }
+
     /// Returns whether the reader knows the epoch of the shard.
     #[must_use]
     pub fn knows_epoch(&self) -> bool {
--- a/crates/decide/tests/retention/main.rs
+++ b/crates/decide/tests/retention/main.rs
@@ -398,6 +398,27 @@
     );
 }
 
+/// Guards against a key that a reader does not have although the log still has its records: the claim before them has expired, so that
+/// the reader rejects them.
+#[test]
+fn state_is_copied_before_its_claim_expires() {
+    let mut log = ShardLog::default();
+    let mut state = ShardState::new(ShardIndex(0));
+    log.push(&mut state, Epoch(1), claim(0));
+    for body in bodies_of(&LogStep::Accept { key: 0, input: 0 }) {
+        log.push(&mut state, Epoch(1), body);
+    }
+    let end = log.entries.len() as u64;
+    log.push(&mut state, Epoch(2), claim(end));
+    let limits = StepLimits {
+        copies: 3,
+        forgets: 0,
+    };
+    // The claim is old, and the key is not.
+    let steps = plan_steps(&state, &window_at(1, end), limits);
+    assert_eq!(steps, [RetentionStep::CopyKey { key: key_name(0) }]);
+}
+
 /// Result places must be dropped once no item uses them, or repeated copies would let their number
 /// grow without bound.
 #[test]
--- a/crates/trials/src/guarantees.rs
+++ b/crates/trials/src/guarantees.rs
@@ -391,10 +391,11 @@
                 };
                 if !same {
                     let detail = format!(
-                        "shard {} at {} and {}",
+                        "shard {} at {} and {}: {}",
                         one.shard(),
                         first.identity,
-                        host.identity
+                        host.identity,
+                        differences(one, other)
                     );
                     fleet.history.record_violation(STATES_AGREE, detail);
                 }
@@ -403,6 +404,47 @@
     }
 }
 
+/// Names the entities of which two replays of one shard have different states, and these states.
+fn differences(one: &ShardState, other: &ShardState) -> String {
+    let mut found = Vec::new();
+    if one.epoch() != other.epoch() || one.owner() != other.owner() {
+        let owner = |state: &ShardState| format!("{:?} of {:?}", state.epoch(), state.owner());
+        found.push(format!("owner {} and {}", owner(one), owner(other)));
+    }
+    let mut keys: Vec<_> = one
+        .keys()
+        .chain(other.keys())
+        .map(|(name, _)| name)
+        .collect();
+    keys.sort_unstable();
+    keys.dedup();
+    for name in keys {
+        let (left, right) = (one.key(name), other.key(name));
+        if left != right {
+            found.push(format!("{name}: {left:?} and {right:?}"));
+        }
+    }
+    let mut jobs: Vec<_> = one
+        .jobs()
+        .chain(other.jobs())
+        .map(|(name, _)| name)
+        .collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    for name in jobs {
+        let (left, right) = (one.job(name), other.job(name));
+        if left != right {
+            let states = |job: Option<&JobEntry>| job.map(JobEntry::states).map(<[_]>::to_vec);
+            found.push(format!(
+                "{name}: {:?} and {:?}",
+                states(left),
+                states(right)
+            ));
+        }
+    }
+    found.join("; ")
+}
+
 /// Returns whether two replays of one shard are equal.
 #[must_use]
 pub fn same_state(one: &ShardState, other: &ShardState) -> bool {
