Leave out job records whose text or key cannot be that of one

Callers: none have seen it.

Cause: the count of frames was taken from the key and from the record as it stood there.

Change: a key with such an index names no frames; a record whose text has other than the frames that its length takes is left out with a warning, as other unreadable records are. All hosts of earlier builds write consistent ones, so they stay readable.

--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -10,7 +10,7 @@
 use http::HeaderValue;
 use http::uri::PathAndQuery;
 use serde::{Deserialize, Serialize};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use std::sync::Arc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -95,6 +95,11 @@
     pub fn writer(&self) -> u64 {
         self.number >> COUNT_BITS
     }
+
+    /// Whether the text has as many frames as its length takes. All of them are fetched at once, and deleted with the job.
+    fn is_consistent(&self) -> bool {
+        self.frames as usize == (self.bytes as usize).div_ceil(MAX_FRAME_BYTES).max(1)
+    }
 }
 
 /// Final outcome of an item.
@@ -180,6 +185,16 @@
         /// Error of the codec.
         source: postcard::Error,
     },
+    /// The record locates a text that cannot be one.
+    #[snafu(display(
+        "record of a text of {bytes} bytes in {frames} frames, which it does not take; it is ignored"
+    ))]
+    Location {
+        /// Length of the text in bytes.
+        bytes: u32,
+        /// Number of frames.
+        frames: u32,
+    },
 }
 
 impl JobRecord {
@@ -208,13 +223,37 @@
     }
 
     fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        match bytes.split_first() {
-            Some((&SCHEMA, rest)) => {
-                postcard::from_bytes(rest).map_err(|source| RecordError::Decode { source })
+        let record: Self = match bytes.split_first() {
+            Some((&SCHEMA, rest)) => postcard::from_bytes(rest).context(DecodeSnafu)?,
+            first => {
+                let schema = first.map_or(0, |(schema, _)| *schema);
+                return SchemaSnafu { schema }.fail();
+            }
+        };
+        match record.location() {
+            Some(location) if !location.is_consistent() => LocationSnafu {
+                bytes: location.bytes,
+                frames: location.frames,
+            }
+            .fail(),
+            _ => Ok(record),
+        }
+    }
+
+    /// Location of the text that belongs to the record.
+    fn location(&self) -> Option<&TextLocation> {
+        match self {
+            Self::Settled {
+                outcome: ItemOutcome::Completed(location),
+                ..
             }
-            first => Err(RecordError::Schema {
-                schema: first.map_or(0, |(schema, _)| *schema),
-            }),
+            | Self::Progress { location, .. } => Some(location),
+            Self::Checkpoint { segment, .. } => Some(&segment.location),
+            Self::Accepted(_)
+            | Self::Settled { .. }
+            | Self::Failed { .. }
+            | Self::Cancelled { .. }
+            | Self::Discarded { .. } => None,
         }
     }
 }
@@ -319,7 +358,7 @@
         let number = u64::from_str_radix(parts.next()?, 16).ok()?;
         Some(Self {
             number,
-            count: last + 1,
+            count: last.checked_add(1)?,
             is_text: false,
         })
     }
