--- a/crates/switch/tests/switch/encodings.rs
+++ b/crates/switch/tests/switch/encodings.rs
@@ -105,14 +105,14 @@
     ]
 }
 
-fn to_hex(bytes: &[u8]) -> String {
+pub fn to_hex(bytes: &[u8]) -> String {
     bytes.iter().fold(String::new(), |mut hex, byte| {
         write!(hex, "{byte:02x}").unwrap();
         hex
     })
 }
 
-fn from_hex(hex: &str) -> Vec<u8> {
+pub fn from_hex(hex: &str) -> Vec<u8> {
     let digits = |at| u8::from_str_radix(&hex[at..at + 2], 16).unwrap();
     (0..hex.len()).step_by(2).map(digits).collect()
 }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod deadly_requests;
 mod departures;
+mod earlier_hosts;
 mod encodings;
 mod fleet;
 mod job_routes;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1105,11 +1105,13 @@
 }
 
 /// An in-memory log and endpoints for any number of hosts.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct TestFleet {
     pub log: MemoryLog,
     pub client: MemoryClient,
     pub hosts: MemoryHosts,
+    /// Logger of the hosts that are started.
+    pub logger: slog::Logger,
 }
 
 static INCARNATION: AtomicU16 = AtomicU16::new(1);
@@ -1117,7 +1119,12 @@
 impl TestFleet {
     /// Creates a fleet with this many endpoints and no hosts.
     pub fn new(endpoints: usize) -> Self {
-        let fleet = Self::default();
+        let fleet = Self {
+            log: MemoryLog::default(),
+            client: MemoryClient::default(),
+            hosts: MemoryHosts::default(),
+            logger: slog::Logger::root(slog::Discard, slog::o!()),
+        };
         fleet.log.put("config", "config", "1");
         for index in 0..endpoints {
             fleet.log.put("endpoints", &format!("e{index}"), "ready");
@@ -1194,7 +1201,7 @@
             client: Arc::new(self.client.clone()),
             hosts: Arc::new(self.hosts.clone()),
             decoder: Arc::new(TextDecoder),
-            logger: slog::Logger::root(slog::Discard, slog::o!()),
+            logger: self.logger.clone(),
         };
         let node = SwitchNode::new(settings, deps);
         self.hosts.nodes.lock().unwrap().push(node.clone());
