--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod forward;
 mod pick;
+mod reply;
 mod target;
 
 use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
@@ -17,12 +18,13 @@
 use crate::prompt::{PartKey, PromptParts};
 use crate::route::ServiceRoute;
 use crate::starts::StartCheck;
+use crate::stop::AnswerDelivery;
 use ask::AskedPlace;
 use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep};
 use forward::forward;
-use futures::stream::{self, StreamExt};
 use http::StatusCode;
 use pick::MAX_SENDS;
+use reply::reply_with;
 use slog::info;
 use std::fmt::Display;
 use std::sync::Arc;
@@ -103,6 +105,7 @@
             runs: 0,
             started: Instant::now(),
             time_to_first_byte: None,
+            delivery: AnswerDelivery::default(),
             had_free_slot: false,
             is_proven: false,
             endpoint: None,
@@ -112,8 +115,9 @@
         };
         match exchange.first_response().await {
             Ok((response, guard, target)) => {
-                let deadline = exchange.request.deadline;
-                begin_reply(forward(exchange, response, guard, target), deadline).await
+                let (request, delivery) = (exchange.request.clone(), exchange.delivery);
+                let response = forward(exchange, response, guard, target);
+                reply_with(self, &request, response, delivery).await
             }
             Err(reply) => {
                 exchange.log_reply(&reply);
@@ -123,25 +127,6 @@
     }
 }
 
-/// Waits for the first chunk of a response. If it breaks off before that, the caller has received nothing, and gets a
-/// failure instead of a connection that closes without a response.
-async fn begin_reply(mut response: EndpointResponse, deadline: Instant) -> OnlineReply {
-    match response.body.next().await {
-        Some(Ok(chunk)) => {
-            let rest = response.body;
-            response.body = stream::iter([Ok(chunk)]).chain(rest).boxed();
-            OnlineReply::Response(Box::new(response))
-        }
-        Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
-        Some(Err(_)) => OnlineReply::Failed,
-        None => {
-            // The finished body must not be polled again.
-            response.body = stream::empty().boxed();
-            OnlineReply::Response(Box::new(response))
-        }
-    }
-}
-
 /// A response with its in-flight guard and where it comes from.
 type Opened = (EndpointResponse, Option<InFlightGuard>, AttemptTarget);
 
@@ -182,6 +167,8 @@
     runs: u32,
     started: Instant,
     time_to_first_byte: Option<Duration>,
+    /// How the answer is passed on to the caller.
+    delivery: AnswerDelivery,
     /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
     had_free_slot: bool,
     /// Whether a long answer has shown that the request does not crash the endpoint.
@@ -321,15 +308,18 @@
     }
 
     /// Rejects the request if it has not run and this host stops before it ends.
-    fn check_stop(&self) -> Result<(), OnlineReply> {
+    fn check_stop(&mut self) -> Result<(), OnlineReply> {
         let request = &self.request;
         if self.runs > 0 {
             return Ok(());
         }
         match self.node.check_stop(&request.call.id, request.deadline) {
-            None => Ok(()),
-            Some(_) if request.passed_on.is_some() => Err(OnlineReply::OutOfReach),
-            Some(retry_after) => Err(OnlineReply::Rejected { retry_after }),
+            Ok(delivery) => {
+                self.delivery = delivery;
+                Ok(())
+            }
+            Err(_) if request.passed_on.is_some() => Err(OnlineReply::OutOfReach),
+            Err(retry_after) => Err(OnlineReply::Rejected { retry_after }),
         }
     }
 
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -2,9 +2,11 @@
 //!
 //! A host that stops is no longer named to callers, but callers keep its address for some seconds, and longer if they cannot obtain another
 //! one. It takes a request if that ends within the grace period by its deadline. Until callers have had time to learn of the stop, it also
-//! takes requests with a later deadline, if answers lately took no longer than what is left. Everything else is rejected at once, also while
-//! no other host is ready: how long an answer takes is only an expectation, since its endpoint may fall silent, and the end of the process
-//! would cut it off.
+//! takes requests with a later deadline, if answers lately took no longer than what is left.
+//!
+//! Afterwards, such a request is rejected at once if another host is ready. Otherwise nobody else can serve it, so it is taken by the same
+//! expectation. As its endpoint may fall silent and the end of the process would then cut the answer off, the caller gets the answer only
+//! once it is complete, and a failure instead if it is not complete in time.
 
 use crate::batch;
 use crate::node::{SwitchNode, millis};
@@ -32,6 +34,16 @@
 /// Longest time that a request is expected to take, in relation to the longest answer lately.
 const EXPECTED_FACTOR: f64 = 1.5;
 
+/// How the answer to a request is passed on to its caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerDelivery {
+    /// As it arrives.
+    #[default]
+    Streamed,
+    /// Once it is complete, since this host may end before the answer does.
+    Whole,
+}
+
 /// Times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
@@ -64,10 +76,11 @@
         self.exit
     }
 
-    /// Whether a request is taken that ends at `deadline` at the latest.
+    /// How a request is answered that ends at `deadline` at the latest; `None` if it is not taken. `has_others` tells whether another host
+    /// is ready.
     ///
     /// ```
-    /// use fulmarswitch_switch::stop::{AnswerTimes, StopPlan};
+    /// use fulmarswitch_switch::stop::{AnswerDelivery, AnswerTimes, StopPlan};
     /// use std::time::Duration;
     /// use tokio::time::Instant;
     ///
@@ -76,23 +89,39 @@
     /// let plan = StopPlan::new(now, now, seconds(8));
     /// let mut answers = AnswerTimes::default();
     /// answers.record(seconds(1), now);
-    /// let takes = |at, timeout| plan.takes(now + seconds(at + timeout), &answers, now + seconds(at));
-    /// assert!(takes(1, 60));
-    /// assert!(takes(3, 4) && !takes(3, 5));
-    /// assert!(!takes(6, 2));
+    /// let take = |at, timeout, has_others| {
+    ///     plan.take(now + seconds(at + timeout), &answers, has_others, now + seconds(at))
+    /// };
+    /// assert_eq!(take(1, 60, true), Some(AnswerDelivery::Streamed));
+    /// assert_eq!(take(3, 4, true), Some(AnswerDelivery::Streamed));
+    /// assert_eq!(take(3, 5, true), None);
+    /// assert_eq!(take(3, 5, false), Some(AnswerDelivery::Whole));
+    /// assert_eq!(take(6, 2, false), None);
     /// // Shorter than the margin, so that the stop has no time for requests.
     /// let short = StopPlan::new(now, now, Duration::from_millis(500));
-    /// assert!(!short.takes(now + seconds(5), &AnswerTimes::default(), now));
+    /// assert_eq!(short.take(now + seconds(5), &AnswerTimes::default(), false, now), None);
     /// ```
     #[must_use]
-    pub fn takes(&self, deadline: Instant, answers: &AnswerTimes, now: Instant) -> bool {
+    pub fn take(
+        &self,
+        deadline: Instant,
+        answers: &AnswerTimes,
+        has_others: bool,
+        now: Instant,
+    ) -> Option<AnswerDelivery> {
         if deadline <= self.end {
-            return true;
+            return Some(AnswerDelivery::Streamed);
         }
         let is_expected_to_end =
             |longest: Duration| now + longest.mul_f64(EXPECTED_FACTOR) <= self.end;
-        let taken_until = self.end.min(self.started + NOTICE_TIME);
-        now < taken_until && answers.longest(now).is_none_or(is_expected_to_end)
+        if now >= self.end || !answers.longest(now).is_none_or(is_expected_to_end) {
+            return None;
+        }
+        if now < self.started + NOTICE_TIME {
+            Some(AnswerDelivery::Streamed)
+        } else {
+            (!has_others).then_some(AnswerDelivery::Whole)
+        }
     }
 }
 
@@ -225,24 +254,30 @@
         }
     }
 
-    /// Checks whether a request that ends at `deadline` at the latest is taken by this host. Returns the delay after which its caller
-    /// should retry if it is not, since this host stops; `None` if it is. Another host that is ready can serve it at once.
-    #[must_use]
-    pub fn check_stop(&self, request: &str, deadline: Instant) -> Option<Duration> {
-        let plan = (*self.stop_plan.borrow())?;
+    /// Checks how this host answers a request that ends at `deadline` at the latest.
+    ///
+    /// # Errors
+    /// Returns the delay after which the caller should retry if the request is not taken, since this host stops. Another host that is ready
+    /// can serve it at once.
+    pub fn check_stop(&self, request: &str, deadline: Instant) -> Result<AnswerDelivery, Duration> {
+        let Some(plan) = *self.stop_plan.borrow() else {
+            return Ok(AnswerDelivery::Streamed);
+        };
         let now = Instant::now();
-        let has_others = {
+        let (delivery, has_others) = {
             let state = self.lock();
-            if plan.takes(deadline, &state.answer_times, now) {
-                return None;
-            }
-            state.members.others_are_ready(now)
+            let has_others = state.members.others_are_ready(now);
+            let delivery = plan.take(deadline, &state.answer_times, has_others, now);
+            (delivery, has_others)
         };
+        if let Some(delivery) = delivery {
+            return Ok(delivery);
+        }
         let left = deadline.saturating_duration_since(now);
         info!(self.deps.logger, "request not routed"; "request" => request,
             "cause" => "this host stops before the request ends", "left_ms" => millis(left),
             "has_others" => has_others);
-        Some(if has_others {
+        Err(if has_others {
             Duration::ZERO
         } else {
             left.mul_f64(MAX_RETRY_FRACTION).min(MAX_RETRY_DELAY)
