--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -355,7 +355,8 @@
     }
 
     /// Caller addresses of at most `max` ready hosts, including this one; a random selection if there are more. Hosts that are cut off from
-    /// the endpoints are left out as long as there are others.
+    /// the endpoints are left out as long as there are others. A host that stops names itself if no other one is ready, as long as it takes
+    /// requests: without an address, callers go on with those that they had, of hosts that have ended.
     #[must_use]
     pub fn caller_addresses(&self, max: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
@@ -375,6 +376,9 @@
         if addresses.is_empty() {
             addresses = caller_addresses(&state, true);
         }
+        if addresses.is_empty() && self.is_last_resort(&state, now) {
+            addresses.push(self.settings.descriptor.caller_address);
+        }
         while addresses.len() > max {
             let index = state.rng.random_range(..addresses.len());
             addresses.swap_remove(index);
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -9,7 +9,7 @@
 //! once it is complete, and a failure instead if it is not complete in time.
 
 use crate::batch;
-use crate::node::{SwitchNode, millis};
+use crate::node::{SwitchNode, SwitchState, millis};
 use crate::overload::MAX_RETRY_FRACTION;
 use slog::info;
 use std::future::pending;
@@ -112,9 +112,7 @@
         if deadline <= self.end {
             return Some(AnswerDelivery::Streamed);
         }
-        let is_expected_to_end =
-            |longest: Duration| now + longest.mul_f64(EXPECTED_FACTOR) <= self.end;
-        if now >= self.end || !answers.longest(now).is_none_or(is_expected_to_end) {
+        if !self.is_expected_to_end(answers, now) {
             return None;
         }
         if now < self.started + NOTICE_TIME {
@@ -123,6 +121,17 @@
             (!has_others).then_some(AnswerDelivery::Whole)
         }
     }
+
+    /// Whether requests are taken whatever their deadline, since no other host is ready.
+    fn is_last_resort(&self, answers: &AnswerTimes, has_others: bool, now: Instant) -> bool {
+        !has_others && self.is_expected_to_end(answers, now)
+    }
+
+    /// Whether a request that comes now ends before the host does if it takes no longer than those lately.
+    fn is_expected_to_end(&self, answers: &AnswerTimes, now: Instant) -> bool {
+        let longest = answers.longest(now).unwrap_or_default();
+        now < self.end && now + longest.mul_f64(EXPECTED_FACTOR) <= self.end
+    }
 }
 
 /// How long the answers to callers took lately.
@@ -284,6 +293,13 @@
         })
     }
 
+    /// Whether this host stops and takes requests whatever their deadline, since no other host is ready.
+    pub(crate) fn is_last_resort(&self, state: &SwitchState, now: Instant) -> bool {
+        let plan = *self.stop_plan.borrow();
+        let has_others = state.members.others_are_ready(now);
+        plan.is_some_and(|plan| plan.is_last_resort(&state.answer_times, has_others, now))
+    }
+
     fn has_requests(&self) -> bool {
         let state = self.lock();
         state.online_in_flight > 0 || state.open_requests > 0
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -2,7 +2,7 @@
 //!
 //! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
-use crate::support::{CallScript, CallerOutcome, TestFleet, read_response, request};
+use crate::support::{CallScript, CallerOutcome, TestFleet, read_response, request, wait_until};
 use fulmarswitch_switch::node::{SwitchNode, millis};
 use rstest::rstest;
 use std::sync::Arc;
@@ -158,3 +158,39 @@
     let seen = send(host, 0, handled).await;
     assert_eq!(seen.outcome, CallerOutcome::Rejected);
 }
+
+/// Guards against callers that get no address from the last host of a fleet, although it still takes requests, and against callers that are
+/// sent to a stopping host although another one is ready.
+#[tokio::test]
+async fn stopping_host_names_itself_only_while_no_other_is_ready() {
+    let fleet = TestFleet::new(12);
+    let [first, last] = [fleet.start("a").await, fleet.start("b").await];
+    let named = |host: &Arc<SwitchNode>| host.caller_addresses(64);
+    let own = |host: &Arc<SwitchNode>| host.settings.descriptor.caller_address;
+    wait_until("both hosts", async || {
+        named(&first).len() == 2 && named(&last).len() == 2
+    })
+    .await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: LONG });
+    let started = Instant::now();
+    for (number, host) in [&first, &last].into_iter().enumerate() {
+        // Keeps the host from ending.
+        tokio::spawn(send(host.clone(), number, started));
+    }
+    let stop = |host: &Arc<SwitchNode>| {
+        let host = host.clone();
+        tokio::spawn(async move { host.stop(Instant::now()).await })
+    };
+    stop(&first);
+    wait_until("the stop of the first", async || first.is_stopping()).await;
+    assert_eq!(named(&first), [own(&last)]);
+    stop(&last);
+    wait_until("both stops", async || {
+        named(&first) == [own(&first)] && named(&last) == [own(&last)]
+    })
+    .await;
+    sleep(GRACE).await;
+    assert_eq!(named(&last), []);
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1227,7 +1227,8 @@
                 name: name.into(),
                 incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed).into(),
                 peer_address,
-                caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                // Nothing listens there for callers; it tells hosts apart.
+                caller_address: peer_address,
                 domain: "domain".into(),
             },
             topics: LogTopics {
