--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -146,6 +146,8 @@
     pub(crate) unrecorded: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
+    /// Whether this host stops and runs no items any more.
+    pub(crate) hands_items_over: bool,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) run_delay: RunDelay,
     pub(crate) online_in_flight: usize,
@@ -256,6 +258,7 @@
             unrecorded: Vec::new(),
             texts: TextCache::default(),
             stopping: false,
+            hands_items_over: false,
             answer_times: AnswerTimes::default(),
             run_delay: RunDelay::default(),
             online_in_flight: 0,
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -15,7 +15,7 @@
 use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Time before the end of the grace period by which requests end. Those without a response get their final one then.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
@@ -23,6 +23,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
 /// Time in which callers learn that a host stops: they look addresses up again after two seconds.
 const NOTICE_TIME: Duration = Duration::from_millis(2500);
+/// Time before the end of a stop at which items are handed over, if no other host could take them before.
+const HAND_OVER_TIME: Duration = Duration::from_secs(1);
+/// Interval between checks whether a stop goes on.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum retry delay while no other host is ready. A host that stops is idle, and replaced, a few seconds after the signal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Delay from which on a host counts as having run late.
@@ -76,6 +80,11 @@
         self.exit
     }
 
+    /// When callers have had time to learn of the stop.
+    fn notice_end(&self) -> Instant {
+        self.started + NOTICE_TIME
+    }
+
     /// How a request is answered that ends at `deadline` at the latest; `None` if it is not taken. `has_others` tells whether another host
     /// is ready.
     ///
@@ -115,7 +124,7 @@
         if !self.is_expected_to_end(answers, now) {
             return None;
         }
-        if now < self.started + NOTICE_TIME {
+        if now < self.notice_end() {
             Some(AnswerDelivery::Streamed)
         } else {
             (!has_others).then_some(AnswerDelivery::Whole)
@@ -225,10 +234,27 @@
         let delay = handled.saturating_duration_since(started);
         info!(self.deps.logger, "stopping"; "online" => online, "open" => open, "delay_ms" => millis(delay));
         self.heartbeat_requested.notify_one();
-        batch::hand_over(self).await;
+        self.run_items_on(&plan).await;
+        self.lock().hands_items_over = true;
+        // Items that are not handed over in time continue from their last checkpoint.
+        let _ = timeout_at(plan.end(), batch::hand_over(self)).await;
         self.wait_idle(plan.end()).await;
     }
 
+    /// Goes on with the items in progress while no other host could take them over, for as long as requests of callers hold up the stop.
+    async fn run_items_on(&self, plan: &StopPlan) {
+        let hand_over_at = plan.end().checked_sub(HAND_OVER_TIME);
+        loop {
+            let now = Instant::now();
+            let is_due = hand_over_at.is_none_or(|due| now >= due);
+            let is_idle = now >= plan.notice_end() && !self.has_requests();
+            if is_due || is_idle || self.lock().members.others_are_ready(now) {
+                return;
+            }
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until no request of a caller is in progress, at most until a stopping host exits.
     pub async fn wait_exit(&self) {
         let plan = *self.stop_plan.borrow();
@@ -239,7 +265,7 @@
 
     async fn wait_idle(&self, end: Instant) {
         while self.has_requests() && Instant::now() < end {
-            sleep(Duration::from_millis(20)).await;
+            sleep(CHECK_INTERVAL).await;
         }
         let (online, open) = {
             let state = self.lock();
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -2,12 +2,16 @@
 //!
 //! Heartbeats are real datagrams on loopback, so these tests run in real time.
 
-use crate::support::{CallScript, CallerOutcome, TestFleet, read_response, request, wait_until};
+use crate::support::{
+    CallScript, CallerOutcome, TestFleet, full_text, read_response, request, results, submission,
+    wait_until,
+};
+use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::{SwitchNode, millis};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
 /// Time from the signal to the end of the process.
@@ -28,6 +32,8 @@
 /// Events of a stream of 0.3 s, and of one of 4.4 s.
 const SHORT: u64 = 15;
 const LONG: u64 = 220;
+/// Events of a stream that lasts until its deadline.
+const HELD: u64 = 500;
 
 /// A request as its caller saw it. Times are since the start of the stop.
 struct SeenRequest {
@@ -194,3 +200,63 @@
     sleep(GRACE).await;
     assert_eq!(named(&last), []);
 }
+
+/// Starts a host that is alone with a job of four items, and stops it while a request of a caller holds it up.
+async fn stop_with_items(fleet: &TestFleet, events: u64) -> (Arc<SwitchNode>, JoinHandle<()>) {
+    let host = fleet.start("a").await;
+    fleet.client.set_default(CallScript::Stream { events });
+    assert_eq!(host.submit_job(submission("j", 4)).await, SubmitReply::Done);
+    wait_until("the items", async || fleet.client.running() == 4).await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: HELD });
+    tokio::spawn(send(host.clone(), 0, Instant::now()));
+    let stopping = host.clone();
+    let stop = tokio::spawn(async move { stopping.stop(Instant::now()).await });
+    (host, stop)
+}
+
+/// Guards against accepted items that nobody runs, although the last host of a fleet is still there and could list their results.
+#[tokio::test]
+async fn last_host_goes_on_with_its_items() {
+    let fleet = TestFleet::new(12);
+    let (host, stop) = stop_with_items(&fleet, SHORT * 10).await;
+    stop.await.unwrap();
+    let results = results(&host, "j").await.results;
+    let expected = Some(full_text(SHORT * 10));
+    let done = results.iter().filter(|result| result.text == expected);
+    assert_eq!(done.count(), 4, "of {} results", results.len());
+}
+
+/// Guards against output of items that is lost at the end of the last host, or although another one is ready meanwhile.
+#[rstest]
+#[case::after_its_end(false, 200)]
+#[case::while_it_stops(true, 50)]
+#[tokio::test]
+async fn items_of_the_last_host_are_taken_over(#[case] meanwhile: bool, #[case] resumed_from: u64) {
+    let fleet = TestFleet::new(12);
+    let (_host, stop) = stop_with_items(&fleet, LONG * 2).await;
+    if meanwhile {
+        sleep(Duration::from_secs(2)).await;
+    } else {
+        stop.await.unwrap();
+    }
+    let script = CallScript::Stream { events: LONG * 2 };
+    fleet.client.set_default(script);
+    let before = fleet.client.calls().len();
+    let successor = fleet.start("b").await;
+    wait_until("all results", async || {
+        results(&successor, "j").await.results.len() == 4
+    })
+    .await;
+    let expected = Some(full_text(LONG * 2));
+    let taken_over = results(&successor, "j").await.results;
+    assert!(taken_over.iter().all(|result| result.text == expected));
+    let calls = fleet.client.calls().split_off(before);
+    let resumed_after: Vec<_> = calls.iter().map(|call| call.resume_after).collect();
+    let is_resumed = |after: &Option<u64>| after.is_some_and(|after| after >= resumed_from);
+    assert!(
+        calls.len() == 4 && resumed_after.iter().all(is_resumed),
+        "{resumed_after:?}"
+    );
+}
