--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -37,6 +37,8 @@
 const ANSWER_PERIOD: Duration = Duration::from_secs(30);
 /// Longest time that a request is expected to take, in relation to the longest answer lately.
 const EXPECTED_FACTOR: f64 = 1.5;
+/// Time for which a sound endpoint may fall silent within an answer, beyond what answers take.
+const SILENCE_TIME: Duration = Duration::from_secs(1);
 
 /// How the answer to a request is passed on to its caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -104,8 +106,8 @@
     /// assert_eq!(take(1, 60, true), Some(AnswerDelivery::Streamed));
     /// assert_eq!(take(3, 4, true), Some(AnswerDelivery::Streamed));
     /// assert_eq!(take(3, 5, true), None);
-    /// assert_eq!(take(3, 5, false), Some(AnswerDelivery::Whole));
-    /// assert_eq!(take(6, 2, false), None);
+    /// assert_eq!(take(4, 5, false), Some(AnswerDelivery::Whole));
+    /// assert_eq!(take(5, 5, false), None);
     /// // Shorter than the margin, so that the stop has no time for requests.
     /// let short = StopPlan::new(now, now, Duration::from_millis(500));
     /// assert_eq!(short.take(now + seconds(5), &AnswerTimes::default(), false, now), None);
@@ -121,25 +123,23 @@
         if deadline <= self.end {
             return Some(AnswerDelivery::Streamed);
         }
-        if !self.is_expected_to_end(answers, now) {
-            return None;
-        }
-        if now < self.notice_end() {
-            Some(AnswerDelivery::Streamed)
-        } else {
-            (!has_others).then_some(AnswerDelivery::Whole)
+        if now < self.notice_end() && self.is_expected_to_end(answers, now) {
+            return Some(AnswerDelivery::Streamed);
         }
+        self.is_last_resort(answers, has_others, now)
+            .then_some(AnswerDelivery::Whole)
     }
 
-    /// Whether requests are taken whatever their deadline, since no other host is ready.
+    /// Whether requests are taken whatever their deadline, since no other host is ready. A request that ends with a failure may not be sent
+    /// again, unlike one that is rejected, so there is time for a silence of its endpoint.
     fn is_last_resort(&self, answers: &AnswerTimes, has_others: bool, now: Instant) -> bool {
-        !has_others && self.is_expected_to_end(answers, now)
+        !has_others && self.is_expected_to_end(answers, now + SILENCE_TIME)
     }
 
-    /// Whether a request that comes now ends before the host does if it takes no longer than those lately.
-    fn is_expected_to_end(&self, answers: &AnswerTimes, now: Instant) -> bool {
-        let longest = answers.longest(now).unwrap_or_default();
-        now < self.end && now + longest.mul_f64(EXPECTED_FACTOR) <= self.end
+    /// Whether a request that comes at `time` ends before the host does if it takes no longer than those lately.
+    fn is_expected_to_end(&self, answers: &AnswerTimes, time: Instant) -> bool {
+        let longest = answers.longest(time).unwrap_or_default();
+        time < self.end && time + longest.mul_f64(EXPECTED_FACTOR) <= self.end
     }
 }
 
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -23,8 +23,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Time of the stop until which requests are served: callers look addresses up again after two seconds.
 const SERVED_UNTIL_MS: u64 = 2000;
-/// The same while no other host is ready and the longest answer takes 0.3 s.
-const SERVED_ALONE_UNTIL_MS: u64 = 6000;
+/// The same while no other host is ready and the longest answer takes 0.3 s: there is time for a silence of 1 s in each.
+const SERVED_ALONE_UNTIL_MS: u64 = 5500;
 /// Time after the requests that are served from which on all are rejected.
 const REJECTION_DELAY_MS: u64 = 1000;
 /// Time of the stop by which requests without a response have their final one.
