--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -153,6 +153,8 @@
     pub(crate) online_in_flight: usize,
     /// Requests of callers that have begun to arrive and whose answers are not written completely.
     pub(crate) open_requests: usize,
+    /// When a request of a caller last began or ended; `None` before the first.
+    pub(crate) called_at: Option<Instant>,
     pub(crate) rng: SmallRng,
     pub(crate) numbers: RecordNumberGenerator,
 }
@@ -263,6 +265,7 @@
             run_delay: RunDelay::default(),
             online_in_flight: 0,
             open_requests: 0,
+            called_at: None,
             rng: SmallRng::from_os_rng(),
             numbers: RecordNumberGenerator::new(
                 &settings.descriptor.name,
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -25,6 +25,8 @@
 const NOTICE_TIME: Duration = Duration::from_millis(2500);
 /// Time before the end of a stop at which items are handed over, if no other host could take them before.
 const HAND_OVER_TIME: Duration = Duration::from_secs(1);
+/// Time without a request of a caller after which a host that is alone waits for no further ones. Callers read results twice a second.
+const QUIET_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks whether a stop goes on.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum retry delay while no other host is ready. A host that stops is idle, and replaced, a few seconds after the signal.
@@ -234,27 +236,38 @@
         let delay = handled.saturating_duration_since(started);
         info!(self.deps.logger, "stopping"; "online" => online, "open" => open, "delay_ms" => millis(delay));
         self.heartbeat_requested.notify_one();
-        self.run_items_on(&plan).await;
+        self.serve_alone(&plan).await;
         self.lock().hands_items_over = true;
         // Items that are not handed over in time continue from their last checkpoint.
         let _ = timeout_at(plan.end(), batch::hand_over(self)).await;
         self.wait_idle(plan.end()).await;
     }
 
-    /// Goes on with the items in progress while no other host could take them over, for as long as requests of callers hold up the stop.
-    async fn run_items_on(&self, plan: &StopPlan) {
+    /// Goes on with the items in progress, and waits for further callers, while no other host could take either over. Ends once there are
+    /// no callers any more.
+    async fn serve_alone(&self, plan: &StopPlan) {
         let hand_over_at = plan.end().checked_sub(HAND_OVER_TIME);
         loop {
             let now = Instant::now();
             let is_due = hand_over_at.is_none_or(|due| now >= due);
-            let is_idle = now >= plan.notice_end() && !self.has_requests();
-            if is_due || is_idle || self.lock().members.others_are_ready(now) {
+            if is_due || !self.has_callers(plan, now) || self.others_are_ready(now) {
                 return;
             }
             sleep(CHECK_INTERVAL).await;
         }
     }
 
+    /// Whether callers of a host that is alone are expected to come again.
+    fn has_callers(&self, plan: &StopPlan, now: Instant) -> bool {
+        let called_at = self.lock().called_at;
+        let has_called = called_at.is_some_and(|called_at| now < called_at + QUIET_TIME);
+        now < plan.notice_end() || has_called || self.has_requests()
+    }
+
+    fn others_are_ready(&self, now: Instant) -> bool {
+        self.lock().members.others_are_ready(now)
+    }
+
     /// Waits until no request of a caller is in progress, at most until a stopping host exits.
     pub async fn wait_exit(&self) {
         let plan = *self.stop_plan.borrow();
