--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -304,9 +304,16 @@
             // The reply is the same for all of them.
             let _ = self.handle_error(&attempt.target, &error);
         }
+        self.record_answer_time(Instant::now());
         OnlineReply::TimedOut
     }
 
+    /// Records how long the answer has taken until now, at its end or at the deadline: it would have taken longer then.
+    fn record_answer_time(&self, now: Instant) {
+        let time = now.duration_since(self.started);
+        self.node.lock().answer_times.record(time, now);
+    }
+
     /// Rejects the request if it has not run and this host stops before it ends.
     fn check_stop(&mut self) -> Result<(), OnlineReply> {
         let request = &self.request;
@@ -432,13 +439,12 @@
         status: StatusCode,
         framing: BodyFraming,
     ) {
+        let now = Instant::now();
+        self.record_answer_time(now);
         {
             let state = &mut *self.node.lock();
             let waited = self.time_to_first_byte.unwrap_or_default();
-            let now = Instant::now();
-            let time = now.duration_since(self.started);
-            let run = time.saturating_sub(waited);
-            state.answer_times.record(time, now);
+            let run = now.duration_since(self.started).saturating_sub(waited);
             let unqueued = self.time_to_first_byte.filter(|_| self.had_free_slot);
             state.load.record_response(unqueued, run);
             state.coordination.record_sample(unqueued, run);
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -155,7 +155,7 @@
 }
 
 impl AnswerTimes {
-    /// Records a complete answer that took `time`.
+    /// Records an answer that took `time` until it was complete, or until its deadline.
     pub fn record(&mut self, time: Duration, now: Instant) {
         match &mut self.current {
             Some((since, longest)) if now < *since + ANSWER_PERIOD => {
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -53,11 +53,11 @@
     }
 }
 
-/// Sends requests to a host until `until`, of which each third is a long stream if there are any.
+/// Sends requests to a host until `until`, of which each third is a stream of `long` events.
 async fn send_all(
     fleet: &TestFleet,
     host: &Arc<SwitchNode>,
-    has_long: bool,
+    long: u64,
     started: Instant,
     until: Duration,
 ) -> Vec<SeenRequest> {
@@ -66,10 +66,8 @@
         if started.elapsed() >= until {
             break;
         }
-        let is_long = has_long && number % 3 == 0;
-        fleet.client.set_default(CallScript::Stream {
-            events: if is_long { LONG } else { SHORT },
-        });
+        let events = if number % 3 == 0 { long } else { SHORT };
+        fleet.client.set_default(CallScript::Stream { events });
         requests.spawn(send(host.clone(), number, started));
         sleep(REQUEST_INTERVAL).await;
     }
@@ -79,13 +77,14 @@
 /// Guards against streams that a stopping host takes and that the end of its process cuts off, against callers that are turned
 /// away before they could learn of the stop, or although nobody else can serve them, and against a stop that lasts longer than the answers.
 #[rstest]
-#[case::beside_another_host(true, true, SERVED_UNTIL_MS)]
-#[case::alone(false, true, SERVED_UNTIL_MS)]
-#[case::alone_with_short_streams(false, false, SERVED_ALONE_UNTIL_MS)]
+#[case::beside_another_host(true, LONG, SERVED_UNTIL_MS)]
+#[case::alone(false, LONG, SERVED_UNTIL_MS)]
+#[case::alone_with_streams_that_time_out(false, HELD, SERVED_UNTIL_MS)]
+#[case::alone_with_short_streams(false, SHORT, SERVED_ALONE_UNTIL_MS)]
 #[tokio::test]
 async fn stopping_host_takes_requests_that_end_in_time(
     #[case] has_other: bool,
-    #[case] has_long: bool,
+    #[case] long: u64,
     #[case] served_until_ms: u64,
 ) {
     let fleet = TestFleet::new(12);
@@ -93,14 +92,7 @@
     if has_other {
         fleet.start("b").await;
     }
-    let before = send_all(
-        &fleet,
-        &host,
-        has_long,
-        Instant::now(),
-        Duration::from_secs(1),
-    )
-    .await;
+    let before = send_all(&fleet, &host, long, Instant::now(), Duration::from_secs(1)).await;
     assert!(
         before
             .iter()
@@ -112,7 +104,7 @@
         stopping.stop(started).await;
         millis(started.elapsed())
     });
-    let seen = send_all(&fleet, &host, has_long, started, GRACE).await;
+    let seen = send_all(&fleet, &host, long, started, GRACE).await;
     let stopped_ms = stop.await.unwrap();
     assert!(stopped_ms < STOPPED_BY_MS, "stopped after {stopped_ms} ms");
     let rejected_from_ms = served_until_ms + REJECTION_DELAY_MS;
