--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -250,7 +250,7 @@
         loop {
             let now = Instant::now();
             let is_due = hand_over_at.is_none_or(|due| now >= due);
-            if is_due || !self.has_callers(plan, now) || self.others_are_ready(now) {
+            if is_due || !self.has_callers(now) || self.others_are_ready(now) {
                 return;
             }
             sleep(CHECK_INTERVAL).await;
@@ -258,10 +258,9 @@
     }
 
     /// Whether callers of a host that is alone are expected to come again.
-    fn has_callers(&self, plan: &StopPlan, now: Instant) -> bool {
+    fn has_callers(&self, now: Instant) -> bool {
         let called_at = self.lock().called_at;
-        let has_called = called_at.is_some_and(|called_at| now < called_at + QUIET_TIME);
-        now < plan.notice_end() || has_called || self.has_requests()
+        called_at.is_some_and(|called_at| now < called_at + QUIET_TIME) || self.has_requests()
     }
 
     fn others_are_ready(&self, now: Instant) -> bool {
