--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -6,7 +6,8 @@
 //!
 //! Afterwards, such a request is rejected at once if another host is ready. Otherwise nobody else can serve it, so it is taken by the same
 //! expectation. As its endpoint may fall silent and the end of the process would then cut the answer off, the caller gets the answer only
-//! once it is complete, and a failure instead if it is not complete in time.
+//! once it is complete, and a failure instead if it is not complete in time. Such a host also goes on with its batch items and waits for
+//! further callers, instead of handing over and ending as soon as it is idle.
 
 use crate::batch;
 use crate::node::{SwitchNode, SwitchState, millis};
