--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -14,6 +14,7 @@
 use crate::load::{LoadView, RequestClass};
 use crate::members::{HostDescriptor, MemberTable};
 use crate::metrics::SwitchMetrics;
+use crate::online::HeldMemory;
 use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
@@ -219,6 +220,7 @@
     pub(crate) started: Instant,
     /// The planned stop that is in progress.
     pub(crate) stop_plan: watch::Sender<Option<StopPlan>>,
+    pub(crate) held_memory: HeldMemory,
     /// When this host last got data from an endpoint, in milliseconds since its start.
     heard_ms: AtomicU64,
     /// Requests a read of the job records before the next interval.
@@ -289,6 +291,7 @@
             trial_settled: Notify::new(),
             started: Instant::now(),
             stop_plan: watch::Sender::new(None),
+            held_memory: HeldMemory::default(),
             heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
             listings_requested: Notify::new(),
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -24,6 +24,7 @@
 use forward::forward;
 use http::StatusCode;
 use pick::MAX_SENDS;
+pub(crate) use reply::HeldMemory;
 use reply::reply_with;
 use slog::info;
 use std::fmt::Display;
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -8,6 +8,7 @@
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::{SwitchNode, millis};
+use futures::future::join_all;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 const SERVED_UNTIL_MS: u64 = 2000;
 /// The same while no other host is ready and the longest answer takes 0.3 s: there is time for a silence of 1 s in each.
 const SERVED_ALONE_UNTIL_MS: u64 = 5500;
+/// Time of the stop after which a host that is alone holds answers back.
+const HELD_BACK_FROM_MS: u64 = 2700;
 /// Time after the requests that are served from which on all are rejected.
 const REJECTION_DELAY_MS: u64 = 1000;
 /// Time of the stop by which requests without a response have their final one.
@@ -252,3 +255,36 @@
         "{resumed_after:?}"
     );
 }
+
+/// Guards against answers that a host keeps without a bound until they are complete, and against memory that is not given back.
+#[tokio::test]
+async fn answers_that_are_held_back_are_bounded() {
+    let fleet = TestFleet::new(40);
+    let host = fleet.start("a").await;
+    let started = Instant::now();
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: HELD });
+    tokio::spawn(send(host.clone(), 0, started));
+    let stopping = host.clone();
+    tokio::spawn(async move { stopping.stop(started).await });
+    sleep(Duration::from_millis(HELD_BACK_FROM_MS)).await;
+    let send_large = async |bytes: usize, count: usize| {
+        let script = CallScript::LargeEvents { events: 4, bytes };
+        fleet.client.set_default(script);
+        let requests = (1..=count).map(|number| send(host.clone(), number, started));
+        let seen = join_all(requests).await;
+        let whole = |seen: &&SeenRequest| matches!(seen.outcome, CallerOutcome::Complete(_));
+        let failed = |seen: &&SeenRequest| seen.outcome == CallerOutcome::Failed;
+        let counts = [
+            seen.iter().filter(whole).count(),
+            seen.iter().filter(failed).count(),
+        ];
+        assert_eq!(counts[0] + counts[1], count, "answered and failed");
+        counts
+    };
+    assert_eq!(send_large(300_000, 1).await, [0, 1]);
+    let [whole, failed] = send_large(225_000, 60).await;
+    assert!(whole > 0 && failed > 0, "{whole} are whole");
+    assert_eq!(send_large(225_000, 10).await, [10, 0]);
+}
