--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -245,7 +245,8 @@
     }
 
     /// Goes on with the items in progress, and waits for further callers, while no other host could take either over. Ends once there are
-    /// no callers any more.
+    /// no callers any more, or another host is ready. Hosts that are stopped together still take each other for ready, so that they do not
+    /// wait: their successors serve callers better than they could.
     async fn serve_alone(&self, plan: &StopPlan) {
         let hand_over_at = plan.end().checked_sub(HAND_OVER_TIME);
         loop {
