--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`trial`], [`stop`], [`reach`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
+pub mod answer_times;
 pub mod backend;
 pub mod batch;
 mod calls;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,5 +1,6 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
+use crate::answer_times::AnswerTimes;
 use crate::backend::{DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition};
 use crate::batch::routeless::RoutelessJobs;
 use crate::coordinator::CoordinationState;
@@ -22,7 +23,7 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::stop::{AnswerTimes, RunDelay, StopPlan};
+use crate::stop::{RunDelay, StopPlan};
 use crate::versions::VersionState;
 use crate::{batch, crash_exchange, crash_log, jobs, listings, versions};
 use rand::rngs::SmallRng;
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -312,7 +312,9 @@
     /// Records how long the answer has taken until now, at its end or at the deadline: it would have taken longer then.
     fn record_answer_time(&self, now: Instant) {
         let time = now.duration_since(self.started);
-        self.node.lock().answer_times.record(time, now);
+        let (node, headers) = (&self.node, &self.request.call.headers);
+        let size = node.deps.client.answer_size(headers);
+        node.lock().answer_times.record(size, time, now);
     }
 
     /// Rejects the request if it has not run and this host stops before it ends.
@@ -321,7 +323,8 @@
         if self.runs > 0 {
             return Ok(());
         }
-        match self.node.check_stop(&request.call.id, request.deadline) {
+        let (id, headers) = (&request.call.id, &request.call.headers);
+        match self.node.check_stop(id, headers, request.deadline) {
             Ok(delivery) => {
                 self.delivery = delivery;
                 Ok(())
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -5,13 +5,15 @@
 //! takes requests with a later deadline, if answers lately took no longer than what is left.
 //!
 //! Afterwards, such a request is rejected at once if another host is ready. Otherwise nobody else can serve it, so it is taken by the same
-//! expectation. As its endpoint may fall silent and the end of the process would then cut the answer off, the caller gets the answer only
+//! expectation, which depends on the size of the answer that it asks for. As its endpoint may fall silent and the end of the process would then cut the answer off, the caller gets the answer only
 //! once it is complete, and a failure instead if it is not complete in time. Such a host also goes on with its batch items and waits for
 //! further callers, instead of handing over and ending as soon as it is idle.
 
+use crate::answer_times::AnswerSize;
 use crate::batch;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::overload::MAX_RETRY_FRACTION;
+use http::HeaderMap;
 use slog::info;
 use std::future::pending;
 use std::sync::Arc;
@@ -36,9 +38,7 @@
 const MAX_RUN_DELAY: Duration = Duration::from_millis(100);
 /// Time in which a host that ran late handles the signals that have come meanwhile.
 const SIGNAL_TIME: Duration = Duration::from_millis(50);
-/// Time for which answers are remembered, at least.
-const ANSWER_PERIOD: Duration = Duration::from_secs(30);
-/// Longest time that a request is expected to take, in relation to the longest answer lately.
+/// Longest time that a request is expected to take, in relation to the longest answer of its size lately.
 const EXPECTED_FACTOR: f64 = 1.5;
 /// Time for which a sound endpoint may fall silent within an answer, beyond what answers take.
 const SILENCE_TIME: Duration = Duration::from_secs(1);
@@ -90,21 +90,19 @@
         self.started + NOTICE_TIME
     }
 
-    /// How a request is answered that ends at `deadline` at the latest; `None` if it is not taken. `has_others` tells whether another host
-    /// is ready.
+    /// How a request is answered that ends at `deadline` at the latest, if answers of its size took up to `longest` lately; `None` if it is
+    /// not taken. `has_others` tells whether another host is ready.
     ///
     /// ```
-    /// use fulmarswitch_switch::stop::{AnswerDelivery, AnswerTimes, StopPlan};
+    /// use fulmarswitch_switch::stop::{AnswerDelivery, StopPlan};
     /// use std::time::Duration;
     /// use tokio::time::Instant;
     ///
     /// let now = Instant::now();
     /// let seconds = Duration::from_secs;
     /// let plan = StopPlan::new(now, now, seconds(8));
-    /// let mut answers = AnswerTimes::default();
-    /// answers.record(seconds(1), now);
     /// let take = |at, timeout, has_others| {
-    ///     plan.take(now + seconds(at + timeout), &answers, has_others, now + seconds(at))
+    ///     plan.take(now + seconds(at + timeout), seconds(1), has_others, now + seconds(at))
     /// };
     /// assert_eq!(take(1, 60, true), Some(AnswerDelivery::Streamed));
     /// assert_eq!(take(3, 4, true), Some(AnswerDelivery::Streamed));
@@ -113,71 +111,38 @@
     /// assert_eq!(take(5, 5, false), None);
     /// // Shorter than the margin, so that the stop has no time for requests.
     /// let short = StopPlan::new(now, now, Duration::from_millis(500));
-    /// assert_eq!(short.take(now + seconds(5), &AnswerTimes::default(), false, now), None);
+    /// assert_eq!(short.take(now + seconds(5), Duration::ZERO, false, now), None);
     /// ```
     #[must_use]
     pub fn take(
         &self,
         deadline: Instant,
-        answers: &AnswerTimes,
+        longest: Duration,
         has_others: bool,
         now: Instant,
     ) -> Option<AnswerDelivery> {
         if deadline <= self.end {
             return Some(AnswerDelivery::Streamed);
         }
-        if now < self.notice_end() && self.is_expected_to_end(answers, now) {
+        if now < self.notice_end() && self.is_expected_to_end(longest, now) {
             return Some(AnswerDelivery::Streamed);
         }
-        self.is_last_resort(answers, has_others, now)
+        self.is_last_resort(longest, has_others, now)
             .then_some(AnswerDelivery::Whole)
     }
 
     /// Whether requests are taken whatever their deadline, since no other host is ready. A request that ends with a failure may not be sent
     /// again, unlike one that is rejected, so there is time for a silence of its endpoint.
-    fn is_last_resort(&self, answers: &AnswerTimes, has_others: bool, now: Instant) -> bool {
-        !has_others && self.is_expected_to_end(answers, now + SILENCE_TIME)
+    fn is_last_resort(&self, longest: Duration, has_others: bool, now: Instant) -> bool {
+        !has_others && self.is_expected_to_end(longest, now + SILENCE_TIME)
     }
 
-    /// Whether a request that comes at `time` ends before the host does if it takes no longer than those lately.
-    fn is_expected_to_end(&self, answers: &AnswerTimes, time: Instant) -> bool {
-        let longest = answers.longest(time).unwrap_or_default();
+    /// Whether a request that comes at `time` ends before the host does if it takes little longer than `longest`.
+    fn is_expected_to_end(&self, longest: Duration, time: Instant) -> bool {
         time < self.end && time + longest.mul_f64(EXPECTED_FACTOR) <= self.end
     }
 }
 
-/// How long the answers to callers took lately.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct AnswerTimes {
-    /// Start of the period and the longest answer in it; `None` before the first answer.
-    current: Option<(Instant, Duration)>,
-    /// Longest answer of the period before.
-    previous: Duration,
-}
-
-impl AnswerTimes {
-    /// Records an answer that took `time` until it was complete, or until its deadline.
-    pub fn record(&mut self, time: Duration, now: Instant) {
-        match &mut self.current {
-            Some((since, longest)) if now < *since + ANSWER_PERIOD => {
-                *longest = time.max(*longest);
-            }
-            current => {
-                self.previous = current.map_or(Duration::ZERO, |(_, longest)| longest);
-                *current = Some((now, time));
-            }
-        }
-    }
-
-    /// The longest answer of the last one or two periods; `None` if there was none.
-    #[must_use]
-    pub fn longest(&self, now: Instant) -> Option<Duration> {
-        let (since, longest) = self.current?;
-        let is_recent = now < since + ANSWER_PERIOD * 2;
-        is_recent.then(|| longest.max(self.previous))
-    }
-}
-
 /// When this host last ran later than it was due. A signal that was sent meanwhile is handled only afterwards, while the platform counts
 /// the grace period from when it was sent.
 #[derive(Clone, Copy, Debug, Default)]
@@ -303,20 +268,27 @@
         }
     }
 
-    /// Checks how this host answers a request that ends at `deadline` at the latest.
+    /// Checks how this host answers a request with these headers that ends at `deadline` at the latest.
     ///
     /// # Errors
     /// Returns the delay after which the caller should retry if the request is not taken, since this host stops. Another host that is ready
     /// can serve it at once.
-    pub fn check_stop(&self, request: &str, deadline: Instant) -> Result<AnswerDelivery, Duration> {
+    pub fn check_stop(
+        &self,
+        request: &str,
+        headers: &HeaderMap,
+        deadline: Instant,
+    ) -> Result<AnswerDelivery, Duration> {
         let Some(plan) = *self.stop_plan.borrow() else {
             return Ok(AnswerDelivery::Streamed);
         };
         let now = Instant::now();
+        let size = self.deps.client.answer_size(headers);
         let (delivery, has_others) = {
             let state = self.lock();
             let has_others = state.members.others_are_ready(now);
-            let delivery = plan.take(deadline, &state.answer_times, has_others, now);
+            let longest = state.answer_times.longest(size, now).unwrap_or_default();
+            let delivery = plan.take(deadline, longest, has_others, now);
             (delivery, has_others)
         };
         if let Some(delivery) = delivery {
@@ -333,11 +305,16 @@
         })
     }
 
-    /// Whether this host stops and takes requests whatever their deadline, since no other host is ready.
+    /// Whether this host stops and takes requests whatever their deadline, at least the smallest ones, since no other host is ready.
     pub(crate) fn is_last_resort(&self, state: &SwitchState, now: Instant) -> bool {
         let plan = *self.stop_plan.borrow();
         let has_others = state.members.others_are_ready(now);
-        plan.is_some_and(|plan| plan.is_last_resort(&state.answer_times, has_others, now))
+        let smallest = Some(AnswerSize::default());
+        let longest = state
+            .answer_times
+            .longest(smallest, now)
+            .unwrap_or_default();
+        plan.is_some_and(|plan| plan.is_last_resort(longest, has_others, now))
     }
 
     fn has_requests(&self) -> bool {
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the switch: its decision logic, and hosts on an in-memory log and in-memory endpoints.
 
+mod answer_times;
 mod body_ends;
 mod coordinator;
 mod crash_model;
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -40,27 +40,51 @@
 
 /// A request as its caller saw it. Times are since the start of the stop.
 struct SeenRequest {
+    events: u64,
     sent_at: Duration,
     ended_at: Duration,
     outcome: CallerOutcome,
 }
 
 async fn send(host: Arc<SwitchNode>, number: usize, started: Instant) -> SeenRequest {
+    send_sized(host, number, None, started).await
+}
+
+/// Sends a request that tells the size of its answer, if that is known.
+async fn send_sized(
+    host: Arc<SwitchNode>,
+    number: usize,
+    events: Option<u64>,
+    started: Instant,
+) -> SeenRequest {
     let sent_at = started.elapsed();
-    let request = request(&host, "/resume/x", &format!("r{number}"));
+    let mut request = request(&host, "/resume/x", &format!("r{number}"));
+    if let Some(events) = events {
+        request.call.headers.insert("answer-tokens", events.into());
+    }
     let outcome = read_response(&host, request).await;
     SeenRequest {
+        events: events.unwrap_or_default(),
         sent_at,
         ended_at: started.elapsed(),
         outcome,
     }
 }
 
-/// Sends requests to a host until `until`, of which each third is a stream of `long` events.
+/// Streams that are sent one after the other.
+#[derive(Clone, Copy)]
+struct StreamSeries {
+    /// Number of events of each third stream; the others are short.
+    long: u64,
+    /// Whether requests tell the sizes of their answers.
+    is_sized: bool,
+}
+
+/// Sends requests to a host until `until`.
 async fn send_all(
     fleet: &TestFleet,
     host: &Arc<SwitchNode>,
-    long: u64,
+    StreamSeries { long, is_sized }: StreamSeries,
     started: Instant,
     until: Duration,
 ) -> Vec<SeenRequest> {
@@ -71,7 +95,8 @@
         }
         let events = if number % 3 == 0 { long } else { SHORT };
         fleet.client.set_default(CallScript::Stream { events });
-        requests.spawn(send(host.clone(), number, started));
+        let size = is_sized.then_some(events);
+        requests.spawn(send_sized(host.clone(), number, size, started));
         sleep(REQUEST_INTERVAL).await;
     }
     requests.join_all().await
@@ -80,22 +105,32 @@
 /// Guards against streams that a stopping host takes and that the end of its process cuts off, against callers that are turned
 /// away before they could learn of the stop, or although nobody else can serve them, and against a stop that lasts longer than the answers.
 #[rstest]
-#[case::beside_another_host(true, LONG, SERVED_UNTIL_MS)]
-#[case::alone(false, LONG, SERVED_UNTIL_MS)]
-#[case::alone_with_streams_that_time_out(false, HELD, SERVED_UNTIL_MS)]
-#[case::alone_with_short_streams(false, SHORT, SERVED_ALONE_UNTIL_MS)]
+#[case::beside_another_host(true, LONG, false, SERVED_UNTIL_MS)]
+#[case::alone(false, LONG, false, SERVED_UNTIL_MS)]
+#[case::alone_with_known_sizes(false, LONG, true, SERVED_ALONE_UNTIL_MS)]
+#[case::alone_with_streams_that_time_out(false, HELD, false, SERVED_UNTIL_MS)]
+#[case::alone_with_short_streams(false, SHORT, false, SERVED_ALONE_UNTIL_MS)]
 #[tokio::test]
 async fn stopping_host_takes_requests_that_end_in_time(
     #[case] has_other: bool,
     #[case] long: u64,
-    #[case] served_until_ms: u64,
+    #[case] is_sized: bool,
+    #[case] short_until_ms: u64,
 ) {
+    let series = StreamSeries { long, is_sized };
     let fleet = TestFleet::new(12);
     let host = fleet.start("a").await;
     if has_other {
         fleet.start("b").await;
     }
-    let before = send_all(&fleet, &host, long, Instant::now(), Duration::from_secs(1)).await;
+    let before = send_all(
+        &fleet,
+        &host,
+        series,
+        Instant::now(),
+        Duration::from_secs(1),
+    )
+    .await;
     assert!(
         before
             .iter()
@@ -107,11 +142,16 @@
         stopping.stop(started).await;
         millis(started.elapsed())
     });
-    let seen = send_all(&fleet, &host, long, started, GRACE).await;
+    let seen = send_all(&fleet, &host, series, started, GRACE).await;
     let stopped_ms = stop.await.unwrap();
     assert!(stopped_ms < STOPPED_BY_MS, "stopped after {stopped_ms} ms");
-    let rejected_from_ms = served_until_ms + REJECTION_DELAY_MS;
     for request in &seen {
+        let served_until_ms = if request.events == LONG {
+            SERVED_UNTIL_MS
+        } else {
+            short_until_ms
+        };
+        let rejected_from_ms = served_until_ms + REJECTION_DELAY_MS;
         let is_served = matches!(request.outcome, CallerOutcome::Complete(_));
         let is_rejected = request.outcome == CallerOutcome::Rejected;
         let sent_ms = millis(request.sent_at);
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use fulmarswitch_switch::answer_times::AnswerSize;
 use fulmarswitch_switch::backend::{
     AppendError, BodyFraming, CallError, CallOptions, ConnectOutcome, DecodeError, EndpointCall,
     EndpointClient, EndpointNotice, EndpointResponse, HostClient, KeyedLog, KeyedRecord, LogEntry,
@@ -787,6 +788,11 @@
             .map(PartKey::of)
             .collect()
     }
+
+    fn answer_size(&self, headers: &HeaderMap) -> Option<AnswerSize> {
+        let tokens = headers.get("answer-tokens")?.to_str().ok()?;
+        tokens.parse().ok().map(AnswerSize::of_tokens)
+    }
 }
 
 impl MemoryClient {
