--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -210,14 +210,14 @@
     }
 
     /// Goes on with the items in progress, and waits for further callers, while no other host could take either over. Ends once there are
-    /// no callers any more, or another host is ready. Hosts that are stopped together still take each other for ready, so that they do not
+    /// no callers any more, nothing is left to do for them, or another host is ready. Hosts that are stopped together still take each other for ready, so that they do not
     /// wait: their successors serve callers better than they could.
     async fn serve_alone(&self, plan: &StopPlan) {
         let hand_over_at = plan.end().checked_sub(HAND_OVER_TIME);
         loop {
             let now = Instant::now();
             let is_due = hand_over_at.is_none_or(|due| now >= due);
-            if is_due || !self.has_callers(now) || self.others_are_ready(now) {
+            if is_due || !self.has_callers(now) || !self.is_needed(plan, now) {
                 return;
             }
             sleep(CHECK_INTERVAL).await;
@@ -230,8 +230,13 @@
         called_at.is_some_and(|called_at| now < called_at + QUIET_TIME) || self.has_requests()
     }
 
-    fn others_are_ready(&self, now: Instant) -> bool {
-        self.lock().members.others_are_ready(now)
+    /// Whether this host has items or takes requests that no other host could take over. If not, its successor serves callers the sooner
+    /// the sooner it ends.
+    fn is_needed(&self, plan: &StopPlan, now: Instant) -> bool {
+        let state = self.lock();
+        let has_items = !state.own_claims(1).is_empty();
+        let takes_requests = now < plan.notice_end() || self.is_last_resort(&state, now);
+        (has_items || takes_requests) && !state.members.others_are_ready(now)
     }
 
     /// Waits until no request of a caller is in progress, at most until a stopping host exits.
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -35,6 +35,10 @@
 /// Events of a stream of 0.3 s, and of one of 4.4 s.
 const SHORT: u64 = 15;
 const LONG: u64 = 220;
+/// Events of a stream of 1.5 s.
+const MEDIUM: u64 = 75;
+/// Time of the stop at which a host that is alone hands its items over.
+const HANDED_OVER_MS: u64 = 6300;
 /// Events of a stream that lasts until its deadline.
 const HELD: u64 = 500;
 
@@ -181,6 +185,35 @@
     }
 }
 
+/// Guards against a host that turns all callers away and goes on all the same, while its successor could serve them.
+#[tokio::test]
+async fn host_that_is_alone_ends_once_it_takes_no_requests() {
+    let fleet = TestFleet::new(12);
+    let host = fleet.start("a").await;
+    let series = StreamSeries {
+        long: MEDIUM,
+        is_sized: false,
+    };
+    let lead = Duration::from_secs(2);
+    send_all(&fleet, &host, series, Instant::now(), lead).await;
+    let started = Instant::now();
+    let stopping = host.clone();
+    let stop = tokio::spawn(async move {
+        stopping.stop(started).await;
+        millis(started.elapsed())
+    });
+    let seen = send_all(&fleet, &host, series, started, GRACE).await;
+    let is_cut = |seen: &SeenRequest| {
+        !matches!(
+            seen.outcome,
+            CallerOutcome::Complete(_) | CallerOutcome::Rejected
+        )
+    };
+    assert_eq!(seen.iter().filter(|seen| is_cut(seen)).count(), 0);
+    let stopped_ms = stop.await.unwrap();
+    assert!(stopped_ms < HANDED_OVER_MS, "stopped after {stopped_ms} ms");
+}
+
 /// Guards against requests that a busy host takes too late and that its kill cuts off: the signal came while the host did not run,
 /// and the grace period has begun by then.
 #[tokio::test]
