--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -5,9 +5,9 @@
 //! takes requests with a later deadline, if answers lately took no longer than what is left.
 //!
 //! Afterwards, such a request is rejected at once if another host is ready. Otherwise nobody else can serve it, so it is taken by the same
-//! expectation, which depends on the size of the answer that it asks for. As its endpoint may fall silent and the end of the process would then cut the answer off, the caller gets the answer only
-//! once it is complete, and a failure instead if it is not complete in time. Such a host also goes on with its batch items and waits for
-//! further callers, instead of handing over and ending as soon as it is idle.
+//! expectation, which depends on the size of the answer that it asks for. As its endpoint may fall silent and the end of the process would
+//! then cut the answer off, the caller gets the answer only once it is complete, and a failure instead if it is not complete in time. Such a
+//! host also goes on with its batch items and waits for further callers, instead of handing over and ending as soon as it is idle.
 
 use crate::answer_times::AnswerSize;
 use crate::batch;
@@ -210,8 +210,8 @@
     }
 
     /// Goes on with the items in progress, and waits for further callers, while no other host could take either over. Ends once there are
-    /// no callers any more, nothing is left to do for them, or another host is ready. Hosts that are stopped together still take each other for ready, so that they do not
-    /// wait: their successors serve callers better than they could.
+    /// no callers any more, nothing is left to do for them, or another host is ready. Hosts that are stopped together still take each other
+    /// for ready, so that they do not wait: their successors serve callers better than they could.
     async fn serve_alone(&self, plan: &StopPlan) {
         let hand_over_at = plan.end().checked_sub(HAND_OVER_TIME);
         loop {
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -214,6 +214,28 @@
     assert!(stopped_ms < HANDED_OVER_MS, "stopped after {stopped_ms} ms");
 }
 
+/// Guards against a host that cannot reckon with the size that a caller states.
+#[tokio::test]
+async fn request_of_any_size_is_answered_by_a_stopping_host() {
+    let fleet = TestFleet::new(12);
+    let host = fleet.start("a").await;
+    let send = |number, events| send_sized(host.clone(), number, Some(events), Instant::now());
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: SHORT });
+    send(0, SHORT).await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: LONG });
+    let held = tokio::spawn(send(1, LONG));
+    let stopping = host.clone();
+    let stop = tokio::spawn(async move { stopping.stop(Instant::now()).await });
+    sleep(Duration::from_millis(HELD_BACK_FROM_MS)).await;
+    assert_eq!(send(2, u64::MAX).await.outcome, CallerOutcome::Rejected);
+    held.await.unwrap();
+    stop.await.unwrap();
+}
+
 /// Guards against requests that a busy host takes too late and that its kill cuts off: the signal came while the host did not run,
 /// and the grace period has begun by then.
 #[tokio::test]
