--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -324,7 +324,10 @@
             return Ok(());
         }
         let (id, headers) = (&request.call.id, &request.call.headers);
-        match self.node.check_stop(id, headers, request.deadline) {
+        let checked = self
+            .node
+            .check_stop(id, &request.route, headers, request.deadline);
+        match checked {
             Ok(delivery) => {
                 self.delivery = delivery;
                 Ok(())
--- a/crates/switch/src/stop.rs
+++ b/crates/switch/src/stop.rs
@@ -4,15 +4,17 @@
 //! one. It takes a request if that ends within the grace period by its deadline. Until callers have had time to learn of the stop, it also
 //! takes requests with a later deadline, if answers lately took no longer than what is left.
 //!
-//! Afterwards, such a request is rejected at once if another host is ready. Otherwise nobody else can serve it, so it is taken by the same
-//! expectation, which depends on the size of the answer that it asks for. As its endpoint may fall silent and the end of the process would
-//! then cut the answer off, the caller gets the answer only once it is complete, and a failure instead if it is not complete in time. Such a
-//! host also goes on with its batch items and waits for further callers, instead of handing over and ending as soon as it is idle.
+//! Afterwards, such a request is rejected at once if another host is ready, or if it may run only once: its endpoint may fall silent, and the
+//! end of the process would then leave its caller with a failure. Otherwise nobody else can serve it, so it is taken by the same
+//! expectation, which depends on the size of the answer that it asks for. The caller gets the answer only once it is complete, and is told to
+//! repeat the request if it is not complete in time. Such a host also goes on with its batch items and waits for further callers, instead of
+//! handing over and ending as soon as it is idle.
 
 use crate::answer_times::AnswerSize;
 use crate::batch;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::overload::MAX_RETRY_FRACTION;
+use crate::route::ServiceRoute;
 use http::HeaderMap;
 use slog::info;
 use std::future::pending;
@@ -91,7 +93,7 @@
     }
 
     /// How a request is answered that ends at `deadline` at the latest, if answers of its size took up to `longest` lately; `None` if it is
-    /// not taken. `has_others` tells whether another host is ready.
+    /// not taken. `is_last_resort` tells whether no other host is ready, and the request may be repeated.
     ///
     /// ```
     /// use fulmarswitch_switch::stop::{AnswerDelivery, StopPlan};
@@ -101,24 +103,24 @@
     /// let now = Instant::now();
     /// let seconds = Duration::from_secs;
     /// let plan = StopPlan::new(now, now, seconds(8));
-    /// let take = |at, timeout, has_others| {
-    ///     plan.take(now + seconds(at + timeout), seconds(1), has_others, now + seconds(at))
+    /// let take = |at, timeout, is_last_resort| {
+    ///     plan.take(now + seconds(at + timeout), seconds(1), is_last_resort, now + seconds(at))
     /// };
-    /// assert_eq!(take(1, 60, true), Some(AnswerDelivery::Streamed));
-    /// assert_eq!(take(3, 4, true), Some(AnswerDelivery::Streamed));
-    /// assert_eq!(take(3, 5, true), None);
-    /// assert_eq!(take(4, 5, false), Some(AnswerDelivery::Whole));
-    /// assert_eq!(take(5, 5, false), None);
+    /// assert_eq!(take(1, 60, false), Some(AnswerDelivery::Streamed));
+    /// assert_eq!(take(3, 4, false), Some(AnswerDelivery::Streamed));
+    /// assert_eq!(take(3, 5, false), None);
+    /// assert_eq!(take(4, 5, true), Some(AnswerDelivery::Whole));
+    /// assert_eq!(take(5, 5, true), None);
     /// // Shorter than the margin, so that the stop has no time for requests.
     /// let short = StopPlan::new(now, now, Duration::from_millis(500));
-    /// assert_eq!(short.take(now + seconds(5), Duration::ZERO, false, now), None);
+    /// assert_eq!(short.take(now + seconds(5), Duration::ZERO, true, now), None);
     /// ```
     #[must_use]
     pub fn take(
         &self,
         deadline: Instant,
         longest: Duration,
-        has_others: bool,
+        is_last_resort: bool,
         now: Instant,
     ) -> Option<AnswerDelivery> {
         if deadline <= self.end {
@@ -127,14 +129,12 @@
         if now < self.notice_end() && self.is_expected_to_end(longest, now) {
             return Some(AnswerDelivery::Streamed);
         }
-        self.is_last_resort(longest, has_others, now)
-            .then_some(AnswerDelivery::Whole)
+        (is_last_resort && self.leaves_time_for(longest, now)).then_some(AnswerDelivery::Whole)
     }
 
-    /// Whether requests are taken whatever their deadline, since no other host is ready. A request that ends with a failure may not be sent
-    /// again, unlike one that is rejected, so there is time for a silence of its endpoint.
-    fn is_last_resort(&self, longest: Duration, has_others: bool, now: Instant) -> bool {
-        !has_others && self.is_expected_to_end(longest, now + SILENCE_TIME)
+    /// Whether there is time for a request and a silence of its endpoint.
+    fn leaves_time_for(&self, longest: Duration, now: Instant) -> bool {
+        self.is_expected_to_end(longest, now + SILENCE_TIME)
     }
 
     /// Whether a request that comes at `time` ends before the host does if it takes little longer than `longest`.
@@ -273,7 +273,7 @@
         }
     }
 
-    /// Checks how this host answers a request with these headers that ends at `deadline` at the latest.
+    /// Checks how this host answers a request on this route, with these headers, that ends at `deadline` at the latest.
     ///
     /// # Errors
     /// Returns the delay after which the caller should retry if the request is not taken, since this host stops. Another host that is ready
@@ -281,6 +281,7 @@
     pub fn check_stop(
         &self,
         request: &str,
+        route: &ServiceRoute,
         headers: &HeaderMap,
         deadline: Instant,
     ) -> Result<AnswerDelivery, Duration> {
@@ -293,7 +294,8 @@
             let state = self.lock();
             let has_others = state.members.others_are_ready(now);
             let longest = state.answer_times.longest(size, now).unwrap_or_default();
-            let delivery = plan.take(deadline, longest, has_others, now);
+            let is_last_resort = !has_others && route.is_idempotent();
+            let delivery = plan.take(deadline, longest, is_last_resort, now);
             (delivery, has_others)
         };
         if let Some(delivery) = delivery {
@@ -310,7 +312,8 @@
         })
     }
 
-    /// Whether this host stops and takes requests whatever their deadline, at least the smallest ones, since no other host is ready.
+    /// Whether this host stops and takes requests that may be repeated whatever their deadline, at least the smallest ones, since no other
+    /// host is ready.
     pub(crate) fn is_last_resort(&self, state: &SwitchState, now: Instant) -> bool {
         let plan = *self.stop_plan.borrow();
         let has_others = state.members.others_are_ready(now);
@@ -319,7 +322,7 @@
             .answer_times
             .longest(smallest, now)
             .unwrap_or_default();
-        plan.is_some_and(|plan| plan.is_last_resort(longest, has_others, now))
+        !has_others && plan.is_some_and(|plan| plan.leaves_time_for(longest, now))
     }
 
     fn has_requests(&self) -> bool {
--- a/crates/switch/tests/switch/planned_stop.rs
+++ b/crates/switch/tests/switch/planned_stop.rs
@@ -50,19 +50,23 @@
     outcome: CallerOutcome,
 }
 
+/// Path of requests that may be repeated.
+const RESUMABLE: &str = "/resume/x";
+
 async fn send(host: Arc<SwitchNode>, number: usize, started: Instant) -> SeenRequest {
-    send_sized(host, number, None, started).await
+    send_sized(host, RESUMABLE, number, None, started).await
 }
 
 /// Sends a request that tells the size of its answer, if that is known.
 async fn send_sized(
     host: Arc<SwitchNode>,
+    path: &str,
     number: usize,
     events: Option<u64>,
     started: Instant,
 ) -> SeenRequest {
     let sent_at = started.elapsed();
-    let mut request = request(&host, "/resume/x", &format!("r{number}"));
+    let mut request = request(&host, path, &format!("r{number}"));
     if let Some(events) = events {
         request.call.headers.insert("answer-tokens", events.into());
     }
@@ -78,6 +82,7 @@
 /// Streams that are sent one after the other.
 #[derive(Clone, Copy)]
 struct StreamSeries {
+    path: &'static str,
     /// Number of events of each third stream; the others are short.
     long: u64,
     /// Whether requests tell the sizes of their answers.
@@ -88,7 +93,7 @@
 async fn send_all(
     fleet: &TestFleet,
     host: &Arc<SwitchNode>,
-    StreamSeries { long, is_sized }: StreamSeries,
+    series: StreamSeries,
     started: Instant,
     until: Duration,
 ) -> Vec<SeenRequest> {
@@ -97,10 +102,11 @@
         if started.elapsed() >= until {
             break;
         }
-        let events = if number % 3 == 0 { long } else { SHORT };
+        let events = if number % 3 == 0 { series.long } else { SHORT };
         fleet.client.set_default(CallScript::Stream { events });
-        let size = is_sized.then_some(events);
-        requests.spawn(send_sized(host.clone(), number, size, started));
+        let size = series.is_sized.then_some(events);
+        let sent = send_sized(host.clone(), series.path, number, size, started);
+        requests.spawn(sent);
         sleep(REQUEST_INTERVAL).await;
     }
     requests.join_all().await
@@ -109,19 +115,25 @@
 /// Guards against streams that a stopping host takes and that the end of its process cuts off, against callers that are turned
 /// away before they could learn of the stop, or although nobody else can serve them, and against a stop that lasts longer than the answers.
 #[rstest]
-#[case::beside_another_host(true, LONG, false, SERVED_UNTIL_MS)]
-#[case::alone(false, LONG, false, SERVED_UNTIL_MS)]
-#[case::alone_with_known_sizes(false, LONG, true, SERVED_ALONE_UNTIL_MS)]
-#[case::alone_with_streams_that_time_out(false, HELD, false, SERVED_UNTIL_MS)]
-#[case::alone_with_short_streams(false, SHORT, false, SERVED_ALONE_UNTIL_MS)]
+#[case::beside_another_host(true, RESUMABLE, LONG, false, SERVED_UNTIL_MS)]
+#[case::alone(false, RESUMABLE, LONG, false, SERVED_UNTIL_MS)]
+#[case::alone_with_known_sizes(false, RESUMABLE, LONG, true, SERVED_ALONE_UNTIL_MS)]
+#[case::alone_with_streams_that_time_out(false, RESUMABLE, HELD, false, SERVED_UNTIL_MS)]
+#[case::alone_with_short_streams(false, RESUMABLE, SHORT, false, SERVED_ALONE_UNTIL_MS)]
+#[case::alone_with_streams_that_run_once(false, "/stream/x", SHORT, false, SERVED_UNTIL_MS)]
 #[tokio::test]
 async fn stopping_host_takes_requests_that_end_in_time(
     #[case] has_other: bool,
+    #[case] path: &'static str,
     #[case] long: u64,
     #[case] is_sized: bool,
     #[case] short_until_ms: u64,
 ) {
-    let series = StreamSeries { long, is_sized };
+    let series = StreamSeries {
+        path,
+        long,
+        is_sized,
+    };
     let fleet = TestFleet::new(12);
     let host = fleet.start("a").await;
     if has_other {
@@ -191,6 +203,7 @@
     let fleet = TestFleet::new(12);
     let host = fleet.start("a").await;
     let series = StreamSeries {
+        path: RESUMABLE,
         long: MEDIUM,
         is_sized: false,
     };
@@ -219,7 +232,15 @@
 async fn request_of_any_size_is_answered_by_a_stopping_host() {
     let fleet = TestFleet::new(12);
     let host = fleet.start("a").await;
-    let send = |number, events| send_sized(host.clone(), number, Some(events), Instant::now());
+    let send = |number, events| {
+        send_sized(
+            host.clone(),
+            RESUMABLE,
+            number,
+            Some(events),
+            Instant::now(),
+        )
+    };
     fleet
         .client
         .set_default(CallScript::Stream { events: SHORT });
