--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -1,6 +1,5 @@
 //! Interfaces to the external systems: the log that stores all durable state, and the endpoints.
 
-use crate::answer_times::AnswerSize;
 use crate::endpoint::ListedEndpoint;
 use crate::limits::RateLimit;
 use crate::members::HostDescriptor;
@@ -336,9 +335,6 @@
     /// Returns the parts of a request's prompt, without the last one, which belongs to the request itself or to its
     /// session.
     fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts;
-
-    /// Returns the largest size that the answer to a request may have; `None` if the request does not tell.
-    fn answer_size(&self, headers: &HeaderMap) -> Option<AnswerSize>;
 }
 
 /// Options of a request that is passed on to another host.
--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -79,7 +79,7 @@
     }
     node.coordinate(state);
     preempt_items(node, state);
-    if state.hands_items_over || !state.reach.starts_items() {
+    if state.stopping || !state.reach.starts_items() {
         return Vec::new();
     }
     start_items(node, state, updates)
@@ -413,10 +413,7 @@
             }
             // Items that this host claims and is not busy with are those that it has output of.
             let started = own_claims.binary_search(&key).is_ok();
-            // A host that stops starts none that another one may be running on.
-            let is_assigned =
-                !state.stopping && state.members.assigned_host(&name, own, now) == own;
-            if !started && !is_assigned {
+            if !started && state.members.assigned_host(&name, own, now) != own {
                 continue;
             }
             if is_expired {
--- a/crates/switch/src/in_flight.rs
+++ b/crates/switch/src/in_flight.rs
@@ -12,51 +12,32 @@
 
 impl InFlightRequest {
     pub(crate) fn begin(node: &Arc<SwitchNode>) -> Self {
-        let state = &mut *node.lock();
-        state.online_in_flight += 1;
-        state.called_at = Some(Instant::now());
+        node.lock().online_in_flight += 1;
         Self(node.clone())
     }
 }
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        let state = &mut *self.0.lock();
-        state.online_in_flight -= 1;
-        state.called_at = Some(Instant::now());
+        self.0.lock().online_in_flight -= 1;
     }
 }
 
-/// A request that has begun to arrive, until its whole answer is written. A stopping host waits for it.
-pub struct OpenRequest {
-    node: Arc<SwitchNode>,
-    is_call: bool,
-}
+/// A request of a caller that has begun to arrive, until its whole answer is written. A stopping host waits for it.
+pub struct OpenRequest(Arc<SwitchNode>);
 
 impl SwitchNode {
-    /// Counts a request as open until the returned guard is dropped. `is_call` tells whether it is one of a caller, unlike a look-up or
-    /// a probe: a host that is alone waits for further ones.
+    /// Counts a request of a caller as open until the returned guard is dropped.
     #[must_use]
-    pub fn open_request(self: &Arc<Self>, is_call: bool) -> OpenRequest {
-        let state = &mut *self.lock();
-        state.open_requests += 1;
-        if is_call {
-            state.called_at = Some(Instant::now());
-        }
-        OpenRequest {
-            node: self.clone(),
-            is_call,
-        }
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.lock().open_requests += 1;
+        OpenRequest(self.clone())
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let state = &mut *self.node.lock();
-        state.open_requests -= 1;
-        if self.is_call {
-            state.called_at = Some(Instant::now());
-        }
+        self.0.lock().open_requests -= 1;
     }
 }
 
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,6 +1,5 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
-use crate::answer_times::AnswerTimes;
 use crate::backend::{DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition};
 use crate::batch::routeless::RoutelessJobs;
 use crate::coordinator::CoordinationState;
@@ -15,7 +14,6 @@
 use crate::load::{LoadView, RequestClass};
 use crate::members::{HostDescriptor, MemberTable};
 use crate::metrics::SwitchMetrics;
-use crate::online::HeldMemory;
 use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
@@ -23,7 +21,7 @@
 use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
-use crate::stop::{RunDelay, StopPlan};
+use crate::stop::{AnswerTimes, RunDelay, StopPlan};
 use crate::versions::VersionState;
 use crate::{batch, crash_exchange, crash_log, jobs, listings, versions};
 use rand::rngs::SmallRng;
@@ -148,15 +146,11 @@
     pub(crate) unrecorded: Vec<ItemName>,
     pub(crate) texts: TextCache,
     pub(crate) stopping: bool,
-    /// Whether this host stops and runs no items any more.
-    pub(crate) hands_items_over: bool,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) run_delay: RunDelay,
     pub(crate) online_in_flight: usize,
     /// Requests of callers that have begun to arrive and whose answers are not written completely.
     pub(crate) open_requests: usize,
-    /// When a request of a caller last began or ended; `None` before the first.
-    pub(crate) called_at: Option<Instant>,
     pub(crate) rng: SmallRng,
     pub(crate) numbers: RecordNumberGenerator,
 }
@@ -221,7 +215,6 @@
     pub(crate) started: Instant,
     /// The planned stop that is in progress.
     pub(crate) stop_plan: watch::Sender<Option<StopPlan>>,
-    pub(crate) held_memory: HeldMemory,
     /// When this host last got data from an endpoint, in milliseconds since its start.
     heard_ms: AtomicU64,
     /// Requests a read of the job records before the next interval.
@@ -263,12 +256,10 @@
             unrecorded: Vec::new(),
             texts: TextCache::default(),
             stopping: false,
-            hands_items_over: false,
             answer_times: AnswerTimes::default(),
             run_delay: RunDelay::default(),
             online_in_flight: 0,
             open_requests: 0,
-            called_at: None,
             rng: SmallRng::from_os_rng(),
             numbers: RecordNumberGenerator::new(
                 &settings.descriptor.name,
@@ -292,7 +283,6 @@
             trial_settled: Notify::new(),
             started: Instant::now(),
             stop_plan: watch::Sender::new(None),
-            held_memory: HeldMemory::default(),
             heard_ms: AtomicU64::new(0),
             read_requested: Notify::new(),
             listings_requested: Notify::new(),
@@ -365,8 +355,7 @@
     }
 
     /// Caller addresses of at most `max` ready hosts, including this one; a random selection if there are more. Hosts that are cut off from
-    /// the endpoints are left out as long as there are others. A host that stops names itself if no other one is ready, as long as it takes
-    /// requests: without an address, callers go on with those that they had, of hosts that have ended.
+    /// the endpoints are left out as long as there are others.
     #[must_use]
     pub fn caller_addresses(&self, max: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
@@ -386,9 +375,6 @@
         if addresses.is_empty() {
             addresses = caller_addresses(&state, true);
         }
-        if addresses.is_empty() && self.is_last_resort(&state, now) {
-            addresses.push(self.settings.descriptor.caller_address);
-        }
         while addresses.len() > max {
             let index = state.rng.random_range(..addresses.len());
             addresses.swap_remove(index);
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -526,9 +526,7 @@
         if !self.ended {
             let now = Instant::now();
             let at_deadline = self.exchange.request.deadline <= now + MIN_REMAINING;
-            if at_deadline {
-                self.exchange.record_answer_time(now);
-            } else if let AttemptTarget::Endpoint(endpoint) = &self.target {
+            if !at_deadline && let AttemptTarget::Endpoint(endpoint) = &self.target {
                 self.exchange.avoid(&self.target);
                 self.exchange.record_end(endpoint, false);
             }
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -4,7 +4,6 @@
 mod attempts;
 mod forward;
 mod pick;
-mod reply;
 mod target;
 
 use crate::backend::{BodyFraming, CallError, EndpointCall, EndpointResponse};
@@ -18,14 +17,12 @@
 use crate::prompt::{PartKey, PromptParts};
 use crate::route::ServiceRoute;
 use crate::starts::StartCheck;
-use crate::stop::AnswerDelivery;
 use ask::AskedPlace;
 use attempts::{EndpointSilence, PendingAttempt, PendingAttempts, RoutedTarget, SilenceStep};
 use forward::forward;
+use futures::stream::{self, StreamExt};
 use http::StatusCode;
 use pick::MAX_SENDS;
-pub(crate) use reply::HeldMemory;
-use reply::reply_with;
 use slog::info;
 use std::fmt::Display;
 use std::sync::Arc;
@@ -106,7 +103,6 @@
             runs: 0,
             started: Instant::now(),
             time_to_first_byte: None,
-            delivery: AnswerDelivery::default(),
             had_free_slot: false,
             is_proven: false,
             endpoint: None,
@@ -116,9 +112,8 @@
         };
         match exchange.first_response().await {
             Ok((response, guard, target)) => {
-                let (request, delivery) = (exchange.request.clone(), exchange.delivery);
-                let response = forward(exchange, response, guard, target);
-                reply_with(self, &request, response, delivery).await
+                let deadline = exchange.request.deadline;
+                begin_reply(forward(exchange, response, guard, target), deadline).await
             }
             Err(reply) => {
                 exchange.log_reply(&reply);
@@ -128,6 +123,25 @@
     }
 }
 
+/// Waits for the first chunk of a response. If it breaks off before that, the caller has received nothing, and gets a
+/// failure instead of a connection that closes without a response.
+async fn begin_reply(mut response: EndpointResponse, deadline: Instant) -> OnlineReply {
+    match response.body.next().await {
+        Some(Ok(chunk)) => {
+            let rest = response.body;
+            response.body = stream::iter([Ok(chunk)]).chain(rest).boxed();
+            OnlineReply::Response(Box::new(response))
+        }
+        Some(Err(_)) if deadline <= Instant::now() + MIN_REMAINING => OnlineReply::TimedOut,
+        Some(Err(_)) => OnlineReply::Failed,
+        None => {
+            // The finished body must not be polled again.
+            response.body = stream::empty().boxed();
+            OnlineReply::Response(Box::new(response))
+        }
+    }
+}
+
 /// A response with its in-flight guard and where it comes from.
 type Opened = (EndpointResponse, Option<InFlightGuard>, AttemptTarget);
 
@@ -168,8 +182,6 @@
     runs: u32,
     started: Instant,
     time_to_first_byte: Option<Duration>,
-    /// How the answer is passed on to the caller.
-    delivery: AnswerDelivery,
     /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
     had_free_slot: bool,
     /// Whether a long answer has shown that the request does not crash the endpoint.
@@ -305,35 +317,19 @@
             // The reply is the same for all of them.
             let _ = self.handle_error(&attempt.target, &error);
         }
-        self.record_answer_time(Instant::now());
         OnlineReply::TimedOut
     }
 
-    /// Records how long the answer has taken until now, at its end or at the deadline: it would have taken longer then.
-    fn record_answer_time(&self, now: Instant) {
-        let time = now.duration_since(self.started);
-        let (node, headers) = (&self.node, &self.request.call.headers);
-        let size = node.deps.client.answer_size(headers);
-        node.lock().answer_times.record(size, time, now);
-    }
-
     /// Rejects the request if it has not run and this host stops before it ends.
-    fn check_stop(&mut self) -> Result<(), OnlineReply> {
+    fn check_stop(&self) -> Result<(), OnlineReply> {
         let request = &self.request;
         if self.runs > 0 {
             return Ok(());
         }
-        let (id, headers) = (&request.call.id, &request.call.headers);
-        let checked = self
-            .node
-            .check_stop(id, &request.route, headers, request.deadline);
-        match checked {
-            Ok(delivery) => {
-                self.delivery = delivery;
-                Ok(())
-            }
-            Err(_) if request.passed_on.is_some() => Err(OnlineReply::OutOfReach),
-            Err(retry_after) => Err(OnlineReply::Rejected { retry_after }),
+        match self.node.check_stop(&request.call.id, request.deadline) {
+            None => Ok(()),
+            Some(_) if request.passed_on.is_some() => Err(OnlineReply::OutOfReach),
+            Some(retry_after) => Err(OnlineReply::Rejected { retry_after }),
         }
     }
 
@@ -446,12 +442,13 @@
         status: StatusCode,
         framing: BodyFraming,
     ) {
-        let now = Instant::now();
-        self.record_answer_time(now);
         {
             let state = &mut *self.node.lock();
             let waited = self.time_to_first_byte.unwrap_or_default();
-            let run = now.duration_since(self.started).saturating_sub(waited);
+            let now = Instant::now();
+            let time = now.duration_since(self.started);
+            let run = time.saturating_sub(waited);
+            state.answer_times.record(time, now);
             let unqueued = self.time_to_first_byte.filter(|_| self.had_free_slot);
             state.load.record_response(unqueued, run);
             state.coordination.record_sample(unqueued, run);
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -1,6 +1,5 @@
 //! Tests of the switch: its decision logic, and hosts on an in-memory log and in-memory endpoints.
 
-mod answer_times;
 mod body_ends;
 mod coordinator;
 mod crash_model;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -2,7 +2,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use fulmarswitch_switch::answer_times::AnswerSize;
 use fulmarswitch_switch::backend::{
     AppendError, BodyFraming, CallError, CallOptions, ConnectOutcome, DecodeError, EndpointCall,
     EndpointClient, EndpointNotice, EndpointResponse, HostClient, KeyedLog, KeyedRecord, LogEntry,
@@ -788,11 +787,6 @@
             .map(PartKey::of)
             .collect()
     }
-
-    fn answer_size(&self, headers: &HeaderMap) -> Option<AnswerSize> {
-        let tokens = headers.get("answer-tokens")?.to_str().ok()?;
-        tokens.parse().ok().map(AnswerSize::of_tokens)
-    }
 }
 
 impl MemoryClient {
@@ -1233,8 +1227,7 @@
                 name: name.into(),
                 incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed).into(),
                 peer_address,
-                // Nothing listens there for callers; it tells hosts apart.
-                caller_address: peer_address,
+                caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
                 domain: "domain".into(),
             },
             topics: LogTopics {
