--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -51,6 +51,24 @@
     pub records: Vec<LogEntry>,
 }
 
+impl LogPage {
+    /// Number of bytes in the keys and values of all records.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::backend::{KeyedRecord, LogEntry, LogPage};
+    /// let record = KeyedRecord { key: "k".into(), value: "text".into() };
+    /// let records = vec![LogEntry { offset: 0, record }];
+    /// assert_eq!(LogPage { next: 1, end: 1, records }.size(), 5);
+    /// ```
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let records = self.records.iter().map(|entry| &entry.record);
+        records
+            .map(|record| record.key.len() + record.value.len())
+            .sum()
+    }
+}
+
 /// Errors of [`KeyedLog::append`].
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum AppendError {
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -81,6 +81,9 @@
                     info!(node.deps.logger, "log regained"; "topic" => &*options.partition.topic);
                 }
                 (unavailable, delay) = (false, MIN_RETRY_DELAY);
+                if is_jobs {
+                    node.metrics.record_job_read(started.elapsed(), &page);
+                }
                 match next {
                     None => apply(&node, FollowBatch::Snapshot(&page)),
                     Some(_) => apply(&node, FollowBatch::Tail(&page)),
@@ -93,7 +96,7 @@
                     node.lock().config_read_at = Some(started);
                 }
                 if is_jobs {
-                    node.jobs_read_at.send_replace(Some(started));
+                    node.record_complete_job_read(started, &page);
                     // A task that needs newer state requests the next read early.
                     let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
                 } else if is_listings {
--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -9,7 +9,7 @@
 use crate::route::ServiceRoute;
 use crate::schedule::ItemName;
 use bytes::Bytes;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -281,9 +281,14 @@
         loop {
             changes.borrow_and_update();
             match self.look_up(job, after) {
-                Lookup::Page(total, outcomes) => return self.fetch_page(total, outcomes).await,
+                Lookup::Page(total, outcomes) => {
+                    let age = self.ledger_age(Instant::now());
+                    self.metrics.record_ledger_age(age);
+                    return self.fetch_page(total, outcomes).await;
+                }
                 Lookup::Empty(total) => {
                     if timeout_at(deadline, changes.changed()).await.is_err() {
+                        self.record_empty_page(job, after);
                         let results = Vec::new();
                         return JobReply::Found(ResultPage { total, results });
                     }
@@ -299,6 +304,14 @@
         }
     }
 
+    /// Records that a caller is told that there are no results from a position on.
+    fn record_empty_page(&self, job: &str, after: usize) {
+        let age = self.ledger_age(Instant::now());
+        self.metrics.record_ledger_age(age);
+        debug!(self.deps.logger, "no results yet"; "job" => job, "after" => after,
+            "log_age_ms" => millis(age));
+    }
+
     fn look_up(&self, job: &str, after: usize) -> Lookup {
         let state = self.lock();
         let Some(job) = state.ledger.get(job) else {
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and histograms of a host, in the Prometheus text format.
 
-use crate::backend::BodyFraming;
+use crate::backend::{BodyFraming, LogPage};
 use crate::node::SwitchNode;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -50,6 +50,10 @@
     passed_requests: Counter,
     first_byte: Histogram,
     request_time: Histogram,
+    ledger_age: Histogram,
+    job_read_time: Histogram,
+    job_records: Counter,
+    job_bytes: Counter,
     state_gauges: StateGauges,
 }
 
@@ -174,6 +178,10 @@
             passed_requests: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
             request_time: Histogram::new(BUCKETS),
+            ledger_age: Histogram::new(BUCKETS),
+            job_read_time: Histogram::new(BUCKETS),
+            job_records: Counter::default(),
+            job_bytes: Counter::default(),
             state_gauges: StateGauges::default(),
         };
         metrics.register();
@@ -247,6 +255,16 @@
             "Ends of the bodies of online responses, by framing and by whether they ended within an event",
             self.bodies.clone(),
         );
+        registry.register(
+            "job_records_read",
+            "Job records read from the log, tombstones included",
+            self.job_records.clone(),
+        );
+        registry.register(
+            "job_bytes_read",
+            "Bytes of the job records read from the log",
+            self.job_bytes.clone(),
+        );
         let times = [
             (
                 "first_byte",
@@ -258,6 +276,16 @@
                 "Time to the end of an answer",
                 &self.request_time,
             ),
+            (
+                "ledger_age",
+                "Age of the job records when a caller that reads results is answered",
+                &self.ledger_age,
+            ),
+            (
+                "job_read",
+                "Duration of a read of the job records",
+                &self.job_read_time,
+            ),
         ];
         for (name, help, times) in times {
             registry.register_with_unit(name, help, Unit::Seconds, times.clone());
@@ -320,6 +348,16 @@
             .inc();
     }
 
+    pub(crate) fn record_ledger_age(&self, age: Duration) {
+        self.ledger_age.observe(age.as_secs_f64());
+    }
+
+    pub(crate) fn record_job_read(&self, elapsed: Duration, page: &LogPage) {
+        self.job_read_time.observe(elapsed.as_secs_f64());
+        self.job_records.inc_by(page.records.len() as u64);
+        self.job_bytes.inc_by(page.size() as u64);
+    }
+
     pub(crate) fn count_log_call(&self, outcome: &'static str) {
         self.log_calls
             .get_or_create(&OutcomeLabel { outcome })
@@ -394,8 +432,7 @@
             .config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         drop(state);
-        let read_at = self.jobs_read_at.borrow().unwrap_or(self.started);
-        let silence = now.duration_since(read_at).as_millis();
+        let silence = self.ledger_age(now).as_millis();
         state_gauges
             .log_silence
             .set(i64::try_from(silence).unwrap_or(i64::MAX));
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,6 +1,8 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
-use crate::backend::{DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition};
+use crate::backend::{
+    DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPage, LogPartition,
+};
 use crate::batch::routeless::RoutelessJobs;
 use crate::coordinator::CoordinationState;
 use crate::crash_watch::CrashState;
@@ -74,6 +76,8 @@
     pub topics: LogTopics,
     /// Time after acceptance for which a job stays readable. A job with open items is retained beyond it.
     pub job_retention: Duration,
+    /// Time after which what one host has told a caller of a job must be known at all hosts.
+    pub settle_time: Duration,
     /// Grace period for shutdown.
     pub grace: Duration,
     /// Whether the whole system starts for the first time, so that nothing in it is older than this host.
@@ -400,6 +404,24 @@
         self.started + Duration::from_millis(self.heard_ms.load(Ordering::Relaxed))
     }
 
+    /// Age of the ledger: when the last complete read of the job records began. Before the first one, the age of this host.
+    pub(crate) fn ledger_age(&self, now: Instant) -> Duration {
+        let read_at = self.jobs_read_at.borrow().unwrap_or(self.started);
+        now.duration_since(read_at)
+    }
+
+    /// Records a read of the job records that reached their end. It began at `started`.
+    pub(crate) fn record_complete_job_read(&self, started: Instant, page: &LogPage) {
+        let now = Instant::now();
+        let age = self.ledger_age(now);
+        if age > self.settings.settle_time {
+            info!(self.deps.logger, "job records read late"; "age_ms" => millis(age),
+                "read_ms" => millis(now.duration_since(started)), "records" => page.records.len(),
+                "bytes" => page.size());
+        }
+        self.jobs_read_at.send_replace(Some(started));
+    }
+
     /// Whether this host has read the job records within [`LOG_STALE_AFTER`].
     pub(crate) fn has_log(&self, now: Instant) -> bool {
         let read_at = *self.jobs_read_at.borrow();
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -77,6 +77,8 @@
     cut: Arc<AtomicBool>,
     /// Topic whose reads over this access fail.
     cut_topic: Arc<Mutex<Option<Arc<str>>>>,
+    /// Topic whose reads over this access take longer, and by how much.
+    slow_topic: Arc<Mutex<Option<(Arc<str>, Duration)>>>,
 }
 
 impl MemoryLog {
@@ -97,6 +99,7 @@
             state: self.state.clone(),
             cut: Arc::default(),
             cut_topic: Arc::default(),
+            slow_topic: Arc::default(),
         }
     }
 
@@ -110,6 +113,19 @@
         *self.cut_topic.lock().unwrap() = topic.map(Into::into);
     }
 
+    /// Makes reads of this topic over this access take longer.
+    pub fn slow_topic(&self, topic: &str, delay: Duration) {
+        *self.slow_topic.lock().unwrap() = Some((topic.into(), delay));
+    }
+
+    /// Waits for as long as reads of this partition take.
+    async fn read_latency(&self, partition: &LogPartition) {
+        let slow_topic = self.slow_topic.lock().unwrap().clone();
+        let delay = slow_topic.filter(|(topic, _)| *topic == partition.topic);
+        let delay = delay.map(|(_, delay)| delay).unwrap_or_default();
+        sleep(delay + Duration::from_millis(1)).await;
+    }
+
     fn is_cut_topic(&self, partition: &LogPartition) -> bool {
         self.cut_topic.lock().unwrap().as_ref() == Some(&partition.topic)
     }
@@ -233,7 +249,7 @@
         from: u64,
         wait: Duration,
     ) -> Result<LogPage, ReadError> {
-        sleep(Duration::from_millis(1)).await;
+        self.read_latency(partition).await;
         if !wait.is_zero() {
             sleep(wait / 10).await;
         }
@@ -263,7 +279,7 @@
     }
 
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError> {
-        sleep(Duration::from_millis(1)).await;
+        self.read_latency(partition).await;
         if self.is_cut_topic(partition) {
             return Err(unavailable());
         }
@@ -1239,6 +1255,7 @@
                 origins: topic("origins"),
             },
             job_retention: Duration::from_mins(2),
+            settle_time: Duration::from_secs(1),
             grace: Duration::from_secs(8),
             is_first_start: true,
         };
