--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod load;
 mod logging;
+mod old_view;
 mod online;
 mod overload;
 mod partitions;
