--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -280,23 +280,28 @@
         let mut is_synced = false;
         loop {
             changes.borrow_and_update();
-            match self.look_up(job, after) {
+            let found = self.look_up(job, after);
+            match found {
                 Lookup::Page(total, outcomes) => {
                     let age = self.ledger_age(Instant::now());
                     self.metrics.record_ledger_age(age);
                     return self.fetch_page(total, outcomes).await;
                 }
-                Lookup::Empty(total) => {
-                    if timeout_at(deadline, changes.changed()).await.is_err() {
-                        self.record_empty_page(job, after);
-                        let results = Vec::new();
-                        return JobReply::Found(ResultPage { total, results });
-                    }
+                Lookup::Empty(_) if Instant::now() < deadline => {
+                    // If this times out, the deadline has passed.
+                    let _ = timeout_at(deadline, changes.changed()).await;
+                    is_synced = false;
+                }
+                Lookup::Empty(total) if after >= total || self.has_current_ledger(is_synced) => {
+                    self.record_empty_page(job, after);
+                    let results = Vec::new();
+                    return JobReply::Found(ResultPage { total, results });
                 }
                 Lookup::Missing if is_synced => return JobReply::Missing,
-                Lookup::Missing => {
+                Lookup::Empty(_) if is_synced => return self.unsure(job),
+                Lookup::Empty(_) | Lookup::Missing => {
                     if !self.sync().await {
-                        return JobReply::Unsure;
+                        return self.unsure(job);
                     }
                     is_synced = true;
                 }
@@ -304,6 +309,26 @@
         }
     }
 
+    /// Whether the ledger contains all that any host told a caller more than the settle time ago. If it has not been read for this
+    /// caller (`is_synced`), half of that time is left for the answer to be written and to arrive.
+    fn has_current_ledger(&self, is_synced: bool) -> bool {
+        let settle_time = self.settings.settle_time;
+        let max_age = if is_synced {
+            settle_time
+        } else {
+            settle_time / 2
+        };
+        self.ledger_age(Instant::now()) < max_age
+    }
+
+    /// The reply to a caller whose answer would depend on records that this host may not have read.
+    fn unsure<T>(&self, job: &str) -> JobReply<T> {
+        let age = self.ledger_age(Instant::now());
+        info!(self.deps.logger, "job not told"; "job" => job, "log_age_ms" => millis(age),
+            "cause" => "the job records have not been read lately");
+        JobReply::Unsure
+    }
+
     /// Records that a caller is told that there are no results from a position on.
     fn record_empty_page(&self, job: &str, after: usize) {
         let age = self.ledger_age(Instant::now());
