--- a/crates/switch/src/jobs.rs
+++ b/crates/switch/src/jobs.rs
@@ -164,19 +164,23 @@
         let tokens = submission.items.iter().map(|item| item.tokens);
         let tokens = tokens.fold(0, u64::saturating_add);
         let quota = submission.route.token_quota;
+        let is_decidable = quota.is_none() || self.knows_job(&job) || self.has_job_records().await;
         let open_tokens = {
             let route = &submission.route;
             let ledger = &self.lock().ledger;
             ledger.open_tokens(&route.host, &route.path_prefix)
         };
-        let read_at = *self.jobs_read_at.borrow();
-        let reply = self
-            .accept_job(submission, open_tokens.saturating_add(tokens))
-            .await;
+        let log_age = self.ledger_age(Instant::now());
+        let reply = if is_decidable {
+            self.accept_job(submission, open_tokens.saturating_add(tokens))
+                .await
+        } else {
+            self.refusal()
+        };
         self.metrics.count_job(reply.outcome());
         info!(self.deps.logger, "job submitted"; "job" => &*job, "items" => items,
             "tokens" => tokens, "waiting_tokens" => open_tokens, "quota" => quota,
-            "log_age_ms" => read_at.map(|read_at| millis(started.duration_since(read_at))),
+            "log_age_ms" => millis(log_age),
             "outcome" => ?reply, "after_ms" => millis(started.elapsed()));
         reply
     }
@@ -321,6 +325,11 @@
         self.ledger_age(Instant::now()) < max_age
     }
 
+    /// Reads the job records again unless the ledger is current. Returns whether it is now.
+    async fn has_job_records(&self) -> bool {
+        self.has_current_ledger(false) || (self.sync().await && self.has_current_ledger(true))
+    }
+
     /// The reply to a caller whose answer would depend on records that this host may not have read.
     fn unsure<T>(&self, job: &str) -> JobReply<T> {
         let age = self.ledger_age(Instant::now());
