--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -45,6 +45,13 @@
 /// Maximum size of one append; larger ones are refused.
 const MAX_APPEND_BYTES: usize = 2 << 20;
 
+/// A topic whose reads take longer.
+#[derive(Clone, Debug)]
+struct SlowTopic {
+    topic: Arc<str>,
+    delay: Duration,
+}
+
 #[derive(Debug, Default)]
 struct Topic {
     records: Vec<KeyedRecord>,
@@ -78,7 +85,7 @@
     /// Topic whose reads over this access fail.
     cut_topic: Arc<Mutex<Option<Arc<str>>>>,
     /// Topic whose reads over this access take longer, and by how much.
-    slow_topic: Arc<Mutex<Option<(Arc<str>, Duration)>>>,
+    slow_topic: Arc<Mutex<Option<SlowTopic>>>,
 }
 
 impl MemoryLog {
@@ -115,14 +122,15 @@
 
     /// Makes reads of this topic over this access take longer.
     pub fn slow_topic(&self, topic: &str, delay: Duration) {
-        *self.slow_topic.lock().unwrap() = Some((topic.into(), delay));
+        let topic = topic.into();
+        *self.slow_topic.lock().unwrap() = Some(SlowTopic { topic, delay });
     }
 
     /// Waits for as long as reads of this partition take.
     async fn read_latency(&self, partition: &LogPartition) {
         let slow_topic = self.slow_topic.lock().unwrap().clone();
-        let delay = slow_topic.filter(|(topic, _)| *topic == partition.topic);
-        let delay = delay.map(|(_, delay)| delay).unwrap_or_default();
+        let slow_topic = slow_topic.filter(|slow_topic| slow_topic.topic == partition.topic);
+        let delay = slow_topic.map_or(Duration::ZERO, |slow_topic| slow_topic.delay);
         sleep(delay + Duration::from_millis(1)).await;
     }
 
