--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -50,6 +50,9 @@
 /// Age of the last read of the job records beyond which the log counts as unavailable: a few poll intervals.
 const LOG_STALE_AFTER: Duration = Duration::from_millis(1500);
 
+/// Age of the last complete read of the configuration from which on a later one may be in force: two long polls and their responses.
+const CONFIG_STALE_AFTER: Duration = Duration::from_secs(3);
+
 /// Partitions of the log in which the switch stores and reads records.
 #[derive(Clone, Debug)]
 pub struct LogTopics {
@@ -358,6 +361,13 @@
         self.lock().routes.clone()
     }
 
+    /// Whether the configuration was read lately, so that a route which it lacks does not exist.
+    #[must_use]
+    pub fn has_current_config(&self) -> bool {
+        let read_at = self.lock().config_read_at;
+        read_at.is_some_and(|read_at| read_at.elapsed() < CONFIG_STALE_AFTER)
+    }
+
     /// Caller addresses of at most `max` ready hosts, including this one; a random selection if there are more. Hosts that are cut off from
     /// the endpoints are left out as long as there are others.
     #[must_use]
