--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod departures;
 pub mod endpoint;
 pub mod events;
+mod expiry;
 mod follow;
 pub mod frame_set;
 pub mod gossip;
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -23,7 +23,7 @@
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
 use crate::stop::{AnswerTimes, RunDelay, StopPlan};
 use crate::versions::VersionState;
-use crate::{batch, crash_exchange, crash_log, jobs, listings, versions};
+use crate::{batch, crash_exchange, crash_log, expiry, listings, versions};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
@@ -321,7 +321,7 @@
         tokio::spawn(versions::store::store_changes(self.clone()));
         tokio::spawn(versions::origin_log::store_origins(self.clone()));
         tokio::spawn(batch::run_scheduler(self.clone()));
-        tokio::spawn(jobs::expire_jobs(self.clone()));
+        tokio::spawn(expiry::expire_jobs(self.clone()));
     }
 
     /// Logger of the host.
