--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1217,7 +1217,24 @@
         (self.spawn_on(name, socket, peer_address), unread)
     }
 
+    /// Starts a host that uses this access to the log, without waiting for it.
+    pub async fn spawn_with_log(&self, name: &str, log: Arc<dyn KeyedLog>) -> Arc<SwitchNode> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let peer_address = socket.local_addr().unwrap();
+        self.spawn_with(name, socket, peer_address, log)
+    }
+
     fn spawn_on(&self, name: &str, socket: UdpSocket, peer_address: SocketAddr) -> Arc<SwitchNode> {
+        self.spawn_with(name, socket, peer_address, Arc::new(self.log.clone()))
+    }
+
+    fn spawn_with(
+        &self,
+        name: &str,
+        socket: UdpSocket,
+        peer_address: SocketAddr,
+        log: Arc<dyn KeyedLog>,
+    ) -> Arc<SwitchNode> {
         let topic = |topic: &str| LogPartition {
             topic: topic.into(),
             partition: 0,
@@ -1243,7 +1260,7 @@
             is_first_start: true,
         };
         let deps = SwitchDependencies {
-            log: Arc::new(self.log.clone()),
+            log,
             client: Arc::new(self.client.clone()),
             hosts: Arc::new(self.hosts.clone()),
             decoder: Arc::new(TextDecoder),
