Deletion of expired jobs: acceptances first, repeated until it is seen in the log

What callers saw: nothing that is recorded. By the tests, a host that started while another one had stopped in the middle of a deletion ran the items of an expired job again, as their outcomes were gone and the job was not. With the clocks of the site such a job is past its retention, so that its items would be abandoned rather than run; the tests' job is younger.

Cause: a host deleted each of its jobs in the order of writers and numbers, and stopped for good at the first append that failed. Which host deletes was decided once, by each host's own view. Two appends a job, at all hosts that started together in the same second.

Now every host keeps the keys of expired jobs until it reads their tombstones. The first host by rank of a group of jobs deletes those that have expired together: acceptances, then texts, then the other records. If tombstones stay away for 30 s, the next host by rank deletes. The passes of hosts begin at random offsets, with 50 ms between two appends. Formats are unchanged; to a host of an earlier build a job without an acceptance is none.

--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -4,7 +4,7 @@
 //! position of each result.
 
 use crate::frame_set::FrameSet;
-use crate::progress::{ProgressSegment, SegmentChain};
+use crate::progress::SegmentChain;
 use crate::record::{AcceptedItem, AcceptedJob, FailedRun, FrameRange, ItemOutcome, JobRecord};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -60,7 +60,9 @@
     pub results: Vec<SettledItem>,
     /// Whether the caller cancelled the job.
     pub cancelled: bool,
-    /// Frames in the log that belong to the job.
+    /// Records of the job's acceptance; an append without a response may have been repeated.
+    pub acceptances: Vec<FrameRange>,
+    /// Frames in the log that belong to the job, also those of its acceptances.
     pub frames: FrameSet,
 }
 
@@ -81,6 +83,7 @@
             items: items.collect(),
             results: Vec::new(),
             cancelled: false,
+            acceptances: Vec::new(),
             frames: FrameSet::default(),
         }
     }
@@ -149,16 +152,9 @@
         {
             return LedgerChange::Repeated;
         }
-        let text_frames = match &record {
-            JobRecord::Settled {
-                outcome: ItemOutcome::Completed(location),
-                ..
-            }
-            | JobRecord::Progress { location, .. }
-            | JobRecord::Checkpoint {
-                segment: ProgressSegment { location, .. },
-                ..
-            } => Some(FrameRange::from_text(location)),
+        let text_frames = record.text_frames();
+        let acceptance = match &record {
+            JobRecord::Accepted(_) => record_frames,
             _ => None,
         };
         let change = match (&record, record_frames) {
@@ -171,6 +167,7 @@
             for frames in text_frames.into_iter().chain(record_frames) {
                 job.frames.insert(frames);
             }
+            job.acceptances.extend(acceptance);
         }
         change
     }
@@ -247,6 +244,13 @@
         expired
     }
 
+    /// Removes and returns the job with this record of its acceptance.
+    pub fn remove_accepted_by(&mut self, acceptance: FrameRange) -> Option<LedgerJob> {
+        let mut jobs = self.jobs.iter();
+        let index = jobs.position(|job| job.acceptances.contains(&acceptance))?;
+        Some(self.jobs.remove(index))
+    }
+
     /// Number of jobs.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -6,6 +6,7 @@
 use crate::crash_watch::CrashState;
 use crate::departures::RecentDepartures;
 use crate::endpoint::{EndpointTable, ListedEndpoint};
+use crate::expiry::DeletionQueue;
 use crate::follow::{FollowBatch, FollowOptions, follow};
 use crate::gossip;
 use crate::jobs::TextCache;
@@ -18,7 +19,7 @@
 use crate::overload::OverloadTracker;
 use crate::progress::SharedProgress;
 use crate::reach::{EndpointReach, ReachPhase};
-use crate::record::{JobRecord, RecordNumberGenerator, RecordReader};
+use crate::record::{FrameRange, JobRecord, RecordNumberGenerator, RecordReader};
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
 use crate::stop::{AnswerTimes, RunDelay, StopPlan};
@@ -134,6 +135,7 @@
     pub(crate) reach: EndpointReach,
     pub(crate) members: MemberTable,
     pub(crate) ledger: JobLedger,
+    pub(crate) deletions: DeletionQueue,
     pub(crate) routeless: RoutelessJobs,
     /// Start of the last read that reached the end of the configuration's partition.
     pub(crate) config_read_at: Option<Instant>,
@@ -247,6 +249,7 @@
             reach: EndpointReach::default(),
             members: MemberTable::default(),
             ledger: JobLedger::default(),
+            deletions: DeletionQueue::default(),
             routeless: RoutelessJobs::default(),
             config_read_at: None,
             histories: ItemHistories::default(),
@@ -467,14 +470,24 @@
         };
         let mut reader = RecordReader::default();
         let apply = move |node: &Self, batch: FollowBatch<'_>| {
-            if let FollowBatch::Snapshot(_) = batch {
-                reader = RecordReader::default();
+            match batch {
+                FollowBatch::Unavailable => node.lock().deletions.interrupt(Instant::now()),
+                FollowBatch::Snapshot(_) => {
+                    reader = RecordReader::default();
+                    node.lock().deletions.clear();
+                }
+                FollowBatch::Tail(_) => {}
             }
             for entry in batch.records() {
+                if entry.record.value.is_empty() {
+                    node.lock().apply_tombstone(entry, Instant::now());
+                    continue;
+                }
                 match reader.push(entry) {
                     None => {}
                     Some(Ok(record)) => node.apply_record(record, entry),
                     Some(Err(error)) => {
+                        node.lock().deletions.read_undecoded(&entry.record.key);
                         warn!(node.deps.logger, "job record ignored";
                             "offset" => entry.offset, "cause" => %error);
                     }
@@ -503,8 +516,15 @@
             JobRecord::Discarded { item, .. } => Some(*item),
             _ => None,
         };
+        let is_acceptance = matches!(record, JobRecord::Accepted(_));
+        let record_frames = FrameRange::from_record_key(last_key);
+        let frames = record_frames.into_iter().chain(record.text_frames());
+        let frames: Vec<FrameRange> = frames.collect();
         let mut state = self.lock();
         let change = state.ledger.apply_entry(record, last_key);
+        if !is_acceptance && state.ledger.get(&job).is_none() {
+            state.deletions.push_orphan(&job, &frames, Instant::now());
+        }
         if let (LedgerChange::Discarded, Some(item)) = (&change, discarded_item) {
             state
                 .unrecorded
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -240,6 +240,11 @@
         }
     }
 
+    /// Frames in the log of the text that the record locates.
+    pub(crate) fn text_frames(&self) -> Option<FrameRange> {
+        self.location().map(FrameRange::from_text)
+    }
+
     /// Location of the text that belongs to the record.
     fn location(&self) -> Option<&TextLocation> {
         match self {
@@ -380,7 +385,19 @@
 }
 
 fn record_key(job: &str, number: u64) -> String {
-    format!("j/{:016x}/{number:016x}", xxh3_64(job.as_bytes()))
+    format!("j/{:016x}/{number:016x}", job_hash(job))
+}
+
+/// Hash of a job's ID that the keys of its records contain.
+pub(crate) fn job_hash(job: &str) -> u64 {
+    xxh3_64(job.as_bytes())
+}
+
+/// Returns the hash of the job whose record has a frame with this key; `None` for a key of another form.
+pub(crate) fn job_hash_of_key(key: &[u8]) -> Option<u64> {
+    let key = std::str::from_utf8(key).ok()?.strip_prefix("j/")?;
+    let (hash, _) = key.split_once('/')?;
+    u64::from_str_radix(hash, 16).ok()
 }
 
 fn frame_key(prefix: &str, index: u32) -> String {
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -9,6 +9,7 @@
 mod departures;
 mod earlier_hosts;
 mod encodings;
+mod expiry;
 mod expiry_costs;
 mod fleet;
 mod foreign_bytes;
