--- a/crates/switch/tests/switch/expiry_costs.rs
+++ b/crates/switch/tests/switch/expiry_costs.rs
@@ -8,10 +8,11 @@
 use fulmarswitch_switch::backend::{
     AppendError, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition, ReadError,
 };
+use fulmarswitch_switch::ledger::JobLedger;
 use fulmarswitch_switch::node::unix_time_ms;
 use fulmarswitch_switch::record::{
-    AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumberGenerator, TextLocation,
-    split_frames, text_key,
+    AcceptedItem, AcceptedJob, ItemOutcome, JobRecord, RecordNumberGenerator, RecordReader,
+    TextLocation, split_frames, text_key,
 };
 use rstest::rstest;
 use std::sync::{Arc, Mutex};
@@ -299,3 +300,67 @@
     print(&format!("70 hosts, bodies of {body_bytes} bytes"), &costs);
     assert!(costs.jobs > 200);
 }
+
+/// Resident memory of the process in bytes.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap();
+    let pages: usize = text.split(' ').nth(1).unwrap().parse().unwrap();
+    pages * 4096
+}
+
+/// Time of a snapshot whose pages have at most 500 records or 1 MB and are read one after the other in Base64.
+fn snapshot_time(records: &[KeyedRecord], rate: f64) -> (usize, Duration) {
+    let (mut pages, mut count, mut bytes) = (1, 0, 0);
+    for record in records {
+        if count == 500 || bytes + size(record) > 1_000_000 {
+            (pages, count, bytes) = (pages + 1, 0, 0);
+        }
+        count += 1;
+        bytes += size(record);
+    }
+    let bytes: usize = records.iter().map(size).sum();
+    let answers = Duration::from_millis(4) * u32::try_from(pages).unwrap();
+    (pages, answers + time_of(bytes * 4 / 3, rate))
+}
+
+/// The jobs of 135 s: those of the retention, the margin for clocks and half an interval of the searches.
+#[rstest]
+#[case::bodies_of_1500_bytes(1_500, 584)]
+#[case::bodies_of_15000_bytes(15_000, 584)]
+#[case::tenth_with_bodies_of_1500_bytes(1_500, 58)]
+#[ignore = "measures the figures of docs/CAPACITY.md"]
+#[test]
+fn snapshot(#[case] body_bytes: usize, #[case] jobs_per_100_s: usize) {
+    let mut numbers = RecordNumberGenerator::new("writer", 1);
+    let jobs = jobs_per_100_s * 135 / 100;
+    let records: Vec<KeyedRecord> = (0..jobs)
+        .flat_map(|job| expired_job(&format!("job-{job}"), body_bytes, &mut numbers).0)
+        .collect();
+    let bytes: usize = records.iter().map(size).sum();
+    let (pages, alone) = snapshot_time(&records, LINK_RATE);
+    let (_, together) = snapshot_time(&records, READ_RATE / 70.0);
+    let before = resident_bytes();
+    let started = Instant::now();
+    let mut reader = RecordReader::default();
+    let mut ledger = JobLedger::default();
+    for record in &records {
+        let entry = LogEntry {
+            offset: 0,
+            record: KeyedRecord {
+                key: record.key.clone(),
+                value: record.value.to_vec().into(),
+            },
+        };
+        if let Some(Ok(record)) = reader.push(&entry) {
+            ledger.apply_entry(record, &entry.record.key);
+        }
+    }
+    println!(
+        "{jobs} jobs, bodies of {body_bytes} bytes: {} records, {bytes} bytes, {pages} pages; by the rates {alone:?} over a link, \
+         {together:?} if 70 hosts read at once; replayed in {:?}, ledger of {} bytes",
+        records.len(),
+        started.elapsed(),
+        resident_bytes().saturating_sub(before)
+    );
+    assert_eq!(ledger.len(), jobs);
+}
