A job that reuses the ID of an expired one replaces it at every host

What callers saw: nothing that is recorded. By the test, a job that is accepted under the ID of an expired one at a host that has removed that one is lost at the hosts that have not: they take its acceptance for a repeated one, and delete it with the expired job. Hosts search for expired jobs each 10 s at different times, so that this can last as long.

The acceptance now replaces a job without open items whose retention had passed when the new one was accepted, which every host decides alike from the two records. The test finds the job missing before, and both results after, at both hosts.

--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -251,6 +251,20 @@
         Some(self.jobs.remove(index))
     }
 
+    /// Removes and returns the job with the ID of an accepted one if it had expired at that time. The host that accepted the
+    /// new job had removed the old one before.
+    pub fn remove_replaced(
+        &mut self,
+        accepted: &AcceptedJob,
+        retention: Duration,
+    ) -> Option<LedgerJob> {
+        let index = self.search(&accepted.job).ok()?;
+        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+        let job = &self.jobs[index];
+        let expires_ms = job.accepted_ms.saturating_add(retention_ms);
+        (!job.is_open() && accepted.accepted_ms >= expires_ms).then(|| self.jobs.remove(index))
+    }
+
     /// Number of jobs.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -516,11 +516,19 @@
             JobRecord::Discarded { item, .. } => Some(*item),
             _ => None,
         };
-        let is_acceptance = matches!(record, JobRecord::Accepted(_));
         let record_frames = FrameRange::from_record_key(last_key);
         let frames = record_frames.into_iter().chain(record.text_frames());
         let frames: Vec<FrameRange> = frames.collect();
         let mut state = self.lock();
+        let is_acceptance = if let JobRecord::Accepted(accepted) = &record {
+            let retention = self.settings.job_retention;
+            if let Some(replaced) = state.ledger.remove_replaced(accepted, retention) {
+                state.deletions.push_job(&replaced, Instant::now());
+            }
+            true
+        } else {
+            false
+        };
         let change = state.ledger.apply_entry(record, last_key);
         if !is_acceptance && state.ledger.get(&job).is_none() {
             state.deletions.push_orphan(&job, &frames, Instant::now());
--- a/crates/switch/tests/switch/expiry.rs
+++ b/crates/switch/tests/switch/expiry.rs
@@ -41,7 +41,7 @@
 }
 
 /// Writes a job whose items have all been settled by a host whose numbers are below those of the host that accepted it.
-async fn put_settled_job(log: &MemoryLog, items: u32) {
+async fn put_settled_job(log: &MemoryLog, items: u32, accepted_ms: u64) {
     let mut writers = ["x", "y"].map(|name| RecordNumberGenerator::new(name, 1));
     writers.sort_by_key(RecordNumberGenerator::writer);
     let [settling, accepting] = &mut writers;
@@ -57,7 +57,7 @@
         host: "host".into(),
         path_prefix: "/jobs/".into(),
         accepted_by: "x".into(),
-        accepted_ms: unix_time_ms(),
+        accepted_ms,
         items: (0..items).map(item).collect(),
     });
     append(log, "jobs", &accepted, accepting.next_number()).await;
@@ -89,7 +89,7 @@
 #[tokio::test(start_paused = true)]
 async fn half_deleted_job_is_not_run_again() {
     let fleet = TestFleet::new(2);
-    put_settled_job(&fleet.log, 520).await;
+    put_settled_job(&fleet.log, 520, unix_time_ms()).await;
     let lost = fleet.with_other_log_access();
     let node = lost.start("a").await;
     let before = fleet.log.live_keys("jobs");
@@ -119,7 +119,7 @@
 #[tokio::test(start_paused = true)]
 async fn failed_deletion_is_repeated(#[case] topic: &str, #[case] fault: AppendFault) {
     let fleet = TestFleet::new(2);
-    put_settled_job(&fleet.log, 3).await;
+    put_settled_job(&fleet.log, 3, unix_time_ms()).await;
     let node = fleet.start("a").await;
     fleet.log.inject_fault(topic, fault);
     node.remove_expired_jobs(u64::MAX).await;
@@ -132,7 +132,7 @@
 #[tokio::test(start_paused = true)]
 async fn deletion_by_two_hosts_is_harmless() {
     let fleet = TestFleet::new(2);
-    put_settled_job(&fleet.log, 3).await;
+    put_settled_job(&fleet.log, 3, unix_time_ms()).await;
     let (first, _unread) = fleet.spawn_isolated("a").await;
     let (second, _unread) = fleet.spawn_isolated("b").await;
     sleep(Duration::from_secs(1)).await;
@@ -150,11 +150,31 @@
     assert_eq!(results(&second, "j").await, results(&first, "j").await);
 }
 
+/// Guards against the loss of a job that reuses the ID of an expired one, at hosts that have not removed that one yet.
+#[tokio::test(start_paused = true)]
+async fn job_with_the_id_of_an_expired_one_replaces_it() {
+    let fleet = TestFleet::new(2);
+    put_settled_job(&fleet.log, 3, unix_time_ms() - 125_000).await;
+    let (first, _unread) = fleet.spawn_isolated("a").await;
+    let (second, _unread) = fleet.spawn_isolated("b").await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.log.inject_fault("jobs", AppendFault::Refuse);
+    first.remove_expired_jobs(unix_time_ms()).await;
+    assert_eq!(
+        first.submit_job(submission("j", 2)).await,
+        SubmitReply::Done
+    );
+    sleep(RETRY_TIME).await;
+    second.remove_expired_jobs(unix_time_ms()).await;
+    assert_eq!(reply(&second).await, JobReply::Found(2));
+    assert_eq!(reply(&first).await, JobReply::Found(2));
+}
+
 /// Guards against hosts that go on with a job of which others have deleted a part.
 #[tokio::test(start_paused = true)]
 async fn job_leaves_the_ledger_with_its_acceptance() {
     let fleet = TestFleet::new(2);
-    put_settled_job(&fleet.log, 3).await;
+    put_settled_job(&fleet.log, 3, unix_time_ms()).await;
     let (first, _unread) = fleet.spawn_isolated("a").await;
     let (second, _unread) = fleet.spawn_isolated("b").await;
     sleep(Duration::from_secs(1)).await;
@@ -167,7 +187,7 @@
 #[tokio::test(start_paused = true)]
 async fn record_that_follows_the_deletion_is_deleted() {
     let fleet = TestFleet::new(2);
-    put_settled_job(&fleet.log, 3).await;
+    put_settled_job(&fleet.log, 3, unix_time_ms()).await;
     let node = fleet.start("a").await;
     node.remove_expired_jobs(u64::MAX).await;
     let number = RecordNumberGenerator::new("z", 1).next_number();
