Reads that bring no record are paused

Seen by callers: less of the host's processor for them, while a faulty store said of each read that records follow and sent none.

Cause: a follower that has not reached the end reads again at once, also if the read brought it no further.

--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -85,8 +85,13 @@
                     None => apply(&node, FollowBatch::Snapshot(&page)),
                     Some(_) => apply(&node, FollowBatch::Tail(&page)),
                 }
+                let advanced = next != Some(page.next);
                 next = Some(page.next);
                 if page.next < page.end {
+                    if !advanced {
+                        // A faulty store says that records follow, and sends none.
+                        sleep(MIN_RETRY_DELAY).await;
+                    }
                     continue;
                 }
                 if is_config {
