--- a/crates/switch/tests/switch/old_view.rs
+++ b/crates/switch/tests/switch/old_view.rs
@@ -211,3 +211,111 @@
     assert_eq!(first_read.len(), 60);
     assert!(checked > 20, "{checked} reads of known positions");
 }
+
+/// Guards against a job that a host goes on with for good, as it missed its results and then their deletion.
+#[tokio::test(start_paused = true)]
+async fn job_that_was_deleted_meanwhile_leaves_the_ledger() {
+    let fleet = TestFleet::new(2);
+    let (first, second, log) = start_pair(&fleet).await;
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    first.submit_job(submission("j", 3)).await;
+    sleep(Duration::from_millis(600)).await;
+    assert!(second.knows_job("j"));
+    log.cut_topic(Some("jobs"));
+    sleep(OLD_AFTER).await;
+    assert_eq!(results(&first, "j").await.results.len(), 3);
+    first.remove_expired_jobs(u64::MAX).await;
+    fleet.log.expire("jobs");
+    log.cut_topic(None);
+    sleep(Duration::from_secs(3)).await;
+    let reply = second.job_results("j", 0, Duration::ZERO).await;
+    assert_eq!(reply, JobReply::Missing);
+}
+
+/// Guards against items of an ended job that a host still runs, as it missed the end and then its deletion.
+#[tokio::test(start_paused = true)]
+async fn items_of_a_job_that_was_deleted_meanwhile_do_not_run() {
+    let fleet = TestFleet::new(1);
+    let (first, second, log) = start_pair(&fleet).await;
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    first.submit_job(submission("j", 90)).await;
+    sleep(Duration::from_millis(600)).await;
+    assert!(second.knows_job("j"));
+    log.cut_topic(Some("jobs"));
+    assert_eq!(first.cancel_job(&"j".into()).await, SubmitReply::Done);
+    sleep(Duration::from_secs(2)).await;
+    first.remove_expired_jobs(u64::MAX).await;
+    fleet.log.expire("jobs");
+    log.cut_topic(None);
+    sleep(Duration::from_secs(4)).await;
+    let before = fleet.client.calls().len();
+    sleep(Duration::from_secs(40)).await;
+    let after = fleet.client.calls().len();
+    assert_eq!(before, after);
+}
+
+/// Guards against items of an ended job that a host starts whose job records are old.
+#[rstest]
+#[case::slow(ReadFault::Slow(LONG_READ))]
+#[case::cut(ReadFault::Cut)]
+#[case::snapshot(ReadFault::SlowSnapshot(LONG_READ))]
+#[tokio::test(start_paused = true)]
+async fn host_with_an_old_ledger_does_not_start_items_of_an_ended_job(#[case] fault: ReadFault) {
+    let fleet = TestFleet::new(1);
+    let (first, second, log) = start_pair(&fleet).await;
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    first.submit_job(submission("j", 90)).await;
+    sleep(Duration::from_millis(600)).await;
+    assert!(second.knows_job("j"));
+    fault.begin(&log);
+    assert_eq!(first.cancel_job(&"j".into()).await, SubmitReply::Done);
+    sleep(Duration::from_secs(4)).await;
+    let before = fleet.client.calls().len();
+    sleep(Duration::from_secs(10)).await;
+    let after = fleet.client.calls().len();
+    assert_eq!(before, after);
+}
+
+/// Guards against a host that refuses calls for jobs although it lags little behind a log with a new record at each read.
+#[tokio::test(start_paused = true)]
+async fn host_that_follows_a_busy_log_closely_is_not_unsure() {
+    let fleet = TestFleet::new(0);
+    let (first, second, log) = start_pair(&fleet).await;
+    first.submit_job(submission("j", 3)).await;
+    sleep(Duration::from_secs(1)).await;
+    log.slow_topic("jobs", Duration::from_millis(100));
+    log.limit_pages(10);
+    let writer = fleet.log.clone();
+    tokio::spawn(async move {
+        for index in 0..2000 {
+            writer.put("jobs", &format!("of another writer {index}"), "x");
+            sleep(Duration::from_micros(10_500)).await;
+        }
+    });
+    for index in 0..20 {
+        sleep(Duration::from_millis(500)).await;
+        let job = format!("k{index}");
+        first.submit_job(submission(&job, 1)).await;
+        let submitted = Instant::now();
+        while !second.knows_job(&job) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(submitted.elapsed() < Duration::from_millis(600));
+        let reply = second.job_results("j", 0, Duration::ZERO).await;
+        assert_ne!(reply, JobReply::Unsure);
+    }
+}
+
+/// Guards against items that wait for a host which cannot read that they exist.
+#[tokio::test(start_paused = true)]
+async fn items_do_not_wait_for_a_host_with_an_old_ledger() {
+    let fleet = TestFleet::new(4);
+    let (first, _second, log) = start_pair(&fleet).await;
+    sleep(Duration::from_secs(1)).await;
+    log.cut_topic(Some("jobs"));
+    sleep(Duration::from_secs(2)).await;
+    first.submit_job(submission("j", 20)).await;
+    sleep(Duration::from_secs(18)).await;
+    let count = results(&first, "j").await.results.len();
+    assert_eq!(count, 20);
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -86,6 +86,8 @@
     cut_topic: Arc<Mutex<Option<Arc<str>>>>,
     /// Topic whose reads over this access take longer, and by how much.
     slow_topic: Arc<Mutex<Option<SlowTopic>>>,
+    /// Maximum number of records of a read over this access; zero for no limit.
+    page_limit: Arc<AtomicUsize>,
 }
 
 impl MemoryLog {
@@ -107,6 +109,7 @@
             cut: Arc::default(),
             cut_topic: Arc::default(),
             slow_topic: Arc::default(),
+            page_limit: Arc::default(),
         }
     }
 
@@ -126,6 +129,11 @@
         *self.slow_topic.lock().unwrap() = Some(SlowTopic { topic, delay });
     }
 
+    /// Makes reads over this access return at most this many records.
+    pub fn limit_pages(&self, records: usize) {
+        self.page_limit.store(records, Ordering::Relaxed);
+    }
+
     /// Waits for as long as reads of this partition take.
     async fn read_latency(&self, partition: &LogPartition) {
         let slow_topic = self.slow_topic.lock().unwrap().clone();
@@ -273,14 +281,17 @@
         }
         let end = topic.records.len() as u64;
         let records = topic.records[start..].iter().enumerate();
-        let records = records
+        let limit = self.page_limit.load(Ordering::Relaxed);
+        let limit = if limit == 0 { usize::MAX } else { limit };
+        let records: Vec<LogEntry> = records
+            .take(limit)
             .map(|(index, record)| LogEntry {
                 offset: from + index as u64,
                 record: record.clone(),
             })
             .collect();
         Ok(LogPage {
-            next: end,
+            next: from + records.len() as u64,
             end,
             records,
         })
