--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -61,6 +61,9 @@
     let is_listings = options.partition == node.settings.topics.endpoints;
     let is_config = options.partition == node.settings.topics.config;
     let mut next = None;
+    // End of the partition at an earlier read that has not been reached yet, and when that read began. While records are appended
+    // faster than pages are read, no page reaches the end of its own read.
+    let mut target: Option<(u64, Instant)> = None;
     let mut delay = MIN_RETRY_DELAY;
     let mut unavailable = false;
     loop {
@@ -90,6 +93,19 @@
                 }
                 let advanced = next != Some(page.next);
                 next = Some(page.next);
+                let (end, began) = *target.get_or_insert((page.end, started));
+                let current_at = if page.next >= page.end {
+                    target = None;
+                    Some(started)
+                } else if page.next >= end {
+                    target = Some((page.end, started));
+                    Some(began)
+                } else {
+                    None
+                };
+                if let Some(current_at) = current_at.filter(|_| is_jobs) {
+                    node.record_complete_job_read(current_at, &page);
+                }
                 if page.next < page.end {
                     if !advanced {
                         // A faulty store says that records follow, and sends none.
@@ -101,7 +117,6 @@
                     node.lock().config_read_at = Some(started);
                 }
                 if is_jobs {
-                    node.record_complete_job_read(started, &page);
                     // A task that needs newer state requests the next read early.
                     let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
                 } else if is_listings {
@@ -122,6 +137,7 @@
                 info!(node.deps.logger, "tail expired"; "topic" => &*options.partition.topic,
                     "from" => next, "first" => first);
                 next = None;
+                target = None;
             }
             Err(ReadError::Unavailable { cause }) => {
                 node.metrics.count_log_call("not read");
