--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -265,6 +265,11 @@
         (!job.is_open() && accepted.accepted_ms >= expires_ms).then(|| self.jobs.remove(index))
     }
 
+    /// Keeps the jobs for whose ID `is_retained` returns true.
+    pub fn retain(&mut self, is_retained: impl Fn(&Arc<str>) -> bool) {
+        self.jobs.retain(|job| is_retained(&job.id));
+    }
+
     /// Number of jobs.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -502,6 +502,7 @@
         };
         let mut reader = RecordReader::default();
         let apply = move |node: &Self, batch: FollowBatch<'_>| {
+            let is_snapshot = matches!(batch, FollowBatch::Snapshot(_));
             match batch {
                 FollowBatch::Unavailable => node.lock().deletions.interrupt(Instant::now()),
                 FollowBatch::Snapshot(_) => {
@@ -510,6 +511,7 @@
                 }
                 FollowBatch::Tail(_) => {}
             }
+            let mut accepted: Vec<Arc<str>> = Vec::new();
             for entry in batch.records() {
                 if entry.record.value.is_empty() {
                     node.lock().apply_tombstone(entry, Instant::now());
@@ -517,7 +519,12 @@
                 }
                 match reader.push(entry) {
                     None => {}
-                    Some(Ok(record)) => node.apply_record(record, entry),
+                    Some(Ok(record)) => {
+                        if is_snapshot && matches!(record, JobRecord::Accepted(_)) {
+                            accepted.push(record.job().clone());
+                        }
+                        node.apply_record(record, entry);
+                    }
                     Some(Err(error)) => {
                         node.lock().deletions.read_undecoded(&entry.record.key);
                         warn!(node.deps.logger, "job record ignored";
@@ -525,6 +532,14 @@
                     }
                 }
             }
+            if is_snapshot {
+                // The others were deleted after the last record that this host had read.
+                accepted.sort_unstable();
+                let mut state = node.lock();
+                state
+                    .ledger
+                    .retain(|job| accepted.binary_search(job).is_ok());
+            }
             if !batch.records().is_empty() {
                 node.schedule_requested.notify_one();
                 node.job_updates.send_modify(|count| *count += 1);
--- a/crates/switch/tests/switch/old_view.rs
+++ b/crates/switch/tests/switch/old_view.rs
@@ -212,6 +212,16 @@
     assert!(checked > 20, "{checked} reads of known positions");
 }
 
+/// Has a host delete the records of all jobs without open items, also those that the other one would delete first.
+async fn delete_expired_jobs(fleet: &TestFleet, node: &SwitchNode) {
+    node.remove_expired_jobs(u64::MAX).await;
+    let started = Instant::now();
+    while fleet.log.live_keys("jobs") > 0 {
+        assert!(started.elapsed() < Duration::from_mins(1), "not deleted");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against a job that a host goes on with for good, as it missed its results and then their deletion.
 #[tokio::test(start_paused = true)]
 async fn job_that_was_deleted_meanwhile_leaves_the_ledger() {
@@ -224,7 +234,7 @@
     log.cut_topic(Some("jobs"));
     sleep(OLD_AFTER).await;
     assert_eq!(results(&first, "j").await.results.len(), 3);
-    first.remove_expired_jobs(u64::MAX).await;
+    delete_expired_jobs(&fleet, &first).await;
     fleet.log.expire("jobs");
     log.cut_topic(None);
     sleep(Duration::from_secs(3)).await;
@@ -244,7 +254,7 @@
     log.cut_topic(Some("jobs"));
     assert_eq!(first.cancel_job(&"j".into()).await, SubmitReply::Done);
     sleep(Duration::from_secs(2)).await;
-    first.remove_expired_jobs(u64::MAX).await;
+    delete_expired_jobs(&fleet, &first).await;
     fleet.log.expire("jobs");
     log.cut_topic(None);
     sleep(Duration::from_secs(4)).await;
