--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -380,6 +380,10 @@
     {
         return runnable;
     }
+    let own_has_log = node.has_log(now);
+    if !own_has_log && state.members.others_have_log(now) {
+        return runnable;
+    }
     let mut own_claims = state.own_claims(usize::MAX);
     own_claims.sort_unstable();
     let mut busy: Vec<ItemKey> = state.busy_items().map(ItemName::key).collect();
@@ -413,7 +417,7 @@
             }
             // Items that this host claims and is not busy with are those that it has output of.
             let started = own_claims.binary_search(&key).is_ok();
-            if !started && state.members.assigned_host(&name, own, now) != own {
+            if !started && state.members.runner_of(&name, own, own_has_log, now) != own {
                 continue;
             }
             if is_expired {
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -335,6 +335,25 @@
         self.assigned_to(item.hash(), own, now)
     }
 
+    /// The host that runs an item: among those that have access to the log, if any has. The others may not know that the item
+    /// exists, or that it has ended.
+    #[must_use]
+    pub fn runner_of<'a>(
+        &'a self,
+        item: &ItemName,
+        own: &'a str,
+        own_has_log: bool,
+        now: Instant,
+    ) -> &'a str {
+        let others = self.live(now).filter(|entry| entry.ready && entry.has_log);
+        let names = others.map(|entry| &*entry.descriptor.name);
+        let hash = item.hash();
+        names
+            .chain(own_has_log.then_some(own))
+            .max_by_key(|name| xxh3_64_with_seed(name.as_bytes(), hash))
+            .unwrap_or_else(|| self.assigned_to(hash, own, now))
+    }
+
     /// Returns the host with the highest rank for `hash` by rendezvous hashing over the ready hosts and `own`.
     #[must_use]
     pub fn assigned_to<'a>(&'a self, hash: u64, own: &'a str, now: Instant) -> &'a str {
