--- a/crates/switch/tests/switch/old_view.rs
+++ b/crates/switch/tests/switch/old_view.rs
@@ -48,6 +48,19 @@
     (first, second, other_fleet.log)
 }
 
+/// Starts two hosts, of which both know the job `j`. Its items take a few seconds.
+async fn start_pair_with_job(
+    fleet: &TestFleet,
+    items: u32,
+) -> (Arc<SwitchNode>, Arc<SwitchNode>, MemoryLog) {
+    let (first, second, log) = start_pair(fleet).await;
+    fleet.client.set_default(CallScript::Stream { events: 70 });
+    first.submit_job(submission("j", items)).await;
+    sleep(Duration::from_millis(600)).await;
+    assert!(second.knows_job("j"));
+    (first, second, log)
+}
+
 /// Guards against a page without results, given as if it were certain, by a host that has not read the results which another host
 /// has returned.
 #[rstest]
@@ -62,11 +75,7 @@
     #[case] wait: Duration,
 ) {
     let fleet = TestFleet::new(2);
-    let (first, second, log) = start_pair(&fleet).await;
-    fleet.client.set_default(CallScript::Stream { events: 70 });
-    first.submit_job(submission("j", 3)).await;
-    sleep(Duration::from_millis(600)).await;
-    assert!(second.knows_job("j"));
+    let (first, second, log) = start_pair_with_job(&fleet, 3).await;
     fault.begin(&log);
     sleep(OLD_AFTER).await;
     assert_eq!(results(&first, "j").await.results.len(), 3);
@@ -81,10 +90,7 @@
 #[tokio::test(start_paused = true)]
 async fn host_reads_an_old_ledger_again_before_it_answers() {
     let fleet = TestFleet::new(2);
-    let (first, second, log) = start_pair(&fleet).await;
-    fleet.client.set_default(CallScript::Stream { events: 70 });
-    first.submit_job(submission("j", 3)).await;
-    sleep(Duration::from_millis(600)).await;
+    let (first, second, log) = start_pair_with_job(&fleet, 3).await;
     log.cut_topic(Some("jobs"));
     sleep(OLD_AFTER).await;
     log.cut_topic(None);
@@ -226,11 +232,7 @@
 #[tokio::test(start_paused = true)]
 async fn job_that_was_deleted_meanwhile_leaves_the_ledger() {
     let fleet = TestFleet::new(2);
-    let (first, second, log) = start_pair(&fleet).await;
-    fleet.client.set_default(CallScript::Stream { events: 70 });
-    first.submit_job(submission("j", 3)).await;
-    sleep(Duration::from_millis(600)).await;
-    assert!(second.knows_job("j"));
+    let (first, second, log) = start_pair_with_job(&fleet, 3).await;
     log.cut_topic(Some("jobs"));
     sleep(OLD_AFTER).await;
     assert_eq!(results(&first, "j").await.results.len(), 3);
@@ -246,11 +248,7 @@
 #[tokio::test(start_paused = true)]
 async fn items_of_a_job_that_was_deleted_meanwhile_do_not_run() {
     let fleet = TestFleet::new(1);
-    let (first, second, log) = start_pair(&fleet).await;
-    fleet.client.set_default(CallScript::Stream { events: 70 });
-    first.submit_job(submission("j", 90)).await;
-    sleep(Duration::from_millis(600)).await;
-    assert!(second.knows_job("j"));
+    let (first, _second, log) = start_pair_with_job(&fleet, 90).await;
     log.cut_topic(Some("jobs"));
     assert_eq!(first.cancel_job(&"j".into()).await, SubmitReply::Done);
     sleep(Duration::from_secs(2)).await;
@@ -272,11 +270,7 @@
 #[tokio::test(start_paused = true)]
 async fn host_with_an_old_ledger_does_not_start_items_of_an_ended_job(#[case] fault: ReadFault) {
     let fleet = TestFleet::new(1);
-    let (first, second, log) = start_pair(&fleet).await;
-    fleet.client.set_default(CallScript::Stream { events: 70 });
-    first.submit_job(submission("j", 90)).await;
-    sleep(Duration::from_millis(600)).await;
-    assert!(second.knows_job("j"));
+    let (first, _second, log) = start_pair_with_job(&fleet, 90).await;
     fault.begin(&log);
     assert_eq!(first.cancel_job(&"j".into()).await, SubmitReply::Done);
     sleep(Duration::from_secs(4)).await;
