--- a/review/standins-2/src/limited_servers.rs
+++ b/review/standins-2/src/limited_servers.rs
@@ -45,6 +45,7 @@
             service: "reports".into(),
             zone: "hall-a".into(),
             slots: 8,
+            queue: 24,
             events: EVENTS,
             event_time: EVENT_TIME,
         };
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,8 @@
 mod daemon;
 mod jobs;
 mod limited_servers;
+mod lost_machine;
+mod lost_service;
 mod reports_zone;
 mod restart_volume;
 mod server;
@@ -53,6 +55,8 @@
     let result = match name.as_str() {
         "restart-volume" => restart_volume::run(&mut case),
         "limited-servers" => limited_servers::run(&mut case),
+        "lost-machine" => lost_machine::run(&mut case),
+        "lost-service" => lost_service::run(&mut case),
         "reports-zone" => reports_zone::run(&mut case),
         _ => Err("no such case".to_owned()),
     };
--- a/review/standins-2/src/reports_zone.rs
+++ b/review/standins-2/src/reports_zone.rs
@@ -56,6 +56,7 @@
                     service: service.into(),
                     zone: (*zone).into(),
                     slots: 8,
+                    queue: 24,
                     events: EVENTS,
                     event_time: Duration::from_millis(20),
                 };
--- a/review/standins-2/src/restart_volume.rs
+++ b/review/standins-2/src/restart_volume.rs
@@ -51,6 +51,7 @@
             service: "kart".into(),
             zone: "anadolu-a".into(),
             slots: 8,
+            queue: 24,
             events: EVENTS,
             event_time: Duration::from_millis(10),
         };
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -33,6 +33,8 @@
     pub service: String,
     pub zone: String,
     pub slots: usize,
+    /// Requests that wait for a slot; further ones are refused.
+    pub queue: usize,
     /// Events of a response, and the time between two.
     pub events: u64,
     pub event_time: Duration,
@@ -42,6 +44,7 @@
 struct State {
     runs: Vec<Run>,
     active: usize,
+    waiting: usize,
     streams: HashMap<u64, TcpStream>,
     /// Requests a second that the server says it takes.
     limit: Option<u32>,
@@ -200,13 +203,10 @@
             .header("last-event-id")
             .and_then(|event| event.parse().ok());
         let index = {
-            let mut state = self.lock();
-            if state.active >= self.plan.slots {
-                drop(state);
+            let Some(mut state) = self.take_slot(writer) else {
                 let headers = [("Not-Executed", "1"), ("Request-Id", id.as_str())];
                 return write_response(writer, 503, &headers, b"");
-            }
-            state.active += 1;
+            };
             state.runs.push(Run {
                 id: id.clone(),
                 server: self.plan.id.clone(),
@@ -218,7 +218,8 @@
             });
             state.runs.len() - 1
         };
-        let written = self.stream_events(&id, resumed_after, writer);
+        let events = self.plan.events.min(wanted_events(request));
+        let written = self.stream_events(&id, resumed_after, events, writer);
         let mut state = self.lock();
         state.active -= 1;
         state.runs[index].ended = Some(Instant::now());
@@ -226,10 +227,42 @@
         written
     }
 
+    /// Waits for a slot in the order of arrival, roughly, and takes it. `None` if too many wait, or the request is gone.
+    fn take_slot(&self, stream: &TcpStream) -> Option<MutexGuard<'_, State>> {
+        let mut state = self.lock();
+        if state.active < self.plan.slots {
+            state.active += 1;
+            return Some(state);
+        }
+        if state.waiting >= self.plan.queue {
+            return None;
+        }
+        state.waiting += 1;
+        let mut byte = [0];
+        loop {
+            drop(state);
+            thread::sleep(Duration::from_millis(3));
+            let _ = stream.set_nonblocking(true);
+            let is_gone = stream.peek(&mut byte).is_ok_and(|read| read == 0);
+            let _ = stream.set_nonblocking(false);
+            state = self.lock();
+            if is_gone || state.active < self.plan.slots {
+                break;
+            }
+        }
+        state.waiting -= 1;
+        if state.active < self.plan.slots {
+            state.active += 1;
+            return Some(state);
+        }
+        None
+    }
+
     fn stream_events(
         &self,
         id: &str,
         resumed_after: Option<u64>,
+        events: u64,
         writer: &mut TcpStream,
     ) -> std::io::Result<()> {
         let limit = self.lock().limit;
@@ -240,7 +273,7 @@
         );
         thread::sleep(self.plan.event_time);
         writer.write_all(head.as_bytes())?;
-        for event in resumed_after.unwrap_or(0) + 1..=self.plan.events {
+        for event in resumed_after.unwrap_or(0) + 1..=events {
             let text = format!("id: {event}\ndata: {}\n\n", event_text(id, event));
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             thread::sleep(self.plan.event_time);
@@ -253,6 +286,16 @@
     }
 }
 
+/// Number of events that a request asks for: its output tokens.
+fn wanted_events(request: &Request) -> u64 {
+    let usage = request
+        .header("token-usage")
+        .and_then(|usage| usage.split_once(','));
+    usage
+        .and_then(|(_, output)| output.trim().parse().ok())
+        .unwrap_or(u64::MAX)
+}
+
 /// Writes all runs of the servers into the record.
 pub fn record_runs(record: &mut Record, servers: &[Server]) {
     for run in servers.iter().flat_map(Server::runs) {
