Load: reports of a lost host expire by their age

Cause: the last report of a lost host was removed only in a check that fell into the one heartbeat interval after the failure timeout. A host that made no check in that interval counted the lost host's requests for ever.

Change: each check removes all reports that are older than the failure timeout. After a pause of this host, reports may be unread in its socket, so that the first check removes only what was too old before the pause. The test of the membership's return value is replaced by those of the expiry, which ask for the same at any moment of the check.

--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -197,9 +197,11 @@
             state
                 .run_delay
                 .record_run(now, now + interval + MIN_HEARTBEAT_INTERVAL);
-            for name in state.members.expire_silent(now, interval) {
+            state.members.update_timeout(now, interval);
+            let timeout = state.members.failure_timeout();
+            let interval = interval + MIN_HEARTBEAT_INTERVAL;
+            for name in state.load.expire_reports(timeout, interval, now) {
                 info!(node.deps.logger, "host lost"; "peer" => &*name);
-                state.load.remove_host(&name);
             }
             update_affinity(node, &mut state, now);
             state.origins.expire(now);
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -90,6 +90,7 @@
 pub struct LoadView {
     entries: Vec<(EndpointKey, LoadEntry)>,
     reports: PeerReports,
+    reports_checked_at: Option<Instant>,
     failing: FailingReports,
     response_times: ResponseTimes,
     speeds: SpeedTable,
@@ -119,6 +120,7 @@
         Self {
             entries: Vec::new(),
             reports: PeerReports::default(),
+            reports_checked_at: None,
             failing: FailingReports::default(),
             response_times: ResponseTimes::default(),
             speeds: SpeedTable::default(),
@@ -233,10 +235,34 @@
 
     /// Removes all reports of a lost host.
     pub fn remove_host(&mut self, host: &Arc<str>) {
-        self.replace_report(host, Vec::new());
+        let loads = self.reports.remove(host);
+        self.subtract_loads(loads);
         self.update_failing(host, Vec::new());
     }
 
+    /// Removes the reports of the hosts that have sent none for longer than `timeout`. Returns these hosts.
+    ///
+    /// This is to be called about every `interval`. After a longer pause this host has not run, and reports that came meanwhile
+    /// may still be unread; only those that were too old at the last call are removed then.
+    pub fn expire_reports(
+        &mut self,
+        timeout: Duration,
+        interval: Duration,
+        now: Instant,
+    ) -> Vec<Arc<str>> {
+        let last_check = self.reports_checked_at.replace(now).unwrap_or(now);
+        let has_paused = now.saturating_duration_since(last_check) > interval * 2;
+        let checked_for = if has_paused { last_check } else { now };
+        let Some(oldest) = checked_for.checked_sub(timeout) else {
+            return Vec::new();
+        };
+        let lost = self.reports.older_than(oldest);
+        for host in &lost {
+            self.remove_host(host);
+        }
+        lost
+    }
+
     /// Records that an endpoint refused a request as full.
     pub fn mark_full(&mut self, id: &str, now: Instant) {
         self.entry(EndpointKey::of(id)).full_until = Some(now + FULL_DURATION);
@@ -309,23 +335,23 @@
     /// Replaces the load report of another host by one that was received at `now`.
     pub fn update_report(&mut self, host: &Arc<str>, report: LoadReport, now: Instant) {
         let loads = peer_loads(report, self.since_origin(now));
-        self.replace_report(host, loads);
+        let old = self.reports.replace(host, loads.clone(), now);
+        self.subtract_loads(old);
+        for load in loads {
+            let entry = self.entry(load.key);
+            entry.peers = entry.peers.plus(load.counts);
+            entry.peer_runs = entry.peer_runs.plus(load.runs);
+            entry.peers_overdue = entry.peers_overdue.saturating_add(load.overdue);
+        }
     }
 
-    fn replace_report(&mut self, host: &Arc<str>, report: Vec<PeerLoad>) {
-        let old = self.reports.replace(host, report.clone());
-        for load in old {
+    fn subtract_loads(&mut self, loads: Vec<PeerLoad>) {
+        for load in loads {
             let entry = self.entry(load.key);
             entry.peers = entry.peers.minus(load.counts);
             entry.peer_runs = entry.peer_runs.minus(load.runs);
             entry.peers_overdue = entry.peers_overdue.saturating_sub(load.overdue);
         }
-        for load in report {
-            let entry = self.entry(load.key);
-            entry.peers = entry.peers.plus(load.counts);
-            entry.peer_runs = entry.peer_runs.plus(load.runs);
-            entry.peers_overdue = entry.peers_overdue.saturating_add(load.overdue);
-        }
     }
 
     /// Returns the load of this host, which last got data from any endpoint at `heard_at`, for its heartbeat. Requests that may not have
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -190,25 +190,11 @@
     }
 
     /// Sets the failure timeout for the heartbeat interval `interval`, and removes hosts without a heartbeat for 30 s.
-    /// Returns the hosts that became lost within the last interval.
-    pub fn expire_silent(&mut self, now: Instant, interval: Duration) -> Vec<Arc<str>> {
+    pub fn update_timeout(&mut self, now: Instant, interval: Duration) {
         self.failure_timeout = MIN_FAILURE_TIMEOUT.max(interval * MISSED_HEARTBEATS);
-        let timeout = self.failure_timeout;
-        let lost = self
-            .entries
-            .iter()
-            .filter(|entry| {
-                entry.last_heartbeat.is_some_and(|received_at| {
-                    let silence = now.duration_since(received_at);
-                    silence > timeout && silence <= timeout + interval
-                })
-            })
-            .map(|entry| entry.descriptor.name.clone())
-            .collect();
         self.entries.retain(|entry| {
             now.duration_since(entry.last_heartbeat.unwrap_or(entry.added_at)) < EVICTION_TIMEOUT
         });
-        lost
     }
 
     /// All known hosts, live or not.
--- a/crates/switch/src/peer_load.rs
+++ b/crates/switch/src/peer_load.rs
@@ -4,6 +4,7 @@
 use crate::wait::RunStarts;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Load of another host at one endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -25,29 +26,63 @@
     loads.collect()
 }
 
+/// Latest report of another host.
+#[derive(Clone, Debug)]
+struct PeerReport {
+    host: Arc<str>,
+    loads: Vec<PeerLoad>,
+    received_at: Instant,
+}
+
 /// Latest reports of the other hosts, sorted by host.
 #[derive(Clone, Debug, Default)]
-pub struct PeerReports(Vec<(Arc<str>, Vec<PeerLoad>)>);
+pub struct PeerReports(Vec<PeerReport>);
 
 impl PeerReports {
-    /// Replaces the loads of a host, and returns its earlier ones.
-    pub(crate) fn replace(&mut self, host: &Arc<str>, loads: Vec<PeerLoad>) -> Vec<PeerLoad> {
-        match self.0.binary_search_by(|(name, _)| name.cmp(host)) {
-            Ok(index) => std::mem::replace(&mut self.0[index].1, loads),
+    /// Replaces the loads of a host by those received at `now`, and returns its earlier ones.
+    pub(crate) fn replace(
+        &mut self,
+        host: &Arc<str>,
+        loads: Vec<PeerLoad>,
+        now: Instant,
+    ) -> Vec<PeerLoad> {
+        match self.search(host) {
+            Ok(index) => {
+                let report = &mut self.0[index];
+                report.received_at = now;
+                std::mem::replace(&mut report.loads, loads)
+            }
             Err(index) => {
-                self.0.insert(index, (host.clone(), loads));
+                let report = PeerReport {
+                    host: host.clone(),
+                    loads,
+                    received_at: now,
+                };
+                self.0.insert(index, report);
                 Vec::new()
             }
         }
     }
 
+    /// Removes the report of a host, and returns its loads.
+    pub(crate) fn remove(&mut self, host: &str) -> Vec<PeerLoad> {
+        let index = self.search(host);
+        index.map_or_else(|_| Vec::new(), |index| self.0.remove(index).loads)
+    }
+
+    /// Hosts whose report was received before `time`.
+    pub(crate) fn older_than(&self, time: Instant) -> Vec<Arc<str>> {
+        let old = self.0.iter().filter(|report| report.received_at < time);
+        old.map(|report| report.host.clone()).collect()
+    }
+
     /// Hosts that report items at an endpoint, with their number.
     #[must_use]
     pub fn item_holders(&self, key: EndpointKey) -> Vec<(Arc<str>, u16)> {
         let holders = self
             .0
             .iter()
-            .map(|(host, loads)| (host, items_at(loads, key)));
+            .map(|report| (&report.host, items_at(&report.loads, key)));
         holders
             .filter(|(_, items)| *items > 0)
             .map(|(host, items)| (host.clone(), items))
@@ -57,8 +92,12 @@
     /// Number of items at an endpoint that a host reports.
     #[must_use]
     pub fn items_of(&self, host: &str, key: EndpointKey) -> u16 {
-        let found = self.0.binary_search_by(|(name, _)| (**name).cmp(host));
-        found.map_or(0, |index| items_at(&self.0[index].1, key))
+        let index = self.search(host);
+        index.map_or(0, |index| items_at(&self.0[index].loads, key))
+    }
+
+    fn search(&self, host: &str) -> Result<usize, usize> {
+        self.0.binary_search_by(|report| (*report.host).cmp(host))
     }
 }
 
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod load;
 mod logging;
+mod lost_hosts;
 mod old_view;
 mod online;
 mod overload;
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -179,7 +179,8 @@
     assert!(members.is_available("b", now));
     let later = now + MS * 1050;
     assert!(!members.is_available("b", later));
-    assert_eq!(members.expire_silent(later, MS * 100), ["b".into()]);
+    members.update_timeout(later, MS * 100);
+    assert_eq!(members.all().count(), 1, "lost hosts stay known for a time");
     assert_eq!(
         members.record_heartbeat(descriptor("b", 2), true, later),
         MemberChange::Joined
@@ -192,11 +193,7 @@
         members.record_heartbeat(descriptor("b", 3), false, later),
         MemberChange::Readiness
     );
-    assert!(
-        members
-            .expire_silent(later + MS * 40_000, MS * 100)
-            .is_empty()
-    );
+    members.update_timeout(later + MS * 40_000, MS * 100);
     assert_eq!(members.all().count(), 0);
 }
 
