Coordinators: asks for items are kept for each service and version

Cause: a host asked for at most four items at a time over all services, and an answer without room kept it from asking for any item of any service. The same four came first in each pass.

Change: the number of open asks, the denials and the group that a coordinator names are kept for each service and software version. A host asks only groups that have an endpoint for the ask by its own listings, and sends none where no group has.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -10,7 +10,8 @@
 
 use crate::backend::EndpointCall;
 use crate::coordinator::message::SlotNeed;
-use crate::coordinator::{SlotRequest, excluded_endpoints};
+use crate::coordinator::scope::ItemScope;
+use crate::coordinator::{SlotRequest, slot_candidates};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::InFlightGuard;
 use crate::jobs::MAX_CLOCK_SKEW;
@@ -263,18 +264,20 @@
     target: &ItemTarget<'_>,
     now: Instant,
 ) {
-    if !state.coordination.asks.may_ask_for(&item.name, now) {
-        return;
-    }
-    let filter = EndpointFilter {
-        service: target.service,
+    let scope = ItemScope {
+        service: target.service.clone(),
         version: target.version,
     };
-    let excluded = excluded_endpoints(state, filter, &[], |limits, id| limits.admits_item(id, now));
+    if !state.coordination.asks.may_ask_for(&item.name, &scope, now) {
+        return;
+    }
+    let candidates = slot_candidates(state, scope.filter(), &[], |limits, id| {
+        limits.admits_item(id, now)
+    });
     let request = SlotRequest {
         service: target.service.clone(),
         version: target.version,
-        excluded,
+        candidates,
         need: SlotNeed::Item {
             in_time: item.in_time,
             due_ms: item.due_ms,
--- a/crates/switch/src/coordinator/asks.rs
+++ b/crates/switch/src/coordinator/asks.rs
@@ -1,8 +1,9 @@
 //! Asks of this host that are not resolved: the answer is not in, or the request is not sent yet.
 
 use super::grants::is_later;
-use super::group::GroupId;
+use super::group::{AskRoute, GroupId};
 use super::message::SlotOutcome;
+use super::scope::ItemScope;
 use crate::report::EndpointKey;
 use crate::schedule::ItemName;
 use std::sync::Arc;
@@ -17,8 +18,13 @@
 const ITEM_TIMEOUT: Duration = Duration::from_millis(80);
 /// Time for which a silent coordinator is not asked.
 const SILENCE_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of items that wait for an answer.
-const MAX_ITEM_ASKS: usize = 4;
+/// Time after which items of a scope are asked for again where a group has no such endpoint: a few times that in which hosts read the listings.
+const MISSING_TIME: Duration = Duration::from_millis(250);
+/// Maximum number of items of one scope that wait for an answer.
+const MAX_SCOPE_ASKS: usize = 4;
+/// Number of denials in a row after which the next group in turn is asked, near or not: a coordinator knows the room of only some of the others,
+/// and not which endpoints this host leaves out.
+const DENIALS_PER_TURN: u32 = 8;
 
 /// Who waits for an answer.
 #[derive(Debug)]
@@ -26,6 +32,7 @@
     Request(Option<oneshot::Sender<SlotOutcome>>),
     Item {
         name: ItemName,
+        scope: ItemScope,
         granted: Option<EndpointKey>,
     },
 }
@@ -38,6 +45,20 @@
     waiter: Waiter,
 }
 
+/// What this host knows of the room for the items of a scope.
+#[derive(Debug)]
+struct ScopeRoom {
+    scope: ItemScope,
+    /// Until when no item is asked for, as there was no room.
+    denied_until: Instant,
+    /// Number of denials since the last grant or turn.
+    denials: u32,
+    /// Number of the last group that was asked in turn.
+    turn: u32,
+    /// The group where the next item is asked for, as the last coordinator said.
+    elsewhere: Option<GroupId>,
+}
+
 /// Asks of this host, and what it knows of the coordinators by their answers.
 #[derive(Debug, Default)]
 pub struct AskTable {
@@ -46,10 +67,8 @@
     open: Vec<OpenAsk>,
     /// Coordinators that did not answer, and until when they are not asked.
     silent: Vec<(Arc<str>, Instant)>,
-    /// Until when no item is asked for, as there was no room.
-    items_denied_until: Option<Instant>,
-    /// The group where the next item is asked for, as the last coordinator said.
-    elsewhere: Option<GroupId>,
+    /// Scopes without room a moment ago.
+    rooms: Vec<ScopeRoom>,
 }
 
 impl AskTable {
@@ -64,22 +83,42 @@
         (number, receiver)
     }
 
-    /// Whether to ask for an item: few others wait, it does not, and there was room a moment ago.
+    /// Whether to ask for an item: few others of its scope wait, it does not, and there was room for the scope a moment ago.
     #[must_use]
-    pub fn may_ask_for(&self, name: &ItemName, now: Instant) -> bool {
-        let is_denied = self.items_denied_until.is_some_and(|until| now < until);
-        let waiting = self.open.iter().filter_map(|ask| match &ask.waiter {
-            Waiter::Item { name, .. } => Some(name),
-            Waiter::Request(_) => None,
-        });
-        let mut names = waiting.clone();
-        !is_denied && waiting.count() < MAX_ITEM_ASKS && !names.any(|known| known == name)
+    pub fn may_ask_for(&self, name: &ItemName, scope: &ItemScope, now: Instant) -> bool {
+        let mut rooms = self.rooms.iter();
+        let is_denied = rooms.any(|room| room.scope == *scope && now < room.denied_until);
+        if is_denied {
+            return false;
+        }
+        let mut waiting = 0;
+        for ask in &self.open {
+            if let Waiter::Item {
+                name: known,
+                scope: known_scope,
+                ..
+            } = &ask.waiter
+            {
+                if known == name {
+                    return false;
+                }
+                waiting += usize::from(known_scope == scope);
+            }
+        }
+        waiting < MAX_SCOPE_ASKS
     }
 
     /// Begins an ask for an item, and returns its number.
-    pub fn begin_item(&mut self, name: &ItemName, coordinator: Arc<str>, now: Instant) -> u32 {
+    pub fn begin_item(
+        &mut self,
+        name: &ItemName,
+        scope: ItemScope,
+        coordinator: Arc<str>,
+        now: Instant,
+    ) -> u32 {
         let waiter = Waiter::Item {
             name: name.clone(),
+            scope,
             granted: None,
         };
         self.begin(coordinator, waiter, now)
@@ -96,9 +135,46 @@
         self.last
     }
 
-    /// Takes the group where the next item is to be asked for, if a coordinator named one.
-    pub fn take_elsewhere(&mut self) -> Option<GroupId> {
-        self.elsewhere.take()
+    /// Takes where the next item of a scope is to be asked for.
+    pub fn take_route(&mut self, scope: &ItemScope) -> AskRoute {
+        let mut rooms = self.rooms.iter_mut();
+        let Some(room) = rooms.find(|room| room.scope == *scope) else {
+            return AskRoute::Home;
+        };
+        match room.elsewhere.take() {
+            Some(group) => AskRoute::Named(group),
+            None if room.denials >= DENIALS_PER_TURN => {
+                room.denials = 0;
+                room.turn = room.turn.wrapping_add(1);
+                AskRoute::Turn(room.turn)
+            }
+            None => AskRoute::Home,
+        }
+    }
+
+    /// Records that there is no endpoint for the items of a scope, so that no coordinator needs to be asked.
+    pub fn deny(&mut self, scope: &ItemScope, retry_after: Duration, now: Instant) {
+        let room = self.room(scope, now);
+        room.denied_until = now + retry_after;
+        room.denials += 1;
+    }
+
+    fn room(&mut self, scope: &ItemScope, now: Instant) -> &mut ScopeRoom {
+        self.rooms
+            .retain(|room| room.scope == *scope || now < room.denied_until + SILENCE_TIME);
+        let mut rooms = self.rooms.iter();
+        let index = rooms.position(|room| room.scope == *scope);
+        let index = index.unwrap_or_else(|| {
+            self.rooms.push(ScopeRoom {
+                scope: scope.clone(),
+                denied_until: now,
+                denials: 0,
+                turn: 0,
+                elsewhere: None,
+            });
+            self.rooms.len() - 1
+        });
+        &mut self.rooms[index]
     }
 
     /// Records the answer to an ask. Returns whether a scheduling pass is due: an item may start, or is to be asked for elsewhere. Answers to asks that are resolved are ignored.
@@ -108,32 +184,40 @@
         };
         let ask = &mut self.open[index];
         self.silent.retain(|(name, _)| *name != ask.coordinator);
-        match (&mut ask.waiter, outcome) {
-            (Waiter::Request(sender), outcome) => {
+        let scope = match &mut ask.waiter {
+            Waiter::Request(sender) => {
                 if let Some(sender) = sender.take() {
                     // The request is gone if its caller has left.
                     let _ = sender.send(outcome);
                 }
-                false
+                return false;
+            }
+            Waiter::Item { scope, granted, .. } => {
+                if let SlotOutcome::Granted { endpoint, .. } = outcome {
+                    *granted = Some(endpoint);
+                    let mut rooms = self.rooms.iter_mut();
+                    if let Some(room) = rooms.find(|room| room.scope == *scope) {
+                        room.denials = 0;
+                    }
+                    return true;
+                }
+                scope.clone()
             }
-            (Waiter::Item { granted, .. }, SlotOutcome::Granted { endpoint, .. }) => {
-                *granted = Some(endpoint);
+        };
+        self.open.remove(index);
+        match outcome {
+            SlotOutcome::Granted { .. } => true,
+            SlotOutcome::Elsewhere(group) => {
+                self.room(&scope, now).elsewhere = Some(group);
                 true
             }
-            (Waiter::Item { .. }, SlotOutcome::Full { retry_after_ms, .. }) => {
+            SlotOutcome::Full { retry_after_ms, .. } => {
                 let retry_after = Duration::from_millis(retry_after_ms.into());
-                self.items_denied_until = Some(now + retry_after);
-                self.open.remove(index);
+                self.deny(&scope, retry_after, now);
                 false
             }
-            (Waiter::Item { .. }, SlotOutcome::Elsewhere(group)) => {
-                self.elsewhere = Some(group);
-                self.open.remove(index);
-                true
-            }
-            (Waiter::Item { .. }, SlotOutcome::Missing) => {
-                self.items_denied_until = Some(now + SILENCE_TIME);
-                self.open.remove(index);
+            SlotOutcome::Missing => {
+                self.deny(&scope, MISSING_TIME, now);
                 false
             }
         }
@@ -151,6 +235,7 @@
             Waiter::Item {
                 name: known,
                 granted: Some(endpoint),
+                ..
             } if known == name => Some((ask.number, *endpoint)),
             _ => None,
         })
--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -22,7 +22,7 @@
 /// Time after a preemption for which no item starts in the group.
 const ITEM_PAUSE: Duration = Duration::from_millis(300);
 /// Time after which an item that found no room may ask again.
-const ITEM_RETRY: Duration = Duration::from_millis(60);
+pub(super) const ITEM_RETRY: Duration = Duration::from_millis(60);
 
 /// An order to a host to preempt items at an endpoint.
 pub(super) struct PreemptionOrder {
--- a/crates/switch/src/coordinator/exchange.rs
+++ b/crates/switch/src/coordinator/exchange.rs
@@ -1,11 +1,14 @@
 //! Messages between this host and the coordinators: what it asks, and what it answers as a coordinator.
 
+use super::SlotCandidates;
 use super::asks::ANSWER_TIMEOUT;
-use super::group::GroupId;
+use super::decide::ITEM_RETRY;
+use super::group::{AskRoute, GroupId};
 use super::message::{
     CoordinatorMessage, LoadMessage, MAX_EXCLUDED, MAX_SAMPLES, SlotAnswer, SlotAsk, SlotNeed,
     SlotOutcome,
 };
+use super::scope::ItemScope;
 use crate::gossip::{send_coordinator_message, send_extended_message};
 use crate::node::{SwitchNode, SwitchState};
 use crate::origins::VersionKey;
@@ -33,7 +36,7 @@
 pub(crate) struct SlotRequest {
     pub(crate) service: Arc<str>,
     pub(crate) version: Option<VersionKey>,
-    pub(crate) excluded: Vec<EndpointKey>,
+    pub(crate) candidates: SlotCandidates,
     pub(crate) need: SlotNeed,
     /// For whom it is; `None` without workspaces.
     pub(crate) claim: Option<ShareClaim>,
@@ -99,7 +102,9 @@
         let (guard, sent, mut answer) = {
             let state = &mut *self.lock();
             let now = Instant::now();
-            let (group, coordinator) = self.find_coordinator(state, open.group, now)?;
+            let route = open.group.map_or(AskRoute::Home, AskRoute::Named);
+            let (group, coordinator) =
+                self.find_coordinator(state, route, &request.candidates, now)?;
             let asks = &mut state.coordination.asks;
             let (number, answer) = asks.begin_request(coordinator.clone(), now);
             let ask = self.slot_ask(group, number, open.is_final, request);
@@ -123,7 +128,7 @@
         Some(None)
     }
 
-    /// Asks a coordinator for an endpoint for an item, unless one is asked already. The answer comes with a later scheduling pass.
+    /// Asks a coordinator for an endpoint for an item. The answer comes with a later scheduling pass.
     pub(crate) fn ask_for_item(
         &self,
         state: &mut SwitchState,
@@ -131,29 +136,40 @@
         request: &SlotRequest,
     ) {
         let now = Instant::now();
-        let elsewhere = state.coordination.asks.take_elsewhere();
-        let is_final = elsewhere.is_some();
-        let Some((group, coordinator)) = self.find_coordinator(state, elsewhere, now) else {
-            return;
+        let scope = ItemScope {
+            service: request.service.clone(),
+            version: request.version,
         };
+        let route = state.coordination.asks.take_route(&scope);
+        let is_final = matches!(route, AskRoute::Named(_));
+        let found = self.find_coordinator(state, route, &request.candidates, now);
         let asks = &mut state.coordination.asks;
-        let number = asks.begin_item(name, coordinator.clone(), now);
+        let Some((group, coordinator)) = found else {
+            asks.deny(&scope, ITEM_RETRY, now);
+            return;
+        };
+        let number = asks.begin_item(name, scope, coordinator.clone(), now);
         let ask = self.slot_ask(group, number, is_final, request);
         self.send_ask(state, &coordinator, ask, request.claim);
     }
 
-    /// The group to ask, `elsewhere` or one near this host, and its coordinator.
+    /// The group to ask, out of those with endpoints for the ask, and its coordinator.
     fn find_coordinator(
         &self,
         state: &mut SwitchState,
-        elsewhere: Option<GroupId>,
+        route: AskRoute,
+        candidates: &SlotCandidates,
         now: Instant,
     ) -> Option<(GroupId, Arc<str>)> {
         let domain = &self.settings.descriptor.domain;
         let coordination = &state.coordination;
-        let is_reachable = |group: &GroupId| coordination.coordinator_of(group, now).is_some();
-        let elsewhere = elsewhere.filter(is_reachable);
-        let group = elsewhere.or_else(|| coordination.home_group(domain, &mut state.rng))?;
+        let route = match route {
+            AskRoute::Named(group) if coordination.coordinator_of(&group, now).is_none() => {
+                AskRoute::Home
+            }
+            route => route,
+        };
+        let group = route.choose(domain, &candidates.groups, &mut state.rng)?;
         let coordinator = coordination.coordinator_of(&group, now)?.clone();
         Some((group, coordinator))
     }
@@ -165,8 +181,12 @@
         is_final: bool,
         request: &SlotRequest,
     ) -> SlotAsk {
-        let mut excluded = request.excluded.clone();
-        excluded.truncate(MAX_EXCLUDED);
+        let excluded = request.candidates.excluded.iter();
+        let excluded = excluded
+            .filter(|endpoint| group.contains(endpoint))
+            .map(|endpoint| EndpointKey::of(&endpoint.id))
+            .take(MAX_EXCLUDED)
+            .collect();
         SlotAsk {
             host: self.settings.descriptor.name.clone(),
             number,
--- a/crates/switch/src/coordinator/group.rs
+++ b/crates/switch/src/coordinator/group.rs
@@ -5,6 +5,7 @@
 
 use crate::endpoint::ListedEndpoint;
 use crate::report::EndpointKey;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -63,6 +64,50 @@
     pub candidates: Vec<Arc<str>>,
 }
 
+/// Where a host asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskRoute {
+    /// In a group near the host.
+    Home,
+    /// In the group that a coordinator named.
+    Named(GroupId),
+    /// In each group in turn, by this number.
+    Turn(u32),
+}
+
+impl AskRoute {
+    /// The group to ask, of those in `usable`, sorted, for a host of `domain`. Groups of that domain are near. One that was named and is
+    /// not usable is replaced by a near one. `None` if none is usable.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::coordinator::group::{AskRoute, GroupId};
+    /// use rand::{SeedableRng, rngs::SmallRng};
+    /// let group = |domain: &str| GroupId { domain: domain.into(), buckets: 1, bucket: 0 };
+    /// let usable = [group("a"), group("b")];
+    /// let mut rng = SmallRng::seed_from_u64(1);
+    /// assert_eq!(AskRoute::Home.choose("b", &usable, &mut rng), Some(group("b")));
+    /// assert_eq!(AskRoute::Named(group("a")).choose("b", &usable, &mut rng), Some(group("a")));
+    /// ```
+    #[must_use]
+    pub fn choose(self, domain: &str, usable: &[GroupId], rng: &mut impl Rng) -> Option<GroupId> {
+        match self {
+            Self::Named(group) if usable.binary_search(&group).is_ok() => return Some(group),
+            Self::Turn(number) if !usable.is_empty() => {
+                return Some(usable[number as usize % usable.len()].clone());
+            }
+            Self::Turn(_) => {}
+            Self::Home | Self::Named(_) => {
+                let near = usable.iter().filter(|group| *group.domain == *domain);
+                let near: Vec<&GroupId> = near.collect();
+                if !near.is_empty() {
+                    return Some(near[rng.random_range(..near.len())].clone());
+                }
+            }
+        }
+        (!usable.is_empty()).then(|| usable[rng.random_range(..usable.len())].clone())
+    }
+}
+
 /// Computes the groups of the endpoints, sorted, with their candidates by rendezvous hashing over `hosts`, names with failure domains. Hosts
 /// of the group's domain go before all others.
 ///
--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod message;
 pub mod pick;
+pub mod scope;
 mod share_log;
 mod speeds;
 pub mod waiting;
@@ -33,8 +34,8 @@
 use crate::workspace::pools::SharePools;
 use asks::AskTable;
 use grants::SlotGrants;
-use group::{EndpointGroup, GroupId, compute_groups};
-use message::{GroupRoom, MAX_EXCLUDED, MAX_SAMPLES};
+use group::{AskRoute, EndpointGroup, GroupId, compute_groups};
+use message::{GroupRoom, MAX_SAMPLES};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
@@ -127,26 +128,15 @@
         !self.groups.is_empty()
     }
 
-    /// A group to ask first: one of the own domain, if it has endpoints.
-    fn home_group(&self, domain: &str, rng: &mut impl Rng) -> Option<GroupId> {
-        let is_own = |group: &&EndpointGroup| *group.id.domain == *domain;
-        let own: Vec<&EndpointGroup> = self.groups.iter().filter(is_own).collect();
-        let all: Vec<&EndpointGroup> = self.groups.iter().collect();
-        let choices = if own.is_empty() { all } else { own };
-        if choices.is_empty() {
-            return None;
-        }
-        Some(choices[rng.random_range(..choices.len())].id.clone())
-    }
-
-    /// A group that a host of `domain` would ask first, with its coordinator.
+    /// The group of `usable` that a host of `domain` would ask first, with its coordinator.
     pub(crate) fn view_home(
         &self,
         domain: &str,
+        usable: &[GroupId],
         rng: &mut impl Rng,
         now: Instant,
     ) -> Option<CoordinatorView> {
-        let group = self.home_group(domain, rng)?;
+        let group = AskRoute::Home.choose(domain, usable, rng)?;
         let host = self.coordinator_of(&group, now)?.clone();
         Some(CoordinatorView { group, host })
     }
@@ -161,10 +151,27 @@
         candidates.find(|name| !self.asks.is_silent(name, now))
     }
 
-    /// The group of an endpoint.
+    /// The group of an endpoint. Groups are sorted, and all of a domain have the same number of buckets.
     fn group_of(&self, endpoint: &ListedEndpoint) -> Option<&EndpointGroup> {
-        let mut groups = self.groups.iter();
-        groups.find(|group| group.id.contains(endpoint))
+        let first = self
+            .groups
+            .partition_point(|group| group.id.domain < endpoint.domain);
+        let id = GroupId::of(endpoint, self.groups.get(first)?.id.buckets);
+        let group = self.groups.get(first + usize::from(id.bucket))?;
+        (group.id == id).then_some(group)
+    }
+
+    /// The groups of these endpoints, sorted.
+    pub(crate) fn groups_of<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Arc<ListedEndpoint>>,
+    ) -> Vec<GroupId> {
+        let mut groups: Vec<&GroupId> = endpoints
+            .filter_map(|endpoint| Some(&self.group_of(endpoint)?.id))
+            .collect();
+        groups.sort_unstable();
+        groups.dedup();
+        groups.into_iter().cloned().collect()
     }
 
     /// Groups that this host coordinates by its own view.
@@ -240,23 +247,33 @@
     }
 }
 
-/// Endpoints that this host leaves out of an ask: those in `tried`, those that it cannot reach, and those that `is_admitted` does not select
-/// by their limit.
-pub(crate) fn excluded_endpoints<'a>(
+/// What an ask of this host may use.
+pub(crate) struct SlotCandidates {
+    /// Endpoints that are left out.
+    pub(crate) excluded: Vec<Arc<ListedEndpoint>>,
+    /// Groups with other endpoints, sorted.
+    pub(crate) groups: Vec<GroupId>,
+}
+
+/// What an ask may use: all but the endpoints in `tried`, those that this host cannot reach, and those that `is_admitted` does not select by
+/// their limit.
+pub(crate) fn slot_candidates<'a>(
     state: &'a SwitchState,
     filter: EndpointFilter<'a>,
     tried: &[Arc<str>],
     is_admitted: impl Fn(&LimitTable, &str) -> bool,
-) -> Vec<EndpointKey> {
+) -> SlotCandidates {
     let now = Instant::now();
-    let tried = tried.iter().map(|id| EndpointKey::of(id));
-    let serving = state.endpoints.serving(filter, now);
-    let unusable = serving.filter(|endpoint| {
-        let id = &*endpoint.id;
-        state.load.is_avoided(id, now)
-            || state.load.is_full(id, now)
-            || !is_admitted(&state.limits, id)
-    });
-    let unusable = unusable.map(|endpoint| EndpointKey::of(&endpoint.id));
-    tried.chain(unusable).take(MAX_EXCLUDED).collect()
+    let (excluded, usable): (Vec<_>, Vec<_>) =
+        state.endpoints.serving(filter, now).partition(|endpoint| {
+            let id = &endpoint.id;
+            tried.contains(id)
+                || state.load.is_avoided(id, now)
+                || state.load.is_full(id, now)
+                || !is_admitted(&state.limits, id)
+        });
+    SlotCandidates {
+        excluded: excluded.into_iter().cloned().collect(),
+        groups: state.coordination.groups_of(usable.into_iter()),
+    }
 }
--- a/crates/switch/src/explain.rs
+++ b/crates/switch/src/explain.rs
@@ -3,7 +3,7 @@
 //! An explanation reads the same state as the decisions and draws from a copy of the host's random numbers. It counts, reserves and
 //! changes nothing. Where a coordinator decides, it names that host: only the coordinator knows the load of its group exactly.
 
-use crate::coordinator::CoordinatorView;
+use crate::coordinator::{CoordinatorView, slot_candidates};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::load::EndpointPick;
 use crate::node::{SwitchNode, SwitchState};
@@ -170,16 +170,20 @@
         if self.reach.is_cut_off() {
             return PlacementDecision::OtherHost;
         }
-        if let Some(view) = self.coordination.view_home(domain, &mut rng, now) {
-            return PlacementDecision::Coordinator(view);
-        }
         let Some(service) = route.pick_service(rand::Rng::random(&mut rng)) else {
             return PlacementDecision::Rejected("the route has no service");
         };
+        let filter = EndpointFilter::from(&**service);
+        let usable = slot_candidates(self, filter, &[], |limits, id| limits.admits(id, now));
+        let home = self
+            .coordination
+            .view_home(domain, &usable.groups, &mut rng, now);
+        if let Some(view) = home {
+            return PlacementDecision::Coordinator(view);
+        }
         let serving = self.endpoints.serving(&**service, now);
         let limited = serving.filter(|endpoint| !self.limits.admits(&endpoint.id, now));
         let excluded: Vec<Arc<str>> = limited.map(|endpoint| endpoint.id.clone()).collect();
-        let filter = EndpointFilter::from(&**service);
         let endpoints = &self.endpoints;
         match self
             .load
--- a/crates/switch/src/online/ask.rs
+++ b/crates/switch/src/online/ask.rs
@@ -4,7 +4,7 @@
 use super::{MIN_REMAINING, OnlineExchange};
 use crate::coordinator::AskGuard;
 use crate::coordinator::message::{SlotNeed, SlotOutcome, message_millis};
-use crate::coordinator::{SlotRequest, excluded_endpoints};
+use crate::coordinator::{SlotRequest, slot_candidates};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::node::SwitchState;
 use std::sync::Arc;
@@ -73,7 +73,7 @@
             version: self.version,
         };
         Some(SlotRequest {
-            excluded: excluded_endpoints(state, filter, &self.tried, |limits, id| {
+            candidates: slot_candidates(state, filter, &self.tried, |limits, id| {
                 limits.admits(id, now)
             }),
             version: self.version,
--- a/crates/switch/tests/switch/coordinator.rs
+++ b/crates/switch/tests/switch/coordinator.rs
@@ -8,6 +8,7 @@
 use fulmarswitch_switch::coordinator::group::{EndpointGroup, compute_groups};
 use fulmarswitch_switch::coordinator::message::SlotOutcome;
 use fulmarswitch_switch::coordinator::pick::{GroupPick, GroupView};
+use fulmarswitch_switch::coordinator::scope::ItemScope;
 use fulmarswitch_switch::coordinator::waiting::{ItemUrgency, WaitingItems};
 use fulmarswitch_switch::endpoint::{EndpointTable, ListedEndpoint};
 use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
@@ -280,6 +281,13 @@
     assert!(view.pick_item(&candidates, free, now, &mut rng).is_none());
 }
 
+fn scope() -> ItemScope {
+    ItemScope {
+        service: "service".into(),
+        version: None,
+    }
+}
+
 fn grant(host: &str, number: u32, granted_at: Instant) -> SlotGrant {
     SlotGrant {
         host: host.into(),
@@ -326,15 +334,15 @@
         job: "j".into(),
         item: 0,
     };
-    let number = asks.begin_item(&name, "c".into(), now);
-    assert!(!asks.may_ask_for(&name, now));
+    let number = asks.begin_item(&name, scope(), "c".into(), now);
+    assert!(!asks.may_ask_for(&name, &scope(), now));
     let full = SlotOutcome::Full {
         wait_ms: 0,
         retry_after_ms: 60,
     };
     assert!(!asks.record_answer(number, full, now));
-    assert!(!asks.may_ask_for(&name, now + Duration::from_millis(59)));
-    assert!(asks.may_ask_for(&name, now + Duration::from_millis(61)));
+    assert!(!asks.may_ask_for(&name, &scope(), now + Duration::from_millis(59)));
+    assert!(asks.may_ask_for(&name, &scope(), now + Duration::from_millis(61)));
 }
 
 /// Guards against items that wait for a coordinator that is gone.
@@ -346,11 +354,11 @@
         job: "j".into(),
         item: 0,
     };
-    asks.begin_item(&name, "c".into(), now);
+    asks.begin_item(&name, scope(), "c".into(), now);
     let later = now + Duration::from_millis(100);
     assert_eq!(asks.expire_items(later), ["c".into()]);
     assert!(asks.is_silent("c", later) && !asks.is_silent("d", later));
-    assert!(asks.may_ask_for(&name, later));
+    assert!(asks.may_ask_for(&name, &scope(), later));
     assert!(!asks.is_silent("c", later + Duration::from_secs(1)));
 }
 
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -16,6 +16,7 @@
 mod expiry_costs;
 mod fleet;
 mod foreign_bytes;
+mod item_slots;
 mod job_owners;
 mod job_routes;
 mod jobs;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1048,8 +1048,8 @@
 }
 
 /// Decodes a version number as the test configuration, and `ready` or `draining` as a listing. After the version `without jobs`
-/// may follow, and then the kinds and prefixes of further routes. After the state a software version may follow, and after it the
-/// endpoint's start in milliseconds.
+/// may follow, and then the kinds and prefixes of further routes; a kind may name its service after a colon. After the state a software
+/// version may follow, after it the endpoint's start in milliseconds, and then its service and domain.
 struct TextDecoder;
 
 /// Cap of the workspaces of [`capped_workspace`].
@@ -1082,12 +1082,15 @@
             .map(|words| (capped_workspace(words[1]), Vec::new()))
             .collect();
         let further = pairs.filter(|words| words[0] != "capped").map(|words| {
-            let kind = match words[0] {
+            let (kind, service) = words[0].split_once(':').unwrap_or((words[0], "service"));
+            let kind = match kind {
                 "safe" => RouteKind::Safe,
                 "stream" => RouteKind::Stream,
                 _ => RouteKind::Batch,
             };
-            route(words[1], kind, true)
+            let mut route = route(words[1], kind, true);
+            route.shares[0].service = service.into();
+            route
         });
         let mut list = routes(has_jobs);
         list.extend(further);
@@ -1107,6 +1110,8 @@
         let state = parts.next().unwrap_or_default();
         let version = parts.next().unwrap_or("1");
         let started_ms = parts.next().and_then(|start| start.parse().ok());
+        let service = parts.next().unwrap_or("service");
+        let domain = parts.next().unwrap_or("domain");
         let draining = match state {
             "ready" => false,
             "draining" => true,
@@ -1115,6 +1120,8 @@
         Ok(ListedEndpoint {
             version: version.into(),
             started_ms: started_ms.unwrap_or(0),
+            service: service.into(),
+            domain: domain.into(),
             ..listed(id, 4, draining)
         })
     }
@@ -1222,6 +1229,8 @@
     pub client: MemoryClient,
     pub hosts: MemoryHosts,
     /// Logger of the hosts that are started.
+    /// Failure domain of the hosts that start.
+    pub domain: Arc<str>,
     pub logger: slog::Logger,
 }
 
@@ -1234,6 +1243,7 @@
             log: MemoryLog::default(),
             client: MemoryClient::default(),
             hosts: MemoryHosts::default(),
+            domain: "domain".into(),
             logger: slog::Logger::root(slog::Discard, slog::o!()),
         };
         fleet.log.put("config", "config", "1");
@@ -1251,6 +1261,14 @@
         }
     }
 
+    /// Returns the same fleet for hosts of another failure domain.
+    pub fn in_domain(&self, domain: &str) -> Self {
+        Self {
+            domain: domain.into(),
+            ..self.clone()
+        }
+    }
+
     /// Returns the same fleet with another access to the log, for hosts that are cut off from it alone.
     pub fn with_other_log_access(&self) -> Self {
         Self {
@@ -1310,7 +1328,7 @@
                 incarnation: INCARNATION.fetch_add(1, Ordering::Relaxed).into(),
                 peer_address,
                 caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                domain: "domain".into(),
+                domain: self.domain.clone(),
             },
             topics: LogTopics {
                 config: topic("config"),
@@ -1342,9 +1360,14 @@
 
 /// A job whose items have ten tokens each.
 pub fn submission(job: &str, items: u32) -> JobSubmission {
+    submission_on("/jobs/", job, items)
+}
+
+/// A job on the route with this prefix, whose items have ten tokens each.
+pub fn submission_on(prefix: &str, job: &str, items: u32) -> JobSubmission {
     let item = |index: u32| AcceptedItem {
         id: format!("{job}-{index}").into(),
-        path: "/jobs/run".into(),
+        path: format!("{prefix}run").into(),
         headers: vec![("model".into(), "m".into())],
         body: Bytes::from_static(b"input"),
         tokens: 10,
@@ -1352,7 +1375,7 @@
     JobSubmission {
         job: job.into(),
         scope: CallerScope::Everyone,
-        route: Arc::new(route("/jobs/", RouteKind::Batch, true)),
+        route: Arc::new(route(prefix, RouteKind::Batch, true)),
         items: (0..items).map(item).collect(),
     }
 }
