Coordinators: the room of a group is told and named for each service

Cause: the coordinator named the group with the most room over all services. Where that of another service had more, the second ask got no endpoint, each time.

Change: coordinators tell the room of each service behind the message of before, which earlier builds go on reading, and name only groups that have room for the service and an endpoint for the ask. Preemptions pause the items of their service alone. Grants that expired are taken out of the room that is told. Online requests use the same rooms.

--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -2,10 +2,14 @@
 
 use super::grants::SlotGrant;
 use super::group::GroupId;
-use super::message::{GroupRoom, SlotAsk, SlotNeed, SlotOutcome, message_millis};
+use super::message::{
+    GroupRoom, MAX_ROOM_SERVICES, ServiceKey, ServiceRoom, SlotAsk, SlotNeed, SlotOutcome,
+    message_millis,
+};
 use super::pick::{GroupPick, GroupView, RoomCount};
+use super::rooms::RoomKind;
 use super::waiting::ItemUrgency;
-use super::{MAX_ROOM_AGE, PREEMPTION_TIME, PendingPreemption};
+use super::{PREEMPTION_TIME, PendingPreemption, ServicePreemption};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::load::RequestClass;
 use crate::node::SwitchState;
@@ -15,11 +19,12 @@
 use crate::workspace::fair::ShareClaim;
 use crate::workspace::pools::SharePool;
 use rand::Rng;
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time after a preemption for which no item starts in the group.
+/// Time after a preemption for which no item of the service starts in the group.
 const ITEM_PAUSE: Duration = Duration::from_millis(300);
 /// Time after which an item that found no room may ask again.
 pub(super) const ITEM_RETRY: Duration = Duration::from_millis(60);
@@ -59,9 +64,7 @@
         claim: Option<ShareClaim>,
         now: Instant,
     ) -> SlotOutcome {
-        for grant in self.coordination.grants.expire(now) {
-            self.load.remove_granted(grant.endpoint, grant.class);
-        }
+        self.expire_grants(now);
         if let Some(grant) = self.coordination.grants.find(&ask.host, ask.number) {
             return SlotOutcome::Granted {
                 endpoint: grant.endpoint,
@@ -72,24 +75,45 @@
             service: &ask.service,
             version: ask.version,
         };
-        let candidates: Vec<Arc<ListedEndpoint>> = self
+        let endpoints: Vec<Arc<ListedEndpoint>> = self
             .endpoints
             .serving(filter, now)
             .filter(|endpoint| ask.group.contains(endpoint))
-            .filter(|endpoint| !ask.excluded.contains(&EndpointKey::of(&endpoint.id)))
             .cloned()
             .collect();
         match ask.need {
-            SlotNeed::Online { .. } => self.decide_online(ask, claim, &candidates, now),
-            SlotNeed::Item { .. } => self.decide_item(ask, claim, &candidates, now),
+            SlotNeed::Online { .. } => self.decide_online(ask, claim, &endpoints, now),
+            SlotNeed::Item { .. } => self.decide_item(ask, claim, &endpoints, now),
         }
     }
 
+    /// Takes the grants out of the load of which nothing was heard for long.
+    fn expire_grants(&mut self, now: Instant) {
+        for grant in self.coordination.grants.expire(now) {
+            self.load.remove_granted(grant.endpoint, grant.class);
+        }
+    }
+
+    /// The other group with the most room for an ask, of those that have endpoints for it.
+    fn roomiest(&mut self, ask: &SlotAsk, kind: RoomKind, now: Instant) -> Option<GroupId> {
+        let service = ServiceKey::of(&ask.service);
+        let filter = EndpointFilter {
+            service: &ask.service,
+            version: ask.version,
+        };
+        let groups = self
+            .coordination
+            .groups_of(self.endpoints.serving(filter, now));
+        let is_usable = |group: &GroupId| groups.binary_search(group).is_ok();
+        let rooms = &mut self.coordination.rooms;
+        rooms.take_roomiest(&ask.group, service, kind, is_usable, now)
+    }
+
     fn decide_online(
         &mut self,
         ask: &SlotAsk,
         claim: Option<ShareClaim>,
-        candidates: &[Arc<ListedEndpoint>],
+        endpoints: &[Arc<ListedEndpoint>],
         now: Instant,
     ) -> SlotOutcome {
         let SlotNeed::Online {
@@ -103,7 +127,12 @@
         let remaining = millis(remaining_ms);
         let first_byte = self.load.response_times().first_byte();
         let longest = max_wait(millis(target_ms), first_byte, remaining);
-        let candidates: Vec<&Arc<ListedEndpoint>> = candidates.iter().collect();
+        let is_excluded =
+            |endpoint: &ListedEndpoint| ask.excluded.contains(&EndpointKey::of(&endpoint.id));
+        let candidates: Vec<&Arc<ListedEndpoint>> = endpoints
+            .iter()
+            .filter(|endpoint| !is_excluded(endpoint))
+            .collect();
         let slots = candidates.iter().map(|endpoint| endpoint.slots);
         let slots = slots.fold(0_u32, u32::saturating_add);
         let interval = self.load.response_times().run() / slots.max(1);
@@ -117,22 +146,16 @@
         let is_free = matches!(pick, GroupPick::Free(_));
         if may_pass
             && !is_free
-            && let Some(room) = self
-                .coordination
-                .roomiest(&ask.group, |room| room.free, now)
+            && let Some(group) = self.roomiest(ask, RoomKind::Free, now)
         {
-            room.free -= 1;
-            return SlotOutcome::Elsewhere(room.group.clone());
+            return SlotOutcome::Elsewhere(group);
         }
         let must_wait = !is_free && !matches!(pick, GroupPick::Preempt(_));
         if may_pass
             && must_wait
-            && let Some(room) = self
-                .coordination
-                .roomiest(&ask.group, |room| room.preemptible, now)
+            && let Some(group) = self.roomiest(ask, RoomKind::Preemptible, now)
         {
-            room.preemptible -= 1;
-            return SlotOutcome::Elsewhere(room.group.clone());
+            return SlotOutcome::Elsewhere(group);
         }
         match pick {
             GroupPick::Free(endpoint)
@@ -166,7 +189,7 @@
         &mut self,
         ask: &SlotAsk,
         claim: Option<ShareClaim>,
-        candidates: &[Arc<ListedEndpoint>],
+        endpoints: &[Arc<ListedEndpoint>],
         now: Instant,
     ) -> SlotOutcome {
         let SlotNeed::Item { in_time, due_ms } = ask.need else {
@@ -177,8 +200,16 @@
         let urgency = ItemUrgency::new(!in_time, due_ms, had);
         let waiting = &self.coordination.waiting_items;
         let ahead = waiting.ahead_of(&ask.host, urgency, now);
-        let candidates: Vec<&Arc<ListedEndpoint>> = candidates.iter().collect();
-        let picked = if self.coordination.pauses_items(&ask.group, now) {
+        let is_excluded =
+            |endpoint: &ListedEndpoint| ask.excluded.contains(&EndpointKey::of(&endpoint.id));
+        let candidates: Vec<&Arc<ListedEndpoint>> = endpoints
+            .iter()
+            .filter(|endpoint| !is_excluded(endpoint))
+            .collect();
+        let picked = if self
+            .coordination
+            .pauses_items(&ask.group, &ask.service, now)
+        {
             None
         } else {
             self.with_view(now, |view, rng| {
@@ -191,12 +222,9 @@
             return self.grant(ask, &endpoint, RequestClass::Batch, now);
         }
         if !ask.is_final
-            && let Some(room) =
-                self.coordination
-                    .roomiest(&ask.group, |room| room.free_for_items, now)
+            && let Some(group) = self.roomiest(ask, RoomKind::FreeForItems, now)
         {
-            room.free_for_items -= 1;
-            return SlotOutcome::Elsewhere(room.group.clone());
+            return SlotOutcome::Elsewhere(group);
         }
         if candidates.is_empty() {
             return SlotOutcome::Missing;
@@ -258,7 +286,8 @@
             }
             let key = EndpointKey::of(&endpoint.id);
             self.load.record_preemption(&endpoint.id, now);
-            self.coordination.record_preemption(group, now);
+            self.coordination
+                .record_preemption(group, &endpoint.service, now);
             let mut holders = self.load.reports().item_holders(key);
             holders.push((own.clone(), self.load.own(&endpoint.id).batch));
             for pending in &self.coordination.preempting {
@@ -304,23 +333,46 @@
         None
     }
 
-    /// Room of a group that this host coordinates.
-    pub(super) fn room_of(&mut self, group: &GroupId, now: Instant) -> GroupRoom {
-        let endpoints = self.group_endpoints(group, now);
-        let endpoints: Vec<&Arc<ListedEndpoint>> = endpoints.iter().collect();
-        let room: RoomCount = self.with_view(now, |view, _| view.room(&endpoints, now));
-        let pauses = self.coordination.pauses_items(group, now);
+    /// Room of a group that this host coordinates, and that of each of its services.
+    pub(super) fn room_of(
+        &mut self,
+        group: &GroupId,
+        now: Instant,
+    ) -> (GroupRoom, Vec<ServiceRoom>) {
+        self.expire_grants(now);
+        let mut endpoints = self.group_endpoints(group, now);
+        endpoints.sort_by(|a, b| a.service.cmp(&b.service));
         let count = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
-        GroupRoom {
+        let mut total = GroupRoom {
             group: group.clone(),
-            free: count(room.free),
-            free_for_items: if pauses {
-                0
-            } else {
-                count(room.free_for_items())
-            },
-            preemptible: count(room.preemptible),
+            free: 0,
+            free_for_items: 0,
+            preemptible: 0,
+        };
+        let mut rooms = Vec::new();
+        for of_service in endpoints.chunk_by(|a, b| a.service == b.service) {
+            let service = &of_service[0].service;
+            let of_service: Vec<&Arc<ListedEndpoint>> = of_service.iter().collect();
+            let room: RoomCount = self.with_view(now, |view, _| view.room(&of_service, now));
+            let pauses = self.coordination.pauses_items(group, service, now);
+            let room = ServiceRoom {
+                service: ServiceKey::of(service),
+                free: count(room.free),
+                free_for_items: if pauses {
+                    0
+                } else {
+                    count(room.free_for_items())
+                },
+                preemptible: count(room.preemptible),
+            };
+            total.free = total.free.saturating_add(room.free);
+            total.free_for_items = total.free_for_items.saturating_add(room.free_for_items);
+            total.preemptible = total.preemptible.saturating_add(room.preemptible);
+            rooms.push(room);
         }
+        rooms.sort_by_key(|room| Reverse(room.free));
+        rooms.truncate(MAX_ROOM_SERVICES);
+        (total, rooms)
     }
 }
 
@@ -334,15 +386,25 @@
 }
 
 impl super::CoordinationState {
-    /// Whether items were preempted in a group a short time ago, so that none starts.
-    fn pauses_items(&self, group: &GroupId, now: Instant) -> bool {
+    /// Whether items of a service were preempted in a group a short time ago, so that none of it starts.
+    fn pauses_items(&self, group: &GroupId, service: &str, now: Instant) -> bool {
         let mut times = self.preempted_at.iter();
-        times.any(|(known, at)| known == group && now < *at + ITEM_PAUSE)
+        times.any(|preempted| {
+            preempted.group == *group
+                && *preempted.service == *service
+                && now < preempted.at + ITEM_PAUSE
+        })
     }
 
-    fn record_preemption(&mut self, group: &GroupId, now: Instant) {
-        self.preempted_at
-            .retain(|(known, at)| known != group && now < *at + MAX_ROOM_AGE);
-        self.preempted_at.push((group.clone(), now));
+    fn record_preemption(&mut self, group: &GroupId, service: &Arc<str>, now: Instant) {
+        self.preempted_at.retain(|preempted| {
+            let is_same = preempted.group == *group && preempted.service == *service;
+            !is_same && now < preempted.at + ITEM_PAUSE
+        });
+        self.preempted_at.push(ServicePreemption {
+            group: group.clone(),
+            service: service.clone(),
+            at: now,
+        });
     }
 }
--- a/crates/switch/src/coordinator/exchange.rs
+++ b/crates/switch/src/coordinator/exchange.rs
@@ -1,14 +1,14 @@
 //! Messages between this host and the coordinators: what it asks, and what it answers as a coordinator.
 
-use super::SlotCandidates;
 use super::asks::ANSWER_TIMEOUT;
 use super::decide::ITEM_RETRY;
 use super::group::{AskRoute, GroupId};
 use super::message::{
-    CoordinatorMessage, LoadMessage, MAX_EXCLUDED, MAX_SAMPLES, SlotAnswer, SlotAsk, SlotNeed,
-    SlotOutcome,
+    CoordinatorMessage, LoadMessage, MAX_EXCLUDED, MAX_ROOM_SERVICES, MAX_SAMPLES, ServiceRoom,
+    SlotAnswer, SlotAsk, SlotNeed, SlotOutcome,
 };
 use super::scope::ItemScope;
+use super::{SentRoom, SlotCandidates};
 use crate::gossip::{send_coordinator_message, send_extended_message};
 use crate::node::{SwitchNode, SwitchState};
 use crate::origins::VersionKey;
@@ -309,7 +309,11 @@
                 state.coordination.add_order(endpoint, count);
                 self.schedule_requested.notify_one();
             }
-            CoordinatorMessage::Room(room) => state.coordination.set_room(room, now),
+            CoordinatorMessage::Room(room) => {
+                let services = postcard::from_bytes::<Vec<ServiceRoom>>(rest).ok();
+                let services = services.filter(|services| services.len() <= MAX_ROOM_SERVICES);
+                state.coordination.rooms.set(room, services, now);
+            }
             CoordinatorMessage::Ask(_) | CoordinatorMessage::Load(_) => {
                 info!(self.deps.logger, "message of a host ignored"; "from" => %from,
                     "cause" => "a list in it is too long");
@@ -376,19 +380,23 @@
     }
 
     fn send_room(&self, state: &mut SwitchState, group: &GroupId, now: Instant) {
-        let room = state.room_of(group, now);
+        let (total, services) = state.room_of(group, now);
         let sent = &mut state.coordination.sent_rooms;
-        let last = sent.iter().find(|(room, _)| room.group == *group);
-        if let Some((last, sent_at)) = last {
-            let age = now.saturating_duration_since(*sent_at);
-            if age < MIN_ROOM_INTERVAL || (*last == room && age < MAX_ROOM_INTERVAL) {
+        if let Some(last) = sent.iter().find(|last| last.total.group == *group) {
+            let age = now.saturating_duration_since(last.sent_at);
+            let is_same = last.total == total && last.services == services;
+            if age < MIN_ROOM_INTERVAL || (is_same && age < MAX_ROOM_INTERVAL) {
                 return;
             }
         }
-        sent.retain(|(room, _)| room.group != *group);
-        sent.push((room.clone(), now));
+        sent.retain(|last| last.total.group != *group);
+        sent.push(SentRoom {
+            total: total.clone(),
+            services: services.clone(),
+            sent_at: now,
+        });
         let targets = self.room_targets(state, now);
-        send_coordinator_message(self, CoordinatorMessage::Room(room), &targets);
+        send_extended_message(self, CoordinatorMessage::Room(total), &services, &targets);
     }
 
     /// Coordinators of the groups after the own ones in the order of all, so that each is told of a few.
--- a/crates/switch/src/coordinator/message.rs
+++ b/crates/switch/src/coordinator/message.rs
@@ -6,9 +6,12 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Maximum number of endpoints that an ask leaves out.
 pub const MAX_EXCLUDED: usize = 32;
+/// Maximum number of services in a message about the room of a group.
+pub const MAX_ROOM_SERVICES: usize = 64;
 /// Maximum number of measured response times in a load message.
 pub const MAX_SAMPLES: usize = 16;
 
@@ -137,6 +140,38 @@
     pub preemptible: u16,
 }
 
+/// Hash of the name of a service, which identifies it in messages between coordinators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServiceKey(u32);
+
+impl ServiceKey {
+    /// Returns the key of the service with this name.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::coordinator::message::ServiceKey;
+    /// assert_ne!(ServiceKey::of("reports"), ServiceKey::of("audits"));
+    /// ```
+    #[must_use]
+    pub fn of(service: &str) -> Self {
+        let [a, b, c, d, ..] = xxh3_64(service.as_bytes()).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
+/// Room of the endpoints of one service in a group. A list of these follows a [`GroupRoom`] in its datagram, which hosts of earlier versions
+/// neither send nor read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRoom {
+    /// The service.
+    pub service: ServiceKey,
+    /// Free slots.
+    pub free: u16,
+    /// Slots that are free for items.
+    pub free_for_items: u16,
+    /// Slots that items hold and online requests may take.
+    pub preemptible: u16,
+}
+
 /// Converts a duration to whole milliseconds of a message, saturating.
 #[must_use]
 pub fn message_millis(span: Duration) -> u32 {
--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -18,6 +18,7 @@
 pub mod group;
 pub mod message;
 pub mod pick;
+pub mod rooms;
 pub mod scope;
 mod share_log;
 mod speeds;
@@ -35,8 +36,9 @@
 use asks::AskTable;
 use grants::SlotGrants;
 use group::{AskRoute, EndpointGroup, GroupId, compute_groups};
-use message::{GroupRoom, MAX_SAMPLES};
+use message::{GroupRoom, MAX_SAMPLES, ServiceRoom};
 use rand::Rng;
+use rooms::RoomTable;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -44,10 +46,8 @@
 
 /// Number of other hosts up to which each host chooses endpoints itself. Up to there, heartbeats come each tenth of a second.
 const MAX_DIRECT_HOSTS: usize = 20;
-/// Age of the room of a group beyond which it is not known.
-const MAX_ROOM_AGE: Duration = Duration::from_secs(1);
-/// Maximum number of rooms of other groups, and of orders to preempt. It bounds their memory.
-const MAX_ENTRIES: usize = 256;
+/// Maximum number of orders to preempt. It bounds their memory.
+const MAX_ORDERS: usize = 256;
 /// Time in which a host that was told to preempt items does it.
 const PREEMPTION_TIME: Duration = Duration::from_millis(200);
 /// Time for which a host that was never heard may be asked, from when it became known.
@@ -61,6 +61,22 @@
     until: Instant,
 }
 
+/// When an item of a service was last told to give way in a group.
+#[derive(Clone, Debug)]
+struct ServicePreemption {
+    group: GroupId,
+    service: Arc<str>,
+    at: Instant,
+}
+
+/// Room of an own group that was sent to the other coordinators.
+#[derive(Clone, Debug)]
+struct SentRoom {
+    total: GroupRoom,
+    services: Vec<ServiceRoom>,
+    sent_at: Instant,
+}
+
 /// A group that a host asks first, and the host that it asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CoordinatorView {
@@ -78,12 +94,10 @@
     grants: SlotGrants,
     waiting_items: WaitingItems,
     preempting: Vec<PendingPreemption>,
-    /// When an item was last told to give way, by group.
-    preempted_at: Vec<(GroupId, Instant)>,
-    /// Rooms of other groups, and when they were received.
-    rooms: Vec<(GroupRoom, Instant)>,
-    /// Room of an own group that was sent last, and when.
-    sent_rooms: Vec<(GroupRoom, Instant)>,
+    preempted_at: Vec<ServicePreemption>,
+    rooms: RoomTable,
+    /// Room of each own group that was sent last.
+    sent_rooms: Vec<SentRoom>,
     /// Items that this host has to preempt.
     orders: Vec<(EndpointKey, u16)>,
     samples: Vec<(u16, u16)>,
@@ -193,30 +207,6 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Records the room of another group.
-    fn set_room(&mut self, room: GroupRoom, now: Instant) {
-        self.rooms.retain(|(known, received_at)| {
-            known.group != room.group && now.saturating_duration_since(*received_at) < MAX_ROOM_AGE
-        });
-        if self.rooms.len() < MAX_ENTRIES {
-            self.rooms.push((room, now));
-        }
-    }
-
-    /// The other group with the most room, by `room_of`, if any has some.
-    fn roomiest(
-        &mut self,
-        own: &GroupId,
-        room_of: impl Fn(&GroupRoom) -> u16,
-        now: Instant,
-    ) -> Option<&mut GroupRoom> {
-        let known = self.rooms.iter_mut().filter(|(room, received_at)| {
-            room.group != *own && now.saturating_duration_since(*received_at) < MAX_ROOM_AGE
-        });
-        let best = known.max_by_key(|(room, _)| room_of(room));
-        best.map(|(room, _)| room).filter(|room| room_of(room) > 0)
-    }
-
     /// Records how long a request of this host took, for the next load message.
     pub(crate) fn record_sample(&mut self, first_byte: Option<Duration>, run: Duration) {
         let millis = |span: Duration| u16::try_from(span.as_millis()).unwrap_or(u16::MAX);
@@ -236,7 +226,7 @@
 
     /// Adds items that this host has to preempt.
     fn add_order(&mut self, endpoint: EndpointKey, count: u16) {
-        if self.orders.len() < MAX_ENTRIES {
+        if self.orders.len() < MAX_ORDERS {
             self.orders.push((endpoint, count));
         }
     }
--- a/crates/switch/tests/switch/item_slots.rs
+++ b/crates/switch/tests/switch/item_slots.rs
@@ -1,10 +1,62 @@
 //! Items of several services at the coordinators: no service, version or due time holds up another one that has free slots.
 
 use crate::support::{CallScript, TestFleet, submission_on, wait_until};
+use fulmarswitch_switch::coordinator::group::GroupId;
+use fulmarswitch_switch::coordinator::message::{GroupRoom, ServiceKey, ServiceRoom};
+use fulmarswitch_switch::coordinator::rooms::{RoomKind, RoomTable};
 use fulmarswitch_switch::node::SwitchNode;
 use futures::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
+
+fn group() -> GroupId {
+    GroupId {
+        domain: "domain".into(),
+        buckets: 1,
+        bucket: 0,
+    }
+}
+
+/// Guards against the room of one service being taken for that of another one.
+#[tokio::test(start_paused = true)]
+async fn room_of_another_service_is_none() {
+    let now = Instant::now();
+    let named = |domain: &str| GroupId {
+        domain: domain.into(),
+        ..group()
+    };
+    let room = |domain: &str, services: &[(&str, u16)]| {
+        let rooms = services.iter().map(|(service, free)| ServiceRoom {
+            service: ServiceKey::of(service),
+            free: *free,
+            free_for_items: *free,
+            preemptible: 0,
+        });
+        let total = GroupRoom {
+            group: named(domain),
+            free: services.iter().map(|(_, free)| free).sum(),
+            free_for_items: services.iter().map(|(_, free)| free).sum(),
+            preemptible: 0,
+        };
+        (total, rooms.collect::<Vec<_>>())
+    };
+    let mut rooms = RoomTable::default();
+    for (total, services) in [
+        room("a", &[("audits", 50), ("reports", 0)]),
+        room("b", &[("audits", 1), ("reports", 2)]),
+    ] {
+        rooms.set(total, Some(services), now);
+    }
+    let mut take = |service: &str| {
+        let service = ServiceKey::of(service);
+        rooms.take_roomiest(&named("c"), service, RoomKind::FreeForItems, |_| true, now)
+    };
+    assert_eq!(take("audits"), Some(named("a")));
+    assert_eq!(take("reports"), Some(named("b")));
+    assert_eq!(take("reports"), Some(named("b")));
+    assert_eq!(take("reports"), None, "both slots were named");
+}
 
 /// A fleet that is large enough for coordinators, of hosts in two domains.
 async fn start_hosts(fleet: &TestFleet) -> Vec<Arc<SwitchNode>> {
@@ -68,3 +120,18 @@
     })
     .await;
 }
+
+/// Guards against hosts of a domain without endpoints of a service that are sent to where only another service has room.
+#[tokio::test]
+async fn items_run_in_another_domain_if_theirs_lost_their_service() {
+    let fleet = fleet_of(&[
+        (2, "reports", "d0"),
+        (6, "audits", "d1"),
+        (6, "audits", "d2"),
+    ]);
+    let hosts = start_hosts(&fleet).await;
+    hosts[0]
+        .submit_job(submission_on("/reports/", "j", 66))
+        .await;
+    wait_until("all items", async || count_run(&fleet, "j") == 66).await;
+}
