Coordinators: items wait only for others that could use the same slots

Cause: a waiting host was kept with the least urgency that it ever asked with, and each ask prolonged that. Once items were late, each ask had all other hosts ahead of it. Items also waited for more urgent ones that could not use the free slots: of another service, of another version, or of a host that leaves the endpoint out.

Change: an item waits with its urgency in the last pass of its host, by host, group and scope, and is ahead of another one only if it could use one of the other's free endpoints. The decision is a function of plain state. Hosts ask the groups in turn after eight denials, and less often the more scopes have no room. A service with one slot in a group has it for items too.

--- a/crates/switch/src/coordinator/asks.rs
+++ b/crates/switch/src/coordinator/asks.rs
@@ -22,6 +22,8 @@
 const MISSING_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of items of one scope that wait for an answer.
 const MAX_SCOPE_ASKS: usize = 4;
+/// Number of scopes without room up to which the time between asks grows with them, so that a host sends about as many asks whatever its services.
+const MAX_SPREAD: u32 = 4;
 /// Number of denials in a row after which the next group in turn is asked, near or not: a coordinator knows the room of only some of the others,
 /// and not which endpoints this host leaves out.
 const DENIALS_PER_TURN: u32 = 8;
@@ -152,10 +154,16 @@
         }
     }
 
-    /// Records that there is no endpoint for the items of a scope, so that no coordinator needs to be asked.
+    /// Records that there is no room for the items of a scope. The time until it is asked for again grows with the number of scopes without
+    /// room.
     pub fn deny(&mut self, scope: &ItemScope, retry_after: Duration, now: Instant) {
+        let others = self
+            .rooms
+            .iter()
+            .filter(|room| room.scope != *scope && now < room.denied_until);
+        let denied = u32::try_from(others.count() + 1).unwrap_or(u32::MAX);
         let room = self.room(scope, now);
-        room.denied_until = now + retry_after;
+        room.denied_until = now + retry_after * denied.min(MAX_SPREAD);
         room.denials += 1;
     }
 
--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -2,13 +2,15 @@
 
 use super::grants::SlotGrant;
 use super::group::GroupId;
+use super::items::{ItemAsk, ItemDecision, ItemQueues};
 use super::message::{
     GroupRoom, MAX_ROOM_SERVICES, ServiceKey, ServiceRoom, SlotAsk, SlotNeed, SlotOutcome,
     message_millis,
 };
 use super::pick::{GroupPick, GroupView, RoomCount};
 use super::rooms::RoomKind;
-use super::waiting::ItemUrgency;
+use super::scope::ItemScope;
+use super::waiting::{ItemPlace, ItemUrgency};
 use super::{PREEMPTION_TIME, PendingPreemption, ServicePreemption};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::load::RequestClass;
@@ -75,6 +77,11 @@
             service: &ask.service,
             version: ask.version,
         };
+        let filter = match ask.need {
+            SlotNeed::Online { .. } => filter,
+            // Items of any version compete for the slots of a service.
+            SlotNeed::Item { .. } => EndpointFilter::from(&*ask.service),
+        };
         let endpoints: Vec<Arc<ListedEndpoint>> = self
             .endpoints
             .serving(filter, now)
@@ -197,42 +204,49 @@
         };
         let pool = share_pool(ask);
         let had = self.coordination.shares.had(&pool, claim, now);
-        let urgency = ItemUrgency::new(!in_time, due_ms, had);
-        let waiting = &self.coordination.waiting_items;
-        let ahead = waiting.ahead_of(&ask.host, urgency, now);
-        let is_excluded =
-            |endpoint: &ListedEndpoint| ask.excluded.contains(&EndpointKey::of(&endpoint.id));
-        let candidates: Vec<&Arc<ListedEndpoint>> = endpoints
-            .iter()
-            .filter(|endpoint| !is_excluded(endpoint))
-            .collect();
-        let picked = if self
-            .coordination
-            .pauses_items(&ask.group, &ask.service, now)
-        {
-            None
-        } else {
-            self.with_view(now, |view, rng| {
-                view.pick_item(&candidates, ahead, now, rng)
-            })
+        let place = ItemPlace {
+            host: ask.host.clone(),
+            group: ask.group.clone(),
+            scope: ItemScope {
+                service: ask.service.clone(),
+                version: ask.version,
+            },
+            excluded: ask.excluded.clone(),
         };
-        if let Some(endpoint) = picked {
-            self.coordination.waiting_items.remove(&ask.host);
-            self.coordination.shares.record_grant(&pool, claim, now);
-            return self.grant(ask, &endpoint, RequestClass::Batch, now);
-        }
-        if !ask.is_final
-            && let Some(group) = self.roomiest(ask, RoomKind::FreeForItems, now)
-        {
-            return SlotOutcome::Elsewhere(group);
-        }
-        if candidates.is_empty() {
-            return SlotOutcome::Missing;
-        }
-        self.coordination.waiting_items.add(&ask.host, urgency, now);
-        SlotOutcome::Full {
-            wait_ms: 0,
-            retry_after_ms: message_millis(ITEM_RETRY),
+        let item = ItemAsk {
+            place: &place,
+            urgency: ItemUrgency::new(!in_time, due_ms, had),
+            endpoints,
+            is_paused: self
+                .coordination
+                .pauses_items(&ask.group, &ask.service, now),
+            may_pass: !ask.is_final,
+        };
+        let coordination = &mut self.coordination;
+        let mut waiting = std::mem::take(&mut coordination.waiting_items);
+        let mut rooms = std::mem::take(&mut coordination.rooms);
+        let mut queues = ItemQueues {
+            waiting: &mut waiting,
+            rooms: &mut rooms,
+        };
+        let groups = coordination.groups_of(self.endpoints.serving(place.scope.filter(), now));
+        let is_usable = |group: &GroupId| groups.binary_search(group).is_ok();
+        let decision = self.with_view(now, |view, rng| {
+            queues.decide(view, &item, is_usable, now, rng)
+        });
+        self.coordination.waiting_items = waiting;
+        self.coordination.rooms = rooms;
+        match decision {
+            ItemDecision::Use(endpoint) => {
+                self.coordination.shares.record_grant(&pool, claim, now);
+                self.grant(ask, &endpoint, RequestClass::Batch, now)
+            }
+            ItemDecision::Elsewhere(group) => SlotOutcome::Elsewhere(group),
+            ItemDecision::Full => SlotOutcome::Full {
+                wait_ms: 0,
+                retry_after_ms: message_millis(ITEM_RETRY),
+            },
+            ItemDecision::Missing => SlotOutcome::Missing,
         }
     }
 
--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -16,6 +16,7 @@
 mod exchange;
 pub mod grants;
 pub mod group;
+pub mod items;
 pub mod message;
 pub mod pick;
 pub mod rooms;
--- a/crates/switch/src/coordinator/pick.rs
+++ b/crates/switch/src/coordinator/pick.rs
@@ -57,6 +57,8 @@
     #[must_use]
     pub fn free_for_items(self) -> u32 {
         let reserved = self.slots.div_ceil(SLOTS_PER_RESERVED);
+        // The only slot of a service is one for its items, too.
+        let reserved = reserved.min(self.slots.saturating_sub(1));
         self.free.saturating_sub(reserved)
     }
 }
@@ -149,29 +151,42 @@
         }
     }
 
-    /// Selects the endpoint of an item: the one with the most free slots. `None` if the group has none for items beyond those for the
-    /// `ahead` items that are more urgent.
+    /// Selects the endpoint of an item out of those of its service that `is_admitted` selects: the one with the most free slots. `None` if
+    /// the service has none for items beyond those for the `ahead` items that are more urgent.
     pub fn pick_item(
         &self,
-        candidates: &[&Arc<ListedEndpoint>],
+        endpoints: &[&Arc<ListedEndpoint>],
+        is_admitted: impl Fn(&ListedEndpoint) -> bool,
         ahead: u32,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
-        if self.room(candidates, now).free_for_items() <= ahead {
+        if self.room(endpoints, now).free_for_items() <= ahead {
             return None;
         }
-        let usable = candidates
-            .iter()
-            .filter(|endpoint| !self.load.is_avoided(&endpoint.id, now))
-            .filter(|endpoint| !self.load.is_full(&endpoint.id, now));
+        let usable = self.usable_for_items(endpoints, is_admitted, now);
         let states = usable.map(|endpoint| {
             let free = self.slots(endpoint, None, now).free;
-            (free, rng.random::<u32>(), *endpoint)
+            (free, rng.random::<u32>(), endpoint)
         });
         let best = states.max_by_key(|(free, draw, _)| (*free, *draw));
-        best.filter(|(free, ..)| *free > 0)
-            .map(|(_, _, endpoint)| endpoint.clone())
+        best.map(|(_, _, endpoint)| endpoint.clone())
+    }
+
+    /// Endpoints with a free slot at which an item may start, out of those that `is_admitted` selects.
+    pub fn usable_for_items<'a>(
+        &self,
+        endpoints: &[&'a Arc<ListedEndpoint>],
+        is_admitted: impl Fn(&ListedEndpoint) -> bool,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<ListedEndpoint>> {
+        endpoints
+            .iter()
+            .copied()
+            .filter(move |endpoint| is_admitted(endpoint))
+            .filter(move |endpoint| !self.load.is_avoided(&endpoint.id, now))
+            .filter(move |endpoint| !self.load.is_full(&endpoint.id, now))
+            .filter(move |endpoint| self.slots(endpoint, None, now).free > 0)
     }
 
     /// Counts the room of a group.
--- a/crates/switch/src/coordinator/waiting.rs
+++ b/crates/switch/src/coordinator/waiting.rs
@@ -1,14 +1,23 @@
 //! Items that found no room, so that slots go to the most urgent ones first.
 //!
 //! Hosts ask again at an interval, each for its own most urgent items. Without this, the host that happens to ask next would get a slot.
+//!
+//! An item holds back others only from slots that it could use itself. Whatever waits, the most urgent item that could use a free slot has none ahead
+//! of it, so that a free slot is not kept from all.
 
+use super::group::GroupId;
+use super::scope::ItemScope;
+use crate::endpoint::ListedEndpoint;
+use crate::report::EndpointKey;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Time for which an item counts as waiting after its ask: two intervals between asks.
 const WAIT_TIME: Duration = Duration::from_millis(120);
-/// Maximum number of hosts with waiting items. It bounds their memory.
+/// Time within which a host makes the asks of one scheduling pass. It is shorter than the interval between asks.
+const PASS_TIME: Duration = Duration::from_millis(30);
+/// Maximum number of waiting items. It bounds their memory.
 const MAX_WAITING: usize = 4096;
 
 /// Urgency of an item. The lesser one goes first.
@@ -43,36 +52,95 @@
     }
 }
 
-/// The most urgent item of each host that found no room lately.
+/// Which endpoints an item of a host may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemPlace {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// The group that was asked.
+    pub group: GroupId,
+    /// Service and software version of the endpoints.
+    pub scope: ItemScope,
+    /// Endpoints that are left out.
+    pub excluded: Vec<EndpointKey>,
+}
+
+impl ItemPlace {
+    /// Whether an endpoint of the group is one that the item may use.
+    #[must_use]
+    pub fn admits(&self, endpoint: &ListedEndpoint) -> bool {
+        self.scope.admits(endpoint) && !self.excluded.contains(&EndpointKey::of(&endpoint.id))
+    }
+
+    fn is_same_queue(&self, other: &Self) -> bool {
+        self.host == other.host && self.group == other.group && self.scope == other.scope
+    }
+}
+
+#[derive(Clone, Debug)]
+struct WaitingItem {
+    place: ItemPlace,
+    urgency: ItemUrgency,
+    asked_at: Instant,
+}
+
+impl WaitingItem {
+    fn is_waiting(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.asked_at) < WAIT_TIME
+    }
+}
+
+/// The most urgent item of each host, group and scope that found no room lately.
 #[derive(Clone, Debug, Default)]
-pub struct WaitingItems(Vec<(Arc<str>, ItemUrgency, Instant)>);
+pub struct WaitingItems(Vec<WaitingItem>);
 
 impl WaitingItems {
-    /// Records that an item of a host found no room.
-    pub fn add(&mut self, host: &Arc<str>, urgency: ItemUrgency, now: Instant) {
-        self.0.retain(|(_, _, until)| now < *until);
-        let until = now + WAIT_TIME;
+    /// Records that an item found no room. Of the asks of one pass of its host the most urgent one counts; a later pass replaces it, as an
+    /// item becomes late, starts or moves to another host meanwhile.
+    pub fn add(&mut self, place: ItemPlace, urgency: ItemUrgency, now: Instant) {
+        self.0.retain(|item| item.is_waiting(now));
         let has_room = self.0.len() < MAX_WAITING;
-        match self.0.iter_mut().find(|(name, ..)| name == host) {
-            Some(entry) => (entry.1, entry.2) = (entry.1.min(urgency), until),
-            None if has_room => self.0.push((host.clone(), urgency, until)),
+        let mut items = self.0.iter_mut();
+        match items.find(|item| item.place.is_same_queue(&place)) {
+            Some(item) => {
+                let is_same_pass = now.saturating_duration_since(item.asked_at) < PASS_TIME;
+                if is_same_pass {
+                    item.urgency = item.urgency.min(urgency);
+                } else {
+                    (item.urgency, item.asked_at) = (urgency, now);
+                }
+                item.place.excluded = place.excluded;
+            }
+            None if has_room => self.0.push(WaitingItem {
+                place,
+                urgency,
+                asked_at: now,
+            }),
             None => {}
         }
     }
 
     /// Removes the item of a host that has found room.
-    pub fn remove(&mut self, host: &str) {
-        self.0.retain(|(name, ..)| **name != *host);
+    pub fn remove(&mut self, place: &ItemPlace) {
+        self.0.retain(|item| !item.place.is_same_queue(place));
     }
 
-    /// Number of other hosts with an item that is more urgent.
-    #[must_use]
-    pub fn ahead_of(&self, host: &str, urgency: ItemUrgency, now: Instant) -> u32 {
-        let others = self
-            .0
-            .iter()
-            .filter(|(name, _, until)| **name != *host && now < *until);
-        let ahead = others.filter(|(_, other, _)| *other < urgency).count();
-        u32::try_from(ahead).unwrap_or(u32::MAX)
+    /// Number of items of other hosts that are more urgent and, as `competes` says, could use the same slots.
+    pub fn ahead_of(
+        &self,
+        place: &ItemPlace,
+        urgency: ItemUrgency,
+        competes: impl Fn(&ItemPlace) -> bool,
+        now: Instant,
+    ) -> u32 {
+        let ahead = self.0.iter().filter(|item| {
+            item.place.host != place.host
+                && item.place.group == place.group
+                && item.place.scope.service == place.scope.service
+                && item.urgency < urgency
+                && item.is_waiting(now)
+                && competes(&item.place)
+        });
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/switch/tests/switch/coordinator.rs
+++ b/crates/switch/tests/switch/coordinator.rs
@@ -5,11 +5,11 @@
 };
 use fulmarswitch_switch::coordinator::asks::AskTable;
 use fulmarswitch_switch::coordinator::grants::{SlotGrant, SlotGrants};
-use fulmarswitch_switch::coordinator::group::{EndpointGroup, compute_groups};
+use fulmarswitch_switch::coordinator::group::{EndpointGroup, GroupId, compute_groups};
 use fulmarswitch_switch::coordinator::message::SlotOutcome;
 use fulmarswitch_switch::coordinator::pick::{GroupPick, GroupView};
 use fulmarswitch_switch::coordinator::scope::ItemScope;
-use fulmarswitch_switch::coordinator::waiting::{ItemUrgency, WaitingItems};
+use fulmarswitch_switch::coordinator::waiting::{ItemPlace, ItemUrgency, WaitingItems};
 use fulmarswitch_switch::endpoint::{EndpointTable, ListedEndpoint};
 use fulmarswitch_switch::load::{EndpointPick, LoadView, RequestClass};
 use fulmarswitch_switch::node::SwitchNode;
@@ -237,7 +237,7 @@
             load: &load,
             preempting: &no_preemptions,
         };
-        let Some(endpoint) = view.pick_item(&candidates, 0, now, &mut rng) else {
+        let Some(endpoint) = view.pick_item(&candidates, |_| true, 0, now, &mut rng) else {
             break;
         };
         load.add_granted(EndpointKey::of(&endpoint.id), RequestClass::Batch);
@@ -246,25 +246,47 @@
     assert_eq!(started, 12 * SLOTS - (12 * SLOTS).div_ceil(20));
 }
 
+fn scope() -> ItemScope {
+    ItemScope {
+        service: "service".into(),
+        version: None,
+    }
+}
+
+/// Where an item of a host may run that leaves nothing out.
+fn place(host: &str) -> ItemPlace {
+    ItemPlace {
+        host: host.into(),
+        group: GroupId {
+            domain: "a".into(),
+            buckets: 1,
+            bucket: 0,
+        },
+        scope: scope(),
+        excluded: Vec::new(),
+    }
+}
+
 /// Overload of items: more wait than there are slots. Guards against slots that go to whoever asks next.
 #[test]
 fn most_urgent_items_go_first() {
     let urgency = |is_late, due_ms| ItemUrgency::new(is_late, due_ms, 0);
     let now = Instant::now();
     let mut waiting = WaitingItems::default();
-    waiting.add(&"a".into(), urgency(false, 20), now);
-    waiting.add(&"b".into(), urgency(false, 10), now);
-    waiting.add(&"c".into(), urgency(true, 5), now);
-    assert_eq!(waiting.ahead_of("c", urgency(true, 5), now), 2);
-    assert_eq!(waiting.ahead_of("a", urgency(false, 20), now), 1);
-    assert_eq!(waiting.ahead_of("b", urgency(false, 10), now), 0);
-    waiting.remove("b");
-    assert_eq!(waiting.ahead_of("a", urgency(false, 20), now), 0);
+    let ahead = |waiting: &WaitingItems, host: &str, urgency, now| {
+        waiting.ahead_of(&place(host), urgency, |_| true, now)
+    };
+    waiting.add(place("a"), urgency(false, 20), now);
+    waiting.add(place("b"), urgency(false, 10), now);
+    waiting.add(place("c"), urgency(true, 5), now);
+    assert_eq!(ahead(&waiting, "c", urgency(true, 5), now), 2);
+    assert_eq!(ahead(&waiting, "a", urgency(false, 20), now), 1);
+    assert_eq!(ahead(&waiting, "b", urgency(false, 10), now), 0);
+    waiting.remove(&place("b"));
+    assert_eq!(ahead(&waiting, "a", urgency(false, 20), now), 0);
     // A host that does not ask again, as it was lost or its item has run elsewhere, holds no slot back.
-    assert_eq!(
-        waiting.ahead_of("c", urgency(true, 5), now + Duration::from_millis(121)),
-        0
-    );
+    let later = now + Duration::from_millis(121);
+    assert_eq!(ahead(&waiting, "c", urgency(true, 5), later), 0);
     let all = endpoints("a", 1);
     let candidates: Vec<_> = all.iter().collect();
     let load = LoadView::default();
@@ -275,17 +297,13 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let free = SLOTS - 1;
     assert!(
-        view.pick_item(&candidates, free - 1, now, &mut rng)
+        view.pick_item(&candidates, |_| true, free - 1, now, &mut rng)
             .is_some()
     );
-    assert!(view.pick_item(&candidates, free, now, &mut rng).is_none());
-}
-
-fn scope() -> ItemScope {
-    ItemScope {
-        service: "service".into(),
-        version: None,
-    }
+    assert!(
+        view.pick_item(&candidates, |_| true, free, now, &mut rng)
+            .is_none()
+    );
 }
 
 fn grant(host: &str, number: u32, granted_at: Instant) -> SlotGrant {
