Clients: an answer that ends while its upload is written, or has no HTTP status, is none

What callers could see (two reports from other systems): a part of an answer without a length as the whole, where a peer that answered at once ended its connection while the request was still being written; an answer with the status 600 or 999. An append to the store counted as made by such an answer, and as refused by statuses that do not tell (600, 500, 502, 504, 302), so that a job could be refused whose record was appended.

Cause: only the end of the connection marks the end of such an answer, and no client looked at whether its request was written. Statuses up to 999 pass the HTTP library. Responses between hosts without a length counted as delimited.

Change: a stream for clients on which the end of the peer is an error while the last write is incomplete or has failed, in the clients for servers, other hosts, the store, the soak's callers and the own interface. Statuses outside 100 to 599 interrupt the call.

Not tried: answers of the daemon to callers that are still writing.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,18 +1,23 @@
 //! HTTP client with a connection pool, whose errors indicate whether the request may have been sent.
 
 use crate::server::{HttpBody, full_body};
+use crate::upload::UploadStream;
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tower::Service;
 
 /// Maximum size of a response's body that is read as a whole, in bytes. A page of the log or of results is far smaller.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
@@ -72,10 +77,50 @@
     }
 }
 
+/// Whether a status is one of HTTP, from 100 to 599. An answer with another one comes from a server in trouble.
+///
+/// ```
+/// use hyper::StatusCode;
+/// assert!(fulmarswitch_http::is_http_status(StatusCode::OK));
+/// assert!(!fulmarswitch_http::is_http_status(StatusCode::from_u16(600).unwrap()));
+/// ```
+#[must_use]
+pub fn is_http_status(status: StatusCode) -> bool {
+    (100..600).contains(&status.as_u16())
+}
+
+/// Opens connections on which an answer that ends while its request is being written is not whole.
+#[derive(Clone, Debug)]
+struct UploadConnector(HttpConnector);
+
+impl Service<Uri> for UploadConnector {
+    type Response = TokioIo<UploadStream<TcpStream>>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context)
+    }
+
+    fn call(&mut self, address: Uri) -> Self::Future {
+        let connecting = self.0.call(address);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(UploadStream::new(stream)))
+        })
+    }
+}
+
+impl Connection for UploadStream<TcpStream> {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
 /// HTTP client that keeps idle connections in a pool. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, HttpBody>,
+    client: Client<UploadConnector, HttpBody>,
 }
 
 impl HttpClient {
@@ -146,7 +191,8 @@
                 url: url.into(),
                 cause: error.to_string(),
             })?;
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| {
             let cause = error_with_source(&error);
             if error.is_connect() {
                 HttpError::NotSent {
@@ -159,7 +205,15 @@
                     cause,
                 }
             }
-        })
+        })?;
+        let status = response.status();
+        if !is_http_status(status) {
+            return Err(HttpError::Broken {
+                url: url.into(),
+                cause: format!("the status {status} is none of HTTP"),
+            });
+        }
+        Ok(response)
     }
 }
 
@@ -208,11 +262,11 @@
         })
 }
 
-fn connector() -> HttpConnector {
+fn connector() -> UploadConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector
+    UploadConnector(connector)
 }
 
 fn error_with_source(error: &hyper_util::client::legacy::Error) -> String {
