Items run at the hosts that share the limits of their endpoints

Cause: a few hosts share each limit, by one hash, and items are assigned to hosts by another. A host without any share sent none of its items and gave none away.

Change: where all endpoints of a route name limits, its items are assigned among the hosts that share one. A host without a share releases the items of which it has output.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduler for batch items: runs them in the capacity that online requests leave, and preempts them for online
 //! requests.
 
+mod limited;
 mod outcomes;
 pub(crate) mod routeless;
 mod run;
@@ -27,6 +28,7 @@
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use limited::RouteSharers;
 use outcomes::{ItemUpdate, UpdateKind, record_updates, run_checkpoints, send_update};
 use rand::Rng;
 use run::ItemRun;
@@ -382,6 +384,8 @@
     let now_ms = unix_time_ms();
     let mut runnable = Vec::new();
     let mut abandoned = Vec::new();
+    let mut released = Vec::new();
+    let mut sharers_of_routes = RouteSharers::default();
     if !state
         .members
         .knows_live_hosts(now.duration_since(node.started))
@@ -414,6 +418,12 @@
                 .routeless
                 .is_removed(&job.id, state.config_read_at, now),
         };
+        let sharers = route.and_then(|route| sharers_of_routes.get(state, route, own, now));
+        let may_run = |host: &str| {
+            sharers
+                .as_ref()
+                .is_none_or(|sharers| sharers.binary_search_by(|name| (**name).cmp(host)).is_ok())
+        };
         for (index, item) in job.items.iter().enumerate() {
             if item.state != ItemState::Open {
                 continue;
@@ -425,7 +435,16 @@
             }
             // Items that this host claims and is not busy with are those that it has output of.
             let started = own_claims.binary_search(&key).is_ok();
-            if !started && state.members.runner_of(&name, own, own_has_log, now) != own {
+            let runner = || {
+                let members = &state.members;
+                members.runner_of(&name, own, own_has_log, may_run, now)
+            };
+            if started && !may_run(own) {
+                // Another host goes on after the last checkpoint.
+                released.push(name);
+                continue;
+            }
+            if !started && runner() != own {
                 continue;
             }
             if is_expired {
@@ -454,6 +473,11 @@
     for name in abandoned {
         give_up(node, state, name, "its time or its route is over", updates);
     }
+    for name in released {
+        info!(node.deps.logger, "item released"; "job" => &*name.job, "item" => name.item,
+            "cause" => "this host has no share in the limits of its endpoints");
+        state.remove_progress(&name);
+    }
     runnable
 }
 
--- a/crates/switch/src/limits.rs
+++ b/crates/switch/src/limits.rs
@@ -199,6 +199,13 @@
         }
     }
 
+    /// Number of hosts, out of `hosts`, that share the limit of an endpoint; `None` if it names none.
+    #[must_use]
+    pub fn sharer_count(&self, id: &str, hosts: usize) -> Option<usize> {
+        let limit = self.limited(id)?.limit?;
+        Some(divide(limit, hosts).0)
+    }
+
     /// Whether this host may send an online request to the endpoint.
     #[must_use]
     pub fn admits(&self, id: &str, now: Instant) -> bool {
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -328,13 +328,14 @@
     }
 
     /// The host that runs an item: among those that have access to the log, if any has. The others may not know that the item
-    /// exists, or that it has ended.
+    /// exists, or that it has ended. Of these it is one that `may_run` selects, if any is.
     #[must_use]
     pub fn runner_of<'a>(
         &'a self,
         item: &ItemName,
         own: &'a str,
         own_has_log: bool,
+        may_run: impl Fn(&str) -> bool,
         now: Instant,
     ) -> &'a str {
         let others = self.live(now).filter(|entry| entry.ready && entry.has_log);
@@ -342,7 +343,7 @@
         let hash = item.hash();
         names
             .chain(own_has_log.then_some(own))
-            .max_by_key(|name| xxh3_64_with_seed(name.as_bytes(), hash))
+            .max_by_key(|name| (may_run(name), xxh3_64_with_seed(name.as_bytes(), hash)))
             .unwrap_or_else(|| self.assigned_to(hash, own, now))
     }
 
--- a/crates/switch/tests/switch/limits.rs
+++ b/crates/switch/tests/switch/limits.rs
@@ -127,6 +127,36 @@
     assert!(most <= MAX_REQUESTS, "{most} items");
 }
 
+/// Guards against items that wait at hosts without a share for as long as all endpoints name limits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_run_at_the_hosts_that_share_the_limits() {
+    let fleet = TestFleet::new(2);
+    fleet.client.set_default(CallScript::Stream { events: 2 });
+    let names = ["h0", "h1", "h2", "h3"];
+    let mut hosts = Vec::new();
+    for name in names {
+        hosts.push(fleet.spawn(name).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    for endpoint in ["e0", "e1"] {
+        fleet.client.set_limit(endpoint, Some(LIMIT));
+    }
+    // The hosts learn of the limits by these.
+    hosts[0].submit_job(submission("first", 8)).await;
+    sleep(STABLE_WINDOW).await;
+    hosts[0].submit_job(submission("second", 24)).await;
+    // Six items a second, so four seconds; the limits would be forgotten after ten.
+    sleep(Duration::from_secs(8)).await;
+    let calls = fleet.client.calls().into_iter();
+    let mut run: Vec<Arc<str>> = calls
+        .map(|call| call.id)
+        .filter(|id| id.starts_with("second-"))
+        .collect();
+    run.sort_unstable();
+    run.dedup();
+    assert_eq!(run.len(), 24);
+}
+
 /// A share of this host in a limit of this many requests a second.
 fn shared(limit: &str, hosts: usize) -> (LimitTable, Instant) {
     let (mut table, now) = (LimitTable::default(), Instant::now());
