Coordinators: an ask finds the groups of a service's endpoints without copies

Each ask goes through all endpoints of its service to find the groups that it may ask, thousands in a large fleet. The index of a group is computed from the domain and the hash, instead of by a group ID made for each endpoint. The cost was not measured by itself.

--- a/crates/switch/src/coordinator/mod.rs
+++ b/crates/switch/src/coordinator/mod.rs
@@ -166,27 +166,35 @@
         candidates.find(|name| !self.asks.is_silent(name, now))
     }
 
-    /// The group of an endpoint. Groups are sorted, and all of a domain have the same number of buckets.
+    /// The group of an endpoint.
     fn group_of(&self, endpoint: &ListedEndpoint) -> Option<&EndpointGroup> {
+        self.groups.get(self.group_index(endpoint)?)
+    }
+
+    /// Index of the group of an endpoint. Groups are sorted, and a domain has a group for each of its buckets.
+    fn group_index(&self, endpoint: &ListedEndpoint) -> Option<usize> {
         let first = self
             .groups
             .partition_point(|group| group.id.domain < endpoint.domain);
-        let id = GroupId::of(endpoint, self.groups.get(first)?.id.buckets);
-        let group = self.groups.get(first + usize::from(id.bucket))?;
-        (group.id == id).then_some(group)
+        let id = &self.groups.get(first)?.id;
+        if id.domain != endpoint.domain {
+            return None;
+        }
+        let bucket = EndpointKey::of(&endpoint.id).hash() % u64::from(id.buckets.max(1));
+        Some(first + usize::try_from(bucket).ok()?)
     }
 
-    /// The groups of these endpoints, sorted.
+    /// The groups of these endpoints, sorted. Each ask goes through all endpoints of a service, of which there may be thousands.
     pub(crate) fn groups_of<'a>(
         &self,
         endpoints: impl Iterator<Item = &'a Arc<ListedEndpoint>>,
     ) -> Vec<GroupId> {
-        let mut groups: Vec<&GroupId> = endpoints
-            .filter_map(|endpoint| Some(&self.group_of(endpoint)?.id))
-            .collect();
-        groups.sort_unstable();
-        groups.dedup();
-        groups.into_iter().cloned().collect()
+        let mut is_used = vec![false; self.groups.len()];
+        for index in endpoints.filter_map(|endpoint| self.group_index(endpoint)) {
+            is_used[index] = true;
+        }
+        let used = self.groups.iter().zip(is_used).filter(|(_, used)| *used);
+        used.map(|(group, _)| group.id.clone()).collect()
     }
 
     /// Groups that this host coordinates by its own view.
