Tests: fixtures of earlier hosts name no address of another test

Cause: what_earlier_hosts_write_is_read gives a host datagrams and records of, which name the addresses 127.0.0.1:46867, 49418 and 56091. The host sends its heartbeats there. The ports are in the ephemeral range, so a host of another test of the same program may hold one of them. It then hears one host more, and answers.

Evidence: sockets bound to the three ports got 21, 21 and 11 heartbeats of one run of the test. With host a of the other test bound to 46867 both tests failed in 3 of 3 runs (two hosts heard instead of one; 2 members instead of 3). With this change both passed in 3 of 3 such runs.

Change: the test replaces the address by another one of the loopback network, at which no test has a socket. The assertions are the same.

--- a/crates/switch/tests/switch/earlier_hosts.rs
+++ b/crates/switch/tests/switch/earlier_hosts.rs
@@ -83,6 +83,20 @@
     std::fs::write(path, lines.collect::<String>()).unwrap();
 }
 
+/// Loopback address in the fixtures. With their ports it may be that of a host of another test.
+const FIXTURE_ADDRESS: [u8; 4] = [127, 0, 0, 1];
+/// Loopback address at which no test has a socket.
+const UNUSED_ADDRESS: [u8; 4] = [127, 0, 77, 1];
+
+/// Replaces the addresses in a fixture, to which the tested host would send.
+fn relocate(value: &mut [u8]) {
+    for start in 0..value.len() {
+        if value[start..].starts_with(&FIXTURE_ADDRESS) {
+            value[start..start + UNUSED_ADDRESS.len()].copy_from_slice(&UNUSED_ADDRESS);
+        }
+    }
+}
+
 #[derive(Clone, Default)]
 struct LogLines(Arc<Mutex<Vec<u8>>>);
 
@@ -123,7 +137,8 @@
     let (mut kinds, mut cut) = (Vec::new(), Vec::new());
     for line in FIXTURES.lines() {
         let fields: Vec<&str> = line.split(' ').collect();
-        let value = from_hex(fields[2]);
+        let mut value = from_hex(fields[2]);
+        relocate(&mut value);
         if fields[0] == DATAGRAM {
             sender.send_to(&value, target).await.unwrap();
             kinds.push(fields[1]);
