--- a/crates/switch/src/backend.rs
+++ b/crates/switch/src/backend.rs
@@ -51,24 +51,53 @@
     pub records: Vec<LogEntry>,
 }
 
-impl LogPage {
-    /// Number of bytes in the keys and values of all records.
+/// Size of what was read from a partition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadSize {
+    /// Number of records.
+    pub records: usize,
+    /// Number of bytes in their keys and values.
+    pub bytes: usize,
+}
+
+impl ReadSize {
+    /// Returns the size of these records.
     ///
     /// ```
-    /// use fulmarswitch_switch::backend::{KeyedRecord, LogEntry, LogPage};
+    /// use fulmarswitch_switch::backend::{KeyedRecord, LogEntry, ReadSize};
     /// let record = KeyedRecord { key: "k".into(), value: "text".into() };
-    /// let records = vec![LogEntry { offset: 0, record }];
-    /// assert_eq!(LogPage { next: 1, end: 1, records }.size(), 5);
+    /// let size = ReadSize::of(&[LogEntry { offset: 0, record }]);
+    /// assert_eq!(size, ReadSize { records: 1, bytes: 5 });
     /// ```
     #[must_use]
-    pub fn size(&self) -> usize {
-        let records = self.records.iter().map(|entry| &entry.record);
-        records
-            .map(|record| record.key.len() + record.value.len())
-            .sum()
+    pub fn of(entries: &[LogEntry]) -> Self {
+        let records = entries.iter().map(|entry| &entry.record);
+        Self {
+            records: entries.len(),
+            bytes: records
+                .map(|record| record.key.len() + record.value.len())
+                .sum(),
+        }
+    }
+
+    /// Adds the size of a further read.
+    pub fn add(&mut self, other: Self) {
+        self.records += other.records;
+        self.bytes += other.bytes;
     }
 }
 
+/// A page of the latest record of each key, in the order of the keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewestPage {
+    /// The records.
+    pub records: Vec<LogEntry>,
+    /// End of the partition when the page was read.
+    pub end: u64,
+    /// Key after which the next page begins; `None` for the last page.
+    pub next_after: Option<Bytes>,
+}
+
 /// Errors of [`KeyedLog::append`].
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum AppendError {
@@ -142,6 +171,14 @@
         wait: Duration,
     ) -> Result<LogPage, ReadError>;
 
+    /// Reads a page of the latest record of each key, from the first key after `after`, or from the start. Each page is read at a
+    /// moment of its own.
+    async fn read_newest_page(
+        &self,
+        partition: &LogPartition,
+        after: Option<&Bytes>,
+    ) -> Result<NewestPage, ReadError>;
+
     /// Reads the latest record of each key in order of offset. The page ends at the end of the partition when the read
     /// began, so a read from there on returns all records that were appended meanwhile.
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError>;
--- a/crates/switch/src/follow.rs
+++ b/crates/switch/src/follow.rs
@@ -1,6 +1,7 @@
 //! Tasks that follow a partition of the log.
 
-use crate::backend::{LogEntry, LogPage, LogPartition, ReadError};
+use crate::backend::{LogEntry, LogPage, LogPartition, ReadError, ReadSize};
+use crate::job_snapshot::read_job_snapshot;
 use crate::node::SwitchNode;
 use rand::Rng;
 use slog::{info, warn};
@@ -37,6 +38,12 @@
     Unavailable,
     /// The latest record of every key.
     Snapshot(&'a LogPage),
+    /// The job records are read anew: their latest ones follow in parts.
+    JobsBegin,
+    /// The latest records of some jobs, each with all of its records.
+    Jobs(&'a [LogEntry]),
+    /// The latest records of all jobs have been given.
+    JobsEnd,
     /// Records that follow those of the previous read.
     Tail(&'a LogPage),
 }
@@ -44,8 +51,9 @@
 impl<'a> FollowBatch<'a> {
     pub(crate) fn records(self) -> &'a [LogEntry] {
         match self {
-            Self::Unavailable => &[],
+            Self::Unavailable | Self::JobsBegin | Self::JobsEnd => &[],
             Self::Snapshot(page) | Self::Tail(page) => &page.records,
+            Self::Jobs(records) => records,
         }
     }
 }
@@ -57,9 +65,6 @@
     F: FnMut(&SwitchNode, FollowBatch<'_>) + Send,
 {
     let is_jobs = options.partition == node.settings.topics.jobs;
-    let is_hosts = options.partition == node.settings.topics.hosts;
-    let is_listings = options.partition == node.settings.topics.endpoints;
-    let is_config = options.partition == node.settings.topics.config;
     let mut next = None;
     // End of the partition at an earlier read that has not been reached yet, and when that read began. While records are appended
     // faster than pages are read, no page reaches the end of its own read.
@@ -68,28 +73,32 @@
     let mut unavailable = false;
     loop {
         let started = Instant::now();
-        let page = match next {
-            None => node.deps.log.read_snapshot(&options.partition).await,
-            Some(from) => {
-                node.deps
-                    .log
-                    .read(&options.partition, from, options.wait)
-                    .await
+        let log = &node.deps.log;
+        let mut size = ReadSize::default();
+        let read = match next {
+            None if is_jobs => {
+                read_job_snapshot(&node, &options.partition, &mut size, &mut apply).await
             }
+            None => log.read_snapshot(&options.partition).await,
+            Some(from) => log.read(&options.partition, from, options.wait).await,
         };
-        match page {
+        match read {
             Ok(page) => {
                 node.metrics.count_log_call("read");
                 if unavailable {
                     info!(node.deps.logger, "log regained"; "topic" => &*options.partition.topic);
                 }
                 (unavailable, delay) = (false, MIN_RETRY_DELAY);
-                if is_jobs {
-                    node.metrics.record_job_read(started.elapsed(), &page);
-                }
                 match next {
+                    None if is_jobs => apply(&node, FollowBatch::JobsEnd),
                     None => apply(&node, FollowBatch::Snapshot(&page)),
-                    Some(_) => apply(&node, FollowBatch::Tail(&page)),
+                    Some(_) => {
+                        if is_jobs {
+                            size = ReadSize::of(&page.records);
+                            node.metrics.record_job_read(started.elapsed(), size);
+                        }
+                        apply(&node, FollowBatch::Tail(&page));
+                    }
                 }
                 let advanced = next != Some(page.next);
                 next = Some(page.next);
@@ -104,7 +113,7 @@
                     None
                 };
                 if let Some(current_at) = current_at.filter(|_| is_jobs) {
-                    node.record_complete_job_read(current_at, &page);
+                    node.record_complete_job_read(current_at, size);
                 }
                 if page.next < page.end {
                     if !advanced {
@@ -113,24 +122,7 @@
                     }
                     continue;
                 }
-                if is_config {
-                    node.lock().config_read_at = Some(started);
-                }
-                if is_jobs {
-                    // A task that needs newer state requests the next read early.
-                    let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
-                } else if is_listings {
-                    node.lock().endpoints.complete_read(started);
-                    node.listings_read_at.send_replace(Some(started));
-                    sleep(MIN_LISTINGS_INTERVAL).await;
-                    // A request that needs newer listings requests the next read early.
-                    let pause = options.poll_interval.saturating_sub(MIN_LISTINGS_INTERVAL);
-                    let _ = timeout(pause, node.listings_requested.notified()).await;
-                } else if is_hosts {
-                    pause_or_isolation(&node, options.poll_interval).await;
-                } else if !options.poll_interval.is_zero() {
-                    sleep(options.poll_interval).await;
-                }
+                pause_at_end(&node, &options, started).await;
             }
             Err(ReadError::Expired { first }) => {
                 node.metrics.count_log_call("expired");
@@ -160,6 +152,30 @@
     }
 }
 
+/// Records that a read which began at `started` has reached the end of the partition, and waits until the next one.
+async fn pause_at_end(node: &SwitchNode, options: &FollowOptions, started: Instant) {
+    let topics = &node.settings.topics;
+    let partition = &options.partition;
+    if *partition == topics.config {
+        node.lock().config_read_at = Some(started);
+    }
+    if *partition == topics.jobs {
+        // A task that needs newer state requests the next read early.
+        let _ = timeout(options.poll_interval, node.read_requested.notified()).await;
+    } else if *partition == topics.endpoints {
+        node.lock().endpoints.complete_read(started);
+        node.listings_read_at.send_replace(Some(started));
+        sleep(MIN_LISTINGS_INTERVAL).await;
+        // A request that needs newer listings requests the next read early.
+        let pause = options.poll_interval.saturating_sub(MIN_LISTINGS_INTERVAL);
+        let _ = timeout(pause, node.listings_requested.notified()).await;
+    } else if *partition == topics.hosts {
+        pause_or_isolation(node, options.poll_interval).await;
+    } else if !options.poll_interval.is_zero() {
+        sleep(options.poll_interval).await;
+    }
+}
+
 /// Waits for the interval between two reads, or for [`ISOLATED_POLL_INTERVAL`] if this host does not hear most of the others:
 /// what they would tell it is in the log only.
 async fn pause_or_isolation(node: &SwitchNode, interval: Duration) {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod gossip;
 pub mod health;
 pub mod in_flight;
+mod job_snapshot;
 pub mod jobs;
 pub mod leaving;
 pub mod ledger;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -25,6 +25,7 @@
     let now = Instant::now();
     let mut state = node.lock();
     match batch {
+        FollowBatch::JobsBegin | FollowBatch::Jobs(_) | FollowBatch::JobsEnd => {}
         FollowBatch::Unavailable => state.endpoints.mark_log_unavailable(),
         FollowBatch::Snapshot(page) => {
             state.endpoints.record_read(page.next, now);
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and histograms of a host, in the Prometheus text format.
 
-use crate::backend::{BodyFraming, LogPage};
+use crate::backend::{BodyFraming, ReadSize};
 use crate::node::SwitchNode;
 use crate::workspace::counts::CapCounts;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -426,10 +426,10 @@
         self.ledger_age.observe(age.as_secs_f64());
     }
 
-    pub(crate) fn record_job_read(&self, elapsed: Duration, page: &LogPage) {
+    pub(crate) fn record_job_read(&self, elapsed: Duration, size: ReadSize) {
         self.job_read_time.observe(elapsed.as_secs_f64());
-        self.job_records.inc_by(page.records.len() as u64);
-        self.job_bytes.inc_by(page.size() as u64);
+        self.job_records.inc_by(size.records as u64);
+        self.job_bytes.inc_by(size.bytes as u64);
     }
 
     fn set_cap_requests(&self, counts: &CapCounts) {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -1,7 +1,7 @@
 //! One host of the switch: its settings, its state and its background tasks.
 
 use crate::backend::{
-    DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPage, LogPartition,
+    DecodeError, EndpointClient, HostClient, KeyedLog, LogEntry, LogPartition, ReadSize,
 };
 use crate::batch::routeless::RoutelessJobs;
 use crate::coordinator::CoordinationState;
@@ -433,13 +433,13 @@
     }
 
     /// Records a read of the job records that reached their end. It began at `started`.
-    pub(crate) fn record_complete_job_read(&self, started: Instant, page: &LogPage) {
+    pub(crate) fn record_complete_job_read(&self, started: Instant, size: ReadSize) {
         let now = Instant::now();
         let age = self.ledger_age(now);
         if age > self.settings.settle_time {
             info!(self.deps.logger, "job records read late"; "age_ms" => millis(age),
-                "read_ms" => millis(now.duration_since(started)), "records" => page.records.len(),
-                "bytes" => page.size());
+                "read_ms" => millis(now.duration_since(started)), "records" => size.records,
+                "bytes" => size.bytes);
         }
         self.jobs_read_at.send_replace(Some(started));
     }
@@ -483,17 +483,27 @@
             poll_interval: JOB_POLL_INTERVAL,
         };
         let mut reader = RecordReader::default();
+        // Jobs of the snapshot that is being read.
+        let mut accepted: Vec<Arc<str>> = Vec::new();
         let apply = move |node: &Self, batch: FollowBatch<'_>| {
-            let is_snapshot = matches!(batch, FollowBatch::Snapshot(_));
             match batch {
                 FollowBatch::Unavailable => node.lock().deletions.interrupt(Instant::now()),
-                FollowBatch::Snapshot(_) => {
+                FollowBatch::JobsBegin => {
                     reader = RecordReader::default();
+                    accepted.clear();
                     node.lock().deletions.clear();
                 }
-                FollowBatch::Tail(_) => {}
+                FollowBatch::JobsEnd => {
+                    // The others were deleted after the last record that this host had read.
+                    accepted.sort_unstable();
+                    let is_accepted = |job: &Arc<str>| accepted.binary_search(job).is_ok();
+                    node.lock().ledger.retain(is_accepted);
+                }
+                // The part has all frames of its records, so those that are left over are never completed.
+                FollowBatch::Jobs(_) => reader = RecordReader::default(),
+                FollowBatch::Snapshot(_) | FollowBatch::Tail(_) => {}
             }
-            let mut accepted: Vec<Arc<str>> = Vec::new();
+            let is_part = matches!(batch, FollowBatch::Jobs(_));
             for entry in batch.records() {
                 if entry.record.value.is_empty() {
                     node.lock().apply_tombstone(entry, Instant::now());
@@ -502,7 +512,7 @@
                 match reader.push(entry) {
                     None => {}
                     Some(Ok(record)) => {
-                        if is_snapshot && matches!(record, JobRecord::Accepted(_)) {
+                        if is_part && matches!(record, JobRecord::Accepted(_)) {
                             accepted.push(record.job().clone());
                         }
                         node.apply_record(record, entry);
@@ -514,15 +524,12 @@
                     }
                 }
             }
-            if is_snapshot {
-                // The others were deleted after the last record that this host had read.
-                accepted.sort_unstable();
-                let mut state = node.lock();
-                state
-                    .ledger
-                    .retain(|job| accepted.binary_search(job).is_ok());
-            }
-            if !batch.records().is_empty() {
+            let is_current = match batch {
+                FollowBatch::JobsEnd => true,
+                FollowBatch::Tail(page) => !page.records.is_empty(),
+                _ => false,
+            };
+            if is_current {
                 node.schedule_requested.notify_one();
                 node.job_updates.send_modify(|count| *count += 1);
             }
--- a/crates/switch/tests/switch/expiry_costs.rs
+++ b/crates/switch/tests/switch/expiry_costs.rs
@@ -5,8 +5,9 @@
 
 use crate::support::{MemoryLog, TestFleet};
 use async_trait::async_trait;
+use bytes::Bytes;
 use fulmarswitch_switch::backend::{
-    AppendError, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition, ReadError,
+    AppendError, KeyedLog, KeyedRecord, LogEntry, LogPage, LogPartition, NewestPage, ReadError,
 };
 use fulmarswitch_switch::ledger::JobLedger;
 use fulmarswitch_switch::node::unix_time_ms;
@@ -146,6 +147,14 @@
         Ok(page)
     }
 
+    async fn read_newest_page(
+        &self,
+        partition: &LogPartition,
+        after: Option<&Bytes>,
+    ) -> Result<NewestPage, ReadError> {
+        self.log.read_newest_page(partition, after).await
+    }
+
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError> {
         self.log.read_snapshot(partition).await
     }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -19,6 +19,7 @@
 mod item_slots;
 mod job_owners;
 mod job_routes;
+mod job_snapshots;
 mod jobs;
 mod leaving;
 mod ledger_entries;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -5,7 +5,7 @@
 use fulmarswitch_switch::backend::{
     AppendError, BodyFraming, CallError, CallOptions, ConnectOutcome, DecodeError, EndpointCall,
     EndpointClient, EndpointNotice, EndpointResponse, HostClient, KeyedLog, KeyedRecord, LogEntry,
-    LogPage, LogPartition, PassOptions, ReadError,
+    LogPage, LogPartition, NewestPage, PassOptions, ReadError, ReadSize,
 };
 use fulmarswitch_switch::endpoint::ListedEndpoint;
 use fulmarswitch_switch::jobs::{JobReply, JobSubmission, ResultPage};
@@ -24,7 +24,7 @@
 use futures::{FutureExt, StreamExt, stream};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
@@ -48,6 +48,9 @@
 /// Maximum size of one append; larger ones are refused.
 const MAX_APPEND_BYTES: usize = 2 << 20;
 
+/// Maximum number of records in a page of the latest ones, unless it is set.
+const NEWEST_PAGE_RECORDS: usize = 40;
+
 /// A topic whose reads take longer.
 #[derive(Clone, Debug)]
 struct SlowTopic {
@@ -91,6 +94,10 @@
     slow_topic: Arc<Mutex<Option<SlowTopic>>>,
     /// Maximum number of records of a read over this access; zero for no limit.
     page_limit: Arc<AtomicUsize>,
+    /// Maximum size of a snapshot that is read at once over this access; zero for no limit.
+    snapshot_limit: Arc<AtomicUsize>,
+    /// Whether pages of the latest records over this access begin with the last key.
+    descending: Arc<AtomicBool>,
 }
 
 impl MemoryLog {
@@ -113,6 +120,8 @@
             cut_topic: Arc::default(),
             slow_topic: Arc::default(),
             page_limit: Arc::default(),
+            snapshot_limit: Arc::default(),
+            descending: Arc::default(),
         }
     }
 
@@ -137,6 +146,16 @@
         self.page_limit.store(records, Ordering::Relaxed);
     }
 
+    /// Makes reads of a whole snapshot with more bytes than this over this access fail.
+    pub fn limit_snapshots(&self, bytes: usize) {
+        self.snapshot_limit.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Makes pages of the latest records over this access begin with the last key, or with the first one again.
+    pub fn set_descending(&self, descending: bool) {
+        self.descending.store(descending, Ordering::Relaxed);
+    }
+
     /// Waits for as long as reads of this partition take.
     async fn read_latency(&self, partition: &LogPartition) {
         let slow_topic = self.slow_topic.lock().unwrap().clone();
@@ -191,11 +210,13 @@
 }
 
 fn latest_records(topic: &Topic) -> Vec<LogEntry> {
-    let entry = topic.records.iter().enumerate().filter(|(index, record)| {
-        let later = &topic.records[index + 1..];
-        !record.value.is_empty() && later.iter().all(|other| other.key != record.key)
-    });
-    entry
+    let records = topic.records.iter().enumerate();
+    let latest: HashMap<&Bytes, usize> = records
+        .clone()
+        .map(|(index, record)| (&record.key, index))
+        .collect();
+    records
+        .filter(|(index, record)| !record.value.is_empty() && latest[&record.key] == *index)
         .map(|(index, record)| LogEntry {
             offset: index as u64,
             record: record.clone(),
@@ -300,6 +321,37 @@
         })
     }
 
+    async fn read_newest_page(
+        &self,
+        partition: &LogPartition,
+        after: Option<&Bytes>,
+    ) -> Result<NewestPage, ReadError> {
+        self.read_latency(partition).await;
+        if self.is_cut_topic(partition) {
+            return Err(unavailable());
+        }
+        let mut state = self.reach().ok_or_else(unavailable)?;
+        let topic = state.topic(&partition.topic);
+        let mut records = latest_records(topic);
+        records.sort_by(|a, b| a.record.key.cmp(&b.record.key));
+        records.retain(|entry| after.is_none_or(|after| entry.record.key > *after));
+        let limit = match self.page_limit.load(Ordering::Relaxed) {
+            0 => NEWEST_PAGE_RECORDS,
+            limit => limit,
+        };
+        let is_last = records.len() <= limit;
+        records.truncate(limit);
+        let last_key = records.last().map(|entry| entry.record.key.clone());
+        if self.descending.load(Ordering::Relaxed) {
+            records.reverse();
+        }
+        Ok(NewestPage {
+            records,
+            end: topic.records.len() as u64,
+            next_after: last_key.filter(|_| !is_last),
+        })
+    }
+
     async fn read_snapshot(&self, partition: &LogPartition) -> Result<LogPage, ReadError> {
         self.read_latency(partition).await;
         if self.is_cut_topic(partition) {
@@ -308,10 +360,15 @@
         let mut state = self.reach().ok_or_else(unavailable)?;
         let topic = state.topic(&partition.topic);
         let end = topic.records.len() as u64;
+        let records = latest_records(topic);
+        let limit = self.snapshot_limit.load(Ordering::Relaxed);
+        if limit > 0 && ReadSize::of(&records).bytes > limit {
+            return Err(unavailable());
+        }
         Ok(LogPage {
             next: end,
             end,
-            records: latest_records(topic),
+            records,
         })
     }
 
