Items: an endpoint with few slots has one for items

Cause: without coordinators (fleets of up to 21 hosts) batch items leave one slot of a preferred endpoint free and three of any other one. An endpoint with a single slot had none left, so the items of its service never ran.

Change: items leave free at most all slots but one, as at the coordinators.

Evidence: items_run_at_an_endpoint_with_few_slots with one slot: no item of 20 ran within 20 s, with one host and with nine; with two and three slots it passed before.

--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -79,20 +79,22 @@
         (excess.min(batch) * own).div_ceil(batch).min(own)
     }
 
-    /// Slots that batch items leave free at an endpoint.
-    fn reserved_slots(&self, id: &str) -> u32 {
-        if self.is_preferred(id) {
+    /// Slots that batch items leave free at an endpoint: never all of them, or the items of a service whose endpoints have few
+    /// slots would not run.
+    fn reserved_slots(&self, endpoint: &ListedEndpoint) -> u32 {
+        let reserved = if self.is_preferred(&endpoint.id) {
             PREFERRED_RESERVED_SLOTS
         } else {
             NON_PREFERRED_RESERVED_SLOTS
-        }
+        };
+        reserved.min(endpoint.slots.saturating_sub(1))
     }
 
     fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
         if self.is_overdue(&endpoint.id) {
             return 0;
         }
-        let used = self.total(&endpoint.id).total() + self.reserved_slots(&endpoint.id);
+        let used = self.total(&endpoint.id).total() + self.reserved_slots(endpoint);
         endpoint.slots.saturating_sub(used)
     }
 
--- a/crates/switch/tests/switch/item_slots.rs
+++ b/crates/switch/tests/switch/item_slots.rs
@@ -10,6 +10,7 @@
 use fulmarswitch_switch::coordinator::scope::ItemScope;
 use fulmarswitch_switch::coordinator::waiting::{ItemPlace, ItemUrgency, WaitingItems};
 use fulmarswitch_switch::endpoint::ListedEndpoint;
+use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::load::{LoadView, RequestClass};
 use fulmarswitch_switch::node::SwitchNode;
 use fulmarswitch_switch::report::EndpointKey;
@@ -637,3 +638,21 @@
         .await;
     wait_until("all items", async || count_run(&fleet, "j") == 66).await;
 }
+
+/// Guards against a service whose items never run at some hosts of a fleet without coordinators, since they leave as many slots of an
+/// endpoint free as it has.
+#[rstest]
+#[tokio::test]
+async fn items_run_at_an_endpoint_with_few_slots(
+    #[values(1, 2, 3)] slots: u32,
+    #[values(1, 9)] hosts: usize,
+) {
+    let fleet = fleet_of(&[(8, "audits", "d0")]);
+    let listing = format!("ready 1 0 reports d0 {slots}");
+    fleet.log.put("endpoints", "few", &listing);
+    let names: Vec<String> = (0..hosts).map(|index| format!("h{index}")).collect();
+    let started = join_all(names.iter().map(|name| fleet.start(name))).await;
+    let job = submission_on("/reports/", "j", 20);
+    assert_eq!(started[0].submit_job(job).await, SubmitReply::Done);
+    wait_until("all items", async || count_run(&fleet, "j") == 20).await;
+}
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -1169,6 +1169,7 @@
         let started_ms = parts.next().and_then(|start| start.parse().ok());
         let service = parts.next().unwrap_or("service");
         let domain = parts.next().unwrap_or("domain");
+        let slots = parts.next().and_then(|slots| slots.parse().ok());
         let draining = match state {
             "ready" => false,
             "draining" => true,
@@ -1179,7 +1180,7 @@
             started_ms: started_ms.unwrap_or(0),
             service: service.into(),
             domain: domain.into(),
-            ..listed(id, 4, draining)
+            ..listed(id, slots.unwrap_or(4), draining)
         })
     }
 }
