--- a/crates/switch/tests/switch/item_slots.rs
+++ b/crates/switch/tests/switch/item_slots.rs
@@ -525,10 +525,6 @@
 #[tokio::test(start_paused = true)]
 async fn room_of_another_service_is_none() {
     let now = Instant::now();
-    let named = |domain: &str| GroupId {
-        domain: domain.into(),
-        ..group()
-    };
     let room = |domain: &str, services: &[(&str, u16)]| {
         let rooms = services.iter().map(|(service, free)| ServiceRoom {
             service: ServiceKey::of(service),
@@ -561,6 +557,58 @@
     assert_eq!(take("reports"), None, "both slots were named");
 }
 
+fn named(domain: &str) -> GroupId {
+    GroupId {
+        domain: domain.into(),
+        buckets: 1,
+        bucket: 0,
+    }
+}
+
+/// Guards against a host that asks only groups near it, whose coordinators know of no room elsewhere, while another group has some.
+#[tokio::test(start_paused = true)]
+async fn each_group_is_asked_in_turn_while_there_is_no_room() {
+    let usable = ["near", "far-a", "far-b"].map(named);
+    let mut usable = usable.to_vec();
+    usable.sort_unstable();
+    let [scope, other] = ["audits", "reports"].map(|service| ItemScope {
+        service: service.into(),
+        version: None,
+    });
+    let (mut asks, mut rng) = (AskTable::default(), SmallRng::seed_from_u64(1));
+    let mut asked: Vec<GroupId> = Vec::new();
+    let start = Instant::now();
+    for round in 0..27 {
+        let now = start + ROUND * round;
+        let group = asks.take_route(&scope).choose("near", &usable, &mut rng);
+        asked.extend(group);
+        asks.deny(&scope, ROUND, now);
+        // Another scope has room now and then; its grants do not concern this one.
+        let number = asks.begin_item(
+            &ItemName {
+                job: "j".into(),
+                item: round,
+            },
+            other.clone(),
+            "c".into(),
+            now,
+        );
+        let endpoint = EndpointKey::of("e");
+        let has_free_slot = true;
+        let granted = SlotOutcome::Granted {
+            endpoint,
+            has_free_slot,
+        };
+        asks.record_answer(number, granted, now);
+        asks.resolve_granted();
+    }
+    for group in &usable {
+        assert!(asked.contains(group), "{group:?} was not asked: {asked:?}");
+    }
+    let near = asked.iter().filter(|group| **group == named("near"));
+    assert!(near.count() >= 24, "{asked:?}");
+}
+
 /// A fleet that is large enough for coordinators, of hosts in two domains.
 async fn start_hosts(fleet: &TestFleet) -> Vec<Arc<SwitchNode>> {
     let fleets = [fleet.in_domain("d0"), fleet.in_domain("d1")];
