Tests: items of a version that has few slots left, beside idle ones of another version

An item with output runs only at endpoints of the version that wrote it, as long as one is listed. After a release that leaves one endpoint of that version, all items that had begun there wait for its slots.

--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -41,4 +41,5 @@
 mod speeds;
 mod support;
 mod version_history;
+mod version_room;
 mod versions;
