Items: a version without free slots holds an item back no longer than its output takes to make again

Cause: an item with output ran only at endpoints of the version that wrote it, as long as any was listed, however full. After a release, items that pulses of requests had cut before it queue for what is left of the old version.

Change: a host counts for how long an item was held back by its version alone: no endpoint of the version has a slot for items, while another one of the route has. Once that is as long as the output takes to make again (at least 1 s), the item begins anew at any version. Waiting longer than that costs more than it saves; waiting less would throw away output for the pauses in which items give way. The same target is asked for at coordinators. Whether output is discarded is decided by the endpoint that the item gets, so that it is kept if one of its own version is free by then.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod routeless;
 mod run;
 mod shares;
+mod version_rooms;
 
 pub(crate) use outcomes::hand_over;
 
@@ -33,16 +34,20 @@
 use rand::Rng;
 use run::ItemRun;
 use shares::{had_lately, item_claim};
-use slog::info;
+use slog::{debug, info};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
+use version_rooms::VersionRooms;
 
 /// Maximum time between two scheduling passes.
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time for which an item whose prompt crashes endpoints is held back before it is looked at again.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
+/// Time for which an item waits for the software version of its output at least, also while no item has been measured: items give way to
+/// online requests for shorter times.
+const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
@@ -104,6 +109,7 @@
     }
     state.unrecorded.retain(is_open);
     state.progress.retain(|(name, _)| is_open(name));
+    state.version_holds.retain(is_open);
 }
 
 /// Preempts items at endpoints that have more requests than slots, those with the least output first. In a large fleet, coordinators say
@@ -183,6 +189,8 @@
     let mut runnable = runnable_items(node, state, &routes, now, updates);
     sort_items(&mut runnable);
     let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
+    state.version_holds.begin_pass(now);
+    let mut rooms = VersionRooms::default();
     let mut quotas: Vec<(Arc<str>, u32)> = Vec::new();
     for item in runnable {
         let Some((call, route)) = build_call(state, &routes, &item.name) else {
@@ -190,7 +198,7 @@
             give_up(node, state, item.name, cause, updates);
             continue;
         };
-        let Some(target) = pick_target(state, &item.name, &route, now) else {
+        let Some(target) = pick_target(node, state, &item.name, &route, &mut rooms, now) else {
             continue;
         };
         let service = target.service;
@@ -198,7 +206,7 @@
             let Some(endpoint) = coordinated_endpoint(node, state, &item, &target, now) else {
                 continue;
             };
-            let begun = begin_item(node, state, &item, &endpoint, call, target.starts_again);
+            let begun = begin_item(node, state, &item, &endpoint, call);
             launches.extend(begun);
             continue;
         }
@@ -225,7 +233,7 @@
         let Some(endpoint) = picked else {
             continue;
         };
-        let begun = begin_item(node, state, &item, &endpoint, call, target.starts_again);
+        let begun = begin_item(node, state, &item, &endpoint, call);
         if let Some(launch) = begun {
             launches.push(launch);
             quotas[index].1 -= 1;
@@ -296,7 +304,6 @@
     item: &RunnableItem,
     endpoint: &Arc<ListedEndpoint>,
     call: EndpointCall,
-    starts_again: bool,
 ) -> Option<ItemLaunch> {
     let now = Instant::now();
     let name = item.name.clone();
@@ -309,7 +316,12 @@
         state.histories.hold_back(&name, until);
         return None;
     }
+    state.version_holds.remove(&name);
+    let output_version = output_version(state, &name);
+    let starts_again = output_version.is_some_and(|version| version != endpoint.version_key());
     let segments = if starts_again {
+        info!(node.deps.logger, "output discarded"; "job" => &*name.job, "item" => name.item,
+            "cause" => "no endpoint of the version that wrote it has a free slot");
         state.remove_progress(&name);
         Vec::new()
     } else {
@@ -327,38 +339,57 @@
 /// Where an item may run.
 struct ItemTarget<'a> {
     service: &'a Arc<str>,
-    /// Software version that has written the item's output so far; `None` if it starts from the beginning.
+    /// Software version that has written the item's output so far; `None` for any.
     version: Option<VersionKey>,
-    /// Whether the output so far is discarded, since no endpoint has the version that wrote it.
-    starts_again: bool,
 }
 
-/// Selects where an item runs: at the software version that has written its output so far, if any endpoint has it.
+/// Selects where an item runs: at the software version that has written its output so far, if any endpoint has it. An item that was held
+/// back by that alone for as long as its output takes to make again may begin anew at any version.
 fn pick_target<'a>(
+    node: &SwitchNode,
     state: &mut SwitchState,
     name: &ItemName,
     route: &'a ServiceRoute,
+    rooms: &mut VersionRooms,
     now: Instant,
 ) -> Option<ItemTarget<'a>> {
     let version = output_version(state, name);
-    let table = &state.endpoints;
     let found = version.and_then(|version| {
-        let service = table.service_with_version(route.services(), version, now)?;
-        Some(ItemTarget {
+        let service = state
+            .endpoints
+            .service_with_version(route.services(), version, now)?;
+        Some((service, version))
+    });
+    if let Some((service, version)) = found
+        && !(rooms.is_held_back(state, route, version, now) && may_begin_anew(node, state, name))
+    {
+        return Some(ItemTarget {
             service,
             version: Some(version),
-            starts_again: false,
-        })
-    });
-    found.or_else(|| {
-        Some(ItemTarget {
-            service: route.pick_service(state.rng.random::<f64>())?,
-            version: None,
-            starts_again: version.is_some(),
-        })
+        });
+    }
+    Some(ItemTarget {
+        service: route.pick_service(state.rng.random::<f64>())?,
+        version: None,
     })
 }
 
+/// Whether an item that its version alone holds back has waited for as long as its output takes to make again.
+fn may_begin_anew(node: &SwitchNode, state: &mut SwitchState, name: &ItemName) -> bool {
+    let held = state.version_holds.record(name);
+    let job = state.ledger.get(&name.job);
+    let events = job.map_or(0, |job| {
+        events_so_far(state, name, &job.items[name.item as usize])
+    });
+    let redo_time = state.item_times.redo_time(events);
+    let may_begin = held >= redo_time.max(MIN_HOLD_TIME);
+    if may_begin {
+        debug!(node.deps.logger, "item may begin anew"; "job" => &*name.job, "item" => name.item,
+            "events" => events, "held_ms" => millis(held));
+    }
+    may_begin
+}
+
 /// Software version that has written the output of an item so far, which this host has or which is in the log.
 fn output_version(state: &SwitchState, name: &ItemName) -> Option<VersionKey> {
     let local = state.progress.iter().find(|(known, _)| known == name);
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`starts`], [`load`], [`coordinator`], [`wait`], [`affinity`],
-//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
@@ -61,6 +61,7 @@
 pub mod stop;
 pub mod trial;
 mod trial_exchange;
+pub mod version_holds;
 pub mod versions;
 pub mod wait;
 pub mod workspace;
--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -25,13 +25,7 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Arc<ListedEndpoint>> {
-        table
-            .serving(filter, now)
-            .filter(|endpoint| is_admitted(&endpoint.id))
-            .filter(|endpoint| !self.is_avoided(&endpoint.id, now))
-            .filter(|endpoint| !self.is_full(&endpoint.id, now))
-            .filter(|endpoint| !self.recently_preempted(&endpoint.id, now))
-            .filter(|endpoint| self.free_batch_slots(endpoint) > 0)
+        self.usable_for_items(table, filter, is_admitted, now)
             .map(|endpoint| {
                 let total = f64::from(self.total(&endpoint.id).total());
                 let affinity = self.affinity_cost(&endpoint.id);
@@ -41,6 +35,35 @@
             .map(|(_, endpoint)| endpoint.clone())
     }
 
+    /// Whether any endpoint qualifies for a batch item, as in [`LoadView::pick_batch`].
+    pub fn has_batch_slot<'a>(
+        &self,
+        table: &'a EndpointTable,
+        filter: impl Into<EndpointFilter<'a>>,
+        is_admitted: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> bool {
+        self.usable_for_items(table, filter, is_admitted, now)
+            .next()
+            .is_some()
+    }
+
+    fn usable_for_items<'a>(
+        &self,
+        table: &'a EndpointTable,
+        filter: impl Into<EndpointFilter<'a>>,
+        is_admitted: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<ListedEndpoint>> {
+        table
+            .serving(filter, now)
+            .filter(move |endpoint| is_admitted(&endpoint.id))
+            .filter(move |endpoint| !self.is_avoided(&endpoint.id, now))
+            .filter(move |endpoint| !self.is_full(&endpoint.id, now))
+            .filter(move |endpoint| !self.recently_preempted(&endpoint.id, now))
+            .filter(|endpoint| self.free_batch_slots(endpoint) > 0)
+    }
+
     /// Counts the free slots of a service that batch items may use.
     #[must_use]
     pub fn free_slots(&self, table: &EndpointTable, service: &str, now: Instant) -> FreeSlots {
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -25,6 +25,7 @@
 use crate::route::RouteTable;
 use crate::schedule::{ItemHistories, ItemKey, ItemName, ItemTimes};
 use crate::stop::{AnswerTimes, RunDelay, StopPlan};
+use crate::version_holds::VersionHolds;
 use crate::versions::VersionState;
 use crate::workspace::{bucket::CapBounds, exchange::CapState};
 use crate::{batch, crash_exchange, crash_log, expiry, listings, versions};
@@ -152,6 +153,7 @@
     pub(crate) config_read_at: Option<Instant>,
     pub(crate) histories: ItemHistories,
     pub(crate) item_times: ItemTimes,
+    pub(crate) version_holds: VersionHolds,
     pub(crate) running: Vec<RunningItem>,
     /// Output so far of started items, whether they run or wait to be continued.
     pub(crate) progress: Vec<(ItemName, SharedProgress)>,
@@ -270,6 +272,7 @@
             config_read_at: None,
             histories: ItemHistories::default(),
             item_times: ItemTimes::default(),
+            version_holds: VersionHolds::default(),
             running: Vec::new(),
             progress: Vec::new(),
             unrecorded: Vec::new(),
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -188,6 +188,20 @@
         self.interval += (interval - self.interval) * weight;
     }
 
+    /// Expected time to make the first `events` events of an item's output again; zero if nothing has been measured.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::schedule::ItemTimes;
+    /// use std::time::Duration;
+    /// let mut times = ItemTimes::default();
+    /// times.record(200, 100, Duration::from_secs(2));
+    /// assert_eq!(times.redo_time(50), Duration::from_secs(1));
+    /// ```
+    #[must_use]
+    pub fn redo_time(&self, events: u64) -> Duration {
+        Duration::from_secs_f64(count(events) * self.interval)
+    }
+
     /// Expected run time of an item that has `events` events of its output; zero if nothing has been measured.
     ///
     /// ```
--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Number of items, as many as the endpoints of the first version run at a time.
+/// Number of items, fewer than the endpoints of the first version run at a time.
 const ITEMS: u32 = 9;
 
-/// A fleet of which most endpoints are replaced by those of another version, while items are under way that are far from their end. The
-/// endpoint that is left of the first version has one slot. Returns when the endpoints were replaced.
-async fn released_fleet(fleet: &TestFleet) -> (Arc<SwitchNode>, Instant) {
+/// A fleet of which most endpoints are replaced by those of another version, while `items` items of `events` events are under way that are
+/// all at their 20th event. The endpoint that is left of the first version has one slot. Returns when the endpoints were replaced.
+async fn released_fleet(fleet: &TestFleet, items: u32, events: u64) -> (Arc<SwitchNode>, Instant) {
     fleet
         .log
         .put("endpoints", "v1-a", "ready v1 1 service domain 1");
@@ -20,20 +20,19 @@
         .log
         .put("endpoints", "v1-b", "ready v1 1 service domain 9");
     let node = fleet.start("a").await;
-    // Each item is at its 20th event when its endpoint leaves, and stalls.
     let stall = Pause {
         after: 20,
         silence: Duration::from_mins(1),
-        events: 100,
+        events,
     };
     fleet.client.set_default(stall);
-    node.submit_job(submission("j", ITEMS)).await;
+    node.submit_job(submission("j", items)).await;
     wait_until("runs of all items", async || {
-        fleet.client.running() == i64::from(ITEMS)
+        fleet.client.running() == i64::from(items)
     })
     .await;
     sleep(Duration::from_secs(1)).await;
-    fleet.client.set_default(Stream { events: 100 });
+    fleet.client.set_default(Stream { events });
     fleet.log.put("endpoints", "v1-b", "");
     fleet
         .log
@@ -49,7 +48,7 @@
 #[tokio::test(start_paused = true)]
 async fn items_begin_anew_where_slots_are_idle() {
     let fleet = TestFleet::new(0);
-    let (node, released_at) = released_fleet(&fleet).await;
+    let (node, released_at) = released_fleet(&fleet, ITEMS, 100).await;
     wait_until("the results of all items", async || {
         done(&node).await == ITEMS as usize
     })
@@ -61,3 +60,16 @@
     let texts = page.results.iter().map(|result| result.text.clone());
     assert!(texts.into_iter().all(|text| text == Some(full_text(100))));
 }
+
+/// Guards against output that is thrown away although its version has a slot a moment later.
+#[tokio::test(start_paused = true)]
+async fn output_is_kept_for_a_short_wait() {
+    let fleet = TestFleet::new(0);
+    // The first item frees the slot 0.3 s after it has begun to go on.
+    let (node, _) = released_fleet(&fleet, 2, 35).await;
+    wait_until("the results of both items", async || done(&node).await == 2).await;
+    let calls = fleet.client.calls();
+    let resumed = calls.iter().filter(|call| call.resume_after.is_some());
+    assert_eq!(resumed.count(), 2, "{calls:?}");
+    assert!(calls.iter().all(|call| &*call.endpoint != "v2-a"));
+}
