--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -3,6 +3,7 @@
 use crate::support::CallScript::{Pause, Stream};
 use crate::support::{TestFleet, full_text, results, submission, wait_until};
 use fulmarswitch_switch::node::SwitchNode;
+use futures::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -10,16 +11,17 @@
 /// Number of items, fewer than the endpoints of the first version run at a time.
 const ITEMS: u32 = 9;
 
-/// A fleet of which most endpoints are replaced by those of another version, while `items` items of `events` events are under way that are
-/// all at their 20th event. The endpoint that is left of the first version has one slot. Returns when the endpoints were replaced.
-async fn released_fleet(fleet: &TestFleet, items: u32, events: u64) -> (Arc<SwitchNode>, Instant) {
-    fleet
-        .log
-        .put("endpoints", "v1-a", "ready v1 1 service domain 1");
-    fleet
-        .log
-        .put("endpoints", "v1-b", "ready v1 1 service domain 9");
-    let node = fleet.start("a").await;
+/// Lists the endpoints of the first version.
+fn list_endpoints(fleet: &TestFleet) {
+    for (id, slots) in [("v1-a", 1), ("v1-b", 9), ("v1-c", 30)] {
+        let listing = format!("ready v1 1 service domain {slots}");
+        fleet.log.put("endpoints", id, &listing);
+    }
+}
+
+/// Replaces most endpoints by those of another version, while `items` items of `events` events are all at their 20th event. One endpoint
+/// with one slot is left of the first version.
+async fn release(fleet: &TestFleet, node: &SwitchNode, items: u32, events: u64) {
     let stall = Pause {
         after: 20,
         silence: Duration::from_mins(1),
@@ -33,11 +35,18 @@
     .await;
     sleep(Duration::from_secs(1)).await;
     fleet.client.set_default(Stream { events });
-    fleet.log.put("endpoints", "v1-b", "");
-    fleet
-        .log
-        .put("endpoints", "v2-a", "ready v2 1 service domain 20");
-    (node, Instant::now())
+    for (id, listing) in [
+        ("v1-b", ""),
+        ("v1-c", ""),
+        ("v2-a", "ready v2 1 service domain 40"),
+    ] {
+        fleet.log.put("endpoints", id, listing);
+    }
+}
+
+async fn start(fleet: &TestFleet) -> Arc<SwitchNode> {
+    list_endpoints(fleet);
+    fleet.start("a").await
 }
 
 async fn done(node: &SwitchNode) -> usize {
@@ -48,7 +57,9 @@
 #[tokio::test(start_paused = true)]
 async fn items_begin_anew_where_slots_are_idle() {
     let fleet = TestFleet::new(0);
-    let (node, released_at) = released_fleet(&fleet, ITEMS, 100).await;
+    let node = start(&fleet).await;
+    release(&fleet, &node, ITEMS, 100).await;
+    let released_at = Instant::now();
     wait_until("the results of all items", async || {
         done(&node).await == ITEMS as usize
     })
@@ -66,10 +77,38 @@
 async fn output_is_kept_for_a_short_wait() {
     let fleet = TestFleet::new(0);
     // The first item frees the slot 0.3 s after it has begun to go on.
-    let (node, _) = released_fleet(&fleet, 2, 35).await;
+    let node = start(&fleet).await;
+    release(&fleet, &node, 2, 35).await;
     wait_until("the results of both items", async || done(&node).await == 2).await;
     let calls = fleet.client.calls();
     let resumed = calls.iter().filter(|call| call.resume_after.is_some());
     assert_eq!(resumed.count(), 2, "{calls:?}");
     assert!(calls.iter().all(|call| &*call.endpoint != "v2-a"));
 }
+
+/// Guards against the same in a fleet that is large enough for coordinators.
+#[tokio::test]
+async fn items_begin_anew_in_a_large_fleet() {
+    let fleet = TestFleet::new(0);
+    list_endpoints(&fleet);
+    let names: Vec<String> = (0..22).map(|index| format!("h{index:02}")).collect();
+    let hosts = join_all(names.iter().map(|name| fleet.start(name))).await;
+    wait_until("all hosts", async || {
+        let heard = |host: &Arc<SwitchNode>| host.caller_addresses(64).len() == hosts.len();
+        hosts.iter().all(heard)
+    })
+    .await;
+    sleep(Duration::from_millis(300)).await;
+    let items = 22;
+    release(&fleet, &hosts[0], items, 100).await;
+    let first = fleet.client.calls().len();
+    // An item takes 1.6 s to its end, so that one slot would take 35 s for all.
+    wait_until("further runs of all items", async || {
+        let calls = fleet.client.calls().split_off(first);
+        let mut ids: Vec<Arc<str>> = calls.into_iter().map(|call| call.id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids.len() == items as usize
+    })
+    .await;
+}
