Items: a host that starts none gives up its claims

What callers saw: items of a job that stay open though slots are free, for as long as one host can't follow the job records while others can.

Cause: a host without the log starts no items if others have it (`runnable_items`), but its claims stood: items whose runs had ended with output there, and items that had completed there, whose outcomes it could not append. The others leave claimed items out (`claimed_by_others`), so nobody ran them. Reads that take over 1.5 s had the same effect for good, as such a host never has the log by `has_log`.

Change: a host that has not followed the job records while others do keeps such an item for 4 s (two checkpoints), and then drops its output, or no longer claims it if its outcome waits. The others go on after the last checkpoint in the log. Runs in progress there go on. Its outcomes are still appended; the first one in the log counts. If no host follows the records, nothing changes.

The same cause elsewhere, by reading: a host that hands over or is cut off from the endpoints drops its output at the end of the handover; its unrecorded outcomes are now released too if it has no log. A host that reads but cannot append is not covered.

Evidence: claims.rs, four tests fail before ("timed out after 20s waiting for the results of all items": cut log, unreadable and slow job records, outcomes) and pass now; the fifth (a short loss moves no item) passes on both.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduler for batch items: runs them in the capacity that online requests leave, and preempts them for online
 //! requests.
 
+mod idle;
 mod limited;
 mod outcomes;
 pub(crate) mod routeless;
@@ -89,6 +90,7 @@
     }
     node.coordinate(state);
     preempt_items(node, state);
+    idle::release_items(node, state, Instant::now());
     if state.stopping || !state.reach.starts_items() {
         return Vec::new();
     }
@@ -427,7 +429,7 @@
     if !own_has_log && state.members.others_have_log(now) {
         return runnable;
     }
-    let mut own_claims = state.own_claims(usize::MAX);
+    let mut own_claims = state.own_claims(usize::MAX, now);
     own_claims.sort_unstable();
     let mut busy: Vec<ItemKey> = state.busy_items().map(ItemName::key).collect();
     busy.sort_unstable();
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -220,7 +220,7 @@
             ready: state.routes.is_some() && !state.stopping && !state.reach.is_cut_off(),
             has_log: node.has_log(now),
             load: state.load.own_report(now, node.heard_at()),
-            claims: state.own_claims(MAX_CLAIMS),
+            claims: state.own_claims(MAX_CLAIMS, now),
             failing: state.load.failing_endpoints(MAX_FAILING, now),
             listings: listing_report(&state, now),
             introduced,
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -11,6 +11,7 @@
 use crate::expiry::DeletionQueue;
 use crate::follow::{FollowBatch, FollowOptions, follow};
 use crate::gossip;
+use crate::idle_items::IdleItems;
 use crate::jobs::TextCache;
 use crate::ledger::{JobLedger, LedgerChange};
 use crate::limits::LimitTable;
@@ -154,6 +155,7 @@
     pub(crate) histories: ItemHistories,
     pub(crate) item_times: ItemTimes,
     pub(crate) version_holds: VersionHolds,
+    pub(crate) idle_items: IdleItems,
     pub(crate) running: Vec<RunningItem>,
     /// Output so far of started items, whether they run or wait to be continued.
     pub(crate) progress: Vec<(ItemName, SharedProgress)>,
@@ -171,10 +173,13 @@
 }
 
 impl SwitchState {
-    /// Items that this host claims: they run or have output here, or their outcome is not recorded in the log yet.
-    pub(crate) fn own_claims(&self, max: usize) -> Vec<ItemKey> {
+    /// Items that this host claims: they run or have output here, or their outcome is not recorded in the log yet and they are not left to
+    /// other hosts.
+    pub(crate) fn own_claims(&self, max: usize, now: Instant) -> Vec<ItemKey> {
         let in_progress = self.progress.iter().map(|(name, _)| name);
-        let names = in_progress.chain(&self.unrecorded);
+        let unrecorded = self.unrecorded.iter();
+        let unrecorded = unrecorded.filter(|name| !self.idle_items.is_released(name, now));
+        let names = in_progress.chain(unrecorded);
         names.take(max).map(ItemName::key).collect()
     }
 
@@ -273,6 +278,7 @@
             histories: ItemHistories::default(),
             item_times: ItemTimes::default(),
             version_holds: VersionHolds::default(),
+            idle_items: IdleItems::default(),
             running: Vec::new(),
             progress: Vec::new(),
             unrecorded: Vec::new(),
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -4,6 +4,7 @@
 mod byte_budget;
 mod cap_costs;
 mod caps;
+mod claims;
 mod coordinator;
 mod crash_model;
 mod crashing_fleet;
