Items: hosts count, log and explain why open items do not run

Change: the scheduling pass gives each open item an `ItemStatus` and counts them; `fulmarswitch_open_items` by status and `fulmarswitch_longest_item_wait_ms` show the counts, and a line `open items`, at most each 5 s, has them with a few items by ID and the endpoints' slots. `explain_item` places an item with the functions of the pass. Lines about an item have the ID of its request. Which items start where is unchanged: the pass is cut into `batch/items.rs` and `StartPass` without new conditions.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -1,6 +1,8 @@
 //! Scheduler for batch items: runs them in the capacity that online requests leave, and preempts them for online
 //! requests.
 
+pub mod explain;
+mod items;
 mod limited;
 mod outcomes;
 pub(crate) mod routeless;
@@ -16,24 +18,22 @@
 use crate::coordinator::{SlotRequest, slot_candidates};
 use crate::endpoint::{EndpointFilter, ListedEndpoint};
 use crate::in_flight::InFlightGuard;
-use crate::jobs::MAX_CLOCK_SKEW;
-use crate::ledger::{ItemState, LedgerItem, LedgerJob};
+use crate::item_status::ItemStatus;
 use crate::load::RequestClass;
-use crate::node::{RunningItem, SwitchNode, SwitchState, millis, unix_time_ms};
+use crate::node::{RunningItem, SwitchNode, SwitchState, millis};
 use crate::origins::VersionKey;
 use crate::progress::{ProgressSegment, SegmentChain};
 use crate::prompt::PromptParts;
 use crate::quarantine::Admission;
 use crate::report::EndpointKey;
 use crate::route::{RouteTable, ServiceRoute};
-use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
+use crate::schedule::{ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use limited::RouteSharers;
-use outcomes::{ItemUpdate, UpdateKind, record_updates, run_checkpoints, send_update};
+use items::{OpenItems, events_so_far, give_up, runnable_items};
+use outcomes::{ItemUpdate, record_updates, run_checkpoints};
 use rand::Rng;
 use run::ItemRun;
-use shares::{had_lately, item_claim};
 use slog::{debug, info};
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,6 +78,7 @@
 ) -> Vec<ItemLaunch> {
     let mut state = node.lock();
     let state = &mut *state;
+    let now = Instant::now();
     cancel_closed_items(state);
     if state.load.update_overdue(node.heard_at()) {
         // Other hosts may run batch items at the endpoint.
@@ -89,10 +90,15 @@
     }
     node.coordinate(state);
     preempt_items(node, state);
-    if state.stopping || !state.reach.starts_items() {
-        return Vec::new();
-    }
-    start_items(node, state, updates)
+    let launches = match items::start_obstacle(state) {
+        Some(status) => {
+            items::record_blocked(state, status);
+            Vec::new()
+        }
+        None => start_items(node, state, updates),
+    };
+    explain::log_open_items(node, state, now);
+    launches
 }
 
 /// Cancels the runs of items that are no longer open.
@@ -110,6 +116,7 @@
     state.unrecorded.retain(is_open);
     state.progress.retain(|(name, _)| is_open(name));
     state.version_holds.retain(is_open);
+    state.item_waits.retain(is_open);
 }
 
 /// Preempts items at endpoints that have more requests than slots, those with the least output first. In a large fleet, coordinators say
@@ -168,7 +175,8 @@
     let count = excess.saturating_sub(cancelled.len());
     for running in runs.into_iter().take(count) {
         info!(node.deps.logger, "item gives way"; "job" => &*running.name.job,
-            "item" => running.name.item, "endpoint" => &**id, "excess" => excess);
+            "item" => running.name.item, "id" => items::request_id(&state.ledger, &running.name),
+            "endpoint" => &**id, "excess" => excess);
         if let Some(cancel) = running.cancel.take() {
             let _ = cancel.send(());
         }
@@ -183,65 +191,141 @@
 ) -> Vec<ItemLaunch> {
     let mut launches = Vec::new();
     let Some(routes) = state.routes.clone() else {
+        items::record_blocked(state, ItemStatus::NoConfiguration);
         return launches;
     };
     let now = Instant::now();
-    let mut runnable = runnable_items(node, state, &routes, now, updates);
-    sort_items(&mut runnable);
-    let hosts = u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX);
+    let obstacle = items::log_obstacle(node, state, now);
+    let mut open = match obstacle {
+        Some(_) => OpenItems::default(),
+        None => runnable_items(node, state, &routes, now, updates),
+    };
+    sort_items(&mut open.runnable);
     state.version_holds.begin_pass(now);
-    let mut rooms = VersionRooms::default();
-    let mut quotas: Vec<(Arc<str>, u32)> = Vec::new();
-    for item in runnable {
-        let Some((call, route)) = build_call(state, &routes, &item.name) else {
-            let cause = "its path or its ID cannot be sent";
-            give_up(node, state, item.name, cause, updates);
-            continue;
+    let mut pass = StartPass {
+        node,
+        routes: &routes,
+        now,
+        hosts: u32::try_from(state.members.live(now).count() + 1).unwrap_or(u32::MAX),
+        rooms: VersionRooms::default(),
+        quotas: Vec::new(),
+    };
+    for item in open.runnable {
+        match pass.start(state, &item) {
+            Ok(launch) => launches.push(launch),
+            Err(Hindrance::Unsendable) => {
+                let cause = "its path or its ID cannot be sent";
+                give_up(node, state, item.name, cause, updates);
+            }
+            Err(Hindrance::Waits(status)) => open.waiting.push((item.name, status)),
+        }
+    }
+    if let Some(status) = obstacle {
+        items::record_blocked(state, status);
+    } else {
+        let counts = items::add_busy(state, open.counts);
+        state.item_waits.record_pass(open.waiting, counts, now);
+    }
+    state.coordination.asks.resolve_granted();
+    state.resolve_own_grants(&node.settings.descriptor.name);
+    launches
+}
+
+/// Why an item does not start.
+enum Hindrance {
+    /// No request can be made of it.
+    Unsendable,
+    /// It waits.
+    Waits(ItemStatus),
+}
+
+/// What the starts of one scheduling pass share.
+struct StartPass<'a> {
+    node: &'a Arc<SwitchNode>,
+    routes: &'a RouteTable,
+    now: Instant,
+    /// Number of live hosts.
+    hosts: u32,
+    rooms: VersionRooms,
+    quotas: Vec<ServiceQuota>,
+}
+
+/// How many more items of a service may start in a pass.
+struct ServiceQuota {
+    service: Arc<str>,
+    left: u32,
+    /// Whether any could start at the beginning of the pass.
+    had_any: bool,
+}
+
+impl StartPass<'_> {
+    /// Starts an item if a slot is free.
+    fn start(
+        &mut self,
+        state: &mut SwitchState,
+        item: &RunnableItem,
+    ) -> Result<ItemLaunch, Hindrance> {
+        let (node, now) = (self.node, self.now);
+        let Some((call, route)) = build_call(state, self.routes, &item.name) else {
+            return Err(Hindrance::Unsendable);
         };
-        let Some(target) = pick_target(node, state, &item.name, &route, &mut rooms, now) else {
-            continue;
+        let Some(target) = pick_target(node, state, &item.name, &route, &mut self.rooms, now)
+        else {
+            return Err(Hindrance::Waits(ItemStatus::NoSlot));
         };
-        let service = target.service;
+        let quarantined = Hindrance::Waits(ItemStatus::Quarantined);
         if state.coordination.is_active() {
-            let Some(endpoint) = coordinated_endpoint(node, state, &item, &target, now) else {
-                continue;
-            };
-            let begun = begin_item(node, state, &item, &endpoint, call);
-            launches.extend(begun);
-            continue;
+            let granted = coordinated_endpoint(node, state, item, &target, now);
+            let endpoint = granted.ok_or(Hindrance::Waits(ItemStatus::NotGranted))?;
+            return begin_item(node, state, item, &endpoint, call).ok_or(quarantined);
         }
-        let index = match quotas.binary_search_by(|(name, _)| name.cmp(service)) {
-            Ok(index) => index,
-            Err(index) => {
-                let free = state.load.free_slots(&state.endpoints, service, now);
-                quotas.insert(index, (service.clone(), start_quota(free, hosts)));
-                index
-            }
+        let full = if target.is_version_full {
+            ItemStatus::VersionFull
+        } else {
+            ItemStatus::NoSlot
         };
-        if quotas[index].1 == 0 {
-            continue;
+        let index = self.quota(state, target.service);
+        let quota = &mut self.quotas[index];
+        if quota.left == 0 {
+            let status = if quota.had_any {
+                ItemStatus::QuotaUsed
+            } else {
+                full
+            };
+            return Err(Hindrance::Waits(status));
         }
-        let endpoints = &state.endpoints;
         let filter = EndpointFilter {
-            service,
+            service: target.service,
             version: target.version,
         };
         let is_admitted = |id: &str| state.limits.admits_item(id, now);
-        let picked = state
-            .load
-            .pick_batch(endpoints, filter, is_admitted, now, &mut state.rng);
-        let Some(endpoint) = picked else {
-            continue;
-        };
-        let begun = begin_item(node, state, &item, &endpoint, call);
-        if let Some(launch) = begun {
-            launches.push(launch);
-            quotas[index].1 -= 1;
-        }
+        let picked =
+            state
+                .load
+                .pick_batch(&state.endpoints, filter, is_admitted, now, &mut state.rng);
+        let endpoint = picked.ok_or(Hindrance::Waits(full))?;
+        let launch = begin_item(node, state, item, &endpoint, call).ok_or(quarantined)?;
+        quota.left -= 1;
+        Ok(launch)
+    }
+
+    /// Index of the quota of a service.
+    fn quota(&mut self, state: &SwitchState, service: &Arc<str>) -> usize {
+        let known = self
+            .quotas
+            .binary_search_by(|quota| quota.service.cmp(service));
+        known.unwrap_or_else(|index| {
+            let free = state.load.free_slots(&state.endpoints, service, self.now);
+            let left = start_quota(free, self.hosts);
+            let quota = ServiceQuota {
+                service: service.clone(),
+                left,
+                had_any: left > 0,
+            };
+            self.quotas.insert(index, quota);
+            index
+        })
     }
-    state.coordination.asks.resolve_granted();
-    state.resolve_own_grants(&node.settings.descriptor.name);
-    launches
 }
 
 /// The endpoint that a coordinator has granted for an item. Asks for one if none has, and returns `None`.
@@ -310,7 +394,7 @@
     let parts = node.deps.client.prompt_parts(&call.headers);
     if let Admission::Rejected { trial_in, .. } = node.admit(state, &call.id, &parts, now) {
         info!(node.deps.logger, "item held back"; "job" => &*name.job,
-            "item" => name.item, "parts" => %parts,
+            "item" => name.item, "id" => &*call.id, "parts" => %parts,
             "cause" => "parts of its prompt crash endpoints");
         let until = now + trial_in.clamp(ASK_INTERVAL, MAX_HOLD_TIME);
         state.histories.hold_back(&name, until);
@@ -321,6 +405,7 @@
     let starts_again = output_version.is_some_and(|version| version != endpoint.version_key());
     let segments = if starts_again {
         info!(node.deps.logger, "output discarded"; "job" => &*name.job, "item" => name.item,
+            "id" => &*call.id,
             "cause" => "no endpoint of the version that wrote it has a free slot");
         state.remove_progress(&name);
         Vec::new()
@@ -341,6 +426,8 @@
     service: &'a Arc<str>,
     /// Software version that has written the item's output so far; `None` for any.
     version: Option<VersionKey>,
+    /// Whether that version has no free slot, though others of the route have one.
+    is_version_full: bool,
 }
 
 /// Selects where an item runs: at the software version that has written its output so far, if any endpoint has it. An item that was held
@@ -353,43 +440,57 @@
     rooms: &mut VersionRooms,
     now: Instant,
 ) -> Option<ItemTarget<'a>> {
-    let version = output_version(state, name);
-    let found = version.and_then(|version| {
-        let service = state
-            .endpoints
-            .service_with_version(route.services(), version, now)?;
-        Some((service, version))
-    });
-    if let Some((service, version)) = found
-        && !(rooms.is_held_back(state, route, version, now) && may_begin_anew(node, state, name))
-    {
-        return Some(ItemTarget {
-            service,
-            version: Some(version),
-        });
+    if let Some((service, version)) = bound_version(state, name, route, now) {
+        let is_version_full = rooms.is_held_back(state, route, version, now);
+        if !(is_version_full && may_begin_anew(node, state, name)) {
+            return Some(ItemTarget {
+                service,
+                version: Some(version),
+                is_version_full,
+            });
+        }
     }
     Some(ItemTarget {
         service: route.pick_service(state.rng.random::<f64>())?,
         version: None,
+        is_version_full: false,
     })
 }
 
+/// The software version that has written an item's output so far, with its service, if any endpoint has it.
+fn bound_version<'a>(
+    state: &SwitchState,
+    name: &ItemName,
+    route: &'a ServiceRoute,
+    now: Instant,
+) -> Option<(&'a Arc<str>, VersionKey)> {
+    let version = output_version(state, name)?;
+    let endpoints = &state.endpoints;
+    let service = endpoints.service_with_version(route.services(), version, now)?;
+    Some((service, version))
+}
+
 /// Whether an item that its version alone holds back has waited for as long as its output takes to make again.
 fn may_begin_anew(node: &SwitchNode, state: &mut SwitchState, name: &ItemName) -> bool {
     let held = state.version_holds.record(name);
-    let job = state.ledger.get(&name.job);
-    let events = job.map_or(0, |job| {
-        events_so_far(state, name, &job.items[name.item as usize])
-    });
-    let redo_time = state.item_times.redo_time(events);
-    let may_begin = held >= redo_time.max(MIN_HOLD_TIME);
+    let max_hold_time = max_hold_time(state, name);
+    let may_begin = held >= max_hold_time;
     if may_begin {
         debug!(node.deps.logger, "item may begin anew"; "job" => &*name.job, "item" => name.item,
-            "events" => events, "held_ms" => millis(held));
+            "max_hold_ms" => millis(max_hold_time), "held_ms" => millis(held));
     }
     may_begin
 }
 
+/// Time for which an item waits for the software version of its output.
+fn max_hold_time(state: &SwitchState, name: &ItemName) -> Duration {
+    let job = state.ledger.get(&name.job);
+    let events = job.map_or(0, |job| {
+        events_so_far(state, name, &job.items[name.item as usize])
+    });
+    state.item_times.redo_time(events).max(MIN_HOLD_TIME)
+}
+
 /// Software version that has written the output of an item so far, which this host has or which is in the log.
 fn output_version(state: &SwitchState, name: &ItemName) -> Option<VersionKey> {
     let local = state.progress.iter().find(|(known, _)| known == name);
@@ -403,146 +504,6 @@
     Some(&job.items[name.item as usize].checkpoints)
 }
 
-/// Items that this host should run and is not running yet. Abandons items that have expired or whose route was removed.
-fn runnable_items(
-    node: &SwitchNode,
-    state: &mut SwitchState,
-    routes: &RouteTable,
-    now: Instant,
-    updates: &mpsc::UnboundedSender<ItemUpdate>,
-) -> Vec<RunnableItem> {
-    let own = &*node.settings.descriptor.name;
-    let now_ms = unix_time_ms();
-    let mut runnable = Vec::new();
-    let mut abandoned = Vec::new();
-    let mut released = Vec::new();
-    let mut sharers_of_routes = RouteSharers::default();
-    if !state
-        .members
-        .knows_live_hosts(now.duration_since(node.started))
-    {
-        return runnable;
-    }
-    let own_has_log = node.has_log(now);
-    if !own_has_log && state.members.others_have_log(now) {
-        return runnable;
-    }
-    let mut own_claims = state.own_claims(usize::MAX);
-    own_claims.sort_unstable();
-    let mut busy: Vec<ItemKey> = state.busy_items().map(ItemName::key).collect();
-    busy.sort_unstable();
-    let claimed_items = state.members.claimed_by_others(own, &own_claims, now);
-    let ledger = &state.ledger;
-    state.routeless.retain(|id| {
-        let job = ledger.get(id).filter(|job| job.is_open());
-        let route = job.map(|job| routes.find_for_job(&job.host, &job.path_prefix));
-        route.is_some_and(|route| route.is_none())
-    });
-    for job in state.ledger.open_jobs() {
-        let route = routes.find_for_job(&job.host, &job.path_prefix);
-        let is_expired = match route {
-            Some(route) => {
-                let retention_ms = millis(route.retention + MAX_CLOCK_SKEW);
-                now_ms > job.accepted_ms.saturating_add(retention_ms)
-            }
-            None => state
-                .routeless
-                .is_removed(&job.id, state.config_read_at, now),
-        };
-        let sharers = route.and_then(|route| sharers_of_routes.get(state, route, own, now));
-        let may_run = |host: &str| {
-            sharers
-                .as_ref()
-                .is_none_or(|sharers| sharers.binary_search_by(|name| (**name).cmp(host)).is_ok())
-        };
-        for (index, item) in job.items.iter().enumerate() {
-            if item.state != ItemState::Open {
-                continue;
-            }
-            let name = item_name(job, index);
-            let key = name.key();
-            if claimed_items.binary_search(&key).is_ok() || busy.binary_search(&key).is_ok() {
-                continue;
-            }
-            // Items that this host claims and is not busy with are those that it has output of.
-            let started = own_claims.binary_search(&key).is_ok();
-            let runner = || {
-                let members = &state.members;
-                members.runner_of(&name, own, own_has_log, may_run, now)
-            };
-            if started && !may_run(own) {
-                // Another host goes on after the last checkpoint.
-                released.push(name);
-                continue;
-            }
-            if !started && runner() != own {
-                continue;
-            }
-            if is_expired {
-                abandoned.push(name);
-            } else if let Some(route) = route
-                && state.histories.may_run(&name, now)
-            {
-                let due_ms = job
-                    .accepted_ms
-                    .saturating_add(millis(route.completion_target));
-                let claim = item_claim(routes, route, job);
-                let remaining = state
-                    .item_times
-                    .remaining(events_so_far(state, &name, item));
-                runnable.push(RunnableItem {
-                    due_ms,
-                    in_time: now_ms.saturating_add(millis(remaining)) <= due_ms,
-                    started,
-                    claim,
-                    had: had_lately(state, route, claim, now),
-                    name,
-                });
-            }
-        }
-    }
-    for name in abandoned {
-        give_up(node, state, name, "its time or its route is over", updates);
-    }
-    for name in released {
-        info!(node.deps.logger, "item released"; "job" => &*name.job, "item" => name.item,
-            "cause" => "this host has no share in the limits of its endpoints");
-        state.remove_progress(&name);
-    }
-    runnable
-}
-
-/// Abandons an item that does not run.
-fn give_up(
-    node: &SwitchNode,
-    state: &mut SwitchState,
-    name: ItemName,
-    cause: &str,
-    updates: &mpsc::UnboundedSender<ItemUpdate>,
-) {
-    info!(node.deps.logger, "item given up"; "job" => &*name.job, "item" => name.item,
-        "cause" => cause);
-    state.unrecorded.push(name.clone());
-    let kind = UpdateKind::Abandoned;
-    send_update(updates, ItemUpdate { name, kind });
-}
-
-/// Number of events of an item's output that this host has or that are in the log.
-fn events_so_far(state: &SwitchState, name: &ItemName, item: &LedgerItem) -> u64 {
-    let local = state.progress.iter().find(|(known, _)| known == name);
-    let local = local.and_then(|(_, progress)| progress.lock().last_event());
-    let logged = item.checkpoints.segments().last();
-    let logged = logged.map(|segment| segment.last_event);
-    local.or(logged).unwrap_or(0)
-}
-
-fn item_name(job: &LedgerJob, index: usize) -> ItemName {
-    ItemName {
-        job: job.id.clone(),
-        item: u32::try_from(index).unwrap_or(u32::MAX),
-    }
-}
-
 /// Builds the call that runs an item, and returns it with the route of the item's job. `None` if no request can be made of the item,
 /// which a host of an earlier release may have accepted.
 fn build_call(
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -120,7 +120,7 @@
             _ => None,
         };
         info!(self.node.deps.logger, "item run ended"; "job" => &*self.name.job,
-            "item" => self.name.item, "endpoint" => &*self.endpoint.id,
+            "item" => self.name.item, "id" => &*self.call.id, "endpoint" => &*self.endpoint.id,
             "outcome" => outcome.label(), "cause" => cause,
             "last_event" => self.progress.lock().last_event(),
             "framing" => self.framing.map(BodyFraming::as_str),
@@ -436,7 +436,7 @@
                 let attempts = item_attempts(state, name);
                 let is_exhausted = own.max(recorded + 1) >= attempts;
                 info!(node.deps.logger, "item failed"; "job" => &*name.job, "item" => name.item,
-                    "endpoint" => endpoint, "own_failures" => own,
+                    "id" => &*self.call.id, "endpoint" => endpoint, "own_failures" => own,
                     "recorded_failures" => recorded, "attempts" => attempts,
                     "given_up" => is_exhausted);
                 let (name, kind) = (name.clone(), UpdateKind::Failed);
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -118,4 +118,10 @@
         let mut reports = self.reports.iter();
         reports.any(|(_, keys)| keys.binary_search(&key).is_ok())
     }
+    /// Hosts that report the endpoint.
+    pub fn reporters(&self, key: EndpointKey) -> impl Iterator<Item = &Arc<str>> {
+        let reports = self.reports.iter();
+        let with_key = reports.filter(move |(_, keys)| keys.binary_search(&key).is_ok());
+        with_key.map(|(host, _)| host)
+    }
 }
--- a/crates/switch/src/ledger.rs
+++ b/crates/switch/src/ledger.rs
@@ -229,6 +229,13 @@
         item.is_some_and(|item| item.state == ItemState::Open)
     }
 
+    /// ID of the request that runs an item; `None` if the job or the item is unknown.
+    #[must_use]
+    pub fn item_id(&self, job: &str, item: u32) -> Option<&Arc<str>> {
+        let item = self.get(job)?.items.get(item as usize)?;
+        Some(&item.accepted.id)
+    }
+
     /// Jobs with items to run.
     pub fn open_jobs(&self) -> impl Iterator<Item = &LedgerJob> {
         self.jobs.iter().filter(|job| job.is_open())
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`starts`], [`load`], [`coordinator`], [`wait`], [`affinity`],
-//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`item_status`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 pub mod backend;
@@ -31,6 +31,7 @@
 pub mod gossip;
 pub mod health;
 pub mod in_flight;
+pub mod item_status;
 mod job_snapshot;
 pub mod jobs;
 pub mod leaving;
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -6,6 +6,8 @@
 mod batch;
 mod pace;
 
+pub use batch::{SlotObstacle, SlotUse};
+
 use crate::affinity::HostAffinity;
 use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
 use crate::health::{EndpointHealth, FailingReports};
--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -2,6 +2,7 @@
 
 use super::{FreeSlots, LoadView};
 use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
+use crate::report::{EndpointKey, RequestCounts};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,57 @@
 /// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
 const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
 
+/// Why an endpoint gets no batch item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotObstacle {
+    /// The limit that it names is used up, or this host has no share in it.
+    LimitUsed,
+    /// It failed here, or another host reports error responses from it.
+    Avoided,
+    /// It refused a request as full a short time ago.
+    Full,
+    /// An item gave way there a short time ago.
+    Preempted,
+    /// Online requests wait there for a slot.
+    Overdue,
+    /// Requests, and the slots that are left free for online requests, take all its slots.
+    Taken,
+}
+
+impl SlotObstacle {
+    /// Name in logs and explanations.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::LimitUsed => "limit used",
+            Self::Avoided => "avoided",
+            Self::Full => "refused as full",
+            Self::Preempted => "recently preempted",
+            Self::Overdue => "online requests overdue",
+            Self::Taken => "slots taken",
+        }
+    }
+}
+
+/// Who takes the slots of an endpoint, from the view of this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotUse {
+    /// Requests of this host.
+    pub own: RequestCounts,
+    /// Requests of the other hosts, as they report.
+    pub peers: RequestCounts,
+    /// Requests that this host granted as a coordinator, and that no report has yet.
+    pub granted: RequestCounts,
+    /// Overdue online requests of this host.
+    pub own_overdue: u16,
+    /// Overdue online requests of the other hosts.
+    pub peers_overdue: u16,
+    /// Slots that are left free for online requests.
+    pub reserved: u32,
+    /// Hosts that report error responses from the endpoint.
+    pub failing_at: Vec<Arc<str>>,
+}
+
 impl LoadView {
     /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free and that `is_admitted` selects
     /// qualify.
@@ -57,11 +109,47 @@
     ) -> impl Iterator<Item = &'a Arc<ListedEndpoint>> {
         table
             .serving(filter, now)
-            .filter(move |endpoint| is_admitted(&endpoint.id))
-            .filter(move |endpoint| !self.is_avoided(&endpoint.id, now))
-            .filter(move |endpoint| !self.is_full(&endpoint.id, now))
-            .filter(move |endpoint| !self.recently_preempted(&endpoint.id, now))
-            .filter(|endpoint| self.free_batch_slots(endpoint) > 0)
+            .filter(move |endpoint| self.item_obstacle(endpoint, &is_admitted, now).is_none())
+    }
+
+    /// Why an endpoint gets no batch item; `None` if it may. `is_admitted` is as for [`LoadView::pick_batch`].
+    pub fn item_obstacle(
+        &self,
+        endpoint: &ListedEndpoint,
+        is_admitted: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Option<SlotObstacle> {
+        if !is_admitted(&endpoint.id) {
+            Some(SlotObstacle::LimitUsed)
+        } else if self.is_avoided(&endpoint.id, now) {
+            Some(SlotObstacle::Avoided)
+        } else if self.is_full(&endpoint.id, now) {
+            Some(SlotObstacle::Full)
+        } else if self.recently_preempted(&endpoint.id, now) {
+            Some(SlotObstacle::Preempted)
+        } else if self.free_batch_slots(endpoint) > 0 {
+            None
+        } else if self.is_overdue(&endpoint.id) {
+            Some(SlotObstacle::Overdue)
+        } else {
+            Some(SlotObstacle::Taken)
+        }
+    }
+
+    /// Who takes the slots of an endpoint.
+    #[must_use]
+    pub fn slot_use(&self, endpoint: &ListedEndpoint) -> SlotUse {
+        let key = EndpointKey::of(&endpoint.id);
+        let entry = self.find(&endpoint.id).cloned().unwrap_or_default();
+        SlotUse {
+            own: entry.own,
+            peers: entry.peers,
+            granted: entry.granted,
+            own_overdue: entry.own_overdue,
+            peers_overdue: entry.peers_overdue,
+            reserved: self.reserved_slots(endpoint),
+            failing_at: self.failing.reporters(key).cloned().collect(),
+        }
     }
 
     /// Counts the free slots of a service that batch items may use.
--- a/crates/switch/src/members.rs
+++ b/crates/switch/src/members.rs
@@ -321,6 +321,14 @@
         claimed_items
     }
 
+    /// Live hosts that claim an item, sorted by name.
+    pub fn claimants(&self, item: ItemKey, now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        let claimants = self
+            .live(now)
+            .filter(move |entry| entry.claims.contains(&item));
+        claimants.map(|entry| &entry.descriptor.name)
+    }
+
     /// Returns the host that is assigned an item by rendezvous hashing over the ready hosts and `own`.
     #[must_use]
     pub fn assigned_host<'a>(&'a self, item: &ItemName, own: &'a str, now: Instant) -> &'a str {
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -37,6 +37,12 @@
     outcome: &'static str,
 }
 
+/// Label set of the open items.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StatusLabel {
+    status: &'static str,
+}
+
 type OutcomeCounts = Family<OutcomeLabel, Counter>;
 
 /// All metrics of a host.
@@ -104,6 +110,8 @@
     cut_off: Gauge,
     jobs_open: Gauge,
     items_running: Gauge,
+    open_items: Family<StatusLabel, Gauge>,
+    longest_item_wait: Gauge,
     online_running: Gauge,
     log_silence: Gauge,
     overdue: Gauge,
@@ -153,6 +161,11 @@
                 "Batch items in progress here",
                 &self.items_running,
             ),
+            (
+                "longest_item_wait_ms",
+                "Longest time for which an open item that this host is to run has waited",
+                &self.longest_item_wait,
+            ),
             (
                 "online_running",
                 "Online requests in progress here",
@@ -187,6 +200,11 @@
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "open_items",
+            "Open items of jobs, by whether they run here or why they do not",
+            self.open_items.clone(),
+        );
     }
 }
 
@@ -500,7 +518,18 @@
         self.metrics.set_cap_requests(&state.caps.counts);
         let times = state.load.response_times();
         let listing_silence = state.endpoints.read_age(now);
+        for (status, count) in state.item_waits.counts().iter() {
+            let status = status.as_str();
+            let gauge = state_gauges
+                .open_items
+                .get_or_create(&StatusLabel { status });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
         let times = [
+            (
+                &state_gauges.longest_item_wait,
+                state.item_waits.longest(now),
+            ),
             (&state_gauges.usual_first_byte, times.first_byte()),
             (&state_gauges.mean_run, times.run()),
             (
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -11,6 +11,7 @@
 use crate::expiry::DeletionQueue;
 use crate::follow::{FollowBatch, FollowOptions, follow};
 use crate::gossip;
+use crate::item_status::ItemWaits;
 use crate::jobs::TextCache;
 use crate::ledger::{JobLedger, LedgerChange};
 use crate::limits::LimitTable;
@@ -154,6 +155,9 @@
     pub(crate) histories: ItemHistories,
     pub(crate) item_times: ItemTimes,
     pub(crate) version_holds: VersionHolds,
+    pub(crate) item_waits: ItemWaits,
+    /// When the open items were last logged.
+    pub(crate) items_logged_at: Option<Instant>,
     pub(crate) running: Vec<RunningItem>,
     /// Output so far of started items, whether they run or wait to be continued.
     pub(crate) progress: Vec<(ItemName, SharedProgress)>,
@@ -273,6 +277,8 @@
             histories: ItemHistories::default(),
             item_times: ItemTimes::default(),
             version_holds: VersionHolds::default(),
+            item_waits: ItemWaits::default(),
+            items_logged_at: None,
             running: Vec::new(),
             progress: Vec::new(),
             unrecorded: Vec::new(),
--- a/crates/switch/src/reach.rs
+++ b/crates/switch/src/reach.rs
@@ -139,9 +139,9 @@
         self.is_checking = false;
     }
 
-    /// Whether this host starts items: it is not cut off, and has handed all over that it had when it was.
-    pub(crate) fn starts_items(&self) -> bool {
-        !self.is_cut_off && !self.is_handing_over
+    /// Whether items are being handed to other hosts.
+    pub(crate) fn is_handing_over(&self) -> bool {
+        self.is_handing_over
     }
 
     /// Begins or ends handing items over. Returns whether that changes anything.
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -68,7 +68,25 @@
     interruptions: u32,
     /// Number of runs that ended before the endpoint had begun to respond.
     late_responses: u32,
-    not_before: Option<Instant>,
+    hold: Option<ItemHold>,
+}
+
+/// Until when an item does not run at this host, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ItemHold {
+    /// When the item may run again.
+    pub until: Instant,
+    /// Whether endpoints crash under parts of its prompt; otherwise a run has failed or broken off.
+    pub is_quarantined: bool,
+}
+
+impl ItemHistory {
+    fn back_off(&mut self, count: u32, now: Instant) {
+        self.hold = Some(ItemHold {
+            until: now + retry_delay(count),
+            is_quarantined: false,
+        });
+    }
 }
 
 /// Failure histories of items at this host, sorted by name.
@@ -82,7 +100,7 @@
     pub fn record_failure(&mut self, name: &ItemName, now: Instant) -> u32 {
         let entry = self.entry(name);
         entry.failures += 1;
-        entry.not_before = Some(now + retry_delay(entry.failures));
+        entry.back_off(entry.failures, now);
         entry.failures
     }
 
@@ -90,12 +108,16 @@
     pub fn record_interruption(&mut self, name: &ItemName, now: Instant) {
         let entry = self.entry(name);
         entry.interruptions += 1;
-        entry.not_before = Some(now + retry_delay(entry.interruptions));
+        entry.back_off(entry.interruptions, now);
     }
 
-    /// Does not run the item before `until`.
+    /// Does not run the item before `until`, since endpoints crash under parts of its prompt.
     pub fn hold_back(&mut self, name: &ItemName, until: Instant) {
-        self.entry(name).not_before = Some(until);
+        let is_quarantined = true;
+        self.entry(name).hold = Some(ItemHold {
+            until,
+            is_quarantined,
+        });
     }
 
     /// Records that a run ended since its endpoint had not begun to respond in time.
@@ -110,15 +132,29 @@
         found.map_or(0, |index| self.entries[index].late_responses)
     }
 
-    /// Whether the backoff of an item has passed.
+    /// What holds an item back; `None` if it may run.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::schedule::{ItemHistories, ItemName};
+    /// use std::time::Duration;
+    /// let mut histories = ItemHistories::default();
+    /// let name = ItemName { job: "j".into(), item: 0 };
+    /// let now = tokio::time::Instant::now();
+    /// histories.record_interruption(&name, now);
+    /// assert!(!histories.hold(&name, now).unwrap().is_quarantined);
+    /// assert_eq!(histories.hold(&name, now + Duration::from_secs(1)), None);
+    /// ```
+    #[must_use]
+    pub fn hold(&self, name: &ItemName, now: Instant) -> Option<ItemHold> {
+        let found = self.entries.binary_search_by(|entry| entry.name.cmp(name));
+        let hold = self.entries[found.ok()?].hold;
+        hold.filter(|hold| hold.until > now)
+    }
+
+    /// Whether nothing holds an item back.
     #[must_use]
     pub fn may_run(&self, name: &ItemName, now: Instant) -> bool {
-        match self.entries.binary_search_by(|entry| entry.name.cmp(name)) {
-            Ok(index) => self.entries[index]
-                .not_before
-                .is_none_or(|instant| instant <= now),
-            Err(_) => true,
-        }
+        self.hold(name, now).is_none()
     }
 
     /// Removes the history of an item.
@@ -137,7 +173,7 @@
                     failures: 0,
                     interruptions: 0,
                     late_responses: 0,
-                    not_before: None,
+                    hold: None,
                 };
                 self.entries.insert(index, entry);
                 index
--- a/crates/switch/src/version_holds.rs
+++ b/crates/switch/src/version_holds.rs
@@ -55,6 +55,12 @@
         *held
     }
 
+    /// For how long an item has been held back.
+    #[must_use]
+    pub fn held(&self, name: &ItemName) -> Option<Duration> {
+        Some(self.entries[self.search(name).ok()?].1)
+    }
+
     /// Forgets an item, which starts.
     pub fn remove(&mut self, name: &ItemName) {
         if let Ok(index) = self.search(name) {
--- a/crates/switch/tests/switch/item_slots.rs
+++ b/crates/switch/tests/switch/item_slots.rs
@@ -610,7 +610,7 @@
 }
 
 /// A fleet that is large enough for coordinators, of hosts in two domains.
-async fn start_hosts(fleet: &TestFleet) -> Vec<Arc<SwitchNode>> {
+pub async fn start_hosts(fleet: &TestFleet) -> Vec<Arc<SwitchNode>> {
     let fleets = [fleet.in_domain("d0"), fleet.in_domain("d1")];
     let names = (0..22).map(|index| (&fleets[index % 2], format!("h{index:02}")));
     let names: Vec<_> = names.collect();
--- a/crates/switch/tests/switch/logging.rs
+++ b/crates/switch/tests/switch/logging.rs
@@ -8,7 +8,14 @@
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Default)]
-struct LineBuffer(Arc<Mutex<Vec<u8>>>);
+pub struct LineBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl LineBuffer {
+    /// All that was written.
+    pub fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+}
 
 impl Write for LineBuffer {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
@@ -51,7 +58,7 @@
     std::thread::sleep(Duration::from_millis(1100));
     info!(logger, "later");
     drop(guard);
-    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    let text = lines.text();
     let count = |part: &str| text.lines().filter(|line| line.contains(part)).count();
     assert!(count("request ended") < most);
     assert_eq!(count("log lost"), 1);
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -17,6 +17,7 @@
 mod fleet;
 mod foreign_bytes;
 mod item_slots;
+mod item_statuses;
 mod job_owners;
 mod job_routes;
 mod job_snapshots;
--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -12,7 +12,11 @@
 
 /// A fleet of which most endpoints are replaced by those of another version, while `items` items of `events` events are under way that are
 /// all at their 20th event. The endpoint that is left of the first version has one slot. Returns when the endpoints were replaced.
-async fn released_fleet(fleet: &TestFleet, items: u32, events: u64) -> (Arc<SwitchNode>, Instant) {
+pub async fn released_fleet(
+    fleet: &TestFleet,
+    items: u32,
+    events: u64,
+) -> (Arc<SwitchNode>, Instant) {
     fleet
         .log
         .put("endpoints", "v1-a", "ready v1 1 service domain 1");
