Items: the line `open items` begins with the items; ended items name no host

Cause: the logger writes the last field of a line first, so the items stood behind the endpoints and are lost where lines are cut. An item that has ended was explained with the host that it would be assigned to.

Change: the items are the last field; hosts are named for open items only.

--- a/crates/switch/src/batch/explain.rs
+++ b/crates/switch/src/batch/explain.rs
@@ -169,7 +169,9 @@
     let mut running = state.running.iter();
     let running = running.find(|running| running.name == name);
     let waiting = state.item_waits.get(&name);
+    let is_open = state.ledger.is_item_open(&name.job, name.item);
     let hosts = match place {
+        _ if !is_open => Vec::new(),
         ItemPlace::Claimed => state.members.claimants(name.key(), now).cloned().collect(),
         ItemPlace::Assigned(host) => vec![host.into()],
         _ => Vec::new(),
@@ -193,7 +195,6 @@
         (ItemPlace::Own { .. }, _) => waiting.map_or(ItemStatus::Due, |item| item.status),
     };
     let hold = state.histories.hold(&name, now);
-    let is_open = state.ledger.is_item_open(&name.job, name.item);
     let bound = route.and_then(|route| bound_version(state, &name, route, now));
     let version = bound.and_then(|(service, key)| {
         let mut serving = state.endpoints.serving(&**service, now);
@@ -294,8 +295,9 @@
         item_endpoints(state, route, LOGGED_ENDPOINTS, now)
     });
     let endpoints: Vec<String> = endpoints.iter().map(ToString::to_string).collect();
-    info!(node.deps.logger, "open items"; "statuses" => %state.item_waits.counts(),
+    // The logger writes the last field first.
+    info!(node.deps.logger, "open items"; "endpoints" => endpoints.join("; "),
         "longest_wait_ms" => millis(state.item_waits.longest(now)),
-        "items" => explained.join("; "), "endpoints" => endpoints.join("; "));
+        "statuses" => %state.item_waits.counts(), "items" => explained.join("; "));
     state.items_logged_at = Some(now);
 }
