--- a/crates/switch/src/batch/idle.rs
+++ b/crates/switch/src/batch/idle.rs
@@ -1,5 +1,6 @@
 //! Items of a host that starts none, as it does not follow the job records and others do.
 
+use super::items::request_id;
 use crate::node::{SwitchNode, SwitchState};
 use crate::schedule::ItemName;
 use slog::info;
@@ -22,7 +23,7 @@
         let is_released = idle_items.is_released(name, now);
         if is_released {
             info!(node.deps.logger, "item released"; "job" => &*name.job, "item" => name.item,
-                "last_event" => progress.lock().last_event(),
+                "id" => request_id(&state.ledger, name), "last_event" => progress.lock().last_event(),
                 "cause" => "this host has not followed the job records for some time");
         }
         !is_released
--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -44,9 +44,12 @@
     }
 }
 
-async fn start(fleet: &TestFleet) -> Arc<SwitchNode> {
+/// Starts a host and makes that release.
+pub async fn released_fleet(fleet: &TestFleet, items: u32, events: u64) -> Arc<SwitchNode> {
     list_endpoints(fleet);
-    fleet.start("a").await
+    let node = fleet.start("a").await;
+    release(fleet, &node, items, events).await;
+    node
 }
 
 async fn done(node: &SwitchNode) -> usize {
@@ -57,8 +60,7 @@
 #[tokio::test(start_paused = true)]
 async fn items_begin_anew_where_slots_are_idle() {
     let fleet = TestFleet::new(0);
-    let node = start(&fleet).await;
-    release(&fleet, &node, ITEMS, 100).await;
+    let node = released_fleet(&fleet, ITEMS, 100).await;
     let released_at = Instant::now();
     wait_until("the results of all items", async || {
         done(&node).await == ITEMS as usize
@@ -77,8 +79,7 @@
 async fn output_is_kept_for_a_short_wait() {
     let fleet = TestFleet::new(0);
     // The first item frees the slot 0.3 s after it has begun to go on.
-    let node = start(&fleet).await;
-    release(&fleet, &node, 2, 35).await;
+    let node = released_fleet(&fleet, 2, 35).await;
     wait_until("the results of both items", async || done(&node).await == 2).await;
     let calls = fleet.client.calls();
     let resumed = calls.iter().filter(|call| call.resume_after.is_some());
