Items: a run that adds few events tells little of the time for an event

What callers saw: nothing yet; found by reading the hold by version.

Cause: the time per event was the time of the last run divided by its events. A resumed run that adds one event in 4 s, most of it the time until the first byte, counted as 4 s an event. With that as the first sample the output of 200 events would take 800 s to make again, so that an item would wait that long for its version, and each item would count as late.

Change: a measurement weighs as much as the share of the item's events that the run added, and the first one needs half of them.

Evidence: run_with_few_events_tells_little_of_the_time_for_an_event failed before (800 s, asked: none), and passes.

--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -14,6 +14,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Weight of a new measurement in the moving averages of items.
 const MEASUREMENT_WEIGHT: f64 = 0.1;
+/// Share of an item's events that a run adds from which it is the first measurement of the time per event.
+const MIN_FIRST_SHARE: f64 = 0.5;
 
 /// Identifies an item by its job and index.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -214,13 +216,22 @@
 impl ItemTimes {
     /// Records an item that completed with `events` events. Its last run took `run` for `run_events` of them.
     pub fn record(&mut self, events: u64, run_events: u64, run: Duration) {
-        let interval = run.as_secs_f64() / count(run_events).max(1.0);
         let weight = if self.events > 0.0 {
             MEASUREMENT_WEIGHT
         } else {
             1.0
         };
         self.events += (count(events) - self.events) * weight;
+        // The time until the first byte of a run that adds few events is not the time that these take.
+        let share = count(run_events) / count(events).max(1.0);
+        let weight = if self.interval > 0.0 {
+            MEASUREMENT_WEIGHT * share
+        } else if share >= MIN_FIRST_SHARE {
+            1.0
+        } else {
+            0.0
+        };
+        let interval = run.as_secs_f64() / count(run_events).max(1.0);
         self.interval += (interval - self.interval) * weight;
     }
 
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -752,6 +752,19 @@
     );
 }
 
+/// Guards against items that wait for their version for minutes, or count as late at once, since a run that only showed the end of an output
+/// passed as slow.
+#[test]
+fn run_with_few_events_tells_little_of_the_time_for_an_event() {
+    let mut times = ItemTimes::default();
+    times.record(200, 1, Duration::from_secs(4));
+    assert_eq!(times.redo_time(200), Duration::ZERO);
+    times.record(200, 200, Duration::from_secs(4));
+    times.record(200, 1, Duration::from_secs(4));
+    let redo_time = times.redo_time(200);
+    assert!(redo_time < Duration::from_secs(5), "{redo_time:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn failed_item_backs_off_exponentially() {
     let now = Instant::now();
