Items: decisions that need no host are plain functions

Which hosts share the limits of a route, whether a version holds items back, when such an item may begin anew, and the shares and affinity of a host are computed from explicit state, so that a model of a fleet uses the same functions as the scheduler. No change of behaviour.

--- a/crates/switch/src/batch/limited.rs
+++ b/crates/switch/src/batch/limited.rs
@@ -3,6 +3,9 @@
 //! A few hosts share the limit of an endpoint, and the others send it nothing. An item that is assigned to a host without a share would wait for
 //! as long as the limits last.
 
+use crate::endpoint::EndpointTable;
+use crate::limits::LimitTable;
+use crate::members::MemberTable;
 use crate::node::SwitchState;
 use crate::report::EndpointKey;
 use crate::route::ServiceRoute;
@@ -28,7 +31,8 @@
         let mut known = self.0.iter();
         let index = known.position(|(known, _)| Arc::ptr_eq(known, route));
         let index = index.unwrap_or_else(|| {
-            let sharers = limit_sharers(state, route, own, now);
+            let (limits, members) = (&state.limits, &state.members);
+            let sharers = limit_sharers(limits, members, &state.endpoints, route, own, now);
             self.0.push((route.clone(), sharers));
             self.0.len() - 1
         });
@@ -38,22 +42,25 @@
 
 /// Hosts that share the limits of the endpoints of a route, sorted; `None` if any of its endpoints names none, so that all hosts may send
 /// items.
-fn limit_sharers(
-    state: &SwitchState,
+#[must_use]
+pub fn limit_sharers(
+    limits: &LimitTable,
+    members: &MemberTable,
+    endpoints: &EndpointTable,
     route: &ServiceRoute,
     own: &str,
     now: Instant,
-) -> LimitSharers {
-    if state.limits.is_empty() {
+) -> Option<Vec<Arc<str>>> {
+    if limits.is_empty() {
         return None;
     }
-    let hosts = state.members.live(now).filter(|entry| entry.ready).count() + 1;
+    let hosts = members.live(now).filter(|entry| entry.ready).count() + 1;
     let mut sharers: Vec<Arc<str>> = Vec::new();
     for service in route.services() {
-        for endpoint in state.endpoints.serving(&**service, now) {
-            let count = state.limits.sharer_count(&endpoint.id, hosts)?;
+        for endpoint in endpoints.serving(&**service, now) {
+            let count = limits.sharer_count(&endpoint.id, hosts)?;
             let hash = EndpointKey::of(&endpoint.id).hash();
-            let ranked = state.members.ranked_hosts(hash, own, count, now);
+            let ranked = members.ranked_hosts(hash, own, count, now);
             sharers.extend(ranked.into_iter().map(Arc::from));
         }
     }
--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -1,12 +1,12 @@
 //! Scheduler for batch items: runs them in the capacity that online requests leave, and preempts them for online
 //! requests.
 
-mod limited;
+pub mod limited;
 mod outcomes;
 pub(crate) mod routeless;
 mod run;
 mod shares;
-mod version_rooms;
+pub mod version_rooms;
 
 pub(crate) use outcomes::hand_over;
 
@@ -28,6 +28,7 @@
 use crate::route::{RouteTable, ServiceRoute};
 use crate::schedule::{ItemKey, ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
+use crate::version_holds;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use limited::RouteSharers;
 use outcomes::{ItemUpdate, UpdateKind, record_updates, run_checkpoints, send_update};
@@ -45,10 +46,6 @@
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time for which an item whose prompt crashes endpoints is held back before it is looked at again.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
-/// Time for which an item waits for the software version of its output at least, also while no item has been measured: items give way to
-/// online requests for shorter times.
-const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
-
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
     let (updates, queue) = mpsc::unbounded_channel();
@@ -382,7 +379,7 @@
         events_so_far(state, name, &job.items[name.item as usize])
     });
     let redo_time = state.item_times.redo_time(events);
-    let may_begin = held >= redo_time.max(MIN_HOLD_TIME);
+    let may_begin = version_holds::may_begin_anew(held, redo_time);
     if may_begin {
         debug!(node.deps.logger, "item may begin anew"; "job" => &*name.job, "item" => name.item,
             "events" => events, "held_ms" => millis(held));
--- a/crates/switch/src/batch/version_rooms.rs
+++ b/crates/switch/src/batch/version_rooms.rs
@@ -1,6 +1,8 @@
 //! Software versions without a free slot for items, while other endpoints of the route have one.
 
-use crate::endpoint::EndpointFilter;
+use crate::endpoint::{EndpointFilter, EndpointTable};
+use crate::limits::LimitTable;
+use crate::load::LoadView;
 use crate::node::SwitchState;
 use crate::origins::VersionKey;
 use crate::route::ServiceRoute;
@@ -26,18 +28,36 @@
         if let Some((_, _, is_held_back)) = known {
             return *is_held_back;
         }
-        let has_slot = |version: Option<VersionKey>| {
-            let mut services = route.services();
-            services.any(|service| {
-                let filter = EndpointFilter { service, version };
-                let is_admitted = |id: &str| state.limits.admits_item(id, now);
-                let (load, table) = (&state.load, &state.endpoints);
-                load.has_batch_slot(table, filter, is_admitted, now)
-            })
-        };
-        let is_held_back = !has_slot(Some(version)) && has_slot(None);
+        let SwitchState {
+            load,
+            endpoints,
+            limits,
+            ..
+        } = state;
+        let is_held_back = is_held_back(load, endpoints, limits, route, version, now);
         self.0
             .push((route.path_prefix.clone(), version, is_held_back));
         is_held_back
     }
 }
+
+/// Whether the endpoints of a version have no slot for an item of the route, though others of its endpoints do.
+#[must_use]
+pub fn is_held_back(
+    load: &LoadView,
+    endpoints: &EndpointTable,
+    limits: &LimitTable,
+    route: &ServiceRoute,
+    version: VersionKey,
+    now: Instant,
+) -> bool {
+    let has_slot = |version: Option<VersionKey>| {
+        let mut services = route.services();
+        services.any(|service| {
+            let filter = EndpointFilter { service, version };
+            let is_admitted = |id: &str| limits.admits_item(id, now);
+            load.has_batch_slot(endpoints, filter, is_admitted, now)
+        })
+    };
+    !has_slot(Some(version)) && has_slot(None)
+}
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -5,15 +5,16 @@
 //! Heartbeats are UDP datagrams. A lost one is not sent again, since the next replaces it. The log is only needed to
 //! find a first peer: each heartbeat to all hosts also carries the descriptor of one other host, in rotation.
 
-use crate::affinity::compute_affinity;
+use crate::affinity::{HostAffinity, compute_affinity};
 use crate::backend::{AppendError, KeyedRecord};
 use crate::coordinator::message::CoordinatorMessage;
 use crate::crash_exchange::{self, CrashNotice};
 use crate::crash_log;
+use crate::endpoint::EndpointTable;
 use crate::follow::FollowBatch;
-use crate::limits::LimitReport;
+use crate::limits::{LimitReport, LimitTable};
 use crate::listings::{self, ListingReport, listing_report};
-use crate::members::{HostDescriptor, MemberChange};
+use crate::members::{HostDescriptor, MemberChange, MemberTable};
 use crate::node::{SwitchNode, SwitchState};
 use crate::origin_exchange::OriginMessage;
 use crate::reach::ReachReport;
@@ -344,25 +345,41 @@
 }
 
 fn update_affinity(node: &SwitchNode, state: &mut SwitchState, now: Instant) {
+    let SwitchState {
+        limits,
+        members,
+        endpoints,
+        stopping,
+        load,
+        ..
+    } = &mut *state;
     let own = &node.settings.descriptor;
+    load.set_affinity(share_endpoints(
+        own, *stopping, members, endpoints, limits, now,
+    ));
+    update_coordination(node, state, now);
+}
+
+/// Updates the share of the host `own` in each limit, and returns its affinity.
+pub fn share_endpoints(
+    own: &HostDescriptor,
+    is_stopping: bool,
+    members: &MemberTable,
+    endpoints: &EndpointTable,
+    limits: &mut LimitTable,
+    now: Instant,
+) -> HostAffinity {
     let mut hosts = vec![(own.name.clone(), own.domain.clone())];
-    let others = state.members.live(now).filter(|entry| entry.ready);
+    let others = members.live(now).filter(|entry| entry.ready);
     hosts.extend(others.map(|entry| {
         (
             entry.descriptor.name.clone(),
             entry.descriptor.domain.clone(),
         )
     }));
-    let mut affinity = compute_affinity(&own.name, &hosts, &state.endpoints.all_serving(now));
-    let SwitchState {
-        limits,
-        members,
-        endpoints,
-        stopping,
-        ..
-    } = &mut *state;
+    let mut affinity = compute_affinity(&own.name, &hosts, &endpoints.all_serving(now));
     limits.update_shares(hosts.len(), now, |key, count| {
-        !*stopping && members.is_among_assigned(key.hash(), &own.name, count, now)
+        !is_stopping && members.is_among_assigned(key.hash(), &own.name, count, now)
     });
     if !limits.is_empty() {
         // Nobody else uses what a limit leaves to this host.
@@ -377,8 +394,7 @@
         affinity.endpoints.sort_unstable();
         affinity.endpoints.dedup();
     }
-    state.load.set_affinity(affinity);
-    update_coordination(node, state, now);
+    affinity
 }
 
 fn update_coordination(node: &SwitchNode, state: &mut SwitchState, now: Instant) {
--- a/crates/switch/src/version_holds.rs
+++ b/crates/switch/src/version_holds.rs
@@ -10,6 +10,9 @@
 
 /// Longest time that one pass adds: this host has not looked for slots while it stood still.
 const MAX_STEP: Duration = Duration::from_millis(200);
+/// Time for which an item waits for the software version of its output at least, also while no item has been measured: items give way to
+/// online requests for shorter times.
+const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// For how long each item was held back by its version alone.
 #[derive(Clone, Debug, Default)]
@@ -71,3 +74,9 @@
         self.entries.binary_search_by(|(known, _)| known.cmp(name))
     }
 }
+
+/// Whether an item that its version alone has held back for `held` may begin anew, if its output takes `redo_time` to make again.
+#[must_use]
+pub fn may_begin_anew(held: Duration, redo_time: Duration) -> bool {
+    held >= redo_time.max(MIN_HOLD_TIME)
+}
