Items: hosts preempt the excess at an endpoint once, in an order

Cause: without coordinators each host with items at an endpoint that had more requests than slots preempted its share of the excess, rounded up. With one item at each of several hosts, all of them gave way for one request too many. Hosts that started items in the same slot between two heartbeats all gave way, paused for the same 0.6 s, and started again at the same moment: a livelock. The class is a symmetric decision without a tie-break.

Change: hosts give way in an order that differs among endpoints, so that hosts with the same view preempt exactly the excess together. A host that has sent no report for 250 ms is not waited for. The pause after a preemption holds at all hosts with items there, as before. Coordinators order preemptions themselves and are not concerned.

The effect on the latency of online requests is not measured.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -113,14 +113,15 @@
 /// which.
 fn preempt_items(node: &SwitchNode, state: &mut SwitchState) {
     let now = Instant::now();
-    for (id, excess) in due_preemptions(state, now) {
+    let own = &node.settings.descriptor.name;
+    for (id, excess) in due_preemptions(state, own, now) {
         state.load.record_preemption(&id, now);
         preempt_at(node, state, &id, excess);
     }
 }
 
-/// Endpoints at which items of this host must give way, and how many.
-fn due_preemptions(state: &mut SwitchState, now: Instant) -> Vec<(Arc<str>, usize)> {
+/// Endpoints at which items must give way, and how many of this host.
+fn due_preemptions(state: &mut SwitchState, own: &str, now: Instant) -> Vec<(Arc<str>, usize)> {
     let mut ids: Vec<Arc<str>> = state
         .running
         .iter()
@@ -147,11 +148,12 @@
             .collect();
     }
     let endpoints = ids.iter().filter_map(|id| state.endpoints.get(id));
-    let due = endpoints.map(|endpoint| {
-        let excess = state.load.batch_preemptions(endpoint, now) as usize;
-        (endpoint.id.clone(), excess)
+    let overfull = endpoints.filter(|endpoint| state.load.batch_excess(endpoint, now) > 0);
+    let due = overfull.map(|endpoint| {
+        let count = state.load.batch_preemptions(own, endpoint, now) as usize;
+        (endpoint.id.clone(), count)
     });
-    due.filter(|(_, excess)| *excess > 0).collect()
+    due.collect()
 }
 
 /// Preempts items at an endpoint until `excess` are, with those whose runs are being cancelled.
--- a/crates/switch/src/coordinator/decide.rs
+++ b/crates/switch/src/coordinator/decide.rs
@@ -302,7 +302,7 @@
             self.load.record_preemption(&endpoint.id, now);
             self.coordination
                 .record_preemption(group, &endpoint.service, now);
-            let mut holders = self.load.reports().item_holders(key);
+            let mut holders = self.load.reports().item_holders(key, None);
             holders.push((own.clone(), self.load.own(&endpoint.id).batch));
             for pending in &self.coordination.preempting {
                 let mut told = holders.iter_mut();
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -500,10 +500,11 @@
     state.members.set_claims(&name, heartbeat.claims);
     state.members.set_has_log(&name, heartbeat.has_log);
     state.members.set_reach(&name, reach);
+    let own = &*node.settings.descriptor.name;
     let must_preempt = !state.coordination.is_active()
         && state.running.iter().any(|running| {
             let endpoint = state.endpoints.get(&running.endpoint);
-            endpoint.is_some_and(|endpoint| state.load.batch_preemptions(endpoint, now) > 0)
+            endpoint.is_some_and(|endpoint| state.load.batch_preemptions(own, endpoint, now) > 0)
         });
     if must_preempt || change != MemberChange::Same {
         node.schedule_requested.notify_one();
--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -2,10 +2,12 @@
 
 use super::{FreeSlots, LoadView};
 use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
+use crate::report::EndpointKey;
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Slots of a preferred endpoint that batch items leave free for online requests.
 const PREFERRED_RESERVED_SLOTS: u32 = 1;
@@ -14,6 +16,9 @@
 /// Time after a preemption for which no batch item starts at the endpoint: a fraction of the length of a burst.
 const PREEMPTION_COOLDOWN: Duration = Duration::from_millis(600);
 
+/// Age of the last report of a host beyond which others do not wait for it to preempt its items: it may stand still.
+const SILENCE: Duration = Duration::from_millis(250);
+
 impl LoadView {
     /// Selects the endpoint for a batch item; only endpoints that keep their reserved slots free and that `is_admitted` selects
     /// qualify.
@@ -82,24 +87,38 @@
         free
     }
 
-    /// Number of this host's batch items to preempt at an endpoint.
-    ///
-    /// Each host preempts its share of the excess, rounded up, so that hosts with the same view of the load do not each
-    /// preempt an item for the same request.
+    /// Number of batch items of all hosts to preempt at an endpoint where this host has any; 0 where it has none.
     #[must_use]
-    pub fn batch_preemptions(&self, endpoint: &ListedEndpoint, now: Instant) -> u32 {
+    pub fn batch_excess(&self, endpoint: &ListedEndpoint, now: Instant) -> u32 {
         let Some(entry) = self.find(&endpoint.id) else {
             return 0;
         };
-        let total = entry.total();
-        let own = u32::from(entry.own.batch);
+        if entry.own.batch == 0 {
+            return 0;
+        }
         let overdue = self.unsettled_overdue(&endpoint.id, now);
-        let excess = total.total().saturating_sub(endpoint.slots).max(overdue);
-        if excess == 0 || own == 0 {
+        let excess = entry.total().total().saturating_sub(endpoint.slots);
+        excess.max(overdue).min(entry.total().batch.into())
+    }
+
+    /// Number of batch items of this host, which has the name `own`, to preempt at an endpoint.
+    ///
+    /// The hosts preempt in an order, so that those with the same view of the load preempt no more than the excess together. If each
+    /// preempted a share, rounded up, all would preempt the items that they started at the same moment, and start them again at the same
+    /// moment.
+    #[must_use]
+    pub fn batch_preemptions(&self, own: &str, endpoint: &ListedEndpoint, now: Instant) -> u32 {
+        let excess = self.batch_excess(endpoint, now);
+        if excess == 0 {
             return 0;
         }
-        let batch = u32::from(total.batch).max(1);
-        (excess.min(batch) * own).div_ceil(batch).min(own)
+        let key = EndpointKey::of(&endpoint.id);
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), key.hash());
+        let holders = self.reports.item_holders(key, now.checked_sub(SILENCE));
+        let before = holders.iter().filter(|(host, _)| rank(host) < rank(own));
+        let before: u32 = before.map(|(_, items)| u32::from(*items)).sum();
+        let own_items = u32::from(self.own(&endpoint.id).batch);
+        excess.saturating_sub(before).min(own_items)
     }
 
     /// Slots that batch items leave free at an endpoint: never all of them, or the items of a service whose endpoints have few
--- a/crates/switch/src/peer_load.rs
+++ b/crates/switch/src/peer_load.rs
@@ -76,13 +76,12 @@
         old.map(|report| report.host.clone()).collect()
     }
 
-    /// Hosts that report items at an endpoint, with their number.
+    /// Hosts that report items at an endpoint, with their number. Reports from before `since` do not count.
     #[must_use]
-    pub fn item_holders(&self, key: EndpointKey) -> Vec<(Arc<str>, u16)> {
-        let holders = self
-            .0
-            .iter()
-            .map(|report| (&report.host, items_at(&report.loads, key)));
+    pub fn item_holders(&self, key: EndpointKey, since: Option<Instant>) -> Vec<(Arc<str>, u16)> {
+        let reports = self.0.iter();
+        let recent = reports.filter(|report| since.is_none_or(|since| report.received_at >= since));
+        let holders = recent.map(|report| (&report.host, items_at(&report.loads, key)));
         holders
             .filter(|(_, items)| *items > 0)
             .map(|(host, items)| (host.clone(), items))
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -289,11 +289,59 @@
         view.begin("e0", RequestClass::Batch);
     }
     assert_eq!(
-        view.batch_preemptions(&listed("e0", SLOTS, false), Instant::now()),
+        view.batch_preemptions("own", &listed("e0", SLOTS, false), Instant::now()),
         expected
     );
 }
 
+/// Guards against items of several hosts at one endpoint that all give way for one request too many, again and again (LOST).
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn hosts_preempt_the_excess_once(
+    #[values(1, 4, 8)] slots: u32,
+    #[values(1, 2, 3)] items: u16,
+    #[values(0, 1, 5)] online: u16,
+) {
+    let names = ["a", "b", "c", "d", "e"].map(Arc::<str>::from);
+    let (endpoint, now) = (listed("e0", slots, false), Instant::now());
+    let counts = |online, batch| {
+        vec![(
+            EndpointKey::of("e0"),
+            report(RequestCounts { online, batch }),
+        )]
+    };
+    let preempted = names.iter().map(|own| {
+        let mut view = view(&[]);
+        (0..items).for_each(|_| view.begin("e0", RequestClass::Batch));
+        for peer in names.iter().filter(|name| *name != own) {
+            view.update_report(peer, counts(0, items), now);
+        }
+        view.update_report(&"caller".into(), counts(online, 0), now);
+        view.batch_preemptions(own, &endpoint, now)
+    });
+    let batch = u32::from(items) * 5;
+    let excess = (batch + u32::from(online)).saturating_sub(slots).min(batch);
+    assert_eq!(preempted.sum::<u32>(), excess);
+}
+
+/// Guards against a request that waits for a host that stands still to let its items give way.
+#[tokio::test(start_paused = true)]
+async fn items_of_a_silent_host_are_not_waited_for() {
+    let (endpoint, now) = (listed("e0", 1, false), Instant::now());
+    let later = now + Duration::from_millis(300);
+    let counts = RequestCounts {
+        online: 0,
+        batch: 1,
+    };
+    for own in ["a", "b", "c", "d"] {
+        let mut view = view(&[]);
+        view.begin("e0", RequestClass::Batch);
+        let load = vec![(EndpointKey::of("e0"), report(counts))];
+        view.update_report(&"silent".into(), load, now);
+        assert_eq!(view.batch_preemptions(own, &endpoint, later), 1);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn batch_items_respect_reserved_slots() {
     let (table, now) = (table(6), Instant::now());
--- a/crates/switch/tests/switch/overload.rs
+++ b/crates/switch/tests/switch/overload.rs
@@ -260,12 +260,15 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let endpoint = listed("e0", SLOTS, false);
     assert!(!view.update_overdue(sent + FIRST_BYTE));
-    assert_eq!(view.batch_preemptions(&endpoint, sent + FIRST_BYTE), 0);
+    assert_eq!(
+        view.batch_preemptions("own", &endpoint, sent + FIRST_BYTE),
+        0
+    );
 
     let later = sent + FIRST_BYTE * 2;
     assert!(view.update_overdue(later), "one more request is overdue");
     assert!(!view.update_overdue(later));
-    assert_eq!(view.batch_preemptions(&endpoint, later), 1);
+    assert_eq!(view.batch_preemptions("own", &endpoint, later), 1);
     assert_eq!(
         view.pick_batch(&table, "service", |_| true, later, &mut rng),
         None
@@ -274,11 +277,15 @@
     assert!(matches!(pick, EndpointPick::Full { .. }), "{pick:?}");
 
     view.record_preemption("e0", later);
-    assert_eq!(view.batch_preemptions(&endpoint, later), 0, "one is enough");
+    assert_eq!(
+        view.batch_preemptions("own", &endpoint, later),
+        0,
+        "one is enough"
+    );
     view.finish_wait("e0", sent);
     view.update_overdue(later);
     let next = later + Duration::from_secs(1);
-    assert_eq!(view.batch_preemptions(&endpoint, next), 0);
+    assert_eq!(view.batch_preemptions("own", &endpoint, next), 0);
 }
 
 /// A host preempts its batch items for an overdue request of another host.
@@ -297,7 +304,7 @@
     let load = vec![(EndpointKey::of("e0"), report)];
     view.update_report(&"peer".into(), load, now);
     let endpoint = listed("e0", SLOTS, false);
-    assert_eq!(view.batch_preemptions(&endpoint, now), 1);
+    assert_eq!(view.batch_preemptions("own", &endpoint, now), 1);
     view.remove_host(&"peer".into());
-    assert_eq!(view.batch_preemptions(&endpoint, now), 0);
+    assert_eq!(view.batch_preemptions("own", &endpoint, now), 0);
 }
