Items: at most half of an endpoint's slots are kept free for online requests

Cause: a host leaves three slots free at endpoints that it does not prefer.

Change: no more than half of the slots are kept.

Evidence: slots_for_items_of_a_host_that_prefers_others failed for three, four and five slots before.

--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -121,15 +121,15 @@
         excess.saturating_sub(before).min(own_items)
     }
 
-    /// Slots that batch items leave free at an endpoint: never all of them, or the items of a service whose endpoints have few
-    /// slots would not run.
+    /// Slots that batch items leave free at an endpoint: at most half of them, or items would wait beside endpoints that are less than half
+    /// full.
     fn reserved_slots(&self, endpoint: &ListedEndpoint) -> u32 {
         let reserved = if self.is_preferred(&endpoint.id) {
             PREFERRED_RESERVED_SLOTS
         } else {
             NON_PREFERRED_RESERVED_SLOTS
         };
-        reserved.min(endpoint.slots.saturating_sub(1))
+        reserved.min(endpoint.slots / 2)
     }
 
     fn free_batch_slots(&self, endpoint: &ListedEndpoint) -> u32 {
