--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -4,12 +4,12 @@
 pub mod explain;
 mod idle;
 mod items;
-mod limited;
+pub mod limited;
 mod outcomes;
 pub(crate) mod routeless;
 mod run;
 mod shares;
-mod version_rooms;
+pub mod version_rooms;
 
 pub(crate) use outcomes::hand_over;
 
@@ -30,6 +30,7 @@
 use crate::route::{RouteTable, ServiceRoute};
 use crate::schedule::{ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
+use crate::version_holds;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use items::{OpenItems, events_so_far, give_up, runnable_items};
 use outcomes::{ItemUpdate, record_updates, run_checkpoints};
@@ -46,9 +47,6 @@
 const SCHEDULE_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time for which an item whose prompt crashes endpoints is held back before it is looked at again.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
-/// Time for which an item waits for the software version of its output at least, also while no item has been measured: items give way to
-/// online requests for shorter times.
-const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
@@ -125,14 +123,15 @@
 /// which.
 fn preempt_items(node: &SwitchNode, state: &mut SwitchState) {
     let now = Instant::now();
-    for (id, excess) in due_preemptions(state, now) {
+    let own = &node.settings.descriptor.name;
+    for (id, excess) in due_preemptions(state, own, now) {
         state.load.record_preemption(&id, now);
         preempt_at(node, state, &id, excess);
     }
 }
 
-/// Endpoints at which items of this host must give way, and how many.
-fn due_preemptions(state: &mut SwitchState, now: Instant) -> Vec<(Arc<str>, usize)> {
+/// Endpoints at which items must give way, and how many of this host.
+fn due_preemptions(state: &mut SwitchState, own: &str, now: Instant) -> Vec<(Arc<str>, usize)> {
     let mut ids: Vec<Arc<str>> = state
         .running
         .iter()
@@ -159,11 +158,12 @@
             .collect();
     }
     let endpoints = ids.iter().filter_map(|id| state.endpoints.get(id));
-    let due = endpoints.map(|endpoint| {
-        let excess = state.load.batch_preemptions(endpoint, now) as usize;
-        (endpoint.id.clone(), excess)
+    let overfull = endpoints.filter(|endpoint| state.load.batch_excess(endpoint, now) > 0);
+    let due = overfull.map(|endpoint| {
+        let count = state.load.batch_preemptions(own, endpoint, now) as usize;
+        (endpoint.id.clone(), count)
     });
-    due.filter(|(_, excess)| *excess > 0).collect()
+    due.collect()
 }
 
 /// Preempts items at an endpoint until `excess` are, with those whose runs are being cancelled.
@@ -490,7 +490,7 @@
     let events = job.map_or(0, |job| {
         events_so_far(state, name, &job.items[name.item as usize])
     });
-    state.item_times.redo_time(events).max(MIN_HOLD_TIME)
+    version_holds::max_hold_time(state.item_times.redo_time(events))
 }
 
 /// Software version that has written the output of an item so far, which this host has or which is in the log.
--- a/crates/switch/src/version_holds.rs
+++ b/crates/switch/src/version_holds.rs
@@ -10,6 +10,9 @@
 
 /// Longest time that one pass adds: this host has not looked for slots while it stood still.
 const MAX_STEP: Duration = Duration::from_millis(200);
+/// Time for which an item waits for the software version of its output at least, also while no item has been measured: items give way to
+/// online requests for shorter times.
+const MIN_HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// For how long each item was held back by its version alone.
 #[derive(Clone, Debug, Default)]
@@ -77,3 +80,16 @@
         self.entries.binary_search_by(|(known, _)| known.cmp(name))
     }
 }
+
+/// How long a version alone may hold an item back whose output takes `redo_time` to make again.
+///
+/// ```
+/// use std::time::Duration;
+/// let max_hold_time = fulmarswitch_switch::version_holds::max_hold_time;
+/// assert_eq!(max_hold_time(Duration::from_secs(4)), Duration::from_secs(4));
+/// assert_eq!(max_hold_time(Duration::ZERO), Duration::from_secs(1));
+/// ```
+#[must_use]
+pub fn max_hold_time(redo_time: Duration) -> Duration {
+    redo_time.max(MIN_HOLD_TIME)
+}
