Tests: jobs end after random faults, though one host keeps one

Three hosts with a log access and links of their own get random faults of the log (cuts, slow or unreadable topics, refused, lost and late appends, expired history), the links, the endpoints (ends, other versions, broken and silent answers) and the hosts (stops and restarts). At the end all but one host are healed, and that one gets a last fault. All jobs must have all results at the others, with whole texts.

--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -4,6 +4,7 @@
 mod byte_budget;
 mod cap_costs;
 mod caps;
+mod claim_faults;
 mod claims;
 mod coordinator;
 mod crash_model;
