Heartbeats: too many claims no longer keep one from being sent

What callers saw: nothing yet in a record; items of a host run at two hosts.

Cause: a heartbeat over 1,400 bytes was not sent at all. 120 claims of up to 5 bytes (600), 10 to 16 bytes for each endpoint with load, two descriptors, failing endpoints (24 x 5) and departures pass that from some 40 to 60 endpoints on (computed; 9 endpoints with 120 claims are about 970). The host then counted as lost, and the others ran all its items as well.

Change: a heartbeat has as many claims as fit, those of running items first. A load report alone that is too large (over about 100 endpoints with load at one host) is still not sent.

Evidence: 160 items at 90 endpoints of one host; a second one did not hear it (1 address where 2), and does now.

--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -42,6 +42,8 @@
 const MAX_HEARTBEAT_BYTES: usize = 1400;
 /// Maximum number of claimed items in a heartbeat, limited by its size.
 const MAX_CLAIMS: usize = 120;
+/// Maximum size of an encoded claim.
+const MAX_CLAIM_BYTES: usize = 5;
 /// Maximum number of limits of endpoints in a message, limited by its size.
 const MAX_LIMITS: usize = 80;
 /// Maximum number of failing endpoints in a heartbeat, limited by its size.
@@ -233,8 +235,7 @@
         let reach = node.reach_report(&state, now);
         (heartbeat, reach, limits, targets, interval)
     };
-    let message = PeerMessage::Heartbeat(Box::new(heartbeat));
-    if let Some(bytes) = encode(node, &(message, reach)) {
+    if let Some(bytes) = encode_heartbeat(node, heartbeat, reach) {
         send_to_targets(node, socket, &bytes, &targets).await;
     }
     for reports in limits.chunks(MAX_LIMITS) {
@@ -243,6 +244,29 @@
     interval
 }
 
+/// Encodes a heartbeat with as many of its claims as fit: without a heartbeat, the host would count as lost, and the others would run all its
+/// items.
+fn encode_heartbeat(
+    node: &SwitchNode,
+    mut heartbeat: Heartbeat,
+    reach: ReachReport,
+) -> Option<Vec<u8>> {
+    let claims = std::mem::take(&mut heartbeat.claims);
+    let size = postcard::to_stdvec(&claims).map_or(0, |bytes| bytes.len());
+    let mut message = (PeerMessage::Heartbeat(Box::new(heartbeat)), reach);
+    let rest = postcard::to_stdvec(&(SCHEMA, &message)).map_or(0, |bytes| bytes.len());
+    let room = MAX_HEARTBEAT_BYTES.saturating_sub(rest);
+    let count = if size <= room {
+        claims.len()
+    } else {
+        room / MAX_CLAIM_BYTES
+    };
+    if let PeerMessage::Heartbeat(heartbeat) = &mut message.0 {
+        heartbeat.claims = claims.into_iter().take(count).collect();
+    }
+    encode(node, &message)
+}
+
 fn encode(node: &SwitchNode, message: &impl Serialize) -> Option<Vec<u8>> {
     match postcard::to_stdvec(&(SCHEMA, message)) {
         Ok(bytes) if bytes.len() <= MAX_HEARTBEAT_BYTES => Some(bytes),
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -174,12 +174,15 @@
 
 impl SwitchState {
     /// Items that this host claims: they run or have output here, or their outcome is not recorded in the log yet and they are not left to
-    /// other hosts.
+    /// other hosts. Those that run here come first.
     pub(crate) fn own_claims(&self, max: usize, now: Instant) -> Vec<ItemKey> {
+        let running = self.running.iter().map(|running| &running.name);
+        let is_running = |name: &ItemName| self.running.iter().any(|running| running.name == *name);
         let in_progress = self.progress.iter().map(|(name, _)| name);
+        let waiting = in_progress.filter(|name| !is_running(name));
         let unrecorded = self.unrecorded.iter();
         let unrecorded = unrecorded.filter(|name| !self.idle_items.is_released(name, now));
-        let names = in_progress.chain(unrecorded);
+        let names = running.chain(unrecorded).chain(waiting);
         names.take(max).map(ItemName::key).collect()
     }
 
--- a/crates/switch/tests/switch/claims.rs
+++ b/crates/switch/tests/switch/claims.rs
@@ -96,3 +96,23 @@
     assert_eq!(resumed.count(), ITEMS as usize);
     assert_eq!(calls.len(), 2 * ITEMS as usize);
 }
+
+/// Guards against a host that counts as lost, so that its items run twice, as its heartbeat is too large to be sent.
+#[tokio::test(start_paused = true)]
+async fn host_with_many_items_at_many_endpoints_is_heard() {
+    let fleet = TestFleet::new(90);
+    let first = fleet.start("a").await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 1000 });
+    for job in ["j", "k"] {
+        let mut submission = submission(job, 80);
+        let mut route = (*submission.route).clone();
+        route.token_quota = None;
+        submission.route = Arc::new(route);
+        first.submit_job(submission).await;
+    }
+    wait_until("runs of all items", async || fleet.client.running() == 160).await;
+    let second = fleet.start("b").await;
+    assert_eq!(second.caller_addresses(64).len(), 2);
+}
