Items: run those held back for their prompts as soon as a quarantine ends

Seen: items whose part was in quarantine went on waiting beside free slots for up to 5 s after the trial at another host had shown that the part is sound.

Cause: an item is held back until the next trial is due, at most for 5 s, and nothing lifted that when the quarantine ended. While one host makes the trial, the next one is due in 10 s, so that all others wait the whole 5 s.

Change: what holds an item back is kept apart from its backoff and is lifted when a quarantine ends, by an answer at this host or by the report of another.

items_of_all_hosts_run_once_their_part_is_sound failed before ("12 not done within 2s" after the trial) and passes now.

--- a/crates/switch/src/crash_exchange.rs
+++ b/crates/switch/src/crash_exchange.rs
@@ -250,6 +250,9 @@
                 };
                 if state.crashes.quarantine.apply(reported.clone(), now) {
                     node.log_quarantine(&reported, Some(host), now);
+                    if reported.parts.is_empty() {
+                        node.release_items(&mut state);
+                    }
                 }
             }
         }
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -162,10 +162,20 @@
         now: Instant,
     ) {
         let quarantine = &mut state.crashes.quarantine;
-        for changed in quarantine.remove_sound(part, seen_at, now) {
+        let changed = quarantine.remove_sound(part, seen_at, now);
+        for quarantine in &changed {
             info!(self.deps.logger, "part is sound"; "part" => %part,
-                "still_rejected" => part_list(&changed.parts));
+                "still_rejected" => part_list(&quarantine.parts));
         }
+        if changed.iter().any(|quarantine| quarantine.parts.is_empty()) {
+            self.release_items(state);
+        }
+    }
+
+    /// Looks again at the items that are held back, as a quarantine has ended.
+    pub(crate) fn release_items(&self, state: &mut SwitchState) {
+        state.histories.release_held();
+        self.schedule_requested.notify_one();
     }
 
     /// Decides whether a request with these parts may be sent. Asks for a trial that is due if another host decides on it.
--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -69,6 +69,8 @@
     /// Number of runs that ended before the endpoint had begun to respond.
     late_responses: u32,
     not_before: Option<Instant>,
+    /// Until when its prompt is rejected, as far as this host knows.
+    held_until: Option<Instant>,
 }
 
 /// Failure histories of items at this host, sorted by name.
@@ -93,9 +95,29 @@
         entry.not_before = Some(now + retry_delay(entry.interruptions));
     }
 
-    /// Does not run the item before `until`.
+    /// Does not run the item before `until`, as its prompt is rejected, unless [`Self::release_held`] is called.
     pub fn hold_back(&mut self, name: &ItemName, until: Instant) {
-        self.entry(name).not_before = Some(until);
+        self.entry(name).held_until = Some(until);
+    }
+
+    /// Lets all items run that are held back, as prompts may no longer be rejected.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::schedule::{ItemHistories, ItemName};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// let name = ItemName { job: "j".into(), item: 0 };
+    /// let now = Instant::now();
+    /// let mut histories = ItemHistories::default();
+    /// histories.hold_back(&name, now + Duration::from_secs(5));
+    /// assert!(!histories.may_run(&name, now));
+    /// histories.release_held();
+    /// assert!(histories.may_run(&name, now));
+    /// ```
+    pub fn release_held(&mut self) {
+        for entry in &mut self.entries {
+            entry.held_until = None;
+        }
     }
 
     /// Records that a run ended since its endpoint had not begun to respond in time.
@@ -110,13 +132,15 @@
         found.map_or(0, |index| self.entries[index].late_responses)
     }
 
-    /// Whether the backoff of an item has passed.
+    /// Whether the backoff of an item has passed and it is not held back.
     #[must_use]
     pub fn may_run(&self, name: &ItemName, now: Instant) -> bool {
         match self.entries.binary_search_by(|entry| entry.name.cmp(name)) {
-            Ok(index) => self.entries[index]
-                .not_before
-                .is_none_or(|instant| instant <= now),
+            Ok(index) => {
+                let entry = &self.entries[index];
+                let mut waits = [entry.not_before, entry.held_until].into_iter().flatten();
+                waits.all(|until| until <= now)
+            }
             Err(_) => true,
         }
     }
@@ -138,6 +162,7 @@
                     interruptions: 0,
                     late_responses: 0,
                     not_before: None,
+                    held_until: None,
                 };
                 self.entries.insert(index, entry);
                 index
--- a/crates/switch/tests/switch/quarantine_trials.rs
+++ b/crates/switch/tests/switch/quarantine_trials.rs
@@ -25,6 +25,10 @@
 /// Time after the term in which the part must be tried and found to be sound.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
 
+/// Number of items that wait for the trial, and time after it in which they must be done: two runs.
+const ITEMS: u32 = 12;
+const RELEASE_TIME: Duration = Duration::from_secs(2);
+
 /// The host with the highest rank for a hash.
 fn ranked_first(hash: u64) -> &'static str {
     let ranked = HOSTS.into_iter();
@@ -125,3 +129,29 @@
     }
     assert!(is_tried, "not tried within {TRIAL_TIME:?} after the term");
 }
+
+/// Guards against items that wait beside free slots for seconds after the trial at another host has shown that their part is sound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_of_all_hosts_run_once_their_part_is_sound() {
+    let fleet = TestFleet::new(6);
+    let (hosts, _unread) = start_hosts(&fleet, true).await;
+    let receiver = &hosts[0];
+    let rejected_at = crash_endpoints(&fleet, receiver).await;
+    fleet.client.set_default(CallScript::Stream { events: 40 });
+    let job = job_id();
+    let mut submission = submission(&job, ITEMS);
+    for item in &mut submission.items {
+        item.headers.push(("parts".into(), part().into()));
+    }
+    assert_eq!(receiver.submit_job(submission).await, SubmitReply::Done);
+    let done = async |count: u32, within: Duration| {
+        let until = Instant::now() + within;
+        while results(receiver, &job).await.results.len() < count as usize {
+            assert!(Instant::now() < until, "{count} not done within {within:?}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    sleep_until(rejected_at + TERM).await;
+    done(1, TRIAL_TIME).await;
+    done(ITEMS, RELEASE_TIME).await;
+}
