--- a/crates/switch/src/schedule.rs
+++ b/crates/switch/src/schedule.rs
@@ -70,7 +70,9 @@
     interruptions: u32,
     /// Number of runs that ended before the endpoint had begun to respond.
     late_responses: u32,
-    hold: Option<ItemHold>,
+    not_before: Option<Instant>,
+    /// Until when its prompt is rejected, as far as this host knows.
+    held_until: Option<Instant>,
 }
 
 /// Until when an item does not run at this host, and why.
@@ -84,10 +86,19 @@
 
 impl ItemHistory {
     fn back_off(&mut self, count: u32, now: Instant) {
-        self.hold = Some(ItemHold {
-            until: now + retry_delay(count),
-            is_quarantined: false,
-        });
+        self.not_before = Some(now + retry_delay(count));
+    }
+
+    /// What holds the item back for longest.
+    fn hold(&self) -> Option<ItemHold> {
+        let hold = |until: Option<Instant>, is_quarantined| {
+            until.map(|until| ItemHold {
+                until,
+                is_quarantined,
+            })
+        };
+        let holds = [hold(self.not_before, false), hold(self.held_until, true)];
+        holds.into_iter().flatten().max_by_key(|hold| hold.until)
     }
 }
 
@@ -113,13 +124,29 @@
         entry.back_off(entry.interruptions, now);
     }
 
-    /// Does not run the item before `until`, since endpoints crash under parts of its prompt.
+    /// Does not run the item before `until`, as its prompt is rejected, unless [`Self::release_held`] is called.
     pub fn hold_back(&mut self, name: &ItemName, until: Instant) {
-        let is_quarantined = true;
-        self.entry(name).hold = Some(ItemHold {
-            until,
-            is_quarantined,
-        });
+        self.entry(name).held_until = Some(until);
+    }
+
+    /// Lets all items run that are held back, as prompts may no longer be rejected.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::schedule::{ItemHistories, ItemName};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// let name = ItemName { job: "j".into(), item: 0 };
+    /// let now = Instant::now();
+    /// let mut histories = ItemHistories::default();
+    /// histories.hold_back(&name, now + Duration::from_secs(5));
+    /// assert!(!histories.may_run(&name, now));
+    /// histories.release_held();
+    /// assert!(histories.may_run(&name, now));
+    /// ```
+    pub fn release_held(&mut self) {
+        for entry in &mut self.entries {
+            entry.held_until = None;
+        }
     }
 
     /// Records that a run ended since its endpoint had not begun to respond in time.
@@ -149,7 +176,7 @@
     #[must_use]
     pub fn hold(&self, name: &ItemName, now: Instant) -> Option<ItemHold> {
         let found = self.entries.binary_search_by(|entry| entry.name.cmp(name));
-        let hold = self.entries[found.ok()?].hold;
+        let hold = self.entries[found.ok()?].hold();
         hold.filter(|hold| hold.until > now)
     }
 
@@ -175,7 +202,8 @@
                     failures: 0,
                     interruptions: 0,
                     late_responses: 0,
-                    hold: None,
+                    not_before: None,
+                    held_until: None,
                 };
                 self.entries.insert(index, entry);
                 index
