Items: reading their output again holds a slot for 3 s at most

Cause: a run reads the checkpointed output of earlier runs, one text after the other, without a time limit of its own. The store's client ends each read (by reading: after 1.2 s, or some 17 s if it looks the text up by key), but their sum grows with the number of checkpoints.

Change: 3 s for all of them; the run goes on from what was read by then, as it does after a failed read.

Evidence: with reads that take 10 minutes, the items of a host without the log did not end in 20 s at the host that took them over, and do now.

--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -33,6 +33,8 @@
 /// extend it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum time to load output of earlier runs, in which the run holds a slot and no endpoint works on it.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time within which the listings must be read for the output of a run.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -362,15 +364,19 @@
             return;
         }
         let mut texts = Vec::new();
+        let deadline = Instant::now() + LOAD_TIMEOUT;
         for segment in &self.segments {
-            match self.node.fetch_text(&segment.location).await {
-                Ok(text) => texts.push(text),
-                Err(error) => {
-                    warn!(self.node.deps.logger, "checkpointed output not read";
-                        "job" => &*self.name.job, "item" => self.name.item, "cause" => %error);
-                    break;
+            let cause = match timeout_at(deadline, self.node.fetch_text(&segment.location)).await {
+                Ok(Ok(text)) => {
+                    texts.push(text);
+                    continue;
                 }
-            }
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => format!("not read within {LOAD_TIMEOUT:?}"),
+            };
+            warn!(self.node.deps.logger, "checkpointed output not read";
+                "job" => &*self.name.job, "item" => self.name.item, "cause" => cause);
+            break;
         }
         let read = &self.segments[..texts.len()];
         *self.progress.lock() = ItemProgress::from_segments(read, &texts);
--- a/crates/switch/tests/switch/claims.rs
+++ b/crates/switch/tests/switch/claims.rs
@@ -116,3 +116,16 @@
     let second = fleet.start("b").await;
     assert_eq!(second.caller_addresses(64).len(), 2);
 }
+
+/// Guards against an item that holds a slot without running for as long as a read of its output takes (LOST).
+#[tokio::test(start_paused = true)]
+async fn item_does_not_wait_long_for_its_output() {
+    let fleet = TestFleet::new(4);
+    let (first, log) = start_pair(&fleet, CallScript::StallAfter { event: 50 }).await;
+    sleep(Duration::from_secs(4)).await;
+    log.set_cut(true);
+    sleep(Duration::from_secs(4)).await;
+    fleet.client.set_default(CallScript::Stream { events: 100 });
+    fleet.log.set_fetch_delay(Duration::from_mins(10));
+    wait_for_results(&first, &full_text(100)).await;
+}
