Items: one that gives way after its answer has begun shows that its part is sound

Seen in a model of a fleet of 9 endpoints: crashes of other causes put sound parts of items into quarantine, and their items wait beside idle endpoints.

Cause: an answer shows that its parts are sound once it is complete or has been in progress for 2 s. Items give way to pulses of online requests before that where responses take long to begin, and are sent again. So each crash adds to the suspicion of a part that many items have, and no run takes away from it.

Change: the run of an item that gives way shows that its part is sound if the endpoint has gone on sending events of it for the time in which a request crashes the endpoint that begins to answer it (250 ms). Runs that break off are evidence as before, and no proof comes earlier in a run that goes on.

By reading, a trial whose item gives way after that has a result as well; this was not run.

Evidence: item_that_gives_way_shows_that_its_part_is_sound is rejected without the change (2 of 2 runs) and passes with it.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -633,6 +633,8 @@
         progress,
         segments,
         resumed_after: None,
+        first_event_at: None,
+        has_begun: false,
         framing: None,
     };
     ItemLaunch { run, cancelled }
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -11,6 +11,7 @@
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::progress::{ItemProgress, MAX_OUTPUT_BYTES, ProgressSegment, SharedProgress};
 use crate::prompt::PromptParts;
+use crate::quarantine::BEGIN_TIME;
 use crate::route::RouteKind;
 use crate::schedule::ItemName;
 use crate::starts::StartCheck;
@@ -98,6 +99,10 @@
     pub(super) segments: Vec<ProgressSegment>,
     /// Last event before this run.
     pub(super) resumed_after: Option<u64>,
+    /// When the endpoint sent the first event of this run.
+    pub(super) first_event_at: Option<Instant>,
+    /// Whether the endpoint went on sending events for [`BEGIN_TIME`].
+    pub(super) has_begun: bool,
     /// Framing of the response's body; `None` before its head.
     pub(super) framing: Option<BodyFraming>,
 }
@@ -215,6 +220,7 @@
                 Ok(false) => {}
                 Ok(true) => {
                     is_proven = true;
+                    self.record_event();
                     stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
                 }
                 Err(outcome) => return outcome,
@@ -238,6 +244,12 @@
         }
     }
 
+    fn record_event(&mut self) {
+        let now = Instant::now();
+        let first = *self.first_event_at.get_or_insert(now);
+        self.has_begun |= now >= first + BEGIN_TIME;
+    }
+
     /// Adds the complete events to the output. Returns whether there were any, or the outcome of a run that ends with them.
     fn take_events(&self, parser: &mut EventParser) -> Result<bool, RunOutcome> {
         let mut has_events = false;
@@ -310,6 +322,7 @@
         let is_marked = self.framing == Some(BodyFraming::Delimited);
         let may_be_complete = match outcome {
             RunOutcome::Completed if is_marked => return self.record_sound(),
+            RunOutcome::Cancelled if self.has_begun => return self.record_sound(),
             RunOutcome::Completed | RunOutcome::UnmarkedEnd => true,
             RunOutcome::Interrupted(CallError::Interrupted { .. }) => false,
             _ => return,
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -19,8 +19,8 @@
 /// Number of successive crashes after which one is in quarantine in any case.
 const MAX_CRASHES: usize = 5;
 /// Time in which a request that crashes the endpoint which begins to answer it does so, unless it waits for a slot. A sound one
-/// may break off at any time of its run.
-const BEGIN_TIME: Duration = Duration::from_millis(250);
+/// may break off at any time of its run. An item that gives way after the endpoint has sent events of it for as long is sound.
+pub(crate) const BEGIN_TIME: Duration = Duration::from_millis(250);
 /// Time after this host has learned of a crash from which it counts. Before that the reports of some hosts may be missing, and
 /// with them the request that caused it, or the answers that show which parts are sound.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(300);
--- a/crates/switch/tests/switch/crashing_parts.rs
+++ b/crates/switch/tests/switch/crashing_parts.rs
@@ -11,6 +11,7 @@
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::SwitchNode;
+use fulmarswitch_switch::online::OnlineRequest;
 use fulmarswitch_switch::prompt::PartKey;
 use rstest::rstest;
 use std::sync::Arc;
@@ -328,3 +329,56 @@
         assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
     }
 }
+
+/// Guards against a sound part that is rejected after crashes of other causes since the items with it, whose answers go on for some time, all
+/// give way to other requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn item_that_gives_way_shows_that_its_part_is_sound() {
+    let fleet = TestFleet::new(3);
+    let host = fleet.start("a").await;
+    fleet.client.set_default(CallScript::Stream { events: 150 });
+    crash_under_part(&fleet, &host, "first").await;
+    crash_under_part(&fleet, &host, "second").await;
+    let mut job = submission("j", 1);
+    job.items[0].headers.push(("parts".into(), DEADLY.into()));
+    assert_eq!(host.submit_job(job).await, SubmitReply::Done);
+    sleep(BEGIN_TIME * 3).await;
+    for number in 0..4 {
+        let host = host.clone();
+        let online = request(&host, "/stream/x", &format!("online-{number}"));
+        tokio::spawn(async move { read_response(&host, online).await });
+    }
+    sleep(Duration::from_millis(100)).await;
+    let metrics = host.write_metrics().unwrap();
+    assert!(metrics.contains("outcome=\"cancelled\"} 1"), "{metrics}");
+    for id in ["e3", "e4"] {
+        fleet.log.put("endpoints", id, "ready");
+    }
+    sleep(Duration::from_millis(300)).await;
+    crash_under_part(&fleet, &host, "third").await;
+    sleep(Duration::from_millis(400)).await;
+    let outcome = read_response(&host, part_request(&host, "sound")).await;
+    assert!(matches!(outcome, CallerOutcome::Complete(_)), "{outcome:?}");
+}
+
+/// Lets an endpoint crash of a cause of its own while it begins a request with the part.
+async fn crash_under_part(fleet: &TestFleet, host: &Arc<SwitchNode>, id: &'static str) {
+    fleet.client.set_deadly(Some(DeadlyCalls {
+        cause: DeadlyCause::Part(PartKey::of(DEADLY)),
+        crash_after: CRASH_AFTER,
+    }));
+    let outcome = read_response(host, part_request(host, id)).await;
+    assert!(
+        matches!(outcome, CallerOutcome::Truncated(_)),
+        "{outcome:?}"
+    );
+    fleet.client.set_deadly(None);
+    sleep(BEGIN_TIME).await;
+}
+
+/// A request with the part alone, unlike all others.
+fn part_request(host: &SwitchNode, id: &'static str) -> OnlineRequest {
+    let mut request = request_with_parts(host, "/stream/x", id, &[DEADLY.to_owned()]);
+    request.call.body = id.into();
+    request
+}
