Tests: two states in which an item waits at a host that cannot run it

What callers would see: accepted items that nobody runs beside idle endpoints (LOST).

A host that reads the job records but not the configuration is taken for one that runs items, also those of a route that it does not know. And `limit_sharers` takes all hosts to share the limits as soon as one listed endpoint names none, also one that nobody reaches, so that items wait at hosts without a share.

--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -18,6 +18,7 @@
 mod expiry_costs;
 mod fleet;
 mod foreign_bytes;
+mod item_holders;
 mod item_slots;
 mod item_statuses;
 mod job_owners;
