Items: a version holds an item back until a run adds to its output

What callers would see: items that wait for good beside idle slots (LOST).

Cause: each attempt at the version ended the hold, also one that the endpoint refused as full (503, or 421 from a reused address). The endpoint counts as full for 150 ms only, so that the hold never reached a second.

Change: the hold ends when the item begins anew, or with a run that has had events.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -402,10 +402,10 @@
         state.histories.hold_back(&name, until);
         return None;
     }
-    state.version_holds.remove(&name);
     let output_version = output_version(state, &name);
     let starts_again = output_version.is_some_and(|version| version != endpoint.version_key());
     let segments = if starts_again {
+        state.version_holds.remove(&name);
         info!(node.deps.logger, "output discarded"; "job" => &*name.job, "item" => name.item,
             "id" => &*call.id,
             "cause" => "no endpoint of the version that wrote it has a free slot");
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -138,6 +138,9 @@
         let outcome = self.confirm_output(outcome).await;
         let mut state = self.node.lock();
         state.running.retain(|running| running.name != self.name);
+        if self.first_event_at.is_some() {
+            state.version_holds.remove(&self.name);
+        }
         let kind = self.apply_outcome(&mut state, &outcome, started, &updates);
         match kind {
             Some(kind) => {
--- a/crates/switch/src/version_holds.rs
+++ b/crates/switch/src/version_holds.rs
@@ -64,7 +64,7 @@
         Some(self.entries[self.search(name).ok()?].1)
     }
 
-    /// Forgets an item, which starts.
+    /// Forgets an item, which got on: it has begun anew, or a run has added events to its output.
     pub fn remove(&mut self, name: &ItemName) {
         if let Ok(index) = self.search(name) {
             self.entries.remove(index);
--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -1,6 +1,6 @@
 //! Items whose output so far is of a software version that has few slots.
 
-use crate::support::CallScript::{Pause, Stream};
+use crate::support::CallScript::{Full, Pause, Stream};
 use crate::support::{TestFleet, full_text, results, submission, wait_until};
 use fulmarswitch_switch::node::SwitchNode;
 use futures::future::join_all;
@@ -113,3 +113,23 @@
     })
     .await;
 }
+
+/// Guards against items that wait for good for a version whose endpoint has free slots by all reports, and refuses each item as full.
+#[tokio::test(start_paused = true)]
+async fn items_begin_anew_where_none_is_refused() {
+    let fleet = TestFleet::new(0);
+    let items = 5;
+    released_fleet(&fleet, items, 100).await;
+    fleet.client.set_default(Full);
+    wait_until("runs of all items at the other version", async || {
+        let calls = fleet.client.calls().into_iter();
+        let mut ids: Vec<Arc<str>> = calls
+            .filter(|call| &*call.endpoint == "v2-a")
+            .map(|call| call.id)
+            .collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids.len() == items as usize
+    })
+    .await;
+}
