Items: a version without room at coordinators holds items back

Cause: whether a version has a slot was taken from this host's view, which keeps one or three slots of an endpoint in reserve. The coordinator decides, and keeps one of 20 slots of the service in its group. Where that is more, the host saw a free slot, counted no hold, and was granted none.

Change: a version whose asks were denied a moment ago has no slot, whatever the view says. What is asked of the others is that an endpoint of another version has a slot.

Evidence: items_begin_anew_where_coordinators_grant_none (22 hosts, one endpoint of 24 slots left) timed out after 20 s before, and passes.

--- a/crates/switch/src/coordinator/asks.rs
+++ b/crates/switch/src/coordinator/asks.rs
@@ -20,6 +20,8 @@
 const SILENCE_TIME: Duration = Duration::from_secs(1);
 /// Time after which items of a scope are asked for again where a group has no such endpoint: a few times that in which hosts read the listings.
 const MISSING_TIME: Duration = Duration::from_millis(250);
+/// Time after a denial for which a scope counts as without room: the next ask is answered within it.
+const DENIAL_TIME: Duration = Duration::from_millis(300);
 /// Maximum number of items of one scope that wait for an answer.
 const MAX_SCOPE_ASKS: usize = 4;
 /// Number of scopes without room up to which the time between asks grows with them, so that a host sends about as many asks whatever its services.
@@ -110,6 +112,14 @@
         waiting < MAX_SCOPE_ASKS
     }
 
+    /// Whether coordinators had no room for the items of a scope a moment ago.
+    #[must_use]
+    pub fn was_denied(&self, scope: &ItemScope, now: Instant) -> bool {
+        let mut rooms = self.rooms.iter();
+        let room = rooms.find(|room| room.scope == *scope);
+        room.is_some_and(|room| room.denials > 0 && now < room.denied_until + DENIAL_TIME)
+    }
+
     /// Begins an ask for an item, and returns its number.
     pub fn begin_item(
         &mut self,
--- a/crates/switch/tests/switch/version_room.rs
+++ b/crates/switch/tests/switch/version_room.rs
@@ -1,5 +1,6 @@
 //! Items whose output so far is of a software version that has few slots.
 
+use crate::item_slots::start_hosts;
 use crate::support::CallScript::{Full, Pause, Stream};
 use crate::support::{TestFleet, full_text, results, submission, wait_until};
 use fulmarswitch_switch::node::SwitchNode;
@@ -133,3 +134,48 @@
     })
     .await;
 }
+
+/// Guards against items that coordinators grant no slot of their version, since they keep more slots in reserve than hosts take into
+/// account.
+#[tokio::test]
+async fn items_begin_anew_where_coordinators_grant_none() {
+    let fleet = TestFleet::new(0);
+    for (id, listing) in [
+        ("v1-a", "ready v1 1 service d0 24"),
+        ("v1-b", "ready v1 1 service d0 80"),
+    ] {
+        fleet.log.put("endpoints", id, listing);
+    }
+    let hosts = start_hosts(&fleet).await;
+    let items = 66;
+    let stall = Pause {
+        after: 20,
+        silence: Duration::from_mins(1),
+        events: 1200,
+    };
+    fleet.client.set_default(stall);
+    hosts[0].submit_job(submission("j", items)).await;
+    wait_until("runs of all items", async || {
+        fleet.client.running() == i64::from(items)
+    })
+    .await;
+    sleep(Duration::from_millis(900)).await;
+    // The runs of the items that go on last for longer than the test.
+    fleet.client.set_default(Stream { events: 1200 });
+    for (id, listing) in [
+        ("v1-b", ""),
+        ("v2-a", "ready v2 1 service d1 60"),
+        ("v2-b", "ready v2 1 service d1 60"),
+    ] {
+        fleet.log.put("endpoints", id, listing);
+    }
+    wait_until("runs of all items beside each other", async || {
+        fleet.client.running() == i64::from(items)
+            && fleet
+                .client
+                .calls()
+                .iter()
+                .any(|call| &*call.endpoint == "v2-a")
+    })
+    .await;
+}
