Items: hosts whose views differ preempt their shares

What callers would see: an online request that waits up to the end of an item's run, or items that give way in vain.

Cause: the order in which hosts preempt holds among hosts with the same view. A host that is before the others and does not hear of a request preempts nothing, and the others leave the excess to it. A host that has paused takes all others as silent, and preempts the whole excess.

Change: after 300 ms of excess a host preempts its share, rounded up, whatever the order; so does one that has no report of the last 250 ms.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -157,13 +157,17 @@
             .map(|(excess, id)| (id, excess))
             .collect();
     }
-    let endpoints = ids.iter().filter_map(|id| state.endpoints.get(id));
-    let overfull = endpoints.filter(|endpoint| state.load.batch_excess(endpoint, now) > 0);
-    let due = overfull.map(|endpoint| {
-        let count = state.load.batch_preemptions(own, endpoint, now) as usize;
-        (endpoint.id.clone(), count)
-    });
-    due.collect()
+    let SwitchState {
+        endpoints, load, ..
+    } = state;
+    let mut due = Vec::new();
+    for endpoint in ids.iter().filter_map(|id| endpoints.get(id)) {
+        if load.record_excess(endpoint, now) {
+            let count = load.batch_preemptions(own, endpoint, now) as usize;
+            due.push((endpoint.id.clone(), count));
+        }
+    }
+    due
 }
 
 /// Preempts items at an endpoint until `excess` are, with those whose runs are being cancelled.
--- a/crates/switch/src/load.rs
+++ b/crates/switch/src/load.rs
@@ -48,6 +48,13 @@
     pub other: u32,
 }
 
+/// Time in which an endpoint had more requests than slots in each pass.
+#[derive(Clone, Copy, Debug)]
+struct ExcessSpan {
+    since: Instant,
+    seen_at: Instant,
+}
+
 #[derive(Clone, Debug, Default)]
 struct LoadEntry {
     /// Requests of this host.
@@ -70,6 +77,8 @@
     full_until: Option<Instant>,
     /// When this host last preempted a batch item.
     preempted_at: Option<Instant>,
+    /// Since when there are more requests than slots.
+    excess: Option<ExcessSpan>,
     /// Time after which the coordinator of the endpoint takes a request there to be overdue.
     told_overdue_after: Option<Duration>,
 }
--- a/crates/switch/src/load/batch.rs
+++ b/crates/switch/src/load/batch.rs
@@ -1,6 +1,6 @@
 //! Batch items: where they may run, and how many must give way.
 
-use super::{FreeSlots, LoadView};
+use super::{ExcessSpan, FreeSlots, LoadView};
 use crate::endpoint::{EndpointFilter, EndpointTable, ListedEndpoint};
 use crate::report::{EndpointKey, RequestCounts};
 use rand::Rng;
@@ -18,6 +18,10 @@
 
 /// Age of the last report of a host beyond which others do not wait for it to preempt its items: it may stand still.
 const SILENCE: Duration = Duration::from_millis(250);
+/// Time after which an excess is not left to hosts that are before this one in the order: they may not know of it.
+const MAX_EXCESS_TIME: Duration = Duration::from_millis(300);
+/// Longest time between two passes that see the same excess.
+const MAX_EXCESS_GAP: Duration = Duration::from_millis(200);
 /// Why an endpoint gets no batch item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotObstacle {
@@ -187,23 +191,47 @@
         excess.max(overdue).min(entry.total().batch.into())
     }
 
+    /// Records in each pass whether an endpoint has more requests than slots. Returns whether it has.
+    pub fn record_excess(&mut self, endpoint: &ListedEndpoint, now: Instant) -> bool {
+        let has_excess = self.batch_excess(endpoint, now) > 0;
+        let entry = self.entry(EndpointKey::of(&endpoint.id));
+        let earlier = entry.excess.filter(|span| {
+            now.saturating_duration_since(span.seen_at) <= MAX_EXCESS_GAP && has_excess
+        });
+        let since = earlier.map_or(now, |span| span.since);
+        let span = ExcessSpan {
+            since,
+            seen_at: now,
+        };
+        entry.excess = has_excess.then_some(span);
+        has_excess
+    }
+
     /// Number of batch items of this host, which has the name `own`, to preempt at an endpoint.
     ///
     /// The hosts preempt in an order, so that those with the same view of the load preempt no more than the excess together. If each
     /// preempted a share, rounded up, all would preempt the items that they started at the same moment, and start them again at the same
-    /// moment.
+    /// moment. Where the views differ, each preempts its share: after a pause of this host, which has read no reports, and if the hosts
+    /// before it have left the excess for some time.
     #[must_use]
     pub fn batch_preemptions(&self, own: &str, endpoint: &ListedEndpoint, now: Instant) -> u32 {
         let excess = self.batch_excess(endpoint, now);
         if excess == 0 {
             return 0;
         }
+        let own_items = u32::from(self.own(&endpoint.id).batch);
+        let since = now.checked_sub(SILENCE);
+        let span = self.find(&endpoint.id).and_then(|entry| entry.excess);
+        let has_lasted = span.is_some_and(|span| now >= span.since + MAX_EXCESS_TIME);
+        if has_lasted || !self.reports.has_any_since(since) {
+            let batch = u32::from(self.total(&endpoint.id).batch).max(1);
+            return (excess * own_items).div_ceil(batch).min(own_items);
+        }
         let key = EndpointKey::of(&endpoint.id);
         let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), key.hash());
-        let holders = self.reports.item_holders(key, now.checked_sub(SILENCE));
+        let holders = self.reports.item_holders(key, since);
         let before = holders.iter().filter(|(host, _)| rank(host) < rank(own));
         let before: u32 = before.map(|(_, items)| u32::from(*items)).sum();
-        let own_items = u32::from(self.own(&endpoint.id).batch);
         excess.saturating_sub(before).min(own_items)
     }
 
--- a/crates/switch/src/peer_load.rs
+++ b/crates/switch/src/peer_load.rs
@@ -76,6 +76,13 @@
         old.map(|report| report.host.clone()).collect()
     }
 
+    /// Whether a report was received at `time` or later, or at any time if that is `None`.
+    #[must_use]
+    pub fn has_any_since(&self, time: Option<Instant>) -> bool {
+        let mut reports = self.0.iter();
+        reports.any(|report| time.is_none_or(|time| report.received_at >= time))
+    }
+
     /// Hosts that report items at an endpoint, with their number. Reports from before `since` do not count.
     #[must_use]
     pub fn item_holders(&self, key: EndpointKey, since: Option<Instant>) -> Vec<(Arc<str>, u16)> {
--- a/crates/switch/tests/switch/load.rs
+++ b/crates/switch/tests/switch/load.rs
@@ -324,6 +324,54 @@
     assert_eq!(preempted.sum::<u32>(), excess);
 }
 
+/// Guards against hosts that each preempt the whole excess after a pause in which they have read no reports.
+#[tokio::test(start_paused = true)]
+async fn hosts_with_old_reports_preempt_their_shares() {
+    let names = ["a", "b", "c", "d", "e"].map(Arc::<str>::from);
+    let (endpoint, start) = (listed("e0", 12, false), Instant::now());
+    let counts = RequestCounts {
+        online: 0,
+        batch: 3,
+    };
+    let preempted = names.iter().map(|own| {
+        let mut view = view(&[]);
+        (0..3).for_each(|_| view.begin("e0", RequestClass::Batch));
+        for peer in names.iter().filter(|name| *name != own) {
+            view.update_report(peer, vec![(EndpointKey::of("e0"), report(counts))], start);
+        }
+        view.batch_preemptions(own, &endpoint, start + Duration::from_millis(300))
+    });
+    // Three are too many. Each host of five preempts one at most.
+    assert_eq!(preempted.sum::<u32>(), 5);
+}
+
+/// Guards against an online request that waits up to the end of a run since the host whose items are to give way does not hear of it.
+#[tokio::test(start_paused = true)]
+async fn excess_that_the_hosts_before_do_not_know_of_is_preempted() {
+    let (endpoint, start) = (listed("e0", 4, false), Instant::now());
+    let load = |online, batch| {
+        let counts = RequestCounts { online, batch };
+        vec![(EndpointKey::of("e0"), report(counts))]
+    };
+    for [deaf, other] in [["a", "b"], ["b", "a"]] {
+        let mut views = [view(&[]), view(&[])];
+        for view in &mut views {
+            (0..2).for_each(|_| view.begin("e0", RequestClass::Batch));
+        }
+        let [deaf_view, other_view] = &mut views;
+        let mut preempted = 0;
+        for beat in 0..10 {
+            let now = start + Duration::from_millis(50) * beat;
+            deaf_view.update_report(&other.into(), load(0, 2), now);
+            other_view.update_report(&deaf.into(), load(0, 2), now);
+            other_view.update_report(&"caller".into(), load(1, 0), now);
+            assert!(other_view.record_excess(&endpoint, now));
+            preempted += other_view.batch_preemptions(other, &endpoint, now);
+        }
+        assert!(preempted > 0, "{other} waits for {deaf}");
+    }
+}
+
 /// Guards against a request that waits for a host that stands still to let its items give way.
 #[tokio::test(start_paused = true)]
 async fn items_of_a_silent_host_are_not_waited_for() {
--- a/crates/switch/tests/switch/small_fleet_hosts.rs
+++ b/crates/switch/tests/switch/small_fleet_hosts.rs
@@ -341,8 +341,9 @@
                 continue;
             };
             let own = &self.descriptor.name;
+            let has_excess = self.load.record_excess(endpoint, now);
             let count = self.load.batch_preemptions(own, endpoint, now) as usize;
-            if self.load.batch_excess(endpoint, now) > 0 {
+            if has_excess {
                 self.load.record_preemption(id, now);
             }
             for run in of_endpoint.iter_mut().take(count) {
