Checkpoints: segments of an earlier run are not joined after a switch back

What callers would see: a text of two runs (ORDER).

Cause: when an item began anew at another version, the writers of its earlier segments were forgotten. If it then came back to the first version, a late segment of its first run could continue the third one, where both happened to record the same event.

Change: the writers of the segments that are removed count as writers of other runs, but for the one that begins anew.

Evidence: segment_of_an_earlier_run_is_not_joined_after_a_switch_back failed before, and passes.

--- a/crates/switch/src/progress.rs
+++ b/crates/switch/src/progress.rs
@@ -45,8 +45,12 @@
             .version()
             .is_some_and(|version| version != segment.version);
         if has_other_version && segment.after.is_none() {
-            // The item started again since no endpoint had the version of the chain.
-            self.segments.clear();
+            // The item began anew at another version. What other writers add to the runs before it belongs to those.
+            let earlier = self.segments.drain(..);
+            let earlier = earlier.map(|segment| segment.location.writer());
+            self.other_writers.extend(earlier);
+            self.other_writers.sort_unstable();
+            self.other_writers.dedup();
             self.other_writers.retain(|other| *other != writer);
         }
         let last = self.segments.last().map(|segment| segment.last_event);
--- a/crates/switch/tests/switch/pure.rs
+++ b/crates/switch/tests/switch/pure.rs
@@ -752,6 +752,32 @@
     );
 }
 
+/// Guards against a text of two runs (ORDER): an item began anew twice, and a segment of its first run continues the third by chance.
+#[test]
+fn segment_of_an_earlier_run_is_not_joined_after_a_switch_back() {
+    let [mut first, mut second] = ["a", "b"].map(|host| RecordNumberGenerator::new(host, 1));
+    let segment = |version, writer: &mut RecordNumberGenerator, after, last_event| {
+        let location = TextLocation {
+            offset: 0,
+            number: writer.next_number(),
+            frames: 1,
+            bytes: 1,
+        };
+        ProgressSegment {
+            version: version_key(version),
+            after,
+            last_event,
+            location,
+        }
+    };
+    let mut chain = SegmentChain::default();
+    assert!(chain.push(segment("1", &mut first, None, 30)));
+    assert!(chain.push(segment("2", &mut second, None, 5)));
+    assert!(chain.push(segment("1", &mut second, None, 30)));
+    assert!(!chain.push(segment("1", &mut first, Some(30), 40)));
+    assert!(chain.push(segment("1", &mut second, Some(30), 40)));
+}
+
 /// Guards against items that wait for their version for minutes, or count as late at once, since a run that only showed the end of an output
 /// passed as slow.
 #[test]
