--- a/review/standins-3/src/ended.rs
+++ b/review/standins-3/src/ended.rs
@@ -16,12 +16,13 @@
 const SERVERS: u8 = 12;
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-/// Batch jobs before the one that is ended, one a second: their items, and the size of an item's body. The submissions have 2.5 MB each.
-const EARLIER_JOBS: usize = 28;
+/// Batch jobs before the one that is ended, at the rate of a sheet: their items, and the size of an item's body. The submissions have
+/// 522,000 bytes each.
+const EARLIER_JOBS: usize = 120;
 const EARLIER_ITEMS: usize = 10;
 const EARLIER_EVENTS: u64 = 20;
-const EARLIER_BODY: usize = 190_000;
-const EARLIER_PAUSE: Duration = Duration::from_secs(1);
+const EARLIER_BODY: usize = 39_000;
+const EARLIER_PAUSE: Duration = Duration::from_millis(230);
 /// Items of the job that is ended, and of one that is due just before it, and their events.
 const ITEMS: usize = 200;
 const EVENTS: u64 = 160;
