--- a/review/standins-3/src/held.rs
+++ b/review/standins-3/src/held.rs
@@ -143,11 +143,20 @@
     for second in (2..=60_u64).step_by(2) {
         sleep_until(accepted + Duration::from_secs(second)).await;
         let mut ids = BTreeSet::new();
+        let mut is_read = true;
         for job in &jobs {
-            if let Some(found) = listed(job, &hosts).await {
-                ids.extend(found);
+            match listed(job, &hosts).await {
+                Some(found) => ids.extend(found),
+                None => is_read = false,
             }
         }
+        if !is_read {
+            // Nothing is judged by a job that could not be read.
+            record.line(&format!(
+                "{second} s after the last 202: not all jobs could be read"
+            ));
+            continue;
+        }
         counts.push((Instant::now(), ids.len()));
         let now_runs = runs();
         let active = now_runs.iter().filter(|run| run.ended.is_none()).count();
--- a/review/standins-3/src/unmarked.rs
+++ b/review/standins-3/src/unmarked.rs
@@ -17,12 +17,12 @@
 
 const HOSTS: u8 = 3;
 /// Servers, of which one is killed.
-const SERVERS: u8 = 6;
+const SERVERS: u8 = 12;
 /// Events of a stream, as on the sheets, and the time between two.
 const EVENTS: u64 = 34;
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 /// Streams of each route.
-const STREAMS: usize = 18;
+const STREAMS: usize = 36;
 const KILL_DELAY: Duration = Duration::from_millis(800);
 
 /// Serves streams at an address until the process is killed. Its output tells which requests it runs.
