Take answers that were in progress for evidence, however they end

Cause: a part is in quarantine after five successive crashes under it, unless an answer to a request that was sent after the first crash shows that it is sound. Only complete answers and those that were 2 s in progress counted. The runs at the server that goes down and up are cut after 0.25 to 0.43 s, and those elsewhere began before the first crash, so that nothing could show it. Evidence: the logs of the five crashes have runs of 249 to 428 ms with an event each 30 ms, and no "part is sound".

Change: data for 250 ms (the time in which a request that crashes its endpoint does so) is evidence at once, for items and online answers, whatever ends them later. A gap counts for 100 ms at most, since a host that stood still reads what a crashed endpoint wrote before. A resumed stream counts anew at its next endpoint. The rule for items that give way is a case of this and goes.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -13,6 +13,7 @@
 
 pub(crate) use outcomes::hand_over;
 
+use crate::answer_progress::AnswerProgress;
 use crate::backend::EndpointCall;
 use crate::coordinator::message::SlotNeed;
 use crate::coordinator::scope::ItemScope;
@@ -601,7 +602,7 @@
         segments,
         resumed_after: None,
         first_event_at: None,
-        has_begun: false,
+        answer: AnswerProgress::default(),
         framing: None,
     };
     ItemLaunch { run, cancelled }
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -1,8 +1,9 @@
 //! One run of an item at an endpoint.
 
 use super::outcomes::{ItemUpdate, UpdateKind, send_update};
+use crate::answer_progress::AnswerProgress;
 use crate::backend::{BodyFraming, CallError, CallOptions, EndpointCall};
-use crate::crash_watch::{EndedRequest, PROOF_TIME};
+use crate::crash_watch::EndedRequest;
 use crate::crashes::BrokenRequest;
 use crate::endpoint::ListedEndpoint;
 use crate::events::{EventParser, has_event_stream};
@@ -11,7 +12,6 @@
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::progress::{ItemProgress, MAX_OUTPUT_BYTES, ProgressSegment, SharedProgress};
 use crate::prompt::PromptParts;
-use crate::quarantine::BEGIN_TIME;
 use crate::route::RouteKind;
 use crate::schedule::ItemName;
 use crate::starts::StartCheck;
@@ -103,8 +103,8 @@
     pub(super) resumed_after: Option<u64>,
     /// When the endpoint sent the first event of this run.
     pub(super) first_event_at: Option<Instant>,
-    /// Whether the endpoint went on sending events for [`BEGIN_TIME`].
-    pub(super) has_begun: bool,
+    /// Progress of the answer, by its events.
+    pub(super) answer: AnswerProgress,
     /// Framing of the response's body; `None` before its head.
     pub(super) framing: Option<BodyFraming>,
 }
@@ -196,7 +196,6 @@
         if !has_event_stream(&response.headers, RouteKind::Stream) {
             return interrupted("the endpoint returned no stream of events");
         }
-        let mut proof_at = Some(Instant::now() + PROOF_TIME);
         let mut parser = EventParser::default();
         let mut stall_deadline = deadline.min(Instant::now() + STALL_TIMEOUT);
         loop {
@@ -242,17 +241,15 @@
                     }
                 }
             }
-            if proof_at.is_some_and(|proof_at| Instant::now() >= proof_at) {
-                proof_at = None;
-                self.record_sound();
-            }
         }
     }
 
     fn record_event(&mut self) {
         let now = Instant::now();
-        let first = *self.first_event_at.get_or_insert(now);
-        self.has_begun |= now >= first + BEGIN_TIME;
+        self.first_event_at.get_or_insert(now);
+        if self.answer.record_data(now) {
+            self.record_sound();
+        }
     }
 
     /// Adds the complete events to the output. Returns whether there were any, or the outcome of a run that ends with them.
@@ -327,7 +324,6 @@
         let is_marked = self.framing == Some(BodyFraming::Delimited);
         let may_be_complete = match outcome {
             RunOutcome::Completed if is_marked => return self.record_sound(),
-            RunOutcome::Cancelled if self.has_begun => return self.record_sound(),
             RunOutcome::Completed | RunOutcome::UnmarkedEnd => true,
             RunOutcome::Interrupted(CallError::Interrupted { .. }) => false,
             _ => return,
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -22,8 +22,6 @@
 /// Minimum time from a request to the end of its endpoint with which it may be the cause. An endpoint that ends sooner had no
 /// time to begin an answer.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
-/// Time for which an answer must be in progress to show that its prompt does not crash the endpoint.
-pub(crate) const PROOF_TIME: Duration = Duration::from_secs(2);
 
 /// What a host knows of crashes.
 #[derive(Default)]
@@ -129,7 +127,8 @@
         tokio::spawn(check_endpoint(self.clone(), endpoint.clone()));
     }
 
-    /// Records that an answer to a request with these parts was completed or has been in progress for [`PROOF_TIME`].
+    /// Records that an answer to a request with these parts was completed or has been in progress for
+    /// [`BEGIN_TIME`](crate::quarantine::BEGIN_TIME).
     pub(crate) fn record_sound(
         &self,
         state: &mut SwitchState,
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`idle_items`], [`item_status`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
+mod answer_progress;
 pub mod backend;
 pub mod batch;
 pub mod byte_budget;
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -6,8 +6,8 @@
 };
 use super::target::AttemptTarget;
 use super::{BodyEnd, MIN_REMAINING, OnlineExchange, interrupted, is_endpoint_failure};
+use crate::answer_progress::AnswerProgress;
 use crate::backend::{BodyFraming, CallError, EndpointResponse, ResponseSource};
-use crate::crash_watch::PROOF_TIME;
 use crate::events::{EventBoundary, EventParser, StreamEvent, has_event_stream};
 use crate::in_flight::InFlightGuard;
 use crate::load::RequestClass;
@@ -57,6 +57,7 @@
         remaining_bytes: content_length(&response.headers),
         silence: EndpointSilence::begin(),
         made_progress: false,
+        progress: AnswerProgress::default(),
         ended: false,
     };
     let body = stream::unfold(forwarded, |mut forwarded| async move {
@@ -108,6 +109,8 @@
     silence: EndpointSilence,
     /// Whether the caller has got an event with an ID since the silence began.
     made_progress: bool,
+    /// Progress of the body, or of the last one.
+    progress: AnswerProgress,
     ended: bool,
 }
 
@@ -317,6 +320,7 @@
                 self.guard = attempt.guard;
                 self.version = response.source.map(|source| source.version);
                 self.target = attempt.target;
+                self.progress = AnswerProgress::default();
                 self.silence = EndpointSilence::begin();
                 return Ok(());
             }
@@ -512,9 +516,8 @@
     fn record_chunk(&mut self, bytes: usize) {
         if let (AttemptTarget::Endpoint(endpoint), Some(guard)) = (&self.target, &mut self.guard) {
             self.exchange.node.record_heard();
-            let run_time = guard.begin_run().elapsed();
-            if !self.exchange.is_proven && run_time >= PROOF_TIME {
-                self.exchange.is_proven = true;
+            guard.begin_run();
+            if self.progress.record_data(Instant::now()) {
                 self.exchange.record_sound(endpoint);
             }
         }
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -115,7 +115,6 @@
             started: Instant::now(),
             time_to_first_byte: None,
             had_free_slot: false,
-            is_proven: false,
             endpoint: None,
             body_end: None,
             ended: false,
@@ -196,8 +195,6 @@
     time_to_first_byte: Option<Duration>,
     /// Whether the first attempt is the only one, and went to an endpoint with a free slot.
     had_free_slot: bool,
-    /// Whether a long answer has shown that the request does not crash the endpoint.
-    is_proven: bool,
     /// Endpoint of the last attempt, or the host to which it was passed on.
     endpoint: Option<Arc<str>>,
     /// How the body of the response ended; `None` before that.
--- /dev/null
+++ b/crates/switch/tests/switch/flapping.rs
@@ -0,0 +1,140 @@
+//! Endpoints that go down and up by turns, under requests and items that share a part of their prompts and are not the cause.
+
+use crate::support::{
+    CallScript, CallerOutcome, TestFleet, read_response, request_with_parts, submission,
+};
+use fulmarswitch_switch::jobs::SubmitReply;
+use fulmarswitch_switch::node::SwitchNode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// The part that all requests and items have.
+const POPULAR: &str = "popular";
+/// Number of crashes: one more than those after which a part is suspected in any case.
+const CRASHES: usize = 6;
+/// Time from a crash until the next start of the endpoint is listed.
+const DOWN_TIME: Duration = Duration::from_millis(600);
+/// Time in which work must go on once the cause is gone: items must be at endpoints in the last 5 of the 18 s that jobs have.
+const RESUME_TIME: Duration = Duration::from_secs(13);
+/// Time from a request to the end of its endpoint, in which an answer has shown that the request is not the cause.
+const LONG_RUN: Duration = Duration::from_millis(400);
+
+/// An endpoint that goes down and up, under another ID each time.
+struct FlappingEndpoint {
+    fleet: TestFleet,
+    name: &'static str,
+    crashes: usize,
+}
+
+impl FlappingEndpoint {
+    /// Lists the first start of the endpoint.
+    fn list(fleet: &TestFleet, name: &'static str) -> Self {
+        let endpoint = Self {
+            fleet: fleet.clone(),
+            name,
+            crashes: 0,
+        };
+        endpoint.set_listed(true);
+        endpoint
+    }
+
+    /// ID of its current start.
+    fn id(&self) -> Arc<str> {
+        format!("{}-{}", self.name, self.crashes).into()
+    }
+
+    fn set_listed(&self, is_listed: bool) {
+        let listing = if is_listed { "ready" } else { "" };
+        self.fleet.log.put("endpoints", &self.id(), listing);
+    }
+
+    /// Waits until the current start gets a call, at most for `limit`.
+    async fn wait_for_call(&self, limit: Duration) {
+        let (id, until) = (self.id(), Instant::now() + limit);
+        let is_called = || {
+            let calls = self.fleet.client.calls();
+            calls.iter().any(|call| call.endpoint == id)
+        };
+        while !is_called() {
+            assert!(Instant::now() < until, "no call at {id} within {limit:?}");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Ends the current start, and lists the next one after [`DOWN_TIME`].
+    async fn crash(&mut self) {
+        self.fleet.client.end_endpoint(&self.id());
+        self.set_listed(false);
+        sleep(DOWN_TIME).await;
+        self.crashes += 1;
+        self.set_listed(true);
+    }
+}
+
+/// Starts a host beside an endpoint of another service, by which it can tell that its links are up.
+async fn start_host(fleet: &TestFleet) -> Arc<SwitchNode> {
+    fleet.log.put("endpoints", "o", "ready 1 0 other");
+    fleet.start("a").await
+}
+
+async fn submit_items(host: &Arc<SwitchNode>, count: u32) {
+    let mut submission = submission("j", count);
+    for item in &mut submission.items {
+        item.headers.push(("parts".into(), POPULAR.into()));
+    }
+    assert_eq!(host.submit_job(submission).await, SubmitReply::Done);
+}
+
+async fn send(host: &Arc<SwitchNode>, number: usize) -> CallerOutcome {
+    let id = format!("r{number}");
+    let mut request = request_with_parts(host, "/stream/x", &id, &[POPULAR.to_owned()]);
+    request.call.body = id.into();
+    read_response(host, request).await
+}
+
+/// Guards against items that are held back for a part that crashed nothing: the runs that broke off with their endpoint had gone on long
+/// enough to show that (`review/13`).
+#[tokio::test(start_paused = true)]
+async fn items_of_runs_that_broke_off_late_go_on() {
+    let fleet = TestFleet::new(0);
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    let mut endpoint = FlappingEndpoint::list(&fleet, "e");
+    let host = start_host(&fleet).await;
+    submit_items(&host, 8).await;
+    for _ in 0..CRASHES {
+        endpoint.wait_for_call(RESUME_TIME).await;
+        sleep(LONG_RUN).await;
+        endpoint.crash().await;
+    }
+    endpoint.wait_for_call(RESUME_TIME).await;
+}
+
+/// Guards against requests that are rejected for a part that crashed nothing, as above.
+#[tokio::test(start_paused = true)]
+async fn requests_like_those_that_broke_off_late_are_sent() {
+    let fleet = TestFleet::new(0);
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    let mut endpoint = FlappingEndpoint::list(&fleet, "e");
+    let host = start_host(&fleet).await;
+    let mut callers = JoinSet::new();
+    for number in 0..CRASHES {
+        let host = host.clone();
+        callers.spawn(async move { send(&host, number).await });
+        endpoint.wait_for_call(DOWN_TIME).await;
+        sleep(LONG_RUN).await;
+        endpoint.crash().await;
+        // The next start has been read and the crash counts.
+        sleep(DOWN_TIME).await;
+    }
+    fleet.client.set_default(CallScript::Stream { events: 3 });
+    assert!(matches!(
+        send(&host, CRASHES).await,
+        CallerOutcome::Complete(_)
+    ));
+}
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -16,6 +16,7 @@
 mod encodings;
 mod expiry;
 mod expiry_costs;
+mod flapping;
 mod fleet;
 mod foreign_bytes;
 mod item_holders;
