Take a short answer for evidence only if its endpoint still serves

Cause: a complete answer acquitted its parts at once. A request that crashes its endpoint does so within 250 ms of the begin of the answer, and a short answer is complete before. Also, what an answer shows counted from its end, so that one that began before a part crashed endpoints acquitted it of the crashes during its run.

Change: an answer that had not been in progress for 250 ms counts for a part under suspicion only if its endpoint accepts connections after that time; otherwise it is one of the requests of the crash. What an answer shows counts from the time at which it shows it.

--- a/crates/switch/src/answer_progress.rs
+++ b/crates/switch/src/answer_progress.rs
@@ -17,6 +17,11 @@
 }
 
 impl AnswerProgress {
+    /// When the endpoint had gone on for [`BEGIN_TIME`]; `None` before.
+    pub(crate) fn begun_at(&self) -> Option<Instant> {
+        self.begun_at
+    }
+
     /// Records data of the answer. Returns whether the endpoint has by that gone on for [`BEGIN_TIME`], so that the request does not
     /// crash it.
     pub(crate) fn record_data(&mut self, now: Instant) -> bool {
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -323,7 +323,6 @@
     fn record_end(&self, outcome: &RunOutcome) {
         let is_marked = self.framing == Some(BodyFraming::Delimited);
         let may_be_complete = match outcome {
-            RunOutcome::Completed if is_marked => return self.record_sound(),
             RunOutcome::Completed | RunOutcome::UnmarkedEnd => true,
             RunOutcome::Interrupted(CallError::Interrupted { .. }) => false,
             _ => return,
@@ -335,9 +334,15 @@
             parts: self.parts.clone(),
             sent_at,
         };
+        if matches!(outcome, RunOutcome::Completed) && is_marked {
+            self.node
+                .record_complete(&self.endpoint, request, self.answer);
+            return;
+        }
         let ended = EndedRequest {
             request,
             may_be_complete,
+            answered_at: None,
         };
         self.node.record_end(&self.endpoint, ended);
     }
@@ -346,7 +351,8 @@
     fn record_sound(&self) {
         if let Some(sent_at) = self.sent_at {
             let state = &mut self.node.lock();
-            self.node.record_sound(state, &self.parts, sent_at);
+            let now = Instant::now();
+            self.node.record_sound(state, &self.parts, sent_at, now);
         }
     }
 
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -2,12 +2,13 @@
 //!
 //! An answer that breaks off does not tell whether its endpoint has crashed. A crashed one refuses connections at once.
 
+use crate::answer_progress::AnswerProgress;
 use crate::crash_log::StoredQuarantine;
 use crate::crashes::{BREAK_OFF_TIME, BrokenRequest, CrashId, CrashRecords, EndpointCrash};
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
 use crate::prompt::{PartKey, PromptParts};
-use crate::quarantine::{Admission, Quarantine, QuarantineTable, SETTLE_TIME};
+use crate::quarantine::{Admission, BEGIN_TIME, Quarantine, QuarantineTable, SETTLE_TIME};
 use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,6 +82,8 @@
     pub(crate) request: BrokenRequest,
     /// Whether the answer is complete if the endpoint has not crashed.
     pub(crate) may_be_complete: bool,
+    /// When its answer was complete, if it is known to be.
+    pub(crate) answered_at: Option<Instant>,
 }
 
 impl SwitchNode {
@@ -127,13 +130,50 @@
         tokio::spawn(check_endpoint(self.clone(), endpoint.clone()));
     }
 
-    /// Records that an answer to a request with these parts was completed or has been in progress for
-    /// [`BEGIN_TIME`](crate::quarantine::BEGIN_TIME).
+    /// Records that an answer is complete. One that took less than [`BEGIN_TIME`] may be so although the request crashes the endpoint, and
+    /// shows that it is sound only if the endpoint still serves after that time.
+    pub(crate) fn record_complete(
+        self: &Arc<Self>,
+        endpoint: &Arc<ListedEndpoint>,
+        request: BrokenRequest,
+        progress: AnswerProgress,
+    ) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if let Some(begun_at) = progress.begun_at() {
+            self.record_sound(&mut state, &request.parts, request.sent_at, begun_at);
+            return;
+        }
+        let CrashState {
+            records,
+            quarantine,
+            ..
+        } = &state.crashes;
+        let is_suspected =
+            |part| records.is_suspected(part) || quarantine.suspected_since(part).is_some();
+        if !request.parts.iter().any(is_suspected) {
+            return;
+        }
+        drop(state);
+        let (node, endpoint) = (self.clone(), endpoint.clone());
+        tokio::spawn(async move {
+            sleep_until(now + BEGIN_TIME).await;
+            let ended = EndedRequest {
+                request,
+                may_be_complete: true,
+                answered_at: Some(now),
+            };
+            node.record_end(&endpoint, ended);
+        });
+    }
+
+    /// Records that a request with these parts, sent at `sent_at`, was seen at `seen_at` not to crash its endpoint.
     pub(crate) fn record_sound(
         &self,
         state: &mut SwitchState,
         parts: &PromptParts,
         sent_at: Instant,
+        seen_at: Instant,
     ) {
         let now = Instant::now();
         let CrashState {
@@ -142,9 +182,9 @@
             ..
         } = &mut state.crashes;
         let suspected_since = |part| quarantine.suspected_since(part);
-        let shown = records.record_sound(parts, sent_at, now, suspected_since);
+        let shown = records.record_sound(parts, sent_at, seen_at, suspected_since);
         for part in &shown {
-            self.release(state, *part, now, now);
+            self.release(state, *part, seen_at, now);
         }
         if !shown.is_empty() {
             state.crashes.must_report = true;
@@ -271,9 +311,12 @@
                     "requests" => ends.len(), "cause" => "no endpoint is in reach, but another host gets data");
             }
             CheckVerdict::Serves => {
-                let ended = ends.into_iter().map(|end| end.ended);
-                for EndedRequest { request, .. } in ended.filter(|ended| ended.may_be_complete) {
-                    self.record_sound(&mut state, &request.parts, request.sent_at);
+                for RequestEnd { ended, at } in ends {
+                    let EndedRequest { request, .. } = ended;
+                    if ended.may_be_complete {
+                        let seen_at = ended.answered_at.unwrap_or(at);
+                        self.record_sound(&mut state, &request.parts, request.sent_at, seen_at);
+                    }
                 }
             }
         }
--- a/crates/switch/src/online/answer.rs
+++ b/crates/switch/src/online/answer.rs
@@ -1,6 +1,7 @@
 //! What a complete answer tells of its endpoint.
 
 use super::OnlineExchange;
+use crate::answer_progress::AnswerProgress;
 use crate::backend::BodyFraming;
 use crate::endpoint::ListedEndpoint;
 use crate::report::EndpointKey;
@@ -14,6 +15,7 @@
 pub(super) struct AnswerEnd {
     pub(super) status: StatusCode,
     pub(super) framing: BodyFraming,
+    pub(super) progress: AnswerProgress,
     /// Number of its events.
     pub(super) events: u32,
 }
@@ -42,7 +44,10 @@
         }
         match end.framing {
             _ if !end.status.is_success() => {}
-            BodyFraming::Delimited => self.record_sound(endpoint),
+            BodyFraming::Delimited => {
+                let request = self.sent_request(endpoint);
+                self.node.record_complete(endpoint, request, end.progress);
+            }
             BodyFraming::UntilClose => self.record_end(endpoint, true),
         }
     }
--- a/crates/switch/src/online/forward.rs
+++ b/crates/switch/src/online/forward.rs
@@ -484,6 +484,7 @@
         let end = AnswerEnd {
             status: self.status,
             framing: self.framing,
+            progress: self.progress,
             events: self.events + self.boundary.as_ref().map_or(0, EventBoundary::events),
         };
         let exchange = &mut self.exchange;
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -427,15 +427,20 @@
         found.map_or(self.started, |(_, sent_at)| *sent_at)
     }
 
-    /// Records that the request ended at an endpoint that may have crashed under it.
-    fn record_end(&self, endpoint: &Arc<ListedEndpoint>, may_be_complete: bool) {
-        let request = BrokenRequest {
+    /// The request as it was sent to an endpoint.
+    fn sent_request(&self, endpoint: &ListedEndpoint) -> BrokenRequest {
+        BrokenRequest {
             parts: self.suspects.clone(),
             sent_at: self.sent_at(&endpoint.id),
-        };
+        }
+    }
+
+    /// Records that the request ended at an endpoint that may have crashed under it.
+    fn record_end(&self, endpoint: &Arc<ListedEndpoint>, may_be_complete: bool) {
         let ended = EndedRequest {
-            request,
+            request: self.sent_request(endpoint),
             may_be_complete,
+            answered_at: None,
         };
         self.node.record_end(endpoint, ended);
     }
@@ -444,7 +449,8 @@
     fn record_sound(&self, endpoint: &ListedEndpoint) {
         let sent_at = self.sent_at(&endpoint.id);
         let state = &mut self.node.lock();
-        self.node.record_sound(state, &self.suspects, sent_at);
+        let now = Instant::now();
+        self.node.record_sound(state, &self.suspects, sent_at, now);
     }
 
     /// Whether the request may be sent once more. One that was passed on is sent once; the host that has the caller decides on more.
--- a/crates/switch/tests/switch/flapping.rs
+++ b/crates/switch/tests/switch/flapping.rs
@@ -1,7 +1,8 @@
 //! Endpoints that go down and up by turns, under requests and items that share a part of their prompts and are not the cause.
 
 use crate::support::{
-    CallScript, CallerOutcome, TestFleet, read_response, request_with_parts, submission,
+    CallScript, CallerOutcome, DeadlyCalls, DeadlyCause, TestFleet, read_response,
+    request_with_parts, submission,
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::SwitchNode;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The part that all requests and items have.
 const POPULAR: &str = "popular";
@@ -21,7 +23,9 @@
 /// Time from a request to the end of its endpoint, in which an answer has shown that the request is not the cause.
 const LONG_RUN: Duration = Duration::from_millis(400);
 
-/// An endpoint that goes down and up, under another ID each time.
+/// Time after which a part that crashed endpoints of several addresses is tried.
+const FIRST_TERM: Duration = Duration::from_secs(20);
+/// An endpoint that goes down and up at one address, under another ID each time.
 struct FlappingEndpoint {
     fleet: TestFleet,
     name: &'static str,
@@ -46,8 +50,13 @@
     }
 
     fn set_listed(&self, is_listed: bool) {
-        let listing = if is_listed { "ready" } else { "" };
-        self.fleet.log.put("endpoints", &self.id(), listing);
+        let listing = if is_listed {
+            let port = xxh3_64(self.name.as_bytes()) % 60_000;
+            format!("ready 1 0 service domain 4 127.0.0.1:{port}")
+        } else {
+            String::new()
+        };
+        self.fleet.log.put("endpoints", &self.id(), &listing);
     }
 
     /// Waits until the current start gets a call, at most for `limit`.
@@ -94,6 +103,14 @@
     read_response(host, request).await
 }
 
+/// Starts all endpoints again that have ended.
+fn revive_all(fleet: &TestFleet) {
+    let ended = fleet.client.ended().borrow().clone();
+    for id in ended {
+        fleet.client.revive_endpoint(&id);
+    }
+}
+
 /// Guards against items that are held back for a part that crashed nothing: the runs that broke off with their endpoint had gone on long
 /// enough to show that (`review/13`).
 #[tokio::test(start_paused = true)]
@@ -138,3 +155,62 @@
         CallerOutcome::Complete(_)
     ));
 }
+
+/// Guards against an answer that acquits a part of crashes since its begin: it began between a crash of another cause and the time from
+/// which the part crashes endpoints (BUDGET).
+#[tokio::test(start_paused = true)]
+async fn answer_from_before_a_part_crashes_endpoints_does_not_acquit_it() {
+    let fleet = TestFleet::new(8);
+    let host = start_host(&fleet).await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    let deadly = DeadlyCalls {
+        cause: DeadlyCause::Any,
+        crash_after: Duration::from_millis(60),
+    };
+    fleet.client.set_deadly(Some(deadly));
+    send(&host, 0).await;
+    fleet.client.set_deadly(None);
+    sleep(DOWN_TIME).await;
+    fleet.client.set_default(CallScript::Stream { events: 120 });
+    let long = tokio::spawn({
+        let host = host.clone();
+        async move { send(&host, 1).await }
+    });
+    sleep(LONG_RUN).await;
+    fleet.client.set_deadly(Some(deadly));
+    for number in 2..5 {
+        send(&host, number).await;
+        sleep(LONG_RUN).await;
+    }
+    assert_eq!(send(&host, 5).await, CallerOutcome::Rejected);
+    assert!(matches!(long.await.unwrap(), CallerOutcome::Complete(_)));
+    assert_eq!(send(&host, 6).await, CallerOutcome::Rejected);
+}
+
+/// Guards against a trial that acquits a part since its answer was short, and complete before the endpoint crashed under it.
+#[tokio::test(start_paused = true)]
+async fn short_answer_of_an_endpoint_that_then_crashes_acquits_nothing() {
+    let fleet = TestFleet::new(8);
+    let host = start_host(&fleet).await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    fleet.client.set_deadly(Some(DeadlyCalls {
+        cause: DeadlyCause::Any,
+        crash_after: Duration::from_millis(120),
+    }));
+    for number in 0..3 {
+        send(&host, number).await;
+        sleep(LONG_RUN).await;
+    }
+    assert_eq!(send(&host, 3).await, CallerOutcome::Rejected);
+    revive_all(&fleet);
+    sleep(FIRST_TERM).await;
+    fleet.client.set_default(CallScript::Stream { events: 2 });
+    let trial = send(&host, 4).await;
+    assert!(matches!(trial, CallerOutcome::Complete(_)), "{trial:?}");
+    sleep(LONG_RUN * 2).await;
+    assert_eq!(send(&host, 5).await, CallerOutcome::Rejected);
+}
