Give an address at which endpoints crash again and again no work for a while

Cause: what a host holds against an endpoint is kept by its ID, and each start has another one, or is taken for a new one.

Change: crashes are also counted by address and service, those that other hosts report too. From the second crash within 10 s on, a start that is listed there gets no work for 2 s from the last crash, then for 4 s, unless no other endpoint of the service is left (online requests). A single crash holds nothing.

Endpoints of the tests have an address each now.

--- a/crates/switch/src/crash_exchange.rs
+++ b/crates/switch/src/crash_exchange.rs
@@ -4,6 +4,7 @@
 //! datagrams do not matter and a host that starts or was cut off learns them. Times are sent as ages,
 //! since the clocks of hosts differ.
 
+use crate::crash_loops::EndpointPlace;
 use crate::crashes::{BrokenRequest, CrashId, EndpointCrash};
 use crate::gossip::{heartbeat_interval, send_crash_notices};
 use crate::node::{SwitchNode, SwitchState, millis};
@@ -104,6 +105,8 @@
         let (notices, targets) = {
             let mut state = node.lock();
             state.crashes.records.expire(now);
+            state.crashes.loops.expire(now);
+            locate_crashes(&mut state);
             state.crashes.quarantine.expire(now);
             node.update_quarantine(&mut state, now);
             let is_due = std::mem::take(&mut state.crashes.must_report) || is_full;
@@ -257,11 +260,27 @@
             }
         }
     }
+    locate_crashes(&mut state);
     if state.crashes.has_news {
         node.crash_report_requested.notify_one();
     }
 }
 
+/// Finds out where the endpoints served that crashed by the reports of other hosts. A listing outlives its endpoint by seconds; one that
+/// this host reads later than the others is found by a later call.
+fn locate_crashes(state: &mut SwitchState) {
+    let SwitchState {
+        crashes, endpoints, ..
+    } = state;
+    for (id, seen_at) in crashes.records.unlocated() {
+        if let Some(endpoint) = endpoints.find(|endpoint| CrashId::of(endpoint) == id) {
+            let place = EndpointPlace::from(&**endpoint);
+            crashes.records.set_place(id, place.clone(), seen_at);
+            crashes.loops.record(place, seen_at);
+        }
+    }
+}
+
 /// Reports to a host that was just heard.
 pub(crate) fn report_to(node: &SwitchNode, state: &SwitchState, target: SocketAddr) {
     for notices in split_notices(report(state, None, Instant::now())) {
--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -4,6 +4,7 @@
 
 use crate::answer_progress::AnswerProgress;
 use crate::crash_log::StoredQuarantine;
+use crate::crash_loops::{CrashLoops, EndpointPlace};
 use crate::crashes::{BREAK_OFF_TIME, BrokenRequest, CrashId, CrashRecords, EndpointCrash};
 use crate::endpoint::ListedEndpoint;
 use crate::node::{SwitchNode, SwitchState, millis};
@@ -29,6 +30,7 @@
 pub(crate) struct CrashState {
     pub(crate) records: CrashRecords,
     pub(crate) quarantine: QuarantineTable,
+    pub(crate) loops: CrashLoops,
     /// Whether conclusions are still to be drawn from the records.
     pub(crate) has_news: bool,
     /// Whether this host has something new to report to the others.
@@ -256,6 +258,8 @@
         if state.crashes.records.crashed_at(id) != Some(crashed_at) {
             self.metrics.count_endpoint_crash();
         }
+        let place = EndpointPlace::from(endpoint);
+        state.crashes.loops.record(place.clone(), crashed_at);
         let had_time = |request: &BrokenRequest| request.sent_at + MIN_RUN_TIME <= crashed_at;
         for request in requests.into_iter().filter(had_time) {
             info!(self.deps.logger, "endpoint crashed"; "endpoint" => &*endpoint.id,
@@ -264,11 +268,27 @@
             let records = &mut state.crashes.records;
             state.crashes.has_news |= records.add_own_request(id, request, crashed_at);
         }
+        state.crashes.records.set_place(id, place, crashed_at);
         state.crashes.must_report = true;
         state.crashes.has_unstored_crash = true;
         self.crash_report_requested.notify_one();
     }
 
+    /// Gives a start of an endpoint that is newly listed no work for a while if others have crashed at its place again and again.
+    pub(crate) fn hold_crash_loop(
+        &self,
+        state: &mut SwitchState,
+        endpoint: &ListedEndpoint,
+        now: Instant,
+    ) {
+        if let Some(until) = state.crashes.loops.held_until(&endpoint.into(), now) {
+            state.load.health(&endpoint.id).hold_until(until, now);
+            info!(self.deps.logger, "endpoint avoided"; "endpoint" => &*endpoint.id,
+                "for_ms" => millis(until.saturating_duration_since(now)),
+                "cause" => "endpoints at its address crash again and again");
+        }
+    }
+
     /// Records that an endpoint has crashed, with the requests that ended there since it was last found to be in reach.
     fn record_crashed(
         &self,
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -6,6 +6,7 @@
 //! caller or its host may send again; its key counts as one more part. Endpoints that crash at the same moment, for whatever
 //! cause, count once. An answer that is complete, or has been in progress for long, shows that its parts are sound.
 
+use crate::crash_loops::EndpointPlace;
 use crate::endpoint::ListedEndpoint;
 use crate::prompt::{PartKey, PromptParts};
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,8 @@
 #[derive(Clone, Debug)]
 pub struct EndpointCrash {
     id: CrashId,
+    /// Where the endpoint served; `None` if this host does not know its listing.
+    place: Option<EndpointPlace>,
     /// When a host first saw it.
     seen_at: Instant,
     /// When this host first learned of it.
@@ -86,6 +89,12 @@
         (self.id, self.seen_at)
     }
 
+    /// Where the endpoint served; `None` if this host does not know its listing.
+    #[must_use]
+    pub fn place(&self) -> Option<&EndpointPlace> {
+        self.place.as_ref()
+    }
+
     /// When a host first saw it.
     #[must_use]
     pub fn seen_at(&self) -> Instant {
@@ -155,6 +164,7 @@
         let Some(index) = self.position(id, seen_at) else {
             self.insert(EndpointCrash {
                 id,
+                place: None,
                 seen_at,
                 learned_at: now,
                 reports: vec![HostReport {
@@ -188,6 +198,20 @@
         is_new
     }
 
+    /// Records where an endpoint served that crashed at `seen_at`.
+    pub fn set_place(&mut self, id: CrashId, place: EndpointPlace, seen_at: Instant) {
+        if let Some(index) = self.position(id, seen_at) {
+            self.crashes[index].place = Some(place);
+        }
+    }
+
+    /// Crashes of endpoints that served at an unknown place.
+    #[must_use]
+    pub fn unlocated(&self) -> Vec<(CrashId, Instant)> {
+        let unlocated = self.iter().filter(|crash| crash.place.is_none());
+        unlocated.map(EndpointCrash::identity).collect()
+    }
+
     /// Adds a request of this host to a crash, seen at `seen_at`.
     pub fn add_own_request(
         &mut self,
--- a/crates/switch/src/endpoint.rs
+++ b/crates/switch/src/endpoint.rs
@@ -409,6 +409,15 @@
         Some(&self.entries[index].endpoint)
     }
 
+    /// Finds a listed endpoint.
+    pub fn find(
+        &self,
+        is_wanted: impl Fn(&ListedEndpoint) -> bool,
+    ) -> Option<&Arc<ListedEndpoint>> {
+        let mut listed = self.entries.iter().map(|entry| &entry.endpoint);
+        listed.find(|endpoint| is_wanted(endpoint))
+    }
+
     /// Looks up an endpoint that accepts new work by its key.
     #[must_use]
     pub fn serving_with_key(&self, key: EndpointKey, now: Instant) -> Option<&Arc<ListedEndpoint>> {
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Avoids the endpoint until a time, or until a request that begins from now on succeeds.
+    pub fn hold_until(&mut self, until: Instant, now: Instant) {
+        self.last_failure = Some(now);
+        self.avoid_until = self.avoid_until.max(Some(until));
+    }
+
     /// Forgets the failures, unless the endpoint has answered with errors.
     pub fn forget_connection_failures(&mut self) {
         if self.error_responses == 0 {
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! The traits in [`backend`] are the interfaces to external systems: adapters for a concrete log or endpoint protocol
 //! implement them. The modules [`route`], [`endpoint`], [`departures`], [`leaving`], [`starts`], [`load`], [`coordinator`], [`wait`], [`affinity`],
-//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`idle_items`], [`item_status`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
+//! [`ledger`], [`frame_set`], [`schedule`], [`members`], [`origins`], [`versions::history`], [`crashes`], [`crash_loops`], [`quarantine`], [`workspace`], [`trial`], [`version_holds`], [`idle_items`], [`item_status`], [`stop`], [`reach`], [`byte_budget`], [`connection_bound`] and [`events`] do no I/O: they take inputs and the current time and return decisions.
 
 pub mod affinity;
 mod answer_progress;
@@ -20,6 +20,7 @@
 pub mod coordinator;
 mod crash_exchange;
 mod crash_log;
+pub mod crash_loops;
 mod crash_watch;
 pub mod crashes;
 pub mod departures;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -34,6 +34,9 @@
             for id in state.endpoints.replace(listed.collect(), page.next, now) {
                 record_removal(node, &mut state, &id, page.next.saturating_sub(1), now);
             }
+            for endpoint in state.endpoints.all_serving(now) {
+                node.hold_crash_loop(&mut state, &endpoint, now);
+            }
         }
         FollowBatch::Tail(page) => {
             state.endpoints.record_read(page.next, now);
@@ -161,15 +164,18 @@
         endpoint.version.clone(),
         endpoint.draining,
     );
-    let restarted = state
-        .endpoints
-        .get(&id)
-        .is_some_and(|old| old.started_ms != endpoint.started_ms && endpoint.started_ms != 0);
+    let known = state.endpoints.get(&id);
+    let restarted =
+        known.is_some_and(|old| old.started_ms != endpoint.started_ms && endpoint.started_ms != 0);
+    let is_new_start = known.is_none() || restarted;
     if state.endpoints.set(endpoint) {
         if restarted {
             // Failures of the previous process do not count against the new one.
             state.load.health(&id).record_success(now);
         }
+        if is_new_start && let Some(listed) = state.endpoints.get(&id).cloned() {
+            node.hold_crash_loop(state, &listed, now);
+        }
         if draining {
             let departure = EndpointDeparture::new(&id, entry.offset);
             state.departures.record(departure, true, now);
--- a/crates/switch/tests/switch/flapping.rs
+++ b/crates/switch/tests/switch/flapping.rs
@@ -25,6 +25,9 @@
 
 /// Time after which a part that crashed endpoints of several addresses is tried.
 const FIRST_TERM: Duration = Duration::from_secs(20);
+/// Time for which an endpoint is up while it goes down and up by turns.
+const UP_TIME: Duration = Duration::from_millis(600);
+
 /// An endpoint that goes down and up at one address, under another ID each time.
 struct FlappingEndpoint {
     fleet: TestFleet,
@@ -72,6 +75,19 @@
         }
     }
 
+    /// Number of starts that got calls.
+    fn called_starts(&self) -> usize {
+        let calls = self.fleet.client.calls();
+        let mut starts: Vec<_> = calls
+            .into_iter()
+            .map(|call| call.endpoint)
+            .filter(|id| id.starts_with(self.name))
+            .collect();
+        starts.sort_unstable();
+        starts.dedup();
+        starts.len()
+    }
+
     /// Ends the current start, and lists the next one after [`DOWN_TIME`].
     async fn crash(&mut self) {
         self.fleet.client.end_endpoint(&self.id());
@@ -189,6 +205,28 @@
     assert_eq!(send(&host, 6).await, CallerOutcome::Rejected);
 }
 
+/// Guards against an endpoint that goes down and up by turns and draws, at each start, whatever waits for a slot.
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_crashes_again_and_again_is_left_alone() {
+    let fleet = TestFleet::new(1);
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    let mut endpoint = FlappingEndpoint::list(&fleet, "f");
+    let host = start_host(&fleet).await;
+    submit_items(&host, 12).await;
+    for _ in 0..CRASHES {
+        sleep(UP_TIME).await;
+        endpoint.crash().await;
+    }
+    let called = endpoint.called_starts();
+    assert!(
+        called <= CRASHES / 2,
+        "{called} of {CRASHES} starts got calls"
+    );
+    endpoint.wait_for_call(RESUME_TIME).await;
+}
+
 /// Guards against a trial that acquits a part since its answer was short, and complete before the endpoint crashed under it.
 #[tokio::test(start_paused = true)]
 async fn short_answer_of_an_endpoint_that_then_crashes_acquits_nothing() {
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -33,6 +33,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{Instant, advance, sleep};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Fault of one append to a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -1170,6 +1171,7 @@
         let service = parts.next().unwrap_or("service");
         let domain = parts.next().unwrap_or("domain");
         let slots = parts.next().and_then(|slots| slots.parse().ok());
+        let address = parts.next().and_then(|address| address.parse().ok());
         let draining = match state {
             "ready" => false,
             "draining" => true,
@@ -1180,11 +1182,19 @@
             started_ms: started_ms.unwrap_or(0),
             service: service.into(),
             domain: domain.into(),
+            address: address.unwrap_or_else(|| own_address(id)),
             ..listed(id, slots.unwrap_or(4), draining)
         })
     }
 }
 
+/// Address of the endpoint with this ID alone.
+fn own_address(id: &str) -> SocketAddr {
+    let [first, second, third, port @ ..] = xxh3_64(id.as_bytes()).to_be_bytes();
+    let port = u16::from_be_bytes([port[0], port[1]]);
+    SocketAddr::from(([127, first, second, third], port))
+}
+
 /// A listing with fixed address, service and domain.
 pub fn listed(id: &str, slots: u32, draining: bool) -> ListedEndpoint {
     ListedEndpoint {
