Begin a quarantine with a short term while few addresses have crashed

Cause: any three or five successive crashes begin a term of 20 s. Crashes of one or two servers that go down and up look like a part that crashes servers as long as no other server has room to try it.

Change: if the successive crashes were at fewer than three addresses, and others of the service serve, the first term is 2 s. The trial after it tells which of the two it is; if it crashes its endpoint, the term of 20 s begins. It stops as soon as before, and a request by itself, under which nothing else is held back, has no short term. Crashes that begin a quarantine are logged with their addresses.

In tests of the table, callers pass whether others serve.

--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -358,22 +358,44 @@
         if !state.crashes.has_news {
             return;
         }
+        let SwitchState {
+            crashes, endpoints, ..
+        } = state;
         let CrashState {
             records,
             quarantine,
             has_news,
             must_report,
             ..
-        } = &mut state.crashes;
+        } = crashes;
+        let has_others = |places: &[EndpointPlace]| {
+            let services = places.iter().map(|place| &place.service);
+            let mut serving = services.flat_map(|service| endpoints.serving(&**service, now));
+            serving.any(|endpoint| !places.contains(&EndpointPlace::from(&**endpoint)))
+        };
         let is_unsettled =
             |crash: &EndpointCrash| now.saturating_duration_since(crash.learned_at()) < SETTLE_TIME;
         *has_news = records.iter().any(is_unsettled);
-        for begun in quarantine.update(records, now) {
+        for begun in quarantine.update(records, has_others, now) {
             self.log_quarantine(&begun, None, now);
+            self.log_crashes(&begun, records, now);
             *must_report = true;
         }
     }
 
+    /// Logs the crashes from which a quarantine follows.
+    fn log_crashes(&self, quarantine: &Quarantine, records: &CrashRecords, now: Instant) {
+        let has_parts = |crash: &&EndpointCrash| {
+            let mut parts = quarantine.parts.iter();
+            parts.all(|part| crash.has_part(*part))
+        };
+        for crash in records.iter().filter(has_parts) {
+            info!(self.deps.logger, "crash under rejected parts"; "parts" => part_list(&quarantine.parts),
+                "address" => crash.place().map(|place| place.address),
+                "before_ms" => millis(now.saturating_duration_since(crash.seen_at())));
+        }
+    }
+
     /// Logs a quarantine that began or changed; by the report of `peer`, if there is one.
     pub(crate) fn log_quarantine(&self, quarantine: &Quarantine, peer: Option<&str>, now: Instant) {
         if quarantine.parts.is_empty() {
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -212,6 +212,27 @@
         unlocated.map(EndpointCrash::identity).collect()
     }
 
+    /// Places at which these crashes were, sorted, if there are fewer than `count` of them; `None` if there are as many, or one is not
+    /// known.
+    #[must_use]
+    pub fn few_places(
+        &self,
+        crashes: &SuccessiveCrashes,
+        count: usize,
+    ) -> Option<Vec<EndpointPlace>> {
+        let with_identity = |identity| self.iter().find(|crash| crash.identity() == identity);
+        let found = crashes
+            .crashes
+            .iter()
+            .map(|identity| with_identity(*identity));
+        let mut places: Vec<EndpointPlace> = found
+            .map(|crash| crash?.place.clone())
+            .collect::<Option<_>>()?;
+        places.sort_unstable();
+        places.dedup();
+        (places.len() < count).then_some(places)
+    }
+
     /// Adds a request of this host to a crash, seen at `seen_at`.
     pub fn add_own_request(
         &mut self,
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! Parts that all these requests have cannot be told apart by the crashes, so a quarantine has a set of parts and concerns
 //! the prompts with all of them. Prompts with some of them are served, and their answers show which parts are sound.
 
+use crate::crash_loops::EndpointPlace;
 use crate::crashes::{BrokenRequest, CrashRecords, EndpointCrash, SuccessiveCrashes};
 use crate::prompt::{PartKey, PromptParts};
 use crate::trial::{TRIAL_TIMEOUT, TrialSchedule};
@@ -24,7 +25,13 @@
 /// Time after this host has learned of a crash from which it counts. Before that the reports of some hosts may be missing, and
 /// with them the request that caused it, or the answers that show which parts are sound.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(300);
-/// Duration of the first term of a quarantine, after which one request is let through as a trial.
+/// Number of places at which endpoints must have crashed, or a quarantine begins with a short term: a part that crashes endpoints
+/// does so wherever it is sent, and the endpoints of a few places may crash by themselves.
+const MIN_PLACES: usize = 3;
+/// Duration of that term, after which a trial tells which of the two it is. A quarantine of a single request is never short, since it holds
+/// back nothing else.
+const SHORT_TERM: Duration = Duration::from_secs(2);
+/// Duration of the first term of other quarantines, after which one request is let through as a trial.
 const FIRST_TERM: Duration = Duration::from_secs(20);
 /// Factor by which a term is longer than the one before.
 const TERM_GROWTH: u32 = 8;
@@ -62,7 +69,7 @@
 pub struct Quarantine {
     /// Identifies it at all hosts.
     pub id: QuarantineId,
-    /// Number of the term, counted from 1.
+    /// Number of the term, counted from 1; 0 for a short one before it.
     pub term: u8,
     /// When the term ends, after which a trial may be made.
     pub term_end: Instant,
@@ -251,11 +258,21 @@
         with_part.map(|entry| entry.known_since).min()
     }
 
-    /// Draws the conclusions from the crashes. Returns the quarantines that began or were prolonged by that.
-    pub fn update(&mut self, records: &CrashRecords, now: Instant) -> Vec<Quarantine> {
+    /// Draws the conclusions from the crashes. `has_others` tells whether endpoints of the same services serve at other places. Returns
+    /// the quarantines that began or were prolonged by that.
+    pub fn update(
+        &mut self,
+        records: &CrashRecords,
+        has_others: impl Fn(&[EndpointPlace]) -> bool,
+        now: Instant,
+    ) -> Vec<Quarantine> {
         let mut changed = self.prolong(records, now);
-        while let Some(parts) = self.find_suspects(records, now) {
-            changed.push(self.begin(parts, now));
+        while let Some((parts, crashes)) = self.find_suspects(records, now) {
+            // One request, sent again, is no reason to hold anything else back.
+            let is_shared = !parts.iter().any(|part| part.is_request());
+            let places = records.few_places(&crashes, MIN_PLACES);
+            let is_local = is_shared && places.is_some_and(|places| has_others(&places));
+            changed.push(self.begin(parts, is_local, now));
         }
         changed
     }
@@ -285,9 +302,13 @@
         prolonged
     }
 
-    /// Finds the parts under which most endpoints crashed one after the other, if they are to be quarantined. Crashes under
-    /// a quarantine are explained by it.
-    fn find_suspects(&self, records: &CrashRecords, now: Instant) -> Option<Vec<PartKey>> {
+    /// Finds the parts under which most endpoints crashed one after the other, if they are to be quarantined, and these crashes. Crashes
+    /// under a quarantine are explained by it.
+    fn find_suspects(
+        &self,
+        records: &CrashRecords,
+        now: Instant,
+    ) -> Option<(Vec<PartKey>, SuccessiveCrashes)> {
         let is_left_out = |crash: &EndpointCrash| {
             let mut requests = crash.requests();
             let is_settled = now.saturating_duration_since(crash.learned_at()) >= SETTLE_TIME;
@@ -332,14 +353,15 @@
         let is_clear = !candidates.iter().any(is_rival);
         together.retain(|part| *part == first.part || !records.is_sound(*part));
         let is_clear = is_clear && first.successive.longest_age <= BEGIN_TIME;
-        (is_clear || count >= MAX_CRASHES).then_some(together)
+        (is_clear || count >= MAX_CRASHES).then(|| (together, first.successive.clone()))
     }
 
-    fn begin(&mut self, parts: Vec<PartKey>, now: Instant) -> Quarantine {
+    /// Begins a quarantine. `is_local` tells whether endpoints crashed at a few places only and others serve.
+    fn begin(&mut self, parts: Vec<PartKey>, is_local: bool, now: Instant) -> Quarantine {
         let id = QuarantineId::of(&parts);
         let index = self.position(id);
-        let last_term = index.map_or(0, |index| self.entries[index].quarantine.term);
-        let term = last_term.saturating_add(1);
+        let last_term = index.map(|index| self.entries[index].quarantine.term);
+        let term = last_term.map_or(u8::from(!is_local), |term| term.saturating_add(1));
         let quarantine = Quarantine {
             id,
             term,
@@ -509,5 +531,8 @@
 }
 
 fn term_duration(term: u8) -> Duration {
+    if term == 0 {
+        return SHORT_TERM;
+    }
     FIRST_TERM * TERM_GROWTH.pow(u32::from(term.min(MAX_TERM)).saturating_sub(1))
 }
--- a/crates/switch/tests/switch/crash_model.rs
+++ b/crates/switch/tests/switch/crash_model.rs
@@ -244,7 +244,7 @@
                 start,
             } => self.answer(number, endpoint, start),
             ModelEvent::Update => {
-                self.table.update(&self.records, self.now);
+                self.table.update(&self.records, |_| false, self.now);
                 self.push(UPDATE_INTERVAL, ModelEvent::Update);
             }
         }
--- a/crates/switch/tests/switch/flapping.rs
+++ b/crates/switch/tests/switch/flapping.rs
@@ -6,10 +6,11 @@
 };
 use fulmarswitch_switch::jobs::SubmitReply;
 use fulmarswitch_switch::node::SwitchNode;
+use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The part that all requests and items have.
@@ -227,6 +228,42 @@
     endpoint.wait_for_call(RESUME_TIME).await;
 }
 
+/// Time from a request to the end of its endpoint, in which nothing shows that the request is not the cause.
+const SHORT_RUN: Duration = Duration::from_millis(100);
+
+/// Guards against items that are held back for longer than their job has left, for a part that only endpoints which go down and up by turns
+/// have crashed under, and that no other endpoint had a free slot to try.
+#[rstest]
+#[case::one_endpoint(&["f"])]
+#[case::two_by_turns(&["f", "g"])]
+#[tokio::test(start_paused = true)]
+async fn items_go_on_once_few_endpoints_no_longer_crash(#[case] names: &[&'static str]) {
+    let fleet = TestFleet::new(1);
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    let host = start_host(&fleet).await;
+    submit_items(&host, 16).await;
+    sleep(DOWN_TIME).await;
+    let listed = names
+        .iter()
+        .map(|name| FlappingEndpoint::list(&fleet, name));
+    let mut endpoints: Vec<_> = listed.collect();
+    for number in 0..CRASHES {
+        let endpoint = &mut endpoints[number % names.len()];
+        let _ = timeout(UP_TIME, endpoint.wait_for_call(RESUME_TIME)).await;
+        sleep(SHORT_RUN).await;
+        endpoint.crash().await;
+    }
+    let [first, others @ ..] = &endpoints[..] else {
+        unreachable!("at least one endpoint")
+    };
+    tokio::select! {
+        () = first.wait_for_call(RESUME_TIME) => {}
+        () = async { others[0].wait_for_call(RESUME_TIME).await }, if !others.is_empty() => {}
+    }
+}
+
 /// Guards against a trial that acquits a part since its answer was short, and complete before the endpoint crashed under it.
 #[tokio::test(start_paused = true)]
 async fn short_answer_of_an_endpoint_that_then_crashes_acquits_nothing() {
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -67,7 +67,8 @@
         let id = CrashId::of(&endpoint(self.crashes));
         self.records.record(id, None, now, requests.collect(), now);
         // The conclusions are drawn once all reports are in.
-        self.table.update(&self.records, now + SETTLE_TIME)
+        self.table
+            .update(&self.records, |_| false, now + SETTLE_TIME)
     }
 
     /// An endpoint crashes under each prompt, one after the other.
@@ -396,11 +397,11 @@
         };
         let sound = format!("first,a{number}");
         records.record(id, None, now, vec![request(&sound)], now);
-        assert_eq!(table.update(&records, now + RUN), []);
+        assert_eq!(table.update(&records, |_| false, now + RUN), []);
         records.record(id, Some(&host), now, vec![request("first,dead")], now);
         sleep(CRASH_INTERVAL).await;
     }
-    let begun = table.update(&records, Instant::now() + SETTLE_TIME);
+    let begun = table.update(&records, |_| false, Instant::now() + SETTLE_TIME);
     assert_eq!(begun.len(), 1);
     assert!(begun[0].parts.contains(&PartKey::of("dead")), "{begun:?}");
 }
