Make a trial again that has reached no endpoint

The one request that may try a part at the end of a term went to an endpoint that had ended and was still listed, or that was full. All with the part were rejected for 10 s more.

Cause: a trial counted as made with its admission, and the next is due 10 s later, when its result should be in.

Change: where no endpoint has got the trial, its host may make it again at once; it is one request at a time as before.

Measured: both cases of the new test failed before ("no trial" within 5 s).

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -399,7 +399,8 @@
     let now = Instant::now();
     let name = item.name.clone();
     let parts = node.deps.client.prompt_parts(&call.headers);
-    if let Admission::Rejected { trial_in, .. } = node.admit(state, &call.id, &parts, now) {
+    let admission = node.admit(state, &call.id, &parts, now);
+    if let Admission::Rejected { trial_in, .. } = admission {
         info!(node.deps.logger, "item held back"; "job" => &*name.job,
             "item" => name.item, "id" => &*call.id, "parts" => %parts,
             "cause" => "parts of its prompt crash endpoints");
@@ -422,6 +423,7 @@
     let call = ItemCall {
         call,
         parts,
+        is_trial: admission == Admission::Trial,
         segments,
     };
     shares::record_start(state, &endpoint.service, item.claim, now);
@@ -551,6 +553,8 @@
     call: EndpointCall,
     /// Parts of its prompt that other requests may share.
     parts: PromptParts,
+    /// Whether it is the trial of a quarantine.
+    is_trial: bool,
     /// Output in the log, from checkpoints of earlier runs.
     segments: Vec<ProgressSegment>,
 }
@@ -565,6 +569,7 @@
     let ItemCall {
         call,
         parts,
+        is_trial,
         segments,
     } = call;
     let progress = state.start_progress(&name);
@@ -596,6 +601,7 @@
         endpoint: endpoint.clone(),
         call,
         parts,
+        is_trial,
         admitted_at: Instant::now(),
         sent_at: None,
         progress,
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -92,6 +92,8 @@
     pub(super) call: EndpointCall,
     /// Parts of the prompt that other requests may share.
     pub(super) parts: PromptParts,
+    /// Whether it is the trial of a quarantine.
+    pub(super) is_trial: bool,
     /// When the run was admitted.
     pub(super) admitted_at: Instant,
     /// When the item was sent to the endpoint.
@@ -322,6 +324,16 @@
     /// Records what the end of the run tells of the item's prompt.
     fn record_end(&self, outcome: &RunOutcome) {
         let is_marked = self.framing == Some(BodyFraming::Delimited);
+        let has_reached = !matches!(
+            outcome,
+            RunOutcome::NotSent
+                | RunOutcome::NotRun
+                | RunOutcome::Interrupted(CallError::NotSent { .. })
+        );
+        if self.is_trial && !has_reached {
+            let quarantine = &mut self.node.lock().crashes.quarantine;
+            quarantine.renew_trial(&self.parts, Instant::now());
+        }
         let may_be_complete = match outcome {
             RunOutcome::Completed | RunOutcome::UnmarkedEnd => true,
             RunOutcome::Interrupted(CallError::Interrupted { .. }) => false,
--- a/crates/switch/src/online/mod.rs
+++ b/crates/switch/src/online/mod.rs
@@ -105,6 +105,7 @@
             suspects,
             attempts: PendingAttempts::default(),
             asked: None,
+            is_trial: false,
             tried: Vec::new(),
             sent: Vec::new(),
             version: None,
@@ -177,6 +178,8 @@
     attempts: PendingAttempts,
     /// Answer of a coordinator for the next attempt.
     asked: Option<AskedPlace>,
+    /// Whether the last attempt is the trial of a quarantine.
+    is_trial: bool,
     /// Endpoints, and hosts to which the request was passed on, at which an attempt has failed.
     tried: Vec<Arc<str>>,
     /// Endpoints to which the request was sent, and when.
@@ -468,6 +471,10 @@
     ) -> Result<(), OnlineReply> {
         let now = Instant::now();
         self.record_failed_attempt(target.id(), error, error.outcome());
+        if let CallError::NotSent { .. } | CallError::NotRun { .. } = error {
+            let node = self.node.clone();
+            self.renew_trial(&mut node.lock(), now);
+        }
         match error {
             CallError::NotSent { .. } => {
                 self.avoid(target);
--- a/crates/switch/src/online/pick.rs
+++ b/crates/switch/src/online/pick.rs
@@ -1,6 +1,6 @@
 //! Selects where a request goes, or rejects it.
 
-use super::ask::CoordinatedPick;
+use super::ask::{AskedPlace, CoordinatedPick};
 use super::attempts::{MAX_OTHER_WAIT, RoutedTarget};
 use super::target::AttemptTarget;
 use super::{MIN_REMAINING, NO_ENDPOINT_RETRY_AFTER, OnlineExchange, OnlineReply};
@@ -67,6 +67,30 @@
         if let Admission::Rejected { trial_in, .. } = admission {
             return Err(self.reject_suspect(retry_delay(trial_in)));
         }
+        self.is_trial = admission == Admission::Trial;
+        let picked = self.pick_target(state, asked.as_ref(), remaining, now);
+        if picked.is_err() {
+            self.renew_trial(state, now);
+        }
+        picked
+    }
+
+    /// Makes a trial due again if the request was to be it and has reached no endpoint.
+    pub(super) fn renew_trial(&mut self, state: &mut SwitchState, now: Instant) {
+        if std::mem::take(&mut self.is_trial) {
+            let quarantine = &mut state.crashes.quarantine;
+            quarantine.renew_trial(&self.suspects, now);
+        }
+    }
+
+    /// Selects where an admitted request goes, and counts it there.
+    fn pick_target(
+        &mut self,
+        state: &mut SwitchState,
+        asked: Option<&AskedPlace>,
+        remaining: Duration,
+        now: Instant,
+    ) -> Result<RoutedTarget, OnlineReply> {
         if state.reach.is_cut_off() {
             if self.request.passed_on.is_some() && self.runs == 0 {
                 return Err(OnlineReply::OutOfReach);
@@ -75,7 +99,7 @@
                 return Ok(routed);
             }
         }
-        let coordinated = asked.as_ref().and_then(|asked| {
+        let coordinated = asked.and_then(|asked| {
             let pick = self.coordinated_pick(state, asked)?;
             Some((asked.service.clone(), pick))
         });
--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -198,6 +198,14 @@
             .then(|| (entry.quarantine.term, entry.trial.arbiter_rank(now)))
     }
 
+    /// Records that a request which this host sent as a trial has reached no endpoint.
+    pub fn renew_trial(&mut self, parts: &PromptParts, now: Instant) {
+        let entries = self.entries.iter_mut();
+        for entry in entries.filter(|entry| entry.quarantine.covers(parts)) {
+            entry.trial.renew(now);
+        }
+    }
+
     /// Decides on the trial after a term, for a host that asks for it.
     pub fn grant_trial(&mut self, id: QuarantineId, term: u8, now: Instant) -> TrialGrant {
         let Some(entry) = self.entry_in_term(id, term) else {
--- a/crates/switch/src/trial.rs
+++ b/crates/switch/src/trial.rs
@@ -77,6 +77,12 @@
         self.permitted_until = Some(now + PERMIT_TIME);
     }
 
+    /// Records that a trial of this host has reached no endpoint, so that the host may make it again.
+    pub fn renew(&mut self, now: Instant) {
+        *self = Self::new(now);
+        self.permit(now);
+    }
+
     /// Records that a trial begins, or that another host was granted it: the next one is due after a time.
     pub fn postpone(&mut self, time: Duration, now: Instant) {
         *self = Self::new(now + time);
--- a/crates/switch/tests/switch/flapping.rs
+++ b/crates/switch/tests/switch/flapping.rs
@@ -289,3 +289,34 @@
     sleep(LONG_RUN * 2).await;
     assert_eq!(send(&host, 5).await, CallerOutcome::Rejected);
 }
+
+/// Guards against a part that stays rejected for another 10 s since its trial met endpoints that had ended or were full.
+#[rstest]
+#[case::ended(CallScript::Unreachable)]
+#[case::full(CallScript::Full)]
+#[tokio::test(start_paused = true)]
+async fn trial_that_reaches_no_endpoint_is_made_again(#[case] script: CallScript) {
+    let fleet = TestFleet::new(8);
+    let host = start_host(&fleet).await;
+    fleet
+        .client
+        .set_default(CallScript::Stream { events: 5000 });
+    fleet.client.set_deadly(Some(DeadlyCalls {
+        cause: DeadlyCause::Any,
+        crash_after: SHORT_RUN,
+    }));
+    for number in 0..3 {
+        send(&host, number).await;
+        sleep(LONG_RUN).await;
+    }
+    fleet.client.set_deadly(None);
+    submit_items(&host, 1).await;
+    revive_all(&fleet);
+    sleep(FIRST_TERM * 9 / 10).await;
+    fleet.client.set_default(script);
+    sleep(Duration::from_secs(4)).await;
+    fleet.client.set_default(CallScript::Stream { events: 20 });
+    let calls = fleet.client.calls().len();
+    sleep(Duration::from_secs(5)).await;
+    assert!(fleet.client.calls().len() > calls, "no trial");
+}
