--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -32,7 +32,7 @@
 use crate::schedule::{ItemName, RunnableItem, sort_items, start_quota};
 use crate::trial::ASK_INTERVAL;
 use crate::version_holds;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::Method;
 use items::{OpenItems, events_so_far, give_up, runnable_items};
 use outcomes::{ItemUpdate, record_updates, run_checkpoints};
 use rand::Rng;
@@ -221,7 +221,7 @@
         match pass.start(state, &item) {
             Ok(launch) => launches.push(launch),
             Err(Hindrance::Unsendable) => {
-                let cause = "its path or its ID cannot be sent";
+                let cause = "its path, its ID or its headers cannot be sent";
                 give_up(node, state, item.name, cause, updates);
             }
             Err(Hindrance::Waits(status)) => open.waiting.push((item.name, status)),
@@ -526,16 +526,7 @@
         return None;
     }
     let route = routes.find_for_job(&job.host, &job.path_prefix)?;
-    let mut headers = HeaderMap::new();
-    for (header, value) in &item.headers {
-        let parsed = (
-            HeaderName::from_bytes(header.as_bytes()),
-            HeaderValue::from_str(value),
-        );
-        if let (Ok(header), Ok(value)) = parsed {
-            headers.append(header, value);
-        }
-    }
+    let headers = item.header_map()?;
     let call = EndpointCall {
         id: item.id.clone(),
         method: Method::POST,
--- a/crates/switch/src/record.rs
+++ b/crates/switch/src/record.rs
@@ -7,8 +7,8 @@
 use crate::backend::{KeyedRecord, LogEntry};
 use crate::progress::ProgressSegment;
 use bytes::{BufMut, Bytes, BytesMut};
-use http::HeaderValue;
 use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use std::sync::Arc;
@@ -57,6 +57,35 @@
             && !self.id.is_empty()
             && HeaderValue::from_str(&self.id).is_ok()
     }
+
+    /// Headers of the request, without those that no request can have; `None` if they are more than a table of headers holds.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::record::AcceptedItem;
+    /// let item = |count: u32| AcceptedItem {
+    ///     id: "e5b2907c".into(),
+    ///     path: "/jobs/7".into(),
+    ///     headers: (0..count).map(|number| (format!("x{number}").into(), "".into())).collect(),
+    ///     body: "input".into(),
+    ///     tokens: 10,
+    /// };
+    /// assert_eq!(item(3).header_map().unwrap().len(), 3);
+    /// assert_eq!(item(40_000).header_map(), None);
+    /// ```
+    #[must_use]
+    pub fn header_map(&self) -> Option<HeaderMap> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.headers {
+            let parsed = (
+                HeaderName::from_bytes(name.as_bytes()),
+                HeaderValue::from_bytes(value.as_bytes()),
+            );
+            if let (Ok(name), Ok(value)) = parsed {
+                headers.try_append(name, value).ok()?;
+            }
+        }
+        Some(headers)
+    }
 }
 
 /// An accepted job.
--- a/crates/switch/tests/switch/jobs.rs
+++ b/crates/switch/tests/switch/jobs.rs
@@ -163,6 +163,24 @@
     assert_eq!(fleet.client.calls().len(), 1);
 }
 
+/// Guards against an item with more headers than a request can have that stops each host which reads it, at each start: as one of a job
+/// that a host of an earlier release has accepted.
+#[tokio::test(start_paused = true)]
+async fn item_with_too_many_headers_stops_no_host() {
+    let fleet = TestFleet::new(1);
+    let node = fleet.start("a").await;
+    node.submit_job(submission("before", 2)).await;
+    let mut submission = submission("j", 2);
+    let names = (0..40_000).map(|number| (format!("x{number}").into(), "".into()));
+    submission.items[0].headers = names.collect();
+    node.submit_job(submission).await;
+    sleep(COMPLETION_TIME).await;
+    let texts: Vec<_> = results(&node, "j").await.results;
+    assert_eq!(texts.len(), 2);
+    assert!(texts.iter().any(|result| result.text.is_none()));
+    assert_eq!(results(&node, "before").await.results.len(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn impossible_item_is_abandoned_at_once() {
     let fleet = TestFleet::new(2);
