Contain panics on data from outside, and end the process for any other in its tasks

Cause: tasks of a host were plain spawns, of which nobody sees the end.

Change: tasks that live as long as the process are spawned as vital ones. Steps that read data from outside run contained: the data is left out, with a line and a counter, so that a record in the log does not end each host at each start.

--- a/crates/switch/src/batch/mod.rs
+++ b/crates/switch/src/batch/mod.rs
@@ -24,6 +24,7 @@
 use crate::load::RequestClass;
 use crate::node::{RunningItem, SwitchNode, SwitchState, millis};
 use crate::origins::VersionKey;
+use crate::panics::spawn_vital;
 use crate::progress::{ProgressSegment, SegmentChain};
 use crate::prompt::PromptParts;
 use crate::quarantine::Admission;
@@ -52,13 +53,13 @@
 /// Runs scheduling passes for as long as the host runs.
 pub(crate) async fn run_scheduler(node: Arc<SwitchNode>) {
     let (updates, queue) = mpsc::unbounded_channel();
-    tokio::spawn(record_updates(node.clone(), queue));
-    tokio::spawn(run_checkpoints(node.clone()));
+    spawn_vital("results of items", record_updates(node.clone(), queue));
+    spawn_vital("checkpoints of items", run_checkpoints(node.clone()));
     loop {
         // A pass is due whether it was requested or the interval has passed.
         let _ = timeout(SCHEDULE_INTERVAL, node.schedule_requested.notified()).await;
         for launch in schedule_items(&node, &updates) {
-            tokio::spawn(launch.run.run(launch.cancelled, updates.clone()));
+            tokio::spawn(launch.run.run_contained(launch.cancelled, updates.clone()));
         }
     }
 }
@@ -273,7 +274,10 @@
         item: &RunnableItem,
     ) -> Result<ItemLaunch, Hindrance> {
         let (node, now) = (self.node, self.now);
-        let Some((call, route)) = build_call(state, self.routes, &item.name) else {
+        let built = node.contain("make the request of an item", || {
+            build_call(state, self.routes, &item.name)
+        });
+        let Some((call, route)) = built.flatten() else {
             return Err(Hindrance::Unsendable);
         };
         let Some(target) = pick_target(node, state, &item.name, &route, &mut self.rooms, now)
--- a/crates/switch/src/batch/run.rs
+++ b/crates/switch/src/batch/run.rs
@@ -15,9 +15,10 @@
 use crate::route::RouteKind;
 use crate::schedule::ItemName;
 use crate::starts::StartCheck;
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use http::StatusCode;
-use slog::{info, warn};
+use slog::{error, info, warn};
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -112,6 +113,24 @@
 }
 
 impl ItemRun {
+    /// Runs the item. If the run panics, the item counts as one that was broken off, or no host would run it again.
+    pub(super) async fn run_contained(
+        self,
+        cancelled: oneshot::Receiver<()>,
+        updates: mpsc::UnboundedSender<ItemUpdate>,
+    ) {
+        let (node, name) = (self.node.clone(), self.name.clone());
+        let run = AssertUnwindSafe(self.run(cancelled, updates));
+        if run.catch_unwind().await.is_err() {
+            node.metrics.count_contained_panic();
+            error!(node.deps.logger, "panic contained"; "step" => "run an item",
+                "job" => &*name.job, "item" => name.item);
+            let mut state = node.lock();
+            state.running.retain(|running| running.name != name);
+            state.histories.record_interruption(&name, Instant::now());
+        }
+    }
+
     /// Runs until the response ends or the run is cancelled, and reports the outcome.
     pub(super) async fn run(
         mut self,
--- a/crates/switch/src/configuration.rs
+++ b/crates/switch/src/configuration.rs
@@ -11,10 +11,14 @@
     pub(crate) fn apply_config(&self, batch: FollowBatch<'_>) {
         for entry in batch.records() {
             let record = &entry.record;
-            let Some(decoded) = self.deps.decoder.routes(&record.key, &record.value) else {
+            let decoder = &self.deps.decoder;
+            let table = self.contain("decode a configuration", || {
+                decoder.routes(&record.key, &record.value)
+            });
+            let Some(table) = table.flatten() else {
                 continue;
             };
-            match decoded {
+            match table {
                 Ok(table) => self.apply_routes(table, entry.offset),
                 Err(cause) => {
                     warn!(self.deps.logger, "configuration left out";
--- a/crates/switch/src/gossip.rs
+++ b/crates/switch/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::members::{HostDescriptor, MemberChange, MemberTable};
 use crate::node::{SwitchNode, SwitchState};
 use crate::origin_exchange::OriginMessage;
+use crate::panics::spawn_vital;
 use crate::reach::ReachReport;
 use crate::report::{EndpointKey, LoadReport};
 use crate::schedule::ItemKey;
@@ -161,8 +162,8 @@
 /// Sends and receives heartbeats.
 pub(crate) async fn exchange_heartbeats(node: Arc<SwitchNode>, socket: UdpSocket) {
     let socket = node.socket.get_or_init(|| socket);
-    tokio::spawn(receive_messages(node.clone()));
-    tokio::spawn(run_caps(node.clone()));
+    spawn_vital("messages of hosts", receive_messages(node.clone()));
+    spawn_vital("caps of workspaces", run_caps(node.clone()));
     let mut round = 0;
     let mut next = Instant::now();
     loop {
@@ -442,41 +443,12 @@
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::take_from_bytes(&buffer[..length]) {
-                Ok(((SCHEMA, PeerMessage::Heartbeat(heartbeat)), rest)) => {
-                    // A host of an earlier version sends none.
-                    let reach = postcard::from_bytes(rest).ok();
-                    handle_heartbeat(&node, *heartbeat, reach);
-                }
-                Ok(((SCHEMA, PeerMessage::Origin(message)), _)) => {
-                    node.handle_origin_message(message, from);
-                }
-                Ok(((SCHEMA, PeerMessage::Crashes { host, notices }), _)) => {
-                    crash_exchange::apply_notices(&node, &host, notices);
-                }
-                Ok(((SCHEMA, PeerMessage::Limits(reports)), _)) => {
-                    let now = Instant::now();
-                    let limits = &mut node.lock().limits;
-                    for report in reports {
-                        limits.apply(report, now);
-                    }
-                }
-                Ok(((SCHEMA, PeerMessage::Coordinator(message)), rest)) => {
-                    node.handle_coordinator_message(message, rest, from);
-                }
-                Ok(((SCHEMA, PeerMessage::Trial(message)), _)) => {
-                    node.handle_trial_message(message, from);
-                }
-                Ok(((SCHEMA, PeerMessage::Cap(message)), _)) => {
-                    node.handle_cap_message(message, from);
-                }
-                Ok(((schema, _), _)) => {
-                    info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
-                }
-                Err(error) => {
-                    info!(node.deps.logger, "heartbeat ignored"; "cause" => %error, "from" => %from);
-                }
-            },
+            Ok((length, from)) => {
+                let message = &buffer[..length];
+                node.contain("handle a message of a host", || {
+                    handle_message(&node, message, from);
+                });
+            }
             Err(error) => {
                 // An ICMP error for an earlier datagram is reported here; receiving continues.
                 slog::debug!(node.deps.logger, "heartbeat not received"; "cause" => %error);
@@ -486,6 +458,45 @@
     }
 }
 
+/// Decodes and handles a message of another host.
+fn handle_message(node: &Arc<SwitchNode>, message: &[u8], from: SocketAddr) {
+    match postcard::take_from_bytes(message) {
+        Ok(((SCHEMA, PeerMessage::Heartbeat(heartbeat)), rest)) => {
+            // A host of an earlier version sends none.
+            let reach = postcard::from_bytes(rest).ok();
+            handle_heartbeat(node, *heartbeat, reach);
+        }
+        Ok(((SCHEMA, PeerMessage::Origin(message)), _)) => {
+            node.handle_origin_message(message, from);
+        }
+        Ok(((SCHEMA, PeerMessage::Crashes { host, notices }), _)) => {
+            crash_exchange::apply_notices(node, &host, notices);
+        }
+        Ok(((SCHEMA, PeerMessage::Limits(reports)), _)) => {
+            let now = Instant::now();
+            let limits = &mut node.lock().limits;
+            for report in reports {
+                limits.apply(report, now);
+            }
+        }
+        Ok(((SCHEMA, PeerMessage::Coordinator(message)), rest)) => {
+            node.handle_coordinator_message(message, rest, from);
+        }
+        Ok(((SCHEMA, PeerMessage::Trial(message)), _)) => {
+            node.handle_trial_message(message, from);
+        }
+        Ok(((SCHEMA, PeerMessage::Cap(message)), _)) => {
+            node.handle_cap_message(message, from);
+        }
+        Ok(((schema, _), _)) => {
+            info!(node.deps.logger, "heartbeat ignored"; "schema" => schema, "from" => %from);
+        }
+        Err(error) => {
+            info!(node.deps.logger, "heartbeat ignored"; "cause" => %error, "from" => %from);
+        }
+    }
+}
+
 fn handle_heartbeat(node: &SwitchNode, heartbeat: Heartbeat, reach: Option<ReachReport>) {
     let now = Instant::now();
     let mut state = node.lock();
--- a/crates/switch/src/lib.rs
+++ b/crates/switch/src/lib.rs
@@ -50,6 +50,7 @@
 mod origin_exchange;
 pub mod origins;
 pub mod overload;
+pub mod panics;
 pub mod peer_load;
 pub mod progress;
 pub mod prompt;
--- a/crates/switch/src/listings.rs
+++ b/crates/switch/src/listings.rs
@@ -199,7 +199,11 @@
 
 fn decode_listing(node: &SwitchNode, entry: &LogEntry) -> Option<ListedEndpoint> {
     let record = &entry.record;
-    match node.deps.decoder.endpoint(&record.key, &record.value) {
+    let decoder = &node.deps.decoder;
+    let listing = node.contain("decode a listing", || {
+        decoder.endpoint(&record.key, &record.value)
+    });
+    match listing? {
         Ok(endpoint) => Some(endpoint),
         Err(cause) => {
             warn!(node.deps.logger, "listing left out";
--- a/crates/switch/src/metrics.rs
+++ b/crates/switch/src/metrics.rs
@@ -63,6 +63,7 @@
     limited_responses: Counter,
     share_rejections: Counter,
     endpoint_crashes: Counter,
+    contained_panics: Counter,
     quarantined_requests: Counter,
     passed_requests: Counter,
     first_byte: Histogram,
@@ -235,6 +236,7 @@
             limited_responses: Counter::default(),
             share_rejections: Counter::default(),
             endpoint_crashes: Counter::default(),
+            contained_panics: Counter::default(),
             quarantined_requests: Counter::default(),
             passed_requests: Counter::default(),
             first_byte: Histogram::new(BUCKETS),
@@ -320,6 +322,11 @@
             "Endpoints that crashed with requests of this host",
             self.endpoint_crashes.clone(),
         );
+        registry.register(
+            "contained_panics",
+            "Panics on data from outside, which was left out, and in runs of items",
+            self.contained_panics.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Times that a request or an item was not sent, since endpoints crash under it",
@@ -414,6 +421,10 @@
         self.share_rejections.inc_by(count);
     }
 
+    pub(crate) fn count_contained_panic(&self) {
+        self.contained_panics.inc();
+    }
+
     pub(crate) fn count_endpoint_crash(&self) {
         self.endpoint_crashes.inc();
     }
--- a/crates/switch/src/node.rs
+++ b/crates/switch/src/node.rs
@@ -21,6 +21,7 @@
 use crate::metrics::SwitchMetrics;
 use crate::origins::OriginTable;
 use crate::overload::OverloadTracker;
+use crate::panics::{contain, spawn_vital};
 use crate::progress::SharedProgress;
 use crate::reach::{EndpointReach, ReachPhase};
 use crate::record::{FrameRange, JobRecord, RecordNumberGenerator, RecordReader};
@@ -347,18 +348,39 @@
             wait: Duration::ZERO,
             poll_interval: HOST_POLL_INTERVAL,
         };
-        tokio::spawn(follow(self.clone(), config, Self::apply_config));
-        tokio::spawn(follow(self.clone(), endpoints, listings::apply_listings));
-        tokio::spawn(follow(self.clone(), hosts, gossip::apply_host_descriptors));
-        tokio::spawn(self.clone().follow_jobs());
-        tokio::spawn(gossip::publish_descriptor(self.clone()));
-        tokio::spawn(gossip::exchange_heartbeats(self.clone(), socket));
-        tokio::spawn(crash_exchange::share_crashes(self.clone()));
-        tokio::spawn(crash_log::store_reports(self.clone()));
-        tokio::spawn(versions::store::store_changes(self.clone()));
-        tokio::spawn(versions::origin_log::store_origins(self.clone()));
-        tokio::spawn(batch::run_scheduler(self.clone()));
-        tokio::spawn(expiry::expire_jobs(self.clone()));
+        spawn_vital(
+            "configuration",
+            follow(self.clone(), config, Self::apply_config),
+        );
+        spawn_vital(
+            "listings",
+            follow(self.clone(), endpoints, listings::apply_listings),
+        );
+        spawn_vital(
+            "host descriptors",
+            follow(self.clone(), hosts, gossip::apply_host_descriptors),
+        );
+        spawn_vital("job records", self.clone().follow_jobs());
+        spawn_vital("own descriptor", gossip::publish_descriptor(self.clone()));
+        spawn_vital(
+            "heartbeats",
+            gossip::exchange_heartbeats(self.clone(), socket),
+        );
+        spawn_vital("crash reports", crash_exchange::share_crashes(self.clone()));
+        spawn_vital(
+            "stored crash reports",
+            crash_log::store_reports(self.clone()),
+        );
+        spawn_vital(
+            "version history",
+            versions::store::store_changes(self.clone()),
+        );
+        spawn_vital(
+            "stored origins",
+            versions::origin_log::store_origins(self.clone()),
+        );
+        spawn_vital("items", batch::run_scheduler(self.clone()));
+        spawn_vital("expired jobs", expiry::expire_jobs(self.clone()));
     }
 
     /// Logger of the host.
@@ -490,6 +512,11 @@
         }
     }
 
+    /// Runs a step that reads data from outside. Returns `None` if it panics, and the data is to be left out.
+    pub(crate) fn contain<T>(&self, step: &'static str, run: impl FnOnce() -> T) -> Option<T> {
+        contain(&self.deps.logger, &self.metrics, step, run)
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, SwitchState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -527,7 +554,12 @@
                     node.lock().apply_tombstone(entry, Instant::now());
                     continue;
                 }
-                match reader.push(entry) {
+                let pushed = node.contain("decode a job record", || reader.push(entry));
+                let Some(pushed) = pushed else {
+                    node.lock().deletions.read_undecoded(&entry.record.key);
+                    continue;
+                };
+                match pushed {
                     None => {}
                     Some(Ok(record)) => {
                         if is_part && matches!(record, JobRecord::Accepted(_)) {
@@ -583,7 +615,13 @@
         } else {
             false
         };
-        let change = state.ledger.apply_entry(record, last_key);
+        let ledger = &mut state.ledger;
+        let applied = self.contain("apply a job record", || {
+            ledger.apply_entry(record, last_key)
+        });
+        let Some(change) = applied else {
+            return;
+        };
         if !is_acceptance && state.ledger.get(&job).is_none() {
             state.deletions.push_orphan(&job, &frames, Instant::now());
         }
--- a/crates/switch/tests/switch/main.rs
+++ b/crates/switch/tests/switch/main.rs
@@ -35,6 +35,7 @@
 mod old_view;
 mod online;
 mod overload;
+mod panics;
 mod partitions;
 mod planned_stop;
 mod pure;
--- a/crates/switch/tests/switch/support.rs
+++ b/crates/switch/tests/switch/support.rs
@@ -412,6 +412,8 @@
     Unreachable,
     /// Refuses the call as full.
     Full,
+    /// Makes the calling task panic.
+    Panic,
     /// Disconnects before a response.
     Disconnect,
     /// Never responds.
@@ -923,6 +925,7 @@
                     notice: None,
                 });
             }
+            CallScript::Panic => panic!("as the test asks"),
             CallScript::Disconnect => return Err(lost()),
             CallScript::Silent => std::future::pending().await,
             CallScript::Status(status)
@@ -1175,6 +1178,7 @@
         let draining = match state {
             "ready" => false,
             "draining" => true,
+            "panic" => panic!("as the test asks"),
             _ => return Err(malformed(text)),
         };
         Ok(ListedEndpoint {
