Make no trial again in the middle of a later term

A trial that reached no endpoint was made again although another host's had begun the next term meanwhile; found by reading. The new test failed before.

--- a/crates/switch/src/quarantine.rs
+++ b/crates/switch/src/quarantine.rs
@@ -200,7 +200,9 @@
 
     /// Records that a request which this host sent as a trial has reached no endpoint.
     pub fn renew_trial(&mut self, parts: &PromptParts, now: Instant) {
-        let entries = self.entries.iter_mut();
+        // Another host's trial may have begun the next term meanwhile.
+        let is_over = |entry: &&mut QuarantineEntry| entry.quarantine.term_end <= now;
+        let entries = self.entries.iter_mut().filter(is_over);
         for entry in entries.filter(|entry| entry.quarantine.covers(parts)) {
             entry.trial.renew(now);
         }
--- a/crates/switch/tests/switch/quarantine.rs
+++ b/crates/switch/tests/switch/quarantine.rs
@@ -322,6 +322,21 @@
     assert!(!observer.rejects("dead"));
 }
 
+/// Guards against a trial in the middle of a term, after one at the end of the term before has reached no endpoint.
+#[tokio::test(start_paused = true)]
+async fn trial_of_an_earlier_term_is_not_made_again() {
+    let mut observer = Observer::default();
+    observer.crash_each(&["dead", "dead", "dead"]).await;
+    sleep(Duration::from_secs(21)).await;
+    assert!(observer.is_tried("dead"));
+    observer.table.renew_trial(&parts("dead"), Instant::now());
+    assert!(observer.is_tried("dead"));
+    sleep(RUN).await;
+    observer.crash(&[("dead", RUN / 2)]);
+    observer.table.renew_trial(&parts("dead"), Instant::now());
+    assert!(!observer.is_tried("dead"));
+}
+
 /// Guards against a quarantine that is renewed by reports from before its end, and against one that is kept forever.
 #[tokio::test(start_paused = true)]
 async fn end_of_a_quarantine_outlasts_earlier_reports() {
