--- a/crates/switch/src/crash_loops.rs
+++ b/crates/switch/src/crash_loops.rs
@@ -89,6 +89,19 @@
     }
 
     /// Until when a place gets no new work since endpoints crash there again and again; `None` if it may get some.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::crash_loops::{CrashLoops, EndpointPlace};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// let place = EndpointPlace { address: "127.0.0.1:80".parse().unwrap(), service: "s".into() };
+    /// let (mut loops, first) = (CrashLoops::default(), Instant::now());
+    /// loops.record(place.clone(), first);
+    /// assert_eq!(loops.held_until(&place, first), None);
+    /// let second = first + Duration::from_secs(1);
+    /// loops.record(place.clone(), second);
+    /// assert_eq!(loops.held_until(&place, second), Some(second + Duration::from_secs(2)));
+    /// ```
     #[must_use]
     pub fn held_until(&self, place: &EndpointPlace, now: Instant) -> Option<Instant> {
         let index = self.search(place).ok()?;
--- a/crates/switch/src/health.rs
+++ b/crates/switch/src/health.rs
@@ -62,6 +62,16 @@
     }
 
     /// Avoids the endpoint until a time, or until a request that begins from now on succeeds.
+    ///
+    /// ```
+    /// use fulmarswitch_switch::health::EndpointHealth;
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// let (mut health, now) = (EndpointHealth::default(), Instant::now());
+    /// health.hold_until(now + Duration::from_secs(2), now);
+    /// assert!(health.is_avoided(now + Duration::from_secs(1)));
+    /// assert!(!health.is_avoided(now + Duration::from_secs(2)));
+    /// ```
     pub fn hold_until(&mut self, until: Instant, now: Instant) {
         self.last_failure = Some(now);
         self.avoid_until = self.avoid_until.max(Some(until));
--- a/crates/switch/src/panics.rs
+++ b/crates/switch/src/panics.rs
@@ -46,6 +46,13 @@
 }
 
 /// Spawns a task that lives as long as the process.
+///
+/// ```
+/// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+/// use fulmarswitch_switch::panics::spawn_vital;
+/// assert_eq!(spawn_vital("sum", async { 1 + 2 }).await.unwrap(), 3);
+/// # });
+/// ```
 pub fn spawn_vital<F>(name: &'static str, future: F) -> JoinHandle<F::Output>
 where
     F: Future + Send + 'static,
