--- a/crates/switch/src/crash_watch.rs
+++ b/crates/switch/src/crash_watch.rs
@@ -132,8 +132,9 @@
         tokio::spawn(check_endpoint(self.clone(), endpoint.clone()));
     }
 
-    /// Records that an answer is complete. One that took less than [`BEGIN_TIME`] may be so although the request crashes the endpoint, and
-    /// shows that it is sound only if the endpoint still serves after that time.
+    /// Records that an answer is complete. One that took less than [`BEGIN_TIME`] may be so although the request crashes the endpoint. It
+    /// acquits a part in quarantine only if the endpoint still serves after that time; others are acquitted at once, as the endpoint may
+    /// crash for another cause meanwhile.
     pub(crate) fn record_complete(
         self: &Arc<Self>,
         endpoint: &Arc<ListedEndpoint>,
@@ -146,14 +147,10 @@
             self.record_sound(&mut state, &request.parts, request.sent_at, begun_at);
             return;
         }
-        let CrashState {
-            records,
-            quarantine,
-            ..
-        } = &state.crashes;
-        let is_suspected =
-            |part| records.is_suspected(part) || quarantine.suspected_since(part).is_some();
+        let quarantine = &state.crashes.quarantine;
+        let is_suspected = |part| quarantine.suspected_since(part).is_some();
         if !request.parts.iter().any(is_suspected) {
+            self.record_sound(&mut state, &request.parts, request.sent_at, now);
             return;
         }
         drop(state);
--- a/crates/switch/src/crashes.rs
+++ b/crates/switch/src/crashes.rs
@@ -357,12 +357,6 @@
         found.is_ok()
     }
 
-    /// Whether endpoints crashed under a part since it was last seen to be sound.
-    #[must_use]
-    pub fn is_suspected(&self, part: PartKey) -> bool {
-        self.suspicious(part).next().is_some()
-    }
-
     /// All crashes, in the order of time.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointCrash> {
         self.crashes.iter()
